--- /dev/null
+++ b/crates/dispatch/src/budget.rs
@@ -0,0 +1,106 @@
+//! What may be sent again. All nodes together may repeat a share of what came
+//! plus a fixed number in each window. Each node keeps to the share of its own
+//! requests and to its even part of the fixed number, so that no cut between
+//! nodes can break the whole (after the retry budget of Finagle).
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+/// Bounds on what is sent again, over all nodes together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed beyond that in each window.
+    pub extra: f64,
+    /// The window.
+    pub window: Span,
+    /// The part of both that is used, since others count at other moments.
+    pub caution: f64,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            ratio: 0.2,
+            extra: 10.0,
+            window: Span::from_secs(10),
+            caution: 0.8,
+        }
+    }
+}
+
+/// Counts of one service.
+#[derive(Debug, Default)]
+struct Counts {
+    requests: VecDeque<Time>,
+    repeats: VecDeque<Time>,
+}
+
+impl Counts {
+    fn forget(&mut self, before: Time) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|time| *time < before) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+/// The repeats of one node.
+#[derive(Debug)]
+pub struct Budget {
+    options: Options,
+    services: HashMap<id::Target, Counts>,
+}
+
+impl Budget {
+    /// Nothing sent yet.
+    pub fn new(options: Options) -> Budget {
+        Budget {
+            options,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Counts a request that came for a service.
+    pub fn earn(&mut self, now: Time, target: &id::Target) {
+        let window = self.options.window;
+        let counts = self.services.entry(target.clone()).or_default();
+        counts.forget(now - window);
+        counts.requests.push_back(now);
+    }
+
+    /// Repeats that a node may still make now when `nodes` share the budget.
+    pub fn left(&self, now: Time, target: &id::Target, nodes: usize) -> u64 {
+        let Some(counts) = self.services.get(target) else {
+            return 0;
+        };
+        let start = now - self.options.window;
+        let recent = |times: &VecDeque<Time>| {
+            times
+                .iter()
+                .rev()
+                .take_while(|time| **time >= start)
+                .count()
+        };
+        let own = self.options.ratio * recent(&counts.requests) as f64;
+        let part = self.options.extra / nodes.max(1) as f64;
+        let allowed = ((own + part) * self.options.caution) as u64;
+        allowed.saturating_sub(recent(&counts.repeats) as u64)
+    }
+
+    /// True if a repeat may be made now, which is then counted.
+    pub fn try_spend(&mut self, now: Time, target: &id::Target, nodes: usize) -> bool {
+        if self.left(now, target, nodes) == 0 {
+            return false;
+        }
+        let counts = self.services.entry(target.clone()).or_default();
+        counts.repeats.push_back(now);
+        true
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -0,0 +1,144 @@
+//! Requests come: admitted by quota, refused where they would wait too long,
+//! or put in line.
+
+use woadstage_types::code::Code;
+use woadstage_types::hash;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::publish::pool;
+use crate::configuration::Customer;
+use crate::configuration::Priority;
+use crate::job;
+use crate::job::Job;
+
+/// Why a request is refused, and when its caller may come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// When to come back, where time can mend it.
+    pub retry_after: Option<Span>,
+}
+
+/// Shortest time after which a refused caller comes back.
+const COME_BACK_LEAST: Span = Span::from_millis(100);
+
+impl Dispatcher {
+    /// Charges a customer for a request; `left` is what its caller will wait.
+    ///
+    /// # Errors
+    /// [`Code::CustomerLimit`] where the customer is over its limit.
+    pub fn charge(
+        &mut self,
+        now: Time,
+        customer: &Customer,
+        units: u64,
+        left: Span,
+    ) -> Result<(), Refusal> {
+        let Some(quota) = &customer.quota else {
+            return Ok(());
+        };
+        let reach = self.members.reach(now);
+        let number = customer.name.to_number();
+        let admitted = self.accounts.admit(now, number, quota, units, reach);
+        admitted.map_err(|wait| Refusal {
+            code: Code::CustomerLimit,
+            retry_after: Some(self.come_back(wait, left)),
+        })
+    }
+
+    /// Gives back what a request was charged that did not run.
+    pub fn give_back(&mut self, customer: &Customer, units: u64) {
+        self.accounts.give_back(customer.name.to_number(), units);
+    }
+
+    /// Puts a request in line. What becomes of it is decided at once or later.
+    pub fn enter(&mut self, now: Time, job: Job) -> job::Id {
+        let id = job::Id(self.next_job);
+        self.next_job += 1;
+        let target = job.target.clone();
+        self.budget.earn(now, &target);
+        pool(&mut self.pools, &self.options.warm, &target);
+        if let Some(refusal) = self.verdict(now, &job) {
+            self.refuse(id, refusal.code, refusal.retry_after);
+            return id;
+        }
+        self.push(id, job);
+        self.place(now, &target);
+        id
+    }
+
+    pub(super) fn push(&mut self, id: job::Id, job: Job) {
+        let target = job.target.clone();
+        if let Some(pool) = self.pools.get_mut(&target) {
+            self.places.insert(id, target);
+            pool.queue.push(id, job);
+            self.urgent = true;
+        }
+    }
+
+    /// Says why a newcomer is refused at once, if it is.
+    fn verdict(&self, now: Time, job: &Job) -> Option<Refusal> {
+        let left = job.deadline.since(now);
+        let waiting: usize = self.pools.values().map(|pool| pool.queue.len()).sum();
+        if waiting >= self.options.policy.queue_limit {
+            return Some(Refusal {
+                code: Code::QueueFull,
+                retry_after: Some(self.come_back(Span(left.0 / 4), left)),
+            });
+        }
+        if job.returning {
+            return None;
+        }
+        let wait = self.wait(now, job);
+        let most = job.objective.0 as f64 * self.options.policy.refuse_beyond;
+        (wait > most).then(|| Refusal {
+            code: Code::TooLate,
+            retry_after: Some(self.come_back(Span(wait as u64), left)),
+        })
+    }
+
+    /// The time until a newcomer of this rank would start, in microseconds, if
+    /// all went on as usual.
+    pub(super) fn wait(&self, now: Time, job: &Job) -> f64 {
+        let Some(pool) = self.pools.get(&job.target) else {
+            return 0.0;
+        };
+        let own: usize = pool
+            .queue
+            .counts()
+            .filter(|(priority, _)| *priority <= job.priority)
+            .map(|(_, count)| count)
+            .sum();
+        let waiting = own + self.others_waiting(now, pool.number, job.priority + 1);
+        let usable = pool
+            .workers
+            .iter()
+            .filter(|worker| worker.takes_work(now, &self.options.worker));
+        let slots: u32 = usable.map(|worker| worker.endpoint.slots).sum();
+        waiting as f64 * pool.call / f64::from(slots.max(1))
+    }
+
+    /// Requests of ranks before `priority` that wait on other nodes.
+    pub(super) fn others_waiting(&self, now: Time, service: u32, priority: Priority) -> usize {
+        let fresh = self.options.policy.waiting_fresh;
+        let members = self.members.fresh(now).map(|(_, member)| member);
+        let heard = members.filter(|member| member.heard.is_some_and(|at| now.since(at) <= fresh));
+        heard
+            .flat_map(|member| &member.status.waiting)
+            .filter(|waiting| waiting.service == service && waiting.priority < priority)
+            .map(|waiting| usize::from(waiting.count))
+            .sum()
+    }
+
+    /// When a refused caller is to come back: after `wait`, spread a little so
+    /// that not all return together, and while it still has time.
+    pub fn come_back(&self, wait: Span, left: Span) -> Span {
+        let most = Span((left.0 as f64 * self.options.policy.come_back_within) as u64);
+        let spread = hash::of(&self.next_job.to_le_bytes()) % 1_000;
+        let wait = wait.max(COME_BACK_LEAST);
+        Span(wait.0 + wait.0 * spread / 4_000).min(most)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -0,0 +1,283 @@
+//! One node's whole state. Commands take the time; what they decide is handed
+//! over by [`Dispatcher::take_decisions`].
+//!
+//! * `publish.rs`: what the platform published comes into force.
+//! * `enter.rs`: requests come.
+//! * `place.rs`: which request goes to which endpoint now.
+//! * `observe.rs`: calls make progress and end.
+//! * `tick.rs`: what only the passing of time brings about.
+//! * `share.rs`: what nodes tell each other.
+//! * `query.rs`: queries.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use woadstage_types::code::Code;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::budget;
+use crate::budget::Budget;
+use crate::configuration::Priority;
+use crate::endpoint::Endpoint;
+use crate::endpoint::List;
+use crate::job;
+use crate::job::Job;
+use crate::member;
+use crate::member::Members;
+use crate::queue::Queue;
+use crate::quota;
+use crate::quota::Accounts;
+use crate::table::Table;
+use crate::warm;
+use crate::warm::Warm;
+use crate::worker;
+use crate::worker::Worker;
+
+mod enter;
+mod observe;
+mod place;
+mod publish;
+mod query;
+mod share;
+mod tick;
+
+pub use enter::Refusal;
+pub use query::Summary;
+
+/// Bounds and weights of the policy.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Policy {
+    /// Requests that may wait on this node.
+    pub queue_limit: usize,
+    /// Requests beyond its slots that an engine may be sent when they are not
+    /// of the least protected rank.
+    pub ahead: u32,
+    /// What reading one prompt token again is taken to cost, in microseconds,
+    /// beyond the time that it takes.
+    pub reread: f64,
+    /// Weight of the time that the answer's tokens take.
+    pub decode: f64,
+    /// What sending work to an endpoint is taken to cost, in microseconds,
+    /// when all calls to it fail lately, or others keep away from it.
+    pub failing: f64,
+    /// What crossing between data centres is taken to cost, in microseconds.
+    pub crossing: f64,
+    /// Waiting requests that are looked at for free endpoints.
+    pub look_ahead: usize,
+    /// How old what another node says of waiting requests may be to count.
+    pub waiting_fresh: Span,
+    /// A newcomer is refused when the wait would be more than this multiple
+    /// of its objective.
+    pub refuse_beyond: f64,
+    /// The part of the time left after which callers come back at the most.
+    pub come_back_within: f64,
+    /// Attempts at connecting for one request.
+    pub connects: u32,
+    /// Time left under which nothing is sent any more.
+    pub least_left: Span,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            queue_limit: 4_096,
+            ahead: 2,
+            reread: 60.0,
+            decode: 0.1,
+            failing: 500_000.0,
+            crossing: 1_500.0,
+            look_ahead: 32,
+            waiting_fresh: Span::from_millis(250),
+            refuse_beyond: 1.0,
+            come_back_within: 0.3,
+            connects: 4,
+            least_left: Span::from_millis(20),
+        }
+    }
+}
+
+/// What a dispatcher is told at its start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// This node's address among the nodes.
+    pub own: SocketAddrV4,
+    /// This life of the node; must never be used twice.
+    pub incarnation: u64,
+    /// This node's data centre.
+    pub data_centre: id::DataCentre,
+    /// Addresses of some other nodes, perhaps stale.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Bounds of the policy.
+    pub policy: Policy,
+    /// Bounds of what is learnt of endpoints.
+    pub worker: worker::Options,
+    /// Bounds of prompt hints.
+    pub warm: warm::Options,
+    /// Bounds of membership.
+    pub member: member::Options,
+    /// How far quotas may be exceeded.
+    pub quota: quota::Options,
+    /// What may be sent again.
+    pub budget: budget::Options,
+}
+
+/// What was known when an endpoint was chosen, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reason {
+    /// How long the request had waited.
+    pub waited: Span,
+    /// Requests of ours in progress there before this one.
+    pub running: u32,
+    /// Requests of others in progress there.
+    pub others: u32,
+    /// Prompt tokens that the endpoint is believed to have to read.
+    pub uncached: u64,
+    /// Its pace.
+    pub pace: f64,
+    /// The age of the oldest word of another node that was used.
+    pub oldest: Span,
+}
+
+/// What was decided.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// Send the request to the endpoint.
+    Start {
+        /// The request.
+        job: job::Id,
+        /// Where to.
+        endpoint: Arc<Endpoint>,
+        /// Why there.
+        reason: Reason,
+    },
+    /// The request will not run; tell the caller at once.
+    Refuse {
+        /// The request.
+        job: job::Id,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+}
+
+/// What is to happen after an attempt has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// The request is over.
+    Over,
+    /// It waits for another endpoint; a decision will come.
+    Again,
+    /// It is not sent again, for this cause.
+    Final(Cause),
+}
+
+/// Why a request is not sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// It may have run and must not run twice.
+    MayHaveRun,
+    /// It was sent to as many endpoints as its route allows.
+    Attempts,
+    /// The fleet has used up what may be sent again.
+    Budget,
+    /// Too little time is left.
+    Time,
+}
+
+impl Cause {
+    /// The word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::MayHaveRun => "may-have-run",
+            Cause::Attempts => "attempts",
+            Cause::Budget => "budget",
+            Cause::Time => "time",
+        }
+    }
+}
+
+/// A request that runs at an endpoint.
+#[derive(Debug)]
+struct Run {
+    job: Job,
+    worker: usize,
+    started: Time,
+    uncached: u64,
+    ahead: u64,
+    first: Option<Time>,
+    marked: Time,
+    events: u32,
+}
+
+/// What one node knows of one service.
+#[derive(Debug)]
+struct Pool {
+    engine: bool,
+    number: u32,
+    least_protected: Priority,
+    workers: Vec<Worker>,
+    index: HashMap<id::Endpoint, usize>,
+    queue: Queue,
+    warm: Warm,
+    /// Usual time between two events of a stream, in microseconds.
+    step: f64,
+    /// Usual time for reading one prompt token, in microseconds.
+    prefill: f64,
+    /// Usual time of a whole call, in microseconds.
+    call: f64,
+}
+
+/// One node's decisions.
+#[derive(Debug)]
+pub struct Dispatcher {
+    options: Options,
+    table: Option<Arc<Table>>,
+    list: Arc<List>,
+    pools: HashMap<id::Target, Pool>,
+    places: HashMap<job::Id, id::Target>,
+    runs: HashMap<job::Id, Run>,
+    members: Members,
+    accounts: Accounts,
+    budget: Budget,
+    next_job: u64,
+    sequence: u64,
+    leaving: bool,
+    urgent: bool,
+    ticked: Time,
+    decisions: Vec<Decision>,
+}
+
+impl Dispatcher {
+    /// Nothing is known yet.
+    pub fn new(options: Options) -> Dispatcher {
+        Dispatcher {
+            members: Members::new(options.own, &options.seeds, options.member.clone()),
+            accounts: Accounts::new(options.quota.clone()),
+            budget: Budget::new(options.budget.clone()),
+            options,
+            table: None,
+            list: Arc::default(),
+            pools: HashMap::new(),
+            places: HashMap::new(),
+            runs: HashMap::new(),
+            next_job: 1,
+            sequence: 0,
+            leaving: false,
+            urgent: false,
+            ticked: Time(0),
+            decisions: Vec::new(),
+        }
+    }
+
+    /// Takes what was decided since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    fn refuse(&mut self, job: job::Id, code: Code, retry_after: Option<Span>) {
+        let refusal = Refusal { code, retry_after };
+        self.decisions.push(Decision::Refuse { job, refusal });
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -0,0 +1,175 @@
+//! Calls make progress and end.
+
+use woadstage_types::unit::Time;
+
+use super::Cause;
+use super::Dispatcher;
+use super::Next;
+use super::Pool;
+use super::Run;
+use crate::job;
+use crate::job::End;
+use crate::job::Job;
+
+/// Prompt tokens under which a first event says little of the reading speed.
+const LEARN_FROM: u64 = 400;
+
+/// Weight of one observation in what is usual for a service.
+const NEWEST: f64 = 0.03;
+
+/// Events after which the time between them is looked at.
+const MARK: u32 = 4;
+
+impl Dispatcher {
+    /// Events of a stream were seen.
+    pub fn progress(&mut self, now: Time, id: job::Id, events: u32) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&run.job.target) else {
+            return;
+        };
+        pool.workers[run.worker].heard = now;
+        if run.first.is_none() {
+            learn_first(pool, run, now);
+            self.urgent = true;
+            return;
+        }
+        run.events += events;
+        if run.events >= MARK {
+            learn_step(pool, run, now);
+        }
+    }
+
+    /// An attempt ended. Says what is to happen with its request.
+    pub fn end(&mut self, now: Time, id: job::Id, end: End) -> Next {
+        let Some(run) = self.runs.remove(&id) else {
+            self.abandon(now, id);
+            return Next::Over;
+        };
+        self.urgent = true;
+        let target = run.job.target.clone();
+        let mut job = self.close(now, run, end);
+        let next = match end {
+            End::Whole | End::Abandoned => Next::Over,
+            _ => self.next_attempt(now, &mut job, end),
+        };
+        match next {
+            Next::Again => self.push(id, job),
+            _ => {
+                self.places.remove(&id);
+            }
+        }
+        self.place(now, &target);
+        next
+    }
+
+    /// A caller left, or its time ran out.
+    pub fn abandon(&mut self, now: Time, id: job::Id) {
+        if self.runs.contains_key(&id) {
+            self.end(now, id, End::Abandoned);
+            return;
+        }
+        let Some(target) = self.places.remove(&id) else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&target) {
+            pool.queue.remove(id);
+            self.urgent = true;
+        }
+    }
+
+    /// Counts an attempt out and learns from how it ended.
+    fn close(&mut self, now: Time, run: Run, end: End) -> Job {
+        let Some(pool) = self.pools.get_mut(&run.job.target) else {
+            return run.job;
+        };
+        let pending = if run.first.is_none() { run.uncached } else { 0 };
+        let options = &self.options.worker;
+        let worker = &mut pool.workers[run.worker];
+        worker.end(pending);
+        match end {
+            End::Whole => {
+                worker.succeed(now);
+                learn_call(pool, &run, now);
+            }
+            End::Fault => worker.fault(now),
+            End::Full => worker.fill(now, options),
+            End::NotThere => worker.endpoint = leaving(worker),
+            End::NotSent | End::Lost => {
+                let number = worker.number;
+                worker.fail(now, options);
+                pool.warm.forget(number);
+            }
+            End::Abandoned => {}
+        }
+        run.job
+    }
+
+    fn next_attempt(&mut self, now: Time, job: &mut Job, end: End) -> Next {
+        if end == End::NotSent {
+            job.history.unsent += 1;
+        } else {
+            job.history.sent += 1;
+            job.history.may_have_run |= !end.is_not_run();
+        }
+        if job.history.may_have_run && !job.repeatable {
+            return Next::Final(Cause::MayHaveRun);
+        }
+        let unsent = job.history.unsent >= self.options.policy.connects;
+        if unsent || job.history.sent >= job.attempts {
+            return Next::Final(Cause::Attempts);
+        }
+        if job.deadline.since(now) <= self.options.policy.least_left {
+            return Next::Final(Cause::Time);
+        }
+        // Only what reaches a second endpoint counts as sent again.
+        let nodes = self.members.reach(now);
+        let nodes = if nodes.alone { ALONE } else { nodes.nodes };
+        let counted = job.history.sent > 0 && end != End::NotSent;
+        if counted && !self.budget.try_spend(now, &job.target, nodes) {
+            return Next::Final(Cause::Budget);
+        }
+        Next::Again
+    }
+}
+
+/// Nodes that share the budget as long as none was heard.
+const ALONE: usize = 8;
+
+fn leaving(worker: &crate::worker::Worker) -> std::sync::Arc<crate::endpoint::Endpoint> {
+    let mut endpoint = (*worker.endpoint).clone();
+    endpoint.leaving = true;
+    std::sync::Arc::new(endpoint)
+}
+
+fn learn_first(pool: &mut Pool, run: &mut Run, now: Time) {
+    run.first = Some(now);
+    run.marked = now;
+    let worker = &mut pool.workers[run.worker];
+    worker.pending = worker.pending.saturating_sub(run.uncached);
+    let tokens = run.uncached + run.ahead;
+    if pool.engine && tokens >= LEARN_FROM {
+        let micros = now.since(run.started).0 as f64;
+        let seen = micros / tokens as f64 / worker.pace.max(0.1);
+        pool.prefill += (seen.clamp(1.0, 1_000.0) - pool.prefill) * NEWEST;
+    }
+}
+
+fn learn_step(pool: &mut Pool, run: &mut Run, now: Time) {
+    let gap = now.since(run.marked).0 as f64 / f64::from(run.events);
+    run.marked = now;
+    run.events = 0;
+    if pool.engine {
+        pool.workers[run.worker].learn_pace(now, gap / pool.step.max(1.0));
+        pool.step += (gap - pool.step) * NEWEST;
+    }
+}
+
+fn learn_call(pool: &mut Pool, run: &Run, now: Time) {
+    let micros = now.since(run.started).0 as f64;
+    if !pool.engine {
+        pool.workers[run.worker].learn_pace(now, micros / pool.call.max(1.0));
+    }
+    pool.call += (micros - pool.call) * NEWEST;
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -0,0 +1,237 @@
+//! Which waiting request goes to which endpoint now.
+
+use woadstage_types::hash;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Decision;
+use super::Dispatcher;
+use super::Pool;
+use super::Reason;
+use super::Run;
+use crate::job;
+use crate::job::Job;
+use crate::warm;
+use crate::worker::Worker;
+
+/// An endpoint that could take a request.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    worker: usize,
+    uncached: u64,
+    micros: f64,
+}
+
+/// The part of an unseen prompt that its home endpoint is believed to hold,
+/// since all nodes send it there first.
+const HOME_BELIEF: f64 = 0.5;
+
+impl Dispatcher {
+    /// Gives free endpoints of every service what waits.
+    pub(super) fn place_all(&mut self, now: Time) {
+        let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
+        for target in targets {
+            self.place(now, &target);
+        }
+    }
+
+    /// Gives free endpoints of one service what waits, in its order.
+    pub(super) fn place(&mut self, now: Time, target: &id::Target) {
+        let Some(pool) = self.pools.get_mut(target) else {
+            return;
+        };
+        if pool.queue.is_empty() {
+            return;
+        }
+        for worker in &mut pool.workers {
+            worker.fade(now, &self.options.worker);
+        }
+        while let Some((id, choice)) = self.next(now, target) {
+            self.start(now, target, id, choice);
+        }
+    }
+
+    /// The first request in line that an endpoint has room for.
+    fn next(&self, now: Time, target: &id::Target) -> Option<(job::Id, Choice)> {
+        let pool = self.pools.get(target)?;
+        let free: u32 = self.free_slots(now, pool);
+        for (id, job) in pool.queue.iter().take(self.options.policy.look_ahead) {
+            // Others have more protected work waiting: leave them the room.
+            let before = self.others_waiting(now, pool.number, job.priority);
+            if before > 0 && before >= free as usize {
+                return None;
+            }
+            if let Some(choice) = self.choose(now, pool, job) {
+                return Some((id, choice));
+            }
+        }
+        None
+    }
+
+    fn free_slots(&self, now: Time, pool: &Pool) -> u32 {
+        let usable = pool
+            .workers
+            .iter()
+            .filter(|worker| worker.takes_work(now, &self.options.worker));
+        usable
+            .map(|worker| worker.endpoint.slots.saturating_sub(worker.busy()))
+            .sum()
+    }
+
+    /// Of the endpoints that have room, the one that costs least.
+    fn choose(&self, now: Time, pool: &Pool, job: &Job) -> Option<Choice> {
+        let chain = warm::chain(&job.prompt.parts);
+        let home = home(pool, &chain);
+        let mut best: Option<Choice> = None;
+        for (at, worker) in pool.workers.iter().enumerate() {
+            let usable = worker.takes_work(now, &self.options.worker);
+            if !usable || job.history.tried.contains(&worker.endpoint.name) {
+                continue;
+            }
+            if worker.busy() >= self.room(pool, worker, job) {
+                continue;
+            }
+            let choice = match pool.engine {
+                true => self.engine_choice(now, pool, at, job, &chain, home == Some(at)),
+                false => self.service_choice(pool, at, job),
+            };
+            if best.is_none_or(|best| choice.micros < best.micros) {
+                best = Some(choice);
+            }
+        }
+        best
+    }
+
+    /// Requests that an endpoint may have before this one goes there. An
+    /// endpoint that failed gets one at a time until one works.
+    fn room(&self, pool: &Pool, worker: &Worker, job: &Job) -> u32 {
+        if worker.failures > 0 {
+            return 1 + worker.others;
+        }
+        let protected = pool.engine && job.priority < pool.least_protected;
+        let ahead = if protected {
+            self.options.policy.ahead
+        } else {
+            0
+        };
+        worker.endpoint.slots + ahead
+    }
+
+    fn engine_choice(
+        &self,
+        now: Time,
+        pool: &Pool,
+        at: usize,
+        job: &Job,
+        chain: &[(u64, u64)],
+        home: bool,
+    ) -> Choice {
+        let policy = &self.options.policy;
+        let worker = &pool.workers[at];
+        let cached = pool.warm.cached(now, chain, worker.number);
+        let unread = job.prompt.tokens.saturating_sub(cached);
+        let believed = if home && cached == 0 {
+            unread as f64 * (1.0 - HOME_BELIEF)
+        } else {
+            unread as f64
+        };
+        let output = job.prompt.output_hint.unwrap_or(job.prompt.output) as f64;
+        let before = (worker.pending + worker.others_pending) as f64;
+        let slots = worker.endpoint.slots.max(1);
+        let over = (worker.busy() + 1).saturating_sub(slots);
+        let queue = f64::from(over) * pool.call / f64::from(slots);
+        let time = pool.prefill * (before + believed) + queue + output * pool.step * policy.decode;
+        Choice {
+            worker: at,
+            uncached: unread,
+            micros: time * worker.pace + believed * policy.reread + self.doubt(worker),
+        }
+    }
+
+    fn service_choice(&self, pool: &Pool, at: usize, job: &Job) -> Choice {
+        let worker = &pool.workers[at];
+        let slots = f64::from(worker.endpoint.slots.max(1));
+        let load = f64::from(worker.busy()) / slots;
+        let near = worker.endpoint.data_centre == self.options.data_centre;
+        let crossing = if near {
+            0.0
+        } else {
+            self.options.policy.crossing
+        };
+        // A tenth at random keeps nodes from all choosing the same one.
+        let mixed = hash::chain(u64::from(worker.number), &job.arrived.0.to_le_bytes()) % 100;
+        let spread = 1.0 + mixed as f64 / 1_000.0;
+        Choice {
+            worker: at,
+            uncached: 0,
+            micros: pool.call * worker.pace * (1.0 + load) * spread + crossing + self.doubt(worker),
+        }
+    }
+
+    fn doubt(&self, worker: &Worker) -> f64 {
+        let others = if worker.others_failing > 0 { 0.5 } else { 0.0 };
+        (worker.failing + others) * self.options.policy.failing
+    }
+
+    fn start(&mut self, now: Time, target: &id::Target, id: job::Id, choice: Choice) {
+        let oldest = self.oldest_word(now);
+        let Some(pool) = self.pools.get_mut(target) else {
+            return;
+        };
+        let Some(mut job) = pool.queue.remove(id) else {
+            return;
+        };
+        let worker = &mut pool.workers[choice.worker];
+        let reason = Reason {
+            waited: now.since(job.arrived),
+            running: worker.running,
+            others: worker.others,
+            uncached: choice.uncached,
+            pace: worker.pace,
+            oldest,
+        };
+        let ahead = worker.pending + worker.others_pending;
+        worker.start(now, choice.uncached);
+        let endpoint = worker.endpoint.clone();
+        let number = worker.number;
+        job.history.tried.push(endpoint.name.clone());
+        pool.warm.add(now, &warm::chain(&job.prompt.parts), number);
+        let run = Run {
+            worker: choice.worker,
+            started: now,
+            uncached: choice.uncached,
+            ahead,
+            first: None,
+            marked: now,
+            events: 0,
+            job,
+        };
+        self.runs.insert(id, run);
+        self.urgent = true;
+        self.decisions.push(Decision::Start {
+            job: id,
+            endpoint,
+            reason,
+        });
+    }
+
+    fn oldest_word(&self, now: Time) -> Span {
+        let heard = self
+            .members
+            .fresh(now)
+            .filter_map(|(_, member)| member.heard);
+        heard.map(|at| now.since(at)).max().unwrap_or(Span::ZERO)
+    }
+}
+
+/// The endpoint that all nodes take for the home of a prompt (rendezvous
+/// hashing): the last part is the request's own or its session's.
+fn home(pool: &Pool, chain: &[(u64, u64)]) -> Option<usize> {
+    let (key, _) = chain.last()?;
+    let takers = pool.workers.iter().enumerate();
+    let listed = takers.filter(|(_, worker)| worker.listed && !worker.endpoint.leaving);
+    listed
+        .max_by_key(|(_, worker)| hash::chain(*key, &worker.number.to_le_bytes()))
+        .map(|(at, _)| at)
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -0,0 +1,167 @@
+//! What the platform published comes into force, from wherever it was read.
+//! Nothing ever goes back to an older version within one life of a node.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use woadstage_types::hash;
+use woadstage_types::id;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::Pool;
+use crate::configuration::Configuration;
+use crate::endpoint::List;
+use crate::message::Snapshot;
+use crate::queue::Queue;
+use crate::table::Table;
+use crate::warm;
+use crate::warm::Warm;
+use crate::worker::Worker;
+
+/// Time between two events that is expected until some were seen, in
+/// microseconds.
+const STEP: f64 = 25_000.0;
+
+/// Time for reading a prompt token that is expected at first, in microseconds.
+const PREFILL: f64 = 40.0;
+
+/// Time of a call that is expected at first, in microseconds.
+const CALL: f64 = 40_000.0;
+
+/// The number by which nodes name a service to each other.
+pub(super) fn to_number(target: &id::Target) -> u32 {
+    hash::of(target.as_str().as_bytes()) as u32
+}
+
+impl Dispatcher {
+    /// Takes a configuration; false where one as new is in force.
+    pub fn set_configuration(&mut self, now: Time, configuration: Arc<Configuration>) -> bool {
+        if configuration.version <= self.configuration_version() {
+            return false;
+        }
+        let table = Table::new(configuration);
+        for service in &table.configuration().services {
+            let pool = pool(&mut self.pools, &self.options.warm, &service.name);
+            pool.engine = service.engine;
+        }
+        for pool in self.pools.values_mut() {
+            pool.least_protected = 0;
+        }
+        for route in &table.configuration().routes {
+            for (target, _) in &route.targets {
+                let pool = pool(&mut self.pools, &self.options.warm, target);
+                pool.least_protected = pool.least_protected.max(route.priority);
+            }
+        }
+        self.table = Some(Arc::new(table));
+        self.urgent = true;
+        self.place_all(now);
+        true
+    }
+
+    /// Takes a list of endpoints; false where one as new is in force.
+    pub fn set_endpoints(&mut self, now: Time, list: Arc<List>) -> bool {
+        if list.revision <= self.list.revision {
+            return false;
+        }
+        let listed: HashSet<&id::Endpoint> = list.endpoints.iter().map(|one| &one.name).collect();
+        for pool in self.pools.values_mut() {
+            for worker in &mut pool.workers {
+                worker.listed = listed.contains(&worker.endpoint.name);
+            }
+        }
+        for endpoint in &list.endpoints {
+            let endpoint = Arc::new(endpoint.clone());
+            let pool = pool(&mut self.pools, &self.options.warm, &endpoint.service);
+            match pool.index.get(&endpoint.name) {
+                Some(at) => {
+                    pool.workers[*at].endpoint = endpoint;
+                }
+                None => {
+                    let at = pool.workers.len();
+                    pool.index.insert(endpoint.name.clone(), at);
+                    pool.workers.push(Worker::new(endpoint));
+                }
+            }
+        }
+        self.list = list;
+        self.forget_workers();
+        self.count_others(now);
+        self.place_all(now);
+        true
+    }
+
+    /// Takes what another node has read of the platform; true where any of it
+    /// was newer.
+    pub fn take_snapshot(&mut self, now: Time, snapshot: Snapshot) -> bool {
+        let configuration = snapshot.configuration;
+        let newer = configuration.is_some_and(|newer| self.set_configuration(now, newer));
+        self.set_endpoints(now, snapshot.endpoints) || newer
+    }
+
+    /// Drops endpoints that are gone and run nothing for us.
+    fn forget_workers(&mut self) {
+        let used: HashSet<(id::Target, usize)> = self
+            .runs
+            .values()
+            .map(|run| (run.job.target.clone(), run.worker))
+            .collect();
+        for (target, pool) in &mut self.pools {
+            let gone = |at: usize, worker: &Worker| {
+                !worker.listed && !used.contains(&(target.clone(), at))
+            };
+            if !pool
+                .workers
+                .iter()
+                .enumerate()
+                .any(|(at, worker)| gone(at, worker))
+            {
+                continue;
+            }
+            let mut moved: HashMap<usize, usize> = HashMap::new();
+            let mut kept = Vec::new();
+            for (at, worker) in std::mem::take(&mut pool.workers).into_iter().enumerate() {
+                if gone(at, &worker) {
+                    pool.warm.forget(worker.number);
+                } else {
+                    moved.insert(at, kept.len());
+                    kept.push(worker);
+                }
+            }
+            pool.workers = kept;
+            let workers = pool.workers.iter().enumerate();
+            pool.index = workers
+                .map(|(at, worker)| (worker.endpoint.name.clone(), at))
+                .collect();
+            for run in self
+                .runs
+                .values_mut()
+                .filter(|run| run.job.target == *target)
+            {
+                run.worker = moved[&run.worker];
+            }
+        }
+    }
+}
+
+/// A service's pool, made when it is first met.
+pub(super) fn pool<'a>(
+    pools: &'a mut HashMap<id::Target, Pool>,
+    warm: &warm::Options,
+    target: &id::Target,
+) -> &'a mut Pool {
+    pools.entry(target.clone()).or_insert_with(|| Pool {
+        engine: false,
+        number: to_number(target),
+        least_protected: 0,
+        workers: Vec::new(),
+        index: HashMap::new(),
+        queue: Queue::default(),
+        warm: Warm::new(warm.clone()),
+        step: STEP,
+        prefill: PREFILL,
+        call: CALL,
+    })
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -0,0 +1,92 @@
+//! Queries.
+
+use std::sync::Arc;
+
+use woadstage_types::id;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use crate::configuration::Configuration;
+use crate::quota::Reach;
+use crate::table::Table;
+
+/// What a node holds, for metrics.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Summary {
+    /// The service.
+    pub target: id::Target,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests of ours in progress.
+    pub running: u32,
+    /// Requests of others in progress, as far as heard.
+    pub others: u32,
+    /// Endpoints that take work now.
+    pub usable: usize,
+    /// Endpoints known.
+    pub endpoints: usize,
+    /// Repeats left in the budget.
+    pub repeats_left: u64,
+}
+
+impl Dispatcher {
+    /// The configuration in force, arranged for look-ups.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.table.as_ref().map(|table| table.configuration())
+    }
+
+    /// The version of the configuration in force; 0 for none.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration()
+            .map_or(0, |configuration| configuration.version)
+    }
+
+    /// The platform's revision of the list of endpoints; 0 for none.
+    pub fn endpoints_revision(&self) -> u64 {
+        self.list.revision
+    }
+
+    /// True while the node can serve: what the platform published is known.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.list.revision > 0 && !self.leaving
+    }
+
+    /// True once the node has begun to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Requests that wait or run here.
+    pub fn held(&self) -> usize {
+        self.places.len()
+    }
+
+    /// How much of the fleet this node can speak for.
+    pub fn reach(&self, now: Time) -> Reach {
+        self.members.reach(now)
+    }
+
+    /// What is held for each service.
+    pub fn summaries(&self, now: Time) -> Vec<Summary> {
+        let nodes = self.members.reach(now).nodes;
+        let pools = self.pools.iter().map(|(target, pool)| Summary {
+            target: target.clone(),
+            waiting: pool.queue.len(),
+            running: pool.workers.iter().map(|worker| worker.running).sum(),
+            others: pool.workers.iter().map(|worker| worker.others).sum(),
+            usable: pool
+                .workers
+                .iter()
+                .filter(|worker| worker.takes_work(now, &self.options.worker))
+                .count(),
+            endpoints: pool.workers.iter().filter(|worker| worker.listed).count(),
+            repeats_left: self.budget.left(now, target, nodes),
+        });
+        pools.collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -0,0 +1,135 @@
+//! What nodes tell each other: what each runs, what waits, what customers used
+//! and how new what it has read is.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use crate::member::News;
+use crate::message::Load;
+use crate::message::Snapshot;
+use crate::message::Status;
+use crate::message::Waiting;
+
+/// Customers spoken of in one status.
+const USAGE_MOST: usize = 32;
+
+/// Endpoints spoken of in one status, so that it fits a datagram.
+const LOADS_MOST: usize = 64;
+
+impl Dispatcher {
+    /// Takes in what another node said.
+    pub fn hear(&mut self, now: Time, from: SocketAddrV4, status: Status) -> News {
+        let incarnation = status.incarnation;
+        let usage = status.usage.clone();
+        let news = self.members.hear(now, from, status);
+        if news == News::Old {
+            return news;
+        }
+        self.accounts.hear(now, from, incarnation, &usage);
+        self.count_others(now);
+        self.place_all(now);
+        news
+    }
+
+    /// Adds up what the other nodes run at each endpoint.
+    pub(super) fn count_others(&mut self, now: Time) {
+        let mut sums: HashMap<u32, (u32, u64, u32)> = HashMap::new();
+        let said = self
+            .members
+            .fresh(now)
+            .flat_map(|(_, member)| &member.status.loads);
+        for load in said {
+            let sum = sums.entry(load.endpoint).or_default();
+            sum.0 += u32::from(load.running);
+            sum.1 += u64::from(load.pending);
+            sum.2 += u32::from(load.failing);
+        }
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            let sum = sums.get(&worker.number).copied().unwrap_or_default();
+            (worker.others, worker.others_pending, worker.others_failing) = sum;
+        }
+    }
+
+    /// Other nodes that are to be sent a status now, with the status.
+    pub fn statuses(&mut self, now: Time) -> Option<(Status, Vec<SocketAddrV4>)> {
+        let due = self.members.due(now, self.urgent);
+        if due.is_empty() {
+            return None;
+        }
+        self.urgent = false;
+        Some((self.status(now), due))
+    }
+
+    /// What this node says of itself now.
+    pub fn status(&mut self, now: Time) -> Status {
+        self.sequence += 1;
+        Status {
+            incarnation: self.options.incarnation,
+            sequence: self.sequence,
+            configuration: self.configuration_version(),
+            endpoints: self.list.revision,
+            leaving: self.leaving,
+            reply: false,
+            loads: self.loads(now),
+            waiting: self.waiting(),
+            usage: self.accounts.usage(now, USAGE_MOST),
+            members: self.members.told(now, self.sequence),
+        }
+    }
+
+    fn loads(&self, now: Time) -> Vec<Load> {
+        let workers = self.pools.values().flat_map(|pool| &pool.workers);
+        let told = workers.filter(|worker| worker.running > 0 || now < worker.rests_until);
+        told.map(|worker| Load {
+            endpoint: worker.number,
+            running: worker.running.min(u32::from(u16::MAX)) as u16,
+            pending: worker.pending.min(u64::from(u32::MAX)) as u32,
+            failing: worker.failures > 0 && now < worker.rests_until,
+        })
+        .take(LOADS_MOST)
+        .collect()
+    }
+
+    fn waiting(&self) -> Vec<Waiting> {
+        let pools = self.pools.values();
+        let counts = pools.flat_map(|pool| pool.queue.counts().map(|count| (pool.number, count)));
+        counts
+            .map(|(service, (priority, count))| Waiting {
+                service,
+                priority,
+                count: count.min(usize::from(u16::MAX)) as u16,
+            })
+            .collect()
+    }
+
+    /// What this node has read of the platform, for another.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            configuration: self
+                .table
+                .as_ref()
+                .map(|table| table.configuration().clone()),
+            endpoints: self.list.clone(),
+        }
+    }
+
+    /// A node that has newer documents of the platform than this one, if any.
+    pub fn ahead_opt(&self, now: Time) -> Option<SocketAddrV4> {
+        self.members
+            .ahead_opt(now, self.configuration_version(), self.list.revision)
+    }
+
+    /// Takes other seeds, from settings that changed.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.members.set_seeds(seeds);
+    }
+
+    /// Tells the others from now on that this node is stopping.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.urgent = true;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -0,0 +1,75 @@
+//! What only the passing of time brings about.
+
+use woadstage_types::code::Code;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use crate::job;
+
+/// Pause between two ticks after which the process is taken to have been
+/// stopped in between, so that nothing that others said holds any more.
+const PAUSE: Span = Span::from_millis(1_500);
+
+impl Dispatcher {
+    /// Refuses what ran out of time, forgets what is old and gives free
+    /// endpoints work. True where this process seems to have been paused.
+    pub fn tick(&mut self, now: Time) -> bool {
+        let paused = self.ticked > Time(0) && now.since(self.ticked) > PAUSE;
+        if paused {
+            self.members.forget_statuses();
+        }
+        self.ticked = now;
+        self.members.forget(now);
+        self.count_others(now);
+        let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
+        for target in targets {
+            self.refuse_expired(now, &target);
+            self.refuse_without_endpoint(now, &target);
+            self.place(now, &target);
+        }
+        paused
+    }
+
+    fn refuse_expired(&mut self, now: Time, target: &id::Target) {
+        let least = self.options.policy.least_left;
+        while let Some(pool) = self.pools.get_mut(target) {
+            let Some(id) = pool.queue.expired_opt(now + least) else {
+                return;
+            };
+            pool.queue.remove(id);
+            self.places.remove(&id);
+            self.refuse(id, Code::TooLate, None);
+        }
+    }
+
+    /// With no endpoint at all, waiting beyond the objective helps nobody.
+    fn refuse_without_endpoint(&mut self, now: Time, target: &id::Target) {
+        let Some(pool) = self.pools.get(target) else {
+            return;
+        };
+        if pool
+            .workers
+            .iter()
+            .any(|worker| worker.listed && !worker.endpoint.leaving)
+        {
+            return;
+        }
+        let waited = pool
+            .queue
+            .iter()
+            .filter(|(_, job)| now.since(job.arrived) > job.objective);
+        let hopeless: Vec<(job::Id, Span)> = waited
+            .map(|(id, job)| (id, job.deadline.since(now)))
+            .collect();
+        for (id, left) in hopeless {
+            let retry_after = self.come_back(Span::from_secs(1), left);
+            if let Some(pool) = self.pools.get_mut(target) {
+                pool.queue.remove(id);
+            }
+            self.places.remove(&id);
+            self.refuse(id, Code::NoEndpoint, Some(retry_after));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/job.rs
@@ -0,0 +1,122 @@
+//! One request, from its arrival to its final answer.
+
+use std::fmt;
+
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::configuration::Priority;
+
+/// Names a request within one life of one node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A part of a prompt, which other requests may begin with too.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Its name.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// What a caller says of a request for an engine.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// The most tokens of the answer.
+    pub output: u64,
+    /// The caller's estimate of the tokens of the answer.
+    pub output_hint: Option<u64>,
+    /// The prompt's parts, in order.
+    pub parts: Vec<Part>,
+}
+
+/// A request that is to be run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// The service.
+    pub target: id::Target,
+    /// The name of its route, under which its usual length is learnt.
+    pub route: String,
+    /// Its rank.
+    pub priority: Priority,
+    /// True where running it twice does no harm.
+    pub repeatable: bool,
+    /// The most endpoints it may be sent to.
+    pub attempts: u32,
+    /// When it came.
+    pub arrived: Time,
+    /// When its caller, or its route, gives it up.
+    pub deadline: Time,
+    /// Within which time its answer earns full credit.
+    pub objective: Span,
+    /// True where the caller seems to have been refused before, so that
+    /// refusing it once more would be the end of it.
+    pub returning: bool,
+    /// What an engine would read and write for it.
+    pub prompt: Prompt,
+    /// What was tried so far.
+    pub history: History,
+}
+
+/// What was tried for a request so far.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct History {
+    /// Endpoints that it was offered to, which are not tried again.
+    pub tried: Vec<id::Endpoint>,
+    /// Endpoints that at least a byte of it was sent to.
+    pub sent: u32,
+    /// Attempts at connecting that failed.
+    pub unsent: u32,
+    /// True once an endpoint may have run it.
+    pub may_have_run: bool,
+}
+
+/// How one attempt at running a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer came.
+    Whole,
+    /// No byte of the request was written.
+    NotSent,
+    /// The endpoint said that it did not run it, for want of room.
+    Full,
+    /// The endpoint said that it did not run it since it is not the one meant,
+    /// or is leaving.
+    NotThere,
+    /// The endpoint ran it and answered with a fault of its own.
+    Fault,
+    /// It was sent, and no whole answer came.
+    Lost,
+    /// The caller left, or its time ran out.
+    Abandoned,
+}
+
+impl End {
+    /// True where the request certainly has not run.
+    pub fn is_not_run(self) -> bool {
+        matches!(self, End::NotSent | End::Full | End::NotThere)
+    }
+
+    /// The word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            End::Whole => "whole",
+            End::NotSent => "not-sent",
+            End::Full => "full",
+            End::NotThere => "not-there",
+            End::Fault => "fault",
+            End::Lost => "lost",
+            End::Abandoned => "abandoned",
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,34 @@
+//! Decisions of a node that forwards whole requests unread: which route a
+//! request takes, which endpoint runs it and when, what waits, what is refused
+//! and what may be sent again.
+//!
+//! No sockets, no clock, no global randomness: a [`dispatcher::Dispatcher`]
+//! takes the time with each command and gives its decisions back, so that every
+//! failure can be replayed in a test. Every node decides on its own; what the
+//! others run reaches it by their [`message::Status`].
+//!
+//! * [`configuration`]: routes, services, customers and limits in force.
+//! * [`table`]: the configuration arranged for look-ups.
+//! * [`endpoint`]: what the platform says of endpoints.
+//! * [`worker`]: what was learnt of one endpoint.
+//! * [`warm`]: which endpoint has read which prompt.
+//! * [`job`]: one request, from arrival to its final answer.
+//! * [`queue`]: what waits for an endpoint.
+//! * [`quota`]: what customers may use, over all nodes.
+//! * [`budget`]: what may be sent again, over all nodes.
+//! * [`member`]: which other nodes there are.
+//! * [`message`]: what nodes tell each other.
+//! * [`dispatcher`]: one node's whole state, with its commands and queries.
+
+pub mod budget;
+pub mod configuration;
+pub mod dispatcher;
+pub mod endpoint;
+pub mod job;
+pub mod member;
+pub mod message;
+pub mod queue;
+pub mod quota;
+pub mod table;
+pub mod warm;
+pub mod worker;
--- /dev/null
+++ b/crates/dispatch/src/message.rs
@@ -0,0 +1,82 @@
+//! What nodes tell each other, typed; the shell puts it on the wire.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::configuration::Configuration;
+use crate::configuration::Priority;
+use crate::endpoint::List;
+
+/// The version of this protocol; the first byte of everything on the wire.
+pub const VERSION: u8 = 1;
+
+/// What one node runs at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The endpoint's number.
+    pub endpoint: u32,
+    /// Requests in progress there.
+    pub running: u16,
+    /// Prompt tokens sent there of which no event was seen yet.
+    pub pending: u32,
+    /// True while the node sends nothing there since calls failed.
+    pub failing: bool,
+}
+
+/// What waits on one node for one service.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Waiting {
+    /// The service's number.
+    pub service: u32,
+    /// The rank.
+    pub priority: Priority,
+    /// How many requests.
+    pub count: u16,
+}
+
+/// What one customer used through one node since that node started.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The customer's number.
+    pub customer: u64,
+    /// Units used in this life of the node.
+    pub units: u64,
+}
+
+/// What a node says of itself, many times a second. May be lost, doubled or
+/// overtaken: each holds all that it speaks of.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Which life of the node speaks.
+    pub incarnation: u64,
+    /// Counts the statuses of one life.
+    pub sequence: u64,
+    /// The version of the configuration in force; 0 for none.
+    pub configuration: u64,
+    /// The platform's revision of the list of endpoints; 0 for none.
+    pub endpoints: u64,
+    /// True while the node is stopping.
+    pub leaving: bool,
+    /// True where an answer is wanted, since little has been heard lately.
+    pub reply: bool,
+    /// What it runs; endpoints left out run nothing.
+    pub loads: Vec<Load>,
+    /// What waits; services left out have nothing waiting.
+    pub waiting: Vec<Waiting>,
+    /// What customers used; those left out have not changed lately.
+    pub usage: Vec<Usage>,
+    /// Some of the nodes that it has heard lately.
+    pub members: Vec<SocketAddrV4>,
+}
+
+/// What the platform published, as one node passes it to another.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The configuration in force, if any.
+    pub configuration: Option<Arc<Configuration>>,
+    /// The endpoints.
+    pub endpoints: Arc<List>,
+}
--- /dev/null
+++ b/crates/dispatch/src/queue.rs
@@ -0,0 +1,78 @@
+//! What waits for an endpoint of one service: ranks in strict order, within a
+//! rank by the time at which each came.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use woadstage_types::unit::Time;
+
+use crate::configuration::Priority;
+use crate::job;
+use crate::job::Job;
+
+/// The place of a request in line.
+type Rank = (Priority, Time, job::Id);
+
+/// The requests that wait for one service.
+#[derive(Debug, Default)]
+pub struct Queue {
+    line: BTreeMap<Rank, Job>,
+    ranks: HashMap<job::Id, Rank>,
+    deadlines: BTreeSet<(Time, job::Id)>,
+    counts: BTreeMap<Priority, usize>,
+}
+
+impl Queue {
+    /// Puts a request in line; it is given up at `latest`.
+    pub fn push(&mut self, id: job::Id, job: Job) {
+        let rank = (job.priority, job.arrived, id);
+        self.ranks.insert(id, rank);
+        self.deadlines.insert((job.deadline, id));
+        *self.counts.entry(job.priority).or_default() += 1;
+        self.line.insert(rank, job);
+    }
+
+    /// Takes a request out of line.
+    pub fn remove(&mut self, id: job::Id) -> Option<Job> {
+        let rank = self.ranks.remove(&id)?;
+        let job = self.line.remove(&rank)?;
+        self.deadlines.remove(&(job.deadline, id));
+        if let Some(count) = self.counts.get_mut(&job.priority) {
+            *count -= 1;
+        }
+        Some(job)
+    }
+
+    /// A request whose deadline has come.
+    pub fn expired_opt(&self, now: Time) -> Option<job::Id> {
+        let (deadline, id) = self.deadlines.first()?;
+        (*deadline <= now).then_some(*id)
+    }
+
+    /// The next deadline of any that waits.
+    pub fn next_deadline_opt(&self) -> Option<Time> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// What waits, in its order.
+    pub fn iter(&self) -> impl Iterator<Item = (job::Id, &Job)> + '_ {
+        self.line.iter().map(|((_, _, id), job)| (*id, job))
+    }
+
+    /// How many wait in each rank.
+    pub fn counts(&self) -> impl Iterator<Item = (Priority, usize)> + '_ {
+        let counts = self.counts.iter().filter(|(_, count)| **count > 0);
+        counts.map(|(priority, count)| (*priority, *count))
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.line.len()
+    }
+
+    /// True when nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.line.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/quota.rs
@@ -0,0 +1,214 @@
+//! What customers may use, over all nodes together.
+//!
+//! Every node keeps one whole bucket a customer and takes out of it what it
+//! admits itself and what the others say that they admitted. While another node
+//! is silent, its even part of the rate is taken to be used there: so two sides
+//! of a cut never give out more than the whole between them.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::configuration::Quota;
+use crate::message::Usage;
+
+/// How far the rules let the whole go beyond a customer's limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// The share by which it may be exceeded.
+    pub overrun: f64,
+    /// Units by which it may be exceeded beyond that in a window.
+    pub slack: f64,
+    /// The part of both that is used; the rest covers what is still on its way
+    /// between nodes.
+    pub part: f64,
+    /// The share of a limit that a node gives out which has heard no other
+    /// node since it started.
+    pub alone: f64,
+    /// How long a customer's use is told to others after it last changed.
+    pub tell_for: Span,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            overrun: 0.0,
+            slack: 0.0,
+            part: 0.3,
+            alone: 0.25,
+            tell_for: Span::from_secs(10),
+        }
+    }
+}
+
+/// How much of the fleet a node can speak for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reach {
+    /// Nodes that count, this one among them.
+    pub nodes: usize,
+    /// Of them, those that are silent.
+    pub silent: usize,
+    /// True where none other was heard since the start.
+    pub alone: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Told {
+    incarnation: u64,
+    units: u64,
+}
+
+#[derive(Debug)]
+struct Account {
+    level: f64,
+    at: Time,
+    used: u64,
+    changed: Time,
+    told: HashMap<SocketAddrV4, Told>,
+}
+
+/// The accounts of all customers that were seen lately.
+#[derive(Debug)]
+pub struct Accounts {
+    options: Options,
+    accounts: HashMap<u64, Account>,
+}
+
+/// Accounts kept before those that rest are forgotten.
+const KEPT: usize = 8_192;
+
+impl Accounts {
+    /// Nothing used yet.
+    pub fn new(options: Options) -> Accounts {
+        Accounts {
+            options,
+            accounts: HashMap::new(),
+        }
+    }
+
+    fn share(&self, reach: Reach) -> f64 {
+        if reach.alone {
+            return self.options.alone;
+        }
+        let heard = reach.nodes.saturating_sub(reach.silent).max(1);
+        heard as f64 / reach.nodes.max(1) as f64
+    }
+
+    fn most(&self, quota: &Quota) -> f64 {
+        quota.burst * (1.0 + self.options.overrun * self.options.part)
+            + self.options.slack * self.options.part
+    }
+
+    fn account(&mut self, now: Time, customer: u64, quota: &Quota, reach: Reach) -> &mut Account {
+        let share = self.share(reach);
+        let most = self.most(quota);
+        let rate = quota.per_second * (1.0 + self.options.overrun * self.options.part) * share;
+        if self.accounts.len() >= KEPT && !self.accounts.contains_key(&customer) {
+            let since = now - self.options.tell_for;
+            self.accounts.retain(|_, account| account.changed >= since);
+        }
+        let account = self.accounts.entry(customer).or_insert_with(|| Account {
+            level: most * share,
+            at: now,
+            used: 0,
+            changed: Time(0),
+            told: HashMap::new(),
+        });
+        let gained = now.since(account.at).as_secs_f64() * rate;
+        account.level = (account.level + gained).min(most);
+        account.at = now;
+        account
+    }
+
+    /// Admits a request of `units`, or says after which time it would fit.
+    ///
+    /// # Errors
+    /// The time after which the bucket holds enough again.
+    pub fn admit(
+        &mut self,
+        now: Time,
+        customer: u64,
+        quota: &Quota,
+        units: u64,
+        reach: Reach,
+    ) -> Result<(), Span> {
+        let most = self.most(quota);
+        let account = self.account(now, customer, quota, reach);
+        // A request larger than the whole bucket passes when that is full.
+        let asked = (units as f64).min(most);
+        if account.level < asked {
+            let missing = asked - account.level;
+            let wait = missing / quota.per_second.max(1e-9);
+            return Err(Span((wait * 1e6).min(6e7) as u64));
+        }
+        account.level -= units as f64;
+        account.used += units;
+        account.changed = now;
+        Ok(())
+    }
+
+    /// Gives back what a request that did not run was charged.
+    pub fn give_back(&mut self, customer: u64, units: u64) {
+        // Only this node's bucket: the others' are told of use, which never
+        // falls, so that a late message cannot give back twice.
+        if let Some(account) = self.accounts.get_mut(&customer) {
+            account.level += units as f64;
+        }
+    }
+
+    /// Takes in what another node says that customers used there.
+    pub fn hear(&mut self, now: Time, from: SocketAddrV4, incarnation: u64, usage: &[Usage]) {
+        for said in usage {
+            let account = self
+                .accounts
+                .entry(said.customer)
+                .or_insert_with(|| Account {
+                    level: f64::MAX,
+                    at: now,
+                    used: 0,
+                    changed: Time(0),
+                    told: HashMap::new(),
+                });
+            let told = Told {
+                incarnation,
+                units: said.units,
+            };
+            let before = account.told.insert(from, told);
+            let used = match before {
+                Some(before) if before.incarnation == incarnation => {
+                    said.units.saturating_sub(before.units)
+                }
+                // What a node used before it was first heard is long past, but
+                // for a node that has just started it is all there is.
+                Some(_) => said.units,
+                None => 0,
+            };
+            if account.level < f64::MAX {
+                account.level -= used as f64;
+            }
+        }
+    }
+
+    /// What customers used here, for the others.
+    pub fn usage(&self, now: Time, most: usize) -> Vec<Usage> {
+        let since = now - self.options.tell_for;
+        let recent = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| account.changed >= since && account.used > 0);
+        let mut usage: Vec<(Time, Usage)> = recent
+            .map(|(customer, account)| {
+                let usage = Usage {
+                    customer: *customer,
+                    units: account.used,
+                };
+                (account.changed, usage)
+            })
+            .collect();
+        usage.sort_by_key(|(changed, usage)| (std::cmp::Reverse(*changed), usage.customer));
+        usage.truncate(most);
+        usage.into_iter().map(|(_, usage)| usage).collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/table.rs
@@ -0,0 +1,108 @@
+//! The configuration in force, arranged so that each look-up is a hash or two.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use woadstage_types::code::Code;
+use woadstage_types::id;
+
+use crate::configuration::Configuration;
+use crate::configuration::Customer;
+use crate::configuration::Key;
+use crate::configuration::Route;
+use crate::configuration::Service;
+
+/// A configuration with its indexes.
+#[derive(Debug)]
+pub struct Table {
+    configuration: Arc<Configuration>,
+    routes: HashMap<String, HashMap<String, usize>>,
+    keys: HashMap<Key, usize>,
+    services: HashMap<id::Target, usize>,
+}
+
+/// Under what a request was let in.
+#[derive(Debug, Clone, Copy)]
+pub struct Match<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// Its customer, unless the route or the configuration asks for none.
+    pub customer: Option<&'a Customer>,
+}
+
+impl Table {
+    /// Arranges a configuration.
+    pub fn new(configuration: Arc<Configuration>) -> Table {
+        let mut routes: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (at, route) in configuration.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            routes
+                .entry(host)
+                .or_default()
+                .insert(route.prefix.clone(), at);
+        }
+        let customers = configuration.customers.iter().flatten().enumerate();
+        let keys =
+            customers.flat_map(|(at, customer)| customer.keys.iter().map(move |key| (*key, at)));
+        let keys = keys.collect();
+        let services = configuration.services.iter().enumerate();
+        let services = services
+            .map(|(at, service)| (service.name.clone(), at))
+            .collect();
+        Table {
+            routes,
+            keys,
+            services,
+            configuration,
+        }
+    }
+
+    /// The configuration itself.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// The route with the longest prefix that begins the path.
+    pub fn route_opt(&self, host: &str, path: &str) -> Option<&Route> {
+        let prefixes = self.routes.get(&to_name(host))?;
+        let ends = path.bytes().enumerate().rev();
+        let mut slashes = ends.filter(|(_, byte)| *byte == b'/').map(|(at, _)| at);
+        let found = slashes.find_map(|at| prefixes.get(&path[..=at]))?;
+        self.configuration.routes.get(*found)
+    }
+
+    /// The customer that holds a key.
+    pub fn customer_opt(&self, key: Key) -> Option<&Customer> {
+        let at = *self.keys.get(&key)?;
+        self.configuration.customers.as_ref()?.get(at)
+    }
+
+    /// A service by name.
+    pub fn service_opt(&self, name: &id::Target) -> Option<&Service> {
+        self.configuration.services.get(*self.services.get(name)?)
+    }
+
+    /// Finds the route and the customer of a request.
+    ///
+    /// # Errors
+    /// [`Code::RouteUnknown`] without a route, [`Code::CustomerUnknown`] where
+    /// the route asks for a key and none or an unknown one was sent.
+    pub fn find(&self, host: &str, path: &str, key: Option<Key>) -> Result<Match<'_>, Code> {
+        let route = self.route_opt(host, path).ok_or(Code::RouteUnknown)?;
+        let customer = key.and_then(|key| self.customer_opt(key));
+        let asked = self.configuration.customers.is_some() && !route.anonymous;
+        match customer {
+            None if asked => Err(Code::CustomerUnknown),
+            customer => Ok(Match { route, customer }),
+        }
+    }
+}
+
+/// The name in a `Host` header: without its port, in small letters.
+fn to_name(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/dispatch/src/worker.rs
@@ -0,0 +1,180 @@
+//! What one node has learnt of one endpoint: what it runs for us and for the
+//! others, how fast it has been, and whether it takes work.
+
+use std::sync::Arc;
+
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::endpoint::Endpoint;
+
+/// Bounds of what is learnt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// First rest after a failure; doubles up to [`Options::rest_limit`].
+    pub rest: Span,
+    /// Longest rest after failures.
+    pub rest_limit: Span,
+    /// Silence, with work in progress, after which an endpoint gets no more.
+    pub silence: Span,
+    /// Time in which half of what was learnt of an endpoint is forgotten while
+    /// it has nothing to do.
+    pub half_life: Span,
+    /// How long an endpoint that said it was full gets nothing.
+    pub full_for: Span,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            rest: Span::from_millis(300),
+            rest_limit: Span::from_secs(4),
+            silence: Span::from_millis(900),
+            half_life: Span::from_secs(4),
+            full_for: Span::from_millis(60),
+        }
+    }
+}
+
+/// Weight of a new observation of speed.
+const NEWEST: f64 = 0.2;
+
+/// Weight of a new observation of whether a call succeeded.
+const NEWEST_OUTCOME: f64 = 0.15;
+
+/// An endpoint, as one node knows it.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// What the platform says of it.
+    pub endpoint: Arc<Endpoint>,
+    /// The number by which nodes name it.
+    pub number: u32,
+    /// False once the platform lists it no more.
+    pub listed: bool,
+    /// Requests in progress that we sent.
+    pub running: u32,
+    /// Prompt tokens that we sent and of which no event was seen.
+    pub pending: u64,
+    /// Requests in progress that others sent.
+    pub others: u32,
+    /// Prompt tokens that others sent and of which they saw no event.
+    pub others_pending: u64,
+    /// Other nodes that keep work away from it.
+    pub others_failing: u32,
+    /// Its time for a step or a call, as a multiple of the usual one.
+    pub pace: f64,
+    /// The share of calls that it spoilt lately.
+    pub failing: f64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// No work before this time.
+    pub rests_until: Time,
+    /// When it last showed progress, or got work after none.
+    pub heard: Time,
+    /// When `pace` and `failing` were last brought up to date.
+    learnt: Time,
+}
+
+impl Worker {
+    /// An endpoint of which nothing was learnt.
+    pub fn new(endpoint: Arc<Endpoint>) -> Worker {
+        Worker {
+            number: endpoint.to_number(),
+            endpoint,
+            listed: true,
+            running: 0,
+            pending: 0,
+            others: 0,
+            others_pending: 0,
+            others_failing: 0,
+            pace: 1.0,
+            failing: 0.0,
+            failures: 0,
+            rests_until: Time(0),
+            heard: Time(0),
+            learnt: Time(0),
+        }
+    }
+
+    /// Requests in progress, ours and others'.
+    pub fn busy(&self) -> u32 {
+        self.running + self.others
+    }
+
+    /// Counts a request in.
+    pub fn start(&mut self, now: Time, uncached: u64) {
+        if self.running == 0 {
+            self.heard = now;
+        }
+        self.running += 1;
+        self.pending += uncached;
+    }
+
+    /// Counts a request out, with the prompt tokens that were still unread.
+    pub fn end(&mut self, pending: u64) {
+        self.running = self.running.saturating_sub(1);
+        self.pending = self.pending.saturating_sub(pending);
+    }
+
+    /// Forgets by and by what was learnt, so that an endpoint which was slow
+    /// or failing is tried again.
+    pub fn fade(&mut self, now: Time, options: &Options) {
+        let since = now.since(self.learnt).as_secs_f64();
+        let halves = since / options.half_life.as_secs_f64().max(1e-3);
+        if self.learnt == Time(0) || halves > 0.05 {
+            let keep = 0.5f64.powf(halves);
+            self.pace = 1.0 + (self.pace - 1.0) * keep;
+            self.failing *= keep;
+            self.learnt = now;
+        }
+    }
+
+    /// Learns the pace from a step or a call that took `ratio` times the usual.
+    pub fn learn_pace(&mut self, now: Time, ratio: f64) {
+        self.pace += (ratio.clamp(0.1, 20.0) - self.pace) * NEWEST;
+        self.learnt = now;
+    }
+
+    /// Counts a call that worked.
+    pub fn succeed(&mut self, now: Time) {
+        self.heard = now;
+        self.failures = 0;
+        self.failing -= self.failing * NEWEST_OUTCOME;
+    }
+
+    /// Counts a call that was answered with a fault: some services answer so
+    /// to some requests, so this alone brings no rest.
+    pub fn fault(&mut self, now: Time) {
+        self.heard = now;
+        self.failing += (1.0 - self.failing) * NEWEST_OUTCOME;
+        self.learnt = now;
+    }
+
+    /// Counts a call that broke, and keeps work away for a while.
+    pub fn fail(&mut self, now: Time, options: &Options) {
+        let doubled = options.rest.0 << self.failures.min(10);
+        self.failures += 1;
+        self.rests_until = now + Span(doubled.min(options.rest_limit.0));
+        self.failing += (1.0 - self.failing) * NEWEST_OUTCOME;
+        self.learnt = now;
+    }
+
+    /// Notes that it said it was full.
+    pub fn fill(&mut self, now: Time, options: &Options) {
+        self.heard = now;
+        self.rests_until = self.rests_until.max(now + options.full_for);
+    }
+
+    /// True while it has shown nothing for long though it has work.
+    pub fn is_silent(&self, now: Time, options: &Options) -> bool {
+        self.running > 0 && now.since(self.heard) > options.silence
+    }
+
+    /// True while new work may go there.
+    pub fn takes_work(&self, now: Time, options: &Options) -> bool {
+        self.listed
+            && !self.endpoint.leaving
+            && now >= self.rests_until
+            && !self.is_silent(now, options)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event.rs
@@ -0,0 +1,174 @@
+//! What is logged: one typed event for each decision that touches a request or
+//! changes what the process believes. `docs/EVENTS.md` lists them. No event
+//! holds a key, a prompt or a body.
+
+use serde::Serialize;
+
+/// One line of the log.
+#[derive(Debug, Clone, Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+pub enum Event<'a> {
+    /// The process runs.
+    Started {
+        /// The entry host.
+        host: &'a str,
+        /// This life of the node.
+        incarnation: u64,
+        /// The version of the program.
+        version: &'a str,
+    },
+    /// A planned stop began, or ended with requests still held.
+    Stopping {
+        /// Requests held.
+        held: usize,
+        /// What the stop has come to.
+        phase: &'a str,
+    },
+    /// Settings were read again.
+    Reloaded {
+        /// Whether they are in force, or what is wrong with them.
+        outcome: &'a str,
+    },
+    /// The process seems to have been paused.
+    Woke {
+        /// For how long, in milliseconds.
+        after_ms: u64,
+    },
+    /// A configuration came into force.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: u64,
+        /// Its routes.
+        routes: usize,
+        /// From where it came.
+        from: &'a str,
+    },
+    /// A list of endpoints came into force.
+    Endpoints {
+        /// Its revision.
+        revision: u64,
+        /// Endpoints that take work.
+        ready: usize,
+        /// Endpoints that are leaving.
+        leaving: usize,
+        /// From where it came.
+        from: &'a str,
+    },
+    /// Something this node depends on was lost or regained.
+    Dependency {
+        /// What it is.
+        name: &'a str,
+        /// True where it is there.
+        reached: bool,
+        /// What was seen.
+        detail: &'a str,
+    },
+    /// Something that was published could not be understood.
+    Unreadable {
+        /// Which document.
+        document: &'a str,
+        /// What is wrong.
+        detail: &'a str,
+    },
+    /// A request was let in and is to be run.
+    Accepted {
+        /// The caller's id of it.
+        request: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// Its service.
+        service: &'a str,
+        /// Its customer, if any.
+        customer: &'a str,
+        /// Its rank.
+        priority: u8,
+        /// Milliseconds left.
+        left_ms: u64,
+        /// The version of the configuration that decided it.
+        configuration: u64,
+    },
+    /// A request was sent to an endpoint.
+    Sent {
+        /// The caller's id of it.
+        request: &'a str,
+        /// The endpoint.
+        endpoint: &'a str,
+        /// Milliseconds it had waited.
+        waited_ms: u64,
+        /// Requests of this node in progress there.
+        running: u32,
+        /// Requests of other nodes in progress there, as last heard.
+        others: u32,
+        /// The age of the oldest word of another node, in milliseconds.
+        oldest_ms: u64,
+        /// Prompt tokens it was taken to have to read.
+        uncached: u64,
+        /// Its pace, as a multiple of the usual.
+        pace: f64,
+    },
+    /// An attempt ended.
+    Attempt {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The endpoint.
+        endpoint: &'a str,
+        /// How it ended.
+        end: &'a str,
+        /// What follows.
+        next: &'a str,
+        /// What was seen: a status or a fault of the connection.
+        detail: &'a str,
+        /// Milliseconds since it was sent.
+        after_ms: u64,
+    },
+    /// A request has its final answer.
+    Answered {
+        /// The caller's id of it.
+        request: &'a str,
+        /// The status.
+        status: u16,
+        /// The numbered result code, or nothing for an endpoint's own answer.
+        code: &'a str,
+        /// What the caller may believe: ran, not-run or unknown.
+        outcome: &'a str,
+        /// Milliseconds since it came.
+        after_ms: u64,
+        /// When the caller may come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// A caller left before its answer was whole.
+    Left {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// Milliseconds since it came.
+        after_ms: u64,
+    },
+    /// An answer broke off after its head had gone out.
+    Cut {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// Why.
+        detail: &'a str,
+        /// Milliseconds since it came.
+        after_ms: u64,
+    },
+    /// Lines were left out to keep the volume bounded.
+    LeftOut {
+        /// How many since the last such line.
+        lines: u64,
+    },
+}
+
+impl Event<'_> {
+    /// True for what explains a failure; such lines are left out last.
+    pub fn is_failure(&self) -> bool {
+        match self {
+            Event::Accepted { .. } | Event::Sent { .. } => false,
+            Event::Attempt { end, .. } => *end != "whole",
+            Event::Answered { status, .. } => *status >= 400,
+            _ => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/headers.rs
@@ -0,0 +1,118 @@
+//! The names under which callers and endpoints speak of requests. They come
+//! from the settings, since each platform has its own.
+
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use woadstage_config::read::Reader;
+use woadstage_dispatch::job::Part;
+use woadstage_dispatch::job::Prompt;
+use woadstage_types::code::Code;
+
+/// Header names. An empty name in the settings means that there is none.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Headers {
+    /// Names one attempt of a caller; endpoints echo it.
+    pub request: HeaderName,
+    /// Milliseconds for which the caller, then the endpoint, has use for it.
+    pub deadline: HeaderName,
+    /// Tells an endpoint which customer asks.
+    pub customer: HeaderName,
+    /// Tells an endpoint which one is meant.
+    pub instance: HeaderName,
+    /// An endpoint's word that it did not run the request.
+    pub not_run: HeaderName,
+    /// Prompt tokens and the most tokens of the answer, with a comma between.
+    pub tokens: HeaderName,
+    /// The prompt's parts as `ID:TOKENS`, with commas between.
+    pub parts: HeaderName,
+    /// The caller's estimate of the tokens of the answer.
+    pub output_hint: HeaderName,
+    /// The last event that arrived, when a stream goes on.
+    pub last_event: HeaderName,
+}
+
+impl Default for Headers {
+    fn default() -> Headers {
+        Headers {
+            request: HeaderName::from_static("woadstage-request"),
+            deadline: HeaderName::from_static("woadstage-timeout-ms"),
+            customer: HeaderName::from_static("woadstage-customer"),
+            instance: HeaderName::from_static("woadstage-endpoint"),
+            not_run: HeaderName::from_static("woadstage-not-run"),
+            tokens: HeaderName::from_static("woadstage-tokens"),
+            parts: HeaderName::from_static("woadstage-prompt-parts"),
+            output_hint: HeaderName::from_static("woadstage-output-hint"),
+            last_event: HeaderName::from_static("last-event-id"),
+        }
+    }
+}
+
+impl Headers {
+    /// Reads the names that the settings give; others keep their defaults.
+    pub fn read(reader: &mut Reader) -> Headers {
+        let mut headers = Headers::default();
+        let fields: [(&str, &mut HeaderName); 9] = [
+            ("request", &mut headers.request),
+            ("deadline", &mut headers.deadline),
+            ("customer", &mut headers.customer),
+            ("instance", &mut headers.instance),
+            ("not_run", &mut headers.not_run),
+            ("tokens", &mut headers.tokens),
+            ("parts", &mut headers.parts),
+            ("output_hint", &mut headers.output_hint),
+            ("last_event", &mut headers.last_event),
+        ];
+        for (field, name) in fields {
+            let Some(text) = reader.take_opt::<String>(field) else {
+                continue;
+            };
+            match text.parse() {
+                Ok(parsed) => *name = parsed,
+                Err(_) => reader.fault(field, Code::SettingsValue, "Give the name of a header."),
+            }
+        }
+        headers
+    }
+
+    /// What a caller says of the prompt.
+    pub fn to_prompt(&self, headers: &HeaderMap) -> Prompt {
+        let (tokens, output) = self.to_tokens(headers).unwrap_or_default();
+        let hint = text(headers, &self.output_hint);
+        Prompt {
+            tokens,
+            output,
+            output_hint: hint.and_then(|hint| hint.trim().parse().ok()),
+            parts: text(headers, &self.parts).map_or_else(Vec::new, parse_parts),
+        }
+    }
+
+    /// Prompt tokens and the most tokens of the answer, where both are said.
+    pub fn to_tokens(&self, headers: &HeaderMap) -> Option<(u64, u64)> {
+        let (prompt, output) = text(headers, &self.tokens)?.split_once(',')?;
+        Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
+    }
+
+    /// The milliseconds that a caller will wait, where it says so.
+    pub fn to_deadline_ms(&self, headers: &HeaderMap) -> Option<u64> {
+        text(headers, &self.deadline)?.trim().parse().ok()
+    }
+}
+
+/// A header's value, where it is text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Parts of a prompt that are read; later ones are never shared.
+const PARTS_MOST: usize = 32;
+
+fn parse_parts(text: &str) -> Vec<Part> {
+    let parts = text.split(',').take(PARTS_MOST).map_while(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some(Part {
+            id: u64::from_str_radix(id, 16).ok()?,
+            tokens: tokens.parse().ok()?,
+        })
+    });
+    parts.collect()
+}
--- /dev/null
+++ b/crates/gateway/src/log.rs
@@ -0,0 +1,156 @@
+//! Log lines on standard output: JSON, one a line, bounded in volume, never
+//! waited for. A reader that stops reading costs lines, not requests.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use spdlog::Level;
+use spdlog::Logger;
+use spdlog::Record;
+use spdlog::sink::GetSinkProp;
+use spdlog::sink::Sink;
+use spdlog::sink::SinkProp;
+
+use crate::event::Event;
+
+/// Bounds of the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Bytes that wait for the reader at the most.
+    pub bytes: usize,
+    /// Of them, those that lines which explain no failure may fill.
+    pub routine_bytes: usize,
+    /// How long lines are gathered before they are written.
+    pub gather: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            bytes: 128 << 10,
+            routine_bytes: 64 << 10,
+            gather: Duration::from_millis(100),
+        }
+    }
+}
+
+/// Lines that wait for the writer.
+struct Outbox {
+    prop: SinkProp,
+    options: Options,
+    lines: Mutex<Vec<u8>>,
+    filled: Condvar,
+    left_out: AtomicU64,
+}
+
+impl GetSinkProp for Outbox {
+    fn prop(&self) -> &SinkProp {
+        &self.prop
+    }
+}
+
+impl Sink for Outbox {
+    fn log(&self, record: &Record) -> spdlog::Result<()> {
+        let most = match record.level() {
+            Level::Info => self.options.routine_bytes,
+            _ => self.options.bytes,
+        };
+        let at = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let head = format!("{{\"time_ms\":{},", at.as_millis());
+        let rest = record.payload().strip_prefix('{').unwrap_or_default();
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if lines.len() + head.len() + rest.len() + 1 > most {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let was_empty = lines.is_empty();
+        lines.extend_from_slice(head.as_bytes());
+        lines.extend_from_slice(rest.as_bytes());
+        lines.push(b'\n');
+        if was_empty {
+            self.filled.notify_one();
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        Ok(())
+    }
+}
+
+impl Outbox {
+    fn take(&self) -> Vec<u8> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let waiting = self.filled.wait_while(lines, |lines| lines.is_empty());
+        drop(waiting);
+        std::thread::sleep(self.options.gather);
+        std::mem::take(&mut *self.lines.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn write(&self, to: &mut impl Write) {
+        let lines = self.take();
+        // A reader that is gone costs the lines; there is nowhere to tell it.
+        let _ = to.write_all(&lines).and_then(|()| to.flush());
+    }
+}
+
+/// The log of one process.
+#[derive(Clone)]
+pub struct Log {
+    logger: Arc<Logger>,
+    outbox: Arc<Outbox>,
+}
+
+impl Log {
+    /// A log that a thread of its own writes to `to`.
+    ///
+    /// # Errors
+    /// Where the thread or the logger cannot be made.
+    pub fn start(options: Options, mut to: impl Write + Send + 'static) -> anyhow::Result<Log> {
+        let outbox = Arc::new(Outbox {
+            prop: SinkProp::default(),
+            options,
+            lines: Mutex::default(),
+            filled: Condvar::new(),
+            left_out: AtomicU64::new(0),
+        });
+        let logger = Logger::builder().sink(outbox.clone()).build()?;
+        let writer = outbox.clone();
+        let thread = std::thread::Builder::new()
+            .name("log".into())
+            .stack_size(64 << 10);
+        thread.spawn(move || {
+            loop {
+                writer.write(&mut to);
+            }
+        })?;
+        Ok(Log {
+            logger: Arc::new(logger),
+            outbox,
+        })
+    }
+
+    /// Logs an event.
+    pub fn write(&self, event: &Event<'_>) {
+        let Ok(text) = serde_json::to_string(event) else {
+            return;
+        };
+        if event.is_failure() {
+            spdlog::warn!(logger: self.logger, "{text}");
+        } else {
+            spdlog::info!(logger: self.logger, "{text}");
+        }
+    }
+
+    /// Lines left out since the start.
+    pub fn left_out(&self) -> u64 {
+        self.outbox.left_out.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,169 @@
+//! What is counted. Labels are bounded: routes and services come from the
+//! configuration, of which at most [`ROUTES_MOST`] are told apart.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use woadstage_types::unit::Span;
+
+/// Routes that are told apart; requests of others count as `other`.
+pub const ROUTES_MOST: usize = 64;
+
+const SECONDS: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// What is counted.
+pub struct Metrics {
+    registry: Registry,
+    routes: RefCell<HashSet<String>>,
+    answered: HistogramVec,
+    first_event: HistogramVec,
+    waited: HistogramVec,
+    answers: IntCounterVec,
+    attempts: IntCounterVec,
+    beliefs: IntCounterVec,
+    /// Requests held.
+    pub held: IntGauge,
+    /// The version of the configuration in force.
+    pub configuration: IntGauge,
+    /// The revision of the list of endpoints in force.
+    pub endpoints: IntGauge,
+    /// Nodes that count, this one among them.
+    pub nodes: IntGauge,
+    /// Of them, those that are silent.
+    pub silent_nodes: IntGauge,
+    /// Log lines left out.
+    pub lines_left_out: IntGauge,
+    /// For each service what waits, runs and may be sent again.
+    pub services: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Nothing counted yet.
+    ///
+    /// # Errors
+    /// Only if two names were the same.
+    pub fn new() -> prometheus::Result<Metrics> {
+        let registry = Registry::new();
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+            let made = HistogramVec::new(options, &["route"])?;
+            registry.register(Box::new(made.clone()))?;
+            prometheus::Result::Ok(made)
+        };
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(made.clone()))?;
+            prometheus::Result::Ok(made)
+        };
+        let gauge = |name: &str, help: &str| {
+            let made = IntGauge::new(name, help)?;
+            registry.register(Box::new(made.clone()))?;
+            prometheus::Result::Ok(made)
+        };
+        let services = Opts::new("woadstage_service", "What each service has, by kind.");
+        let services = IntGaugeVec::new(services, &["service", "kind"])?;
+        registry.register(Box::new(services.clone()))?;
+        Ok(Metrics {
+            answered: histogram("woadstage_answer_seconds", "Time to the whole answer.")?,
+            first_event: histogram(
+                "woadstage_first_byte_seconds",
+                "Time to the answer's first byte.",
+            )?,
+            waited: histogram("woadstage_queue_seconds", "Time until a request was sent.")?,
+            answers: counter(
+                "woadstage_answers_total",
+                "Final answers.",
+                &["route", "status", "code"],
+            )?,
+            attempts: counter(
+                "woadstage_attempts_total",
+                "Attempts by how they ended.",
+                &["service", "end"],
+            )?,
+            beliefs: counter(
+                "woadstage_changes_total",
+                "Changes of what the node believes.",
+                &["what"],
+            )?,
+            held: gauge("woadstage_held", "Requests held.")?,
+            configuration: gauge("woadstage_configuration_version", "The version in force.")?,
+            endpoints: gauge("woadstage_endpoints_revision", "The revision in force.")?,
+            nodes: gauge("woadstage_nodes", "Nodes that count.")?,
+            silent_nodes: gauge("woadstage_silent_nodes", "Nodes that are silent.")?,
+            lines_left_out: gauge("woadstage_log_lines_left_out", "Log lines left out.")?,
+            services,
+            routes: RefCell::default(),
+            registry,
+        })
+    }
+
+    fn label<'a>(&self, route: &'a str) -> &'a str {
+        let mut routes = self.routes.borrow_mut();
+        if routes.contains(route) {
+            return route;
+        }
+        if routes.len() >= ROUTES_MOST {
+            return "other";
+        }
+        routes.insert(route.to_owned());
+        route
+    }
+
+    /// Counts a final answer.
+    pub fn answer(&self, route: &str, status: u16, code: &str, after: Span) {
+        let route = self.label(route);
+        let status = status.to_string();
+        self.answers
+            .with_label_values(&[route, status.as_str(), code])
+            .inc();
+        self.answered
+            .with_label_values(&[route])
+            .observe(after.as_secs_f64());
+    }
+
+    /// Counts the first byte of an answer.
+    pub fn first(&self, route: &str, after: Span) {
+        let route = self.label(route);
+        self.first_event
+            .with_label_values(&[route])
+            .observe(after.as_secs_f64());
+    }
+
+    /// Counts a request that was sent after it had waited.
+    pub fn sent(&self, route: &str, waited: Span) {
+        let route = self.label(route);
+        self.waited
+            .with_label_values(&[route])
+            .observe(waited.as_secs_f64());
+    }
+
+    /// Counts an attempt that ended.
+    pub fn attempt(&self, service: &str, end: &str) {
+        self.attempts.with_label_values(&[service, end]).inc();
+    }
+
+    /// Counts a change of what the node believes.
+    pub fn change(&self, what: &str) {
+        self.beliefs.with_label_values(&[what]).inc();
+    }
+
+    /// All figures, in the text form of Prometheus.
+    pub fn to_text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory does not fail; a figure that cannot be written is
+        // left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/operators.rs
@@ -0,0 +1,86 @@
+//! Readiness for the platform, and metrics for operators.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::shell::Shell;
+
+/// A page: its status and text.
+pub type Page = (StatusCode, Vec<u8>);
+
+/// Serves pages that `page` makes from a path.
+pub async fn serve(listener: TcpListener, page: impl Fn(&str) -> Page + Clone + 'static) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            continue;
+        };
+        let page = page.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (status, text) = page(request.uri().path());
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::task::spawn_local(async move {
+            // A reader that leaves early misses the page and nothing else.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Says whether the node is ready for callers.
+pub fn readiness(shell: &Shell, path: &str, asked: &str) -> Page {
+    if path != asked {
+        return (StatusCode::NOT_FOUND, Vec::new());
+    }
+    match shell.query(|dispatcher, _| dispatcher.is_ready()) {
+        true => (StatusCode::OK, b"ready\n".to_vec()),
+        false => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
+    }
+}
+
+/// All figures of the node.
+pub fn metrics(shell: &Shell) -> Page {
+    let metrics = &shell.metrics;
+    let (reach, held, configuration, endpoints, services) = shell.query(|dispatcher, now| {
+        (
+            dispatcher.reach(now),
+            dispatcher.held(),
+            dispatcher.configuration_version(),
+            dispatcher.endpoints_revision(),
+            dispatcher.summaries(now),
+        )
+    });
+    metrics.nodes.set(reach.nodes as i64);
+    metrics.silent_nodes.set(reach.silent as i64);
+    metrics.held.set(held as i64);
+    metrics.configuration.set(configuration as i64);
+    metrics.endpoints.set(endpoints as i64);
+    metrics.lines_left_out.set(shell.log.left_out() as i64);
+    for service in services {
+        let set = |kind, value: i64| {
+            let labels = [service.target.as_str(), kind];
+            metrics.services.with_label_values(&labels).set(value);
+        };
+        set("waiting", service.waiting as i64);
+        set("running", i64::from(service.running));
+        set("running-elsewhere", i64::from(service.others));
+        set("endpoints", service.endpoints as i64);
+        set("endpoints-usable", service.usable as i64);
+        set("repeats-left", service.repeats_left as i64);
+    }
+    (StatusCode::OK, metrics.to_text())
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,313 @@
+//! The whole process, from settings to a planned stop.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::spawn_local;
+use woadstage_config::fault::Faults;
+use woadstage_dispatch::dispatcher;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_types::unit::Time;
+
+use crate::clock::to_duration;
+use crate::event::Event;
+use crate::log;
+use crate::log::Log;
+use crate::metrics::Metrics;
+use crate::operators;
+use crate::peers;
+use crate::serve;
+use crate::settings;
+use crate::settings::Settings;
+use crate::shell::Phase;
+use crate::shell::Shell;
+use crate::source;
+use crate::source::Update;
+
+/// Time between two looks at what time alone brings about.
+const TICK: Duration = Duration::from_millis(20);
+
+/// How long newer documents of other nodes are waited for from the platform
+/// itself before they are taken from those.
+const AHEAD_FOR: Duration = Duration::from_millis(250);
+
+/// Time between two looks at the settings file.
+const SETTINGS_EVERY: Duration = Duration::from_secs(2);
+
+/// How long callers still come after the platform was told of a stop.
+const NOTICE: Duration = Duration::from_millis(2_600);
+
+/// Time kept at the end of a planned stop for leaving in order.
+const SPARE: Duration = Duration::from_millis(500);
+
+/// Time between two sweeps of connections at rest.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// Runs a node until a planned stop has ended. `adapter` is called once with
+/// the settings and reads the platform for as long as the process runs.
+///
+/// # Errors
+/// Faults in the settings, or an address that cannot be listened on.
+pub async fn run<A, F>(path: &Path, adapter: A) -> anyhow::Result<()>
+where
+    A: FnOnce(&Settings, source::Sender) -> F,
+    F: Future<Output = ()> + 'static,
+{
+    let settings = read(path)?;
+    let log = Log::start(log::Options::default(), std::io::stdout())?;
+    let incarnation = rand::random();
+    let dispatcher = Dispatcher::new(to_options(&settings, incarnation));
+    let shell = Shell::new(
+        dispatcher,
+        settings.headers.clone(),
+        settings.memory,
+        log,
+        Metrics::new()?,
+    );
+    shell.log(&Event::Started {
+        host: settings.host.as_str(),
+        incarnation,
+        version: env!("CARGO_PKG_VERSION"),
+    });
+    let socket = UdpSocket::bind(settings.peers).await;
+    let socket = Rc::new(socket.with_context(|| format!("listen on {}", settings.peers))?);
+    let snapshots = listen(settings.peers).await?;
+    let ready = listen(settings.ready).await?;
+    let metrics = listen(settings.metrics).await?;
+    let callers = listen(settings.callers).await?;
+    let (sender, updates) = source::channel();
+    spawn_local(adapter(&settings, sender));
+    spawn_local(take_updates(shell.clone(), updates));
+    spawn_local(peers::listen(shell.clone(), socket.clone()));
+    spawn_local(peers::snapshot::serve(shell.clone(), snapshots));
+    let (asked, of) = (settings.ready_path.clone(), shell.clone());
+    spawn_local(operators::serve(ready, move |path| {
+        operators::readiness(&of, path, &asked)
+    }));
+    let of = shell.clone();
+    spawn_local(operators::serve(metrics, move |_| operators::metrics(&of)));
+    spawn_local(serve::accept(shell.clone(), callers));
+    spawn_local(tick(shell.clone(), socket));
+    spawn_local(sweep(shell.clone()));
+    spawn_local(reload(shell.clone(), path.to_owned()));
+    stop(&shell, to_duration(settings.stop_within)).await
+}
+
+/// Reads and checks the settings.
+///
+/// # Errors
+/// Every fault in them.
+pub fn read(path: &Path) -> anyhow::Result<Settings> {
+    let text = std::fs::read_to_string(path).with_context(|| format!("read {}", path.display()))?;
+    settings::parse(&text).map_err(|faults: Faults| anyhow::anyhow!("{faults}"))
+}
+
+async fn listen(address: std::net::SocketAddrV4) -> anyhow::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.with_context(|| format!("listen on {address}"))
+}
+
+fn to_options(settings: &Settings, incarnation: u64) -> dispatcher::Options {
+    dispatcher::Options {
+        own: settings.peers,
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        seeds: settings.seeds.clone(),
+        policy: dispatcher::Policy::default(),
+        worker: Default::default(),
+        warm: Default::default(),
+        member: Default::default(),
+        quota: settings.quota.clone(),
+        budget: settings.budget.clone(),
+    }
+}
+
+/// Brings what the platform published into force.
+async fn take_updates(shell: Rc<Shell>, mut updates: source::Receiver) {
+    while let Some(update) = updates.recv().await {
+        match update {
+            Update::Configuration(configuration) => {
+                note_change(&shell, "platform", |shell| {
+                    shell.command(|dispatcher, now| {
+                        dispatcher.set_configuration(now, configuration)
+                    });
+                });
+            }
+            Update::Endpoints(list) => note_change(&shell, "platform", |shell| {
+                shell.command(|dispatcher, now| dispatcher.set_endpoints(now, list));
+            }),
+            Update::Reached(document) => shell.log(&Event::Dependency {
+                name: "platform",
+                reached: true,
+                detail: document.as_str(),
+            }),
+            Update::Unreachable(document, detail) => shell.log(&Event::Dependency {
+                name: "platform",
+                reached: false,
+                detail: &format!("{}: {detail}", document.as_str()),
+            }),
+            Update::Unreadable(document, detail) => shell.log(&Event::Unreadable {
+                document: document.as_str(),
+                detail: &detail,
+            }),
+        }
+    }
+}
+
+/// Runs a change and logs what came into force by it.
+fn note_change(shell: &Shell, from: &str, change: impl FnOnce(&Shell)) {
+    let versions = |shell: &Shell| {
+        shell.query(|dispatcher, _| {
+            (
+                dispatcher.configuration_version(),
+                dispatcher.endpoints_revision(),
+            )
+        })
+    };
+    let before = versions(shell);
+    change(shell);
+    let after = versions(shell);
+    if after.0 != before.0 {
+        let routes = shell
+            .query(|dispatcher, _| dispatcher.configuration().map_or(0, |one| one.routes.len()));
+        shell.metrics.change("configuration");
+        shell.log(&Event::Configuration {
+            version: after.0,
+            before: before.0,
+            routes,
+            from,
+        });
+    }
+    if after.1 != before.1 {
+        let list = shell.query(|dispatcher, _| dispatcher.snapshot().endpoints);
+        let leaving = list.endpoints.iter().filter(|one| one.leaving).count();
+        shell.metrics.change("endpoints");
+        shell.log(&Event::Endpoints {
+            revision: after.1,
+            ready: list.endpoints.len() - leaving,
+            leaving,
+            from,
+        });
+    }
+}
+
+/// Everything that time alone brings about.
+async fn tick(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
+    let mut ahead_since: Option<Time> = None;
+    let mut last = shell.now();
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = shell.now();
+        if shell.command(|dispatcher, now| dispatcher.tick(now)) {
+            shell.upstream.close_idle();
+            shell.log(&Event::Woke {
+                after_ms: now.since(last).0 / 1_000,
+            });
+        }
+        last = now;
+        peers::tell(&shell, &socket);
+        let ahead = shell.query(|dispatcher, now| dispatcher.ahead_opt(now));
+        let since = *ahead_since.get_or_insert(now);
+        match ahead {
+            None => ahead_since = None,
+            Some(from) if to_duration(now.since(since)) >= AHEAD_FOR => {
+                ahead_since = None;
+                spawn_local(catch_up(shell.clone(), from));
+            }
+            Some(_) => {}
+        }
+    }
+}
+
+/// Takes from another node what the platform has not given this one.
+async fn catch_up(shell: Rc<Shell>, from: std::net::SocketAddrV4) {
+    match peers::snapshot::take(from).await {
+        Ok(snapshot) => note_change(&shell, "node", |shell| {
+            shell.command(|dispatcher, now| dispatcher.take_snapshot(now, snapshot));
+        }),
+        Err(error) => shell.log(&Event::Dependency {
+            name: "node",
+            reached: false,
+            detail: &format!("{from}: {error}"),
+        }),
+    }
+}
+
+async fn sweep(shell: Rc<Shell>) {
+    let mut left_out = 0;
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        shell.upstream.sweep();
+        let all = shell.log.left_out();
+        if all > left_out {
+            shell.log(&Event::LeftOut {
+                lines: all - left_out,
+            });
+            left_out = all;
+        }
+    }
+}
+
+/// Takes changed settings, on a signal or when the file has changed.
+async fn reload(shell: Rc<Shell>, path: std::path::PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    let mut known = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        let signalled = tokio::time::timeout(SETTINGS_EVERY, hangup.recv())
+            .await
+            .is_ok();
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        if text == known && !signalled {
+            continue;
+        }
+        known = text;
+        let outcome = match settings::parse(&known) {
+            Ok(settings) => {
+                shell.command(|dispatcher, _| dispatcher.set_seeds(&settings.seeds));
+                "in force: seeds; other changes take a restart".to_owned()
+            }
+            Err(faults) => format!("refused: {faults}"),
+        };
+        shell.log(&Event::Reloaded { outcome: &outcome });
+    }
+}
+
+/// Waits for the signal, tells the platform and the others, lets what runs end.
+async fn stop(shell: &Rc<Shell>, within: Duration) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let deadline = tokio::time::Instant::now() + within.saturating_sub(SPARE);
+    let note = |phase: &str| {
+        let held = shell.query(|dispatcher, _| dispatcher.held());
+        shell.log(&Event::Stopping { held, phase });
+    };
+    note("leaving");
+    shell.set_phase(Phase::Leaving);
+    shell.command(|dispatcher, _| dispatcher.leave());
+    tokio::time::sleep_until((tokio::time::Instant::now() + NOTICE).min(deadline)).await;
+    note("closing");
+    shell.set_phase(Phase::Closing);
+    while tokio::time::Instant::now() < deadline {
+        let held = shell.query(|dispatcher, _| dispatcher.held());
+        if held == 0 && shell.connections.get() == 0 {
+            break;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+    note("stopped");
+    // The log's thread gathers lines for a moment before it writes them.
+    tokio::time::sleep(log::Options::default().gather * 2).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/serve/exchange.rs
@@ -0,0 +1,486 @@
+//! One request of a caller: attempts at endpoints until there is an answer.
+
+use std::rc::Rc;
+
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+use woadstage_dispatch::dispatcher::Cause;
+use woadstage_dispatch::dispatcher::Decision;
+use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::dispatcher::Reason;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_types::code::Code;
+use woadstage_types::code::Outcome;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::admit;
+use super::admit::Admitted;
+use super::payload::Payload;
+use super::relay;
+use super::reply::Reply;
+use crate::event::Event;
+use crate::headers::text;
+use crate::shell::Shell;
+use crate::upstream::Answer;
+use crate::upstream::Body;
+use crate::upstream::Fault;
+
+/// Fields of a head that belong to one connection alone (RFC 9110, 7.6.1).
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// When a caller may come back whom no endpoint had room for.
+const SOON: Span = Span::from_millis(200);
+
+/// Serves one request.
+pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = shell.now();
+    let (head, body) = request.into_parts();
+    let table = shell.query(|dispatcher, _| dispatcher.table().cloned());
+    let admitted = admit::admit(table.as_deref(), &shell.headers, &head, arrived);
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(code) => return turn_away(&shell, &head, arrived, code),
+    };
+    let payload = Payload::read(body, admitted.body, &shell.bodies).await;
+    let mut exchange = Exchange::new(shell, admitted, head);
+    match payload {
+        Ok(payload) => exchange.payload = Some(payload),
+        Err(code) => return exchange.refuse(code.into()),
+    }
+    if let Err(reply) = exchange.enter() {
+        return exchange.refuse(reply);
+    }
+    match exchange.run(None).await {
+        Ok(answer) => relay::relay(exchange, answer),
+        Err(reply) => exchange.refuse(reply),
+    }
+}
+
+/// Answers a request that has no route, customer or configuration.
+fn turn_away(shell: &Shell, head: &Parts, arrived: Time, code: Code) -> Response<Body> {
+    let request = text(&head.headers, &shell.headers.request).unwrap_or_default();
+    let reply = Reply {
+        code,
+        retry_after: code.mends().then_some(Span::from_millis(500)),
+    };
+    log_answer(shell, request, "", arrived, reply);
+    reply.to_response()
+}
+
+fn log_answer(shell: &Shell, request: &str, route: &str, arrived: Time, reply: Reply) {
+    let after = shell.now().since(arrived);
+    let code = reply.code.to_string();
+    shell
+        .metrics
+        .answer(route, reply.code.status(), &code, after);
+    shell.log(&Event::Answered {
+        request,
+        status: reply.code.status(),
+        code: &code,
+        outcome: &reply.code.outcome().to_string(),
+        after_ms: after.0 / 1_000,
+        retry_after_ms: reply.retry_after.map_or(0, |span| span.0 / 1_000),
+    });
+}
+
+/// A request on its way to an answer. Dropping it means that the caller left.
+pub struct Exchange {
+    /// What all tasks share.
+    pub shell: Rc<Shell>,
+    /// How it was let in.
+    pub admitted: Admitted,
+    /// When it was last sent.
+    pub sent_at: Time,
+    /// The endpoint that it was last sent to.
+    pub endpoint: Option<std::sync::Arc<Endpoint>>,
+    head: Parts,
+    payload: Option<Payload>,
+    job: Option<job::Id>,
+    decision: Option<oneshot::Receiver<Decision>>,
+    units: u64,
+    charged: bool,
+    may_have_run: bool,
+    over: bool,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        let Some(job) = self.job.take() else {
+            return;
+        };
+        self.shell
+            .command(|dispatcher, now| dispatcher.abandon(now, job));
+        if !self.over {
+            let after = self.shell.now().since(self.admitted.arrived);
+            self.shell.log(&Event::Left {
+                request: &self.admitted.request,
+                after_ms: after.0 / 1_000,
+            });
+        }
+    }
+}
+
+impl Exchange {
+    fn new(shell: Rc<Shell>, admitted: Admitted, head: Parts) -> Exchange {
+        Exchange {
+            units: admitted.units(&shell.headers, &head),
+            sent_at: admitted.arrived,
+            shell,
+            admitted,
+            head,
+            endpoint: None,
+            payload: None,
+            job: None,
+            decision: None,
+            charged: false,
+            may_have_run: false,
+            over: false,
+        }
+    }
+
+    /// Charges the customer and puts the request in line.
+    fn enter(&mut self) -> Result<(), Reply> {
+        let shell = self.shell.clone();
+        if let Some(customer) = &self.admitted.customer {
+            let left = self.admitted.deadline.since(shell.now());
+            let units = self.units;
+            shell.command(|dispatcher, now| dispatcher.charge(now, customer, units, left))?;
+            self.charged = true;
+        }
+        let job = self.admitted.to_job(&shell.headers, &self.head);
+        shell.log(&Event::Accepted {
+            request: &self.admitted.request,
+            route: &self.admitted.route.name,
+            service: self.admitted.target.as_str(),
+            customer: self.admitted.customer_name(),
+            priority: job.priority,
+            left_ms: self.admitted.deadline.since(self.admitted.arrived).0 / 1_000,
+            configuration: self.admitted.version,
+        });
+        let (job, decision) = shell.enter(job);
+        self.job = Some(job);
+        self.decision = Some(decision);
+        Ok(())
+    }
+
+    /// Sends the request to endpoints, one after the other, until one gives an
+    /// answer that the caller is to have.
+    ///
+    /// # Errors
+    /// The final answer of this node's own.
+    pub async fn run(&mut self, last_event: Option<&str>) -> Result<Answer, Reply> {
+        loop {
+            let endpoint = self.decided().await?;
+            let sent = self.send(&endpoint, last_event).await;
+            let (end, detail) = match sent {
+                Ok(answer) => match self.judge(&answer) {
+                    Verdict::Pass => return Ok(answer),
+                    Verdict::Retry(end) => {
+                        let detail = answer.response.status().as_u16().to_string();
+                        // An endpoint's own fault may still be the answer.
+                        if end == End::Fault && !self.goes_on(end, &detail) {
+                            return self.pass_fault(answer);
+                        }
+                        if end == End::Fault {
+                            continue;
+                        }
+                        (end, detail)
+                    }
+                },
+                Err(Fault::NotSent(detail)) => (End::NotSent, detail),
+                Err(Fault::Lost(detail)) => (End::Lost, detail),
+            };
+            if !self.goes_on(end, &detail) {
+                return Err(self.give_up(end));
+            }
+        }
+    }
+
+    /// Waits until it is decided where the request goes.
+    async fn decided(&mut self) -> Result<std::sync::Arc<Endpoint>, Reply> {
+        let Some(decision) = self.decision.take() else {
+            return Err(Code::EndpointLost.into());
+        };
+        let until = self.shell.clock.to_instant(self.admitted.deadline);
+        match timeout_at(until, decision).await {
+            Ok(Ok(Decision::Start {
+                endpoint, reason, ..
+            })) => {
+                self.note_sent(&endpoint, reason);
+                Ok(endpoint)
+            }
+            Ok(Ok(Decision::Refuse { refusal, .. })) => Err(self.refused(refusal.into())),
+            Ok(Err(_)) | Err(_) => Err(self.refused(Code::TooLate.into())),
+        }
+    }
+
+    /// A refusal, unless an earlier attempt may have run.
+    fn refused(&self, reply: Reply) -> Reply {
+        if self.may_have_run {
+            Code::EndpointLost.into()
+        } else {
+            reply
+        }
+    }
+
+    fn note_sent(&mut self, endpoint: &std::sync::Arc<Endpoint>, reason: Reason) {
+        self.sent_at = self.shell.now();
+        self.endpoint = Some(endpoint.clone());
+        self.shell
+            .metrics
+            .sent(&self.admitted.route.name, reason.waited);
+        self.shell.log(&Event::Sent {
+            request: &self.admitted.request,
+            endpoint: endpoint.name.as_str(),
+            waited_ms: reason.waited.0 / 1_000,
+            running: reason.running,
+            others: reason.others,
+            oldest_ms: reason.oldest.0 / 1_000,
+            uncached: reason.uncached,
+            pace: (reason.pace * 100.0).round() / 100.0,
+        });
+    }
+
+    async fn send(
+        &mut self,
+        endpoint: &Endpoint,
+        last_event: Option<&str>,
+    ) -> Result<Answer, Fault> {
+        let Some(request) = self.make_request(endpoint, last_event) else {
+            return Err(Fault::Lost("the body has gone out already".into()));
+        };
+        let until = self.shell.clock.to_instant(self.admitted.deadline);
+        let shell = self.shell.clone();
+        match timeout_at(until, shell.upstream.call(endpoint, request)).await {
+            Ok(sent) => sent,
+            Err(_) => Err(Fault::Lost("no answer in time".into())),
+        }
+    }
+
+    /// The request as an endpoint gets it.
+    fn make_request(
+        &mut self,
+        endpoint: &Endpoint,
+        last_event: Option<&str>,
+    ) -> Option<Request<Body>> {
+        let payload = self.payload.as_mut().filter(|payload| payload.can_send())?;
+        let length = payload.length_opt();
+        let body = payload.take_body();
+        let path = self.head.uri.path_and_query()?.as_str();
+        let mut request = Request::builder()
+            .method(self.head.method.clone())
+            .uri(path)
+            .body(body)
+            .ok()?;
+        let names = &self.shell.headers;
+        let headers = request.headers_mut();
+        *headers = self.head.headers.clone();
+        strip(headers);
+        headers.remove(header::AUTHORIZATION);
+        headers.remove(header::EXPECT);
+        headers.remove(&names.customer);
+        // A held body is sent with its length, however it came.
+        if length.is_some_and(|length| length > 0) || payload_is_framed(&self.head.headers) {
+            match length {
+                Some(length) => headers.insert(header::CONTENT_LENGTH, length.into()),
+                None if self.head.headers.contains_key(header::TRANSFER_ENCODING) => {
+                    headers.remove(header::CONTENT_LENGTH)
+                }
+                None => None,
+            };
+        }
+        let left = self.admitted.caller_deadline.since(self.shell.now());
+        headers.insert(names.deadline.clone(), (left.0 / 1_000).max(1).into());
+        headers.insert(names.instance.clone(), to_value(endpoint.name.as_str())?);
+        if let Some(customer) = &self.admitted.customer {
+            headers.insert(names.customer.clone(), to_value(customer.name.as_str())?);
+        }
+        if let Some(last) = last_event {
+            headers.insert(names.last_event.clone(), to_value(last)?);
+        }
+        Some(request)
+    }
+
+    /// Says what an answer's head means for the request.
+    fn judge(&self, answer: &Answer) -> Verdict {
+        let names = &self.shell.headers;
+        let headers = answer.response.headers();
+        let status = answer.response.status();
+        let echoed = text(headers, &names.request);
+        if echoed.is_some_and(|echoed| echoed != self.admitted.request) {
+            return Verdict::Retry(End::Lost);
+        }
+        if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+            return match status {
+                StatusCode::MISDIRECTED_REQUEST => Verdict::Retry(End::NotThere),
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                    Verdict::Retry(End::Full)
+                }
+                _ => Verdict::Pass,
+            };
+        }
+        if status.is_success() && echoed.is_none() && !self.admitted.request.is_empty() {
+            return Verdict::Retry(End::Lost);
+        }
+        if status.is_server_error() || promises_not_run(status) {
+            return Verdict::Retry(End::Fault);
+        }
+        Verdict::Pass
+    }
+
+    /// Passes an endpoint's own fault to the caller, unless its status would
+    /// promise what is not known to be true.
+    fn pass_fault(&self, answer: Answer) -> Result<Answer, Reply> {
+        if promises_not_run(answer.response.status()) {
+            return Err(Code::EndpointFault.into());
+        }
+        Ok(answer)
+    }
+
+    /// Tells how an attempt ended; true where the request goes on elsewhere.
+    pub fn goes_on(&mut self, end: End, detail: &str) -> bool {
+        let Some(job) = self.job else {
+            return false;
+        };
+        self.may_have_run |= !end.is_not_run();
+        let (next, decision) = self.shell.end(job, end);
+        self.decision = decision;
+        let next_word = match next {
+            Next::Over => "over",
+            Next::Again => "again",
+            Next::Final(cause) => cause.as_str(),
+        };
+        let endpoint = self
+            .endpoint
+            .as_ref()
+            .map_or("", |endpoint| endpoint.name.as_str());
+        self.shell
+            .metrics
+            .attempt(self.admitted.target.as_str(), end.as_str());
+        self.shell.log(&Event::Attempt {
+            request: &self.admitted.request,
+            endpoint,
+            end: end.as_str(),
+            next: next_word,
+            detail,
+            after_ms: self.shell.now().since(self.sent_at).0 / 1_000,
+        });
+        if next != Next::Again {
+            self.job = None;
+        }
+        // A body that passed through cannot be sent a second time.
+        let can_send = self.payload.as_ref().is_some_and(Payload::can_send);
+        next == Next::Again && can_send && !matches!(next, Next::Final(Cause::Time))
+    }
+
+    /// The final answer after an attempt that nothing follows.
+    fn give_up(&self, end: End) -> Reply {
+        if !self.may_have_run {
+            let left = self.admitted.deadline.since(self.shell.now());
+            let retry_after = self
+                .shell
+                .query(|dispatcher, _| dispatcher.come_back(SOON, left));
+            return Reply {
+                code: Code::EndpointRefused,
+                retry_after: Some(retry_after),
+            };
+        }
+        let late = self.shell.now() >= self.admitted.deadline;
+        match end {
+            _ if late => Code::AnswerLate.into(),
+            End::Fault => Code::EndpointFault.into(),
+            _ => Code::EndpointLost.into(),
+        }
+    }
+
+    /// Gives the caller an answer of this node's own.
+    fn refuse(mut self, reply: Reply) -> Response<Body> {
+        let not_run = reply.code.outcome() == Outcome::NotRun;
+        if let Some(customer) = self
+            .admitted
+            .customer
+            .as_ref()
+            .filter(|_| self.charged && not_run)
+        {
+            let units = self.units;
+            self.shell
+                .command(|dispatcher, _| dispatcher.give_back(customer, units));
+        }
+        let Admitted {
+            request,
+            route,
+            arrived,
+            ..
+        } = &self.admitted;
+        log_answer(&self.shell, request, &route.name, *arrived, reply);
+        self.over = true;
+        reply.to_response()
+    }
+
+    /// The exchange has its whole answer, or broke off.
+    pub fn finish(&mut self) {
+        self.over = true;
+    }
+
+    /// The request's id in the dispatcher while it is under way.
+    pub fn job(&self) -> Option<job::Id> {
+        self.job
+    }
+}
+
+/// What an answer's head means.
+enum Verdict {
+    /// The caller is to have it.
+    Pass,
+    /// The attempt ended so, and another may follow.
+    Retry(End),
+}
+
+/// True for a status by which callers take it that a request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+fn payload_is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Removes the fields that belong to one connection, and those that its
+/// `Connection` field names.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+fn to_value(text: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(text).ok()
+}
--- /dev/null
+++ b/crates/gateway/src/serve/mod.rs
@@ -0,0 +1,99 @@
+//! Callers: connections, and what becomes of each request.
+//!
+//! * `admit.rs`: which route and customer a request has.
+//! * `payload.rs`: its body.
+//! * `exchange.rs`: attempts at endpoints until there is an answer.
+//! * `relay.rs`: the answer's way to the caller.
+//! * `framer.rs`: events of a stream.
+//! * `reply.rs`: answers of this node's own.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use woadstage_dispatch::configuration::Limits;
+
+use crate::clock::to_duration;
+use crate::shell::Phase;
+use crate::shell::Shell;
+use crate::upstream::Body;
+
+mod admit;
+mod exchange;
+pub mod framer;
+mod payload;
+mod relay;
+mod reply;
+
+/// Smallest buffer for a head that the library allows.
+const HEAD_LEAST: usize = 8_192;
+
+/// Accepts callers until the process begins to close.
+pub async fn accept(shell: Rc<Shell>, listener: TcpListener) {
+    let mut phase = shell.watch_phase();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase >= Phase::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(shell.clone(), stream));
+            }
+            // Out of descriptors, mostly: others will close theirs.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn connection(shell: Rc<Shell>, stream: TcpStream) {
+    // Only delay is lost where this fails.
+    let _ = stream.set_nodelay(true);
+    let limits = shell.query(|dispatcher, _| {
+        let configuration = dispatcher.configuration();
+        configuration.map_or_else(Limits::default, |one| one.limits.clone())
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        // The library counts a rest between requests as time for the head.
+        .header_read_timeout(to_duration(limits.idle))
+        .max_buf_size((limits.head.0 as usize).max(HEAD_LEAST))
+        .auto_date_header(false);
+    let server = shell.clone();
+    let service = service_fn(move |request| answer(server.clone(), request));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut phase = shell.watch_phase();
+    shell.connections.set(shell.connections.get() + 1);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+    shell.connections.set(shell.connections.get() - 1);
+}
+
+async fn answer(
+    shell: Rc<Shell>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let mut response = exchange::serve(shell.clone(), request).await;
+    if shell.phase() >= Phase::Leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/gateway/src/serve/relay.rs
@@ -0,0 +1,225 @@
+//! The answer's way from the endpoint to the caller, as it comes. An answer
+//! that breaks off never looks whole; a resumable stream goes on at another
+//! endpoint after the last whole event.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+use woadstage_dispatch::configuration::Kind;
+use woadstage_dispatch::job::End;
+
+use super::exchange;
+use super::exchange::Exchange;
+use super::framer;
+use super::framer::Framer;
+use crate::event::Event;
+use crate::upstream::Answer;
+use crate::upstream::Body;
+use crate::upstream::Connection;
+use crate::upstream::reuse;
+
+/// An answer on its way.
+struct Relay {
+    // Before the exchange, so that a caller's leaving first closes the
+    // connection and then frees the endpoint's place.
+    incoming: Incoming,
+    connection: Option<Connection>,
+    keep: Duration,
+    framer: Option<Framer>,
+    stream: bool,
+    status: u16,
+    begun: bool,
+    ended: bool,
+    exchange: Exchange,
+}
+
+/// Gives the caller an endpoint's answer.
+pub fn relay(exchange: Exchange, answer: Answer) -> Response<Body> {
+    let Answer {
+        response,
+        connection,
+    } = answer;
+    let (mut head, incoming) = response.into_parts();
+    let keep = reuse::keep_for(&head.headers);
+    exchange::strip(&mut head.headers);
+    let whole = head.status.is_success();
+    let stream = exchange.admitted.route.kind == Kind::Stream && whole;
+    let resumable = stream && exchange.admitted.route.resumable;
+    let relay = Relay {
+        incoming,
+        connection: Some(connection),
+        keep,
+        framer: resumable.then(Framer::default),
+        stream,
+        status: head.status.as_u16(),
+        begun: false,
+        ended: false,
+        exchange,
+    };
+    let frames = futures_util::stream::unfold(relay, |mut relay| async move {
+        let data = relay.next().await?;
+        Some((data.map(Frame::data), relay))
+    });
+    Response::from_parts(head, Box::pin(StreamBody::new(frames)))
+}
+
+/// What came from the endpoint.
+enum Piece {
+    Data(Bytes),
+    End,
+    Broken(String),
+    Late,
+}
+
+impl Relay {
+    /// The next bytes for the caller, nothing at the whole answer's end, or a
+    /// fault that closes the caller's connection.
+    async fn next(&mut self) -> Option<anyhow::Result<Bytes>> {
+        loop {
+            if self.ended {
+                return None;
+            }
+            match self.piece().await {
+                Piece::Data(bytes) => {
+                    if let Some(bytes) = self.pass(bytes) {
+                        return Some(Ok(bytes));
+                    }
+                }
+                Piece::End => return self.finish(),
+                Piece::Late => return Some(Err(self.cut("no time left"))),
+                Piece::Broken(detail) => {
+                    if !self.go_on(&detail).await {
+                        return Some(Err(self.cut(&detail)));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn piece(&mut self) -> Piece {
+        let exchange = &self.exchange;
+        let until = exchange.shell.clock.to_instant(exchange.admitted.deadline);
+        match timeout_at(until, self.incoming.frame()).await {
+            Err(_) => Piece::Late,
+            Ok(None) => Piece::End,
+            Ok(Some(Err(error))) => Piece::Broken(error.to_string()),
+            Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
+        }
+    }
+
+    /// Takes bytes from the endpoint, and gives those that go out now.
+    fn pass(&mut self, bytes: Bytes) -> Option<Bytes> {
+        let (bytes, events) = match &mut self.framer {
+            Some(framer) => framer.push(&bytes),
+            None if self.stream => {
+                let events = framer::count(&bytes);
+                (bytes, events)
+            }
+            None => (bytes, 0),
+        };
+        let exchange = &self.exchange;
+        if !self.begun {
+            self.begun = true;
+            let after = exchange.shell.now().since(exchange.admitted.arrived);
+            exchange
+                .shell
+                .metrics
+                .first(&exchange.admitted.route.name, after);
+        }
+        if let Some(job) = exchange.job().filter(|_| self.stream) {
+            exchange
+                .shell
+                .command(|dispatcher, now| dispatcher.progress(now, job, events));
+        }
+        (!bytes.is_empty()).then_some(bytes)
+    }
+
+    /// The endpoint's answer is whole.
+    fn finish(&mut self) -> Option<anyhow::Result<Bytes>> {
+        self.ended = true;
+        let rest = self.framer.as_mut().map(Framer::finish).unwrap_or_default();
+        let end = if self.status >= 500 {
+            End::Fault
+        } else {
+            End::Whole
+        };
+        let detail = self.status.to_string();
+        self.exchange.goes_on(end, &detail);
+        self.exchange.finish();
+        self.keep_connection();
+        let exchange = &self.exchange;
+        let after = exchange.shell.now().since(exchange.admitted.arrived);
+        exchange
+            .shell
+            .metrics
+            .answer(&exchange.admitted.route.name, self.status, "", after);
+        exchange.shell.log(&Event::Answered {
+            request: &exchange.admitted.request,
+            status: self.status,
+            code: "",
+            outcome: "ran",
+            after_ms: after.0 / 1_000,
+            retry_after_ms: 0,
+        });
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    fn keep_connection(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        let Some(endpoint) = self.exchange.endpoint.clone() else {
+            return;
+        };
+        let shell = self.exchange.shell.clone();
+        let keep = self.keep;
+        tokio::task::spawn_local(async move {
+            shell.upstream.keep(&endpoint.name, connection, keep).await;
+        });
+    }
+
+    /// Goes on at another endpoint after the last whole event, if that may be.
+    async fn go_on(&mut self, detail: &str) -> bool {
+        // The endpoint must have stopped before another begins.
+        self.connection = None;
+        let Some(framer) = &mut self.framer else {
+            return false;
+        };
+        framer.drop_partial();
+        let last = framer.last_id().map(str::to_owned);
+        if !self.exchange.goes_on(End::Lost, detail) {
+            return false;
+        }
+        let Ok(answer) = self.exchange.run(last.as_deref()).await else {
+            return false;
+        };
+        if !answer.response.status().is_success() {
+            return false;
+        }
+        self.keep = reuse::keep_for(answer.response.headers());
+        self.incoming = answer.response.into_body();
+        self.connection = Some(answer.connection);
+        true
+    }
+
+    /// Breaks the answer off, so that it does not look whole.
+    fn cut(&mut self, detail: &str) -> anyhow::Error {
+        self.ended = true;
+        self.connection = None;
+        self.exchange.goes_on(End::Lost, detail);
+        self.exchange.finish();
+        let exchange = &self.exchange;
+        exchange.shell.log(&Event::Cut {
+            request: &exchange.admitted.request,
+            detail,
+            after_ms: exchange.shell.now().since(exchange.admitted.arrived).0 / 1_000,
+        });
+        anyhow::anyhow!("the answer broke off: {detail}")
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/reply.rs
@@ -0,0 +1,73 @@
+//! Answers of this node's own.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderValue;
+use serde_json::json;
+use woadstage_dispatch::dispatcher::Refusal;
+use woadstage_types::code::Code;
+use woadstage_types::unit::Span;
+
+use crate::upstream::Body;
+
+/// A final answer that no endpoint gave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reply {
+    /// Why.
+    pub code: Code,
+    /// When the caller may come back.
+    pub retry_after: Option<Span>,
+}
+
+impl From<Code> for Reply {
+    fn from(code: Code) -> Reply {
+        Reply {
+            code,
+            retry_after: None,
+        }
+    }
+}
+
+impl From<Refusal> for Reply {
+    fn from(refusal: Refusal) -> Reply {
+        Reply {
+            code: refusal.code,
+            retry_after: refusal.retry_after,
+        }
+    }
+}
+
+impl Reply {
+    /// The answer's bytes.
+    pub fn to_response(self) -> Response<Body> {
+        let Reply { code, retry_after } = self;
+        let body = json!({ "error": {
+            "code": code.to_string(),
+            "message": code.text(),
+            "outcome": code.outcome().to_string(),
+        }});
+        let body = Full::new(Bytes::from(body.to_string()));
+        let body: Body = Box::pin(body.map_err(|never| match never {}));
+        let mut response = Response::new(body);
+        *response.status_mut() =
+            StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if let Some(value) = retry_after.and_then(to_seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+        response
+    }
+}
+
+/// Seconds with two places, as the callers of this node read them.
+fn to_seconds(span: Span) -> Option<HeaderValue> {
+    HeaderValue::from_str(&format!("{:.2}", span.as_secs_f64())).ok()
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,166 @@
+//! What one process is told about itself, in TOML. Every fault of a file is
+//! reported at once.
+
+use std::net::SocketAddrV4;
+
+use woadstage_config::fault::Faults;
+use woadstage_config::read::Reader;
+use woadstage_dispatch::budget;
+use woadstage_dispatch::quota;
+use woadstage_types::code::Code;
+use woadstage_types::id;
+use woadstage_types::unit::Size;
+use woadstage_types::unit::Span;
+
+use crate::headers::Headers;
+
+/// The settings of one node.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The name of the entry host.
+    pub host: id::Host,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// How long a planned stop may last.
+    pub stop_within: Span,
+    /// Memory that the process may use.
+    pub memory: Size,
+    /// Where callers are served.
+    pub callers: SocketAddrV4,
+    /// Where readiness is asked for.
+    pub ready: SocketAddrV4,
+    /// The path at which readiness is asked for.
+    pub ready_path: String,
+    /// Where metrics are served.
+    pub metrics: SocketAddrV4,
+    /// Where other nodes are met, over UDP and TCP.
+    pub peers: SocketAddrV4,
+    /// Other nodes that may be there; all use one port.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Where the platform publishes.
+    pub platform: SocketAddrV4,
+    /// How far quotas may be exceeded.
+    pub quota: quota::Options,
+    /// What may be sent again.
+    pub budget: budget::Options,
+    /// Header names.
+    pub headers: Headers,
+}
+
+const UNSET: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0);
+
+/// Least memory that a process can be told to do with.
+const MEMORY_LEAST: Size = Size::from_mib(32);
+
+/// Parses the settings of one node.
+///
+/// # Errors
+/// Every fault found, each with its place and code.
+pub fn parse(text: &str) -> Result<Settings, Faults> {
+    let mut reader = Reader::parse(text)?;
+    let mut node = reader.sub("node");
+    let mut listen = reader.sub("listen");
+    let mut peers = reader.sub("peers");
+    let mut platform = reader.sub("platform");
+    let mut quota = reader.sub("quota");
+    let mut retry = reader.sub("retry");
+    let mut headers = reader.sub("headers");
+    let settings = Settings {
+        host: id::Host::new(&name(&mut node, "host")),
+        data_centre: id::DataCentre::new(&name(&mut node, "data_centre")),
+        stop_within: node.take_or("stop_within", Span::from_secs(8)),
+        memory: node.take_or("memory", Size::from_mib(128)),
+        callers: address(&mut listen, "callers"),
+        ready: address(&mut listen, "ready"),
+        ready_path: listen.take_or("ready_path", "/readyz".to_owned()),
+        metrics: address(&mut listen, "metrics"),
+        peers: address(&mut peers, "address"),
+        seeds: seeds(&mut peers),
+        platform: address(&mut platform, "address"),
+        quota: read_quota(&mut quota),
+        budget: read_budget(&mut retry),
+        headers: Headers::read(&mut headers),
+    };
+    if settings.memory < MEMORY_LEAST {
+        node.fault("memory", Code::SettingsValue, "Give at least 32MiB.");
+    }
+    let mut faults = reader.finish();
+    for sub in [node, listen, peers, platform, quota, retry, headers] {
+        faults.0.append(&mut sub.finish().0);
+    }
+    faults.into_result(settings)
+}
+
+fn name(sub: &mut Reader, field: &str) -> String {
+    let text: String = sub.take(field);
+    if text.is_empty() {
+        sub.fault(field, Code::SettingsValue, "Give a name.");
+    }
+    text
+}
+
+fn address(sub: &mut Reader, field: &str) -> SocketAddrV4 {
+    let text: String = sub.take(field);
+    text.parse().unwrap_or_else(|_| {
+        let mend = "Give an address such as \"10.0.0.1:8080\".";
+        sub.fault(field, Code::SettingsValue, mend);
+        UNSET
+    })
+}
+
+/// Seeds name hosts; the port is that of this node's own peers' address, since
+/// all nodes of a fleet use one.
+fn seeds(peers: &mut Reader) -> Vec<SocketAddrV4> {
+    let texts: Vec<String> = peers.take_or("seeds", Vec::new());
+    let port = peers.take_opt::<u16>("seed_port");
+    let mut found = Vec::new();
+    for text in texts {
+        match text.parse::<SocketAddrV4>() {
+            Ok(seed) => found.push(SocketAddrV4::new(*seed.ip(), port.unwrap_or(seed.port()))),
+            Err(_) => peers.fault(
+                "seeds",
+                Code::SettingsValue,
+                "Give addresses such as [\"10.0.0.1:7600\"].",
+            ),
+        }
+    }
+    found
+}
+
+fn read_quota(sub: &mut Reader) -> quota::Options {
+    let usual = quota::Options::default();
+    quota::Options {
+        overrun: fraction(sub, "overrun", usual.overrun),
+        slack: fraction(sub, "slack", usual.slack),
+        ..usual
+    }
+}
+
+fn read_budget(sub: &mut Reader) -> budget::Options {
+    let usual = budget::Options::default();
+    budget::Options {
+        ratio: fraction(sub, "ratio", usual.ratio),
+        extra: fraction(sub, "extra", usual.extra),
+        window: sub.take_or("window", usual.window),
+        ..usual
+    }
+}
+
+/// A number that may be written whole or with a point, and is not negative.
+fn fraction(sub: &mut Reader, field: &str, usual: f64) -> f64 {
+    let Some(value) = sub.take_opt::<toml::Value>(field) else {
+        return usual;
+    };
+    let number = match value {
+        toml::Value::Integer(whole) => Some(whole as f64),
+        toml::Value::Float(number) => Some(number),
+        _ => None,
+    };
+    match number.filter(|number| number.is_finite() && *number >= 0.0) {
+        Some(number) => number,
+        None => {
+            sub.fault(field, Code::SettingsValue, "Give a number from zero up.");
+            usual
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shell.rs
@@ -0,0 +1,168 @@
+//! The decisions of this node, and who waits for them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::sync::Semaphore;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use woadstage_dispatch::dispatcher::Decision;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Job;
+use woadstage_types::unit::Size;
+use woadstage_types::unit::Time;
+
+use crate::clock::Clock;
+use crate::event::Event;
+use crate::headers::Headers;
+use crate::log::Log;
+use crate::metrics::Metrics;
+use crate::upstream::Upstream;
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Callers are served.
+    Serving,
+    /// The platform is told; callers are served, and asked to go elsewhere.
+    Leaving,
+    /// Connections close as their answers end.
+    Closing,
+}
+
+/// What all tasks of one process share. One thread, so no locks.
+pub struct Shell {
+    /// The time.
+    pub clock: Clock,
+    /// Header names.
+    pub headers: Headers,
+    /// Log lines.
+    pub log: Log,
+    /// What is counted.
+    pub metrics: Metrics,
+    /// Connections to endpoints.
+    pub upstream: Upstream,
+    /// Kibibytes of request bodies that may still be held.
+    pub bodies: Arc<Semaphore>,
+    /// Connections from callers that are open.
+    pub connections: Cell<usize>,
+    phase: watch::Sender<Phase>,
+    dispatcher: RefCell<Dispatcher>,
+    waiters: RefCell<HashMap<job::Id, oneshot::Sender<Decision>>>,
+}
+
+/// The part of the memory that request bodies may fill.
+const BODIES_PART: u64 = 4;
+
+impl Shell {
+    /// Puts the parts of one process together.
+    pub fn new(
+        dispatcher: Dispatcher,
+        headers: Headers,
+        memory: Size,
+        log: Log,
+        metrics: Metrics,
+    ) -> Rc<Shell> {
+        Rc::new(Shell {
+            clock: Clock::start(),
+            headers,
+            log,
+            metrics,
+            upstream: Upstream::default(),
+            bodies: Arc::new(Semaphore::new(((memory.0 / BODIES_PART) >> 10) as usize)),
+            connections: Cell::new(0),
+            phase: watch::Sender::new(Phase::Serving),
+            dispatcher: RefCell::new(dispatcher),
+            waiters: RefCell::default(),
+        })
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// How far a planned stop has come.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Tells how far a planned stop comes.
+    pub fn watch_phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Moves a planned stop on.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Asks for what is known.
+    pub fn query<R>(&self, query: impl FnOnce(&Dispatcher, Time) -> R) -> R {
+        query(&self.dispatcher.borrow(), self.now())
+    }
+
+    /// Gives a command, and hands what was decided to those who wait for it.
+    pub fn command<R>(&self, command: impl FnOnce(&mut Dispatcher, Time) -> R) -> R {
+        let answer = command(&mut self.dispatcher.borrow_mut(), self.now());
+        self.deliver();
+        answer
+    }
+
+    /// Puts a request in line.
+    pub fn enter(&self, job: Job) -> (job::Id, oneshot::Receiver<Decision>) {
+        let id = self.dispatcher.borrow_mut().enter(self.now(), job);
+        let decision = self.wait(id);
+        self.deliver();
+        (id, decision)
+    }
+
+    /// Tells how an attempt ended. Where the request goes on, its next decision
+    /// follows.
+    pub fn end(&self, id: job::Id, end: End) -> (Next, Option<oneshot::Receiver<Decision>>) {
+        let next = self.dispatcher.borrow_mut().end(self.now(), id, end);
+        let decision = (next == Next::Again).then(|| self.wait(id));
+        self.deliver();
+        (next, decision)
+    }
+
+    fn wait(&self, id: job::Id) -> oneshot::Receiver<Decision> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(id, sender);
+        receiver
+    }
+
+    fn deliver(&self) {
+        loop {
+            let decisions = self.dispatcher.borrow_mut().take_decisions();
+            if decisions.is_empty() {
+                return;
+            }
+            for decision in decisions {
+                self.hand_over(decision);
+            }
+        }
+    }
+
+    fn hand_over(&self, decision: Decision) {
+        let id = match &decision {
+            Decision::Start { job, .. } | Decision::Refuse { job, .. } => *job,
+        };
+        let waiter = self.waiters.borrow_mut().remove(&id);
+        let taken = waiter.is_some_and(|waiter| waiter.send(decision).is_ok());
+        if !taken {
+            self.dispatcher.borrow_mut().abandon(self.now(), id);
+        }
+    }
+
+    /// Logs an event.
+    pub fn log(&self, event: &Event<'_>) {
+        self.log.write(event);
+    }
+}
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -78,6 +78,7 @@
     TicketInvalid = 1011, 400, NotRun, "This ticket was never issued to this customer.";
     BodyCutOff = 1012, 400, NotRun, "The body ended before its announced length.";
     PathUnknown = 1013, 404, NotRun, "There is nothing at this path.";
+    RouteUnknown = 1014, 404, NotRun, "No route matches this host and path.";
 
     QueueFull = 2001, 503, NotRun, "Every place in the queue is held by work at least as protected.";
     TooLate = 2002, 503, NotRun, "The request could not have been finished in time.";
--- a/crates/woadstage/src/flags.rs
+++ b/crates/woadstage/src/flags.rs
@@ -13,6 +13,11 @@
             /// The node's settings.
             required --settings file: PathBuf
         }
+        /// Run a node that forwards whole requests, until SIGTERM.
+        cmd gateway {
+            /// The node's settings.
+            required --settings file: PathBuf
+        }
         /// Check settings or a published configuration.
         cmd check {
             /// A node's settings.
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -1,8 +1,10 @@
 //! The one binary: arguments in, commands of `woadstage-node` out.
 
 use std::io;
+use std::path::Path;
 use std::process::ExitCode;
 
+use woadstage_gateway::settings::Settings;
 use woadstage_node::commands;
 use woadstage_node::commands::Refused;
 
@@ -56,6 +58,7 @@
     let out = &mut io::stdout();
     match flags.subcommand {
         flags::WoadstageCmd::Serve(serve) => commands::serve::run(&serve.settings, out).await,
+        flags::WoadstageCmd::Gateway(gateway) => run_gateway(&gateway.settings).await,
         flags::WoadstageCmd::Check(check) => {
             let flags::Check { settings, config } = check;
             if settings.is_none() && config.is_none() {
@@ -87,3 +90,12 @@
         flags::WoadstageCmd::Codes(codes) => commands::codes::run(codes.json, out),
     }
 }
+
+/// Runs a gateway, all of whose tasks stay on this thread.
+async fn run_gateway(settings: &Path) -> anyhow::Result<()> {
+    let tasks = tokio::task::LocalSet::new();
+    let adapter =
+        |settings: &Settings, to| woadstage_platform::follow::follow(settings.platform, to);
+    let running = woadstage_gateway::run::run(settings, adapter);
+    tasks.run_until(running).await
+}
