fix: among customers of equal priority the route's priority decides

Cause: a customer's priority goes before the route's, and on both sites all customers have the same one, so every request for the engines had one rank. Ruled out: speed of engines (paces were learnt as 0.6 and 1.7, as they are), processor time (0.016 of a core).

Change: a rank is the pair of both priorities.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -9,9 +9,19 @@
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 
-/// A rank in the order of protection: 0 is served first and refused last.
+/// A step in the order of protection: 0 is served first and refused last.
 pub type Priority = u8;
 
+/// A request's place in the order of protection. A customer's own priority goes
+/// before that of the route; among equals the route's decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Rank {
+    /// The customer's priority, or the route's where it has none.
+    pub priority: Priority,
+    /// The route's priority.
+    pub urgency: Priority,
+}
+
 /// Everything an operator published under one version.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -9,7 +9,7 @@
 use super::Dispatcher;
 use super::publish::pool;
 use crate::configuration::Customer;
-use crate::configuration::Priority;
+use crate::configuration::Rank;
 use crate::job;
 use crate::job::Job;
 
@@ -109,10 +109,10 @@
         let own: usize = pool
             .queue
             .counts()
-            .filter(|(priority, _)| *priority <= job.priority)
+            .filter(|(rank, _)| *rank <= job.rank)
             .map(|(_, count)| count)
             .sum();
-        let waiting = own + self.others_waiting(now, pool.number, job.priority + 1);
+        let waiting = own + self.others_waiting(now, pool.number, |rank| rank <= job.rank);
         let usable = pool
             .workers
             .iter()
@@ -121,14 +121,19 @@
         waiting as f64 * pool.call / f64::from(slots.max(1))
     }
 
-    /// Requests of ranks before `priority` that wait on other nodes.
-    pub(super) fn others_waiting(&self, now: Time, service: u32, priority: Priority) -> usize {
+    /// Requests that wait on other nodes, of the ranks that count.
+    pub(super) fn others_waiting(
+        &self,
+        now: Time,
+        service: u32,
+        counts: impl Fn(Rank) -> bool,
+    ) -> usize {
         let fresh = self.options.policy.waiting_fresh;
         let members = self.members.fresh(now).map(|(_, member)| member);
         let heard = members.filter(|member| member.heard.is_some_and(|at| now.since(at) <= fresh));
         heard
             .flat_map(|member| &member.status.waiting)
-            .filter(|waiting| waiting.service == service && waiting.priority < priority)
+            .filter(|waiting| waiting.service == service && counts(waiting.rank))
             .map(|waiting| usize::from(waiting.count))
             .sum()
     }
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -58,7 +58,7 @@
         let free: u32 = self.free_slots(now, pool);
         for (id, job) in pool.queue.iter().take(self.options.policy.look_ahead) {
             // Others have more protected work waiting: leave them the room.
-            let before = self.others_waiting(now, pool.number, job.priority);
+            let before = self.others_waiting(now, pool.number, |rank| rank < job.rank);
             if before > 0 && before >= free as usize {
                 return None;
             }
@@ -109,7 +109,7 @@
         if worker.failures > 0 {
             return 1 + worker.others;
         }
-        let protected = pool.engine && job.priority < pool.least_protected;
+        let protected = pool.engine && job.rank.urgency < pool.least_protected;
         let ahead = if protected {
             self.options.policy.ahead
         } else {
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -97,9 +97,9 @@
         let pools = self.pools.values();
         let counts = pools.flat_map(|pool| pool.queue.counts().map(|count| (pool.number, count)));
         counts
-            .map(|(service, (priority, count))| Waiting {
+            .map(|(service, (rank, count))| Waiting {
                 service,
-                priority,
+                rank,
                 count: count.min(usize::from(u16::MAX)) as u16,
             })
             .collect()
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -6,7 +6,7 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
-use crate::configuration::Priority;
+use crate::configuration::Rank;
 
 /// Names a request within one life of one node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -48,7 +48,7 @@
     /// The name of its route, under which its usual length is learnt.
     pub route: String,
     /// Its rank.
-    pub priority: Priority,
+    pub rank: Rank,
     /// True where running it twice does no harm.
     pub repeatable: bool,
     /// The most endpoints it may be sent to.
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::configuration::Configuration;
-use crate::configuration::Priority;
+use crate::configuration::Rank;
 use crate::endpoint::List;
 
 /// The version of this protocol; the first byte of everything on the wire.
@@ -32,7 +32,7 @@
     /// The service's number.
     pub service: u32,
     /// The rank.
-    pub priority: Priority,
+    pub rank: Rank,
     /// How many requests.
     pub count: u16,
 }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -7,38 +7,38 @@
 
 use woadstage_types::unit::Time;
 
-use crate::configuration::Priority;
+use crate::configuration::Rank;
 use crate::job;
 use crate::job::Job;
 
 /// The place of a request in line.
-type Rank = (Priority, Time, job::Id);
+type Place = (Rank, Time, job::Id);
 
 /// The requests that wait for one service.
 #[derive(Debug, Default)]
 pub struct Queue {
-    line: BTreeMap<Rank, Job>,
-    ranks: HashMap<job::Id, Rank>,
+    line: BTreeMap<Place, Job>,
+    places: HashMap<job::Id, Place>,
     deadlines: BTreeSet<(Time, job::Id)>,
-    counts: BTreeMap<Priority, usize>,
+    counts: BTreeMap<Rank, usize>,
 }
 
 impl Queue {
     /// Puts a request in line; it is given up at `latest`.
     pub fn push(&mut self, id: job::Id, job: Job) {
-        let rank = (job.priority, job.arrived, id);
-        self.ranks.insert(id, rank);
+        let place = (job.rank, job.arrived, id);
+        self.places.insert(id, place);
         self.deadlines.insert((job.deadline, id));
-        *self.counts.entry(job.priority).or_default() += 1;
-        self.line.insert(rank, job);
+        *self.counts.entry(job.rank).or_default() += 1;
+        self.line.insert(place, job);
     }
 
     /// Takes a request out of line.
     pub fn remove(&mut self, id: job::Id) -> Option<Job> {
-        let rank = self.ranks.remove(&id)?;
-        let job = self.line.remove(&rank)?;
+        let place = self.places.remove(&id)?;
+        let job = self.line.remove(&place)?;
         self.deadlines.remove(&(job.deadline, id));
-        if let Some(count) = self.counts.get_mut(&job.priority) {
+        if let Some(count) = self.counts.get_mut(&job.rank) {
             *count -= 1;
         }
         Some(job)
@@ -61,9 +61,9 @@
     }
 
     /// How many wait in each rank.
-    pub fn counts(&self) -> impl Iterator<Item = (Priority, usize)> + '_ {
+    pub fn counts(&self) -> impl Iterator<Item = (Rank, usize)> + '_ {
         let counts = self.counts.iter().filter(|(_, count)| **count > 0);
-        counts.map(|(priority, count)| (*priority, *count))
+        counts.map(|(rank, count)| (*rank, *count))
     }
 
     /// Requests that wait.
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/budget.rs
@@ -0,0 +1,52 @@
+//! What may be sent again.
+
+use rstest::rstest;
+use woadstage_dispatch::budget::Budget;
+use woadstage_dispatch::budget::Options;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+
+use crate::support::at;
+
+fn budget() -> Budget {
+    Budget::new(Options {
+        ratio: 0.2,
+        extra: 9.0,
+        window: Span::from_secs(10),
+        caution: 1.0,
+    })
+}
+
+#[rstest]
+#[case::alone_all_of_it(1, 29)]
+#[case::of_three_a_third_of_the_fixed_part(3, 23)]
+#[case::of_nine_a_ninth(9, 21)]
+fn a_node_keeps_to_its_part(#[case] nodes: usize, #[case] allowed: usize) {
+    let target = id::Target::new("service");
+    let mut budget = budget();
+    for millis in 0..100 {
+        budget.earn(at(millis), &target);
+    }
+    let spent = (0..100)
+        .filter(|_| budget.try_spend(at(200), &target, nodes))
+        .count();
+    assert_eq!(spent, allowed);
+}
+
+#[test]
+fn both_counts_are_those_of_one_window() {
+    let target = id::Target::new("service");
+    let mut budget = budget();
+    budget.earn(at(0), &target);
+    let spent = (0..100)
+        .filter(|_| budget.try_spend(at(0), &target, 1))
+        .count();
+    assert_eq!(spent, 9);
+    assert!(!budget.try_spend(at(9_000), &target, 1));
+    assert!(budget.try_spend(at(10_100), &target, 1));
+}
+
+#[test]
+fn a_service_that_nobody_asked_for_has_none() {
+    assert_eq!(budget().left(at(0), &id::Target::new("other"), 1), 0);
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the decisions, without sockets or clocks.
+
+mod budget;
+mod members;
+mod order;
+mod outcomes;
+mod publish;
+mod quota;
+mod share;
+mod support;
+mod table;
+mod warm;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -0,0 +1,197 @@
+//! Which request goes first, and where to.
+
+use rstest::rstest;
+use woadstage_dispatch::configuration::Rank;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::job::Prompt;
+use woadstage_dispatch::message::Load;
+use woadstage_dispatch::message::Status;
+use woadstage_dispatch::message::Waiting;
+use woadstage_types::code::Code;
+use woadstage_types::unit::Span;
+
+use crate::support::MODEL;
+use crate::support::SERVICE;
+use crate::support::at;
+use crate::support::dispatcher;
+use crate::support::endpoint;
+use crate::support::job;
+use crate::support::node;
+use crate::support::refusals;
+use crate::support::starts;
+
+fn ranked(priority: u8, urgency: u8, millis: u64) -> Job {
+    Job {
+        rank: Rank { priority, urgency },
+        ..job(SERVICE, urgency, at(millis))
+    }
+}
+
+/// An engine whose only place is taken, and what runs there.
+fn full() -> (Dispatcher, woadstage_dispatch::job::Id) {
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 1)]);
+    let first = dispatcher.enter(at(0), job(MODEL, 2, at(0)));
+    assert_eq!(starts(&mut dispatcher), [(first, "e".to_owned())]);
+    (dispatcher, first)
+}
+
+#[rstest]
+#[case::the_customer_goes_before_the_route(ranked(1, 0, 1), ranked(0, 2, 2), false)]
+#[case::among_equal_customers_the_route_decides(ranked(1, 2, 1), ranked(1, 0, 2), false)]
+#[case::among_equals_the_first_to_come(ranked(1, 2, 1), ranked(1, 2, 2), true)]
+fn the_order_of_what_waits(#[case] one: Job, #[case] other: Job, #[case] one_first: bool) {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    let running = dispatcher.enter(at(0), job(SERVICE, 2, at(0)));
+    starts(&mut dispatcher);
+    let one = dispatcher.enter(at(1), one);
+    let other = dispatcher.enter(at(2), other);
+    assert_eq!(starts(&mut dispatcher), []);
+    dispatcher.end(at(3), running, End::Whole);
+    let first = if one_first { one } else { other };
+    assert_eq!(starts(&mut dispatcher), [(first, "e".to_owned())]);
+}
+
+#[test]
+fn only_what_is_more_urgent_goes_ahead_of_a_free_place() {
+    let (mut dispatcher, _) = full();
+    dispatcher.enter(at(1), job(MODEL, 2, at(1)));
+    assert_eq!(starts(&mut dispatcher), []);
+    let urgent = dispatcher.enter(at(2), job(MODEL, 0, at(2)));
+    assert_eq!(starts(&mut dispatcher), [(urgent, "e".to_owned())]);
+}
+
+#[test]
+fn room_is_left_to_more_urgent_work_that_waits_elsewhere() {
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 1)]);
+    let waiting = Waiting {
+        service: service_number(&mut dispatcher),
+        rank: Rank {
+            priority: 0,
+            urgency: 0,
+        },
+        count: 1,
+    };
+    let status = Status {
+        incarnation: 2,
+        sequence: 1,
+        waiting: vec![waiting],
+        ..Status::default()
+    };
+    dispatcher.hear(at(10), node(2), status);
+    let routine = dispatcher.enter(at(11), job(MODEL, 2, at(11)));
+    assert_eq!(starts(&mut dispatcher), []);
+    // Words that are old bind nobody.
+    dispatcher.tick(at(600));
+    assert_eq!(starts(&mut dispatcher), [(routine, "e".to_owned())]);
+}
+
+/// The number of the model, as a status of a node with one waiting tells it.
+fn service_number(dispatcher: &mut Dispatcher) -> u32 {
+    let running = dispatcher.enter(at(0), job(MODEL, 2, at(0)));
+    let waits = dispatcher.enter(at(0), job(MODEL, 2, at(0)));
+    let number = dispatcher.status(at(0)).waiting[0].service;
+    dispatcher.abandon(at(0), waits);
+    dispatcher.abandon(at(0), running);
+    starts(dispatcher);
+    number
+}
+
+#[test]
+fn what_others_run_counts_against_the_room() {
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 2), endpoint("f", MODEL, 2)]);
+    let load = Load {
+        endpoint: woadstage_dispatch::endpoint::to_number(&woadstage_types::id::Endpoint::new("e")),
+        running: 2,
+        pending: 0,
+        failing: false,
+    };
+    let status = Status {
+        incarnation: 2,
+        sequence: 1,
+        loads: vec![load],
+        ..Status::default()
+    };
+    dispatcher.hear(at(10), node(2), status);
+    for millis in 11..14 {
+        dispatcher.enter(at(millis), job(MODEL, 2, at(millis)));
+    }
+    let places: Vec<String> = starts(&mut dispatcher)
+        .into_iter()
+        .map(|(_, place)| place)
+        .collect();
+    assert_eq!(places, ["f", "f"]);
+}
+
+#[test]
+fn a_long_prompt_avoids_an_endpoint_that_is_reading_another() {
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 8), endpoint("f", MODEL, 8)]);
+    let long = |millis| Job {
+        prompt: Prompt {
+            tokens: 5_000,
+            output: 50,
+            ..Prompt::default()
+        },
+        ..job(MODEL, 0, at(millis))
+    };
+    dispatcher.enter(at(0), long(0));
+    dispatcher.enter(at(0), long(0));
+    let mut places: Vec<String> = starts(&mut dispatcher)
+        .into_iter()
+        .map(|(_, place)| place)
+        .collect();
+    places.sort();
+    assert_eq!(places, ["e", "f"]);
+}
+
+#[test]
+fn a_newcomer_is_refused_at_once_when_the_wait_would_be_too_long() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    for _ in 0..40 {
+        dispatcher.enter(at(0), job(SERVICE, 2, at(0)));
+    }
+    let refused = refusals(&mut dispatcher);
+    let (_, code, retry_after) = refused.last().expect("some are refused");
+    assert_eq!(*code, Code::TooLate);
+    let left = Span::from_secs(8);
+    assert!(retry_after.expect("a time to come back") <= Span(left.0 / 3));
+}
+
+#[test]
+fn one_that_was_refused_before_waits() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    for _ in 0..40 {
+        dispatcher.enter(at(0), job(SERVICE, 2, at(0)));
+    }
+    refusals(&mut dispatcher);
+    let returning = Job {
+        returning: true,
+        ..job(SERVICE, 2, at(1))
+    };
+    dispatcher.enter(at(1), returning);
+    assert_eq!(refusals(&mut dispatcher), []);
+}
+
+#[test]
+fn what_runs_out_of_time_is_refused_when_that_shows() {
+    let (mut dispatcher, _) = full();
+    let waits = dispatcher.enter(at(1), job(MODEL, 2, at(1)));
+    dispatcher.tick(at(7_900));
+    assert_eq!(refusals(&mut dispatcher), []);
+    dispatcher.tick(at(7_990));
+    assert_eq!(refusals(&mut dispatcher), [(waits, Code::TooLate, None)]);
+    assert_eq!(dispatcher.held(), 1);
+}
+
+#[test]
+fn without_any_endpoint_waiting_ends_with_the_objective() {
+    let mut dispatcher = dispatcher(&[]);
+    let waits = dispatcher.enter(at(0), job(MODEL, 2, at(0)));
+    dispatcher.tick(at(900));
+    assert_eq!(refusals(&mut dispatcher), []);
+    dispatcher.tick(at(1_100));
+    let refused = refusals(&mut dispatcher);
+    assert_eq!((refused[0].0, refused[0].1), (waits, Code::NoEndpoint));
+    assert!(refused[0].2.is_some());
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/publish.rs
@@ -0,0 +1,109 @@
+//! What the platform published comes into force and never goes back.
+
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::message::Snapshot;
+
+use crate::support::SERVICE;
+use crate::support::at;
+use crate::support::configuration;
+use crate::support::dispatcher;
+use crate::support::endpoint;
+use crate::support::job;
+use crate::support::list;
+use crate::support::options;
+use crate::support::starts;
+
+#[test]
+fn nothing_is_ready_before_both_documents_are_known() {
+    let mut dispatcher = woadstage_dispatch::dispatcher::Dispatcher::new(options(1));
+    assert!(!dispatcher.is_ready());
+    dispatcher.set_configuration(at(0), configuration(3));
+    assert!(!dispatcher.is_ready());
+    dispatcher.set_endpoints(at(0), list(1, &[]));
+    assert!(dispatcher.is_ready());
+    dispatcher.leave();
+    assert!(!dispatcher.is_ready());
+}
+
+#[test]
+fn an_older_configuration_changes_nothing() {
+    let mut dispatcher = dispatcher(&[]);
+    assert!(dispatcher.set_configuration(at(0), configuration(7)));
+    assert!(!dispatcher.set_configuration(at(1), configuration(5)));
+    assert!(!dispatcher.set_configuration(at(1), configuration(7)));
+    assert_eq!(dispatcher.configuration_version(), 7);
+}
+
+#[test]
+fn what_another_node_read_counts_only_where_it_is_newer() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    dispatcher.set_configuration(at(0), configuration(7));
+    dispatcher.set_endpoints(at(0), list(9, &[endpoint("e", SERVICE, 1)]));
+    let old = Snapshot {
+        configuration: Some(configuration(6)),
+        endpoints: list(8, &[]),
+    };
+    assert!(!dispatcher.take_snapshot(at(1), old));
+    let newer = Snapshot {
+        configuration: Some(configuration(6)),
+        endpoints: list(10, &[]),
+    };
+    assert!(dispatcher.take_snapshot(at(2), newer));
+    assert_eq!(dispatcher.configuration_version(), 7);
+    assert_eq!(dispatcher.endpoints_revision(), 10);
+}
+
+#[test]
+fn an_endpoint_that_leaves_or_is_gone_gets_nothing_new() {
+    let leaving = Endpoint {
+        leaving: true,
+        ..endpoint("e", SERVICE, 4)
+    };
+    for endpoints in [vec![leaving], vec![]] {
+        let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 4)]);
+        let running = dispatcher.enter(at(0), job(SERVICE, 2, at(0)));
+        starts(&mut dispatcher);
+        dispatcher.set_endpoints(at(1), list(2, &endpoints));
+        dispatcher.enter(at(2), job(SERVICE, 2, at(2)));
+        assert_eq!(starts(&mut dispatcher), []);
+        // What runs there ends as it would have.
+        dispatcher.end(at(3), running, End::Whole);
+    }
+}
+
+#[test]
+fn an_endpoint_that_says_it_is_leaving_gets_nothing_new() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 4)]);
+    let once = Job {
+        attempts: 1,
+        ..job(SERVICE, 2, at(0))
+    };
+    let id = dispatcher.enter(at(0), once);
+    starts(&mut dispatcher);
+    dispatcher.end(at(1), id, End::NotThere);
+    dispatcher.enter(at(2), job(SERVICE, 2, at(2)));
+    assert_eq!(starts(&mut dispatcher), []);
+}
+
+#[test]
+fn what_runs_is_followed_while_endpoints_come_and_go() {
+    let all = ["a", "b", "c", "d"].map(|name| endpoint(name, SERVICE, 1));
+    let mut dispatcher = dispatcher(&all);
+    let ids: Vec<_> = (0..4)
+        .map(|_| dispatcher.enter(at(0), job(SERVICE, 2, at(0))))
+        .collect();
+    starts(&mut dispatcher);
+    dispatcher.set_endpoints(at(1), list(2, &all[2..]));
+    for id in ids {
+        dispatcher.end(at(2), id, End::Whole);
+    }
+    assert_eq!(dispatcher.held(), 0);
+    let summary = dispatcher.summaries(at(3));
+    assert!(summary.iter().all(|service| service.running == 0));
+    dispatcher.set_endpoints(at(4), list(3, &all[..2]));
+    dispatcher.enter(at(5), job(SERVICE, 2, at(5)));
+    let (_, place) = starts(&mut dispatcher).remove(0);
+    assert!(["a", "b"].contains(&place.as_str()));
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -0,0 +1,171 @@
+//! A dispatcher with a few endpoints, and requests for it.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use woadstage_dispatch::budget;
+use woadstage_dispatch::configuration::Configuration;
+use woadstage_dispatch::configuration::Kind;
+use woadstage_dispatch::configuration::Rank;
+use woadstage_dispatch::configuration::Route;
+use woadstage_dispatch::configuration::Service;
+use woadstage_dispatch::dispatcher::Decision;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::dispatcher::Policy;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::History;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::job::Prompt;
+use woadstage_dispatch::member;
+use woadstage_dispatch::quota;
+use woadstage_dispatch::warm;
+use woadstage_dispatch::worker;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+/// The model that most tests are about.
+pub const MODEL: &str = "model";
+
+/// The plain service.
+pub const SERVICE: &str = "service";
+
+/// A moment so many milliseconds after the tests' start.
+pub fn at(millis: u64) -> Time {
+    Time(1_000_000_000) + Span::from_millis(millis)
+}
+
+/// The address of the node with a number.
+pub fn node(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7_600)
+}
+
+/// Options of the node with a number.
+pub fn options(number: u8) -> Options {
+    Options {
+        own: node(number),
+        incarnation: u64::from(number),
+        data_centre: id::DataCentre::new("a"),
+        seeds: Vec::new(),
+        policy: Policy::default(),
+        worker: worker::Options::default(),
+        warm: warm::Options::default(),
+        member: member::Options::default(),
+        quota: quota::Options::default(),
+        budget: budget::Options {
+            extra: 100.0,
+            ..budget::Options::default()
+        },
+    }
+}
+
+/// A route to a service.
+pub fn route(name: &str, target: &str, kind: Kind, priority: u8) -> Route {
+    Route {
+        name: name.into(),
+        host: "host.example".into(),
+        prefix: format!("/{name}/"),
+        targets: vec![(id::Target::new(target), 1)],
+        kind,
+        timeout: Span::from_secs(8),
+        objective: Span::from_secs(1),
+        attempts: 2,
+        priority,
+        anonymous: false,
+        resumable: false,
+    }
+}
+
+/// A configuration with an urgent and a routine route to the model, and one
+/// route to the plain service.
+pub fn configuration(version: u64) -> Arc<Configuration> {
+    let service = |name: &str, engine| Service {
+        name: id::Target::new(name),
+        connections: 100,
+        engine,
+    };
+    Arc::new(Configuration {
+        version,
+        routes: vec![
+            route("urgent", MODEL, Kind::Stream, 0),
+            route("routine", MODEL, Kind::Stream, 2),
+            route("lookup", SERVICE, Kind::Repeatable, 2),
+        ],
+        services: vec![service(MODEL, true), service(SERVICE, false)],
+        ..Configuration::default()
+    })
+}
+
+/// An endpoint.
+pub fn endpoint(name: &str, service: &str, slots: u32) -> Endpoint {
+    Endpoint {
+        name: id::Endpoint::new(name),
+        service: id::Target::new(service),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 8_080),
+        data_centre: id::DataCentre::new("a"),
+        slots,
+        leaving: false,
+    }
+}
+
+/// A list of endpoints.
+pub fn list(revision: u64, endpoints: &[Endpoint]) -> Arc<List> {
+    Arc::new(List {
+        revision,
+        endpoints: endpoints.to_vec(),
+    })
+}
+
+/// A dispatcher that knows its configuration and the given endpoints.
+pub fn dispatcher(endpoints: &[Endpoint]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(options(1));
+    dispatcher.set_configuration(at(0), configuration(1));
+    dispatcher.set_endpoints(at(0), list(1, endpoints));
+    dispatcher
+}
+
+/// A request for a service with a route's priority.
+pub fn job(target: &str, urgency: u8, arrived: Time) -> Job {
+    Job {
+        target: id::Target::new(target),
+        route: "route".into(),
+        rank: Rank {
+            priority: urgency,
+            urgency,
+        },
+        repeatable: false,
+        attempts: 2,
+        arrived,
+        deadline: arrived + Span::from_secs(8),
+        objective: Span::from_secs(1),
+        returning: false,
+        prompt: Prompt::default(),
+        history: History::default(),
+    }
+}
+
+/// Where requests were sent, in order.
+pub fn starts(dispatcher: &mut Dispatcher) -> Vec<(job::Id, String)> {
+    let decisions = dispatcher.take_decisions().into_iter();
+    let starts = decisions.filter_map(|decision| match decision {
+        Decision::Start { job, endpoint, .. } => Some((job, endpoint.name.to_string())),
+        Decision::Refuse { .. } => None,
+    });
+    starts.collect()
+}
+
+/// Which requests were refused, with the code and the time to come back.
+pub fn refusals(
+    dispatcher: &mut Dispatcher,
+) -> Vec<(job::Id, woadstage_types::code::Code, Option<Span>)> {
+    let decisions = dispatcher.take_decisions().into_iter();
+    let refusals = decisions.filter_map(|decision| match decision {
+        Decision::Refuse { job, refusal } => Some((job, refusal.code, refusal.retry_after)),
+        Decision::Start { .. } => None,
+    });
+    refusals.collect()
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -82,8 +82,10 @@
         service: &'a str,
         /// Its customer, if any.
         customer: &'a str,
-        /// Its rank.
+        /// Its customer's priority, or its route's.
         priority: u8,
+        /// Its route's priority.
+        urgency: u8,
         /// Milliseconds left.
         left_ms: u64,
         /// The version of the configuration that decided it.
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -5,6 +5,7 @@
 use woadstage_dispatch::configuration::Customer;
 use woadstage_dispatch::configuration::Key;
 use woadstage_dispatch::configuration::Kind;
+use woadstage_dispatch::configuration::Rank;
 use woadstage_dispatch::configuration::Route;
 use woadstage_dispatch::job::History;
 use woadstage_dispatch::job::Job;
@@ -120,7 +121,10 @@
         Job {
             target: self.target.clone(),
             route: self.route.name.clone(),
-            priority: priority.unwrap_or(self.route.priority),
+            rank: Rank {
+                priority: priority.unwrap_or(self.route.priority),
+                urgency: self.route.priority,
+            },
             repeatable: self.route.may_repeat(),
             attempts: self.route.attempts,
             arrived: self.arrived,
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -174,7 +174,8 @@
             route: &self.admitted.route.name,
             service: self.admitted.target.as_str(),
             customer: self.admitted.customer_name(),
-            priority: job.priority,
+            priority: job.rank.priority,
+            urgency: job.rank.urgency,
             left_ms: self.admitted.deadline.since(self.admitted.arrived).0 / 1_000,
             configuration: self.admitted.version,
         });
