--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -12,6 +12,7 @@
 use crate::configuration::Rank;
 use crate::job;
 use crate::job::Job;
+use crate::quota::Denied;
 
 /// Why a request is refused, and when its caller may come back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,23 +30,27 @@
     /// Charges a customer for a request; `left` is what its caller will wait.
     ///
     /// # Errors
-    /// [`Code::CustomerLimit`] where the customer is over its limit.
+    /// [`Code::CustomerLimit`] where the customer is over its limit, with what
+    /// decided it.
     pub fn charge(
         &mut self,
         now: Time,
         customer: &Customer,
         units: u64,
         left: Span,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), (Refusal, Denied)> {
         let Some(quota) = &customer.quota else {
             return Ok(());
         };
         let reach = self.members.reach(now);
         let number = customer.name.to_number();
         let admitted = self.accounts.admit(now, number, quota, units, reach);
-        admitted.map_err(|wait| Refusal {
-            code: Code::CustomerLimit,
-            retry_after: Some(self.come_back(wait, left)),
+        admitted.map_err(|denied| {
+            let refusal = Refusal {
+                code: Code::CustomerLimit,
+                retry_after: Some(self.come_back(denied.wait, left)),
+            };
+            (refusal, denied)
         })
     }
 
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -36,7 +36,7 @@
         Options {
             overrun: 0.0,
             slack: 0.0,
-            part: 0.3,
+            part: 0.8,
             alone: 0.25,
             tell_for: Span::from_secs(10),
         }
@@ -54,6 +54,17 @@
     pub alone: bool,
 }
 
+/// Why a request was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Denied {
+    /// When the bucket would hold enough if nothing else were admitted.
+    pub wait: Span,
+    /// Units in the bucket now.
+    pub level: f64,
+    /// Units in a full bucket.
+    pub most: f64,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Told {
     incarnation: u64,
@@ -103,14 +114,16 @@
 
     fn account(&mut self, now: Time, customer: u64, quota: &Quota, reach: Reach) -> &mut Account {
         let share = self.share(reach);
-        let most = self.most(quota);
+        // The burst is shared like the rate, else both sides of a cut would
+        // have a whole one.
+        let most = self.most(quota) * share;
         let rate = quota.per_second * (1.0 + self.options.overrun * self.options.part) * share;
         if self.accounts.len() >= KEPT && !self.accounts.contains_key(&customer) {
             let since = now - self.options.tell_for;
             self.accounts.retain(|_, account| account.changed >= since);
         }
         let account = self.accounts.entry(customer).or_insert_with(|| Account {
-            level: most * share,
+            level: most,
             at: now,
             used: 0,
             changed: Time(0),
@@ -122,10 +135,10 @@
         account
     }
 
-    /// Admits a request of `units`, or says after which time it would fit.
+    /// Admits a request of `units`, or says why not.
     ///
     /// # Errors
-    /// The time after which the bucket holds enough again.
+    /// What the bucket holds, and when it would hold enough.
     pub fn admit(
         &mut self,
         now: Time,
@@ -133,15 +146,19 @@
         quota: &Quota,
         units: u64,
         reach: Reach,
-    ) -> Result<(), Span> {
-        let most = self.most(quota);
+    ) -> Result<(), Denied> {
+        let most = self.most(quota) * self.share(reach);
         let account = self.account(now, customer, quota, reach);
         // A request larger than the whole bucket passes when that is full.
         let asked = (units as f64).min(most);
         if account.level < asked {
             let missing = asked - account.level;
             let wait = missing / quota.per_second.max(1e-9);
-            return Err(Span((wait * 1e6).min(6e7) as u64));
+            return Err(Denied {
+                wait: Span((wait * 1e6).min(6e7) as u64),
+                level: account.level,
+                most,
+            });
         }
         account.level -= units as f64;
         account.used += units;
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -119,7 +119,7 @@
     members.hear(at(0), node(3), said(6, 10));
     assert_eq!(members.ahead_opt(at(1), 5, 10), Some(node(3)));
     assert_eq!(members.ahead_opt(at(1), 6, 10), None);
-    assert_eq!(members.ahead_opt(at(1), 6, 9).is_some(), true);
+    assert!(members.ahead_opt(at(1), 6, 9).is_some());
     // A node that is silent cannot be asked.
     assert_eq!(members.ahead_opt(at(1) + Span::from_secs(5), 1, 1), None);
 }
--- a/crates/dispatch/tests/dispatch/quota.rs
+++ b/crates/dispatch/tests/dispatch/quota.rs
@@ -52,7 +52,7 @@
     let mut accounts = accounts();
     given(&mut accounts, reach(1, 0), 0, 1_000);
     let wait = accounts.admit(at(1_000), CUSTOMER, &QUOTA, 500, reach(1, 0));
-    let wait = wait.expect_err("over the limit");
+    let wait = wait.expect_err("over the limit").wait;
     assert!(
         accounts
             .admit(
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -88,9 +88,30 @@
         urgency: u8,
         /// Milliseconds left.
         left_ms: u64,
+        /// Prompt tokens, as the caller says.
+        prompt: u64,
+        /// The most tokens of the answer, as the caller says.
+        output: u64,
         /// The version of the configuration that decided it.
         configuration: u64,
     },
+    /// A customer is over its limit.
+    OverLimit {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The customer.
+        customer: &'a str,
+        /// Units asked for.
+        asked: u64,
+        /// Units in the bucket.
+        level: i64,
+        /// Units in a full bucket.
+        most: u64,
+        /// Nodes that share the limit.
+        nodes: usize,
+        /// Of them, those whose use is not known now.
+        silent: usize,
+    },
     /// A request was sent to an endpoint.
     Sent {
         /// The caller's id of it.
@@ -139,6 +160,8 @@
         after_ms: u64,
         /// When the caller may come back, in milliseconds.
         retry_after_ms: u64,
+        /// Events of a stream that were passed on.
+        events: u32,
     },
     /// A caller left before its answer was whole.
     Left {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -20,6 +20,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
+use woadstage_dispatch::quota::Denied;
 use woadstage_types::code::Code;
 use woadstage_types::code::Outcome;
 use woadstage_types::unit::Span;
@@ -101,6 +102,7 @@
         outcome: &reply.code.outcome().to_string(),
         after_ms: after.0 / 1_000,
         retry_after_ms: reply.retry_after.map_or(0, |span| span.0 / 1_000),
+        events: 0,
     });
 }
 
@@ -165,7 +167,12 @@
         if let Some(customer) = &self.admitted.customer {
             let left = self.admitted.deadline.since(shell.now());
             let units = self.units;
-            shell.command(|dispatcher, now| dispatcher.charge(now, customer, units, left))?;
+            let charged =
+                shell.command(|dispatcher, now| dispatcher.charge(now, customer, units, left));
+            if let Err((refusal, denied)) = charged {
+                self.note_over_limit(denied);
+                return Err(refusal.into());
+            }
             self.charged = true;
         }
         let job = self.admitted.to_job(&shell.headers, &self.head);
@@ -177,6 +184,8 @@
             priority: job.rank.priority,
             urgency: job.rank.urgency,
             left_ms: self.admitted.deadline.since(self.admitted.arrived).0 / 1_000,
+            prompt: job.prompt.tokens,
+            output: job.prompt.output,
             configuration: self.admitted.version,
         });
         let (job, decision) = shell.enter(job);
@@ -185,6 +194,19 @@
         Ok(())
     }
 
+    fn note_over_limit(&self, denied: Denied) {
+        let reach = self.shell.query(|dispatcher, now| dispatcher.reach(now));
+        self.shell.log(&Event::OverLimit {
+            request: &self.admitted.request,
+            customer: self.admitted.customer_name(),
+            asked: self.units,
+            level: denied.level as i64,
+            most: denied.most as u64,
+            nodes: reach.nodes,
+            silent: reach.silent,
+        });
+    }
+
     /// Sends the request to endpoints, one after the other, until one gives an
     /// answer that the caller is to have.
     ///
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
@@ -35,6 +37,7 @@
     stream: bool,
     status: u16,
     begun: bool,
+    events: u32,
     ended: bool,
     exchange: Exchange,
 }
@@ -51,7 +54,7 @@
     let whole = head.status.is_success();
     let stream = exchange.admitted.route.kind == Kind::Stream && whole;
     let resumable = stream && exchange.admitted.route.resumable;
-    let relay = Relay {
+    let mut relay = Relay {
         incoming,
         connection: Some(connection),
         keep,
@@ -59,9 +62,13 @@
         stream,
         status: head.status.as_u16(),
         begun: false,
+        events: 0,
         ended: false,
         exchange,
     };
+    if relay.incoming.is_end_stream() {
+        relay.finish();
+    }
     let frames = futures_util::stream::unfold(relay, |mut relay| async move {
         let data = relay.next().await?;
         Some((data.map(Frame::data), relay))
@@ -87,11 +94,20 @@
             }
             match self.piece().await {
                 Piece::Data(bytes) => {
-                    if let Some(bytes) = self.pass(bytes) {
-                        return Some(Ok(bytes));
+                    let mut bytes = self.pass(bytes);
+                    // The caller's side asks no more once it has as many bytes
+                    // as the head announced.
+                    if self.incoming.is_end_stream() {
+                        bytes.extend_from_slice(&self.finish());
+                    }
+                    if !bytes.is_empty() {
+                        return Some(Ok(bytes.freeze()));
                     }
                 }
-                Piece::End => return self.finish(),
+                Piece::End => {
+                    let rest = self.finish();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
                 Piece::Late => return Some(Err(self.cut("no time left"))),
                 Piece::Broken(detail) => {
                     if !self.go_on(&detail).await {
@@ -114,7 +130,7 @@
     }
 
     /// Takes bytes from the endpoint, and gives those that go out now.
-    fn pass(&mut self, bytes: Bytes) -> Option<Bytes> {
+    fn pass(&mut self, bytes: Bytes) -> BytesMut {
         let (bytes, events) = match &mut self.framer {
             Some(framer) => framer.push(&bytes),
             None if self.stream => {
@@ -123,6 +139,7 @@
             }
             None => (bytes, 0),
         };
+        self.events += events;
         let exchange = &self.exchange;
         if !self.begun {
             self.begun = true;
@@ -137,11 +154,11 @@
                 .shell
                 .command(|dispatcher, now| dispatcher.progress(now, job, events));
         }
-        (!bytes.is_empty()).then_some(bytes)
+        BytesMut::from(bytes)
     }
 
     /// The endpoint's answer is whole.
-    fn finish(&mut self) -> Option<anyhow::Result<Bytes>> {
+    fn finish(&mut self) -> Bytes {
         self.ended = true;
         let rest = self.framer.as_mut().map(Framer::finish).unwrap_or_default();
         let end = if self.status >= 500 {
@@ -166,8 +183,9 @@
             outcome: "ran",
             after_ms: after.0 / 1_000,
             retry_after_ms: 0,
+            events: self.events,
         });
-        (!rest.is_empty()).then_some(Ok(rest))
+        rest
     }
 
     fn keep_connection(&mut self) {
