fix: newcomers are refused by the rate at which their rank is served

Change: the wait is what waits in the rank over the starts of that rank in the last 1.5 s. A request is given up, with its answer at once, when its caller would leave before the first event. Who was refused before goes first. The last 35 in 100 of a customer's bucket are kept for more protected or small requests.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -66,6 +66,9 @@
     pub timeout: Span,
     /// Within which time the answer, or its first event, earns full credit.
     pub objective: Span,
+    /// How long callers wait for the answer, or its first event, before they
+    /// leave.
+    pub patience: Span,
     /// The most endpoints that one request may be sent to.
     pub attempts: u32,
     /// Its rank, unless its customer has one.
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -12,6 +12,7 @@
 use crate::configuration::Rank;
 use crate::job;
 use crate::job::Job;
+use crate::quota::Demand;
 use crate::quota::Denied;
 
 /// Why a request is refused, and when its caller may come back.
@@ -23,6 +24,9 @@
     pub retry_after: Option<Span>,
 }
 
+/// Requests of a rank that wait before their wait is estimated.
+const WAITING_LEAST: usize = 3;
+
 /// Shortest time after which a refused caller comes back.
 const COME_BACK_LEAST: Span = Span::from_millis(100);
 
@@ -36,7 +40,7 @@
         &mut self,
         now: Time,
         customer: &Customer,
-        units: u64,
+        demand: Demand,
         left: Span,
     ) -> Result<(), (Refusal, Denied)> {
         let Some(quota) = &customer.quota else {
@@ -44,7 +48,7 @@
         };
         let reach = self.members.reach(now);
         let number = customer.name.to_number();
-        let admitted = self.accounts.admit(now, number, quota, units, reach);
+        let admitted = self.accounts.admit(now, number, quota, demand, reach);
         admitted.map_err(|denied| {
             let refusal = Refusal {
                 code: Code::CustomerLimit,
@@ -99,31 +103,28 @@
         }
         let wait = self.wait(now, job);
         let most = job.objective.0 as f64 * self.options.policy.refuse_beyond;
-        (wait > most).then(|| Refusal {
+        (wait.0 as f64 > most).then(|| Refusal {
             code: Code::TooLate,
-            retry_after: Some(self.come_back(Span(wait as u64), left)),
+            retry_after: Some(self.come_back_late(left)),
         })
     }
 
-    /// The time until a newcomer of this rank would start, in microseconds, if
-    /// all went on as usual.
-    pub(super) fn wait(&self, now: Time, job: &Job) -> f64 {
+    /// The time until a newcomer of this rank would start, if those before it
+    /// went on starting as fast as lately.
+    pub(super) fn wait(&self, now: Time, job: &Job) -> Span {
         let Some(pool) = self.pools.get(&job.target) else {
-            return 0.0;
+            return Span::ZERO;
         };
-        let own: usize = pool
-            .queue
-            .counts()
-            .filter(|(rank, _)| *rank <= job.rank)
-            .map(|(_, count)| count)
-            .sum();
-        let waiting = own + self.others_waiting(now, pool.number, |rank| rank <= job.rank);
-        let usable = pool
-            .workers
-            .iter()
-            .filter(|worker| worker.takes_work(now, &self.options.worker));
-        let slots: u32 = usable.map(|worker| worker.endpoint.slots).sum();
-        waiting as f64 * pool.call / f64::from(slots.max(1))
+        let waiting = pool.queue.count(job.rank);
+        if waiting < WAITING_LEAST {
+            return Span::ZERO;
+        }
+        let window = self.options.policy.rate_window;
+        let started = pool.starts.get(&job.rank).map_or(0, |starts| {
+            let recent = starts.iter().rev();
+            recent.take_while(|at| now.since(**at) <= window).count()
+        });
+        Span(window.0 * waiting as u64 / started.max(1) as u64)
     }
 
     /// Requests that wait on other nodes, of the ranks that count.
@@ -143,6 +144,14 @@
             .sum()
     }
 
+    /// When a caller is to come back that was refused under load: it comes back
+    /// once, so rather late than soon, and not together with all others.
+    pub(super) fn come_back_late(&self, left: Span) -> Span {
+        let most = left.0 as f64 * self.options.policy.come_back_within;
+        let spread = hash::of(&self.next_job.to_le_bytes()) % 1_000;
+        Span((most * (0.5 + spread as f64 / 2_000.0)) as u64)
+    }
+
     /// When a refused caller is to come back: after `wait`, spread a little so
     /// that not all return together, and while it still has time.
     pub fn come_back(&self, wait: Span, left: Span) -> Span {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 //! * `query.rs`: queries.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -21,6 +22,7 @@
 use crate::budget;
 use crate::budget::Budget;
 use crate::configuration::Priority;
+use crate::configuration::Rank;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::job;
@@ -74,6 +76,8 @@
     pub refuse_beyond: f64,
     /// The part of the time left after which callers come back at the most.
     pub come_back_within: f64,
+    /// The window in which it is seen how fast a rank is served.
+    pub rate_window: Span,
     /// Attempts at connecting for one request.
     pub connects: u32,
     /// Time left under which nothing is sent any more.
@@ -92,7 +96,8 @@
             look_ahead: 32,
             waiting_fresh: Span::from_millis(250),
             refuse_beyond: 1.0,
-            come_back_within: 0.3,
+            come_back_within: 0.32,
+            rate_window: Span::from_millis(1_500),
             connects: 4,
             least_left: Span::from_millis(20),
         }
@@ -221,6 +226,10 @@
     index: HashMap<id::Endpoint, usize>,
     queue: Queue,
     warm: Warm,
+    /// When requests of each rank were lately sent.
+    starts: HashMap<Rank, VecDeque<Time>>,
+    /// Usual time to the first event, in microseconds.
+    first: f64,
     /// Usual time between two events of a stream, in microseconds.
     step: f64,
     /// Usual time for reading one prompt token, in microseconds.
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -146,6 +146,7 @@
 fn learn_first(pool: &mut Pool, run: &mut Run, now: Time) {
     run.first = Some(now);
     run.marked = now;
+    pool.first += (now.since(run.started).0 as f64 - pool.first) * NEWEST;
     let worker = &mut pool.workers[run.worker];
     worker.pending = worker.pending.saturating_sub(run.uncached);
     let tokens = run.uncached + run.ahead;
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -23,6 +23,9 @@
     micros: f64,
 }
 
+/// Starts of one rank that are remembered.
+const STARTS_KEPT: usize = 256;
+
 /// The part of an unseen prompt that its home endpoint is believed to hold,
 /// since all nodes send it there first.
 const HOME_BELIEF: f64 = 0.5;
@@ -191,6 +194,11 @@
             pace: worker.pace,
             oldest,
         };
+        let starts = pool.starts.entry(job.rank).or_default();
+        starts.push_back(now);
+        if starts.len() > STARTS_KEPT {
+            starts.pop_front();
+        }
         let ahead = worker.pending + worker.others_pending;
         worker.start(now, choice.uncached);
         let endpoint = worker.endpoint.clone();
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -20,6 +20,9 @@
 use crate::warm::Warm;
 use crate::worker::Worker;
 
+/// Time to the first event that is expected at first, in microseconds.
+const FIRST: f64 = 150_000.0;
+
 /// Time between two events that is expected until some were seen, in
 /// microseconds.
 const STEP: f64 = 25_000.0;
@@ -160,6 +163,8 @@
         index: HashMap::new(),
         queue: Queue::default(),
         warm: Warm::new(warm.clone()),
+        starts: HashMap::new(),
+        first: FIRST,
         step: STEP,
         prefill: PREFILL,
         call: CALL,
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -7,6 +7,7 @@
 
 use super::Dispatcher;
 use crate::configuration::Configuration;
+use crate::configuration::Priority;
 use crate::quota::Reach;
 use crate::table::Table;
 
@@ -61,6 +62,13 @@
         self.leaving
     }
 
+    /// How routine a route's requests are among all routes: from 0 for the most
+    /// protected to 1 for the least.
+    pub fn routine(&self, urgency: Priority) -> f64 {
+        let least = self.pools.values().map(|pool| pool.least_protected).max();
+        f64::from(urgency) / f64::from(least.unwrap_or(0).max(1))
+    }
+
     /// Requests that wait or run here.
     pub fn held(&self) -> usize {
         self.places.len()
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -8,6 +8,9 @@
 use super::Dispatcher;
 use crate::job;
 
+/// Time left from which it makes sense to come back.
+const COME_BACK_FROM: Span = Span::from_millis(300);
+
 /// Pause between two ticks after which the process is taken to have been
 /// stopped in between, so that nothing that others said holds any more.
 const PAUSE: Span = Span::from_millis(1_500);
@@ -35,12 +38,20 @@
     fn refuse_expired(&mut self, now: Time, target: &id::Target) {
         let least = self.options.policy.least_left;
         while let Some(pool) = self.pools.get_mut(target) {
-            let Some(id) = pool.queue.expired_opt(now + least) else {
+            // What could not bring anything any more in time is not begun.
+            let first = if pool.engine {
+                Span(pool.first as u64)
+            } else {
+                Span::ZERO
+            };
+            let Some(id) = pool.queue.expired_opt(now + least.max(first)) else {
                 return;
             };
-            pool.queue.remove(id);
+            let job = pool.queue.remove(id);
             self.places.remove(&id);
-            self.refuse(id, Code::TooLate, None);
+            let left = job.map_or(Span::ZERO, |job| job.deadline.since(now));
+            let again = (left > COME_BACK_FROM).then(|| self.come_back_late(left));
+            self.refuse(id, Code::TooLate, again);
         }
     }
 
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -59,6 +59,8 @@
     pub deadline: Time,
     /// Within which time its answer earns full credit.
     pub objective: Span,
+    /// How long its caller waits for the answer, or its first event.
+    pub patience: Span,
     /// True where the caller seems to have been refused before, so that
     /// refusing it once more would be the end of it.
     pub returning: bool,
@@ -68,6 +70,13 @@
     pub history: History,
 }
 
+impl Job {
+    /// When it is of no use to its caller any more if nothing has come.
+    pub fn latest(&self) -> Time {
+        self.deadline.min(self.arrived + self.patience)
+    }
+}
+
 /// What was tried for a request so far.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct History {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use crate::configuration::Rank;
@@ -14,21 +15,30 @@
 /// The place of a request in line.
 type Place = (Rank, Time, job::Id);
 
+/// How much earlier one that was refused before is taken to have come.
+const RETURNING_FIRST: Span = Span::from_secs(2);
+
 /// The requests that wait for one service.
 #[derive(Debug, Default)]
 pub struct Queue {
     line: BTreeMap<Place, Job>,
     places: HashMap<job::Id, Place>,
-    deadlines: BTreeSet<(Time, job::Id)>,
+    latest: BTreeSet<(Time, job::Id)>,
     counts: BTreeMap<Rank, usize>,
 }
 
 impl Queue {
-    /// Puts a request in line; it is given up at `latest`.
+    /// Puts a request in line. Those that were refused before go first in their
+    /// rank, since for them another refusal would be the last.
     pub fn push(&mut self, id: job::Id, job: Job) {
-        let place = (job.rank, job.arrived, id);
+        let since = if job.returning {
+            job.arrived - RETURNING_FIRST
+        } else {
+            job.arrived
+        };
+        let place = (job.rank, since, id);
         self.places.insert(id, place);
-        self.deadlines.insert((job.deadline, id));
+        self.latest.insert((job.latest(), id));
         *self.counts.entry(job.rank).or_default() += 1;
         self.line.insert(place, job);
     }
@@ -37,22 +47,22 @@
     pub fn remove(&mut self, id: job::Id) -> Option<Job> {
         let place = self.places.remove(&id)?;
         let job = self.line.remove(&place)?;
-        self.deadlines.remove(&(job.deadline, id));
+        self.latest.remove(&(job.latest(), id));
         if let Some(count) = self.counts.get_mut(&job.rank) {
             *count -= 1;
         }
         Some(job)
     }
 
-    /// A request whose deadline has come.
+    /// A request that is of no use to its caller any more after `now`.
     pub fn expired_opt(&self, now: Time) -> Option<job::Id> {
-        let (deadline, id) = self.deadlines.first()?;
-        (*deadline <= now).then_some(*id)
+        let (latest, id) = self.latest.first()?;
+        (*latest <= now).then_some(*id)
     }
 
-    /// The next deadline of any that waits.
-    pub fn next_deadline_opt(&self) -> Option<Time> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+    /// Requests that wait in one rank.
+    pub fn count(&self, rank: Rank) -> usize {
+        self.counts.get(&rank).copied().unwrap_or(0)
     }
 
     /// What waits, in its order.
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -27,6 +27,11 @@
     /// The share of a limit that a node gives out which has heard no other
     /// node since it started.
     pub alone: f64,
+    /// The part of a bucket that the least protected requests leave to others.
+    pub reserve: f64,
+    /// The part of a bucket up to which a request is so small that it may use
+    /// all of it.
+    pub small: f64,
     /// How long a customer's use is told to others after it last changed.
     pub tell_for: Span,
 }
@@ -38,11 +43,22 @@
             slack: 0.0,
             part: 0.8,
             alone: 0.25,
+            reserve: 0.35,
+            small: 0.01,
             tell_for: Span::from_secs(10),
         }
     }
 }
 
+/// What a request asks of its customer's quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Units.
+    pub units: u64,
+    /// From 0 for the most protected requests to 1 for the least protected.
+    pub routine: f64,
+}
+
 /// How much of the fleet a node can speak for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reach {
@@ -144,13 +160,22 @@
         now: Time,
         customer: u64,
         quota: &Quota,
-        units: u64,
+        demand: Demand,
         reach: Reach,
     ) -> Result<(), Denied> {
+        let Demand { units, routine } = demand;
         let most = self.most(quota) * self.share(reach);
+        // The last part of a bucket is for what is more protected, and for
+        // what is so small that refusing it would save nothing.
+        let small = units as f64 <= most * self.options.small;
+        let kept = if small {
+            0.0
+        } else {
+            most * self.options.reserve * routine
+        };
         let account = self.account(now, customer, quota, reach);
         // A request larger than the whole bucket passes when that is full.
-        let asked = (units as f64).min(most);
+        let asked = (units as f64 + kept).min(most);
         if account.level < asked {
             let missing = asked - account.level;
             let wait = missing / quota.per_second.max(1e-9);
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -175,8 +175,9 @@
 
 #[test]
 fn what_runs_out_of_time_is_refused_when_that_shows() {
-    let (mut dispatcher, _) = full();
-    let waits = dispatcher.enter(at(1), job(MODEL, 2, at(1)));
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    dispatcher.enter(at(0), job(SERVICE, 2, at(0)));
+    let waits = dispatcher.enter(at(1), job(SERVICE, 2, at(1)));
     dispatcher.tick(at(7_900));
     assert_eq!(refusals(&mut dispatcher), []);
     dispatcher.tick(at(7_990));
@@ -184,6 +185,39 @@
     assert_eq!(dispatcher.held(), 1);
 }
 
+#[test]
+fn what_its_caller_would_leave_before_the_first_event_is_not_begun() {
+    let (mut dispatcher, running) = full();
+    let impatient = Job {
+        patience: Span::from_secs(2),
+        ..job(MODEL, 2, at(0))
+    };
+    let waits = dispatcher.enter(at(0), impatient);
+    // Time to a first event is taken to be 150 ms until one was seen.
+    dispatcher.tick(at(1_900));
+    let refused = refusals(&mut dispatcher);
+    assert_eq!((refused[0].0, refused[0].1), (waits, Code::TooLate));
+    let retry_after = refused[0].2.expect("there is time to come back");
+    assert!(retry_after <= Span::from_millis(6_100 / 3));
+    dispatcher.end(at(1_901), running, End::Whole);
+    assert_eq!(starts(&mut dispatcher), []);
+}
+
+#[test]
+fn one_that_was_refused_before_goes_first_in_its_rank() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    let running = dispatcher.enter(at(0), job(SERVICE, 2, at(0)));
+    dispatcher.enter(at(1), job(SERVICE, 2, at(1)));
+    let returning = Job {
+        returning: true,
+        ..job(SERVICE, 2, at(2))
+    };
+    let returning = dispatcher.enter(at(2), returning);
+    starts(&mut dispatcher);
+    dispatcher.end(at(3), running, End::Whole);
+    assert_eq!(starts(&mut dispatcher), [(returning, "e".to_owned())]);
+}
+
 #[test]
 fn without_any_endpoint_waiting_ends_with_the_objective() {
     let mut dispatcher = dispatcher(&[]);
--- a/crates/dispatch/tests/dispatch/quota.rs
+++ b/crates/dispatch/tests/dispatch/quota.rs
@@ -4,6 +4,7 @@
 use woadstage_dispatch::configuration::Quota;
 use woadstage_dispatch::message::Usage;
 use woadstage_dispatch::quota::Accounts;
+use woadstage_dispatch::quota::Demand;
 use woadstage_dispatch::quota::Options;
 use woadstage_dispatch::quota::Reach;
 use woadstage_types::unit::Span;
@@ -19,6 +20,13 @@
     plain_tokens: Some(1),
 };
 
+fn urgent(units: u64) -> Demand {
+    Demand {
+        units,
+        routine: 0.0,
+    }
+}
+
 fn accounts() -> Accounts {
     Accounts::new(Options::default())
 }
@@ -35,7 +43,7 @@
 fn given(accounts: &mut Accounts, reach: Reach, from: u64, to: u64) -> u64 {
     let asked = (from..to).filter(|millis| {
         accounts
-            .admit(at(*millis), CUSTOMER, &QUOTA, 10, reach)
+            .admit(at(*millis), CUSTOMER, &QUOTA, urgent(10), reach)
             .is_ok()
     });
     asked.count() as u64 * 10
@@ -51,7 +59,7 @@
 fn what_is_refused_may_come_back_when_it_would_fit() {
     let mut accounts = accounts();
     given(&mut accounts, reach(1, 0), 0, 1_000);
-    let wait = accounts.admit(at(1_000), CUSTOMER, &QUOTA, 500, reach(1, 0));
+    let wait = accounts.admit(at(1_000), CUSTOMER, &QUOTA, urgent(500), reach(1, 0));
     let wait = wait.expect_err("over the limit").wait;
     assert!(
         accounts
@@ -59,7 +67,7 @@
                 at(1_000) + wait + Span(1_000),
                 CUSTOMER,
                 &QUOTA,
-                500,
+                urgent(500),
                 reach(1, 0)
             )
             .is_ok()
@@ -71,17 +79,17 @@
     let mut accounts = accounts();
     assert!(
         accounts
-            .admit(at(0), CUSTOMER, &QUOTA, 5_000, reach(1, 0))
+            .admit(at(0), CUSTOMER, &QUOTA, urgent(5_000), reach(1, 0))
             .is_ok()
     );
     assert!(
         accounts
-            .admit(at(1_000), CUSTOMER, &QUOTA, 1, reach(1, 0))
+            .admit(at(1_000), CUSTOMER, &QUOTA, urgent(1), reach(1, 0))
             .is_err()
     );
     assert!(
         accounts
-            .admit(at(4_100), CUSTOMER, &QUOTA, 1, reach(1, 0))
+            .admit(at(4_100), CUSTOMER, &QUOTA, urgent(1), reach(1, 0))
             .is_ok()
     );
 }
@@ -90,7 +98,7 @@
 fn what_others_use_is_taken_from_the_same_bucket() {
     let mut accounts = accounts();
     accounts
-        .admit(at(0), CUSTOMER, &QUOTA, 0, reach(2, 0))
+        .admit(at(0), CUSTOMER, &QUOTA, urgent(0), reach(2, 0))
         .expect("nothing is asked");
     let said = |units| {
         [Usage {
@@ -104,12 +112,12 @@
     accounts.hear(at(2), node(2), 5, &said(800));
     assert!(
         accounts
-            .admit(at(3), CUSTOMER, &QUOTA, 300, reach(2, 0))
+            .admit(at(3), CUSTOMER, &QUOTA, urgent(300), reach(2, 0))
             .is_err()
     );
     assert!(
         accounts
-            .admit(at(3), CUSTOMER, &QUOTA, 200, reach(2, 0))
+            .admit(at(3), CUSTOMER, &QUOTA, urgent(200), reach(2, 0))
             .is_ok()
     );
 }
@@ -119,18 +127,18 @@
     let mut accounts = accounts();
     assert!(
         accounts
-            .admit(at(0), CUSTOMER, &QUOTA, 1_000, reach(1, 0))
+            .admit(at(0), CUSTOMER, &QUOTA, urgent(1_000), reach(1, 0))
             .is_ok()
     );
     assert!(
         accounts
-            .admit(at(0), CUSTOMER, &QUOTA, 1_000, reach(1, 0))
+            .admit(at(0), CUSTOMER, &QUOTA, urgent(1_000), reach(1, 0))
             .is_err()
     );
     accounts.give_back(CUSTOMER, 1_000);
     assert!(
         accounts
-            .admit(at(0), CUSTOMER, &QUOTA, 1_000, reach(1, 0))
+            .admit(at(0), CUSTOMER, &QUOTA, urgent(1_000), reach(1, 0))
             .is_ok()
     );
 }
@@ -146,6 +154,35 @@
     assert!(all <= 2_300, "{all}");
 }
 
+#[test]
+fn the_last_part_is_for_what_is_protected_or_small() {
+    let routine = |units| Demand {
+        units,
+        routine: 1.0,
+    };
+    let mut accounts = accounts();
+    assert!(
+        accounts
+            .admit(at(0), CUSTOMER, &QUOTA, urgent(600), reach(1, 0))
+            .is_ok()
+    );
+    assert!(
+        accounts
+            .admit(at(0), CUSTOMER, &QUOTA, routine(100), reach(1, 0))
+            .is_err()
+    );
+    assert!(
+        accounts
+            .admit(at(0), CUSTOMER, &QUOTA, routine(10), reach(1, 0))
+            .is_ok()
+    );
+    assert!(
+        accounts
+            .admit(at(0), CUSTOMER, &QUOTA, urgent(100), reach(1, 0))
+            .is_ok()
+    );
+}
+
 proptest! {
     /// However a fleet is cut in two, both sides together give out no more than
     /// the whole limit and the bursts that both had.
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -130,6 +130,7 @@
             arrived: self.arrived,
             deadline: self.deadline,
             objective: self.route.objective,
+            patience: self.route.patience,
             returning,
             prompt,
             history: History::default(),
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -20,6 +20,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
+use woadstage_dispatch::quota::Demand;
 use woadstage_dispatch::quota::Denied;
 use woadstage_types::code::Code;
 use woadstage_types::code::Outcome;
@@ -166,9 +167,13 @@
         let shell = self.shell.clone();
         if let Some(customer) = &self.admitted.customer {
             let left = self.admitted.deadline.since(shell.now());
-            let units = self.units;
+            let urgency = self.admitted.route.priority;
+            let demand = Demand {
+                units: self.units,
+                routine: shell.query(|dispatcher, _| dispatcher.routine(urgency)),
+            };
             let charged =
-                shell.command(|dispatcher, now| dispatcher.charge(now, customer, units, left));
+                shell.command(|dispatcher, now| dispatcher.charge(now, customer, demand, left));
             if let Err((refusal, denied)) = charged {
                 self.note_over_limit(denied);
                 return Err(refusal.into());
