test: the gateway over real sockets, the adapter against a stand-in of the store

73 tests of the gateway (requests unchanged, whose answer it is, what may be sent again, streams and their way on, callers that leave, quota, logs, peers, settings, planned stop) and 27 of the adapter (pages, watches, a forgotten history, a store that is busy or silent, documents, the template).

A length of time and a size may now have a fraction, since the platform's bounds may: the test that refused 1.5s said otherwise and is replaced by one of exact values and of six malformed ones.

--- /dev/null
+++ b/crates/gateway/tests/gateway/callers.rs
@@ -0,0 +1,114 @@
+//! Who is turned away, and with which answer.
+
+use rstest::rstest;
+use woadstage_dispatch::configuration::Quota;
+use woadstage_gateway::log;
+
+use crate::support::Act;
+use crate::support::Caller;
+use crate::support::Gateway;
+use crate::support::KEY;
+use crate::support::Worker;
+use crate::support::answer;
+use crate::support::configuration;
+use crate::support::field;
+use crate::support::run;
+
+#[rstest]
+#[case::a_known_key("/once/x", "host.example", KEY, 200)]
+#[case::an_unknown_key("/once/x", "host.example", "other", 401)]
+#[case::no_key_is_asked_for("/open/x", "host.example", "", 200)]
+#[case::no_such_path("/none/x", "host.example", KEY, 404)]
+#[case::no_such_host("/once/x", "none.example", KEY, 404)]
+fn who_may(#[case] path: &str, #[case] host: &str, #[case] key: &str, #[case] status: u16) {
+    run(|| async {
+        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&format!(
+                "GET {path} HTTP/1.1\r\nhost: {host}\r\nauthorization: Bearer {key}\r\nwoadstage-request: i\r\n\r\n"
+            ))
+            .await;
+        let seen = caller.answer().await;
+        assert_eq!(seen.status, status, "{seen:?}");
+        assert_eq!(worker.requests.borrow().len(), usize::from(status == 200));
+        assert_eq!(field(&seen.head, "retry-after"), None);
+    });
+}
+
+#[test]
+fn without_a_configuration_callers_are_to_come_back() {
+    run(|| async {
+        let gateway = Gateway::with(&[], None, log::Options::default()).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/once/x", "").await;
+        let seen = caller.answer().await;
+        assert_eq!(seen.status, 503);
+        assert!(field(&seen.head, "retry-after").is_some());
+        assert!(seen.body.contains("not-run"));
+    });
+}
+
+#[test]
+fn a_customer_over_its_limit_is_told_when_to_come_back() {
+    run(|| async {
+        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
+        let quota = Quota {
+            per_second: 0.01,
+            burst: 8.0,
+            plain_tokens: None,
+        };
+        let gateway = Gateway::with(
+            &[&worker],
+            Some(configuration(Some(quota))),
+            log::Options::default(),
+        )
+        .await;
+        let mut caller = Caller::connect(&gateway).await;
+        let mut statuses = Vec::new();
+        for id in ["id-1", "id-2", "id-3"] {
+            caller.request(id, "/once/x", "").await;
+            let seen = caller.answer().await;
+            assert_eq!(
+                field(&seen.head, "retry-after").is_some(),
+                seen.status == 429
+            );
+            statuses.push(seen.status);
+        }
+        // A node that heard no other gives out a quarter of the burst.
+        assert_eq!(statuses, [200, 200, 429]);
+        let line = gateway.logged(&["\"over-limit\"", "id-3"]).await;
+        assert!(line.contains("\"customer\":\"customer\""), "{line}");
+    });
+}
+
+#[test]
+fn a_body_that_is_too_large_is_refused_by_its_length() {
+    run(|| async {
+        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&format!(
+                "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 content-length: 999999999\r\n\r\n"
+            ))
+            .await;
+        assert_eq!(caller.answer().await.status, 413);
+    });
+}
+
+#[test]
+fn several_requests_follow_on_one_connection() {
+    run(|| async {
+        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        for status in [200, 404, 200] {
+            let path = if status == 200 { "/once/x" } else { "/none/x" };
+            caller.request("id", path, "a body").await;
+            assert_eq!(caller.answer().await.status, status);
+        }
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the gateway over real sockets, against stand-ins of endpoints.
+
+mod answers;
+mod attempts;
+mod callers;
+mod log;
+mod peers;
+mod requests;
+mod settings;
+mod stop;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -0,0 +1,148 @@
+//! A request reaches its endpoint unchanged but for what the gateway sets.
+
+use crate::support::Act;
+use crate::support::Caller;
+use crate::support::Gateway;
+use crate::support::KEY;
+use crate::support::Worker;
+use crate::support::answer;
+use crate::support::field;
+use crate::support::run;
+
+async fn one() -> (Worker, Gateway) {
+    let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
+    let gateway = Gateway::start(&[&worker]).await;
+    (worker, gateway)
+}
+
+#[test]
+fn method_path_query_and_body_are_unchanged() {
+    run(|| async {
+        let (worker, gateway) = one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        let path = "/once/a%20b//c/../d?x=1&y=%2F&&";
+        caller.request("id-1", path, "{\"a\": 1}").await;
+        assert_eq!(caller.answer().await.status, 200);
+        let request = worker.requests.borrow()[0].clone();
+        assert!(
+            request.starts_with(&format!("POST {path} HTTP/1.1\r\n")),
+            "{request}"
+        );
+        assert!(request.ends_with("\r\n\r\n{\"a\": 1}"), "{request}");
+        assert_eq!(field(&request, "host"), Some("host.example"));
+        assert_eq!(field(&request, "woadstage-request"), Some("id-1"));
+    });
+}
+
+#[test]
+fn the_key_is_not_shown_and_the_customer_is_named() {
+    run(|| async {
+        let (worker, gateway) = one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&format!(
+                "GET /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: id-1\r\nwoadstage-customer: another\r\nx-own: kept\r\n\r\n"
+            ))
+            .await;
+        assert_eq!(caller.answer().await.status, 200);
+        let request = worker.requests.borrow()[0].clone();
+        assert!(!request.contains(KEY), "{request}");
+        assert_eq!(field(&request, "woadstage-customer"), Some("customer"));
+        assert_eq!(request.matches("woadstage-customer").count(), 1);
+        assert_eq!(field(&request, "woadstage-endpoint"), Some("e"));
+        assert_eq!(field(&request, "x-own"), Some("kept"));
+    });
+}
+
+#[test]
+fn fields_of_one_connection_stay_there() {
+    run(|| async {
+        let (worker, gateway) = one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&format!(
+                "GET /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: id-1\r\nconnection: keep-alive, x-named\r\nx-named: no\r\n\
+                 keep-alive: timeout=5\r\nte: trailers\r\n\r\n"
+            ))
+            .await;
+        assert_eq!(caller.answer().await.status, 200);
+        let request = worker.requests.borrow()[0].clone();
+        for name in ["connection", "x-named", "keep-alive", "te"] {
+            assert_eq!(field(&request, name), None, "{request}");
+        }
+    });
+}
+
+#[test]
+fn the_endpoint_is_told_what_is_left_of_the_time() {
+    run(|| async {
+        let (worker, gateway) = one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/once/x", "").await;
+        caller.answer().await;
+        let request = worker.requests.borrow()[0].clone();
+        let left: u64 = field(&request, "woadstage-timeout-ms")
+            .expect("a time")
+            .parse()
+            .expect("a number");
+        assert!((1..=20_000).contains(&left), "{left}");
+    });
+}
+
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    run(|| async {
+        let (worker, gateway) = one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&format!(
+                "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: id-1\r\ntransfer-encoding: chunked\r\n\r\n\
+                 5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
+            ))
+            .await;
+        assert_eq!(caller.answer().await.status, 200);
+        let request = worker.requests.borrow()[0].clone();
+        assert!(request.ends_with("\r\n\r\nhello world"), "{request}");
+    });
+}
+
+#[test]
+fn a_long_body_passes_through() {
+    run(|| async {
+        let (worker, gateway) = one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        let body = "0123456789".repeat(100_000);
+        caller.request("id-1", "/once/x", &body).await;
+        assert_eq!(caller.answer().await.status, 200);
+        let request = worker.requests.borrow()[0].clone();
+        assert!(request.ends_with(&body), "{} bytes came", request.len());
+    });
+}
+
+#[test]
+fn an_answer_may_come_before_the_body_was_read() {
+    run(|| async {
+        let go_on = std::rc::Rc::new(tokio::sync::Notify::new());
+        let early = Act::AnswerEarly(answer("200 OK", "early"), go_on.clone());
+        let later = Act::Answer(answer("200 OK", "later"));
+        let worker = Worker::start("e", vec![early, later]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        let body = "x".repeat(200_000);
+        caller.request("id-1", "/once/x", &body).await;
+        let seen = caller.answer().await;
+        assert_eq!((seen.status, seen.body.as_str()), (200, "early"));
+        go_on.notify_one();
+        // Whatever became of that connection, no byte of the next request is
+        // taken for the rest of this one's body.
+        let mut other = Caller::connect(&gateway).await;
+        other.request("id-2", "/once/y", "second").await;
+        assert_eq!(other.answer().await.body, "later");
+        let requests = worker.requests.borrow();
+        let second = requests.iter().find(|request| request.contains("/once/y"));
+        assert!(second.expect("it came").ends_with("\r\n\r\nsecond"));
+    });
+}
--- a/crates/types/src/unit.rs
+++ b/crates/types/src/unit.rs
@@ -32,11 +32,43 @@
 
 impl std::error::Error for Error {}
 
-fn split(text: &str) -> Option<(u64, &str)> {
+/// Digits behind the point that a number may have.
+const PLACES: usize = 6;
+
+/// A number as it was written: its whole part, and millionths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Number {
+    whole: u64,
+    millionths: u64,
+}
+
+impl Number {
+    /// The number times a factor, rounded down, if that can be held.
+    fn times(self, factor: u64) -> Option<u64> {
+        let whole = self.whole.checked_mul(factor)?;
+        let part = u128::from(self.millionths) * u128::from(factor) / 1_000_000;
+        whole.checked_add(u64::try_from(part).ok()?)
+    }
+
+    /// The number, if it is a whole one.
+    fn to_whole(self) -> Option<u64> {
+        (self.millionths == 0).then_some(self.whole)
+    }
+}
+
+/// Cuts a text into its number and its unit.
+fn split(text: &str) -> Option<(Number, &str)> {
     let end = text
-        .find(|c: char| !c.is_ascii_digit())
+        .find(|c: char| !c.is_ascii_digit() && c != '.')
         .unwrap_or(text.len());
-    let number = text[..end].parse().ok()?;
+    let (whole, part) = text[..end].split_once('.').unwrap_or((&text[..end], "0"));
+    if part.is_empty() || part.len() > PLACES || part.contains('.') {
+        return None;
+    }
+    let number = Number {
+        whole: whole.parse().ok()?,
+        millionths: format!("{part:0<PLACES$}").parse().ok()?,
+    };
     Some((number, text[end..].trim()))
 }
 
@@ -164,7 +196,7 @@
             "m" => 60 * MICROS_PER_SECOND,
             _ => return Err(fault()),
         };
-        number.checked_mul(factor).map(Span).ok_or_else(fault)
+        number.times(factor).map(Span).ok_or_else(fault)
     }
 }
 
@@ -211,7 +243,7 @@
             "MiB" => 1 << 20,
             _ => return Err(fault()),
         };
-        number.checked_mul(factor).map(Size).ok_or_else(fault)
+        number.times(factor).map(Size).ok_or_else(fault)
     }
 }
 
@@ -236,7 +268,7 @@
             expected: "a rate such as \"50/s\"",
         };
         match split(text).ok_or_else(fault)? {
-            (number, "/s") => Ok(Rate(number)),
+            (number, "/s") => number.to_whole().map(Rate).ok_or_else(fault),
             _ => Err(fault()),
         }
     }
