fix: a rank of which nothing starts is refused sooner, also to returning callers

Change: without a start, the wait is as long again for each as the first has waited; who was refused before is refused when its caller would leave first.

--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -24,9 +24,6 @@
     pub retry_after: Option<Span>,
 }
 
-/// Requests of a rank that wait before their wait is estimated.
-const WAITING_LEAST: usize = 3;
-
 /// Shortest time after which a refused caller comes back.
 const COME_BACK_LEAST: Span = Span::from_millis(100);
 
@@ -98,11 +95,12 @@
                 retry_after: Some(self.come_back(Span(left.0 / 4), left)),
             });
         }
-        if job.returning {
-            return None;
-        }
         let wait = self.wait(now, job);
-        let most = job.objective.0 as f64 * self.options.policy.refuse_beyond;
+        // For one that was refused before, late is better than never.
+        let most = match job.returning {
+            true => job.patience.0 as f64,
+            false => job.objective.0 as f64 * self.options.policy.refuse_beyond,
+        };
         (wait.0 as f64 > most).then(|| Refusal {
             code: Code::TooLate,
             retry_after: Some(self.come_back_late(left)),
@@ -110,21 +108,23 @@
     }
 
     /// The time until a newcomer of this rank would start, if those before it
-    /// went on starting as fast as lately.
+    /// went on starting as fast as lately. Where none has started, as long
+    /// again for each as the first has waited.
     pub(super) fn wait(&self, now: Time, job: &Job) -> Span {
         let Some(pool) = self.pools.get(&job.target) else {
             return Span::ZERO;
         };
-        let waiting = pool.queue.count(job.rank);
-        if waiting < WAITING_LEAST {
-            return Span::ZERO;
-        }
+        let waiting = pool.queue.count(job.rank) as u64;
         let window = self.options.policy.rate_window;
         let started = pool.starts.get(&job.rank).map_or(0, |starts| {
             let recent = starts.iter().rev();
             recent.take_while(|at| now.since(**at) <= window).count()
         });
-        Span(window.0 * waiting as u64 / started.max(1) as u64)
+        if started > 0 {
+            return Span(window.0 * waiting / started as u64);
+        }
+        let since = pool.queue.first_arrival_opt(job.rank).unwrap_or(now);
+        Span(now.since(since).0 * (waiting + 1))
     }
 
     /// Requests that wait on other nodes, of the ranks that count.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -60,6 +60,13 @@
         (*latest <= now).then_some(*id)
     }
 
+    /// When the first that waits in a rank arrived.
+    pub fn first_arrival_opt(&self, rank: Rank) -> Option<Time> {
+        let from = (rank, Time(0), job::Id(0));
+        let (place, job) = self.line.range(from..).next()?;
+        (place.0 == rank).then_some(job.arrived)
+    }
+
     /// Requests that wait in one rank.
     pub fn count(&self, rank: Rank) -> usize {
         self.counts.get(&rank).copied().unwrap_or(0)
