feat: larger fleets fall into cells, and few nodes read the store

Cause: every node told and heard every other 40 ms apart, counted all of it anew with each word, and read the store itself.

Change: up to 16 nodes are one cell and each reads for itself, as before. Beyond that each data centre has cells of about 12 nodes with a part of its endpoints; within one all goes as in a small fleet, beyond it 60 statuses a second a node in all; three nodes of a cell read the store and others follow them. What others run counts from the next tick.

Ruled out for the store: waiting longer on each watch (a node would notice too late that its connection leads nowhere).

--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -135,7 +135,7 @@
         counts: impl Fn(Rank) -> bool,
     ) -> usize {
         let fresh = self.options.policy.waiting_fresh;
-        let members = self.members.fresh(now).map(|(_, member)| member);
+        let members = self.members.near(now).map(|(_, member)| member);
         let heard = members.filter(|member| member.heard.is_some_and(|at| now.since(at) <= fresh));
         heard
             .flat_map(|member| &member.status.waiting)
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -23,6 +23,7 @@
 use crate::budget::Budget;
 use crate::configuration::Priority;
 use crate::configuration::Rank;
+use crate::endpoint;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::job;
@@ -78,6 +79,9 @@
     pub come_back_within: f64,
     /// The window in which it is seen how fast a rank is served.
     pub rate_window: Span,
+    /// How long a request waits for an endpoint of its own cell before any
+    /// other may have it.
+    pub own_cell_for: Span,
     /// Attempts at connecting for one request.
     pub connects: u32,
     /// Time left under which nothing is sent any more.
@@ -98,6 +102,7 @@
             refuse_beyond: 1.0,
             come_back_within: 0.32,
             rate_window: Span::from_millis(1_500),
+            own_cell_for: Span::from_millis(60),
             connects: 4,
             least_left: Span::from_millis(20),
         }
@@ -253,8 +258,10 @@
     next_job: u64,
     sequence: u64,
     leaving: bool,
+    cut_off: bool,
     urgent: bool,
     ticked: Time,
+    arranged: Time,
     decisions: Vec<Decision>,
 }
 
@@ -262,7 +269,12 @@
     /// Nothing is known yet.
     pub fn new(options: Options) -> Dispatcher {
         Dispatcher {
-            members: Members::new(options.own, &options.seeds, options.member.clone()),
+            members: Members::new(
+                options.own,
+                endpoint::number_of(options.data_centre.as_str()),
+                &options.seeds,
+                options.member.clone(),
+            ),
             accounts: Accounts::new(options.quota.clone()),
             budget: Budget::new(options.budget.clone()),
             options,
@@ -274,8 +286,10 @@
             next_job: 1,
             sequence: 0,
             leaving: false,
+            cut_off: false,
             urgent: false,
             ticked: Time(0),
+            arranged: Time(0),
             decisions: Vec::new(),
         }
     }
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -76,20 +76,34 @@
         let usable = pool
             .workers
             .iter()
-            .filter(|worker| worker.takes_work(now, &self.options.worker));
+            .filter(|worker| worker.own_cell && worker.takes_work(now, &self.options.worker));
         usable
             .map(|worker| worker.endpoint.slots.saturating_sub(worker.busy()))
             .sum()
     }
 
-    /// Of the endpoints that have room, the one that costs least.
+    /// An endpoint of this node's cell, or where none takes the request for a
+    /// while, any other.
     fn choose(&self, now: Time, pool: &Pool, job: &Job) -> Option<Choice> {
+        let own = self.cheapest(now, pool, job, true);
+        let waited = now.since(job.arrived) >= self.options.policy.own_cell_for;
+        if own.is_some() || self.members.cell().whole || !waited {
+            return own;
+        }
+        self.cheapest(now, pool, job, false)
+    }
+
+    /// Of the endpoints that have room, the one that costs least.
+    fn cheapest(&self, now: Time, pool: &Pool, job: &Job, own_cell: bool) -> Option<Choice> {
         let chain = warm::chain(&job.prompt.parts);
         let home = home(pool, &chain);
         let mut best: Option<Choice> = None;
         for (at, worker) in pool.workers.iter().enumerate() {
             let usable = worker.takes_work(now, &self.options.worker);
-            if !usable || job.history.tried.contains(&worker.endpoint.name) {
+            if worker.own_cell != own_cell
+                || !usable
+                || job.history.tried.contains(&worker.endpoint.name)
+            {
                 continue;
             }
             if worker.busy() >= self.room(pool, worker, job) {
@@ -238,7 +252,8 @@
 fn home(pool: &Pool, chain: &[(u64, u64)]) -> Option<usize> {
     let (key, _) = chain.last()?;
     let takers = pool.workers.iter().enumerate();
-    let listed = takers.filter(|(_, worker)| worker.listed && !worker.endpoint.leaving);
+    let listed =
+        takers.filter(|(_, worker)| worker.own_cell && worker.listed && !worker.endpoint.leaving);
     listed
         .max_by_key(|(_, worker)| hash::chain(*key, &worker.number.to_le_bytes()))
         .map(|(at, _)| at)
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -5,13 +5,13 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use woadstage_types::hash;
 use woadstage_types::id;
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
 use super::Pool;
 use crate::configuration::Configuration;
+use crate::endpoint;
 use crate::endpoint::List;
 use crate::message::Snapshot;
 use crate::queue::Queue;
@@ -30,14 +30,12 @@
 /// Time for reading a prompt token that is expected at first, in microseconds.
 const PREFILL: f64 = 40.0;
 
+/// Endpoints for each cell from which a data centre shares them out.
+const SHARED_LEAST: usize = 3;
+
 /// Time of a call that is expected at first, in microseconds.
 const CALL: f64 = 40_000.0;
 
-/// The number by which nodes name a service to each other.
-pub(super) fn to_number(target: &id::Target) -> u32 {
-    hash::of(target.as_str().as_bytes()) as u32
-}
-
 impl Dispatcher {
     /// Takes a configuration; false where one as new is in force.
     pub fn set_configuration(&mut self, now: Time, configuration: Arc<Configuration>) -> bool {
@@ -91,6 +89,7 @@
         }
         self.list = list;
         self.forget_workers();
+        self.assign_workers();
         self.count_others(now);
         self.place_all(now);
         true
@@ -104,6 +103,38 @@
         self.set_endpoints(now, snapshot.endpoints) || newer
     }
 
+    /// Says which endpoints belong to this node's cell. A data centre that has
+    /// too few of a service shares all of it.
+    pub(super) fn assign_workers(&mut self) {
+        let cell = self.members.cell();
+        let own = &self.options.data_centre;
+        for pool in self.pools.values_mut() {
+            let mut near: Vec<&mut Worker> = pool
+                .workers
+                .iter_mut()
+                .filter(|worker| worker.listed)
+                .collect();
+            near.iter_mut()
+                .for_each(|worker| worker.own_cell = cell.whole);
+            if cell.whole {
+                continue;
+            }
+            let in_centre = near
+                .iter()
+                .filter(|worker| worker.endpoint.data_centre == *own)
+                .count();
+            if in_centre < cell.count * SHARED_LEAST {
+                near.iter_mut().for_each(|worker| worker.own_cell = true);
+                continue;
+            }
+            near.retain(|worker| worker.endpoint.data_centre == *own);
+            near.sort_by_key(|worker| worker.number);
+            for (place, worker) in near.iter_mut().enumerate() {
+                worker.own_cell = place % cell.count == cell.index;
+            }
+        }
+    }
+
     /// Drops endpoints that are gone and run nothing for us.
     fn forget_workers(&mut self) {
         let used: HashSet<(id::Target, usize)> = self
@@ -157,7 +188,7 @@
 ) -> &'a mut Pool {
     pools.entry(target.clone()).or_insert_with(|| Pool {
         engine: false,
-        number: to_number(target),
+        number: endpoint::number_of(target.as_str()),
         least_protected: 0,
         workers: Vec::new(),
         index: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -7,7 +7,9 @@
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
+use crate::endpoint;
 use crate::member::News;
+use crate::member::Reading;
 use crate::message::Load;
 use crate::message::Snapshot;
 use crate::message::Status;
@@ -20,7 +22,8 @@
 const LOADS_MOST: usize = 64;
 
 impl Dispatcher {
-    /// Takes in what another node said.
+    /// Takes in what another node said. What it runs counts from the next tick
+    /// on, so that a word costs little in a large fleet.
     pub fn hear(&mut self, now: Time, from: SocketAddrV4, status: Status) -> News {
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
@@ -29,8 +32,6 @@
             return news;
         }
         self.accounts.hear(now, from, incarnation, &usage);
-        self.count_others(now);
-        self.place_all(now);
         news
     }
 
@@ -71,8 +72,9 @@
             sequence: self.sequence,
             configuration: self.configuration_version(),
             endpoints: self.list.revision,
+            data_centre: endpoint::number_of(self.options.data_centre.as_str()),
             leaving: self.leaving,
-            reply: false,
+            cut_off: self.cut_off,
             loads: self.loads(now),
             waiting: self.waiting(),
             usage: self.accounts.usage(now, USAGE_MOST),
@@ -127,6 +129,17 @@
         self.members.set_seeds(seeds);
     }
 
+    /// Who reads the platform, as this node sees it.
+    pub fn reading(&self, now: Time) -> Reading {
+        self.members.reading(now)
+    }
+
+    /// Tells the others whether this node can read the platform.
+    pub fn set_cut_off(&mut self, cut_off: bool) {
+        self.urgent |= self.cut_off != cut_off;
+        self.cut_off = cut_off;
+    }
+
     /// Tells the others from now on that this node is stopping.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -11,6 +11,9 @@
 /// Time left from which it makes sense to come back.
 const COME_BACK_FROM: Span = Span::from_millis(300);
 
+/// Time between two arrangements of cells.
+const ARRANGE_EVERY: Span = Span::from_millis(200);
+
 /// Pause between two ticks after which the process is taken to have been
 /// stopped in between, so that nothing that others said holds any more.
 const PAUSE: Span = Span::from_millis(1_500);
@@ -25,6 +28,7 @@
         }
         self.ticked = now;
         self.members.forget(now);
+        self.arrange(now);
         self.count_others(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
@@ -35,6 +39,19 @@
         paused
     }
 
+    /// Arranges cells anew, now and then: nodes and endpoints come and go.
+    fn arrange(&mut self, now: Time) {
+        if now.since(self.arranged) < ARRANGE_EVERY {
+            return;
+        }
+        self.arranged = now;
+        let before = self.members.cell();
+        self.members.arrange(now);
+        if self.members.cell() != before {
+            self.assign_workers();
+        }
+    }
+
     fn refuse_expired(&mut self, now: Time, target: &id::Target) {
         let least = self.options.policy.least_left;
         while let Some(pool) = self.pools.get_mut(target) {
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -34,7 +34,12 @@
 /// The number by which nodes name an endpoint to each other. Two endpoints with
 /// one number would share their counts, which costs balance and nothing else.
 pub fn to_number(name: &id::Endpoint) -> u32 {
-    hash::of(name.as_str().as_bytes()) as u32
+    number_of(name.as_str())
+}
+
+/// The number by which nodes name anything that has a name.
+pub fn number_of(name: &str) -> u32 {
+    hash::of(name.as_bytes()) as u32
 }
 
 /// All endpoints that the platform lists.
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
+use woadstage_types::hash;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
@@ -27,6 +28,14 @@
     pub status_at_least_every: Span,
     /// Addresses of others in one status.
     pub told: usize,
+    /// Nodes up to which a fleet is one cell.
+    pub one_cell: usize,
+    /// Nodes of one cell in a larger fleet, about.
+    pub cell: usize,
+    /// Statuses that one node sends a second beyond its cell.
+    pub beyond_per_second: u64,
+    /// Nodes of one cell of a larger fleet that read the platform.
+    pub readers: usize,
 }
 
 impl Default for Options {
@@ -39,6 +48,10 @@
             statuses_per_second: 200,
             status_at_least_every: Span::from_millis(400),
             told: 16,
+            one_cell: 16,
+            cell: 12,
+            beyond_per_second: 60,
+            readers: 3,
         }
     }
 }
@@ -52,20 +65,54 @@
     pub met: Time,
     /// When it was last sent a status.
     pub sent: Time,
+    /// True while it belongs to this node's cell.
+    pub near: bool,
     /// What it last said.
     pub status: Status,
 }
 
+/// A part of a fleet that shares its part of the endpoints. Small fleets are
+/// one cell; in larger ones each data centre has several, so that what a node
+/// hears and sends stays the same however large the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cell {
+    /// True where the whole fleet is this one cell.
+    pub whole: bool,
+    /// Which cell of the data centre this is.
+    pub index: usize,
+    /// Cells of the data centre.
+    pub count: usize,
+}
+
+/// Who reads the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// This node reads for itself, as do all others.
+    Alone,
+    /// This node reads for its cell.
+    ForOthers,
+    /// Others of its cell read for this node.
+    Resting,
+}
+
 /// All other nodes.
 #[derive(Debug)]
 pub struct Members {
     options: Options,
     own: SocketAddrV4,
+    data_centre: u32,
     seeds: Vec<SocketAddrV4>,
     others: HashMap<SocketAddrV4, Member>,
+    cell: Cell,
     met_any: bool,
 }
 
+const ONE_CELL: Cell = Cell {
+    whole: true,
+    index: 0,
+    count: 1,
+};
+
 /// What a status brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum News {
@@ -79,12 +126,19 @@
 
 impl Members {
     /// Only the seeds are known.
-    pub fn new(own: SocketAddrV4, seeds: &[SocketAddrV4], options: Options) -> Members {
+    pub fn new(
+        own: SocketAddrV4,
+        data_centre: u32,
+        seeds: &[SocketAddrV4],
+        options: Options,
+    ) -> Members {
         let mut members = Members {
             options,
             own,
+            data_centre,
             seeds: Vec::new(),
             others: HashMap::new(),
+            cell: ONE_CELL,
             met_any: false,
         };
         members.set_seeds(seeds);
@@ -108,9 +162,11 @@
         for address in &status.members {
             self.meet(now, *address);
         }
-        let silent_after = self.options.silent_after;
+        let silent_after = self.silent_after(self.cell.whole);
+        let near = self.cell.whole;
         let member = self.others.entry(from).or_insert_with(|| Member {
             met: now,
+            near,
             ..Member::default()
         });
         let same = member.status.incarnation == status.incarnation;
@@ -131,9 +187,11 @@
     }
 
     fn meet(&mut self, now: Time, address: SocketAddrV4) {
+        let near = self.cell.whole;
         if address != self.own {
             self.others.entry(address).or_insert_with(|| Member {
                 met: now,
+                near,
                 ..Member::default()
             });
         }
@@ -157,8 +215,93 @@
         }
     }
 
+    /// Arranges the nodes that were heard into cells. Nodes that see different
+    /// fleets for a while arrange them differently, which costs balance and
+    /// nothing else.
+    pub fn arrange(&mut self, now: Time) {
+        let heard: Vec<(SocketAddrV4, u32)> = self
+            .fresh(now)
+            .filter(|(_, member)| !member.status.leaving)
+            .map(|(address, member)| (*address, member.status.data_centre))
+            .collect();
+        if heard.len() < self.options.one_cell {
+            self.cell = ONE_CELL;
+            self.others
+                .values_mut()
+                .for_each(|member| member.near = true);
+            return;
+        }
+        let in_centre = heard
+            .iter()
+            .filter(|(_, centre)| *centre == self.data_centre);
+        let mut all: Vec<SocketAddrV4> = in_centre.map(|(address, _)| *address).collect();
+        all.push(self.own);
+        all.sort_by_key(|address| (score(address), *address));
+        let count = all.len().div_ceil(self.options.cell).max(1);
+        let place = all.iter().position(|address| *address == self.own);
+        let index = place.unwrap_or(0) % count;
+        self.cell = Cell {
+            whole: false,
+            index,
+            count,
+        };
+        self.others
+            .values_mut()
+            .for_each(|member| member.near = false);
+        for (place, address) in all.iter().enumerate() {
+            if let Some(member) = self.others.get_mut(address) {
+                member.near = place % count == index;
+            }
+        }
+    }
+
+    /// The cell of this node.
+    pub fn cell(&self) -> Cell {
+        self.cell
+    }
+
+    /// Who reads the platform, as this node sees it.
+    pub fn reading(&self, now: Time) -> Reading {
+        if self.cell.whole {
+            return Reading::Alone;
+        }
+        let own = score(&self.own);
+        let before = self.near(now).filter(|(address, member)| {
+            let able = !member.status.cut_off && !member.status.leaving;
+            able && score(address) < own
+        });
+        match before.count() < self.options.readers {
+            true => Reading::ForOthers,
+            false => Reading::Resting,
+        }
+    }
+
+    /// The nodes of this cell that were heard lately.
+    pub fn near(&self, now: Time) -> impl Iterator<Item = (&SocketAddrV4, &Member)> + '_ {
+        self.fresh(now).filter(|(_, member)| member.near)
+    }
+
+    /// Time between two statuses to a node beyond this cell.
+    fn beyond_every(&self) -> Span {
+        let per_second = self.options.beyond_per_second.max(1);
+        let spread = Span(self.others.len() as u64 * 1_000_000 / per_second);
+        spread.max(self.options.status_at_least_every)
+    }
+
+    /// Silence after which what a node said no longer counts: longer beyond
+    /// the cell, where nodes are heard less often.
+    fn silent_after(&self, near: bool) -> Span {
+        match near {
+            true => self.options.silent_after,
+            false => self
+                .options
+                .silent_after
+                .max(Span(self.beyond_every().0 * 3)),
+        }
+    }
+
     fn is_fresh(&self, now: Time, member: &Member) -> bool {
-        let silent_after = self.options.silent_after;
+        let silent_after = self.silent_after(member.near);
         member
             .heard
             .is_some_and(|heard| now.since(heard) <= silent_after)
@@ -208,18 +351,20 @@
         for seed in self.seeds.clone() {
             self.meet(now, seed);
         }
-        let every = self.interval(urgent);
-        let Options {
-            silent_after,
-            probe_every,
-            ..
-        } = self.options;
+        let (near, beyond) = (self.interval(urgent), self.beyond_every());
+        let silent: (Span, Span) = (self.silent_after(true), self.silent_after(false));
+        let probe = self.options.probe_every.max(beyond);
         let mut due = Vec::new();
         for (address, member) in &mut self.others {
+            let silent_after = if member.near { silent.0 } else { silent.1 };
             let fresh = member
                 .heard
                 .is_some_and(|heard| now.since(heard) <= silent_after);
-            let wait = if fresh { every } else { probe_every };
+            let wait = match (fresh, member.near) {
+                (true, true) => near,
+                (true, false) => beyond,
+                (false, _) => probe,
+            };
             if member.sent == Time(0) || now.since(member.sent) >= wait {
                 member.sent = now;
                 due.push(*address);
@@ -229,14 +374,15 @@
         due
     }
 
-    /// The time between two statuses to one node: so long that all of them
-    /// together cost the same in a fleet of any size.
+    /// The time between two statuses to one node of this cell: so long that all
+    /// of them together cost the same in a cell of any size.
     pub fn interval(&self, urgent: bool) -> Span {
         if !urgent {
             return self.options.status_at_least_every;
         }
         let per_second = self.options.statuses_per_second.max(1);
-        let spread = Span(self.others.len() as u64 * 1_000_000 / per_second);
+        let near = self.others.values().filter(|member| member.near).count();
+        let spread = Span(near as u64 * 1_000_000 / per_second);
         spread.max(self.options.status_every)
     }
 
@@ -265,3 +411,8 @@
         self.others.is_empty()
     }
 }
+
+/// A node's place among others, the same for all who ask.
+fn score(address: &SocketAddrV4) -> u64 {
+    hash::of(&address.ip().octets())
+}
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -58,10 +58,12 @@
     pub configuration: u64,
     /// The platform's revision of the list of endpoints; 0 for none.
     pub endpoints: u64,
+    /// The number of its data centre.
+    pub data_centre: u32,
     /// True while the node is stopping.
     pub leaving: bool,
-    /// True where an answer is wanted, since little has been heard lately.
-    pub reply: bool,
+    /// True where it cannot read the platform though it tries.
+    pub cut_off: bool,
     /// What it runs; endpoints left out run nothing.
     pub loads: Vec<Load>,
     /// What waits; services left out have nothing waiting.
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -51,6 +51,8 @@
     pub number: u32,
     /// False once the platform lists it no more.
     pub listed: bool,
+    /// True where it belongs to this node's cell.
+    pub own_cell: bool,
     /// Requests in progress that we sent.
     pub running: u32,
     /// Prompt tokens that we sent and of which no event was seen.
@@ -82,6 +84,7 @@
             number: endpoint.to_number(),
             endpoint,
             listed: true,
+            own_cell: true,
             running: 0,
             pending: 0,
             others: 0,
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -3,21 +3,26 @@
 use woadstage_dispatch::member::Members;
 use woadstage_dispatch::member::News;
 use woadstage_dispatch::member::Options;
+use woadstage_dispatch::member::Reading;
 use woadstage_dispatch::message::Status;
 use woadstage_types::unit::Span;
 
 use crate::support::at;
 use crate::support::node;
 
+/// The number of the data centre that all are in.
+const CENTRE: u32 = 1;
+
 fn members(own: u8, seeds: &[u8]) -> Members {
     let seeds: Vec<_> = seeds.iter().map(|seed| node(*seed)).collect();
-    Members::new(node(own), &seeds, Options::default())
+    Members::new(node(own), CENTRE, &seeds, Options::default())
 }
 
 fn status(incarnation: u64, sequence: u64, members: &[u8]) -> Status {
     Status {
         incarnation,
         sequence,
+        data_centre: CENTRE,
         members: members.iter().map(|one| node(*one)).collect(),
         ..Status::default()
     }
@@ -94,17 +99,80 @@
     assert_eq!(members.reach(at(3_000)).nodes, 1);
 }
 
+/// The view that one node of a fleet has once it has heard all others.
+fn fleet(own: u8, nodes: u8) -> Members {
+    let mut members = members(own, &[]);
+    for other in (1..=nodes).filter(|other| *other != own) {
+        members.hear(at(0), node(other), status(u64::from(other), 1, &[]));
+    }
+    members.arrange(at(1));
+    members
+}
+
 #[test]
-fn statuses_grow_rarer_as_the_fleet_grows() {
-    let small = members(1, &(2..10).collect::<Vec<u8>>());
-    let mut large = members(1, &(2..250).collect::<Vec<u8>>());
-    large.due(at(0), true);
-    assert!(small.interval(true) < large.interval(true));
-    let each_second = 1_000_000 / large.interval(true).0 * 248;
-    assert!(
-        each_second <= Options::default().statuses_per_second,
-        "{each_second}"
-    );
+fn a_small_fleet_is_one_cell_and_each_reads_for_itself() {
+    let members = fleet(1, 16);
+    assert!(members.cell().whole);
+    assert_eq!(members.near(at(1)).count(), 15);
+    assert_eq!(members.reading(at(1)), Reading::Alone);
+}
+
+#[test]
+fn a_larger_fleet_has_cells_that_all_nodes_see_alike() {
+    let views: Vec<Members> = (1..=40).map(|own| fleet(own, 40)).collect();
+    for (own, view) in (1u8..).zip(&views) {
+        let cell = view.cell();
+        assert_eq!((cell.whole, cell.count), (false, 4));
+        let near: Vec<u8> = view
+            .near(at(1))
+            .map(|(address, _)| address.ip().octets()[3])
+            .collect();
+        assert_eq!(near.len(), 9);
+        for other in near {
+            let seen = &views[usize::from(other) - 1];
+            assert_eq!(seen.cell(), cell);
+            assert!(seen.near(at(1)).any(|(address, _)| *address == node(own)));
+        }
+    }
+    let readers = views
+        .iter()
+        .filter(|view| view.reading(at(1)) == Reading::ForOthers)
+        .count();
+    assert_eq!(readers, 12);
+}
+
+#[test]
+fn another_reads_when_a_reader_is_silent_or_cut_off() {
+    let own = (1..=40).find(|own| fleet(*own, 40).reading(at(1)) == Reading::Resting);
+    let own = own.expect("most of them rest");
+    let mut members = fleet(own, 40);
+    let near: Vec<_> = members.near(at(1)).map(|(address, _)| *address).collect();
+    for address in &near {
+        let cut_off = Status {
+            cut_off: true,
+            ..status(9, 2, &[])
+        };
+        members.hear(at(2), *address, cut_off);
+    }
+    assert_eq!(members.reading(at(2)), Reading::ForOthers);
+    let silent = fleet(own, 40);
+    assert_eq!(silent.reading(at(1_400)), Reading::ForOthers);
+}
+
+#[test]
+fn what_a_node_sends_is_the_same_in_a_fleet_of_any_size() {
+    for nodes in [40, 100, 250] {
+        let mut members = fleet(1, nodes);
+        let sent: usize = (0..2_000)
+            .step_by(20)
+            .map(|millis| members.due(at(1 + millis), true).len())
+            .sum();
+        // Two seconds: 200 a second within the cell, 60 beyond, all others once.
+        assert!(
+            sent <= 2 * (200 + 60) + usize::from(nodes),
+            "{sent} of {nodes}"
+        );
+    }
 }
 
 #[test]
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -80,6 +80,7 @@
         ..Status::default()
     };
     dispatcher.hear(at(10), node(2), status);
+    dispatcher.tick(at(10));
     let routine = dispatcher.enter(at(11), job(MODEL, 2, at(11)));
     assert_eq!(starts(&mut dispatcher), []);
     // Words that are old bind nobody.
@@ -114,6 +115,7 @@
         ..Status::default()
     };
     dispatcher.hear(at(10), node(2), status);
+    dispatcher.tick(at(10));
     for millis in 11..14 {
         dispatcher.enter(at(millis), job(MODEL, 2, at(millis)));
     }
--- a/crates/dispatch/tests/dispatch/share.rs
+++ b/crates/dispatch/tests/dispatch/share.rs
@@ -50,6 +50,7 @@
             ..said
         },
     );
+    second.tick(at(2));
     let waits = second.enter(at(3), job(MODEL, 2, at(3)));
     assert_eq!(starts(&mut second), []);
     second.tick(at(1_100));
@@ -73,6 +74,7 @@
             ..said
         },
     );
+    second.tick(at(2));
     assert!(second.tick(at(5_000)));
     let id = second.enter(at(5_001), job(MODEL, 2, at(5_001)));
     assert_eq!(starts(&mut second), [(id, "e".to_owned())]);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,10 +9,13 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use woadstage_config::fault::Faults;
 use woadstage_dispatch::dispatcher;
 use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::member::Reading;
 use woadstage_types::unit::Time;
 
 use crate::clock::to_duration;
@@ -28,6 +31,7 @@
 use crate::shell::Phase;
 use crate::shell::Shell;
 use crate::source;
+use crate::source::Source;
 use crate::source::Update;
 
 /// Time between two looks at what time alone brings about.
@@ -56,7 +60,7 @@
 /// Faults in the settings, or an address that cannot be listened on.
 pub async fn run<A, F>(path: &Path, adapter: A) -> anyhow::Result<()>
 where
-    A: FnOnce(&Settings, source::Sender) -> F,
+    A: FnOnce(&Settings, source::Feed) -> F,
     F: Future<Output = ()> + 'static,
 {
     let settings = read(path)?;
@@ -81,8 +85,9 @@
     let ready = listen(settings.ready).await?;
     let metrics = listen(settings.metrics).await?;
     let callers = listen(settings.callers).await?;
-    let (sender, updates) = source::channel();
-    spawn_local(adapter(&settings, sender));
+    let (feed, source) = source::channel();
+    let Source { updates, reading } = source;
+    spawn_local(adapter(&settings, feed));
     spawn_local(take_updates(shell.clone(), updates));
     spawn_local(peers::listen(shell.clone(), socket.clone()));
     spawn_local(peers::snapshot::serve(shell.clone(), snapshots));
@@ -93,7 +98,7 @@
     let of = shell.clone();
     spawn_local(operators::serve(metrics, move |_| operators::metrics(&of)));
     spawn_local(serve::accept(shell.clone(), callers));
-    spawn_local(tick(shell.clone(), socket));
+    spawn_local(tick(shell.clone(), socket, reading));
     spawn_local(sweep(shell.clone()));
     spawn_local(reload(shell.clone(), path.to_owned()));
     stop(&shell, to_duration(settings.stop_within)).await
@@ -129,7 +134,7 @@
 }
 
 /// Brings what the platform published into force.
-async fn take_updates(shell: Rc<Shell>, mut updates: source::Receiver) {
+async fn take_updates(shell: Rc<Shell>, mut updates: UnboundedReceiver<Update>) {
     while let Some(update) = updates.recv().await {
         match update {
             Update::Configuration(configuration) => {
@@ -142,16 +147,8 @@
             Update::Endpoints(list) => note_change(&shell, "platform", |shell| {
                 shell.command(|dispatcher, now| dispatcher.set_endpoints(now, list));
             }),
-            Update::Reached(document) => shell.log(&Event::Dependency {
-                name: "platform",
-                reached: true,
-                detail: document.as_str(),
-            }),
-            Update::Unreachable(document, detail) => shell.log(&Event::Dependency {
-                name: "platform",
-                reached: false,
-                detail: &format!("{}: {detail}", document.as_str()),
-            }),
+            Update::Reached => note_platform(&shell, true, ""),
+            Update::Unreachable(detail) => note_platform(&shell, false, &detail),
             Update::Unreadable(document, detail) => shell.log(&Event::Unreadable {
                 document: document.as_str(),
                 detail: &detail,
@@ -160,6 +157,20 @@
     }
 }
 
+fn note_platform(shell: &Shell, reached: bool, detail: &str) {
+    shell.command(|dispatcher, _| dispatcher.set_cut_off(!reached));
+    shell.metrics.change(if reached {
+        "platform-regained"
+    } else {
+        "platform-lost"
+    });
+    shell.log(&Event::Dependency {
+        name: "platform",
+        reached,
+        detail,
+    });
+}
+
 /// Runs a change and logs what came into force by it.
 fn note_change(shell: &Shell, from: &str, change: impl FnOnce(&Shell)) {
     let versions = |shell: &Shell| {
@@ -198,7 +209,7 @@
 }
 
 /// Everything that time alone brings about.
-async fn tick(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
+async fn tick(shell: Rc<Shell>, socket: Rc<UdpSocket>, reading: watch::Sender<Reading>) {
     let mut ahead_since: Option<Time> = None;
     let mut last = shell.now();
     loop {
@@ -212,6 +223,8 @@
         }
         last = now;
         peers::tell(&shell, &socket);
+        let role = shell.query(|dispatcher, now| dispatcher.reading(now));
+        reading.send_if_modified(|told| std::mem::replace(told, role) != role);
         let ahead = shell.query(|dispatcher, now| dispatcher.ahead_opt(now));
         let since = *ahead_since.get_or_insert(now);
         match ahead {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::member::Reading;
 
 /// Which of the published documents is spoken of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -34,9 +36,9 @@
     /// The endpoints were read, whole.
     Endpoints(Arc<List>),
     /// The platform was reached again.
-    Reached(Document),
+    Reached,
     /// The platform could not be reached or answered with a fault.
-    Unreachable(Document, String),
+    Unreachable(String),
     /// Something that was published could not be understood and is left out.
     Unreadable(Document, String),
 }
@@ -44,10 +46,33 @@
 /// Where an adapter sends its updates.
 pub type Sender = mpsc::UnboundedSender<Update>;
 
-/// Where a node takes updates from.
-pub type Receiver = mpsc::UnboundedReceiver<Update>;
+/// What an adapter is given.
+pub struct Feed {
+    /// Where it sends its updates.
+    pub updates: Sender,
+    /// Whether it is to read now; others may read for this node.
+    pub reading: watch::Receiver<Reading>,
+}
+
+/// The node's end of a [`Feed`].
+pub struct Source {
+    /// Where updates come from.
+    pub updates: mpsc::UnboundedReceiver<Update>,
+    /// Tells the adapter whether to read.
+    pub reading: watch::Sender<Reading>,
+}
 
 /// A pair of both ends.
-pub fn channel() -> (Sender, Receiver) {
-    mpsc::unbounded_channel()
+pub fn channel() -> (Feed, Source) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let (tell, told) = watch::channel(Reading::Alone);
+    let feed = Feed {
+        updates: sender,
+        reading: told,
+    };
+    let source = Source {
+        updates: receiver,
+        reading: tell,
+    };
+    (feed, source)
 }
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -95,7 +95,7 @@
 async fn run_gateway(settings: &Path) -> anyhow::Result<()> {
     let tasks = tokio::task::LocalSet::new();
     let adapter =
-        |settings: &Settings, to| woadstage_platform::follow::follow(settings.platform, to);
+        |settings: &Settings, feed| woadstage_platform::follow::follow(settings.platform, feed);
     let running = woadstage_gateway::run::run(settings, adapter);
     tasks.run_until(running).await
 }
