--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -6,6 +6,7 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use super::Decision;
 use super::Dispatcher;
 use super::publish::pool;
 use crate::configuration::Customer;
@@ -22,6 +23,8 @@
     pub code: Code,
     /// When to come back, where time can mend it.
     pub retry_after: Option<Span>,
+    /// The wait that was expected, where that decided it.
+    pub wait: Option<Span>,
 }
 
 /// Shortest time after which a refused caller comes back.
@@ -50,6 +53,7 @@
             let refusal = Refusal {
                 code: Code::CustomerLimit,
                 retry_after: Some(self.come_back(denied.wait, left)),
+                wait: None,
             };
             (refusal, denied)
         })
@@ -68,7 +72,7 @@
         self.budget.earn(now, &target);
         pool(&mut self.pools, &self.options.warm, &target);
         if let Some(refusal) = self.verdict(now, &job) {
-            self.refuse(id, refusal.code, refusal.retry_after);
+            self.decisions.push(Decision::Refuse { job: id, refusal });
             return id;
         }
         self.push(id, job);
@@ -93,6 +97,7 @@
             return Some(Refusal {
                 code: Code::QueueFull,
                 retry_after: Some(self.come_back(Span(left.0 / 4), left)),
+                wait: None,
             });
         }
         let wait = self.wait(now, job);
@@ -104,6 +109,7 @@
         (wait.0 as f64 > most).then(|| Refusal {
             code: Code::TooLate,
             retry_after: Some(self.come_back_late(left)),
+            wait: Some(wait),
         })
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -300,7 +300,11 @@
     }
 
     fn refuse(&mut self, job: job::Id, code: Code, retry_after: Option<Span>) {
-        let refusal = Refusal { code, retry_after };
+        let refusal = Refusal {
+            code,
+            retry_after,
+            wait: None,
+        };
         self.decisions.push(Decision::Refuse { job, refusal });
     }
 }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -79,6 +79,8 @@
     pub level: f64,
     /// Units in a full bucket.
     pub most: f64,
+    /// Units that are kept for more protected requests.
+    pub kept: f64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -183,6 +185,7 @@
                 wait: Span((wait * 1e6).min(6e7) as u64),
                 level: account.level,
                 most,
+                kept,
             });
         }
         account.level -= units as f64;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -107,6 +107,8 @@
         level: i64,
         /// Units in a full bucket.
         most: u64,
+        /// Units of it that are kept for more protected requests.
+        kept: u64,
         /// Nodes that share the limit.
         nodes: usize,
         /// Of them, those whose use is not known now.
@@ -160,8 +162,12 @@
         after_ms: u64,
         /// When the caller may come back, in milliseconds.
         retry_after_ms: u64,
+        /// The wait that was expected, where that decided it, in milliseconds.
+        wait_ms: u64,
         /// Events of a stream that were passed on.
         events: u32,
+        /// The version of the configuration that decided it; 0 for none.
+        configuration: u64,
     },
     /// A caller left before its answer was whole.
     Left {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! the decisions of `woadstage-dispatch`. One loop on one thread.
 //!
 //! * [`settings`]: what one process is told about itself.
+//! * [`check`]: checks settings without running.
 //! * [`headers`]: the names under which callers and endpoints speak of requests.
 //! * [`run`]: the whole process, from settings to a planned stop.
 //! * [`source`]: how what the platform publishes reaches the node.
@@ -10,11 +11,13 @@
 //! * [`upstream`] calls endpoints.
 //! * [`peers`] speaks with other nodes.
 //! * [`operators`]: readiness and metrics.
-//! * [`event`], [`log`], [`metrics`]: what can be known afterwards.
+//! * [`event`], [`log`], [`metrics`], [`explain`]: what can be known afterwards.
 //! * [`clock`]: the time, which never steps.
 
+pub mod check;
 pub mod clock;
 pub mod event;
+pub mod explain;
 pub mod headers;
 pub mod log;
 pub mod metrics;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -85,6 +85,7 @@
     let reply = Reply {
         code,
         retry_after: code.mends().then_some(Span::from_millis(500)),
+        wait: None,
     };
     log_answer(shell, request, "", arrived, reply);
     reply.to_response()
@@ -103,7 +104,9 @@
         outcome: &reply.code.outcome().to_string(),
         after_ms: after.0 / 1_000,
         retry_after_ms: reply.retry_after.map_or(0, |span| span.0 / 1_000),
+        wait_ms: reply.wait.map_or(0, |span| span.0 / 1_000),
         events: 0,
+        configuration: shell.query(|dispatcher, _| dispatcher.configuration_version()),
     });
 }
 
@@ -207,6 +210,7 @@
             asked: self.units,
             level: denied.level as i64,
             most: denied.most as u64,
+            kept: denied.kept as u64,
             nodes: reach.nodes,
             silent: reach.silent,
         });
@@ -432,6 +436,7 @@
             return Reply {
                 code: Code::EndpointRefused,
                 retry_after: Some(retry_after),
+                wait: None,
             };
         }
         let late = self.shell.now() >= self.admitted.deadline;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -183,7 +183,9 @@
             outcome: "ran",
             after_ms: after.0 / 1_000,
             retry_after_ms: 0,
+            wait_ms: 0,
             events: self.events,
+            configuration: exchange.admitted.version,
         });
         rest
     }
--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -21,6 +21,8 @@
     pub code: Code,
     /// When the caller may come back.
     pub retry_after: Option<Span>,
+    /// The wait that was expected, where that decided it.
+    pub wait: Option<Span>,
 }
 
 impl From<Code> for Reply {
@@ -28,6 +30,7 @@
         Reply {
             code,
             retry_after: None,
+            wait: None,
         }
     }
 }
@@ -37,6 +40,7 @@
         Reply {
             code: refusal.code,
             retry_after: refusal.retry_after,
+            wait: refusal.wait,
         }
     }
 }
@@ -44,7 +48,9 @@
 impl Reply {
     /// The answer's bytes.
     pub fn to_response(self) -> Response<Body> {
-        let Reply { code, retry_after } = self;
+        let Reply {
+            code, retry_after, ..
+        } = self;
         let body = json!({ "error": {
             "code": code.to_string(),
             "message": code.text(),
--- /dev/null
+++ b/crates/gateway/tests/gateway/explain.rs
@@ -0,0 +1,121 @@
+//! Explaining a request from logs.
+
+use std::io::BufRead;
+use std::io::Cursor;
+
+use rstest::rstest;
+use woadstage_gateway::explain;
+
+fn files(texts: &[&str]) -> Vec<Box<dyn BufRead>> {
+    let boxed = |text: &&str| -> Box<dyn BufRead> { Box::new(Cursor::new(text.to_string())) };
+    texts.iter().map(boxed).collect()
+}
+
+fn cause(text: &str) -> String {
+    let lines = explain::find(&mut files(&[text]), "r").expect("it can be read");
+    explain::cause(&lines)
+}
+
+const ACCEPTED: &str = r#"{"time_ms":1,"event":"accepted","request":"r"}"#;
+const SENT: &str = r#"{"time_ms":2,"event":"sent","request":"r","endpoint":"e"}"#;
+
+#[rstest]
+#[case::whole(
+    r#"{"time_ms":9,"event":"answered","request":"r","status":200,"code":"","after_ms":812}"#,
+    "An endpoint answered 200; the answer was whole after 812 ms."
+)]
+#[case::left_while_it_ran(
+    r#"{"time_ms":9,"event":"left","request":"r","after_ms":3200}"#,
+    "The caller left after 3200 ms, while an endpoint worked on it."
+)]
+#[case::cut(
+    r#"{"time_ms":9,"event":"cut","request":"r","detail":"connection reset"}"#,
+    "The answer broke off after it had begun: connection reset."
+)]
+#[case::nothing_more(
+    "",
+    "There is no final answer in these lines: the process ended, or lines were left out."
+)]
+fn a_request_that_was_sent(#[case] end: &str, #[case] expected: &str) {
+    assert_eq!(cause(&format!("{ACCEPTED}\n{SENT}\n{end}\n")), expected);
+}
+
+#[test]
+fn a_request_whose_outcome_is_unknown_names_every_attempt() {
+    let attempt = r#"{"time_ms":5,"event":"attempt","request":"r","endpoint":"e","end":"lost","detail":"reset","next":"may-have-run"}"#;
+    let answered = r#"{"time_ms":6,"event":"answered","request":"r","status":502,"code":"W3003","outcome":"unknown","configuration":7}"#;
+    let said = cause(&format!("{ACCEPTED}\n{SENT}\n{attempt}\n{answered}\n"));
+    assert!(said.contains("502 W3003 (unknown)"), "{said}");
+    assert!(said.contains("under configuration 7"), "{said}");
+    assert!(
+        said.contains("e (lost: reset; then may-have-run)"),
+        "{said}"
+    );
+}
+
+#[test]
+fn a_refusal_by_quota_tells_what_decided_it() {
+    let limit = r#"{"time_ms":1,"event":"over-limit","request":"r","customer":"c","asked":900,"level":12,"most":500,"kept":90,"nodes":9,"silent":1}"#;
+    let answered = r#"{"time_ms":2,"event":"answered","request":"r","status":429,"code":"W2003"}"#;
+    let said = cause(&format!("{limit}\n{answered}\n"));
+    assert!(
+        said.contains(
+            "customer c was over its limit: it asked for 900 with 12 of 500 left, 90 of them kept"
+        ),
+        "{said}"
+    );
+}
+
+#[test]
+fn lines_of_several_nodes_are_merged_without_comparing_their_clocks() {
+    let one = r#"
+        12.0 node-1 {"time_ms":900,"event":"accepted","request":"r"}
+        noise without a brace
+        12.1 node-1 {"time_ms":100,"event":"left","request":"r","after_ms":5}
+        12.1 node-1 {"time_ms":950,"event":"left","request":"other","after_ms":5}"#;
+    let other = r#"{"time_ms":500,"event":"accepted","request":"r"}"#;
+    let lines = explain::find(&mut files(&[one, other]), "r").expect("it can be read");
+    let order: Vec<(usize, &str)> = lines
+        .iter()
+        .map(|line| (line.file, line.event["event"].as_str().expect("a name")))
+        .collect();
+    assert_eq!(order, [(1, "accepted"), (0, "accepted"), (0, "left")]);
+}
+
+#[test]
+fn a_request_that_nobody_speaks_of() {
+    assert_eq!(
+        cause(ACCEPTED.replace("\"r\"", "\"x\"").as_str()),
+        "No line speaks of this request."
+    );
+}
+
+#[test]
+fn every_event_is_in_the_table_of_the_docs() {
+    let page = include_str!("../../../../docs/EVENTS.md");
+    let source = include_str!("../../src/event.rs");
+    let body = source.split_once("pub enum Event").expect("the enum").1;
+    let body = body.split_once("impl Event").expect("its end").0;
+    let variants = body
+        .lines()
+        .filter_map(|line| line.strip_prefix("    ")?.strip_suffix(" {"));
+    let names: Vec<String> = variants.map(to_kebab).collect();
+    assert!(names.len() > 10);
+    for name in names {
+        assert!(
+            page.contains(&format!("| `{name}` |")),
+            "docs/EVENTS.md lacks {name}"
+        );
+    }
+}
+
+fn to_kebab(name: &str) -> String {
+    let mut text = String::new();
+    for letter in name.chars() {
+        if letter.is_uppercase() && !text.is_empty() {
+            text.push('-');
+        }
+        text.push(letter.to_ascii_lowercase());
+    }
+    text
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod callers;
+mod explain;
 mod log;
 mod peers;
 mod requests;
--- a/crates/woadstage/src/flags.rs
+++ b/crates/woadstage/src/flags.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use woadstage_types::id::Request;
-
 xflags::xflags! {
     /// Request scheduler for unlike engines.
     cmd woadstage {
@@ -24,6 +22,8 @@
             optional --settings file: PathBuf
             /// A published configuration.
             optional --config file: PathBuf
+            /// A gateway's settings.
+            optional --gateway file: PathBuf
         }
         /// Show what an intent would change and write the document to publish.
         cmd plan {
@@ -43,12 +43,14 @@
             /// Print JSON.
             optional --json
         }
-        /// Show what was decided for one request.
+        /// Show what was decided for one request, by a running node or by logs.
         cmd explain {
             /// The operators' address of a node.
-            required --node addr: SocketAddr
+            optional --node addr: SocketAddr
+            /// A gateway's log; may be given for each of several nodes.
+            repeated --logs file: PathBuf
             /// The request's id.
-            required request: Request
+            required request: String
             /// Print JSON.
             optional --json
         }
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -1,9 +1,14 @@
 //! The one binary: arguments in, commands of `woadstage-node` out.
 
+use std::fs::File;
 use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
 
+use anyhow::Context;
 use woadstage_gateway::settings::Settings;
 use woadstage_node::commands;
 use woadstage_node::commands::Refused;
@@ -60,9 +65,21 @@
         flags::WoadstageCmd::Serve(serve) => commands::serve::run(&serve.settings, out).await,
         flags::WoadstageCmd::Gateway(gateway) => run_gateway(&gateway.settings).await,
         flags::WoadstageCmd::Check(check) => {
-            let flags::Check { settings, config } = check;
+            let flags::Check {
+                settings,
+                config,
+                gateway,
+            } = check;
+            if settings.is_none() && config.is_none() && gateway.is_none() {
+                return Err(Usage("check takes --settings, --config or --gateway FILE").into());
+            }
+            if let Some(gateway) = gateway
+                && !woadstage_gateway::check::check(&gateway, out)?
+            {
+                return Err(Refused.into());
+            }
             if settings.is_none() && config.is_none() {
-                return Err(Usage("check takes --settings FILE or --config FILE").into());
+                return Ok(());
             }
             commands::check::run(&commands::check::Options { settings, config }, out)
         }
@@ -84,13 +101,44 @@
         flags::WoadstageCmd::Status(status) => {
             commands::status::run(status.node, status.json, out).await
         }
-        flags::WoadstageCmd::Explain(explain) => {
-            commands::explain::run(explain.node, explain.request, explain.json, out).await
-        }
+        flags::WoadstageCmd::Explain(explain) => run_explain(&explain, out).await,
         flags::WoadstageCmd::Codes(codes) => commands::codes::run(codes.json, out),
     }
 }
 
+/// Explains a request by a running node, or by log files.
+async fn run_explain(explain: &flags::Explain, out: &mut impl Write) -> anyhow::Result<()> {
+    match explain.node {
+        Some(node) if explain.logs.is_empty() => {
+            let request = explain
+                .request
+                .parse()
+                .map_err(|_| Usage("the request's id is no id of this program"))?;
+            commands::explain::run(node, request, explain.json, out).await
+        }
+        None if !explain.logs.is_empty() => {
+            let mut files: Vec<Box<dyn BufRead>> = Vec::new();
+            for path in &explain.logs {
+                let file = File::open(path).with_context(|| format!("read {}", path.display()))?;
+                files.push(Box::new(BufReader::new(file)));
+            }
+            let names: Vec<String> = explain
+                .logs
+                .iter()
+                .map(|path| path.display().to_string())
+                .collect();
+            let lines = woadstage_gateway::explain::find(&mut files, &explain.request)?;
+            woadstage_gateway::explain::write(&lines, &names, explain.json, out)?;
+            if lines.is_empty() {
+                Err(Refused.into())
+            } else {
+                Ok(())
+            }
+        }
+        _ => Err(Usage("explain takes either --node ADDR or --logs FILE").into()),
+    }
+}
+
 /// Runs a gateway, all of whose tasks stay on this thread.
 async fn run_gateway(settings: &Path) -> anyhow::Result<()> {
     let tasks = tokio::task::LocalSet::new();
--- a/crates/woadstage/tests/e2e/commands.rs
+++ b/crates/woadstage/tests/e2e/commands.rs
@@ -56,6 +56,38 @@
         std::fs::remove_dir_all(&folder).expect("the folder goes");
     };
 
+    check_reports_all_faults_of_a_gateways_settings_at_once => {
+        let folder = std::env::temp_dir().join(format!("woadstage-gateway-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let file = folder.join("bad.toml");
+        let bad = "[node]\nhost = \"a\"\nspeed = 3\n[listen]\ncallers = \"here\"\n[peers]\nseeds = [\"x\"]\n";
+        std::fs::write(&file, bad).expect("a file");
+        let output = woadstage(&["check", "--gateway", &file.display().to_string()]);
+        let said = text(&output);
+        assert_eq!(output.status.code(), Some(1));
+        for place in ["node.speed", "node.data_centre", "listen.callers", "peers.seeds", "platform.address"] {
+            assert!(said.contains(place), "{place}: {said}");
+        }
+        assert_eq!(woadstage(&["gateway", "--settings", &file.display().to_string()]).status.code(), Some(1));
+        std::fs::remove_dir_all(&folder).expect("the folder goes");
+    };
+
+    explain_reads_logs_of_several_nodes => {
+        let folder = std::env::temp_dir().join(format!("woadstage-explain-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let logs = ["one.log", "two.log"].map(|name| folder.join(name).display().to_string());
+        let left = "{\"time_ms\":5,\"event\":\"left\",\"request\":\"r-1\",\"after_ms\":7}\n";
+        std::fs::write(&logs[0], "").expect("a file");
+        std::fs::write(&logs[1], left).expect("a file");
+        let output = woadstage(&["explain", "--logs", &logs[0], "--logs", &logs[1], "r-1"]);
+        assert_eq!(output.status.code(), Some(0));
+        assert!(text(&output).contains("The caller left after 7 ms"), "{}", text(&output));
+        let unknown = woadstage(&["explain", "--logs", &logs[1], "r-2"]);
+        assert_eq!(unknown.status.code(), Some(1));
+        assert_eq!(woadstage(&["explain", "r-1"]).status.code(), Some(2));
+        std::fs::remove_dir_all(&folder).expect("the folder goes");
+    };
+
     an_intent_is_planned_confirmed_and_in_force_everywhere => run(async {
         let fleet = fleet().await?;
         let intent = fleet.folder().join("intent.toml");
