--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -31,7 +31,7 @@
         if news == News::Old {
             return news;
         }
-        self.accounts.hear(now, from, incarnation, &usage);
+        self.accounts.hear(from, incarnation, &usage);
         news
     }
 
@@ -56,7 +56,8 @@
 
     /// Other nodes that are to be sent a status now, with the status.
     pub fn statuses(&mut self, now: Time) -> Option<(Status, Vec<SocketAddrV4>)> {
-        let due = self.members.due(now, self.urgent);
+        let pressed = self.accounts.is_pressed(now);
+        let due = self.members.due(now, self.urgent, pressed);
         if due.is_empty() {
             return None;
         }
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -27,6 +27,7 @@
             self.members.forget_statuses();
         }
         self.ticked = now;
+        self.accounts.begin(now);
         self.members.forget(now);
         self.arrange(now);
         self.count_others(now);
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -34,6 +34,8 @@
     pub cell: usize,
     /// Statuses that one node sends a second beyond its cell.
     pub beyond_per_second: u64,
+    /// The same while a customer presses on its quota.
+    pub pressed_per_second: u64,
     /// Nodes of one cell of a larger fleet that read the platform.
     pub readers: usize,
 }
@@ -51,6 +53,7 @@
             one_cell: 16,
             cell: 12,
             beyond_per_second: 60,
+            pressed_per_second: 200,
             readers: 3,
         }
     }
@@ -282,10 +285,13 @@
     }
 
     /// Time between two statuses to a node beyond this cell.
-    fn beyond_every(&self) -> Span {
-        let per_second = self.options.beyond_per_second.max(1);
-        let spread = Span(self.others.len() as u64 * 1_000_000 / per_second);
-        spread.max(self.options.status_at_least_every)
+    fn beyond_every(&self, pressed: bool) -> Span {
+        let per_second = match pressed {
+            true => self.options.pressed_per_second,
+            false => self.options.beyond_per_second,
+        };
+        let spread = Span(self.others.len() as u64 * 1_000_000 / per_second.max(1));
+        spread.max(self.options.status_every)
     }
 
     /// Silence after which what a node said no longer counts: longer beyond
@@ -296,7 +302,7 @@
             false => self
                 .options
                 .silent_after
-                .max(Span(self.beyond_every().0 * 3)),
+                .max(Span(self.beyond_every(false).0 * 3)),
         }
     }
 
@@ -330,6 +336,7 @@
             nodes,
             silent,
             alone: !self.met_any,
+            one_cell: self.cell.whole,
         }
     }
 
@@ -346,14 +353,14 @@
     }
 
     /// The nodes to send a status now. `urgent` where something changed that
-    /// the others act on.
-    pub fn due(&mut self, now: Time, urgent: bool) -> Vec<SocketAddrV4> {
+    /// the others of the cell act on, `pressed` where all should hear soon.
+    pub fn due(&mut self, now: Time, urgent: bool, pressed: bool) -> Vec<SocketAddrV4> {
         for seed in self.seeds.clone() {
             self.meet(now, seed);
         }
-        let (near, beyond) = (self.interval(urgent), self.beyond_every());
+        let (near, beyond) = (self.interval(urgent), self.beyond_every(pressed));
         let silent: (Span, Span) = (self.silent_after(true), self.silent_after(false));
-        let probe = self.options.probe_every.max(beyond);
+        let probe = self.options.probe_every.max(self.beyond_every(false));
         let mut due = Vec::new();
         for (address, member) in &mut self.others {
             let silent_after = if member.near { silent.0 } else { silent.1 };
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -31,12 +31,12 @@
 #[test]
 fn nodes_meet_through_a_seed_that_knows_another() {
     let mut members = members(1, &[1, 2, 9]);
-    assert_eq!(members.due(at(1), false), [node(2), node(9)]);
+    assert_eq!(members.due(at(1), false, false), [node(2), node(9)]);
     assert_eq!(
         members.hear(at(10), node(2), status(2, 1, &[1, 3])),
         News::Joined
     );
-    assert!(members.due(at(11), false).contains(&node(3)));
+    assert!(members.due(at(11), false, false).contains(&node(3)));
     // An address that never answers counts for nothing.
     assert_eq!(members.reach(at(12)).nodes, 2);
     assert!(!members.reach(at(12)).alone);
@@ -82,9 +82,9 @@
 fn a_silent_node_is_asked_for_a_sign_of_life() {
     let mut members = members(1, &[]);
     members.hear(at(0), node(2), status(2, 1, &[]));
-    members.due(at(2_000), false);
-    assert_eq!(members.due(at(2_100), false), []);
-    assert_eq!(members.due(at(2_500), false), [node(2)]);
+    members.due(at(2_000), false, false);
+    assert_eq!(members.due(at(2_100), false, false), []);
+    assert_eq!(members.due(at(2_500), false, false), [node(2)]);
 }
 
 #[test]
@@ -165,7 +165,7 @@
         let mut members = fleet(1, nodes);
         let sent: usize = (0..2_000)
             .step_by(20)
-            .map(|millis| members.due(at(1 + millis), true).len())
+            .map(|millis| members.due(at(1 + millis), true, false).len())
             .sum();
         // Two seconds: 200 a second within the cell, 60 beyond, all others once.
         assert!(
--- a/crates/dispatch/tests/dispatch/quota.rs
+++ b/crates/dispatch/tests/dispatch/quota.rs
@@ -36,6 +36,7 @@
         nodes,
         silent,
         alone: false,
+        one_cell: true,
     }
 }
 
@@ -106,10 +107,10 @@
             units,
         }]
     };
-    accounts.hear(at(0), node(2), 5, &said(0));
-    accounts.hear(at(1), node(2), 5, &said(800));
+    accounts.hear(node(2), 5, &said(0));
+    accounts.hear(node(2), 5, &said(800));
     // The same word twice, and one that was overtaken, take nothing more.
-    accounts.hear(at(2), node(2), 5, &said(800));
+    accounts.hear(node(2), 5, &said(800));
     assert!(
         accounts
             .admit(at(3), CUSTOMER, &QUOTA, urgent(300), reach(2, 0))
@@ -149,6 +150,7 @@
         nodes: 1,
         silent: 0,
         alone: true,
+        one_cell: true,
     };
     let all = given(&mut accounts(), alone, 0, 8_000);
     assert!(all <= 2_300, "{all}");
@@ -183,6 +185,83 @@
     );
 }
 
+#[test]
+fn a_node_that_has_just_started_has_an_empty_bucket_and_a_small_part() {
+    let mut accounts = accounts();
+    accounts.begin(at(0));
+    // The first fits what has come in since; no other does until the node can
+    // have met the others.
+    assert!(
+        accounts
+            .admit(at(500), CUSTOMER, &QUOTA, urgent(300), reach(1, 0))
+            .is_ok()
+    );
+    assert!(
+        accounts
+            .admit(at(900), CUSTOMER, &QUOTA, urgent(100), reach(1, 0))
+            .is_err()
+    );
+    assert!(
+        accounts
+            .admit(at(1_100), CUSTOMER, &QUOTA, urgent(700), reach(1, 0))
+            .is_ok()
+    );
+    assert!(
+        accounts
+            .admit(at(1_100), CUSTOMER, &QUOTA, urgent(700), reach(1, 0))
+            .is_err()
+    );
+}
+
+/// What a fleet of several cells gives out over eight seconds when it is asked
+/// for ten times the limit, and words take `lag` milliseconds.
+fn fleet_gives(nodes: usize, lag: u64) -> u64 {
+    let reach = Reach {
+        one_cell: false,
+        ..reach(nodes, 0)
+    };
+    let quota = Quota {
+        per_second: 100_000.0,
+        burst: 100_000.0,
+        plain_tokens: Some(1),
+    };
+    let mut fleet: Vec<Accounts> = (0..nodes).map(|_| accounts()).collect();
+    let mut used = vec![0u64; nodes];
+    for millis in (0..8_000).step_by(20) {
+        let asking = fleet.iter_mut().zip(&mut used).enumerate();
+        for (_, (accounts, used)) in
+            asking.filter(|(place, _)| (millis / 20 + *place as u64).is_multiple_of(9))
+        {
+            if accounts
+                .admit(at(millis), CUSTOMER, &quota, urgent(3_000), reach)
+                .is_ok()
+            {
+                *used += 3_000;
+            }
+        }
+        if millis % lag == 0 {
+            for (to, accounts) in fleet.iter_mut().enumerate() {
+                for (from, units) in used.iter().enumerate().filter(|(from, _)| *from != to) {
+                    let said = [Usage {
+                        customer: CUSTOMER,
+                        units: *units,
+                    }];
+                    accounts.hear(node(from as u8), 1, &said);
+                }
+            }
+        }
+    }
+    used.iter().sum()
+}
+
+#[test]
+fn a_fleet_of_cells_keeps_to_the_limit_though_words_are_old() {
+    // The rules allow (8 R + B) x 1.25 + 72,000.
+    let given = fleet_gives(60, 400);
+    assert!(given <= 1_197_000, "{given}");
+    assert!(given >= 700_000, "{given}");
+}
+
 proptest! {
     /// However a fleet is cut in two, both sides together give out no more than
     /// the whole limit and the bursts that both had.
