--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -2,14 +2,9 @@
 
 use std::rc::Rc;
 
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -29,6 +24,10 @@
 
 use super::admit;
 use super::admit::Admitted;
+use super::judge;
+use super::judge::Verdict;
+use super::outgoing;
+use super::outgoing::Attempt;
 use super::payload::Payload;
 use super::relay;
 use super::reply::Reply;
@@ -39,18 +38,6 @@
 use crate::upstream::Body;
 use crate::upstream::Fault;
 
-/// Fields of a head that belong to one connection alone (RFC 9110, 7.6.1).
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// When a caller may come back whom no endpoint had room for.
 const SOON: Span = Span::from_millis(200);
 
@@ -299,7 +286,16 @@
         endpoint: &Endpoint,
         last_event: Option<&str>,
     ) -> Result<Answer, Fault> {
-        let Some(request) = self.make_request(endpoint, last_event) else {
+        let attempt = Attempt {
+            endpoint,
+            left: self.admitted.caller_deadline.since(self.shell.now()),
+            last_event,
+        };
+        let names = &self.shell.headers;
+        let request = self.payload.as_mut().and_then(|payload| {
+            outgoing::make(names, &self.admitted, &self.head, payload, &attempt)
+        });
+        let Some(request) = request else {
             return Err(Fault::Lost("the body has gone out already".into()));
         };
         let until = self.shell.clock.to_instant(self.admitted.deadline);
@@ -310,81 +306,21 @@
         }
     }
 
-    /// The request as an endpoint gets it.
-    fn make_request(
-        &mut self,
-        endpoint: &Endpoint,
-        last_event: Option<&str>,
-    ) -> Option<Request<Body>> {
-        let payload = self.payload.as_mut().filter(|payload| payload.can_send())?;
-        let length = payload.length_opt();
-        let body = payload.take_body();
-        let path = self.head.uri.path_and_query()?.as_str();
-        let mut request = Request::builder()
-            .method(self.head.method.clone())
-            .uri(path)
-            .body(body)
-            .ok()?;
-        let names = &self.shell.headers;
-        let headers = request.headers_mut();
-        *headers = self.head.headers.clone();
-        strip(headers);
-        headers.remove(header::AUTHORIZATION);
-        headers.remove(header::EXPECT);
-        headers.remove(&names.customer);
-        // A held body is sent with its length, however it came.
-        if length.is_some_and(|length| length > 0) || payload_is_framed(&self.head.headers) {
-            match length {
-                Some(length) => headers.insert(header::CONTENT_LENGTH, length.into()),
-                None if self.head.headers.contains_key(header::TRANSFER_ENCODING) => {
-                    headers.remove(header::CONTENT_LENGTH)
-                }
-                None => None,
-            };
-        }
-        let left = self.admitted.caller_deadline.since(self.shell.now());
-        headers.insert(names.deadline.clone(), (left.0 / 1_000).max(1).into());
-        headers.insert(names.instance.clone(), to_value(endpoint.name.as_str())?);
-        if let Some(customer) = &self.admitted.customer {
-            headers.insert(names.customer.clone(), to_value(customer.name.as_str())?);
-        }
-        if let Some(last) = last_event {
-            headers.insert(names.last_event.clone(), to_value(last)?);
-        }
-        Some(request)
-    }
-
-    /// Says what an answer's head means for the request.
     fn judge(&self, answer: &Answer) -> Verdict {
+        let response = &answer.response;
         let names = &self.shell.headers;
-        let headers = answer.response.headers();
-        let status = answer.response.status();
-        let echoed = text(headers, &names.request);
-        if echoed.is_some_and(|echoed| echoed != self.admitted.request) {
-            return Verdict::Retry(End::Lost);
-        }
-        if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
-            return match status {
-                StatusCode::MISDIRECTED_REQUEST => Verdict::Retry(End::NotThere),
-                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-                    Verdict::Retry(End::Full)
-                }
-                _ => Verdict::Pass,
-            };
-        }
-        if status.is_success() && echoed.is_none() && !self.admitted.request.is_empty() {
-            return Verdict::Retry(End::Lost);
-        }
-        if status.is_server_error() || promises_not_run(status) {
-            return Verdict::Retry(End::Fault);
-        }
-        Verdict::Pass
+        judge::judge(
+            names,
+            &self.admitted.request,
+            response.status(),
+            response.headers(),
+        )
     }
 
     /// Passes an endpoint's own fault to the caller, unless its status would
     /// promise what is not known to be true.
     fn pass_fault(&self, answer: Answer) -> Result<Answer, Reply> {
-        if promises_not_run(answer.response.status()) {
+        if judge::promises_not_run(answer.response.status()) {
             return Err(Code::EndpointFault.into());
         }
         Ok(answer)
@@ -481,39 +417,3 @@
         self.job
     }
 }
-
-/// What an answer's head means.
-enum Verdict {
-    /// The caller is to have it.
-    Pass,
-    /// The attempt ended so, and another may follow.
-    Retry(End),
-}
-
-/// True for a status by which callers take it that a request has not run.
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(status.as_u16(), 408 | 421 | 429 | 503)
-}
-
-fn payload_is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
-/// Removes the fields that belong to one connection, and those that its
-/// `Connection` field names.
-pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
-
-fn to_value(text: &str) -> Option<HeaderValue> {
-    HeaderValue::from_str(text).ok()
-}
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,8 @@
 //! * `admit.rs`: which route and customer a request has.
 //! * `payload.rs`: its body.
 //! * `exchange.rs`: attempts at endpoints until there is an answer.
+//! * `outgoing.rs`: a request as an endpoint gets it.
+//! * `judge.rs`: what an answer's head means.
 //! * `relay.rs`: the answer's way to the caller.
 //! * `framer.rs`: events of a stream.
 //! * `reply.rs`: answers of this node's own.
@@ -31,6 +33,8 @@
 mod admit;
 mod exchange;
 pub mod framer;
+mod judge;
+mod outgoing;
 mod payload;
 mod relay;
 mod reply;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -16,10 +16,10 @@
 use woadstage_dispatch::configuration::Kind;
 use woadstage_dispatch::job::End;
 
-use super::exchange;
 use super::exchange::Exchange;
 use super::framer;
 use super::framer::Framer;
+use super::outgoing;
 use crate::event::Event;
 use crate::upstream::Answer;
 use crate::upstream::Body;
@@ -50,7 +50,7 @@
     } = answer;
     let (mut head, incoming) = response.into_parts();
     let keep = reuse::keep_for(&head.headers);
-    exchange::strip(&mut head.headers);
+    outgoing::strip(&mut head.headers);
     let whole = head.status.is_success();
     let stream = exchange.admitted.route.kind == Kind::Stream && whole;
     let resumable = stream && exchange.admitted.route.resumable;
