fix: engines that cost alike are told apart, a home is believed as often as prompts recur

Cause: every prompt was taken for half read at its home, an endpoint drawn by the name of its last part; but on the two sites last parts hardly ever recur (under 2 in 100 tokens were found kept), so this only sent prompts astray. Without it all nodes chose the same of several equal engines at one moment.

Change: homes are believed by the measured share of prompts that recur; engines' costs differ by up to a tenth as if at random, as those of plain services do.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -93,8 +93,8 @@
         Policy {
             queue_limit: 4_096,
             ahead: 2,
-            reread: 60.0,
-            decode: 0.1,
+            reread: 20.0,
+            decode: 0.4,
             failing: 500_000.0,
             crossing: 1_500.0,
             look_ahead: 32,
@@ -231,6 +231,8 @@
     index: HashMap<id::Endpoint, usize>,
     queue: Queue,
     warm: Warm,
+    /// The share of prompts that were seen before, whole.
+    recurring: f64,
     /// When requests of each rank were lately sent.
     starts: HashMap<Rank, VecDeque<Time>>,
     /// Usual time to the first event, in microseconds.
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -26,9 +26,8 @@
 /// Starts of one rank that are remembered.
 const STARTS_KEPT: usize = 256;
 
-/// The part of an unseen prompt that its home endpoint is believed to hold,
-/// since all nodes send it there first.
-const HOME_BELIEF: f64 = 0.5;
+/// Weight of one prompt in the share of those that were seen before.
+const NEWEST: f64 = 0.02;
 
 impl Dispatcher {
     /// Gives free endpoints of every service what waits.
@@ -149,7 +148,9 @@
         let cached = pool.warm.cached(now, chain, worker.number);
         let unread = job.prompt.tokens.saturating_sub(cached);
         let believed = if home && cached == 0 {
-            unread as f64 * (1.0 - HOME_BELIEF)
+            // All nodes send a prompt to its home first: as often as prompts
+            // recur, the home has read this one for another node.
+            unread as f64 * (1.0 - pool.recurring)
         } else {
             unread as f64
         };
@@ -162,7 +163,9 @@
         Choice {
             worker: at,
             uncached: unread,
-            micros: time * worker.pace + believed * policy.reread + self.doubt(worker),
+            micros: time * worker.pace * spread(worker, job)
+                + believed * policy.reread
+                + self.doubt(worker),
         }
     }
 
@@ -176,9 +179,7 @@
         } else {
             self.options.policy.crossing
         };
-        // A tenth at random keeps nodes from all choosing the same one.
-        let mixed = hash::chain(u64::from(worker.number), &job.arrived.0.to_le_bytes()) % 100;
-        let spread = 1.0 + mixed as f64 / 1_000.0;
+        let spread = spread(worker, job);
         Choice {
             worker: at,
             uncached: 0,
@@ -218,7 +219,10 @@
         let endpoint = worker.endpoint.clone();
         let number = worker.number;
         job.history.tried.push(endpoint.name.clone());
-        pool.warm.add(now, &warm::chain(&job.prompt.parts), number);
+        let chain = warm::chain(&job.prompt.parts);
+        let seen = f64::from(u8::from(pool.warm.knows(&chain)));
+        pool.recurring += (seen - pool.recurring) * NEWEST;
+        pool.warm.add(now, &chain, number);
         let run = Run {
             worker: choice.worker,
             started: now,
@@ -247,6 +251,13 @@
     }
 }
 
+/// Up to a tenth more, as if at random, so that nodes do not all choose the
+/// same endpoint at the same moment.
+fn spread(worker: &Worker, job: &Job) -> f64 {
+    let mixed = hash::chain(u64::from(worker.number), &job.arrived.0.to_le_bytes()) % 100;
+    1.0 + mixed as f64 / 1_000.0
+}
+
 /// The endpoint that all nodes take for the home of a prompt (rendezvous
 /// hashing): the last part is the request's own or its session's.
 fn home(pool: &Pool, chain: &[(u64, u64)]) -> Option<usize> {
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -194,6 +194,7 @@
         index: HashMap::new(),
         queue: Queue::default(),
         warm: Warm::new(warm.clone()),
+        recurring: 0.0,
         starts: HashMap::new(),
         first: FIRST,
         step: STEP,
--- a/crates/dispatch/src/warm.rs
+++ b/crates/dispatch/src/warm.rs
@@ -110,6 +110,13 @@
         held.last().map_or(0, |(_, tokens)| *tokens)
     }
 
+    /// True where the whole prompt was read before, wherever that was.
+    pub fn knows(&self, chain: &[(u64, u64)]) -> bool {
+        chain
+            .last()
+            .is_some_and(|(key, _)| self.hints.contains_key(key))
+    }
+
     /// Prompts remembered.
     pub fn len(&self) -> usize {
         self.hints.len()
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -5,6 +5,7 @@
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::job::Part;
 use woadstage_dispatch::job::Prompt;
 use woadstage_dispatch::message::Load;
 use woadstage_dispatch::message::Status;
@@ -231,3 +232,37 @@
     assert_eq!((refused[0].0, refused[0].1), (waits, Code::NoEndpoint));
     assert!(refused[0].2.is_some());
 }
+
+/// Where the last of these prompts of one part each is sent; both endpoints are
+/// free each time.
+fn place_of_last(parts: &[u64]) -> String {
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 8), endpoint("f", MODEL, 8)]);
+    let mut last = String::new();
+    for (millis, part) in (0..).zip(parts) {
+        let prompt = Prompt {
+            tokens: 1_000,
+            output: 10,
+            parts: vec![Part {
+                id: *part,
+                tokens: 1_000,
+            }],
+            ..Prompt::default()
+        };
+        let job = Job {
+            prompt,
+            ..job(MODEL, 0, at(millis))
+        };
+        let id = dispatcher.enter(at(millis), job);
+        last = starts(&mut dispatcher).remove(0).1;
+        dispatcher.end(at(millis), id, End::Whole);
+    }
+    last
+}
+
+#[test]
+fn a_prompt_that_was_read_goes_where_it_was_read() {
+    for part in 1..20 {
+        let first = place_of_last(&[part]);
+        assert_eq!(place_of_last(&[part, 98, 99, 100, part]), first);
+    }
+}
--- a/crates/dispatch/tests/dispatch/warm.rs
+++ b/crates/dispatch/tests/dispatch/warm.rs
@@ -27,6 +27,8 @@
     assert_eq!(warm.cached(at(1), &prompt(&[1, 2, 4]), 7), 200);
     assert_eq!(warm.cached(at(1), &prompt(&[2, 3]), 7), 0);
     assert_eq!(warm.cached(at(1), &prompt(&[1, 2, 3]), 8), 0);
+    assert!(warm.knows(&prompt(&[1, 2, 3])));
+    assert!(!warm.knows(&prompt(&[1, 2, 4])));
 }
 
 #[test]
