--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -278,7 +278,7 @@
                 spare * ahead_most.0 as f64
             };
             let ahead = Span(ahead as u64);
-            if account.even_at > now + ahead {
+            if !small && account.even_at > now + ahead {
                 return Err(Denied {
                     wait: account.even_at.since(now + ahead),
                     level: account.level,
--- a/crates/dispatch/tests/dispatch/quota.rs
+++ b/crates/dispatch/tests/dispatch/quota.rs
@@ -213,6 +213,27 @@
     );
 }
 
+#[test]
+fn what_is_small_is_not_held_to_the_even_part() {
+    let mut accounts = accounts();
+    accounts.begin(at(0));
+    assert!(
+        accounts
+            .admit(at(500), CUSTOMER, &QUOTA, urgent(300), reach(1, 0))
+            .is_ok()
+    );
+    assert!(
+        accounts
+            .admit(at(510), CUSTOMER, &QUOTA, urgent(100), reach(1, 0))
+            .is_err()
+    );
+    assert!(
+        accounts
+            .admit(at(510), CUSTOMER, &QUOTA, urgent(5), reach(1, 0))
+            .is_ok()
+    );
+}
+
 /// What a fleet of several cells gives out over eight seconds when it is asked
 /// for ten times the limit, and words take `lag` milliseconds.
 fn fleet_gives(nodes: usize, lag: u64) -> u64 {
