fix: a node passes on only what is newer, and nodes that are behind ask different ones

Change: a node says what it knows and is given what is newer; it picks among the eight furthest ahead, its own cell first, and asks another where one fails. member.rs, grown large, is four files by what they do. Protocol version 2.

--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -100,7 +100,8 @@
     pub fn take_snapshot(&mut self, now: Time, snapshot: Snapshot) -> bool {
         let configuration = snapshot.configuration;
         let newer = configuration.is_some_and(|newer| self.set_configuration(now, newer));
-        self.set_endpoints(now, snapshot.endpoints) || newer
+        let endpoints = snapshot.endpoints;
+        endpoints.is_some_and(|later| self.set_endpoints(now, later)) || newer
     }
 
     /// Says which endpoints belong to this node's cell. A data centre that has
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -8,6 +8,7 @@
 use super::Dispatcher;
 use crate::configuration::Configuration;
 use crate::configuration::Priority;
+use crate::endpoint::List;
 use crate::quota::Reach;
 use crate::table::Table;
 
@@ -47,6 +48,11 @@
             .map_or(0, |configuration| configuration.version)
     }
 
+    /// The list of endpoints in force.
+    pub fn endpoints(&self) -> &Arc<List> {
+        &self.list
+    }
+
     /// The platform's revision of the list of endpoints; 0 for none.
     pub fn endpoints_revision(&self) -> u64 {
         self.list.revision
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -10,6 +10,7 @@
 use crate::endpoint;
 use crate::member::News;
 use crate::member::Reading;
+use crate::message::Known;
 use crate::message::Load;
 use crate::message::Snapshot;
 use crate::message::Status;
@@ -108,21 +109,32 @@
             .collect()
     }
 
-    /// What this node has read of the platform, for another.
-    pub fn snapshot(&self) -> Snapshot {
+    /// What this node has read of the platform and one that knows as much as
+    /// `known` has not. A configuration may be a hundred times as long as a list
+    /// of endpoints and changes seldom, so neither comes along with the other.
+    pub fn snapshot(&self, known: Known) -> Snapshot {
+        let configuration = self
+            .configuration()
+            .filter(|configuration| configuration.version > known.configuration);
+        let newer = self.list.revision > known.endpoints;
         Snapshot {
-            configuration: self
-                .table
-                .as_ref()
-                .map(|table| table.configuration().clone()),
-            endpoints: self.list.clone(),
+            configuration: configuration.cloned(),
+            endpoints: newer.then(|| self.list.clone()),
         }
     }
 
-    /// A node that has newer documents of the platform than this one, if any.
-    pub fn ahead_opt(&self, now: Time) -> Option<SocketAddrV4> {
-        self.members
-            .ahead_opt(now, self.configuration_version(), self.list.revision)
+    /// The newest documents that this node has.
+    pub fn known(&self) -> Known {
+        Known {
+            configuration: self.configuration_version(),
+            endpoints: self.list.revision,
+        }
+    }
+
+    /// A node that has newer documents of the platform than this one, if any;
+    /// another for each `attempt`, where there are several.
+    pub fn ahead_opt(&self, now: Time, attempt: u64) -> Option<SocketAddrV4> {
+        self.members.ahead_opt(now, self.known(), attempt)
     }
 
     /// Takes other seeds, from settings that changed.
--- /dev/null
+++ b/crates/dispatch/src/member/ahead.rs
@@ -0,0 +1,39 @@
+//! Which node to take newer documents of the platform from.
+
+use std::cmp::Reverse;
+use std::net::SocketAddrV4;
+
+use woadstage_types::hash;
+use woadstage_types::unit::Time;
+
+use super::Members;
+use crate::message::Known;
+
+/// Nodes furthest ahead among which one is chosen. Were all nodes to ask the
+/// very first of them, a long document would fill that one's link.
+const CHOSEN_FROM: usize = 8;
+
+impl Members {
+    /// A node that has something newer than `known`, if there is one; another
+    /// for each `attempt`, where there are several. Nodes of the own cell are
+    /// asked first.
+    pub fn ahead_opt(&self, now: Time, known: Known, attempt: u64) -> Option<SocketAddrV4> {
+        let candidates = self.fresh(now).map(|(address, member)| {
+            let status = &member.status;
+            let newer = status.configuration.saturating_sub(known.configuration);
+            let later = status.endpoints.saturating_sub(known.endpoints);
+            (newer, later, member.near, *address)
+        });
+        let mut ahead: Vec<_> = candidates.filter(|one| (one.0, one.1) != (0, 0)).collect();
+        ahead.sort_unstable_by_key(|one| Reverse((one.0 > 0, one.1, one.3)));
+        ahead.truncate(CHOSEN_FROM);
+        if attempt % 2 == 0 && ahead.iter().any(|one| one.2) {
+            ahead.retain(|one| one.2);
+        }
+        let seed = hash::chain(attempt, &self.own.ip().octets());
+        let chosen = ahead
+            .iter()
+            .max_by_key(|one| hash::chain(seed, &one.3.ip().octets()));
+        chosen.map(|one| one.3)
+    }
+}
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -1,16 +1,26 @@
 //! Which other nodes there are, from a few stale addresses and from what other
 //! nodes say. Used for sharing only: no promise to a caller rests on it.
+//!
+//! * `cell.rs`: parts of a large fleet, and who reads the platform for them.
+//! * `speak.rs`: to whom a node speaks, and how often.
+//! * `ahead.rs`: which node to take newer documents from.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
-use woadstage_types::hash;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use crate::message::Status;
 use crate::quota::Reach;
 
+mod ahead;
+mod cell;
+mod speak;
+
+pub use cell::Cell;
+pub use cell::Reading;
+
 /// Bounds of membership.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -74,30 +84,6 @@
     pub status: Status,
 }
 
-/// A part of a fleet that shares its part of the endpoints. Small fleets are
-/// one cell; in larger ones each data centre has several, so that what a node
-/// hears and sends stays the same however large the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Cell {
-    /// True where the whole fleet is this one cell.
-    pub whole: bool,
-    /// Which cell of the data centre this is.
-    pub index: usize,
-    /// Cells of the data centre.
-    pub count: usize,
-}
-
-/// Who reads the platform.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reading {
-    /// This node reads for itself, as do all others.
-    Alone,
-    /// This node reads for its cell.
-    ForOthers,
-    /// Others of its cell read for this node.
-    Resting,
-}
-
 /// All other nodes.
 #[derive(Debug)]
 pub struct Members {
@@ -110,12 +96,6 @@
     met_any: bool,
 }
 
-const ONE_CELL: Cell = Cell {
-    whole: true,
-    index: 0,
-    count: 1,
-};
-
 /// What a status brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum News {
@@ -141,7 +121,7 @@
             data_centre,
             seeds: Vec::new(),
             others: HashMap::new(),
-            cell: ONE_CELL,
+            cell: cell::ONE_CELL,
             met_any: false,
         };
         members.set_seeds(seeds);
@@ -218,82 +198,6 @@
         }
     }
 
-    /// Arranges the nodes that were heard into cells. Nodes that see different
-    /// fleets for a while arrange them differently, which costs balance and
-    /// nothing else.
-    pub fn arrange(&mut self, now: Time) {
-        let heard: Vec<(SocketAddrV4, u32)> = self
-            .fresh(now)
-            .filter(|(_, member)| !member.status.leaving)
-            .map(|(address, member)| (*address, member.status.data_centre))
-            .collect();
-        if heard.len() < self.options.one_cell {
-            self.cell = ONE_CELL;
-            self.others
-                .values_mut()
-                .for_each(|member| member.near = true);
-            return;
-        }
-        let in_centre = heard
-            .iter()
-            .filter(|(_, centre)| *centre == self.data_centre);
-        let mut all: Vec<SocketAddrV4> = in_centre.map(|(address, _)| *address).collect();
-        all.push(self.own);
-        all.sort_by_key(|address| (score(address), *address));
-        let count = all.len().div_ceil(self.options.cell).max(1);
-        let place = all.iter().position(|address| *address == self.own);
-        let index = place.unwrap_or(0) % count;
-        self.cell = Cell {
-            whole: false,
-            index,
-            count,
-        };
-        self.others
-            .values_mut()
-            .for_each(|member| member.near = false);
-        for (place, address) in all.iter().enumerate() {
-            if let Some(member) = self.others.get_mut(address) {
-                member.near = place % count == index;
-            }
-        }
-    }
-
-    /// The cell of this node.
-    pub fn cell(&self) -> Cell {
-        self.cell
-    }
-
-    /// Who reads the platform, as this node sees it.
-    pub fn reading(&self, now: Time) -> Reading {
-        if self.cell.whole {
-            return Reading::Alone;
-        }
-        let own = score(&self.own);
-        let before = self.near(now).filter(|(address, member)| {
-            let able = !member.status.cut_off && !member.status.leaving;
-            able && score(address) < own
-        });
-        match before.count() < self.options.readers {
-            true => Reading::ForOthers,
-            false => Reading::Resting,
-        }
-    }
-
-    /// The nodes of this cell that were heard lately.
-    pub fn near(&self, now: Time) -> impl Iterator<Item = (&SocketAddrV4, &Member)> + '_ {
-        self.fresh(now).filter(|(_, member)| member.near)
-    }
-
-    /// Time between two statuses to a node beyond this cell.
-    fn beyond_every(&self, pressed: bool) -> Span {
-        let per_second = match pressed {
-            true => self.options.pressed_per_second,
-            false => self.options.beyond_per_second,
-        };
-        let spread = Span(self.others.len() as u64 * 1_000_000 / per_second.max(1));
-        spread.max(self.options.status_every)
-    }
-
     /// Silence after which what a node said no longer counts: longer beyond
     /// the cell, where nodes are heard less often.
     fn silent_after(&self, near: bool) -> Span {
@@ -340,74 +244,6 @@
         }
     }
 
-    /// Addresses to tell others of.
-    pub fn told(&self, now: Time, turn: u64) -> Vec<SocketAddrV4> {
-        let mut known: Vec<SocketAddrV4> = self.fresh(now).map(|(address, _)| *address).collect();
-        known.sort();
-        if known.len() > self.options.told {
-            let start = (turn as usize).wrapping_mul(self.options.told) % known.len();
-            known.rotate_left(start);
-            known.truncate(self.options.told);
-        }
-        known
-    }
-
-    /// The nodes to send a status now. `urgent` where something changed that
-    /// the others of the cell act on, `pressed` where all should hear soon.
-    pub fn due(&mut self, now: Time, urgent: bool, pressed: bool) -> Vec<SocketAddrV4> {
-        for seed in self.seeds.clone() {
-            self.meet(now, seed);
-        }
-        let (near, beyond) = (self.interval(urgent), self.beyond_every(pressed));
-        let silent: (Span, Span) = (self.silent_after(true), self.silent_after(false));
-        let probe = self.options.probe_every.max(self.beyond_every(false));
-        let mut due = Vec::new();
-        for (address, member) in &mut self.others {
-            let silent_after = if member.near { silent.0 } else { silent.1 };
-            let fresh = member
-                .heard
-                .is_some_and(|heard| now.since(heard) <= silent_after);
-            let wait = match (fresh, member.near) {
-                (true, true) => near,
-                (true, false) => beyond,
-                (false, _) => probe,
-            };
-            if member.sent == Time(0) || now.since(member.sent) >= wait {
-                member.sent = now;
-                due.push(*address);
-            }
-        }
-        due.sort();
-        due
-    }
-
-    /// The time between two statuses to one node of this cell: so long that all
-    /// of them together cost the same in a cell of any size.
-    pub fn interval(&self, urgent: bool) -> Span {
-        if !urgent {
-            return self.options.status_at_least_every;
-        }
-        let per_second = self.options.statuses_per_second.max(1);
-        let near = self.others.values().filter(|member| member.near).count();
-        let spread = Span(near as u64 * 1_000_000 / per_second);
-        spread.max(self.options.status_every)
-    }
-
-    /// The node with the newest configuration or list of endpoints, if it is
-    /// ahead of the given ones.
-    pub fn ahead_opt(&self, now: Time, configuration: u64, endpoints: u64) -> Option<SocketAddrV4> {
-        let ahead = |status: &Status| {
-            let newer = status.configuration.saturating_sub(configuration);
-            let later = status.endpoints.saturating_sub(endpoints);
-            (newer, later)
-        };
-        let candidates = self
-            .fresh(now)
-            .map(|(address, member)| (ahead(&member.status), *address));
-        let best = candidates.max()?;
-        (best.0 != (0, 0)).then_some(best.1)
-    }
-
     /// Other nodes that were heard or spoken of.
     pub fn len(&self) -> usize {
         self.others.len()
@@ -418,8 +254,3 @@
         self.others.is_empty()
     }
 }
-
-/// A node's place among others, the same for all who ask.
-fn score(address: &SocketAddrV4) -> u64 {
-    hash::of(&address.ip().octets())
-}
--- /dev/null
+++ b/crates/dispatch/src/member/speak.rs
@@ -0,0 +1,73 @@
+//! To whom a node speaks, how often, and of which others.
+
+use std::net::SocketAddrV4;
+
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Members;
+
+impl Members {
+    /// Time between two statuses to a node beyond this cell.
+    pub(super) fn beyond_every(&self, pressed: bool) -> Span {
+        let per_second = match pressed {
+            true => self.options.pressed_per_second,
+            false => self.options.beyond_per_second,
+        };
+        let spread = Span(self.others.len() as u64 * 1_000_000 / per_second.max(1));
+        spread.max(self.options.status_every)
+    }
+
+    /// Addresses to tell others of.
+    pub fn told(&self, now: Time, turn: u64) -> Vec<SocketAddrV4> {
+        let mut known: Vec<SocketAddrV4> = self.fresh(now).map(|(address, _)| *address).collect();
+        known.sort();
+        if known.len() > self.options.told {
+            let start = (turn as usize).wrapping_mul(self.options.told) % known.len();
+            known.rotate_left(start);
+            known.truncate(self.options.told);
+        }
+        known
+    }
+
+    /// The nodes to send a status now. `urgent` where something changed that
+    /// the others of the cell act on, `pressed` where all should hear soon.
+    pub fn due(&mut self, now: Time, urgent: bool, pressed: bool) -> Vec<SocketAddrV4> {
+        for seed in self.seeds.clone() {
+            self.meet(now, seed);
+        }
+        let (near, beyond) = (self.interval(urgent), self.beyond_every(pressed));
+        let silent: (Span, Span) = (self.silent_after(true), self.silent_after(false));
+        let probe = self.options.probe_every.max(self.beyond_every(false));
+        let mut due = Vec::new();
+        for (address, member) in &mut self.others {
+            let silent_after = if member.near { silent.0 } else { silent.1 };
+            let fresh = member
+                .heard
+                .is_some_and(|heard| now.since(heard) <= silent_after);
+            let wait = match (fresh, member.near) {
+                (true, true) => near,
+                (true, false) => beyond,
+                (false, _) => probe,
+            };
+            if member.sent == Time(0) || now.since(member.sent) >= wait {
+                member.sent = now;
+                due.push(*address);
+            }
+        }
+        due.sort();
+        due
+    }
+
+    /// The time between two statuses to one node of this cell: so long that all
+    /// of them together cost the same in a cell of any size.
+    pub fn interval(&self, urgent: bool) -> Span {
+        if !urgent {
+            return self.options.status_at_least_every;
+        }
+        let per_second = self.options.statuses_per_second.max(1);
+        let near = self.others.values().filter(|member| member.near).count();
+        let spread = Span(near as u64 * 1_000_000 / per_second);
+        spread.max(self.options.status_every)
+    }
+}
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -11,7 +11,7 @@
 use crate::endpoint::List;
 
 /// The version of this protocol; the first byte of everything on the wire.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// What one node runs at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -74,11 +74,20 @@
     pub members: Vec<SocketAddrV4>,
 }
 
-/// What the platform published, as one node passes it to another.
+/// The newest documents of the platform that a node has, by version; 0 for none.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The version of the configuration.
+    pub configuration: u64,
+    /// The revision of the list of endpoints.
+    pub endpoints: u64,
+}
+
+/// What the platform published, as one node passes it to another that has less.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The configuration in force, if any.
+    /// The configuration in force, where it is newer.
     pub configuration: Option<Arc<Configuration>>,
-    /// The endpoints.
-    pub endpoints: Arc<List>,
+    /// The endpoints, where the list is newer.
+    pub endpoints: Option<Arc<List>>,
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -41,6 +41,9 @@
 /// itself before they are taken from those.
 const AHEAD_FOR: Duration = Duration::from_millis(250);
 
+/// Nodes that are asked for newer documents, one after the other.
+const CATCH_UP_ATTEMPTS: usize = 3;
+
 /// Time between two looks at the settings file.
 const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 
@@ -196,7 +199,7 @@
         });
     }
     if after.1 != before.1 {
-        let list = shell.query(|dispatcher, _| dispatcher.snapshot().endpoints);
+        let list = shell.query(|dispatcher, _| dispatcher.endpoints().clone());
         let leaving = list.endpoints.iter().filter(|one| one.leaving).count();
         shell.metrics.change("endpoints");
         shell.log(&Event::Endpoints {
@@ -225,30 +228,40 @@
         peers::tell(&shell, &socket);
         let role = shell.query(|dispatcher, now| dispatcher.reading(now));
         reading.send_if_modified(|told| std::mem::replace(told, role) != role);
-        let ahead = shell.query(|dispatcher, now| dispatcher.ahead_opt(now));
+        let ahead = shell.query(|dispatcher, now| dispatcher.ahead_opt(now, 0));
         let since = *ahead_since.get_or_insert(now);
         match ahead {
             None => ahead_since = None,
-            Some(from) if to_duration(now.since(since)) >= AHEAD_FOR => {
+            Some(_) if to_duration(now.since(since)) >= AHEAD_FOR => {
                 ahead_since = None;
-                spawn_local(catch_up(shell.clone(), from));
+                spawn_local(catch_up(shell.clone()));
             }
             Some(_) => {}
         }
     }
 }
 
-/// Takes from another node what the platform has not given this one.
-async fn catch_up(shell: Rc<Shell>, from: std::net::SocketAddrV4) {
-    match peers::snapshot::take(from).await {
-        Ok(snapshot) => note_change(&shell, "node", |shell| {
-            shell.command(|dispatcher, now| dispatcher.take_snapshot(now, snapshot));
-        }),
-        Err(error) => shell.log(&Event::Dependency {
-            name: "node",
-            reached: false,
-            detail: &format!("{from}: {error}"),
-        }),
+/// Takes from other nodes what the platform has not given this one.
+async fn catch_up(shell: Rc<Shell>) {
+    for _ in 0..CATCH_UP_ATTEMPTS {
+        let attempt = shell.attempts_at_catching_up();
+        let (known, from) =
+            shell.query(|dispatcher, now| (dispatcher.known(), dispatcher.ahead_opt(now, attempt)));
+        let Some(from) = from else {
+            return;
+        };
+        match peers::snapshot::take(from, known).await {
+            Ok(snapshot) => {
+                return note_change(&shell, "node", |shell| {
+                    shell.command(|dispatcher, now| dispatcher.take_snapshot(now, snapshot));
+                });
+            }
+            Err(error) => shell.log(&Event::Dependency {
+                name: "node",
+                reached: false,
+                detail: &format!("{from}: {error}"),
+            }),
+        }
     }
 }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -52,6 +52,7 @@
     pub bodies: Arc<Semaphore>,
     /// Connections from callers that are open.
     pub connections: Cell<usize>,
+    catch_ups: Cell<u64>,
     phase: watch::Sender<Phase>,
     dispatcher: RefCell<Dispatcher>,
     waiters: RefCell<HashMap<job::Id, oneshot::Sender<Decision>>>,
@@ -77,6 +78,7 @@
             upstream: Upstream::default(),
             bodies: Arc::new(Semaphore::new(((memory.0 / BODIES_PART) >> 10) as usize)),
             connections: Cell::new(0),
+            catch_ups: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
             dispatcher: RefCell::new(dispatcher),
             waiters: RefCell::default(),
@@ -108,6 +110,11 @@
         query(&self.dispatcher.borrow(), self.now())
     }
 
+    /// Counts an attempt at taking documents from another node.
+    pub fn attempts_at_catching_up(&self) -> u64 {
+        self.catch_ups.replace(self.catch_ups.get() + 1)
+    }
+
     /// Gives a command, and hands what was decided to those who wait for it.
     pub fn command<R>(&self, command: impl FnOnce(&mut Dispatcher, Time) -> R) -> R {
         let answer = command(&mut self.dispatcher.borrow_mut(), self.now());
