feat: in large fleets each customer's quota has an owner that the others ask

Nodes kept to their even part, since use was told too seldom beyond a cell to act on: a node's part of a small customer's limit is 360 tokens a second, one request asks for 3,000.

The customer's owner (rendezvous hashing over the nodes heard lately) is asked by datagram, 60 ms at the most, then the second, then a node keeps to a quarter of its even part. All buckets are still drained by what everybody gave out, so an owner may change without a gap. An owner that still hears one before it gives out half. Nodes that return from a cut count as silent for 1.2 s more.

Ruled out: more of the overrun alone (refusals came with full buckets).

--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -1,5 +1,4 @@
-//! Requests come: admitted by quota, refused where they would wait too long,
-//! or put in line.
+//! Requests come: refused where they would wait too long, or put in line.
 
 use woadstage_types::code::Code;
 use woadstage_types::hash;
@@ -9,12 +8,9 @@
 use super::Decision;
 use super::Dispatcher;
 use super::publish::pool;
-use crate::configuration::Customer;
 use crate::configuration::Rank;
 use crate::job;
 use crate::job::Job;
-use crate::quota::Demand;
-use crate::quota::Denied;
 
 /// Why a request is refused, and when its caller may come back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,39 +27,6 @@
 const COME_BACK_LEAST: Span = Span::from_millis(100);
 
 impl Dispatcher {
-    /// Charges a customer for a request; `left` is what its caller will wait.
-    ///
-    /// # Errors
-    /// [`Code::CustomerLimit`] where the customer is over its limit, with what
-    /// decided it.
-    pub fn charge(
-        &mut self,
-        now: Time,
-        customer: &Customer,
-        demand: Demand,
-        left: Span,
-    ) -> Result<(), (Refusal, Denied)> {
-        let Some(quota) = &customer.quota else {
-            return Ok(());
-        };
-        let reach = self.members.reach(now);
-        let number = customer.name.to_number();
-        let admitted = self.accounts.admit(now, number, quota, demand, reach);
-        admitted.map_err(|denied| {
-            let refusal = Refusal {
-                code: Code::CustomerLimit,
-                retry_after: Some(self.come_back(denied.wait, left)),
-                wait: None,
-            };
-            (refusal, denied)
-        })
-    }
-
-    /// Gives back what a request was charged that did not run.
-    pub fn give_back(&mut self, customer: &Customer, units: u64) {
-        self.accounts.give_back(customer.name.to_number(), units);
-    }
-
     /// Puts a request in line. What becomes of it is decided at once or later.
     pub fn enter(&mut self, now: Time, job: Job) -> job::Id {
         let id = job::Id(self.next_job);
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -2,6 +2,7 @@
 //! over by [`Dispatcher::take_decisions`].
 //!
 //! * `publish.rs`: what the platform published comes into force.
+//! * `reserve.rs`: requests are charged to their customer's quota.
 //! * `enter.rs`: requests come.
 //! * `place.rs`: which request goes to which endpoint now.
 //! * `observe.rs`: calls make progress and end.
@@ -44,11 +45,13 @@
 mod place;
 mod publish;
 mod query;
+mod reserve;
 mod share;
 mod tick;
 
 pub use enter::Refusal;
 pub use query::Summary;
+pub use reserve::Charge;
 
 /// Bounds and weights of the policy.
 #[derive(Debug, Clone, PartialEq)]
@@ -258,6 +261,7 @@
     accounts: Accounts,
     budget: Budget,
     next_job: u64,
+    next_reserve: u64,
     sequence: u64,
     leaving: bool,
     cut_off: bool,
@@ -286,6 +290,7 @@
             places: HashMap::new(),
             runs: HashMap::new(),
             next_job: 1,
+            next_reserve: 0,
             sequence: 0,
             leaving: false,
             cut_off: false,
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -0,0 +1,174 @@
+//! Requests are charged to their customer's quota. In a large fleet the quota of
+//! each customer has an owner among the nodes (rendezvous hashing), whom the
+//! others ask: what is given out is then known at one place, however many nodes
+//! a customer's requests come through. Two nodes may take each other's place
+//! for a moment, since what each gave out is told to all; a node that reaches
+//! no owner keeps to a small part.
+
+use std::net::SocketAddrV4;
+
+use woadstage_types::code::Code;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::Refusal;
+use crate::configuration::Customer;
+use crate::configuration::Quota;
+use crate::member::Owner;
+use crate::message::Release;
+use crate::message::Reserve;
+use crate::message::Verdict;
+use crate::quota::Demand;
+use crate::quota::Denied;
+
+/// What becomes of a request that is to be charged.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Charge {
+    /// It is charged here.
+    Admitted,
+    /// It does not fit the quota.
+    Refused(Refusal, Denied),
+    /// The owner of the quota is to be asked.
+    Ask(SocketAddrV4, Reserve),
+}
+
+impl Dispatcher {
+    /// Charges a customer for a request; `left` is what its caller will wait.
+    pub fn charge(&mut self, now: Time, customer: &Customer, demand: Demand, left: Span) -> Charge {
+        let Some(quota) = &customer.quota else {
+            return Charge::Admitted;
+        };
+        let number = customer.name.to_number();
+        let reach = self.members.reach(now);
+        let admitted = if self.accounts.is_meeting(now) {
+            self.accounts
+                .admit_unheard(now, number, quota, demand, reach)
+        } else if reach.one_cell {
+            self.accounts.admit(now, number, quota, demand, reach)
+        } else {
+            match self.members.owner(now, number) {
+                Owner::Own => self.grant(now, number, quota, demand),
+                Owner::Other(address) => {
+                    return Charge::Ask(address, self.next_question(number, demand));
+                }
+                Owner::Unheard => self
+                    .accounts
+                    .admit_unheard(now, number, quota, demand, reach),
+            }
+        };
+        match admitted {
+            Ok(()) => Charge::Admitted,
+            Err(denied) => self.to_refused(denied, left),
+        }
+    }
+
+    fn next_question(&mut self, customer: u64, demand: Demand) -> Reserve {
+        self.next_reserve += 1;
+        Reserve {
+            number: self.next_reserve,
+            customer,
+            units: demand.units,
+            routine: (demand.routine * 100.0) as u8,
+        }
+    }
+
+    fn to_refused(&self, denied: Denied, left: Span) -> Charge {
+        let refusal = Refusal {
+            code: Code::CustomerLimit,
+            retry_after: Some(self.come_back(denied.wait, left)),
+            wait: None,
+        };
+        Charge::Refused(refusal, denied)
+    }
+
+    /// Answers another node that takes this one for the owner of a quota.
+    pub fn reserve(&mut self, now: Time, reserve: &Reserve) -> Verdict {
+        let customer = self
+            .table
+            .as_ref()
+            .and_then(|table| table.customer_by_number_opt(reserve.customer));
+        let Some(quota) = customer.and_then(|customer| customer.quota) else {
+            return Verdict::Unknown;
+        };
+        let demand = Demand {
+            units: reserve.units,
+            routine: f64::from(reserve.routine) / 100.0,
+        };
+        match self.grant(now, reserve.customer, &quota, demand) {
+            Ok(()) => Verdict::Granted,
+            Err(denied) => Verdict::Denied(denied),
+        }
+    }
+
+    /// Gives units out as an owner. Each node's bucket is drained by what all
+    /// others give out, so any may; but while this node still hears one that
+    /// goes before it, that one may be alive on the other side of a cut, and
+    /// only half as much is given out.
+    fn grant(
+        &mut self,
+        now: Time,
+        customer: u64,
+        quota: &Quota,
+        demand: Demand,
+    ) -> Result<(), Denied> {
+        let reach = self.members.reach(now);
+        self.accounts.admit(now, customer, quota, demand, reach)?;
+        if !self.members.is_first_owner(now, customer) {
+            self.accounts.set_aside(customer, demand.units);
+        }
+        Ok(())
+    }
+
+    /// Takes an owner's answer, or none where `verdict` is nothing; the request
+    /// is charged anew where that leaves it open.
+    pub fn reserved(
+        &mut self,
+        now: Time,
+        owner: SocketAddrV4,
+        customer: &Customer,
+        demand: Demand,
+        left: Span,
+        verdict: Option<Verdict>,
+    ) -> Charge {
+        match verdict {
+            Some(Verdict::Granted) => {
+                if let Some(quota) = &customer.quota {
+                    let number = customer.name.to_number();
+                    let reach = self.members.reach(now);
+                    let accounts = &mut self.accounts;
+                    accounts.note_even(now, number, quota, demand.units, reach);
+                }
+                Charge::Admitted
+            }
+            Some(Verdict::Denied(denied)) => self.to_refused(denied, left),
+            Some(Verdict::Unknown) | None => {
+                self.members.note_unanswered(now, owner);
+                self.charge(now, customer, demand, left)
+            }
+        }
+    }
+
+    /// Gives back what a request was charged that did not run. Where an `owner`
+    /// had granted it, that one is to be told what is returned.
+    pub fn give_back(
+        &mut self,
+        customer: &Customer,
+        units: u64,
+        owner: Option<SocketAddrV4>,
+    ) -> Option<(SocketAddrV4, Release)> {
+        let customer = customer.name.to_number();
+        match owner {
+            Some(owner) => Some((owner, Release { customer, units })),
+            None => {
+                self.accounts.give_back(customer, units);
+                None
+            }
+        }
+    }
+
+    /// Takes back units that another node did not use.
+    pub fn release(&mut self, release: &Release) {
+        self.accounts.give_back(release.customer, release.units);
+    }
+}
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -15,6 +15,7 @@
 use crate::message::Snapshot;
 use crate::message::Status;
 use crate::message::Waiting;
+use crate::quota::Speaker;
 
 /// Customers spoken of in one status.
 const USAGE_MOST: usize = 32;
@@ -32,7 +33,18 @@
         if news == News::Old {
             return news;
         }
-        self.accounts.hear(from, incarnation, &usage);
+        let speaker = Speaker {
+            address: from,
+            incarnation,
+            known: news == News::Known,
+        };
+        let reach = self.members.reach(now);
+        let table = self.table.as_ref();
+        for said in usage {
+            let customer = table.and_then(|table| table.customer_by_number_opt(said.customer));
+            let quota = customer.and_then(|customer| customer.quota.as_ref());
+            self.accounts.hear(now, speaker, said, quota, reach);
+        }
         news
     }
 
--- a/crates/dispatch/src/member/ahead.rs
+++ b/crates/dispatch/src/member/ahead.rs
@@ -27,7 +27,7 @@
         let mut ahead: Vec<_> = candidates.filter(|one| (one.0, one.1) != (0, 0)).collect();
         ahead.sort_unstable_by_key(|one| Reverse((one.0 > 0, one.1, one.3)));
         ahead.truncate(CHOSEN_FROM);
-        if attempt % 2 == 0 && ahead.iter().any(|one| one.2) {
+        if attempt.is_multiple_of(2) && ahead.iter().any(|one| one.2) {
             ahead.retain(|one| one.2);
         }
         let seed = hash::chain(attempt, &self.own.ip().octets());
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! * `cell.rs`: parts of a large fleet, and who reads the platform for them.
 //! * `speak.rs`: to whom a node speaks, and how often.
+//! * `owner.rs`: which node owns a customer's quota.
 //! * `ahead.rs`: which node to take newer documents from.
 
 use std::collections::HashMap;
@@ -16,10 +17,12 @@
 
 mod ahead;
 mod cell;
+mod owner;
 mod speak;
 
 pub use cell::Cell;
 pub use cell::Reading;
+pub use owner::Owner;
 
 /// Bounds of membership.
 #[derive(Debug, Clone, PartialEq)]
@@ -61,8 +64,8 @@
             status_at_least_every: Span::from_millis(400),
             told: 16,
             one_cell: 16,
-            cell: 12,
-            beyond_per_second: 60,
+            cell: 24,
+            beyond_per_second: 120,
             pressed_per_second: 300,
             readers: 3,
         }
@@ -80,6 +83,10 @@
     pub sent: Time,
     /// True while it belongs to this node's cell.
     pub near: bool,
+    /// When it was heard again in the same life after a silence.
+    pub returned: Option<Time>,
+    /// When it last left a question unanswered.
+    pub unanswered: Option<Time>,
     /// What it last said.
     pub status: Status,
 }
@@ -159,6 +166,9 @@
         let was_heard = member
             .heard
             .is_some_and(|heard| now.since(heard) <= silent_after);
+        if same && !was_heard {
+            member.returned = Some(now);
+        }
         member.heard = Some(now);
         member.status = status;
         self.met_any = true;
@@ -224,7 +234,9 @@
             .filter(move |(_, member)| self.is_fresh(now, member))
     }
 
-    /// How much of the fleet this node can speak for.
+    /// How much of the fleet this node can speak for. A node that was cut off
+    /// and returns counts as silent for a while: until all have heard each
+    /// other again, each of them would take itself for most of the fleet.
     pub fn reach(&self, now: Time) -> Reach {
         let counted = self.others.values().filter(|member| member.heard.is_some());
         let (mut nodes, mut silent) = (1, 0);
@@ -233,14 +245,17 @@
             if !fresh && member.status.leaving {
                 continue;
             }
+            let returns = member
+                .returned
+                .is_some_and(|at| now.since(at) < self.options.silent_after);
             nodes += 1;
-            silent += usize::from(!fresh);
+            silent += usize::from(!fresh || returns);
         }
         Reach {
             nodes,
             silent,
             alone: !self.met_any,
-            one_cell: self.cell.whole,
+            one_cell: nodes <= self.options.one_cell,
         }
     }
 
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -9,6 +9,7 @@
 use crate::configuration::Configuration;
 use crate::configuration::Rank;
 use crate::endpoint::List;
+use crate::quota::Denied;
 
 /// The version of this protocol; the first byte of everything on the wire.
 pub const VERSION: u8 = 2;
@@ -74,6 +75,61 @@
     pub members: Vec<SocketAddrV4>,
 }
 
+/// Asks the owner of a customer's quota for a request's units.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reserve {
+    /// Names the question to the node that asks.
+    pub number: u64,
+    /// The customer's number.
+    pub customer: u64,
+    /// Units.
+    pub units: u64,
+    /// How routine the request is, in percent: 0 is the most protected.
+    pub routine: u8,
+}
+
+/// What an owner says to a [`Reserve`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Reserved {
+    /// The number of the question.
+    pub number: u64,
+    /// The answer.
+    pub verdict: Verdict,
+}
+
+/// Whether a request fits its customer's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It does, and is charged.
+    Granted,
+    /// It does not.
+    Denied(Denied),
+    /// The node asked knows no such customer, or no quota of it.
+    Unknown,
+}
+
+/// Gives back to an owner what a request that did not run was charged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The customer's number.
+    pub customer: u64,
+    /// Units.
+    pub units: u64,
+}
+
+/// Everything that goes from node to node by datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// What a node says of itself.
+    Status(Box<Status>),
+    /// A question to an owner.
+    Reserve(Reserve),
+    /// An owner's answer.
+    Reserved(Reserved),
+    /// Units that were not used.
+    Release(Release),
+}
+
 /// The newest documents of the platform that a node has, by version; 0 for none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
--- /dev/null
+++ b/crates/dispatch/src/quota/mod.rs
@@ -0,0 +1,223 @@
+//! What customers may use, over all nodes together.
+//!
+//! A bucket is drained by what its node gives out and by what the others say
+//! that they gave out. While another node is silent, its even part of the rate
+//! is taken to be used there: so two sides of a cut never give out more than the
+//! whole between them.
+//!
+//! In a small fleet each node decides out of its own bucket, as all hear each
+//! other many times a second. In a larger one each customer has an owner among
+//! the nodes, which the others ask (`dispatcher/reserve.rs`).
+//!
+//! * `admit.rs`: requests are charged.
+//! * `tell.rs`: what nodes tell each other of their customers' use.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use serde::Deserialize;
+use serde::Serialize;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::configuration::Quota;
+
+mod admit;
+mod tell;
+
+pub use tell::Speaker;
+
+/// How far the rules let the whole go beyond a customer's limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// The share by which it may be exceeded.
+    pub overrun: f64,
+    /// Units by which it may be exceeded beyond that in a window.
+    pub slack: f64,
+    /// The part of both that is used; the rest covers what is still on its way
+    /// between nodes.
+    pub part: f64,
+    /// The same in a fleet of several cells, where what owners of a quota know
+    /// of each other is older.
+    pub part_in_cells: f64,
+    /// How much of its part a node may have saved up that reaches no owner.
+    pub saved: Span,
+    /// The share of a limit that a node gives out which has heard no other
+    /// node since it started; and of its even part, one that reaches no owner.
+    pub alone: f64,
+    /// The part of a bucket that the least protected requests leave to others.
+    pub reserve: f64,
+    /// The part of a bucket up to which a request is so small that it may use
+    /// all of it.
+    pub small: f64,
+    /// How long a customer's use is told to others after it last changed.
+    pub tell_for: Span,
+    /// Time from its start in which a node meets the others.
+    pub meet_within: Span,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            overrun: 0.0,
+            slack: 0.0,
+            part: 0.8,
+            part_in_cells: 0.4,
+            saved: Span::from_secs(8),
+            alone: 0.25,
+            reserve: 0.35,
+            small: 0.01,
+            tell_for: Span::from_secs(10),
+            meet_within: Span::from_millis(1_000),
+        }
+    }
+}
+
+/// What a request asks of its customer's quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Units.
+    pub units: u64,
+    /// From 0 for the most protected requests to 1 for the least protected.
+    pub routine: f64,
+}
+
+/// How much of the fleet a node can speak for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reach {
+    /// Nodes that count, this one among them.
+    pub nodes: usize,
+    /// Of them, those that are silent.
+    pub silent: usize,
+    /// True where none other was heard since the start.
+    pub alone: bool,
+    /// True where the whole fleet is one cell, whose nodes hear each other
+    /// many times a second.
+    pub one_cell: bool,
+}
+
+/// Why a request was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Denied {
+    /// When the bucket would hold enough if nothing else were admitted.
+    pub wait: Span,
+    /// Units in the bucket now.
+    pub level: f64,
+    /// Units in a full bucket.
+    pub most: f64,
+    /// Units that are kept for more protected requests.
+    pub kept: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Told {
+    incarnation: u64,
+    units: u64,
+}
+
+#[derive(Debug)]
+struct Account {
+    level: f64,
+    most: f64,
+    at: Time,
+    used: u64,
+    changed: Time,
+    /// When this node has kept to its even part of the rate again, whoever gave
+    /// it out.
+    even_at: Time,
+    told: HashMap<SocketAddrV4, Told>,
+}
+
+impl Account {
+    /// A bucket that was empty when this node started, since it cannot know
+    /// what was used before.
+    fn new(started: Time) -> Account {
+        Account {
+            level: 0.0,
+            most: 0.0,
+            at: started,
+            used: 0,
+            changed: Time(0),
+            even_at: Time(0),
+            told: HashMap::new(),
+        }
+    }
+}
+
+/// The accounts of all customers that were seen lately.
+#[derive(Debug)]
+pub struct Accounts {
+    options: Options,
+    started: Time,
+    accounts: HashMap<u64, Account>,
+}
+
+/// Accounts kept before those that rest are forgotten.
+const KEPT: usize = 8_192;
+
+impl Accounts {
+    /// Nothing used yet, by a node that started long ago.
+    pub fn new(options: Options) -> Accounts {
+        Accounts {
+            options,
+            started: Time(0),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Says when this node started.
+    pub fn begin(&mut self, now: Time) {
+        if self.started == Time(0) {
+            self.started = now;
+        }
+    }
+
+    /// True until this node can have met the others.
+    pub fn is_meeting(&self, now: Time) -> bool {
+        now.since(self.started) < self.options.meet_within
+    }
+
+    fn share(&self, reach: Reach) -> f64 {
+        if reach.alone {
+            return self.options.alone;
+        }
+        let heard = reach.nodes.saturating_sub(reach.silent).max(1);
+        heard as f64 / reach.nodes.max(1) as f64
+    }
+
+    fn part(&self, reach: Reach) -> f64 {
+        match reach.one_cell {
+            true => self.options.part,
+            false => self.options.part_in_cells,
+        }
+    }
+
+    fn most(&self, quota: &Quota, reach: Reach) -> f64 {
+        let part = self.part(reach);
+        let whole = quota.burst * (1.0 + self.options.overrun * part) + self.options.slack * part;
+        // The burst is shared like the rate, else both sides of a cut would
+        // have a whole one.
+        whole * self.share(reach)
+    }
+
+    fn rate(&self, quota: &Quota, reach: Reach) -> f64 {
+        quota.per_second * (1.0 + self.options.overrun * self.part(reach)) * self.share(reach)
+    }
+
+    fn account(&mut self, now: Time, customer: u64, quota: &Quota, reach: Reach) -> &mut Account {
+        let most = self.most(quota, reach);
+        let rate = self.rate(quota, reach);
+        if self.accounts.len() >= KEPT && !self.accounts.contains_key(&customer) {
+            let since = now - self.options.tell_for;
+            self.accounts.retain(|_, account| account.changed >= since);
+        }
+        let started = self.started;
+        let account = self.accounts.entry(customer);
+        let account = account.or_insert_with(|| Account::new(started));
+        let gained = now.since(account.at).as_secs_f64() * rate;
+        account.level = (account.level + gained).min(most);
+        account.most = most;
+        account.at = now;
+        account
+    }
+}
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -18,6 +18,7 @@
     configuration: Arc<Configuration>,
     routes: HashMap<String, HashMap<String, usize>>,
     keys: HashMap<Key, usize>,
+    customers: HashMap<u64, usize>,
     services: HashMap<id::Target, usize>,
 }
 
@@ -45,6 +46,10 @@
         let keys =
             customers.flat_map(|(at, customer)| customer.keys.iter().map(move |key| (*key, at)));
         let keys = keys.collect();
+        let customers = configuration.customers.iter().flatten().enumerate();
+        let customers = customers
+            .map(|(at, customer)| (customer.name.to_number(), at))
+            .collect();
         let services = configuration.services.iter().enumerate();
         let services = services
             .map(|(at, service)| (service.name.clone(), at))
@@ -52,6 +57,7 @@
         Table {
             routes,
             keys,
+            customers,
             services,
             configuration,
         }
@@ -77,6 +83,12 @@
         self.configuration.customers.as_ref()?.get(at)
     }
 
+    /// The customer that nodes name to each other by a number.
+    pub fn customer_by_number_opt(&self, number: u64) -> Option<&Customer> {
+        let at = *self.customers.get(&number)?;
+        self.configuration.customers.as_ref()?.get(at)
+    }
+
     /// A service by name.
     pub fn service_opt(&self, name: &id::Target) -> Option<&Service> {
         self.configuration.services.get(*self.services.get(name)?)
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod outcomes;
 mod publish;
 mod quota;
+mod quota_fleet;
 mod share;
 mod support;
 mod table;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/quota_fleet.rs
@@ -0,0 +1,298 @@
+//! What a fleet of many nodes gives out together, with owners that are asked,
+//! while nodes are cut off, killed and started again. The world is virtual: the
+//! same each run.
+
+use std::net::SocketAddrV4;
+use std::ops::Range;
+use std::sync::Arc;
+
+use rstest::rstest;
+use woadstage_dispatch::configuration::Configuration;
+use woadstage_dispatch::configuration::Customer;
+use woadstage_dispatch::configuration::Quota;
+use woadstage_dispatch::dispatcher::Charge;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::message::Verdict;
+use woadstage_dispatch::quota;
+use woadstage_dispatch::quota::Demand;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+
+use crate::support::at;
+use crate::support::node;
+use crate::support::options;
+
+/// Time between two steps of the world, in milliseconds.
+const STEP: u64 = 20;
+
+/// The window of the rule, in milliseconds.
+const WINDOW: u64 = 8_000;
+
+/// How far the rule lets the whole go beyond the limit.
+const OVERRUN: f64 = 0.25;
+const SLACK: f64 = 72_000.0;
+
+/// Tokens of one request.
+const REQUEST: u64 = 3_000;
+
+/// Nodes of the fleet: several cells.
+const NODES: u8 = 30;
+
+/// Nodes that lose all others between two moments, or are not there at all.
+#[derive(Clone)]
+struct Trouble {
+    nodes: Range<u8>,
+    from: u64,
+    to: u64,
+    kill: bool,
+}
+
+struct Fleet {
+    nodes: Vec<Option<Dispatcher>>,
+    customer: Customer,
+    troubles: Vec<Trouble>,
+    lives: u64,
+    given: Vec<(u64, u64)>,
+    asked: u64,
+}
+
+fn quota(rate: f64) -> Quota {
+    Quota {
+        per_second: rate,
+        burst: rate * 2.0,
+        plain_tokens: Some(1),
+    }
+}
+
+impl Fleet {
+    fn new(rate: f64, troubles: &[Trouble]) -> Fleet {
+        let customer = Customer {
+            name: id::Customer::new("one"),
+            keys: Vec::new(),
+            priority: None,
+            quota: Some(quota(rate)),
+        };
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            customer,
+            troubles: troubles.to_vec(),
+            lives: 0,
+            given: Vec::new(),
+            asked: 0,
+        };
+        for number in 0..NODES {
+            let made = fleet.make(number);
+            fleet.nodes.push(Some(made));
+        }
+        fleet
+    }
+
+    fn make(&mut self, number: u8) -> Dispatcher {
+        self.lives += 1;
+        let mut dispatcher = Dispatcher::new(Options {
+            incarnation: self.lives,
+            seeds: vec![node(0), node(1), node(2)],
+            quota: quota::Options {
+                overrun: OVERRUN,
+                slack: SLACK,
+                ..quota::Options::default()
+            },
+            ..options(number)
+        });
+        let configuration = Configuration {
+            version: 1,
+            customers: Some(vec![self.customer.clone()]),
+            ..Configuration::default()
+        };
+        dispatcher.set_configuration(at(0), Arc::new(configuration));
+        dispatcher
+    }
+
+    fn troubled(&self, millis: u64, number: u8, kill: bool) -> bool {
+        let mut now = self
+            .troubles
+            .iter()
+            .filter(|one| one.kill == kill && (one.from..one.to).contains(&millis));
+        now.any(|one| one.nodes.contains(&number))
+    }
+
+    /// The node at an address, where the two can reach each other.
+    fn reached(&mut self, millis: u64, from: u8, to: SocketAddrV4) -> Option<&mut Dispatcher> {
+        let number = to.ip().octets()[3];
+        if self.troubled(millis, from, false) || self.troubled(millis, number, false) {
+            return None;
+        }
+        self.nodes.get_mut(usize::from(number))?.as_mut()
+    }
+
+    fn step(&mut self, millis: u64, requests: u64) {
+        for number in 0..NODES {
+            let killed = self.troubled(millis, number, true);
+            let place = usize::from(number);
+            match (killed, self.nodes[place].is_some()) {
+                (true, true) => self.nodes[place] = None,
+                (false, false) => self.nodes[place] = Some(self.make(number)),
+                _ => {}
+            }
+            let Some(dispatcher) = &mut self.nodes[place] else {
+                continue;
+            };
+            dispatcher.tick(at(millis));
+            if let Some((status, due)) = dispatcher.statuses(at(millis)) {
+                for to in due {
+                    if let Some(other) = self.reached(millis, number, to) {
+                        other.hear(at(millis), node(number), status.clone());
+                    }
+                }
+            }
+            for _ in 0..requests {
+                self.request(millis, number);
+            }
+        }
+    }
+
+    fn request(&mut self, millis: u64, number: u8) {
+        let demand = Demand {
+            units: REQUEST,
+            routine: 0.0,
+        };
+        let customer = self.customer.clone();
+        let place = usize::from(number);
+        let Some(dispatcher) = &mut self.nodes[place] else {
+            return;
+        };
+        let left = Span::from_secs(5);
+        let mut charge = dispatcher.charge(at(millis), &customer, demand, left);
+        while let Charge::Ask(owner, reserve) = charge {
+            self.asked += 1;
+            let verdict = self
+                .reached(millis, number, owner)
+                .map(|owner| owner.reserve(at(millis), &reserve));
+            let dispatcher = self.nodes[place].as_mut().expect("it has just asked");
+            charge = dispatcher.reserved(at(millis), owner, &customer, demand, left, verdict);
+        }
+        if charge == Charge::Admitted {
+            self.given.push((millis, REQUEST));
+        }
+    }
+
+    /// The most that was given out in any window of the rule.
+    fn most(&self) -> u64 {
+        let windows = self.given.iter().map(|(from, _)| {
+            let within = self
+                .given
+                .iter()
+                .filter(|(at, _)| (*from..from + WINDOW).contains(at));
+            within.map(|(_, units)| units).sum()
+        });
+        windows.max().unwrap_or(0)
+    }
+
+    fn sum(&self, span: Range<u64>) -> u64 {
+        let within = self.given.iter().filter(|(at, _)| span.contains(at));
+        within.map(|(_, units)| units).sum()
+    }
+}
+
+fn cut(nodes: Range<u8>, from: u64, to: u64) -> Trouble {
+    Trouble {
+        nodes,
+        from,
+        to,
+        kill: false,
+    }
+}
+
+fn kill(nodes: Range<u8>, from: u64, to: u64) -> Trouble {
+    Trouble {
+        nodes,
+        from,
+        to,
+        kill: true,
+    }
+}
+
+#[rstest]
+#[case::nothing_happens(300_000.0, &[])]
+#[case::a_small_limit(30_000.0, &[])]
+#[case::a_third_is_cut_off(300_000.0, &[cut(0..10, 8_000, 14_000)])]
+#[case::a_third_is_cut_off_under_a_small_limit(30_000.0, &[cut(0..10, 8_000, 14_000)])]
+#[case::a_third_is_cut_off_twice(100_000.0, &[cut(0..10, 8_000, 12_000), cut(15..25, 13_000, 17_000)])]
+#[case::a_cut_that_comes_and_goes(100_000.0, &[cut(0..10, 8_000, 9_000), cut(0..10, 10_000, 11_000), cut(0..10, 12_000, 13_000)])]
+#[case::half_is_killed(300_000.0, &[kill(0..15, 8_000, 10_000)])]
+#[case::half_is_killed_under_a_small_limit(30_000.0, &[kill(0..15, 8_000, 10_000)])]
+#[case::all_are_killed(300_000.0, &[kill(0..30, 8_000, 9_000)])]
+#[case::killed_and_cut(100_000.0, &[kill(0..15, 8_000, 10_000), cut(20..28, 9_000, 14_000)])]
+fn a_fleet_keeps_to_the_limit(#[case] rate: f64, #[case] troubles: &[Trouble]) {
+    let mut fleet = Fleet::new(rate, troubles);
+    // Twenty times and more of what the limit lets through is asked for.
+    for millis in (0..20_000).step_by(STEP as usize) {
+        let requests = if millis < 3_000 { 0 } else { 1 };
+        fleet.step(millis, requests);
+    }
+    let quota = quota(rate);
+    let plain = rate * WINDOW as f64 / 1_000.0 + quota.burst;
+    let allowed = plain * (1.0 + OVERRUN) + SLACK;
+    let most = fleet.most() as f64;
+    assert!(most <= allowed, "{most} of {allowed}");
+    // And no less than the limit gives, where nothing happens for long.
+    let calm = fleet.sum(3_000..8_000) as f64;
+    assert!(calm >= rate * 5.0, "{calm}");
+}
+
+#[test]
+fn an_owner_that_is_gone_is_passed_over_by_the_next() {
+    let mut fleet = Fleet::new(300_000.0, &[kill(0..15, 4_000, 9_000)]);
+    for millis in (0..9_000).step_by(STEP as usize) {
+        let requests = if millis < 3_000 { 0 } else { 1 };
+        fleet.step(millis, requests);
+    }
+    // From the moment of the kill on, what lives serves at least its part.
+    let served = fleet.sum(4_000..8_000) as f64;
+    assert!(served >= 300_000.0 * 4.0 * 0.4, "{served}");
+}
+
+#[test]
+fn a_customer_without_a_quota_at_its_owner_is_not_refused_for_it() {
+    let mut fleet = Fleet::new(300_000.0, &[]);
+    for millis in (0..3_000).step_by(STEP as usize) {
+        fleet.step(millis, 0);
+    }
+    let demand = Demand {
+        units: 1,
+        routine: 0.0,
+    };
+    let customer = fleet.customer.clone();
+    let (place, owner, reserve) = (0..usize::from(NODES))
+        .find_map(|place| {
+            let dispatcher = fleet.nodes[place].as_mut()?;
+            match dispatcher.charge(at(3_000), &customer, demand, Span::from_secs(5)) {
+                Charge::Ask(owner, reserve) => Some((place, owner, reserve)),
+                _ => None,
+            }
+        })
+        .expect("all but the owner ask");
+    let mut stranger = Dispatcher::new(options(99));
+    assert_eq!(stranger.reserve(at(3_000), &reserve), Verdict::Unknown);
+    let dispatcher = fleet.nodes[place].as_mut().expect("it lives");
+    let left = Span::from_secs(5);
+    let verdict = Some(Verdict::Unknown);
+    let next = dispatcher.reserved(at(3_000), owner, &customer, demand, left, verdict);
+    // Another is asked, or this node decides.
+    assert!(!matches!(next, Charge::Ask(again, _) if again == owner));
+}
+
+#[test]
+fn what_did_not_run_goes_back_to_the_owner() {
+    let mut fleet = Fleet::new(30_000.0, &[]);
+    for millis in (0..3_000).step_by(STEP as usize) {
+        fleet.step(millis, 0);
+    }
+    let customer = fleet.customer.clone();
+    let dispatcher = fleet.nodes[0].as_mut().expect("it lives");
+    let told = dispatcher.give_back(&customer, 70, Some(node(4)));
+    let (owner, release) = told.expect("the owner is told");
+    assert_eq!((owner, release.units), (node(4), 70));
+    assert_eq!(dispatcher.give_back(&customer, 70, None), None);
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -92,6 +92,8 @@
         prompt: u64,
         /// The most tokens of the answer, as the caller says.
         output: u64,
+        /// Who charged its customer's quota: none, here, or the owner's address.
+        quota: &'a str,
         /// The version of the configuration that decided it.
         configuration: u64,
     },
@@ -109,6 +111,8 @@
         most: u64,
         /// Units of it that are kept for more protected requests.
         kept: u64,
+        /// Whose bucket it is: here, or the owner's address.
+        quota: &'a str,
         /// Nodes that share the limit.
         nodes: usize,
         /// Of them, those whose use is not known now.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use woadstage_dispatch::message::Verdict;
 use woadstage_types::unit::Span;
 
 /// Routes that are told apart; requests of others count as `other`.
@@ -32,6 +33,7 @@
     answers: IntCounterVec,
     attempts: IntCounterVec,
     beliefs: IntCounterVec,
+    reservations: IntCounterVec,
     /// Requests held.
     pub held: IntGauge,
     /// The version of the configuration in force.
@@ -96,6 +98,11 @@
                 "Changes of what the node believes.",
                 &["what"],
             )?,
+            reservations: counter(
+                "woadstage_reservations_total",
+                "Questions to owners of quotas, by answer.",
+                &["answer"],
+            )?,
             held: gauge("woadstage_held", "Requests held.")?,
             configuration: gauge("woadstage_configuration_version", "The version in force.")?,
             endpoints: gauge("woadstage_endpoints_revision", "The revision in force.")?,
@@ -158,6 +165,18 @@
         self.beliefs.with_label_values(&[what]).inc();
     }
 
+    /// Counts a question to the owner of a quota, or none where it was not
+    /// answered.
+    pub fn reserved(&self, verdict: Option<&Verdict>) {
+        let answer = match verdict {
+            Some(Verdict::Granted) => "granted",
+            Some(Verdict::Denied(_)) => "denied",
+            Some(Verdict::Unknown) => "unknown",
+            None => "none",
+        };
+        self.reservations.with_label_values(&[answer]).inc();
+    }
+
     /// All figures, in the text form of Prometheus.
     pub fn to_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Other nodes. Statuses go by datagram, since each holds all it speaks of and
-//! a lost one is made up for by the next. What the platform published goes by
+//! a lost one is made up for by the next, and so do questions to the owners of
+//! quotas, which another answers where one does not. What the platform published goes by
 //! stream, to nodes that cannot read it themselves.
 
 use std::net::SocketAddr;
@@ -9,27 +10,31 @@
 use tokio::net::UdpSocket;
 use woadstage_dispatch::member::News;
 use woadstage_dispatch::message;
+use woadstage_dispatch::message::Message;
+use woadstage_dispatch::message::Reserve;
+use woadstage_dispatch::message::Reserved;
 use woadstage_dispatch::message::Status;
 
 use crate::event::Event;
 use crate::shell::Shell;
 
+pub mod reservations;
 pub mod snapshot;
 
 /// Longest datagram that is read.
 const DATAGRAM_MOST: usize = 8 << 10;
 
-/// Writes a status as it goes on the wire: the protocol's version, then the
-/// status.
+/// Writes a message as it goes on the wire: the protocol's version, then the
+/// message.
 ///
 /// # Errors
 /// Only where the codec fails.
-pub fn to_datagram(status: &Status) -> postcard::Result<Vec<u8>> {
-    postcard::to_extend(status, vec![message::VERSION])
+pub fn to_datagram(message: &Message) -> postcard::Result<Vec<u8>> {
+    postcard::to_extend(message, vec![message::VERSION])
 }
 
-/// Reads a status; nothing for another version or for what is no status.
-pub fn try_from_datagram(bytes: &[u8]) -> Option<Status> {
+/// Reads a message; nothing for another version or for what is no message.
+pub fn try_from_datagram(bytes: &[u8]) -> Option<Message> {
     let (version, rest) = bytes.split_first()?;
     if *version != message::VERSION {
         return None;
@@ -45,10 +50,33 @@
         let Ok((length, SocketAddr::V4(from))) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        let Some(status) = try_from_datagram(&buffer[..length]) else {
-            continue;
-        };
-        hear(&shell, from, status);
+        match try_from_datagram(&buffer[..length]) {
+            Some(Message::Status(status)) => hear(&shell, from, *status),
+            Some(Message::Reserve(asked)) => reserve(&shell, &socket, from, &asked),
+            Some(Message::Reserved(answer)) => shell.reservations.take_answer(answer),
+            Some(Message::Release(release)) => {
+                shell.command(|dispatcher, _| dispatcher.release(&release));
+            }
+            None => {}
+        }
+    }
+}
+
+/// Answers a node that takes this one for the owner of a customer's quota.
+fn reserve(shell: &Shell, socket: &UdpSocket, from: SocketAddrV4, asked: &Reserve) {
+    let verdict = shell.command(|dispatcher, now| dispatcher.reserve(now, asked));
+    let answer = Message::Reserved(Reserved {
+        number: asked.number,
+        verdict,
+    });
+    send(socket, from, &answer);
+}
+
+/// Sends a message that the other end can do without.
+fn send(socket: &UdpSocket, to: SocketAddrV4, message: &Message) {
+    if let Ok(datagram) = to_datagram(message) {
+        // What the system cannot take now is as good as lost on the way.
+        let _ = socket.try_send_to(&datagram, to.into());
     }
 }
 
@@ -69,7 +97,7 @@
     let Some((status, due)) = shell.command(|dispatcher, now| dispatcher.statuses(now)) else {
         return;
     };
-    let Ok(datagram) = to_datagram(&status) else {
+    let Ok(datagram) = to_datagram(&Message::Status(Box::new(status))) else {
         return;
     };
     for address in due {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -84,6 +84,7 @@
     });
     let socket = UdpSocket::bind(settings.peers).await;
     let socket = Rc::new(socket.with_context(|| format!("listen on {}", settings.peers))?);
+    shell.reservations.set_socket(socket.clone());
     let snapshots = listen(settings.peers).await?;
     let ready = listen(settings.ready).await?;
     let metrics = listen(settings.metrics).await?;
--- /dev/null
+++ b/crates/gateway/src/serve/charge.rs
@@ -0,0 +1,111 @@
+//! A request is charged to its customer's quota: here, or by the node that owns
+//! the quota.
+
+use std::fmt;
+use std::net::SocketAddrV4;
+
+use woadstage_dispatch::dispatcher::Charge;
+use woadstage_dispatch::message::Verdict;
+use woadstage_dispatch::quota::Demand;
+use woadstage_dispatch::quota::Denied;
+
+use super::admit::Admitted;
+use super::reply::Reply;
+use crate::event::Event;
+use crate::shell::Shell;
+
+/// Who charged a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Charged {
+    /// Nobody: there is no quota, or the request was turned away before.
+    Nowhere,
+    /// This node.
+    Here,
+    /// The owner of the quota.
+    By(SocketAddrV4),
+}
+
+impl fmt::Display for Charged {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Charged::Nowhere => f.write_str("none"),
+            Charged::Here => f.write_str("here"),
+            Charged::By(owner) => owner.fmt(f),
+        }
+    }
+}
+
+/// Charges a request's customer.
+///
+/// # Errors
+/// The answer to a request that does not fit the quota.
+pub async fn charge(shell: &Shell, admitted: &Admitted, units: u64) -> Result<Charged, Reply> {
+    let Some(customer) = &admitted.customer else {
+        return Ok(Charged::Nowhere);
+    };
+    let urgency = admitted.route.priority;
+    let demand = Demand {
+        units,
+        routine: shell.query(|dispatcher, _| dispatcher.routine(urgency)),
+    };
+    let left = || admitted.deadline.since(shell.now());
+    let mut charge =
+        shell.command(|dispatcher, now| dispatcher.charge(now, customer, demand, left()));
+    let mut charged = Charged::Here;
+    while let Charge::Ask(owner, reserve) = charge {
+        let verdict = shell.reservations.ask(owner, reserve).await;
+        shell.metrics.reserved(verdict.as_ref());
+        charged = match verdict {
+            Some(Verdict::Granted | Verdict::Denied(_)) => Charged::By(owner),
+            Some(Verdict::Unknown) | None => Charged::Here,
+        };
+        charge = shell.command(|dispatcher, now| {
+            dispatcher.reserved(now, owner, customer, demand, left(), verdict)
+        });
+    }
+    match charge {
+        Charge::Refused(refusal, denied) => {
+            note_over_limit(shell, admitted, units, denied, charged);
+            Err(refusal.into())
+        }
+        _ if customer.quota.is_none() => Ok(Charged::Nowhere),
+        _ => Ok(charged),
+    }
+}
+
+fn note_over_limit(
+    shell: &Shell,
+    admitted: &Admitted,
+    units: u64,
+    denied: Denied,
+    charged: Charged,
+) {
+    let reach = shell.query(|dispatcher, now| dispatcher.reach(now));
+    shell.log(&Event::OverLimit {
+        request: &admitted.request,
+        customer: admitted.customer_name(),
+        asked: units,
+        level: denied.level as i64,
+        most: denied.most as u64,
+        kept: denied.kept as u64,
+        quota: &charged.to_string(),
+        nodes: reach.nodes,
+        silent: reach.silent,
+    });
+}
+
+/// Gives back what a request was charged that did not run.
+pub fn give_back(shell: &Shell, admitted: &Admitted, units: u64, charged: Charged) {
+    let Some(customer) = &admitted.customer else {
+        return;
+    };
+    let owner = match charged {
+        Charged::Nowhere => return,
+        Charged::Here => None,
+        Charged::By(owner) => Some(owner),
+    };
+    let told = shell.command(|dispatcher, _| dispatcher.give_back(customer, units, owner));
+    if let Some((owner, release)) = told {
+        shell.reservations.release(owner, release);
+    }
+}
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -15,8 +15,6 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
-use woadstage_dispatch::quota::Demand;
-use woadstage_dispatch::quota::Denied;
 use woadstage_types::code::Code;
 use woadstage_types::code::Outcome;
 use woadstage_types::unit::Span;
@@ -24,6 +22,8 @@
 
 use super::admit;
 use super::admit::Admitted;
+use super::charge;
+use super::charge::Charged;
 use super::judge;
 use super::judge::Verdict;
 use super::outgoing;
@@ -57,7 +57,7 @@
         Ok(payload) => exchange.payload = Some(payload),
         Err(code) => return exchange.refuse(code.into()),
     }
-    if let Err(reply) = exchange.enter() {
+    if let Err(reply) = exchange.enter().await {
         return exchange.refuse(reply);
     }
     match exchange.run(None).await {
@@ -112,7 +112,7 @@
     job: Option<job::Id>,
     decision: Option<oneshot::Receiver<Decision>>,
     units: u64,
-    charged: bool,
+    charged: Charged,
     may_have_run: bool,
     over: bool,
 }
@@ -146,30 +146,16 @@
             payload: None,
             job: None,
             decision: None,
-            charged: false,
+            charged: Charged::Nowhere,
             may_have_run: false,
             over: false,
         }
     }
 
     /// Charges the customer and puts the request in line.
-    fn enter(&mut self) -> Result<(), Reply> {
+    async fn enter(&mut self) -> Result<(), Reply> {
         let shell = self.shell.clone();
-        if let Some(customer) = &self.admitted.customer {
-            let left = self.admitted.deadline.since(shell.now());
-            let urgency = self.admitted.route.priority;
-            let demand = Demand {
-                units: self.units,
-                routine: shell.query(|dispatcher, _| dispatcher.routine(urgency)),
-            };
-            let charged =
-                shell.command(|dispatcher, now| dispatcher.charge(now, customer, demand, left));
-            if let Err((refusal, denied)) = charged {
-                self.note_over_limit(denied);
-                return Err(refusal.into());
-            }
-            self.charged = true;
-        }
+        self.charged = charge::charge(&shell, &self.admitted, self.units).await?;
         let job = self.admitted.to_job(&shell.headers, &self.head);
         shell.log(&Event::Accepted {
             request: &self.admitted.request,
@@ -181,6 +167,7 @@
             left_ms: self.admitted.deadline.since(self.admitted.arrived).0 / 1_000,
             prompt: job.prompt.tokens,
             output: job.prompt.output,
+            quota: &self.charged.to_string(),
             configuration: self.admitted.version,
         });
         let (job, decision) = shell.enter(job);
@@ -189,20 +176,6 @@
         Ok(())
     }
 
-    fn note_over_limit(&self, denied: Denied) {
-        let reach = self.shell.query(|dispatcher, now| dispatcher.reach(now));
-        self.shell.log(&Event::OverLimit {
-            request: &self.admitted.request,
-            customer: self.admitted.customer_name(),
-            asked: self.units,
-            level: denied.level as i64,
-            most: denied.most as u64,
-            kept: denied.kept as u64,
-            nodes: reach.nodes,
-            silent: reach.silent,
-        });
-    }
-
     /// Sends the request to endpoints, one after the other, until one gives an
     /// answer that the caller is to have.
     ///
@@ -386,15 +359,8 @@
     /// Gives the caller an answer of this node's own.
     fn refuse(mut self, reply: Reply) -> Response<Body> {
         let not_run = reply.code.outcome() == Outcome::NotRun;
-        if let Some(customer) = self
-            .admitted
-            .customer
-            .as_ref()
-            .filter(|_| self.charged && not_run)
-        {
-            let units = self.units;
-            self.shell
-                .command(|dispatcher, _| dispatcher.give_back(customer, units));
+        if not_run {
+            charge::give_back(&self.shell, &self.admitted, self.units, self.charged);
         }
         let Admitted {
             request,
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! * `admit.rs`: which route and customer a request has.
 //! * `payload.rs`: its body.
+//! * `charge.rs`: its customer's quota.
 //! * `exchange.rs`: attempts at endpoints until there is an answer.
 //! * `outgoing.rs`: a request as an endpoint gets it.
 //! * `judge.rs`: what an answer's head means.
@@ -31,6 +32,7 @@
 use crate::upstream::Body;
 
 mod admit;
+mod charge;
 mod exchange;
 pub mod framer;
 mod judge;
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -23,6 +23,7 @@
 use crate::headers::Headers;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::peers::reservations::Reservations;
 use crate::upstream::Upstream;
 
 /// How far a planned stop has come.
@@ -52,6 +53,8 @@
     pub bodies: Arc<Semaphore>,
     /// Connections from callers that are open.
     pub connections: Cell<usize>,
+    /// Questions to the owners of quotas.
+    pub reservations: Reservations,
     catch_ups: Cell<u64>,
     phase: watch::Sender<Phase>,
     dispatcher: RefCell<Dispatcher>,
@@ -78,6 +81,7 @@
             upstream: Upstream::default(),
             bodies: Arc::new(Semaphore::new(((memory.0 / BODIES_PART) >> 10) as usize)),
             connections: Cell::new(0),
+            reservations: Reservations::default(),
             catch_ups: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
             dispatcher: RefCell::new(dispatcher),
