fix: endpoints that one node found dead are left alone by others, and stay gone

Each node found out for itself, and in overload a dead endpoint looks free. One that answered 421 was taken up again with the next list of endpoints, as the platform still listed it.

Change: a status says why a node sends nothing to an endpoint: calls broke, it cannot be connected to, or it is gone. Gone stays gone, and one node's word is enough; 'cannot be connected to' is believed of two nodes, not of one that says so of most of its endpoints, and not against a call of ours that worked within half a second. An attempt whose time ran out is 'late', no longer 'lost': it rests an endpoint only where that has shown nothing else for a while.

--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -95,13 +95,18 @@
             }
             End::Fault => worker.fault(now),
             End::Full => worker.fill(now, options),
-            End::NotThere => worker.endpoint = leaving(worker),
+            End::NotThere => worker.gone_at = Some(now),
             End::NotSent | End::Lost => {
                 let number = worker.number;
-                worker.fail(now, options);
+                worker.fail(now, end == End::NotSent, options);
                 pool.warm.forget(number);
             }
-            End::Abandoned => {}
+            // That the time ran out says little of an endpoint that shows
+            // progress with other requests.
+            End::Late if now.since(worker.heard) > options.silence => {
+                worker.fail(now, false, options);
+            }
+            End::Late | End::Abandoned => {}
         }
         run.job
     }
@@ -137,12 +142,6 @@
 /// Nodes that share the budget as long as none was heard.
 const ALONE: usize = 8;
 
-fn leaving(worker: &crate::worker::Worker) -> std::sync::Arc<crate::endpoint::Endpoint> {
-    let mut endpoint = (*worker.endpoint).clone();
-    endpoint.leaving = true;
-    std::sync::Arc::new(endpoint)
-}
-
 fn learn_first(pool: &mut Pool, run: &mut Run, now: Time) {
     run.first = Some(now);
     run.marked = now;
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -188,7 +188,12 @@
     }
 
     fn doubt(&self, worker: &Worker) -> f64 {
-        let others = if worker.others_failing > 0 { 0.5 } else { 0.0 };
+        let reports = worker.others_trouble;
+        let others = if reports.failing + reports.unreachable > 0 {
+            0.5
+        } else {
+            0.0
+        };
         (worker.failing + others) * self.options.policy.failing
     }
 
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -14,8 +14,10 @@
 use crate::message::Load;
 use crate::message::Snapshot;
 use crate::message::Status;
+use crate::message::Trouble;
 use crate::message::Waiting;
 use crate::quota::Speaker;
+use crate::worker::Reports;
 
 /// Customers spoken of in one status.
 const USAGE_MOST: usize = 32;
@@ -23,6 +25,17 @@
 /// Endpoints spoken of in one status, so that it fits a datagram.
 const LOADS_MOST: usize = 64;
 
+/// Endpoints that one node cannot connect to from which on it may be the node.
+const MANY_UNREACHABLE: usize = 4;
+
+/// What the other nodes say of one endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+struct Elsewhere {
+    running: u32,
+    pending: u64,
+    trouble: Reports,
+}
+
 impl Dispatcher {
     /// Takes in what another node said. What it runs counts from the next tick
     /// on, so that a word costs little in a large fleet.
@@ -48,22 +61,29 @@
         news
     }
 
-    /// Adds up what the other nodes run at each endpoint.
+    /// Adds up what the other nodes run at each endpoint, and what they found.
     pub(super) fn count_others(&mut self, now: Time) {
-        let mut sums: HashMap<u32, (u32, u64, u32)> = HashMap::new();
-        let said = self
-            .members
-            .fresh(now)
-            .flat_map(|(_, member)| &member.status.loads);
-        for load in said {
-            let sum = sums.entry(load.endpoint).or_default();
-            sum.0 += u32::from(load.running);
-            sum.1 += u64::from(load.pending);
-            sum.2 += u32::from(load.failing);
+        let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
+        for (_, member) in self.members.fresh(now) {
+            let loads = &member.status.loads;
+            let believed = !is_cut_off(loads);
+            for load in loads {
+                let sum = sums.entry(load.endpoint).or_default();
+                sum.running += u32::from(load.running);
+                sum.pending += u64::from(load.pending);
+                match load.trouble {
+                    Some(Trouble::Gone) => sum.trouble.gone += 1,
+                    Some(Trouble::Failing) => sum.trouble.failing += 1,
+                    Some(Trouble::Unreachable) if believed => sum.trouble.unreachable += 1,
+                    Some(Trouble::Unreachable) | None => {}
+                }
+            }
         }
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
             let sum = sums.get(&worker.number).copied().unwrap_or_default();
-            (worker.others, worker.others_pending, worker.others_failing) = sum;
+            worker.others = sum.running;
+            worker.others_pending = sum.pending;
+            worker.others_trouble = sum.trouble;
         }
     }
 
@@ -98,15 +118,14 @@
 
     fn loads(&self, now: Time) -> Vec<Load> {
         let workers = self.pools.values().flat_map(|pool| &pool.workers);
-        let told = workers.filter(|worker| worker.running > 0 || now < worker.rests_until);
-        told.map(|worker| Load {
+        let loads = workers.map(|worker| Load {
             endpoint: worker.number,
             running: worker.running.min(u32::from(u16::MAX)) as u16,
             pending: worker.pending.min(u64::from(u32::MAX)) as u32,
-            failing: worker.failures > 0 && now < worker.rests_until,
-        })
-        .take(LOADS_MOST)
-        .collect()
+            trouble: worker.trouble(now, &self.options.worker),
+        });
+        let told = loads.filter(|load| load.running > 0 || load.trouble.is_some());
+        told.take(LOADS_MOST).collect()
     }
 
     fn waiting(&self) -> Vec<Waiting> {
@@ -171,3 +190,11 @@
         self.urgent = true;
     }
 }
+
+/// True where a node cannot connect to so many endpoints that it is rather
+/// itself cut off from them.
+fn is_cut_off(loads: &[Load]) -> bool {
+    let unreachable = |load: &&Load| load.trouble == Some(Trouble::Unreachable);
+    let unreachable = loads.iter().filter(unreachable).count();
+    unreachable >= MANY_UNREACHABLE && unreachable * 2 > loads.len()
+}
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -104,8 +104,10 @@
     NotThere,
     /// The endpoint ran it and answered with a fault of its own.
     Fault,
-    /// It was sent, and no whole answer came.
+    /// It was sent, and the connection broke before the whole answer came.
     Lost,
+    /// It was sent, and its time ran out before the whole answer came.
+    Late,
     /// The caller left, or its time ran out.
     Abandoned,
 }
@@ -125,6 +127,7 @@
             End::NotThere => "not-there",
             End::Fault => "fault",
             End::Lost => "lost",
+            End::Late => "late",
             End::Abandoned => "abandoned",
         }
     }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -24,8 +24,19 @@
     pub running: u16,
     /// Prompt tokens sent there of which no event was seen yet.
     pub pending: u32,
-    /// True while the node sends nothing there since calls failed.
-    pub failing: bool,
+    /// Why the node sends nothing there, if it does not.
+    pub trouble: Option<Trouble>,
+}
+
+/// Why a node sends nothing to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Trouble {
+    /// Calls broke.
+    Failing,
+    /// It cannot be connected to.
+    Unreachable,
+    /// Another answered at its address: this one is gone for good.
+    Gone,
 }
 
 /// What waits on one node for one service.
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -7,6 +7,7 @@
 use woadstage_types::unit::Time;
 
 use crate::endpoint::Endpoint;
+use crate::message::Trouble;
 
 /// Bounds of what is learnt.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,6 +23,9 @@
     pub half_life: Span,
     /// How long an endpoint that said it was full gets nothing.
     pub full_for: Span,
+    /// How long others are told of an endpoint that is gone: until lists lack
+    /// it too.
+    pub gone_told_for: Span,
 }
 
 impl Default for Options {
@@ -32,6 +36,7 @@
             silence: Span::from_millis(900),
             half_life: Span::from_secs(4),
             full_for: Span::from_millis(60),
+            gone_told_for: Span::from_secs(6),
         }
     }
 }
@@ -42,6 +47,24 @@
 /// Weight of a new observation of whether a call succeeded.
 const NEWEST_OUTCOME: f64 = 0.15;
 
+/// Nodes that must say that an endpoint cannot be connected to before one that
+/// saw no failure itself believes it: a single node may be cut off from it.
+const BELIEVED_FROM: u32 = 2;
+
+/// How long a call that worked outweighs what others say.
+const PROVED_FOR: Span = Span::from_millis(500);
+
+/// How many other nodes say what of an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reports {
+    /// That calls to it broke.
+    pub failing: u32,
+    /// That it cannot be connected to.
+    pub unreachable: u32,
+    /// That it is gone for good.
+    pub gone: u32,
+}
+
 /// An endpoint, as one node knows it.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -61,8 +84,14 @@
     pub others: u32,
     /// Prompt tokens that others sent and of which they saw no event.
     pub others_pending: u64,
-    /// Other nodes that keep work away from it.
-    pub others_failing: u32,
+    /// What other nodes say that keep work away from it.
+    pub others_trouble: Reports,
+    /// True where its last failure was that it could not be connected to.
+    pub unreachable: bool,
+    /// When another answered in its place: it is gone, whatever lists say.
+    pub gone_at: Option<Time>,
+    /// When a call to it last worked.
+    pub proved_at: Option<Time>,
     /// Its time for a step or a call, as a multiple of the usual one.
     pub pace: f64,
     /// The share of calls that it spoilt lately.
@@ -89,7 +118,10 @@
             pending: 0,
             others: 0,
             others_pending: 0,
-            others_failing: 0,
+            others_trouble: Reports::default(),
+            unreachable: false,
+            gone_at: None,
+            proved_at: None,
             pace: 1.0,
             failing: 0.0,
             failures: 0,
@@ -141,6 +173,7 @@
     /// Counts a call that worked.
     pub fn succeed(&mut self, now: Time) {
         self.heard = now;
+        self.proved_at = Some(now);
         self.failures = 0;
         self.failing -= self.failing * NEWEST_OUTCOME;
     }
@@ -153,8 +186,10 @@
         self.learnt = now;
     }
 
-    /// Counts a call that broke, and keeps work away for a while.
-    pub fn fail(&mut self, now: Time, options: &Options) {
+    /// Counts a call that broke or could not be made, and keeps work away for a
+    /// while.
+    pub fn fail(&mut self, now: Time, unreachable: bool, options: &Options) {
+        self.unreachable = unreachable;
         let doubled = options.rest.0 << self.failures.min(10);
         self.failures += 1;
         self.rests_until = now + Span(doubled.min(options.rest_limit.0));
@@ -177,7 +212,34 @@
     pub fn takes_work(&self, now: Time, options: &Options) -> bool {
         self.listed
             && !self.endpoint.leaving
+            && self.gone_at.is_none()
             && now >= self.rests_until
             && !self.is_silent(now, options)
+            && !self.is_distrusted(now)
+    }
+
+    /// True where others found it gone, or several could not connect to it, and
+    /// no call of ours worked lately. Those who say so try it again.
+    fn is_distrusted(&self, now: Time) -> bool {
+        let proved = self.proved_at.is_some_and(|at| now.since(at) < PROVED_FOR);
+        let reports = self.others_trouble;
+        let unreachable = self.failures == 0 && reports.unreachable >= BELIEVED_FROM;
+        !proved && (reports.gone > 0 || unreachable)
+    }
+
+    /// What this node tells the others of it, if anything is wrong.
+    pub fn trouble(&self, now: Time, options: &Options) -> Option<Trouble> {
+        if self
+            .gone_at
+            .is_some_and(|at| now.since(at) < options.gone_told_for)
+        {
+            return Some(Trouble::Gone);
+        }
+        let resting = self.failures > 0 && now < self.rests_until;
+        let trouble = match self.unreachable {
+            true => Trouble::Unreachable,
+            false => Trouble::Failing,
+        };
+        resting.then_some(trouble)
     }
 }
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -107,7 +107,7 @@
         endpoint: woadstage_dispatch::endpoint::to_number(&woadstage_types::id::Endpoint::new("e")),
         running: 2,
         pending: 0,
-        failing: false,
+        trouble: None,
     };
     let status = Status {
         incarnation: 2,
--- a/crates/dispatch/tests/dispatch/outcomes.rs
+++ b/crates/dispatch/tests/dispatch/outcomes.rs
@@ -5,10 +5,15 @@
 use woadstage_dispatch::dispatcher::Cause;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::endpoint::number_of;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::message::Load;
+use woadstage_dispatch::message::Status;
+use woadstage_dispatch::message::Trouble;
 use woadstage_types::unit::Span;
 
+use crate::support::MODEL;
 use crate::support::SERVICE;
 use crate::support::at;
 use crate::support::configuration;
@@ -16,6 +21,7 @@
 use crate::support::endpoint;
 use crate::support::job;
 use crate::support::list;
+use crate::support::node;
 use crate::support::options;
 use crate::support::starts;
 
@@ -179,3 +185,91 @@
     );
     dispatcher.abandon(at(1_100), silent);
 }
+
+#[test]
+fn an_endpoint_that_is_gone_stays_so_whatever_lists_say() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 4)]);
+    let id = dispatcher.enter(at(0), once(1));
+    dispatcher.end(at(10), id, End::NotThere);
+    // The platform has not noticed yet.
+    dispatcher.set_endpoints(at(20), list(2, &[endpoint("e", SERVICE, 4)]));
+    dispatcher.take_decisions();
+    dispatcher.enter(at(30), once(1));
+    assert_eq!(starts(&mut dispatcher), []);
+}
+
+#[rstest]
+#[case::while_it_works_on_others(2_900, 1)]
+#[case::and_it_showed_nothing_for_long(1_000, 0)]
+fn an_endpoint_rests_whose_answer_came_too_late(#[case] progress: u64, #[case] starts_then: usize) {
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 4)]);
+    let [late, other] = [0, 0].map(|millis| dispatcher.enter(at(millis), job(MODEL, 0, at(0))));
+    dispatcher.progress(at(progress), other, 1);
+    dispatcher.end(at(3_000), late, End::Late);
+    dispatcher.take_decisions();
+    dispatcher.abandon(at(3_005), other);
+    dispatcher.enter(at(3_010), job(MODEL, 0, at(3_010)));
+    assert_eq!(starts(&mut dispatcher).len(), starts_then);
+}
+
+/// What a node says that finds some endpoints in trouble.
+fn finds(number: u8, trouble: Trouble, names: &[&str]) -> (std::net::SocketAddrV4, Status) {
+    let loads = names.iter().map(|name| Load {
+        endpoint: number_of(name),
+        running: 0,
+        pending: 0,
+        trouble: Some(trouble),
+    });
+    let status = Status {
+        incarnation: u64::from(number),
+        sequence: 1,
+        loads: loads.collect(),
+        ..Status::default()
+    };
+    (node(number), status)
+}
+
+/// Whether an endpoint still gets work after what others said.
+fn still_gets_work(said: Vec<(std::net::SocketAddrV4, Status)>) -> bool {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 4)]);
+    for (from, status) in said {
+        dispatcher.hear(at(0), from, status);
+    }
+    dispatcher.tick(at(1));
+    dispatcher.enter(at(2), once(1));
+    starts(&mut dispatcher).len() == 1
+}
+
+#[rstest]
+#[case::one_found_it_gone(vec![finds(2, Trouble::Gone, &["e"])], false)]
+#[case::two_cannot_connect(vec![finds(2, Trouble::Unreachable, &["e"]), finds(3, Trouble::Unreachable, &["e"])], false)]
+#[case::one_cannot_connect(vec![finds(2, Trouble::Unreachable, &["e"])], true)]
+#[case::calls_of_two_broke(vec![finds(2, Trouble::Failing, &["e"]), finds(3, Trouble::Failing, &["e"])], true)]
+#[case::two_that_seem_cut_off(
+    vec![
+        finds(2, Trouble::Unreachable, &["e", "f", "g", "h"]),
+        finds(3, Trouble::Unreachable, &["e", "f", "g", "h"]),
+    ],
+    true
+)]
+fn what_others_found_dead_is_left_alone(
+    #[case] said: Vec<(std::net::SocketAddrV4, Status)>,
+    #[case] gets_work: bool,
+) {
+    assert_eq!(still_gets_work(said), gets_work);
+}
+
+#[test]
+fn a_call_that_worked_outweighs_what_others_say() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 4)]);
+    let id = dispatcher.enter(at(0), once(1));
+    dispatcher.end(at(10), id, End::Whole);
+    for number in [2, 3] {
+        let (from, status) = finds(number, Trouble::Unreachable, &["e"]);
+        dispatcher.hear(at(20), from, status);
+    }
+    dispatcher.tick(at(21));
+    dispatcher.take_decisions();
+    dispatcher.enter(at(100), once(1));
+    assert_eq!(starts(&mut dispatcher).len(), 1);
+}
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -200,8 +200,7 @@
                         (end, detail)
                     }
                 },
-                Err(Fault::NotSent(detail)) => (End::NotSent, detail),
-                Err(Fault::Lost(detail)) => (End::Lost, detail),
+                Err(fault) => (to_end(&fault), fault.to_string()),
             };
             if !self.goes_on(end, &detail) {
                 return Err(self.give_up(end));
@@ -275,7 +274,7 @@
         let shell = self.shell.clone();
         match timeout_at(until, shell.upstream.call(endpoint, request)).await {
             Ok(sent) => sent,
-            Err(_) => Err(Fault::Lost("no answer in time".into())),
+            Err(_) => Err(Fault::Late),
         }
     }
 
@@ -383,3 +382,11 @@
         self.job
     }
 }
+
+fn to_end(fault: &Fault) -> End {
+    match fault {
+        Fault::NotSent(_) => End::NotSent,
+        Fault::Lost(_) => End::Lost,
+        Fault::Late => End::Late,
+    }
+}
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -108,10 +108,10 @@
                     let rest = self.finish();
                     return (!rest.is_empty()).then_some(Ok(rest));
                 }
-                Piece::Late => return Some(Err(self.cut("no time left"))),
+                Piece::Late => return Some(Err(self.cut(End::Late, "no time left"))),
                 Piece::Broken(detail) => {
                     if !self.go_on(&detail).await {
-                        return Some(Err(self.cut(&detail)));
+                        return Some(Err(self.cut(End::Lost, &detail)));
                     }
                 }
             }
@@ -229,10 +229,10 @@
     }
 
     /// Breaks the answer off, so that it does not look whole.
-    fn cut(&mut self, detail: &str) -> anyhow::Error {
+    fn cut(&mut self, end: End, detail: &str) -> anyhow::Error {
         self.ended = true;
         self.connection = None;
-        self.exchange.goes_on(End::Lost, detail);
+        self.exchange.goes_on(end, detail);
         self.exchange.finish();
         let exchange = &self.exchange;
         exchange.shell.log(&Event::Cut {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -30,12 +30,15 @@
     NotSent(String),
     /// The request may have been read.
     Lost(String),
+    /// The request's time ran out before an answer began.
+    Late,
 }
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::NotSent(detail) | Fault::Lost(detail) => f.write_str(detail),
+            Fault::Late => f.write_str("no answer in time"),
         }
     }
 }
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -15,6 +15,7 @@
 use woadstage_dispatch::message::Reserved;
 use woadstage_dispatch::message::Snapshot;
 use woadstage_dispatch::message::Status;
+use woadstage_dispatch::message::Trouble;
 use woadstage_dispatch::message::Usage;
 use woadstage_dispatch::message::Verdict;
 use woadstage_gateway::peers;
@@ -56,7 +57,7 @@
         endpoint: u32::MAX,
         running: 500,
         pending: 200_000,
-        failing: true,
+        trouble: Some(Trouble::Failing),
     };
     let usage = Usage {
         customer: u64::MAX,
