fix: nothing is begun at an engine that would reach it after its caller has left

Whether it still made sense was asked with the usual time to the first event only, not with what that engine had before it.

Change: an engine is passed over for a request whose first event would come after its caller has left, by the prompts and the queue that stand before it there and its pace. The request waits for another, and is refused when its time shows that none will do.

The test in order was seen failing without the change.

--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -21,6 +21,8 @@
     worker: usize,
     uncached: u64,
     micros: f64,
+    /// The time until its first event is expected, in microseconds.
+    first: f64,
 }
 
 /// Starts of one rank that are remembered.
@@ -112,6 +114,10 @@
                 true => self.engine_choice(now, pool, at, job, &chain, home == Some(at)),
                 false => self.service_choice(pool, at, job),
             };
+            // Its caller would have left before anything came.
+            if now + Span(choice.first as u64) > job.latest() {
+                continue;
+            }
             if best.is_none_or(|best| choice.micros < best.micros) {
                 best = Some(choice);
             }
@@ -159,10 +165,12 @@
         let slots = worker.endpoint.slots.max(1);
         let over = (worker.busy() + 1).saturating_sub(slots);
         let queue = f64::from(over) * pool.call / f64::from(slots);
-        let time = pool.prefill * (before + believed) + queue + output * pool.step * policy.decode;
+        let reading = pool.prefill * (before + believed) + queue;
+        let time = reading + output * pool.step * policy.decode;
         Choice {
             worker: at,
             uncached: unread,
+            first: reading * worker.pace,
             micros: time * worker.pace * spread(worker, job)
                 + believed * policy.reread
                 + self.doubt(worker),
@@ -183,6 +191,7 @@
         Choice {
             worker: at,
             uncached: 0,
+            first: 0.0,
             micros: pool.call * worker.pace * (1.0 + load) * spread + crossing + self.doubt(worker),
         }
     }
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -206,6 +206,32 @@
     assert_eq!(starts(&mut dispatcher), []);
 }
 
+#[test]
+fn what_an_engine_would_reach_after_its_caller_left_is_not_begun_there() {
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 4)]);
+    let prompt = |tokens| Prompt {
+        tokens,
+        ..Prompt::default()
+    };
+    // Some seconds of reading, at what a token takes until more is known.
+    let long = Job {
+        prompt: prompt(100_000),
+        ..job(MODEL, 0, at(0))
+    };
+    let reading = dispatcher.enter(at(0), long);
+    let impatient = Job {
+        patience: Span::from_secs(3),
+        prompt: prompt(1_000),
+        ..job(MODEL, 0, at(1))
+    };
+    let waits = dispatcher.enter(at(1), impatient);
+    assert_eq!(starts(&mut dispatcher), [(reading, "e".to_owned())]);
+    // Once the long one is read, there is time for it.
+    dispatcher.progress(at(1_000), reading, 1);
+    dispatcher.tick(at(1_001));
+    assert_eq!(starts(&mut dispatcher), [(waits, "e".to_owned())]);
+}
+
 #[test]
 fn one_that_was_refused_before_goes_first_in_its_rank() {
     let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
