fix: a node's buckets are empty at its start whatever comes first

A bucket fills from the node's start on, and the start was noted by the first tick, 20 ms after the start; a status of another node or a request that came before made a bucket that had filled since the beginning of time. Each restart so gave out a burst too much.

Change: a status, a request and a question note the start too. Three cases of quota_fleet::a_node_starts_with_empty_buckets_whatever_comes_first were seen failing without it. a_small_fleet_keeps_to_the_limit_while_callers_move (five cases) passed before and after: its world ticks first.

--- a/crates/dispatch/src/dispatcher/reserve.rs
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -39,6 +39,7 @@
         let Some(quota) = &customer.quota else {
             return Charge::Admitted;
         };
+        self.accounts.begin(now);
         let number = customer.name.to_number();
         let reach = self.members.reach(now);
         let admitted = if self.accounts.is_meeting(now) {
@@ -84,6 +85,7 @@
 
     /// Answers another node that takes this one for the owner of a quota.
     pub fn reserve(&mut self, now: Time, reserve: &Reserve) -> Verdict {
+        self.accounts.begin(now);
         let customer = self
             .table
             .as_ref()
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -40,6 +40,7 @@
     /// Takes in what another node said. What it runs counts from the next tick
     /// on, so that a word costs little in a large fleet.
     pub fn hear(&mut self, now: Time, from: SocketAddrV4, status: Status) -> News {
+        self.accounts.begin(now);
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
         let news = self.members.hear(now, from, status);
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -165,7 +165,8 @@
         }
     }
 
-    /// Says when this node started.
+    /// Says when this node started. Whatever comes first says so: a bucket that
+    /// is made before would count as having filled since the beginning of time.
     pub fn begin(&mut self, now: Time) {
         if self.started == Time(0) {
             self.started = now;
--- a/crates/dispatch/tests/dispatch/quota_fleet.rs
+++ b/crates/dispatch/tests/dispatch/quota_fleet.rs
@@ -13,6 +13,9 @@
 use woadstage_dispatch::dispatcher::Charge;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::message::Reserve;
+use woadstage_dispatch::message::Status;
+use woadstage_dispatch::message::Usage;
 use woadstage_dispatch::message::Verdict;
 use woadstage_dispatch::quota;
 use woadstage_dispatch::quota::Demand;
@@ -36,7 +39,7 @@
 /// Tokens of one request.
 const REQUEST: u64 = 3_000;
 
-/// Nodes of the fleet: several cells.
+/// Nodes of a fleet of several cells.
 const NODES: u8 = 30;
 
 /// Nodes that lose all others between two moments, or are not there at all.
@@ -67,6 +70,10 @@
 
 impl Fleet {
     fn new(rate: f64, troubles: &[Trouble]) -> Fleet {
+        Fleet::of(NODES, rate, troubles)
+    }
+
+    fn of(nodes: u8, rate: f64, troubles: &[Trouble]) -> Fleet {
         let customer = Customer {
             name: id::Customer::new("one"),
             keys: Vec::new(),
@@ -81,7 +88,7 @@
             given: Vec::new(),
             asked: 0,
         };
-        for number in 0..NODES {
+        for number in 0..nodes {
             let made = fleet.make(number);
             fleet.nodes.push(Some(made));
         }
@@ -127,7 +134,12 @@
     }
 
     fn step(&mut self, millis: u64, requests: u64) {
-        for number in 0..NODES {
+        self.step_asking(millis, |_| requests);
+    }
+
+    /// One step in which each node gets as many requests as `asked` says.
+    fn step_asking(&mut self, millis: u64, asked: impl Fn(u8) -> u64) {
+        for number in 0..self.nodes.len() as u8 {
             let killed = self.troubled(millis, number, true);
             let place = usize::from(number);
             match (killed, self.nodes[place].is_some()) {
@@ -146,7 +158,7 @@
                     }
                 }
             }
-            for _ in 0..requests {
+            for _ in 0..asked(number) {
                 self.request(millis, number);
             }
         }
@@ -296,3 +308,62 @@
     assert_eq!((owner, release.units), (node(4), 70));
     assert_eq!(dispatcher.give_back(&customer, 70, None), None);
 }
+
+#[rstest]
+#[case::nothing_happens(&[])]
+#[case::one_is_started_again(&[kill(1..2, 6_000, 6_500)])]
+#[case::each_is_started_again(&[kill(1..2, 6_000, 6_200), kill(2..3, 8_000, 8_200), kill(3..4, 10_000, 10_200), kill(0..1, 12_000, 12_200)])]
+#[case::one_is_away_for_long(&[kill(1..2, 4_000, 9_000)])]
+#[case::one_is_cut_off(&[cut(1..2, 6_000, 9_000)])]
+fn a_small_fleet_keeps_to_the_limit_while_callers_move(#[case] troubles: &[Trouble]) {
+    let rate = 60_000.0;
+    let mut fleet = Fleet::of(4, rate, troubles);
+    for millis in (0..16_000).step_by(STEP as usize) {
+        // All callers are at one node, and at the next a second and a half later.
+        let at_node = (millis / 1_500 % 4) as u8;
+        fleet.step_asking(millis, |number| match millis < 3_000 || number != at_node {
+            true => 0,
+            false => 2,
+        });
+    }
+    let quota = quota(rate);
+    let plain = rate * WINDOW as f64 / 1_000.0 + quota.burst;
+    // What the nodes are told to use of the overrun, and one request a node.
+    let used = quota::Options::default().part;
+    let told = plain * (1.0 + OVERRUN * used) + SLACK * used + 4.0 * REQUEST as f64;
+    let most = fleet.most() as f64;
+    assert!(most <= told, "{most} of {told}");
+}
+
+/// What a node gives out that has only just started, by its first event.
+fn given_at_start(first: impl Fn(&mut Dispatcher, u64)) -> usize {
+    let mut fleet = Fleet::of(1, 60_000.0, &[]);
+    let customer = fleet.customer.clone();
+    let mut dispatcher = fleet.make(0);
+    first(&mut dispatcher, customer.name.to_number());
+    let demand = Demand {
+        units: REQUEST,
+        routine: 0.0,
+    };
+    let left = Span::from_secs(5);
+    let charges =
+        (0..50).map(|millis| dispatcher.charge(at(10_000 + millis), &customer, demand, left));
+    charges.filter(|charge| *charge == Charge::Admitted).count()
+}
+
+#[rstest]
+#[case::a_request(&|_: &mut Dispatcher, _| {})]
+#[case::a_status(&|dispatcher: &mut Dispatcher, customer| {
+    let usage = vec![Usage { customer, units: 0 }];
+    let status = Status { incarnation: 9, sequence: 1, usage, ..Status::default() };
+    dispatcher.hear(at(9_990), node(7), status);
+})]
+#[case::a_question(&|dispatcher: &mut Dispatcher, customer| {
+    let reserve = Reserve { number: 1, customer, units: REQUEST, routine: 0 };
+    assert!(matches!(dispatcher.reserve(at(9_990), &reserve), Verdict::Denied(_)));
+})]
+fn a_node_starts_with_empty_buckets_whatever_comes_first(
+    #[case] first: &dyn Fn(&mut Dispatcher, u64),
+) {
+    assert_eq!(given_at_start(first), 0);
+}
