fix: a caller cannot give orders to engines

Cause: a caller's X-Kv-Hold, X-Pin-Ms, X-Kv-Backup and Kv-From went on to endpoints as it sent them, since the gateway passes on every field that belongs to no connection.

Change: the settings list header names that are reserved for the system; what a caller sends under them is dropped on every attempt. Trailers of a body that passes through are dropped too, since they would add fields that the head does not show.

Ruled out: dropping all X- fields (callers' own fields must pass).

--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -29,6 +29,9 @@
     pub output_hint: HeaderName,
     /// The last event that arrived, when a stream goes on.
     pub last_event: HeaderName,
+    /// Fields by which the system gives orders to endpoints. What a caller
+    /// sends under these names is dropped.
+    pub reserved: Vec<HeaderName>,
 }
 
 impl Default for Headers {
@@ -43,6 +46,7 @@
             parts: HeaderName::from_static("woadstage-prompt-parts"),
             output_hint: HeaderName::from_static("woadstage-output-hint"),
             last_event: HeaderName::from_static("last-event-id"),
+            reserved: Vec::new(),
         }
     }
 }
@@ -63,14 +67,17 @@
             ("last_event", &mut headers.last_event),
         ];
         for (field, name) in fields {
-            let Some(text) = reader.take_opt::<String>(field) else {
-                continue;
-            };
-            match text.parse() {
-                Ok(parsed) => *name = parsed,
-                Err(_) => reader.fault(field, Code::SettingsValue, "Give the name of a header."),
+            if let Some(text) = reader.take_opt::<String>(field)
+                && let Some(parsed) = parse_name(reader, field, &text)
+            {
+                *name = parsed;
             }
         }
+        let reserved: Vec<String> = reader.take_or("reserved", Vec::new());
+        let reserved = reserved.iter();
+        headers.reserved = reserved
+            .filter_map(|text| parse_name(reader, "reserved", text))
+            .collect();
         headers
     }
 
@@ -98,6 +105,15 @@
     }
 }
 
+/// A header's name from the settings, or a fault of the `field` that holds it.
+fn parse_name(reader: &mut Reader, field: &str, text: &str) -> Option<HeaderName> {
+    let name = text.parse().ok();
+    if name.is_none() {
+        reader.fault(field, Code::SettingsValue, "Give the name of a header.");
+    }
+    name
+}
+
 /// A header's value, where it is text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -1,5 +1,6 @@
 //! A request as an endpoint gets it: unchanged, but for the fields of one
-//! connection, the caller's key, and what this node sets.
+//! connection, the caller's key, the fields that are reserved for the system,
+//! and what this node sets.
 
 use hyper::HeaderMap;
 use hyper::Request;
@@ -61,6 +62,9 @@
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::EXPECT);
     headers.remove(&names.customer);
+    for name in &names.reserved {
+        headers.remove(name);
+    }
     frame(headers, &head.headers, length);
     let left = (attempt.left.0 / 1_000).max(1);
     headers.insert(names.deadline.clone(), left.into());
--- a/crates/gateway/src/serve/payload.rs
+++ b/crates/gateway/src/serve/payload.rs
@@ -102,8 +102,8 @@
                 if let Some(held) = held {
                     return Some((Ok(Frame::data(held)), (None, rest)));
                 }
-                let frame = rest.frame().await?;
-                Some((frame.map_err(anyhow::Error::from), (None, rest)))
+                let data = next_data(&mut rest).await?;
+                Some((data.map(Frame::data), (None, rest)))
             });
         Box::pin(StreamBody::new(frames))
     }
@@ -113,3 +113,18 @@
         (!self.streams).then_some(self.held.len())
     }
 }
+
+/// The next bytes of a body. Trailers are dropped: they would add fields to the
+/// head that the caller's own head does not show.
+async fn next_data(body: &mut Incoming) -> Option<anyhow::Result<Bytes>> {
+    loop {
+        match body.frame().await? {
+            Err(error) => return Some(Err(error.into())),
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    return Some(Ok(data));
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod log;
 mod peers;
 mod requests;
+mod reserved;
 mod settings;
 mod stop;
 mod streams;
--- a/crates/gateway/tests/gateway/settings.rs
+++ b/crates/gateway/tests/gateway/settings.rs
@@ -31,6 +31,7 @@
 window = "10s"
 [headers]
 request = "X-Id"
+reserved = ["X-Order", "Order-From"]
 "#;
 
 #[test]
@@ -44,6 +45,7 @@
     assert_eq!(read.budget.extra, 58.0);
     assert_eq!(read.headers.request.as_str(), "x-id");
     assert_eq!(read.headers.deadline.as_str(), "woadstage-timeout-ms");
+    assert_eq!(read.headers.reserved, ["x-order", "order-from"]);
 }
 
 #[rstest]
@@ -58,6 +60,7 @@
 #[case::a_negative_share("overrun = 0.25", "overrun = -1", "quota.overrun")]
 #[case::a_text_for_a_number("extra = 58", "extra = \"many\"", "retry.extra")]
 #[case::a_header_with_a_space("X-Id", "X Id", "headers.request")]
+#[case::a_reserved_header_with_a_space("X-Order", "X Order", "headers.reserved")]
 #[case::an_unknown_field("ratio = 0.2", "ration = 0.2", "retry.ration")]
 #[case::an_unknown_table("[headers]", "[head]", "head")]
 #[case::a_bad_time("\"8s\"", "\"soon\"", "node.stop_within")]
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use hyper::header::HeaderName;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use woadstage_dispatch::configuration::Configuration;
@@ -37,6 +38,9 @@
 use super::SERVICE;
 use super::worker::Worker;
 
+/// Fields that callers may not set.
+pub const RESERVED: [&str; 2] = ["x-order", "order-from"];
+
 /// Log lines that can be looked at.
 #[derive(Clone, Default)]
 pub struct Lines(Arc<Mutex<Vec<u8>>>);
@@ -149,7 +153,7 @@
         let metrics = Metrics::new().expect("metrics");
         let shell = Shell::new(
             Dispatcher::new(options_of_one()),
-            Headers::default(),
+            headers(),
             memory,
             log,
             metrics,
@@ -194,6 +198,14 @@
     }
 }
 
+/// The usual names, and two that only the system may set.
+fn headers() -> Headers {
+    Headers {
+        reserved: RESERVED.map(HeaderName::from_static).to_vec(),
+        ..Headers::default()
+    }
+}
+
 fn options_of_one() -> Options {
     Options {
         own: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7_600),
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -14,6 +14,7 @@
 pub use caller::Seen;
 pub use gateway::Gateway;
 pub use gateway::Lines;
+pub use gateway::RESERVED;
 pub use gateway::configuration;
 pub use gateway::to_endpoint;
 pub use wire::answer;
