fix: a node without a configuration tells callers to return late

Cause: while the store is dark, all nodes that were killed answer 503 until it is back, and told callers to return after half a second.

Change: the time to return is most of what the caller would wait (the same formula as under load), spread, from the deadline that it gave.

--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -44,7 +44,7 @@
 }
 
 /// How long a caller waits that does not say.
-const LEFT_USUAL: Span = Span::from_secs(60);
+pub const LEFT_USUAL: Span = Span::from_secs(60);
 
 /// The part of a route's timeout that a caller who was refused before has left
 /// at the most, in percent.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -69,9 +69,14 @@
 /// Answers a request that has no route, customer or configuration.
 fn turn_away(shell: &Shell, head: &Parts, arrived: Time, code: Code) -> Response<Body> {
     let request = text(&head.headers, &shell.headers.request).unwrap_or_default();
+    let left = shell
+        .headers
+        .to_deadline_ms(&head.headers)
+        .map_or(admit::LEFT_USUAL, Span::from_millis);
+    let retry_after = || shell.query(|dispatcher, _| dispatcher.come_back_late(left));
     let reply = Reply {
         code,
-        retry_after: code.mends().then_some(Span::from_millis(500)),
+        retry_after: code.mends().then(retry_after),
         wait: None,
     };
     log_answer(shell, request, "", arrived, reply);
