feat: nodes that start give out an initial credit of quotas

Cause: buckets are empty at a node's start, and for a second it keeps to a quarter of its even part among 64.

Running nodes use six tenths of that allowance (before: eight); a quarter is the initial credit of all nodes that start, each with an even share, once, told as use. The share grows over 0.5 s as others are met, and was 1/64 until then. What is charged is told to others at once, also where the request never enters the queue.

Ruled out: full buckets at a start (unsafe with a customer at its limit before).

--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -115,7 +115,7 @@
 
     /// When a caller is to come back that was refused under load: it comes back
     /// once, so rather late than soon, and not together with all others.
-    pub(super) fn come_back_late(&self, left: Span) -> Span {
+    pub fn come_back_late(&self, left: Span) -> Span {
         let most = left.0 as f64 * self.options.policy.come_back_within;
         let spread = hash::of(&self.next_job.to_le_bytes()) % 1_000;
         Span((most * (0.5 + spread as f64 / 2_000.0)) as u64)
--- a/crates/dispatch/src/dispatcher/reserve.rs
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -42,6 +42,11 @@
         self.accounts.begin(now);
         let number = customer.name.to_number();
         let reach = self.members.reach(now);
+        let accounts = &mut self.accounts;
+        if accounts.try_admit_initial(now, number, quota, demand, reach) {
+            self.urgent = true;
+            return Charge::Admitted;
+        }
         let admitted = if self.accounts.is_meeting(now) {
             self.accounts
                 .admit_unheard(now, number, quota, demand, reach)
@@ -59,7 +64,11 @@
             }
         };
         match admitted {
-            Ok(()) => Charge::Admitted,
+            Ok(()) => {
+                // The others drain their buckets as soon as they hear of it.
+                self.urgent = true;
+                Charge::Admitted
+            }
             Err(denied) => self.to_refused(denied, left),
         }
     }
--- a/crates/dispatch/src/quota/admit.rs
+++ b/crates/dispatch/src/quota/admit.rs
@@ -7,6 +7,7 @@
 use super::Demand;
 use super::Denied;
 use super::Reach;
+use super::initial::MANY;
 use crate::configuration::Quota;
 
 /// Longest time after which a bucket is said to hold enough, in microseconds.
@@ -121,9 +122,6 @@
     }
 }
 
-/// Nodes that share a quota as far as one that has just started can know.
-const MANY: usize = 64;
-
 fn to_wait(seconds: f64) -> Span {
     Span((seconds * 1e6).min(WAIT_MOST) as u64)
 }
--- /dev/null
+++ b/crates/dispatch/src/quota/initial.rs
@@ -0,0 +1,72 @@
+//! What a node gives out right after its start.
+//!
+//! A node cannot know what was used before it started, so its buckets start
+//! empty. If that were all, a fleet whose nodes were all killed would refuse
+//! customers that are far below their limits until its buckets have filled.
+//!
+//! The rules let use in a window exceed the plain limit by an allowance. Buckets
+//! of running nodes use one part of it ([`super::Options::part`]); another part
+//! is the initial credit of all nodes that start within a window. Whatever was
+//! used before a start, the sum of both stays within the rules:
+//!
+//! * before: rate and burst with the first part of the allowance;
+//! * after: the same rate, empty buckets, and the second part.
+//!
+//! Each node has an even share of the credit, which it uses up once. The share
+//! grows with the time since the start, as the other nodes are met.
+
+use woadstage_types::unit::Time;
+
+use super::Accounts;
+use super::Demand;
+use super::Reach;
+use crate::configuration::Quota;
+
+/// Nodes that share a quota as far as one that has just started can know.
+pub(super) const MANY: usize = 64;
+
+impl Accounts {
+    /// Charges a request to this node's initial credit; false where that does
+    /// not hold enough.
+    pub fn try_admit_initial(
+        &mut self,
+        now: Time,
+        customer: u64,
+        quota: &Quota,
+        demand: Demand,
+        reach: Reach,
+    ) -> bool {
+        if now.since(self.started) > self.options.window {
+            return false;
+        }
+        let credit = self.initial_credit(quota) * self.initial_share(now, reach);
+        let account = self.account(now, customer, quota, reach);
+        if (account.advanced + demand.units) as f64 > credit {
+            return false;
+        }
+        account.advanced += demand.units;
+        account.used += demand.units;
+        account.changed = now;
+        true
+    }
+
+    /// The initial credit of all nodes together, in units.
+    fn initial_credit(&self, quota: &Quota) -> f64 {
+        let window = self.options.window.as_secs_f64();
+        let plain = quota.per_second * window + quota.burst;
+        let allowance = plain * self.options.overrun + self.options.slack;
+        allowance * self.options.initial
+    }
+
+    /// This node's share of the initial credit.
+    fn initial_share(&self, now: Time, reach: Reach) -> f64 {
+        let least = 1.0 / MANY as f64;
+        if reach.alone {
+            return least;
+        }
+        let even = 1.0 / reach.nodes.max(1) as f64;
+        let since = now.since(self.started).as_secs_f64();
+        let met = since / self.options.meet_within.as_secs_f64();
+        (even * met.min(1.0)).max(least.min(even))
+    }
+}
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -10,6 +10,7 @@
 //! the nodes, which the others ask (`dispatcher/reserve.rs`).
 //!
 //! * `admit.rs`: requests are charged.
+//! * `initial.rs`: what a node gives out that has just started.
 //! * `tell.rs`: what nodes tell each other of their customers' use.
 
 use std::collections::HashMap;
@@ -23,6 +24,7 @@
 use crate::configuration::Quota;
 
 mod admit;
+mod initial;
 mod tell;
 
 pub use tell::Speaker;
@@ -40,6 +42,13 @@
     /// The same in a fleet of several cells, where what owners of a quota know
     /// of each other is older.
     pub part_in_cells: f64,
+    /// The part that all nodes together may give out after their start, beyond
+    /// what buckets hold: these are empty then, since what was used before is
+    /// not known. [`Options::part`], this and the rest that covers messages on
+    /// their way make up the whole.
+    pub initial: f64,
+    /// The window in which the rules count a customer's use.
+    pub window: Span,
     /// How much of its part a node may have saved up that reaches no owner.
     pub saved: Span,
     /// The share of a limit that a node gives out which has heard no other
@@ -61,14 +70,16 @@
         Options {
             overrun: 0.0,
             slack: 0.0,
-            part: 0.8,
+            part: 0.6,
             part_in_cells: 0.4,
+            initial: 0.25,
+            window: Span::from_secs(8),
             saved: Span::from_secs(8),
             alone: 0.25,
             reserve: 0.35,
             small: 0.01,
             tell_for: Span::from_secs(10),
-            meet_within: Span::from_millis(1_000),
+            meet_within: Span::from_millis(500),
         }
     }
 }
@@ -121,6 +132,8 @@
     most: f64,
     at: Time,
     used: u64,
+    /// Units given out of this node's initial credit.
+    advanced: u64,
     changed: Time,
     /// When this node has kept to its even part of the rate again, whoever gave
     /// it out.
@@ -137,6 +150,7 @@
             most: 0.0,
             at: started,
             used: 0,
+            advanced: 0,
             changed: Time(0),
             even_at: Time(0),
             told: HashMap::new(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -132,6 +132,7 @@
     quota::Options {
         overrun: fraction(sub, "overrun", usual.overrun),
         slack: fraction(sub, "slack", usual.slack),
+        window: sub.take_or("window", usual.window),
         ..usual
     }
 }
