feat: expected first events and pauses decide who goes where and who is let in

Change, four parts, each with a switch in the new [policy] table of the settings: `pause_part`: a prompt that would make a pause of streams beside it too long waits for another engine while it still has time. `wait_for_objective`: a request does not take an engine where it would be late while it still has time. `admit_first`: at the door the usual time to the first event of its rank counts against the objective, not only the wait. `late_last`: what can no longer be in time goes behind its rank.

--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -23,6 +23,10 @@
     pub wait: Option<Span>,
 }
 
+/// The part of an objective that the expected time to the first event takes of
+/// it at the most.
+const FIRST_MOST: f64 = 0.8;
+
 /// Shortest time after which a refused caller comes back.
 const COME_BACK_LEAST: Span = Span::from_millis(100);
 
@@ -64,10 +68,11 @@
             });
         }
         let wait = self.wait(now, job);
+        let first = self.expected_first(job);
         // For one that was refused before, late is better than never.
         let most = match job.returning {
             true => job.patience.0 as f64,
-            false => job.objective.0 as f64 * self.options.policy.refuse_beyond,
+            false => job.objective.0 as f64 * self.options.policy.refuse_beyond - first,
         };
         (wait.0 as f64 > most).then(|| Refusal {
             code: Code::TooLate,
@@ -76,6 +81,17 @@
         })
     }
 
+    /// The time to the first event that counts against a newcomer's objective.
+    /// A queue that is empty refuses nobody: what the engines cannot do in time
+    /// when they are free they never can.
+    fn expected_first(&self, job: &Job) -> f64 {
+        let Some(pool) = self.pools.get(&job.target).filter(|pool| pool.engine) else {
+            return 0.0;
+        };
+        let first = pool.usual_first(job.rank) * self.options.policy.admit_first;
+        first.min(job.objective.0 as f64 * FIRST_MOST)
+    }
+
     /// The time until a newcomer of this rank would start, if those before it
     /// went on starting as fast as lately. Where none has started, as long
     /// again for each as the first has waited.
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 //! * `reserve.rs`: requests are charged to their customer's quota.
 //! * `enter.rs`: requests come.
 //! * `place.rs`: which request goes to which endpoint now.
+//! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
 //! * `tick.rs`: what only the passing of time brings about.
 //! * `share.rs`: what nodes tell each other.
@@ -43,6 +44,7 @@
 mod enter;
 mod observe;
 mod place;
+mod predict;
 mod publish;
 mod query;
 mod reserve;
@@ -78,6 +80,17 @@
     /// A newcomer is refused when the wait would be more than this multiple
     /// of its objective.
     pub refuse_beyond: f64,
+    /// Weight of the expected time to the first event in that.
+    pub admit_first: f64,
+    /// The part of the longest pause in time that reading a prompt may put
+    /// between the events of streams beside it; 0 where it is not looked at.
+    pub pause_part: f64,
+    /// Whether a request that still has time waits for an engine that answers
+    /// within its objective, rather than taking a free one that does not.
+    pub wait_for_objective: bool,
+    /// Whether a request that can no longer be in time goes behind those of
+    /// its rank that can.
+    pub late_last: bool,
     /// The part of the time left after which callers come back at the most.
     pub come_back_within: f64,
     /// The window in which it is seen how fast a rank is served.
@@ -103,6 +116,10 @@
             look_ahead: 32,
             waiting_fresh: Span::from_millis(250),
             refuse_beyond: 1.0,
+            admit_first: 1.0,
+            pause_part: 0.9,
+            wait_for_objective: true,
+            late_last: true,
             come_back_within: 0.32,
             rate_window: Span::from_millis(1_500),
             own_cell_for: Span::from_millis(60),
@@ -226,6 +243,8 @@
     first: Option<Time>,
     marked: Time,
     events: u32,
+    /// When it last showed an event.
+    last: Time,
 }
 
 /// What one node knows of one service.
@@ -244,6 +263,11 @@
     starts: HashMap<Rank, VecDeque<Time>>,
     /// Usual time to the first event, in microseconds.
     first: f64,
+    /// The same of each rank.
+    firsts: HashMap<Rank, f64>,
+    /// The longest pauses between two events, as a multiple of the engine's
+    /// step.
+    longest_pause: f64,
     /// Usual time between two events of a stream, in microseconds.
     step: f64,
     /// Usual time for reading one prompt token, in microseconds.
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -21,6 +21,18 @@
 const PACE_LEAST: f64 = 0.1;
 const PACE_MOST: f64 = 20.0;
 
+/// Weight of one observation of a rank's time to the first event.
+const NEWEST_OF_RANK: f64 = 0.05;
+
+/// Weight of a pause longer than the longest that are expected, and of a
+/// shorter one: about one in fifty is longer.
+const PAUSE_LONGER: f64 = 0.2;
+const PAUSE_SHORTER: f64 = 0.002;
+
+/// The longest pause that counts, as a multiple of a step: longer ones are
+/// those of an endpoint that stands still.
+const LONGEST_PAUSE: f64 = 10.0;
+
 /// Events after which the time between them is looked at.
 const MARK: u32 = 4;
 
@@ -39,6 +51,10 @@
             self.urgent = true;
             return;
         }
+        if events == 1 {
+            learn_pause(pool, run, now);
+        }
+        run.last = now;
         run.events += events;
         if run.events >= MARK {
             learn_step(pool, run, now);
@@ -149,7 +165,11 @@
 fn learn_first(pool: &mut Pool, run: &mut Run, now: Time) {
     run.first = Some(now);
     run.marked = now;
-    pool.first += (now.since(run.started).0 as f64 - pool.first) * NEWEST;
+    run.last = now;
+    let after = now.since(run.started).0 as f64;
+    pool.first += (after - pool.first) * NEWEST;
+    let of_rank = pool.firsts.entry(run.job.rank).or_insert(after);
+    *of_rank += (after - *of_rank) * NEWEST_OF_RANK;
     let worker = &mut pool.workers[run.worker];
     worker.pending = worker.pending.saturating_sub(run.uncached);
     let tokens = run.uncached + run.ahead;
@@ -162,6 +182,20 @@
     }
 }
 
+/// Learns how much longer than a step the longest pauses are: from a longer one
+/// at once, from shorter ones slowly.
+fn learn_pause(pool: &mut Pool, run: &Run, now: Time) {
+    let Some(step) = pool.workers[run.worker].step else {
+        return;
+    };
+    let ratio = (now.since(run.last).0 as f64 / step.max(1.0)).min(LONGEST_PAUSE);
+    let weight = match ratio > pool.longest_pause {
+        true => PAUSE_LONGER,
+        false => PAUSE_SHORTER,
+    };
+    pool.longest_pause += (ratio - pool.longest_pause) * weight;
+}
+
 fn learn_step(pool: &mut Pool, run: &mut Run, now: Time) {
     let gap = now.since(run.marked).0 as f64 / f64::from(run.events);
     run.marked = now;
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -10,6 +10,7 @@
 use super::Pool;
 use super::Reason;
 use super::Run;
+use super::predict::Forecast;
 use crate::job;
 use crate::job::Job;
 use crate::warm;
@@ -23,6 +24,8 @@
     micros: f64,
     /// The time until its first event is expected, in microseconds.
     first: f64,
+    /// True where it should rather wait for another.
+    unfit: bool,
 }
 
 /// Starts of one rank that are remembered.
@@ -48,6 +51,10 @@
         if pool.queue.is_empty() {
             return;
         }
+        if pool.engine && self.options.policy.late_last {
+            let first = Span(pool.step as u64);
+            pool.queue.demote_late(now + first);
+        }
         for worker in &mut pool.workers {
             worker.fade(now, &self.options.worker);
         }
@@ -115,7 +122,7 @@
                 false => self.service_choice(pool, at, job),
             };
             // Its caller would have left before anything came.
-            if now + Span(choice.first as u64) > job.latest() {
+            if choice.unfit || now + Span(choice.first as u64) > job.latest() {
                 continue;
             }
             if best.is_none_or(|best| choice.micros < best.micros) {
@@ -161,20 +168,40 @@
             unread as f64
         };
         let output = job.prompt.output_hint.unwrap_or(job.prompt.output) as f64;
-        let before = (worker.pending + worker.others_pending) as f64;
-        let slots = worker.endpoint.slots.max(1);
-        let over = (worker.busy() + 1).saturating_sub(slots);
-        let queue = f64::from(over) * pool.call / f64::from(slots);
-        let reading = pool.prefill * (before + believed) + queue;
-        let time = reading + output * pool.step * policy.decode;
+        let forecast = pool.forecast(worker, believed);
+        let writing = output * pool.step * worker.pace * policy.decode;
         Choice {
             worker: at,
             uncached: unread,
-            first: reading * worker.pace,
-            micros: time * worker.pace * spread(worker, job)
+            first: forecast.first,
+            micros: (forecast.first + writing) * spread(worker, job)
                 + believed * policy.reread
                 + self.doubt(worker),
+            unfit: self.is_unfit(now, pool, worker, job, forecast),
+        }
+    }
+
+    /// True for an engine that a request should rather wait than take: streams
+    /// there would be disturbed, or it would be late there. Once a request has
+    /// no time left for waiting it takes any.
+    fn is_unfit(
+        &self,
+        now: Time,
+        pool: &Pool,
+        worker: &Worker,
+        job: &Job,
+        forecast: Forecast,
+    ) -> bool {
+        let policy = &self.options.policy;
+        let latest = job.arrived + job.objective;
+        let soonest = now + Span(pool.soonest_first(job) as u64);
+        if soonest > latest {
+            return false;
         }
+        let late = now + Span(forecast.first as u64) > latest;
+        let disturbs =
+            policy.pause_part > 0.0 && pool.disturbs(worker, job, forecast, policy.pause_part);
+        (late && policy.wait_for_objective) || disturbs
     }
 
     fn service_choice(&self, pool: &Pool, at: usize, job: &Job) -> Choice {
@@ -192,6 +219,7 @@
             worker: at,
             uncached: 0,
             first: 0.0,
+            unfit: false,
             micros: pool.call * worker.pace * (1.0 + load) * spread + crossing + self.doubt(worker),
         }
     }
@@ -248,6 +276,7 @@
             first: None,
             marked: now,
             events: 0,
+            last: now,
             job,
         };
         self.runs.insert(id, run);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -0,0 +1,64 @@
+//! What is expected of an engine, from what was observed of it and of its kind.
+
+use super::Pool;
+use crate::configuration::Rank;
+use crate::job::Job;
+use crate::worker::Worker;
+
+/// Times expected of a request at an engine, in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Forecast {
+    /// Until its first event.
+    pub first: f64,
+    /// The longest pause that reading its prompt puts between two events of the
+    /// streams that run there.
+    pub pause: f64,
+}
+
+impl Pool {
+    /// What is expected of a request at an engine that has to read `unread`
+    /// tokens of its prompt.
+    pub(super) fn forecast(&self, worker: &Worker, unread: f64) -> Forecast {
+        let step = worker.step.unwrap_or(self.step);
+        let before = (worker.pending + worker.others_pending) as f64;
+        let reading = self.prefill * worker.pace * (before + unread);
+        Forecast {
+            first: reading + self.slot_wait(worker) + step,
+            pause: (step + reading).min(step * self.longest_pause),
+        }
+    }
+
+    /// The time to the first event of a request at an idle engine of the usual
+    /// speed, in microseconds.
+    pub(super) fn soonest_first(&self, job: &Job) -> f64 {
+        self.prefill * job.prompt.tokens as f64 + self.step
+    }
+
+    /// The time to the first event that requests of a rank saw lately, in
+    /// microseconds; 0 until one was seen.
+    pub(super) fn usual_first(&self, rank: Rank) -> f64 {
+        self.firsts.get(&rank).copied().unwrap_or(0.0)
+    }
+
+    /// The time until one of an engine's slots is free for a further request.
+    pub(super) fn slot_wait(&self, worker: &Worker) -> f64 {
+        let slots = worker.endpoint.slots.max(1);
+        let over = (worker.busy() + 1).saturating_sub(slots);
+        f64::from(over) * self.call * worker.pace / f64::from(slots)
+    }
+
+    /// True where streams run at an engine and reading a request's prompt beside
+    /// them would make one of their pauses longer than `most`.
+    pub(super) fn disturbs(
+        &self,
+        worker: &Worker,
+        job: &Job,
+        forecast: Forecast,
+        part: f64,
+    ) -> bool {
+        let Some(pause) = job.pause else {
+            return false;
+        };
+        worker.busy() > 0 && forecast.pause > pause.0 as f64 * part
+    }
+}
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -27,6 +27,10 @@
 /// microseconds.
 const STEP: f64 = 25_000.0;
 
+/// The longest pauses that are expected at first, as a multiple of a step: so
+/// long that it bounds nothing until pauses were seen.
+const LONGEST_PAUSE: f64 = 8.0;
+
 /// Time for reading a prompt token that is expected at first, in microseconds.
 const PREFILL: f64 = 40.0;
 
@@ -203,6 +207,8 @@
         recurring: 0.0,
         starts: HashMap::new(),
         first: FIRST,
+        firsts: HashMap::new(),
+        longest_pause: LONGEST_PAUSE,
         step: STEP,
         prefill: PREFILL,
         call: CALL,
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -12,8 +12,9 @@
 use crate::job;
 use crate::job::Job;
 
-/// The place of a request in line.
-type Place = (Rank, Time, job::Id);
+/// The place of a request in line: by rank, those that can be in time before
+/// those that cannot, and then by age.
+type Place = (Rank, bool, Time, job::Id);
 
 /// How much earlier one that was refused before is taken to have come.
 const RETURNING_FIRST: Span = Span::from_secs(2);
@@ -24,6 +25,7 @@
     line: BTreeMap<Place, Job>,
     places: HashMap<job::Id, Place>,
     latest: BTreeSet<(Time, job::Id)>,
+    in_time: BTreeSet<(Time, job::Id)>,
     counts: BTreeMap<Rank, usize>,
 }
 
@@ -36,8 +38,11 @@
         } else {
             job.arrived
         };
-        let place = (job.rank, since, id);
+        let place = (job.rank, false, since, id);
         self.places.insert(id, place);
+        if !job.returning {
+            self.in_time.insert((job.arrived + job.objective, id));
+        }
         self.latest.insert((job.latest(), id));
         *self.counts.entry(job.rank).or_default() += 1;
         self.line.insert(place, job);
@@ -48,12 +53,32 @@
         let place = self.places.remove(&id)?;
         let job = self.line.remove(&place)?;
         self.latest.remove(&(job.latest(), id));
+        self.in_time.remove(&(job.arrived + job.objective, id));
         if let Some(count) = self.counts.get_mut(&job.rank) {
             *count -= 1;
         }
         Some(job)
     }
 
+    /// Puts requests whose objective has passed behind those of their rank that
+    /// can still be in time.
+    pub fn demote_late(&mut self, now: Time) {
+        while let Some((objective, id)) = self.in_time.first().copied() {
+            if objective > now {
+                return;
+            }
+            self.in_time.remove(&(objective, id));
+            let Some(place) = self.places.get_mut(&id) else {
+                continue;
+            };
+            let Some(job) = self.line.remove(place) else {
+                continue;
+            };
+            place.1 = true;
+            self.line.insert(*place, job);
+        }
+    }
+
     /// A request that is of no use to its caller any more after `now`.
     pub fn expired_opt(&self, now: Time) -> Option<job::Id> {
         let (latest, id) = self.latest.first()?;
@@ -62,7 +87,7 @@
 
     /// When the first that waits in a rank arrived.
     pub fn first_arrival_opt(&self, rank: Rank) -> Option<Time> {
-        let from = (rank, Time(0), job::Id(0));
+        let from = (rank, false, Time(0), job::Id(0));
         let (place, job) = self.line.range(from..).next()?;
         (place.0 == rank).then_some(job.arrived)
     }
@@ -74,7 +99,7 @@
 
     /// What waits, in its order.
     pub fn iter(&self) -> impl Iterator<Item = (job::Id, &Job)> + '_ {
-        self.line.iter().map(|((_, _, id), job)| (*id, job))
+        self.line.iter().map(|((_, _, _, id), job)| (*id, job))
     }
 
     /// How many wait in each rank.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metrics;
 pub mod operators;
 pub mod peers;
+pub mod policy;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -128,7 +128,7 @@
         incarnation,
         data_centre: settings.data_centre.clone(),
         seeds: settings.seeds.clone(),
-        policy: dispatcher::Policy::default(),
+        policy: settings.policy.clone(),
         worker: Default::default(),
         warm: Default::default(),
         member: Default::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use woadstage_config::fault::Faults;
 use woadstage_config::read::Reader;
 use woadstage_dispatch::budget;
+use woadstage_dispatch::dispatcher::Policy;
 use woadstage_dispatch::quota;
 use woadstage_types::code::Code;
 use woadstage_types::id;
@@ -13,6 +14,8 @@
 use woadstage_types::unit::Span;
 
 use crate::headers::Headers;
+use crate::policy;
+use crate::policy::number;
 
 /// The settings of one node.
 #[derive(Debug, Clone)]
@@ -43,6 +46,8 @@
     pub quota: quota::Options,
     /// What may be sent again.
     pub budget: budget::Options,
+    /// Bounds and weights of the policy.
+    pub policy: Policy,
     /// Header names.
     pub headers: Headers,
 }
@@ -64,6 +69,7 @@
     let mut platform = reader.sub("platform");
     let mut quota = reader.sub("quota");
     let mut retry = reader.sub("retry");
+    let mut policy = reader.sub("policy");
     let mut headers = reader.sub("headers");
     let settings = Settings {
         host: id::Host::new(&name(&mut node, "host")),
@@ -79,13 +85,14 @@
         platform: address(&mut platform, "address"),
         quota: read_quota(&mut quota),
         budget: read_budget(&mut retry),
+        policy: policy::read(&mut policy),
         headers: Headers::read(&mut headers),
     };
     if settings.memory < MEMORY_LEAST {
         node.fault("memory", Code::SettingsValue, "Give at least 32MiB.");
     }
     let mut faults = reader.finish();
-    for sub in [node, listen, peers, platform, quota, retry, headers] {
+    for sub in [node, listen, peers, platform, quota, retry, policy, headers] {
         faults.0.append(&mut sub.finish().0);
     }
     faults.into_result(settings)
@@ -130,8 +137,8 @@
 fn read_quota(sub: &mut Reader) -> quota::Options {
     let usual = quota::Options::default();
     quota::Options {
-        overrun: fraction(sub, "overrun", usual.overrun),
-        slack: fraction(sub, "slack", usual.slack),
+        overrun: number(sub, "overrun", usual.overrun),
+        slack: number(sub, "slack", usual.slack),
         window: sub.take_or("window", usual.window),
         ..usual
     }
@@ -140,28 +147,9 @@
 fn read_budget(sub: &mut Reader) -> budget::Options {
     let usual = budget::Options::default();
     budget::Options {
-        ratio: fraction(sub, "ratio", usual.ratio),
-        extra: fraction(sub, "extra", usual.extra),
+        ratio: number(sub, "ratio", usual.ratio),
+        extra: number(sub, "extra", usual.extra),
         window: sub.take_or("window", usual.window),
         ..usual
     }
 }
-
-/// A number that may be written whole or with a point, and is not negative.
-fn fraction(sub: &mut Reader, field: &str, usual: f64) -> f64 {
-    let Some(value) = sub.take_opt::<toml::Value>(field) else {
-        return usual;
-    };
-    let number = match value {
-        toml::Value::Integer(whole) => Some(whole as f64),
-        toml::Value::Float(number) => Some(number),
-        _ => None,
-    };
-    match number.filter(|number| number.is_finite() && *number >= 0.0) {
-        Some(number) => number,
-        None => {
-            sub.fault(field, Code::SettingsValue, "Give a number from zero up.");
-            usual
-        }
-    }
-}
