feat: what running nodes use of a quota's allowance goes into the rate

Change: a bucket holds the plain burst and gains the plain rate and, spread over the window, the part of the allowance.

--- a/crates/dispatch/src/quota/initial.rs
+++ b/crates/dispatch/src/quota/initial.rs
@@ -39,7 +39,8 @@
         if now.since(self.started) > self.options.window {
             return false;
         }
-        let credit = self.initial_credit(quota) * self.initial_share(now, reach);
+        let credit = self.allowance(quota) * self.options.initial;
+        let credit = credit * self.initial_share(now, reach);
         let account = self.account(now, customer, quota, reach);
         if (account.advanced + demand.units) as f64 > credit {
             return false;
@@ -50,14 +51,6 @@
         true
     }
 
-    /// The initial credit of all nodes together, in units.
-    fn initial_credit(&self, quota: &Quota) -> f64 {
-        let window = self.options.window.as_secs_f64();
-        let plain = quota.per_second * window + quota.burst;
-        let allowance = plain * self.options.overrun + self.options.slack;
-        allowance * self.options.initial
-    }
-
     /// This node's share of the initial credit.
     fn initial_share(&self, now: Time, reach: Reach) -> f64 {
         let least = 1.0 / MANY as f64;
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -207,16 +207,24 @@
         }
     }
 
+    /// Units by which the rules let use in a window exceed the plain limit.
+    fn allowance(&self, quota: &Quota) -> f64 {
+        let plain = quota.per_second * self.options.window.as_secs_f64() + quota.burst;
+        plain * self.options.overrun + self.options.slack
+    }
+
+    /// Units in a full bucket. The burst is shared like the rate, else both
+    /// sides of a cut would have a whole one.
     fn most(&self, quota: &Quota, reach: Reach) -> f64 {
-        let part = self.part(reach);
-        let whole = quota.burst * (1.0 + self.options.overrun * part) + self.options.slack * part;
-        // The burst is shared like the rate, else both sides of a cut would
-        // have a whole one.
-        whole * self.share(reach)
+        quota.burst * self.share(reach)
     }
 
+    /// Units that a bucket gains in a second. All of the allowance that running
+    /// nodes use goes here: a larger bucket would help for one burst alone.
     fn rate(&self, quota: &Quota, reach: Reach) -> f64 {
-        quota.per_second * (1.0 + self.options.overrun * self.part(reach)) * self.share(reach)
+        let allowed = self.allowance(quota) * self.part(reach);
+        let gained = allowed / self.options.window.as_secs_f64().max(1e-3);
+        (quota.per_second + gained) * self.share(reach)
     }
 
     fn account(&mut self, now: Time, customer: u64, quota: &Quota, reach: Reach) -> &mut Account {
