feat: a quota's overrun is for spare endpoints

Change: a second bucket of the plain limit is kept beside the first. While more requests wait, on all nodes, than there are usable endpoints of the service, a request must fit both. The plain one never falls below empty, so that what spare endpoints did is not held against a customer later. Owners are told of the pressure (protocol 3).

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -88,6 +88,9 @@
     /// Whether a request that still has time waits for an engine that answers
     /// within its objective, rather than taking a free one that does not.
     pub wait_for_objective: bool,
+    /// Requests that wait for each usable endpoint from which on nobody gets
+    /// more than the plain limit of its quota.
+    pub pressed_from: f64,
     /// Whether a request that can no longer be in time goes behind those of
     /// its rank that can.
     pub late_last: bool,
@@ -119,6 +122,7 @@
             admit_first: 1.0,
             pause_part: 0.9,
             wait_for_objective: true,
+            pressed_from: 1.0,
             late_last: true,
             come_back_within: 0.32,
             rate_window: Span::from_millis(1_500),
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -1,8 +1,11 @@
 //! What is expected of an engine, from what was observed of it and of its kind.
 
+use woadstage_types::unit::Time;
+
 use super::Pool;
 use crate::configuration::Rank;
 use crate::job::Job;
+use crate::worker;
 use crate::worker::Worker;
 
 /// Times expected of a request at an engine, in microseconds.
@@ -16,6 +19,14 @@
 }
 
 impl Pool {
+    /// Endpoints that take work now.
+    pub(super) fn usable(&self, now: Time, options: &worker::Options) -> usize {
+        let usable = self.workers.iter();
+        usable
+            .filter(|worker| worker.takes_work(now, options))
+            .count()
+    }
+
     /// What is expected of a request at an engine that has to read `unread`
     /// tokens of its prompt.
     pub(super) fn forecast(&self, worker: &Worker, unread: f64) -> Forecast {
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -75,6 +75,16 @@
         f64::from(urgency) / f64::from(least.unwrap_or(0).max(1))
     }
 
+    /// True while more requests wait for a service, on all nodes together, than
+    /// its endpoints will take up in a moment.
+    pub fn is_pressed(&self, now: Time, target: &id::Target) -> bool {
+        self.pools.get(target).is_some_and(|pool| {
+            let waiting = pool.queue.len() + self.others_waiting(now, pool.number, |_| true);
+            let usable = pool.usable(now, &self.options.worker);
+            waiting as f64 > usable as f64 * self.options.policy.pressed_from
+        })
+    }
+
     /// Requests that wait or run here.
     pub fn held(&self) -> usize {
         self.places.len()
@@ -93,11 +103,7 @@
             waiting: pool.queue.len(),
             running: pool.workers.iter().map(|worker| worker.running).sum(),
             others: pool.workers.iter().map(|worker| worker.others).sum(),
-            usable: pool
-                .workers
-                .iter()
-                .filter(|worker| worker.takes_work(now, &self.options.worker))
-                .count(),
+            usable: pool.usable(now, &self.options.worker),
             endpoints: pool.workers.iter().filter(|worker| worker.listed).count(),
             repeats_left: self.budget.left(now, target, nodes),
         });
--- a/crates/dispatch/src/dispatcher/reserve.rs
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -80,6 +80,7 @@
             customer,
             units: demand.units,
             routine: (demand.routine * 100.0) as u8,
+            pressed: demand.pressed,
         }
     }
 
@@ -105,6 +106,7 @@
         let demand = Demand {
             units: reserve.units,
             routine: f64::from(reserve.routine) / 100.0,
+            pressed: reserve.pressed,
         };
         match self.grant(now, reserve.customer, &quota, demand) {
             Ok(()) => Verdict::Granted,
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -13,7 +13,7 @@
 use crate::quota::Denied;
 
 /// The version of this protocol; the first byte of everything on the wire.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 
 /// What one node runs at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -98,6 +98,8 @@
     pub units: u64,
     /// How routine the request is, in percent: 0 is the most protected.
     pub routine: u8,
+    /// True while requests wait for the endpoints that it needs.
+    pub pressed: bool,
 }
 
 /// What an owner says to a [`Reserve`].
--- a/crates/dispatch/src/quota/admit.rs
+++ b/crates/dispatch/src/quota/admit.rs
@@ -26,7 +26,11 @@
         demand: Demand,
         reach: Reach,
     ) -> Result<(), Denied> {
-        let Demand { units, routine } = demand;
+        let Demand {
+            units,
+            routine,
+            pressed,
+        } = demand;
         let most = self.most(quota, reach);
         // The last part of a bucket is for what is more protected, and for
         // what is so small that refusing it would save nothing.
@@ -39,16 +43,20 @@
         let account = self.account(now, customer, quota, reach);
         // A request larger than the whole bucket passes when that is full.
         let asked = (units as f64 + kept).min(most);
-        if account.level < asked {
-            let missing = asked - account.level;
+        let level = match pressed {
+            true => account.level.min(account.plain),
+            false => account.level,
+        };
+        if level < asked {
+            let missing = asked - level;
             return Err(Denied {
                 wait: to_wait(missing / quota.per_second.max(1e-9)),
-                level: account.level,
+                level,
                 most,
                 kept,
             });
         }
-        account.level -= units as f64;
+        account.take(units as f64);
         account.used += units;
         account.changed = now;
         Ok(())
@@ -108,7 +116,7 @@
     /// Takes units out of a bucket that somebody else may be giving out.
     pub fn set_aside(&mut self, customer: u64, units: u64) {
         if let Some(account) = self.accounts.get_mut(&customer) {
-            account.level -= units as f64;
+            account.take(units as f64);
         }
     }
 
@@ -118,6 +126,7 @@
         // falls, so that a late message cannot give back twice.
         if let Some(account) = self.accounts.get_mut(&customer) {
             account.level += units as f64;
+            account.plain += units as f64;
         }
     }
 }
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -91,6 +91,9 @@
     pub units: u64,
     /// From 0 for the most protected requests to 1 for the least protected.
     pub routine: f64,
+    /// True while requests wait for the endpoints that it needs: then nobody
+    /// gets more than the plain limit, at the cost of the others.
+    pub pressed: bool,
 }
 
 /// How much of the fleet a node can speak for.
@@ -129,6 +132,8 @@
 #[derive(Debug)]
 struct Account {
     level: f64,
+    /// What a bucket of the plain limit would hold.
+    plain: f64,
     most: f64,
     at: Time,
     used: u64,
@@ -142,11 +147,19 @@
 }
 
 impl Account {
+    /// Takes units that were given out, here or elsewhere. The plain bucket never
+    /// falls below empty: what spare endpoints did is not held against later.
+    fn take(&mut self, units: f64) {
+        self.level -= units;
+        self.plain = (self.plain - units).max(0.0);
+    }
+
     /// A bucket that was empty when this node started, since it cannot know
     /// what was used before.
     fn new(started: Time) -> Account {
         Account {
             level: 0.0,
+            plain: 0.0,
             most: 0.0,
             at: started,
             used: 0,
@@ -230,6 +243,7 @@
     fn account(&mut self, now: Time, customer: u64, quota: &Quota, reach: Reach) -> &mut Account {
         let most = self.most(quota, reach);
         let rate = self.rate(quota, reach);
+        let plain_rate = quota.per_second * self.share(reach);
         if self.accounts.len() >= KEPT && !self.accounts.contains_key(&customer) {
             let since = now - self.options.tell_for;
             self.accounts.retain(|_, account| account.changed >= since);
@@ -239,6 +253,8 @@
         let account = account.or_insert_with(|| Account::new(started));
         let gained = now.since(account.at).as_secs_f64() * rate;
         account.level = (account.level + gained).min(most);
+        let plain_gained = now.since(account.at).as_secs_f64() * plain_rate;
+        account.plain = (account.plain + plain_gained).min(most);
         account.most = most;
         account.at = now;
         account
--- a/crates/dispatch/src/quota/tell.rs
+++ b/crates/dispatch/src/quota/tell.rs
@@ -66,7 +66,7 @@
             // What a node used before it was first heard is long past.
             None => 0.0,
         };
-        account.level -= used;
+        account.take(used);
     }
 
     /// True where a customer uses so much that the others should hear of it soon.
--- a/crates/dispatch/tests/dispatch/quota.rs
+++ b/crates/dispatch/tests/dispatch/quota.rs
@@ -27,6 +27,7 @@
     Demand {
         units,
         routine: 0.0,
+        pressed: false,
     }
 }
 
@@ -205,6 +206,7 @@
     let routine = |units| Demand {
         units,
         routine: 1.0,
+        pressed: false,
     };
     let mut accounts = accounts();
     assert!(
--- a/crates/dispatch/tests/dispatch/quota_fleet.rs
+++ b/crates/dispatch/tests/dispatch/quota_fleet.rs
@@ -173,6 +173,7 @@
         let demand = Demand {
             units: REQUEST,
             routine: 0.0,
+            pressed: false,
         };
         let customer = self.customer.clone();
         let place = usize::from(number);
@@ -280,6 +281,7 @@
     let demand = Demand {
         units: 100_000,
         routine: 0.0,
+        pressed: false,
     };
     let customer = fleet.customer.clone();
     let (place, owner, reserve) = (0..usize::from(NODES))
@@ -353,6 +355,7 @@
     let demand = Demand {
         units: REQUEST,
         routine: 0.0,
+        pressed: false,
     };
     let left = Span::from_secs(5);
     let charges =
@@ -368,7 +371,7 @@
     dispatcher.hear(at(9_990), node(7), status);
 })]
 #[case::a_question(&|dispatcher: &mut Dispatcher, customer| {
-    let reserve = Reserve { number: 1, customer, units: REQUEST, routine: 0 };
+    let reserve = Reserve { number: 1, customer, units: REQUEST, routine: 0, pressed: false };
     assert!(matches!(dispatcher.reserve(at(9_990), &reserve), Verdict::Denied(_)));
 })]
 fn a_node_starts_with_empty_buckets_whatever_comes_first(
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -20,6 +20,7 @@
         admit_first: number(reader, "admit_first", usual.admit_first),
         pause_part: number(reader, "pause_part", usual.pause_part),
         wait_for_objective: reader.take_or("wait_for_objective", usual.wait_for_objective),
+        pressed_from: number(reader, "pressed_from", usual.pressed_from),
         late_last: reader.take_or("late_last", usual.late_last),
         come_back_within: number(reader, "come_back_within", usual.come_back_within),
         rate_window: reader.take_or("rate_window", usual.rate_window),
--- a/crates/gateway/src/serve/charge.rs
+++ b/crates/gateway/src/serve/charge.rs
@@ -44,10 +44,11 @@
         return Ok(Charged::Nowhere);
     };
     let urgency = admitted.route.priority;
-    let demand = Demand {
+    let demand = shell.query(|dispatcher, now| Demand {
         units,
-        routine: shell.query(|dispatcher, _| dispatcher.routine(urgency)),
-    };
+        routine: dispatcher.routine(urgency),
+        pressed: dispatcher.is_pressed(now, &admitted.target),
+    });
     let left = || admitted.deadline.since(shell.now());
     let mut charge =
         shell.command(|dispatcher, now| dispatcher.charge(now, customer, demand, left()));
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -141,6 +141,7 @@
         customer: 7,
         units: 30,
         routine: 0,
+        pressed: false,
     }
 }
 
