--- /dev/null
+++ b/crates/dispatch/tests/dispatch/predict.rs
@@ -0,0 +1,212 @@
+//! Engines of unlike speeds: what is expected of them decides who goes where,
+//! who waits and who is refused at the door.
+
+use rstest::rstest;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Policy;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::job::Prompt;
+use woadstage_types::code::Code;
+use woadstage_types::unit::Span;
+
+use crate::support::MODEL;
+use crate::support::at;
+use crate::support::configuration;
+use crate::support::endpoint;
+use crate::support::job;
+use crate::support::list;
+use crate::support::options;
+use crate::support::refusals;
+use crate::support::starts;
+
+/// Milliseconds between two events on either engine.
+const FAST: u64 = 16;
+const SLOW: u64 = 70;
+
+/// When the engines are known.
+const KNOWN: u64 = 10_000;
+
+fn routine(millis: u64, tokens: u64) -> Job {
+    Job {
+        pause: Some(Span::from_millis(250)),
+        prompt: Prompt {
+            tokens,
+            output: 50,
+            ..Prompt::default()
+        },
+        ..job(MODEL, 2, at(millis))
+    }
+}
+
+/// A dispatcher that has seen many events of a fast and of a slow engine, which
+/// have nothing to do now.
+fn unlike_engines(policy: Policy) -> Dispatcher {
+    let mut options = options(1);
+    options.policy = policy;
+    let mut dispatcher = Dispatcher::new(options);
+    dispatcher.set_configuration(at(0), configuration(1));
+    let engines = [endpoint("fast", MODEL, 1), endpoint("slow", MODEL, 2)];
+    dispatcher.set_endpoints(at(0), list(1, &engines));
+    for _ in 0..3 {
+        dispatcher.enter(at(0), routine(0, 100));
+    }
+    let runs = starts(&mut dispatcher);
+    assert_eq!(runs.len(), 3);
+    for (run, engine) in &runs {
+        let step = if engine == "fast" { FAST } else { SLOW };
+        for event in 1..100 {
+            dispatcher.progress(at(event * step), *run, 1);
+        }
+    }
+    for (run, _) in runs {
+        dispatcher.end(at(KNOWN), run, End::Whole);
+    }
+    dispatcher
+}
+
+/// Fills the fast engine, and puts a short stream on the slow one.
+fn streams_on_both(dispatcher: &mut Dispatcher) -> [job::Id; 2] {
+    let on_fast = dispatcher.enter(at(KNOWN), routine(KNOWN, 100));
+    let on_slow = dispatcher.enter(at(KNOWN), routine(KNOWN, 100));
+    let expected = [(on_fast, "fast".to_owned()), (on_slow, "slow".to_owned())];
+    assert_eq!(starts(dispatcher), expected);
+    [on_fast, on_slow]
+}
+
+#[test]
+fn the_faster_engine_goes_first() {
+    let mut dispatcher = unlike_engines(Policy::default());
+    streams_on_both(&mut dispatcher);
+}
+
+#[test]
+fn a_long_prompt_waits_rather_than_disturb_a_stream_on_a_slow_engine() {
+    let mut dispatcher = unlike_engines(Policy::default());
+    let [on_fast, _] = streams_on_both(&mut dispatcher);
+    let long = dispatcher.enter(at(KNOWN + 1), routine(KNOWN + 1, 8_000));
+    assert_eq!(starts(&mut dispatcher), []);
+    dispatcher.end(at(KNOWN + 100), on_fast, End::Whole);
+    assert_eq!(starts(&mut dispatcher), [(long, "fast".to_owned())]);
+}
+
+#[rstest]
+#[case::a_short_prompt_disturbs_nobody(routine(KNOWN + 1, 500))]
+#[case::no_bound_on_pauses(Job { pause: None, ..routine(KNOWN + 1, 4_000) })]
+fn what_disturbs_nobody_takes_the_slow_engine(#[case] job: Job) {
+    let mut dispatcher = unlike_engines(Policy::default());
+    streams_on_both(&mut dispatcher);
+    let id = dispatcher.enter(at(KNOWN + 1), job);
+    assert_eq!(starts(&mut dispatcher), [(id, "slow".to_owned())]);
+}
+
+#[test]
+fn a_long_prompt_that_cannot_be_in_time_takes_any_engine() {
+    let mut dispatcher = unlike_engines(Policy::default());
+    let [_, on_slow] = streams_on_both(&mut dispatcher);
+    let long = dispatcher.enter(at(KNOWN + 1), routine(KNOWN + 1, 8_000));
+    assert_eq!(starts(&mut dispatcher), []);
+    // The slow engine is not taken for one that stands still.
+    dispatcher.progress(at(KNOWN + 1_000), on_slow, 1);
+    dispatcher.tick(at(KNOWN + 1_001));
+    assert_eq!(starts(&mut dispatcher), [(long, "slow".to_owned())]);
+}
+
+/// A request that the slow engine could not answer within its objective.
+fn hasty() -> Job {
+    Job {
+        objective: Span::from_millis(65),
+        pause: None,
+        ..routine(KNOWN + 1, 100)
+    }
+}
+
+#[rstest]
+#[case::it_waits(true, &[])]
+#[case::it_takes_what_is_free(false, &["slow"])]
+fn a_hasty_request_waits_for_an_engine_that_is_fast_enough(
+    #[case] wait_for_objective: bool,
+    #[case] expected: &[&str],
+) {
+    let mut dispatcher = unlike_engines(Policy {
+        wait_for_objective,
+        ..Policy::default()
+    });
+    streams_on_both(&mut dispatcher);
+    dispatcher.enter(at(KNOWN + 1), hasty());
+    let places: Vec<String> = starts(&mut dispatcher)
+        .into_iter()
+        .map(|(_, place)| place)
+        .collect();
+    assert_eq!(places, expected);
+}
+
+/// A dispatcher whose only engine took 700 ms to each first event, and which
+/// starts one request every 200 ms.
+fn slow_to_begin(policy: Policy) -> Dispatcher {
+    let mut options = options(1);
+    options.policy = policy;
+    let mut dispatcher = Dispatcher::new(options);
+    dispatcher.set_configuration(at(0), configuration(1));
+    dispatcher.set_endpoints(at(0), list(1, &[endpoint("e", MODEL, 1)]));
+    for turn in 0..5 {
+        let begun = turn * 800;
+        let run = dispatcher.enter(at(begun), job(MODEL, 2, at(begun)));
+        dispatcher.progress(at(begun + 700), run, 1);
+        dispatcher.end(at(begun + 710), run, End::Whole);
+    }
+    assert_eq!(starts(&mut dispatcher).len(), 5);
+    dispatcher
+}
+
+#[rstest]
+#[case::the_first_event_counts(1.0, true)]
+#[case::only_the_wait_counts(0.0, false)]
+fn a_newcomer_is_refused_that_would_be_late_by_its_first_event(
+    #[case] admit_first: f64,
+    #[case] refused: bool,
+) {
+    let mut dispatcher = slow_to_begin(Policy {
+        admit_first,
+        rate_window: Span::from_millis(800),
+        ..Policy::default()
+    });
+    // One runs and one waits: the next would begin in 400 ms or so.
+    for _ in 0..2 {
+        dispatcher.enter(at(4_000), job(MODEL, 2, at(4_000)));
+    }
+    assert_eq!(refusals(&mut dispatcher), []);
+    dispatcher.enter(at(4_001), job(MODEL, 2, at(4_001)));
+    let codes: Vec<Code> = refusals(&mut dispatcher)
+        .into_iter()
+        .map(|(_, code, _)| code)
+        .collect();
+    assert_eq!(codes == [Code::TooLate], refused, "{codes:?}");
+}
+
+#[rstest]
+#[case::those_in_time_go_first(true, 1)]
+#[case::the_oldest_goes_first(false, 0)]
+fn what_is_late_already_goes_behind_its_rank(#[case] late_last: bool, #[case] first: usize) {
+    let mut options = options(1);
+    options.policy = Policy {
+        late_last,
+        ..Policy::default()
+    };
+    let mut dispatcher = Dispatcher::new(options);
+    dispatcher.set_configuration(at(0), configuration(1));
+    dispatcher.set_endpoints(at(0), list(1, &[endpoint("e", MODEL, 1)]));
+    let running = dispatcher.enter(at(0), job(MODEL, 2, at(0)));
+    starts(&mut dispatcher);
+    let late = dispatcher.enter(at(1), job(MODEL, 2, at(1)));
+    // One that returns is let in however long the wait.
+    let fresh = Job {
+        objective: Span::from_secs(4),
+        ..job(MODEL, 2, at(900))
+    };
+    let fresh = dispatcher.enter(at(900), fresh);
+    dispatcher.end(at(1_500), running, End::Whole);
+    let expected = [late, fresh][first];
+    assert_eq!(starts(&mut dispatcher), [(expected, "e".to_owned())]);
+}
--- a/crates/dispatch/tests/dispatch/quota.rs
+++ b/crates/dispatch/tests/dispatch/quota.rs
@@ -231,6 +231,55 @@
     );
 }
 
+#[test]
+fn the_overrun_is_for_spare_endpoints() {
+    let options = Options {
+        overrun: 0.25,
+        part: 1.0,
+        ..Options::default()
+    };
+    let rate = |pressed| {
+        let mut accounts = Accounts::new(options.clone());
+        let admitted = (0..40_000).filter(|millis| {
+            let demand = Demand {
+                pressed,
+                ..urgent(10)
+            };
+            let now = at(*millis);
+            accounts
+                .admit(now, CUSTOMER, &QUOTA, demand, reach(1, 0))
+                .is_ok()
+        });
+        // The burst of 1,000 counts once.
+        (admitted.count() as u64 * 10 - 1_000) / 40
+    };
+    assert!((990..=1_010).contains(&rate(true)), "{}", rate(true));
+    // A quarter of the rate, and of the burst in eight seconds.
+    assert!((1_270..=1_290).contains(&rate(false)), "{}", rate(false));
+}
+
+#[test]
+fn what_spare_endpoints_did_is_not_held_against_a_customer_later() {
+    let mut accounts = Accounts::new(Options {
+        overrun: 0.25,
+        part: 1.0,
+        ..Options::default()
+    });
+    for millis in 0..20_000 {
+        let _ = accounts.admit(at(millis), CUSTOMER, &QUOTA, urgent(10), reach(1, 0));
+    }
+    let demand = Demand {
+        pressed: true,
+        ..urgent(100)
+    };
+    let now = at(20_110);
+    assert!(
+        accounts
+            .admit(now, CUSTOMER, &QUOTA, demand, reach(1, 0))
+            .is_ok()
+    );
+}
+
 #[test]
 fn a_node_that_has_just_started_has_an_empty_bucket() {
     let mut accounts = accounts();
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/worker.rs
@@ -0,0 +1,38 @@
+//! What is learnt of one engine.
+
+use std::sync::Arc;
+
+use rstest::rstest;
+use woadstage_dispatch::worker::Worker;
+
+use crate::support::MODEL;
+use crate::support::at;
+use crate::support::endpoint;
+
+/// The step of an engine, in milliseconds, after pauses between events.
+fn step(pauses: impl IntoIterator<Item = f64>) -> f64 {
+    let mut worker = Worker::new(Arc::new(endpoint("e", MODEL, 4)));
+    for (count, pause) in pauses.into_iter().enumerate() {
+        worker.learn_step(at(count as u64), pause * 1_000.0);
+    }
+    worker.step.expect("pauses were seen") / 1_000.0
+}
+
+fn times(pause: f64, count: usize) -> Vec<f64> {
+    vec![pause; count]
+}
+
+#[rstest]
+#[case::at_once(times(16.0, 1), 16.0..16.1)]
+#[case::prompts_read_beside_a_stream_say_little([16.0, 90.0, 16.0, 90.0, 16.0].repeat(8), 16.0..24.0)]
+#[case::first_seen_while_a_prompt_was_read([times(90.0, 1), times(16.0, 20)].concat(), 16.0..17.0)]
+#[case::it_became_slow([times(16.0, 20), times(64.0, 80)].concat(), 55.0..64.1)]
+#[case::it_became_fast_again([times(64.0, 80), times(16.0, 20)].concat(), 16.0..17.0)]
+#[case::a_pause_of_a_stream_that_stood_still([times(16.0, 9), times(9_000.0, 1)].concat(), 16.0..19.0)]
+fn the_step_follows_the_short_pauses(
+    #[case] pauses: Vec<f64>,
+    #[case] expected: std::ops::Range<f64>,
+) {
+    let learnt = step(pauses);
+    assert!(expected.contains(&learnt), "{learnt} ms");
+}
--- a/crates/gateway/tests/gateway/settings.rs
+++ b/crates/gateway/tests/gateway/settings.rs
@@ -1,6 +1,7 @@
 //! What one process is told about itself.
 
 use rstest::rstest;
+use woadstage_dispatch::dispatcher::Policy;
 use woadstage_gateway::settings;
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
@@ -29,6 +30,10 @@
 ratio = 0.2
 extra = 58
 window = "10s"
+[policy]
+late_last = false
+admit_first = 2
+rate_window = "2s"
 [headers]
 request = "X-Id"
 reserved = ["X-Order", "Order-From"]
@@ -43,6 +48,13 @@
     assert_eq!(seeds, ["10.0.0.1:7600", "10.0.0.2:7600"]);
     assert_eq!((read.quota.overrun, read.quota.slack), (0.25, 72_000.0));
     assert_eq!(read.budget.extra, 58.0);
+    let policy = Policy {
+        late_last: false,
+        admit_first: 2.0,
+        rate_window: Span::from_secs(2),
+        ..Policy::default()
+    };
+    assert_eq!(read.policy, policy);
     assert_eq!(read.headers.request.as_str(), "x-id");
     assert_eq!(read.headers.deadline.as_str(), "woadstage-timeout-ms");
     assert_eq!(read.headers.reserved, ["x-order", "order-from"]);
@@ -61,6 +73,8 @@
 #[case::a_text_for_a_number("extra = 58", "extra = \"many\"", "retry.extra")]
 #[case::a_header_with_a_space("X-Id", "X Id", "headers.request")]
 #[case::a_reserved_header_with_a_space("X-Order", "X Order", "headers.reserved")]
+#[case::a_policy_below_zero("admit_first = 2", "admit_first = -2", "policy.admit_first")]
+#[case::an_unknown_policy("late_last = false", "late_first = false", "policy.late_first")]
 #[case::an_unknown_field("ratio = 0.2", "ration = 0.2", "retry.ration")]
 #[case::an_unknown_table("[headers]", "[head]", "head")]
 #[case::a_bad_time("\"8s\"", "\"soon\"", "node.stop_within")]
