feat: `woadstage losses` says from logs which requests were lost, and why

Change: a crate of its own reads the logs of any number of gateways, puts clocks that disagree side by side by the versions that came into force, and sums up what became of each request by route, by window and by endpoint, as tables, JSON or a picture. The line of a customer over its limit now holds the route.

Tests: 29, on hand-written logs: one for each cause, clocks an hour apart, files that are empty, lines that are cut off, left out or of another release.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -107,6 +107,8 @@
     OverLimit {
         /// The caller's id of the request.
         request: &'a str,
+        /// Its route.
+        route: &'a str,
         /// The customer.
         customer: &'a str,
         /// Units asked for.
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -42,7 +42,8 @@
     Ok(found.into_iter().flat_map(|(_, lines)| lines).collect())
 }
 
-fn parse(text: &str) -> Option<Value> {
+/// The event of a log line, where it holds one.
+pub fn parse(text: &str) -> Option<Value> {
     let start = text.find('{')?;
     serde_json::from_str(&text[start..]).ok()
 }
--- a/crates/gateway/src/serve/charge.rs
+++ b/crates/gateway/src/serve/charge.rs
@@ -84,6 +84,7 @@
     let reach = shell.query(|dispatcher, now| dispatcher.reach(now));
     shell.log(&Event::OverLimit {
         request: &admitted.request,
+        route: &admitted.route.name,
         customer: admitted.customer_name(),
         asked: units,
         level: denied.level as i64,
--- /dev/null
+++ b/crates/losses/tests/losses/causes.rs
@@ -0,0 +1,67 @@
+//! Why one request was lost.
+
+use woadstage_losses::request::Cause;
+
+use crate::support::accepted;
+use crate::support::answered;
+use crate::support::report;
+use crate::support::sent;
+use crate::support::streamed;
+
+/// Names each case: the lines that follow a request's acceptance, and the cause
+/// that they tell.
+macro_rules! causes {
+    ($($name:ident: [$($line:expr),*] => $cause:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let report = report(&[vec![accepted(1_000, "r", false), $($line.to_string()),*]]);
+                assert_eq!(report.all.asked, 1);
+                assert_eq!(report.all.count($cause), 1, "{:?}", report.all.causes);
+                assert_eq!(report.routes[0].name, "chat");
+            }
+        )*
+    };
+}
+
+const OVER_LIMIT: &str =
+    r#"{"time_ms":1000,"event":"over-limit","request":"r","route":"chat","customer":"c"}"#;
+const NO_BUDGET: &str = r#"{"time_ms":2000,"event":"attempt","request":"r","endpoint":"e","end":"lost","next":"budget","detail":"","after_ms":5}"#;
+const CUT: &str = r#"{"time_ms":2000,"event":"cut","request":"r","detail":"reset","after_ms":5}"#;
+const LEFT: &str = r#"{"time_ms":2000,"event":"left","request":"r","after_ms":900}"#;
+
+causes! {
+    served_in_time: [sent(1_010, "r", 10, 50), streamed("r", 700, 90)] => Cause::InTime;
+    a_whole_answer_in_time: [sent(1_010, "r", 10, 0), answered("r", 200, "", 700)] => Cause::InTime;
+    a_whole_answer_late: [sent(1_010, "r", 10, 0), answered("r", 200, "", 900)] => Cause::LateEndpoint;
+    late_by_waiting_here: [sent(1_700, "r", 700, 50), streamed("r", 900, 90)] => Cause::LateWaited;
+    late_at_the_endpoint: [sent(1_200, "r", 200, 50), streamed("r", 900, 90)] => Cause::LateEndpoint;
+    a_pause_too_long: [sent(1_010, "r", 10, 50), streamed("r", 700, 260)] => Cause::LatePause;
+    refused_at_once: [answered("r", 503, "W2002", 3)] => Cause::RefusedAtOnce;
+    refused_after_a_wait: [answered("r", 503, "W2002", 300)] => Cause::RefusedAfterWait;
+    over_the_limit: [OVER_LIMIT, answered("r", 429, "W2003", 1)] => Cause::Quota;
+    no_configuration: [answered("r", 503, "W2007", 0)] => Cause::NoConfiguration;
+    no_budget_left: [sent(1_010, "r", 0, 0), NO_BUDGET, answered("r", 502, "W3003", 9)] => Cause::RetryBudget;
+    the_endpoint_was_lost: [sent(1_010, "r", 0, 0), answered("r", 502, "W3003", 9)] => Cause::EndpointLost;
+    the_answer_broke_off: [sent(1_010, "r", 0, 0), CUT] => Cause::EndpointLost;
+    a_fault_of_the_endpoint: [sent(1_010, "r", 0, 0), answered("r", 500, "", 9)] => Cause::EndpointFault;
+    a_fault_that_promises: [sent(1_010, "r", 0, 0), answered("r", 502, "W4001", 9)] => Cause::EndpointFault;
+    time_ran_out: [sent(1_010, "r", 0, 0), answered("r", 504, "W3005", 9_000)] => Cause::TimedOut;
+    the_caller_left: [sent(1_010, "r", 0, 0), LEFT] => Cause::CallerLeft;
+    the_process_ended: [sent(1_010, "r", 0, 0)] => Cause::Unfinished;
+    not_allowed: [answered("r", 404, "W1014", 0)] => Cause::NotAllowed;
+}
+
+#[test]
+fn one_that_returned_is_told_apart() {
+    let refused = vec![accepted(1_000, "r", true), answered("r", 503, "W2002", 2)];
+    let report = report(&[refused]);
+    assert_eq!(report.all.count(Cause::RefusedOnReturn), 1);
+}
+
+#[test]
+fn without_a_configuration_no_route_is_known() {
+    let report = report(&[vec![answered("r", 503, "W2007", 0)]]);
+    assert_eq!(report.routes[0].name, "");
+    assert_eq!(report.all.count(Cause::NoConfiguration), 1);
+}
--- /dev/null
+++ b/crates/losses/tests/losses/logs.rs
@@ -0,0 +1,155 @@
+//! Logs of several nodes: clocks that disagree, lines that are missing or cut.
+
+use woadstage_losses::plot;
+use woadstage_losses::report::Mark;
+use woadstage_losses::request::Cause;
+use woadstage_losses::write;
+
+use crate::support::accepted;
+use crate::support::answered;
+use crate::support::report;
+use crate::support::sent;
+use crate::support::streamed;
+
+fn started(at_ms: u64, host: &str) -> String {
+    format!(
+        r#"{{"time_ms":{at_ms},"event":"started","host":"{host}","incarnation":7,"version":"0.1.0"}}"#
+    )
+}
+
+fn configured(at_ms: u64, version: u64) -> String {
+    format!(
+        r#"{{"time_ms":{at_ms},"event":"configuration","version":{version},"before":0,"routes":1,"from":"platform"}}"#
+    )
+}
+
+#[test]
+fn clocks_that_disagree_are_put_side_by_side() {
+    let one = vec![
+        started(10_000, "a"),
+        configured(10_050, 3),
+        accepted(13_000, "r1", false),
+    ];
+    // An hour ahead.
+    let other = vec![
+        started(3_610_020, "b"),
+        configured(3_610_060, 3),
+        accepted(3_613_000, "r2", false),
+    ];
+    let report = report(&[one, other]);
+    let windows: Vec<(u64, u64)> = report
+        .windows
+        .iter()
+        .map(|window| (window.from_ms, window.counts.asked))
+        .collect();
+    assert_eq!(windows, [(2_000, 2)]);
+    assert_eq!(report.hosts, ["a", "b"]);
+}
+
+#[test]
+fn clocks_that_differ_by_what_it_takes_a_version_to_spread_are_left_alone() {
+    let one = vec![configured(10_000, 3), accepted(12_000, "r1", false)];
+    let other = vec![configured(10_400, 3), accepted(12_100, "r2", false)];
+    let report = report(&[one, other]);
+    assert_eq!(report.windows.len(), 1);
+    assert_eq!(report.windows[0].counts.asked, 2);
+}
+
+#[test]
+fn what_is_missing_is_told() {
+    let cut = accepted(1_000, "r", false);
+    let lines = vec![
+        "the collector says: no event".to_owned(),
+        cut[..cut.len() / 2].to_owned(),
+        r#"{"time_ms":5,"event":"left-out","lines":40}"#.to_owned(),
+        r#"{"time_ms":6,"event":"something-newer","field":1}"#.to_owned(),
+        format!("host-1 | {}", accepted(2_000, "s", false)),
+    ];
+    let report = report(&[lines, Vec::new()]);
+    assert_eq!(
+        (report.unreadable, report.left_out, report.empty_files),
+        (1, 40, 1)
+    );
+    assert_eq!(report.all.count(Cause::Unfinished), 1);
+}
+
+#[test]
+fn losses_of_nodes_and_of_the_platform_are_marked() {
+    let lost = r#"{"time_ms":11000,"event":"dependency","name":"platform","reached":false,"detail":"reset"}"#;
+    let node = r#"{"time_ms":11500,"event":"dependency","name":"node","reached":false,"detail":"10.0.0.1:1"}"#;
+    let report = report(&[vec![started(10_000, "a"), lost.to_owned(), node.to_owned()]]);
+    let mark = |at_ms, what: &str| Mark {
+        at_ms,
+        host: "a".to_owned(),
+        what: what.to_owned(),
+    };
+    assert_eq!(
+        report.marks,
+        [mark(0, "started"), mark(1_000, "platform lost")]
+    );
+}
+
+/// A stream with a long pause, beside one that was sent to the same endpoint.
+fn beside(at_ms: u64, uncached: u64) -> u64 {
+    let lines = vec![
+        accepted(1_000, "slow", false),
+        sent(1_010, "slow", 10, 50),
+        accepted(at_ms, "other", false),
+        sent(at_ms, "other", 0, uncached),
+        streamed("slow", 300, 400),
+        streamed("other", 300, 90),
+    ];
+    report(&[lines]).pauses_beside_prompts
+}
+
+#[test]
+fn a_long_pause_is_told_with_the_prompt_that_was_read_beside_it() {
+    assert_eq!(beside(1_500, 9_000), 1);
+    assert_eq!(beside(1_500, 100), 0);
+    assert_eq!(beside(4_000, 9_000), 0);
+}
+
+#[test]
+fn endpoints_are_told_with_their_speed() {
+    let lines = vec![
+        accepted(1_000, "r", false),
+        sent(1_100, "r", 100, 50),
+        streamed("r", 800, 90),
+    ];
+    let report = report(&[lines]);
+    let endpoint = &report.endpoints[0];
+    // From 800 to 1,700 ms there are nine pauses.
+    let seen = (endpoint.name.as_str(), endpoint.first_ms, endpoint.event_ms);
+    assert_eq!(seen, ("e", 700, 100));
+}
+
+#[test]
+fn tables_json_and_picture_name_the_causes() {
+    let lines = vec![
+        started(1_000, "a"),
+        accepted(1_000, "r", false),
+        answered("r", 503, "W2002", 2),
+    ];
+    let report = report(&[lines]);
+    let mut table = Vec::new();
+    write::write(&report, &mut table).expect("memory can be written to");
+    let table = String::from_utf8(table).expect("it is text");
+    assert!(table.contains("refused-at-once 1"), "{table}");
+    let mut json = Vec::new();
+    write::write_json(&report, &mut json).expect("memory can be written to");
+    let json: serde_json::Value = serde_json::from_slice(&json).expect("it is JSON");
+    assert_eq!(json["all"]["causes"]["refused-at-once"], 1);
+    assert_eq!(json["windows"][0]["asked"], 1);
+    let path = std::env::temp_dir().join(format!("losses-{}.svg", std::process::id()));
+    plot::plot(&report, &path).expect("a file can be written");
+    let picture = std::fs::read_to_string(&path).expect("it was written");
+    std::fs::remove_file(&path).expect("it can be removed");
+    assert!(picture.starts_with("<svg") && picture.contains("refused-at-once"));
+}
+
+#[test]
+fn a_picture_of_nothing_is_drawn() {
+    let path = std::env::temp_dir().join(format!("losses-none-{}.svg", std::process::id()));
+    plot::plot(&report(&[]), &path).expect("a file can be written");
+    std::fs::remove_file(&path).expect("it can be removed");
+}
--- a/crates/woadstage/src/flags.rs
+++ b/crates/woadstage/src/flags.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use woadstage_types::unit::Span;
+
 xflags::xflags! {
     /// Request scheduler for unlike engines.
     cmd woadstage {
@@ -54,6 +56,17 @@
             /// Print JSON.
             optional --json
         }
+        /// Say from gateways' logs which requests were lost, and why.
+        cmd losses {
+            /// A gateway's log; may be given for each of several nodes.
+            repeated --logs file: PathBuf
+            /// The length of a window of time, such as 2s.
+            optional --window span: Span
+            /// Print JSON.
+            optional --json
+            /// Draw a picture (SVG) into this file.
+            optional --plot file: PathBuf
+        }
         /// Show the table of result codes.
         cmd codes {
             /// Print JSON.
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -10,6 +10,8 @@
 
 use anyhow::Context;
 use woadstage_gateway::settings::Settings;
+use woadstage_losses::line;
+use woadstage_losses::report;
 use woadstage_node::commands;
 use woadstage_node::commands::Refused;
 
@@ -102,6 +104,7 @@
             commands::status::run(status.node, status.json, out).await
         }
         flags::WoadstageCmd::Explain(explain) => run_explain(&explain, out).await,
+        flags::WoadstageCmd::Losses(losses) => run_losses(&losses, out),
         flags::WoadstageCmd::Codes(codes) => commands::codes::run(codes.json, out),
     }
 }
@@ -139,6 +142,29 @@
     }
 }
 
+/// Sums up the losses in gateways' logs.
+fn run_losses(losses: &flags::Losses, out: &mut impl Write) -> anyhow::Result<()> {
+    if losses.logs.is_empty() {
+        return Err(Usage("losses takes --logs FILE, once for each node").into());
+    }
+    let mut files = Vec::new();
+    for path in &losses.logs {
+        let file = File::open(path).with_context(|| format!("read {}", path.display()))?;
+        files.push(line::read(BufReader::new(file))?);
+    }
+    let usual = report::Options::default();
+    let window_ms = losses.window.map_or(usual.window_ms, |span| span.0 / 1_000);
+    let report = report::report(files, &report::Options { window_ms });
+    if let Some(path) = &losses.plot {
+        woadstage_losses::plot::plot(&report, path)?;
+    }
+    match losses.json {
+        true => woadstage_losses::write::write_json(&report, out)?,
+        false => woadstage_losses::write::write(&report, out)?,
+    }
+    Ok(())
+}
+
 /// Runs a gateway, all of whose tasks stay on this thread.
 async fn run_gateway(settings: &Path) -> anyhow::Result<()> {
     let tasks = tokio::task::LocalSet::new();
