fix: how fast a rank is served counts only while something waits

The expected wait was the window of 1.5 s over the starts in it; in a service with little to do the starts tell how many requests came, so that one waiting request of 5 a second meant 190 ms.

Change: starts count since something has waited without a gap. Within the first 200 ms of that the endpoints' slots and the usual time of a call say how long it will take.

Ruled out: endpoints at rest (others served at the same time), quotas (code W2002).

--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -7,6 +7,7 @@
 
 use super::Decision;
 use super::Dispatcher;
+use super::Pool;
 use super::publish::pool;
 use crate::configuration::Rank;
 use crate::job;
@@ -27,6 +28,10 @@
 /// it at the most.
 const FIRST_MOST: f64 = 0.8;
 
+/// How long something must have waited before the rate at which requests start
+/// tells more than the endpoints' slots.
+const BUSY_LEAST: Span = Span::from_millis(200);
+
 /// Shortest time after which a refused caller comes back.
 const COME_BACK_LEAST: Span = Span::from_millis(100);
 
@@ -42,16 +47,16 @@
             self.decisions.push(Decision::Refuse { job: id, refusal });
             return id;
         }
-        self.push(id, job);
+        self.push(now, id, job);
         self.place(now, &target);
         id
     }
 
-    pub(super) fn push(&mut self, id: job::Id, job: Job) {
+    pub(super) fn push(&mut self, now: Time, id: job::Id, job: Job) {
         let target = job.target.clone();
         if let Some(pool) = self.pools.get_mut(&target) {
             self.places.insert(id, target);
-            pool.queue.push(id, job);
+            pool.queue.push(now, id, job);
             self.urgent = true;
         }
     }
@@ -93,25 +98,39 @@
     }
 
     /// The time until a newcomer of this rank would start, if those before it
-    /// went on starting as fast as lately. Where none has started, as long
-    /// again for each as the first has waited.
+    /// went on starting as fast as lately. Starts count only since something has
+    /// waited: before, they tell how many requests came, not how many could
+    /// begin. Where none has started, as long again for each as the first has
+    /// waited.
     pub(super) fn wait(&self, now: Time, job: &Job) -> Span {
         let Some(pool) = self.pools.get(&job.target) else {
             return Span::ZERO;
         };
+        let Some(busy_since) = pool.queue.busy_since_opt(job.rank) else {
+            return Span::ZERO;
+        };
+        let busy = now.since(busy_since);
+        if busy < BUSY_LEAST {
+            return self.wait_by_slots(now, pool);
+        }
         let waiting = pool.queue.count(job.rank) as u64;
-        let window = self.options.policy.rate_window;
-        let started = pool.starts.get(&job.rank).map_or(0, |starts| {
-            let recent = starts.iter().rev();
-            recent.take_while(|at| now.since(**at) <= window).count()
-        });
+        let window = self.options.policy.rate_window.min(busy);
+        let started = pool.started(now, job.rank, window);
         if started > 0 {
-            return Span(window.0 * waiting / started as u64);
+            return Span(window.0 * waiting / started);
         }
         let since = pool.queue.first_arrival_opt(job.rank).unwrap_or(now);
         Span(now.since(since).0 * (waiting + 1))
     }
 
+    /// The time in which the slots of all usable endpoints would take up what
+    /// waits now, here and on other nodes.
+    fn wait_by_slots(&self, now: Time, pool: &Pool) -> Span {
+        let waiting = pool.queue.len() + self.others_waiting(now, pool.number, |_| true);
+        let slots = pool.usable_slots(now, &self.options.worker).max(1);
+        Span((waiting as f64 * pool.call / f64::from(slots)) as u64)
+    }
+
     /// Requests that wait on other nodes, of the ranks that count.
     pub(super) fn others_waiting(
         &self,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -75,7 +75,7 @@
             _ => self.next_attempt(now, &mut job, end),
         };
         match next {
-            Next::Again => self.push(id, job),
+            Next::Again => self.push(now, id, job),
             _ => {
                 self.places.remove(&id);
             }
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -1,5 +1,6 @@
 //! What is expected of an engine, from what was observed of it and of its kind.
 
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::Pool;
@@ -27,6 +28,22 @@
             .count()
     }
 
+    /// Slots of the endpoints that take work now.
+    pub(super) fn usable_slots(&self, now: Time, options: &worker::Options) -> u32 {
+        let usable = self.workers.iter();
+        let usable = usable.filter(|worker| worker.takes_work(now, options));
+        usable.map(|worker| worker.endpoint.slots).sum()
+    }
+
+    /// Requests of a rank that were started within the last `window`.
+    pub(super) fn started(&self, now: Time, rank: Rank, window: Span) -> u64 {
+        let Some(starts) = self.starts.get(&rank) else {
+            return 0;
+        };
+        let recent = starts.iter().rev();
+        recent.take_while(|at| now.since(**at) <= window).count() as u64
+    }
+
     /// What is expected of a request at an engine that has to read `unread`
     /// tokens of its prompt.
     pub(super) fn forecast(&self, worker: &Worker, unread: f64) -> Forecast {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -27,12 +27,14 @@
     latest: BTreeSet<(Time, job::Id)>,
     in_time: BTreeSet<(Time, job::Id)>,
     counts: BTreeMap<Rank, usize>,
+    /// Since when something has waited in each rank without a gap.
+    busy_since: BTreeMap<Rank, Time>,
 }
 
 impl Queue {
     /// Puts a request in line. Those that were refused before go first in their
     /// rank, since for them another refusal would be the last.
-    pub fn push(&mut self, id: job::Id, job: Job) {
+    pub fn push(&mut self, now: Time, id: job::Id, job: Job) {
         let since = if job.returning {
             job.arrived - RETURNING_FIRST
         } else {
@@ -44,7 +46,11 @@
             self.in_time.insert((job.arrived + job.objective, id));
         }
         self.latest.insert((job.latest(), id));
-        *self.counts.entry(job.rank).or_default() += 1;
+        let count = self.counts.entry(job.rank).or_default();
+        if *count == 0 {
+            self.busy_since.insert(job.rank, now);
+        }
+        *count += 1;
         self.line.insert(place, job);
     }
 
@@ -92,6 +98,12 @@
         (place.0 == rank).then_some(job.arrived)
     }
 
+    /// Since when something has waited in a rank without a gap, if anything does.
+    pub fn busy_since_opt(&self, rank: Rank) -> Option<Time> {
+        let since = self.busy_since.get(&rank).copied();
+        since.filter(|_| self.count(rank) > 0)
+    }
+
     /// Requests that wait in one rank.
     pub fn count(&self, rank: Rank) -> usize {
         self.counts.get(&rank).copied().unwrap_or(0)
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -161,6 +161,25 @@
     assert!(retry_after.expect("a time to come back") <= Span(left.0 / 3));
 }
 
+#[test]
+fn a_newcomer_is_not_refused_for_how_few_came_before() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    let brief = |millis| Job {
+        objective: Span::from_millis(100),
+        ..job(SERVICE, 2, at(millis))
+    };
+    // Five come in a second and a half, and each is over at once.
+    for turn in 0..5 {
+        let run = dispatcher.enter(at(turn * 300), brief(turn * 300));
+        dispatcher.end(at(turn * 300 + 15), run, End::Whole);
+    }
+    // Then three come together: two of them will wait for 15 ms or 30.
+    for _ in 0..3 {
+        dispatcher.enter(at(1_500), brief(1_500));
+    }
+    assert_eq!(refusals(&mut dispatcher), []);
+}
+
 #[test]
 fn one_that_was_refused_before_waits() {
     let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
