--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -139,6 +139,9 @@
     quota::Options {
         overrun: number(sub, "overrun", usual.overrun),
         slack: number(sub, "slack", usual.slack),
+        part: number(sub, "part", usual.part),
+        part_in_cells: number(sub, "part_in_cells", usual.part_in_cells),
+        initial: number(sub, "initial", usual.initial),
         window: sub.take_or("window", usual.window),
         ..usual
     }
