--- a/crates/bench/src/bound.rs
+++ b/crates/bench/src/bound.rs
@@ -4,8 +4,8 @@
 
 use crate::case;
 use crate::load::Deployment;
-use crate::score::TIERS;
-use crate::score::Taken;
+use crate::taken::TIERS;
+use crate::taken::Taken;
 
 /// The bounds by tier.
 pub fn of(deployment: &Deployment, taken: &[Taken]) -> [u64; TIERS] {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`load`]: the two users' requests and when they come.
 //! * [`case`]: what goes wrong meanwhile.
 //! * [`scheduler`]: ours and the baselines.
+//! * [`taken`]: requests as a scheduler takes them in.
 //! * [`score`]: goodput by tier, wasted prefill, order of tiers.
 //! * [`bound`]: what an all-knowing scheduler could serve at most.
 
@@ -14,3 +15,4 @@
 pub mod load;
 pub mod scheduler;
 pub mod score;
+pub mod taken;
--- a/crates/bench/src/scheduler.rs
+++ b/crates/bench/src/scheduler.rs
@@ -25,6 +25,7 @@
 use crate::load::Request;
 use crate::score;
 use crate::score::Score;
+use crate::taken::Taken;
 
 /// A scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,7 +88,7 @@
     let loads = Rc::new(RefCell::new(vec![0; deployment.workers]));
     schedule_reports(&mut world, case, &loads);
     let deployment = Rc::new(deployment.clone());
-    let taken: Rc<RefCell<Vec<score::Taken>>> = Rc::default();
+    let taken: Rc<RefCell<Vec<Taken>>> = Rc::default();
     let turn = Rc::new(RefCell::new(vec![seed as usize; deployment.nodes]));
     for (at, request) in arrivals {
         let (deployment, taken) = (deployment.clone(), taken.clone());
@@ -100,7 +101,7 @@
                     send(world, &deployment, &request, pick)
                 }
             };
-            taken.borrow_mut().push(score::Taken { id, request });
+            taken.borrow_mut().push(Taken { id, request });
         });
     }
     world.run_for(case::LASTS + case::AFTER);
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -2,24 +2,12 @@
 
 use woadstage_standin::world::Answer;
 use woadstage_standin::world::World;
-use woadstage_types::id;
 use woadstage_types::unit::Time;
 
 use crate::bound;
 use crate::load::Deployment;
-use crate::load::Request;
-
-/// Tiers of both deployments.
-pub const TIERS: usize = 3;
-
-/// A request as it was taken in.
-#[derive(Debug, Clone)]
-pub struct Taken {
-    /// Its id.
-    pub id: id::Request,
-    /// What it is.
-    pub request: Request,
-}
+use crate::taken::TIERS;
+use crate::taken::Taken;
 
 /// The score of one run.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -28,6 +28,11 @@
 /// it at the most.
 const FIRST_MOST: f64 = 0.8;
 
+/// The least part of the longest time after which callers return, and the steps
+/// in which they are spread from there on.
+const RETURN_LEAST: f64 = 0.5;
+const SPREAD_STEPS: u64 = 1_000;
+
 /// How long something must have waited before the rate at which requests start
 /// tells more than the endpoints' slots.
 const BUSY_LEAST: Span = Span::from_millis(200);
@@ -116,11 +121,9 @@
         let waiting = pool.queue.count(job.rank) as u64;
         let window = self.options.policy.rate_window.min(busy);
         let started = pool.started(now, job.rank, window);
-        if started > 0 {
-            return Span(window.0 * waiting / started);
-        }
+        let by_rate = (window.0 * waiting).checked_div(started);
         let since = pool.queue.first_arrival_opt(job.rank).unwrap_or(now);
-        Span(now.since(since).0 * (waiting + 1))
+        by_rate.map_or(Span(now.since(since).0 * (waiting + 1)), Span)
     }
 
     /// The time in which the slots of all usable endpoints would take up what
@@ -152,8 +155,9 @@
     /// once, so rather late than soon, and not together with all others.
     pub fn come_back_late(&self, left: Span) -> Span {
         let most = left.0 as f64 * self.options.policy.come_back_within;
-        let spread = hash::of(&self.next_job.to_le_bytes()) % 1_000;
-        Span((most * (0.5 + spread as f64 / 2_000.0)) as u64)
+        let spread = hash::of(&self.next_job.to_le_bytes()) % SPREAD_STEPS;
+        let part = spread as f64 / SPREAD_STEPS as f64;
+        Span((most * (RETURN_LEAST + (1.0 - RETURN_LEAST) * part)) as u64)
     }
 
     /// When a refused caller is to come back: after `wait`, spread a little so
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -10,17 +10,20 @@
 use crate::job;
 use crate::job::End;
 use crate::job::Job;
+use crate::worker::PACE_LEAST;
+use crate::worker::PACE_MOST;
 
 /// Prompt tokens under which a first event says little of the reading speed.
 const LEARN_FROM: u64 = 400;
 
+/// Bounds of the time for reading one prompt token, in microseconds: from a
+/// million tokens a second down to a thousand.
+const PREFILL_LEAST: f64 = 1.0;
+const PREFILL_MOST: f64 = 1_000.0;
+
 /// Weight of one observation in what is usual for a service.
 const NEWEST: f64 = 0.03;
 
-/// Bounds of an engine's step as a multiple of the usual one.
-const PACE_LEAST: f64 = 0.1;
-const PACE_MOST: f64 = 20.0;
-
 /// Weight of one observation of a rank's time to the first event.
 const NEWEST_OF_RANK: f64 = 0.05;
 
@@ -178,7 +181,7 @@
         let micros = now.since(run.started).0 as f64;
         let reading = micros - worker.step.unwrap_or(pool.step);
         let seen = reading / tokens as f64 / worker.pace.max(PACE_LEAST);
-        pool.prefill += (seen.clamp(1.0, 1_000.0) - pool.prefill) * NEWEST;
+        pool.prefill += (seen.clamp(PREFILL_LEAST, PREFILL_MOST) - pool.prefill) * NEWEST;
     }
 }
 
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -31,6 +31,10 @@
 /// Starts of one rank that are remembered.
 const STARTS_KEPT: usize = 256;
 
+/// What it counts for that other nodes keep away from an endpoint: half of what
+/// it would if all calls of this node failed.
+const REPORTED: f64 = 0.5;
+
 /// Weight of one prompt in the share of those that were seen before.
 const NEWEST: f64 = 0.02;
 
@@ -227,7 +231,7 @@
     fn doubt(&self, worker: &Worker) -> f64 {
         let reports = worker.others_trouble;
         let others = if reports.failing + reports.unreachable > 0 {
-            0.5
+            REPORTED
         } else {
             0.0
         };
@@ -297,11 +301,15 @@
     }
 }
 
+/// By how much costs are spread, and in how many steps.
+const SPREAD: f64 = 0.1;
+const SPREAD_STEPS: u64 = 100;
+
 /// Up to a tenth more, as if at random, so that nodes do not all choose the
 /// same endpoint at the same moment.
 fn spread(worker: &Worker, job: &Job) -> f64 {
-    let mixed = hash::chain(u64::from(worker.number), &job.arrived.0.to_le_bytes()) % 100;
-    1.0 + mixed as f64 / 1_000.0
+    let mixed = hash::chain(u64::from(worker.number), &job.arrived.0.to_le_bytes());
+    1.0 + SPREAD * (mixed % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64
 }
 
 /// The endpoint that all nodes take for the home of a prompt (rendezvous
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -55,6 +55,19 @@
 /// Weight of a new observation of whether a call succeeded.
 const NEWEST_OUTCOME: f64 = 0.15;
 
+/// The least that a call's or a step's time counts as a multiple of the usual.
+pub const PACE_LEAST: f64 = 0.1;
+
+/// The most that it counts: what lies beyond says that something stood still,
+/// not how fast the endpoint is.
+pub const PACE_MOST: f64 = 20.0;
+
+/// The part of a half-life after which it is worth forgetting a little more.
+const FADE_FROM: f64 = 0.05;
+
+/// How often the rest after a failure doubles; the longest rest ends it sooner.
+const DOUBLINGS_MOST: u32 = 10;
+
 /// Nodes that must say that an endpoint cannot be connected to before one that
 /// saw no failure itself believes it: a single node may be cut off from it.
 const BELIEVED_FROM: u32 = 2;
@@ -169,7 +182,7 @@
     pub fn fade(&mut self, now: Time, options: &Options) {
         let since = now.since(self.learnt).as_secs_f64();
         let halves = since / options.half_life.as_secs_f64().max(1e-3);
-        if self.learnt == Time(0) || halves > 0.05 {
+        if self.learnt == Time(0) || halves > FADE_FROM {
             let keep = 0.5f64.powf(halves);
             if self.step.is_none() {
                 self.pace = 1.0 + (self.pace - 1.0) * keep;
@@ -181,7 +194,7 @@
 
     /// Learns the pace from a step or a call that took `ratio` times the usual.
     pub fn learn_pace(&mut self, now: Time, ratio: f64) {
-        self.pace += (ratio.clamp(0.1, 20.0) - self.pace) * NEWEST;
+        self.pace += (ratio.clamp(PACE_LEAST, PACE_MOST) - self.pace) * NEWEST;
         self.learnt = now;
     }
 
@@ -219,7 +232,7 @@
     /// while.
     pub fn fail(&mut self, now: Time, unreachable: bool, options: &Options) {
         self.unreachable = unreachable;
-        let doubled = options.rest.0 << self.failures.min(10);
+        let doubled = options.rest.0 << self.failures.min(DOUBLINGS_MOST);
         self.failures += 1;
         self.rests_until = now + Span(doubled.min(options.rest_limit.0));
         self.failing += (1.0 - self.failing) * NEWEST_OUTCOME;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -2,9 +2,7 @@
 
 use std::rc::Rc;
 
-use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -20,7 +18,6 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
-use super::admit;
 use super::admit::Admitted;
 use super::charge;
 use super::charge::Charged;
@@ -29,61 +26,21 @@
 use super::outgoing;
 use super::outgoing::Attempt;
 use super::payload::Payload;
-use super::relay;
 use super::reply::Reply;
 use crate::event::Event;
-use crate::headers::text;
 use crate::shell::Shell;
 use crate::upstream::Answer;
 use crate::upstream::Body;
 use crate::upstream::Fault;
 
+/// Steps in which an endpoint's pace is logged.
+const HUNDREDTHS: f64 = 100.0;
+
 /// When a caller may come back whom no endpoint had room for.
 const SOON: Span = Span::from_millis(200);
 
-/// Serves one request.
-pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
-    let arrived = shell.now();
-    let (head, body) = request.into_parts();
-    let table = shell.query(|dispatcher, _| dispatcher.table().cloned());
-    let admitted = admit::admit(table.as_deref(), &shell.headers, &head, arrived);
-    let admitted = match admitted {
-        Ok(admitted) => admitted,
-        Err(code) => return turn_away(&shell, &head, arrived, code),
-    };
-    let payload = Payload::read(body, admitted.body, &shell.bodies).await;
-    let mut exchange = Exchange::new(shell, admitted, head);
-    match payload {
-        Ok(payload) => exchange.payload = Some(payload),
-        Err(code) => return exchange.refuse(code.into()),
-    }
-    if let Err(reply) = exchange.enter().await {
-        return exchange.refuse(reply);
-    }
-    match exchange.run(None).await {
-        Ok(answer) => relay::relay(exchange, answer),
-        Err(reply) => exchange.refuse(reply),
-    }
-}
-
-/// Answers a request that has no route, customer or configuration.
-fn turn_away(shell: &Shell, head: &Parts, arrived: Time, code: Code) -> Response<Body> {
-    let request = text(&head.headers, &shell.headers.request).unwrap_or_default();
-    let left = shell
-        .headers
-        .to_deadline_ms(&head.headers)
-        .map_or(admit::LEFT_USUAL, Span::from_millis);
-    let retry_after = || shell.query(|dispatcher, _| dispatcher.come_back_late(left));
-    let reply = Reply {
-        code,
-        retry_after: code.mends().then(retry_after),
-        wait: None,
-    };
-    log_answer(shell, request, "", arrived, reply);
-    reply.to_response()
-}
-
-fn log_answer(shell: &Shell, request: &str, route: &str, arrived: Time, reply: Reply) {
+/// Logs and counts an answer of this node's own.
+pub(super) fn log_answer(shell: &Shell, request: &str, route: &str, arrived: Time, reply: Reply) {
     let after = shell.now().since(arrived);
     let code = reply.code.to_string();
     shell
@@ -142,7 +99,8 @@
 }
 
 impl Exchange {
-    fn new(shell: Rc<Shell>, admitted: Admitted, head: Parts) -> Exchange {
+    /// A request that was let in, with no body yet.
+    pub fn new(shell: Rc<Shell>, admitted: Admitted, head: Parts) -> Exchange {
         Exchange {
             units: admitted.units(&shell.headers, &head),
             sent_at: admitted.arrived,
@@ -159,8 +117,16 @@
         }
     }
 
+    /// Takes the body, as far as it was read.
+    pub fn set_payload(&mut self, payload: Payload) {
+        self.payload = Some(payload);
+    }
+
     /// Charges the customer and puts the request in line.
-    async fn enter(&mut self) -> Result<(), Reply> {
+    ///
+    /// # Errors
+    /// The answer to a request that does not fit its customer's quota.
+    pub async fn enter(&mut self) -> Result<(), Reply> {
         let shell = self.shell.clone();
         self.charged = charge::charge(&shell, &self.admitted, self.units).await?;
         let job = self.admitted.to_job(&shell.headers, &self.head);
@@ -260,7 +226,7 @@
             oldest_ms: reason.oldest.0 / 1_000,
             uncached: reason.uncached,
             unread: reason.unread,
-            pace: (reason.pace * 100.0).round() / 100.0,
+            pace: (reason.pace * HUNDREDTHS).round() / HUNDREDTHS,
         });
     }
 
@@ -367,7 +333,7 @@
     }
 
     /// Gives the caller an answer of this node's own.
-    fn refuse(mut self, reply: Reply) -> Response<Body> {
+    pub fn refuse(mut self, reply: Reply) -> Response<Body> {
         let not_run = reply.code.outcome() == Outcome::NotRun;
         if not_run {
             charge::give_back(&self.shell, &self.admitted, self.units, self.charged);
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,7 @@
 //! * `admit.rs`: which route and customer a request has.
 //! * `payload.rs`: its body.
 //! * `charge.rs`: its customer's quota.
+//! * `handle.rs`: one request, from its head to an answer that goes out.
 //! * `exchange.rs`: attempts at endpoints until there is an answer.
 //! * `outgoing.rs`: a request as an endpoint gets it.
 //! * `judge.rs`: what an answer's head means.
@@ -35,6 +36,7 @@
 mod charge;
 mod exchange;
 pub mod framer;
+mod handle;
 mod judge;
 mod outgoing;
 mod payload;
@@ -96,7 +98,7 @@
     shell: Rc<Shell>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let mut response = exchange::serve(shell.clone(), request).await;
+    let mut response = handle::serve(shell.clone(), request).await;
     if shell.phase() >= Phase::Leaving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
