--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -24,10 +24,6 @@
     pub wait: Option<Span>,
 }
 
-/// The part of an objective that the expected time to the first event takes of
-/// it at the most.
-const FIRST_MOST: f64 = 0.8;
-
 /// The least part of the longest time after which callers return, and the steps
 /// in which they are spread from there on.
 const RETURN_LEAST: f64 = 0.5;
@@ -78,11 +74,10 @@
             });
         }
         let wait = self.wait(now, job);
-        let first = self.expected_first(job);
         // For one that was refused before, late is better than never.
         let most = match job.returning {
             true => job.patience.0 as f64,
-            false => job.objective.0 as f64 * self.options.policy.refuse_beyond - first,
+            false => job.objective.0 as f64 * self.options.policy.refuse_beyond,
         };
         (wait.0 as f64 > most).then(|| Refusal {
             code: Code::TooLate,
@@ -91,17 +86,6 @@
         })
     }
 
-    /// The time to the first event that counts against a newcomer's objective.
-    /// A queue that is empty refuses nobody: what the engines cannot do in time
-    /// when they are free they never can.
-    fn expected_first(&self, job: &Job) -> f64 {
-        let Some(pool) = self.pools.get(&job.target).filter(|pool| pool.engine) else {
-            return 0.0;
-        };
-        let first = pool.usual_first(job.rank) * self.options.policy.admit_first;
-        first.min(job.objective.0 as f64 * FIRST_MOST)
-    }
-
     /// The time until a newcomer of this rank would start, if those before it
     /// went on starting as fast as lately. Starts count only since something has
     /// waited: before, they tell how many requests came, not how many could
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -80,8 +80,6 @@
     /// A newcomer is refused when the wait would be more than this multiple
     /// of its objective.
     pub refuse_beyond: f64,
-    /// Weight of the expected time to the first event in that.
-    pub admit_first: f64,
     /// The part of the longest pause in time that reading a prompt may put
     /// between the events of streams beside it; 0 where it is not looked at.
     pub pause_part: f64,
@@ -119,7 +117,6 @@
             look_ahead: 32,
             waiting_fresh: Span::from_millis(250),
             refuse_beyond: 1.0,
-            admit_first: 1.0,
             pause_part: 0.9,
             wait_for_objective: true,
             pressed_from: 1.0,
@@ -267,8 +264,6 @@
     starts: HashMap<Rank, VecDeque<Time>>,
     /// Usual time to the first event, in microseconds.
     first: f64,
-    /// The same of each rank.
-    firsts: HashMap<Rank, f64>,
     /// The longest pauses between two events, as a multiple of the engine's
     /// step.
     longest_pause: f64,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -24,9 +24,6 @@
 /// Weight of one observation in what is usual for a service.
 const NEWEST: f64 = 0.03;
 
-/// Weight of one observation of a rank's time to the first event.
-const NEWEST_OF_RANK: f64 = 0.05;
-
 /// Weight of a pause longer than the longest that are expected, and of a
 /// shorter one: about one in fifty is longer.
 const PAUSE_LONGER: f64 = 0.2;
@@ -171,8 +168,6 @@
     run.last = now;
     let after = now.since(run.started).0 as f64;
     pool.first += (after - pool.first) * NEWEST;
-    let of_rank = pool.firsts.entry(run.job.rank).or_insert(after);
-    *of_rank += (after - *of_rank) * NEWEST_OF_RANK;
     let worker = &mut pool.workers[run.worker];
     worker.pending = worker.pending.saturating_sub(run.uncached);
     let tokens = run.uncached + run.ahead;
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -62,12 +62,6 @@
         self.prefill * job.prompt.tokens as f64 + self.step
     }
 
-    /// The time to the first event that requests of a rank saw lately, in
-    /// microseconds; 0 until one was seen.
-    pub(super) fn usual_first(&self, rank: Rank) -> f64 {
-        self.firsts.get(&rank).copied().unwrap_or(0.0)
-    }
-
     /// The time until one of an engine's slots is free for a further request.
     pub(super) fn slot_wait(&self, worker: &Worker) -> f64 {
         let slots = worker.endpoint.slots.max(1);
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -207,7 +207,6 @@
         recurring: 0.0,
         starts: HashMap::new(),
         first: FIRST,
-        firsts: HashMap::new(),
         longest_pause: LONGEST_PAUSE,
         step: STEP,
         prefill: PREFILL,
--- a/crates/dispatch/tests/dispatch/predict.rs
+++ b/crates/dispatch/tests/dispatch/predict.rs
@@ -1,5 +1,5 @@
 //! Engines of unlike speeds: what is expected of them decides who goes where,
-//! who waits and who is refused at the door.
+//! and who waits.
 
 use rstest::rstest;
 use woadstage_dispatch::dispatcher::Dispatcher;
@@ -8,7 +8,6 @@
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::job::Prompt;
-use woadstage_types::code::Code;
 use woadstage_types::unit::Span;
 
 use crate::support::MODEL;
@@ -18,7 +17,6 @@
 use crate::support::job;
 use crate::support::list;
 use crate::support::options;
-use crate::support::refusals;
 use crate::support::starts;
 
 /// Milliseconds between two events on either engine.
@@ -142,49 +140,6 @@
     assert_eq!(places, expected);
 }
 
-/// A dispatcher whose only engine took 700 ms to each first event, and which
-/// starts one request every 200 ms.
-fn slow_to_begin(policy: Policy) -> Dispatcher {
-    let mut options = options(1);
-    options.policy = policy;
-    let mut dispatcher = Dispatcher::new(options);
-    dispatcher.set_configuration(at(0), configuration(1));
-    dispatcher.set_endpoints(at(0), list(1, &[endpoint("e", MODEL, 1)]));
-    for turn in 0..5 {
-        let begun = turn * 800;
-        let run = dispatcher.enter(at(begun), job(MODEL, 2, at(begun)));
-        dispatcher.progress(at(begun + 700), run, 1);
-        dispatcher.end(at(begun + 710), run, End::Whole);
-    }
-    assert_eq!(starts(&mut dispatcher).len(), 5);
-    dispatcher
-}
-
-#[rstest]
-#[case::the_first_event_counts(1.0, true)]
-#[case::only_the_wait_counts(0.0, false)]
-fn a_newcomer_is_refused_that_would_be_late_by_its_first_event(
-    #[case] admit_first: f64,
-    #[case] refused: bool,
-) {
-    let mut dispatcher = slow_to_begin(Policy {
-        admit_first,
-        rate_window: Span::from_millis(800),
-        ..Policy::default()
-    });
-    // One runs and one has waited for 400 ms: the next would wait as long.
-    for _ in 0..2 {
-        dispatcher.enter(at(4_000), job(MODEL, 2, at(4_000)));
-    }
-    assert_eq!(refusals(&mut dispatcher), []);
-    dispatcher.enter(at(4_400), job(MODEL, 2, at(4_400)));
-    let codes: Vec<Code> = refusals(&mut dispatcher)
-        .into_iter()
-        .map(|(_, code, _)| code)
-        .collect();
-    assert_eq!(codes == [Code::TooLate], refused, "{codes:?}");
-}
-
 #[rstest]
 #[case::those_in_time_go_first(true, 1)]
 #[case::the_oldest_goes_first(false, 0)]
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -17,7 +17,6 @@
         look_ahead: reader.take_or("look_ahead", usual.look_ahead),
         waiting_fresh: reader.take_or("waiting_fresh", usual.waiting_fresh),
         refuse_beyond: number(reader, "refuse_beyond", usual.refuse_beyond),
-        admit_first: number(reader, "admit_first", usual.admit_first),
         pause_part: number(reader, "pause_part", usual.pause_part),
         wait_for_objective: reader.take_or("wait_for_objective", usual.wait_for_objective),
         pressed_from: number(reader, "pressed_from", usual.pressed_from),
--- a/crates/gateway/tests/gateway/settings.rs
+++ b/crates/gateway/tests/gateway/settings.rs
@@ -32,7 +32,7 @@
 window = "10s"
 [policy]
 late_last = false
-admit_first = 2
+refuse_beyond = 2
 rate_window = "2s"
 [headers]
 request = "X-Id"
@@ -50,7 +50,7 @@
     assert_eq!(read.budget.extra, 58.0);
     let policy = Policy {
         late_last: false,
-        admit_first: 2.0,
+        refuse_beyond: 2.0,
         rate_window: Span::from_secs(2),
         ..Policy::default()
     };
@@ -73,7 +73,7 @@
 #[case::a_text_for_a_number("extra = 58", "extra = \"many\"", "retry.extra")]
 #[case::a_header_with_a_space("X-Id", "X Id", "headers.request")]
 #[case::a_reserved_header_with_a_space("X-Order", "X Order", "headers.reserved")]
-#[case::a_policy_below_zero("admit_first = 2", "admit_first = -2", "policy.admit_first")]
+#[case::a_policy_below_zero("refuse_beyond = 2", "refuse_beyond = -2", "policy.refuse_beyond")]
 #[case::an_unknown_policy("late_last = false", "late_first = false", "policy.late_first")]
 #[case::an_unknown_field("ratio = 0.2", "ration = 0.2", "retry.ration")]
 #[case::an_unknown_table("[headers]", "[head]", "head")]
