test: a newcomer of the most protected rank, refused for what waits behind it (known red)

Found by reading the whole diff: within the first 200 ms in which its rank waits, the expected wait counts what all ranks have waiting.

--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -70,7 +70,8 @@
     }
 
     /// True where streams run at an engine and reading a request's prompt beside
-    /// them would make one of their pauses longer than `most`.
+    /// them would make their pauses longer than a `part` of the longest one that
+    /// is in time on the request's own route.
     pub(super) fn disturbs(
         &self,
         worker: &Worker,
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -180,6 +180,25 @@
     assert_eq!(refusals(&mut dispatcher), []);
 }
 
+#[test]
+fn the_most_protected_are_not_refused_for_what_waits_behind_them() {
+    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    dispatcher.enter(at(0), job(SERVICE, 2, at(0)));
+    // More than a second of work, of callers that are let in however long it is.
+    for _ in 0..40 {
+        let returning = Job {
+            returning: true,
+            ..job(SERVICE, 2, at(0))
+        };
+        dispatcher.enter(at(0), returning);
+    }
+    // Both go first as soon as the endpoint is free.
+    for _ in 0..2 {
+        dispatcher.enter(at(1), job(SERVICE, 0, at(1)));
+    }
+    assert_eq!(refusals(&mut dispatcher), []);
+}
+
 #[test]
 fn one_that_was_refused_before_waits() {
     let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
