--- a/crates/dispatch/tests/dispatch/predict.rs
+++ b/crates/dispatch/tests/dispatch/predict.rs
@@ -155,7 +155,7 @@
     let running = dispatcher.enter(at(0), job(MODEL, 2, at(0)));
     starts(&mut dispatcher);
     let late = dispatcher.enter(at(1), job(MODEL, 2, at(1)));
-    // One that returns is let in however long the wait.
+    // Its objective is long enough that it is let in behind the other.
     let fresh = Job {
         objective: Span::from_secs(4),
         ..job(MODEL, 2, at(900))
