feat: nodes log and count transfers of documents between each other

A transfer that broke off showed only as a lost dependency, one that went over only as the version that came into force. No change of logic.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -65,6 +65,24 @@
         /// What was seen.
         detail: &'a str,
     },
+    /// A transfer of published documents between nodes ended.
+    Transfer {
+        /// `taken` by this node or `given` by it.
+        direction: &'a str,
+        /// The other node.
+        peer: &'a str,
+        /// True where all of it went over.
+        whole: bool,
+        /// What was seen where it broke off.
+        detail: &'a str,
+        /// Bytes of the documents; 0 where it broke off.
+        bytes: usize,
+        /// Milliseconds since it began.
+        after_ms: u64,
+        /// Transfers in this direction that were under way on this node as it
+        /// ended, this one among them.
+        at_once: usize,
+    },
     /// Something that was published could not be understood.
     Unreadable {
         /// Which document.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     attempts: IntCounterVec,
     beliefs: IntCounterVec,
     reservations: IntCounterVec,
+    transfers: IntCounterVec,
     /// Requests held.
     pub held: IntGauge,
     /// The version of the configuration in force.
@@ -103,6 +104,11 @@
                 "Questions to owners of quotas, by answer.",
                 &["answer"],
             )?,
+            transfers: counter(
+                "woadstage_transfers_total",
+                "Transfers of published documents between nodes.",
+                &["direction", "end"],
+            )?,
             held: gauge("woadstage_held", "Requests held.")?,
             configuration: gauge("woadstage_configuration_version", "The version in force.")?,
             endpoints: gauge("woadstage_endpoints_revision", "The revision in force.")?,
@@ -177,6 +183,12 @@
         self.reservations.with_label_values(&[answer]).inc();
     }
 
+    /// Counts a transfer of documents that ended.
+    pub fn transfer(&self, direction: &str, whole: bool) {
+        let end = if whole { "whole" } else { "broken" };
+        self.transfers.with_label_values(&[direction, end]).inc();
+    }
+
     /// All figures, in the text form of Prometheus.
     pub fn to_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -251,10 +251,10 @@
         let Some(from) = from else {
             return;
         };
-        match peers::snapshot::take(from, known).await {
-            Ok(snapshot) => {
+        match peers::snapshot::take(&shell, from, known).await {
+            Ok(taken) => {
                 return note_change(&shell, "node", |shell| {
-                    shell.command(|dispatcher, now| dispatcher.take_snapshot(now, snapshot));
+                    shell.command(|dispatcher, now| dispatcher.take_snapshot(now, taken.snapshot));
                 });
             }
             Err(error) => shell.log(&Event::Dependency {
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -24,6 +24,7 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers::reservations::Reservations;
+use crate::peers::snapshot::Transfers;
 use crate::upstream::Upstream;
 
 /// How far a planned stop has come.
@@ -55,6 +56,8 @@
     pub connections: Cell<usize>,
     /// Questions to the owners of quotas.
     pub reservations: Reservations,
+    /// Transfers of documents from and to other nodes.
+    pub transfers: Transfers,
     catch_ups: Cell<u64>,
     phase: watch::Sender<Phase>,
     dispatcher: RefCell<Dispatcher>,
@@ -82,6 +85,7 @@
             bodies: Arc::new(Semaphore::new(((memory.0 / BODIES_PART) >> 10) as usize)),
             connections: Cell::new(0),
             reservations: Reservations::default(),
+            transfers: Transfers::default(),
             catch_ups: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
             dispatcher: RefCell::new(dispatcher),
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -88,8 +88,8 @@
         };
         tokio::task::spawn_local(peers::snapshot::serve(gateway.shell.clone(), listener));
         let nothing = Known::default();
-        let taken = peers::snapshot::take(address, nothing).await;
-        let taken = taken.expect("it is given");
+        let taken = peers::snapshot::take(&gateway.shell, address, nothing).await;
+        let taken = taken.expect("it is given").snapshot;
         let own = |known| {
             gateway
                 .shell
@@ -98,8 +98,10 @@
         assert_eq!(taken, own(nothing));
         assert!(taken.configuration.is_some() && taken.endpoints.is_some());
         let all = gateway.shell.query(|dispatcher, _| dispatcher.known());
-        let taken = peers::snapshot::take(address, all).await;
-        assert_eq!(taken.expect("it is given"), Snapshot::default());
+        let taken = peers::snapshot::take(&gateway.shell, address, all).await;
+        assert_eq!(taken.expect("it is given").snapshot, Snapshot::default());
+        gateway.logged(&["\"transfer\"", "\"taken\""]).await;
+        gateway.logged(&["\"transfer\"", "\"given\""]).await;
     });
 }
 
