--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -32,6 +32,7 @@
 use crate::job::Job;
 use crate::member;
 use crate::member::Members;
+use crate::parts;
 use crate::queue::Queue;
 use crate::quota;
 use crate::quota::Accounts;
@@ -280,6 +281,8 @@
 pub struct Dispatcher {
     options: Options,
     table: Option<Arc<Table>>,
+    /// Parts of a configuration that is not in force yet.
+    received: parts::Received,
     list: Arc<List>,
     pools: HashMap<id::Target, Pool>,
     places: HashMap<job::Id, id::Target>,
@@ -312,6 +315,7 @@
             budget: Budget::new(options.budget.clone()),
             options,
             table: None,
+            received: parts::Received::default(),
             list: Arc::default(),
             pools: HashMap::new(),
             places: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -13,7 +13,8 @@
 use crate::configuration::Configuration;
 use crate::endpoint;
 use crate::endpoint::List;
-use crate::message::Snapshot;
+use crate::parts::Head;
+use crate::parts::Part;
 use crate::queue::Queue;
 use crate::table::Table;
 use crate::warm;
@@ -61,6 +62,7 @@
             }
         }
         self.table = Some(Arc::new(table));
+        self.received.clear();
         self.urgent = true;
         self.place_all(now);
         true
@@ -104,13 +106,24 @@
         true
     }
 
-    /// Takes what another node has read of the platform; true where any of it
-    /// was newer.
-    pub fn take_snapshot(&mut self, now: Time, snapshot: Snapshot) -> bool {
-        let configuration = snapshot.configuration;
-        let newer = configuration.is_some_and(|newer| self.set_configuration(now, newer));
-        let endpoints = snapshot.endpoints;
-        endpoints.is_some_and(|later| self.set_endpoints(now, later)) || newer
+    /// Keeps a part of a configuration that another node gave, until all are
+    /// there.
+    pub fn keep_part(&mut self, part: Part) {
+        self.received.add(part);
+    }
+
+    /// Takes a configuration of which another node gave the parts that were
+    /// missing; false where one as new is in force or parts are still missing.
+    pub fn take_head(&mut self, now: Time, head: &Head) -> bool {
+        if head.version <= self.configuration_version() {
+            return false;
+        }
+        let base = self.table.as_ref();
+        let base = base.map(|table| (table.configuration().as_ref(), table.parts()));
+        let Some(configuration) = self.received.try_assemble(head, base) else {
+            return false;
+        };
+        self.set_configuration(now, Arc::new(configuration))
     }
 
     /// Says which endpoints belong to this node's cell. A data centre that has
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -32,6 +32,11 @@
 }
 
 impl Dispatcher {
+    /// This life of the node.
+    pub fn incarnation(&self) -> u64 {
+        self.options.incarnation
+    }
+
     /// The configuration in force, arranged for look-ups.
     pub fn table(&self) -> Option<&Arc<Table>> {
         self.table.as_ref()
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -2,6 +2,7 @@
 //! and how new what it has read is.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
 
 use woadstage_types::unit::Time;
@@ -12,10 +13,12 @@
 use crate::member::Reading;
 use crate::message::Known;
 use crate::message::Load;
+use crate::message::Pull;
 use crate::message::Snapshot;
 use crate::message::Status;
 use crate::message::Trouble;
 use crate::message::Waiting;
+use crate::parts::Digest;
 use crate::quota::Speaker;
 use crate::worker::Reports;
 
@@ -141,17 +144,40 @@
             .collect()
     }
 
-    /// What this node has read of the platform and one that knows as much as
-    /// `known` has not. A configuration may be a hundred times as long as a list
-    /// of endpoints and changes seldom, so neither comes along with the other.
-    pub fn snapshot(&self, known: Known) -> Snapshot {
-        let configuration = self
-            .configuration()
-            .filter(|configuration| configuration.version > known.configuration);
-        let newer = self.list.edition() > known.endpoints;
+    /// What this node has read of the platform and one that asks has not. A
+    /// configuration may be a hundred times as long as a list of endpoints and
+    /// changes seldom, so neither comes along with the other, and of the
+    /// configuration only the parts that differ.
+    pub fn snapshot(&self, pull: &Pull) -> Snapshot {
+        let later = self.list.edition() > pull.known.endpoints;
+        let endpoints = later.then(|| self.list.clone());
+        let table = self.table.as_ref();
+        let newer = table.filter(|table| table.configuration().version > pull.known.configuration);
+        let Some(table) = newer else {
+            return Snapshot {
+                endpoints,
+                ..Snapshot::default()
+            };
+        };
+        let held: HashSet<Digest> = pull.held.iter().copied().collect();
+        let configuration = table.configuration();
         Snapshot {
-            configuration: configuration.cloned(),
-            endpoints: newer.then(|| self.list.clone()),
+            endpoints,
+            head: Some(table.parts().to_head(configuration)),
+            parts: table.parts().to_missing(configuration, &held),
+        }
+    }
+
+    /// What to ask another node. Parts are named only where it has a newer
+    /// configuration.
+    pub fn pull(&self, from: SocketAddrV4) -> Pull {
+        let known = self.known();
+        let newer = self.members.configuration(from) > known.configuration;
+        let in_force = self.table.iter().flat_map(|table| table.parts().digests());
+        let held = in_force.copied().chain(self.received.digests());
+        Pull {
+            known,
+            held: if newer { held.collect() } else { Vec::new() },
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! * [`configuration`]: routes, services, customers and limits in force.
 //! * [`table`]: the configuration arranged for look-ups.
+//! * [`parts`]: a configuration in parts, for passing it on.
 //! * [`endpoint`]: what the platform says of endpoints.
 //! * [`worker`]: what was learnt of one endpoint.
 //! * [`warm`]: which endpoint has read which prompt.
@@ -27,6 +28,7 @@
 pub mod job;
 pub mod member;
 pub mod message;
+pub mod parts;
 pub mod queue;
 pub mod quota;
 pub mod table;
--- a/crates/dispatch/src/member/ahead.rs
+++ b/crates/dispatch/src/member/ahead.rs
@@ -14,9 +14,11 @@
 /// very first of them, a long document would fill that one's link.
 const CHOSEN_FROM: usize = 8;
 
-/// A node that may be ahead of this one.
+/// A node that is ahead of this one.
 struct Candidate {
-    newer: bool,
+    /// The version of its configuration, where that is newer.
+    newer: Option<u64>,
+    /// Its list of endpoints, where that is newer.
     later: Option<Edition>,
     near: bool,
     address: SocketAddrV4,
@@ -30,24 +32,30 @@
         let candidates = self.fresh(now).map(|(address, member)| {
             let status = &member.status;
             Candidate {
-                newer: status.configuration > known.configuration,
+                newer: (status.configuration > known.configuration).then_some(status.configuration),
                 later: (status.endpoints > known.endpoints).then_some(status.endpoints),
                 near: member.near,
                 address: *address,
             }
         });
         let mut ahead: Vec<_> = candidates
-            .filter(|one| one.newer || one.later.is_some())
+            .filter(|one| one.newer.is_some() || one.later.is_some())
             .collect();
-        ahead.sort_unstable_by_key(|one| Reverse((one.newer, one.later, one.address)));
-        ahead.truncate(CHOSEN_FROM);
         if attempt.is_multiple_of(2) && ahead.iter().any(|one| one.near) {
             ahead.retain(|one| one.near);
         }
+        // Among equals each node prefers others, and others at each attempt.
         let seed = hash::chain(attempt, &self.own.ip().octets());
-        let chosen = ahead
-            .iter()
-            .max_by_key(|one| hash::chain(seed, &one.address.ip().octets()));
+        let preference = |one: &Candidate| hash::chain(seed, &one.address.ip().octets());
+        ahead.sort_by_key(|one| Reverse((one.newer, one.later, preference(one))));
+        ahead.truncate(CHOSEN_FROM);
+        let chosen = ahead.iter().max_by_key(|one| preference(one));
         chosen.map(|one| one.address)
     }
+
+    /// The version of the configuration that another node last said it had.
+    pub fn configuration(&self, address: SocketAddrV4) -> u64 {
+        let member = self.others.get(&address);
+        member.map_or(0, |member| member.status.configuration)
+    }
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -6,14 +6,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::configuration::Configuration;
 use crate::configuration::Rank;
 use crate::endpoint::Edition;
 use crate::endpoint::List;
+use crate::parts::Digest;
+use crate::parts::Head;
+use crate::parts::Part;
 use crate::quota::Denied;
 
 /// The version of this protocol; the first byte of everything on the wire.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 
 /// What one node runs at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -153,11 +155,46 @@
     pub endpoints: Edition,
 }
 
-/// What the platform published, as one node passes it to another that has less.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+/// Asks a node for the documents of the platform that are newer than those of
+/// the node that asks.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pull {
+    /// The documents of the node that asks.
+    pub known: Known,
+    /// Parts of configurations that it has, in force or received.
+    pub held: Vec<Digest>,
+}
+
+/// What a node has that another asked for.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Snapshot {
-    /// The configuration in force, where it is newer.
-    pub configuration: Option<Arc<Configuration>>,
-    /// The endpoints, where the list is newer.
+    /// The list of endpoints, where it is newer.
     pub endpoints: Option<Arc<List>>,
+    /// The configuration without its parts, where it is newer.
+    pub head: Option<Head>,
+    /// The parts of it that the other does not have.
+    pub parts: Vec<Part>,
+}
+
+/// One piece of a [`Snapshot`] on the wire.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Nothing follows: enough others are being given documents. Ask another.
+    Busy,
+    /// A list of endpoints.
+    Endpoints(Arc<List>),
+    /// A configuration without its parts.
+    Head(Head),
+    /// A part of it.
+    Part(Part),
+}
+
+impl Snapshot {
+    /// The frames in which it goes on the wire.
+    pub fn into_frames(self) -> impl Iterator<Item = Frame> {
+        let endpoints = self.endpoints.into_iter().map(Frame::Endpoints);
+        let head = self.head.into_iter().map(Frame::Head);
+        let parts = self.parts.into_iter().map(Frame::Part);
+        endpoints.chain(head).chain(parts)
+    }
 }
--- /dev/null
+++ b/crates/dispatch/src/parts.rs
@@ -0,0 +1,232 @@
+//! A configuration in parts, each named by its content, so that a small change
+//! of a long one costs little to pass on, and a transfer that breaks off need
+//! not begin anew.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+use woadstage_types::hash;
+
+use crate::configuration::Configuration;
+use crate::configuration::Customer;
+use crate::configuration::Limits;
+use crate::configuration::Route;
+use crate::configuration::Service;
+
+/// Parts of one configuration. Their digests take 2 KiB; of 1,500 routes one
+/// part holds about six, or half a kilobyte.
+pub const COUNT: usize = 256;
+
+/// Received parts that are kept: of the newest version and of one before it.
+const KEPT_MOST: usize = 2 * COUNT;
+
+/// The name of a part: the hash of its content, the same on every node.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Digest(u64);
+
+/// Some entries of a configuration, in its order.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// Routes, by host and prefix.
+    pub routes: Vec<Route>,
+    /// Services, by name.
+    pub services: Vec<Service>,
+    /// Customers, by name.
+    pub customers: Vec<Customer>,
+}
+
+impl Part {
+    /// Its name.
+    pub fn to_digest(&self) -> Digest {
+        digest(&self.routes, &self.services, &self.customers)
+    }
+}
+
+/// All that a configuration holds beside its parts, and what its parts are.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// The version.
+    pub version: u64,
+    /// Bounds on what a caller may send.
+    pub limits: Limits,
+    /// True where requests need a customer's key.
+    pub keyed: bool,
+    /// The names of all parts, in order.
+    pub parts: Vec<Digest>,
+}
+
+/// Which entries of a configuration belong to which part.
+#[derive(Debug)]
+pub struct Index {
+    members: Vec<Members>,
+    digests: Vec<Digest>,
+}
+
+/// Positions of the entries of one part.
+#[derive(Debug, Default)]
+struct Members {
+    routes: Vec<usize>,
+    services: Vec<usize>,
+    customers: Vec<usize>,
+}
+
+impl Index {
+    /// Reads the whole configuration once.
+    pub fn new(configuration: &Configuration) -> Index {
+        let mut members: Vec<Members> = Vec::new();
+        members.resize_with(COUNT, Members::default);
+        for (at, route) in configuration.routes.iter().enumerate() {
+            let host = hash::of(route.host.as_bytes());
+            let key = hash::chain(host, route.prefix.as_bytes());
+            members[place(key)].routes.push(at);
+        }
+        for (at, service) in configuration.services.iter().enumerate() {
+            let key = hash::of(service.name.as_str().as_bytes());
+            members[place(key)].services.push(at);
+        }
+        for (at, customer) in configuration.customers.iter().flatten().enumerate() {
+            let key = hash::of(customer.name.as_str().as_bytes());
+            members[place(key)].customers.push(at);
+        }
+        let digests = members.iter().map(|one| one.to_digest(configuration));
+        Index {
+            digests: digests.collect(),
+            members,
+        }
+    }
+
+    /// The names of all parts, in order.
+    pub fn digests(&self) -> &[Digest] {
+        &self.digests
+    }
+
+    /// What a node needs before the parts.
+    pub fn to_head(&self, configuration: &Configuration) -> Head {
+        Head {
+            version: configuration.version,
+            limits: configuration.limits.clone(),
+            keyed: configuration.customers.is_some(),
+            parts: self.digests.clone(),
+        }
+    }
+
+    /// Copies the parts that are not among `held`, but for empty ones.
+    pub fn to_missing(&self, configuration: &Configuration, held: &HashSet<Digest>) -> Vec<Part> {
+        let empty = Part::default().to_digest();
+        let named = self.members.iter().zip(&self.digests);
+        let missing = named.filter(|(_, digest)| **digest != empty && !held.contains(digest));
+        missing
+            .map(|(members, _)| members.to_part(configuration))
+            .collect()
+    }
+}
+
+impl Members {
+    fn to_digest(&self, configuration: &Configuration) -> Digest {
+        let customers = configuration.customers.as_deref().unwrap_or_default();
+        let routes = self.routes.iter().map(|at| &configuration.routes[*at]);
+        let services = self.services.iter().map(|at| &configuration.services[*at]);
+        let customers = self.customers.iter().map(|at| &customers[*at]);
+        digest(
+            &routes.collect::<Vec<_>>(),
+            &services.collect::<Vec<_>>(),
+            &customers.collect::<Vec<_>>(),
+        )
+    }
+
+    fn to_part(&self, configuration: &Configuration) -> Part {
+        let customers = configuration.customers.as_deref().unwrap_or_default();
+        let routes = self.routes.iter();
+        let services = self.services.iter();
+        Part {
+            routes: routes.map(|at| configuration.routes[*at].clone()).collect(),
+            services: services
+                .map(|at| configuration.services[*at].clone())
+                .collect(),
+            customers: self
+                .customers
+                .iter()
+                .map(|at| customers[*at].clone())
+                .collect(),
+        }
+    }
+}
+
+/// Parts that were received and are not in force yet.
+#[derive(Debug, Default)]
+pub struct Received {
+    parts: HashMap<Digest, Part>,
+}
+
+impl Received {
+    /// Keeps a part. What was received long ago goes where there is too much.
+    pub fn add(&mut self, part: Part) {
+        if self.parts.len() >= KEPT_MOST {
+            self.parts.clear();
+        }
+        self.parts.insert(part.to_digest(), part);
+    }
+
+    /// The names of what is kept.
+    pub fn digests(&self) -> impl Iterator<Item = Digest> + '_ {
+        self.parts.keys().copied()
+    }
+
+    /// Drops everything.
+    pub fn clear(&mut self) {
+        self.parts.clear();
+    }
+
+    /// Puts a configuration together from what was received and from the one
+    /// in force; nothing where a part is missing.
+    pub fn try_assemble(
+        &self,
+        head: &Head,
+        base: Option<(&Configuration, &Index)>,
+    ) -> Option<Configuration> {
+        let empty = Part::default().to_digest();
+        let in_force: HashMap<Digest, usize> = base
+            .iter()
+            .flat_map(|(_, index)| index.digests.iter().copied().zip(0..))
+            .collect();
+        let mut whole = Part::default();
+        for digest in head.parts.iter().filter(|digest| **digest != empty) {
+            let part = match self.parts.get(digest) {
+                Some(part) => part.clone(),
+                None => {
+                    let at = in_force.get(digest)?;
+                    let (configuration, index) = base?;
+                    index.members[*at].to_part(configuration)
+                }
+            };
+            whole.routes.extend(part.routes);
+            whole.services.extend(part.services);
+            whole.customers.extend(part.customers);
+        }
+        Some(Configuration {
+            version: head.version,
+            routes: whole.routes,
+            services: whole.services,
+            limits: head.limits.clone(),
+            customers: head.keyed.then_some(whole.customers),
+        })
+    }
+}
+
+/// The part to which an entry with this hash belongs.
+fn place(key: u64) -> usize {
+    (key % COUNT as u64) as usize
+}
+
+/// Hashes entries as they go on the wire. An entry that cannot be written would
+/// leave the digest of an empty part, which is never sent.
+fn digest<R: Serialize, S: Serialize, C: Serialize>(
+    routes: &[R],
+    services: &[S],
+    customers: &[C],
+) -> Digest {
+    let written = postcard::to_extend(&(routes, services, customers), Vec::new());
+    Digest(written.map_or(0, |bytes| hash::of(&bytes)))
+}
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use woadstage_types::code::Code;
 use woadstage_types::id;
@@ -11,6 +12,7 @@
 use crate::configuration::Key;
 use crate::configuration::Route;
 use crate::configuration::Service;
+use crate::parts;
 
 /// A configuration with its indexes.
 #[derive(Debug)]
@@ -20,6 +22,7 @@
     keys: HashMap<Key, usize>,
     customers: HashMap<u64, usize>,
     services: HashMap<id::Target, usize>,
+    parts: OnceLock<parts::Index>,
 }
 
 /// Under what a request was let in.
@@ -59,6 +62,7 @@
             keys,
             customers,
             services,
+            parts: OnceLock::new(),
             configuration,
         }
     }
@@ -68,6 +72,12 @@
         &self.configuration
     }
 
+    /// The parts in which it is passed on; found when first asked for.
+    pub fn parts(&self) -> &parts::Index {
+        self.parts
+            .get_or_init(|| parts::Index::new(&self.configuration))
+    }
+
     /// The route with the longest prefix that begins the path.
     pub fn route_opt(&self, host: &str, path: &str) -> Option<&Route> {
         let prefixes = self.routes.get(&to_name(host))?;
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod members;
 mod order;
 mod outcomes;
+mod parts;
 mod predict;
 mod publish;
 mod quota;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/parts.rs
@@ -0,0 +1,205 @@
+//! Configurations go from node to node in parts.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::Config;
+use woadstage_dispatch::configuration::Configuration;
+use woadstage_dispatch::configuration::Customer;
+use woadstage_dispatch::configuration::Key;
+use woadstage_dispatch::configuration::Kind;
+use woadstage_dispatch::configuration::Route;
+use woadstage_dispatch::configuration::Service;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::message::Pull;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+
+use crate::support::SERVICE;
+use crate::support::ask;
+use crate::support::at;
+use crate::support::options;
+use crate::support::pass_on;
+use crate::support::route;
+
+/// A long configuration.
+const ROUTES: u32 = 1_500;
+
+/// An entry of each kind, by number, in one of a few forms.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Entry {
+    number: u32,
+    form: u8,
+}
+
+fn to_route(entry: Entry) -> Route {
+    Route {
+        timeout: Span::from_secs(u64::from(entry.form) + 1),
+        ..route(&format!("route-{}", entry.number), SERVICE, Kind::Once, 0)
+    }
+}
+
+fn to_service(entry: Entry) -> Service {
+    Service {
+        name: id::Target::new(&format!("service-{}", entry.number)),
+        connections: u32::from(entry.form),
+        engine: entry.form.is_multiple_of(2),
+    }
+}
+
+fn to_customer(entry: Entry) -> Customer {
+    Customer {
+        name: id::Customer::new(&format!("customer-{}", entry.number)),
+        keys: vec![Key::of(&format!("{}-{}", entry.number, entry.form))],
+        priority: Some(entry.form),
+        quota: None,
+    }
+}
+
+/// A configuration of these entries, those given last where two have a number.
+fn to_configuration(version: u64, entries: &[Entry]) -> Configuration {
+    let mut seen = HashSet::new();
+    let entries = entries.iter().rev().copied();
+    let entries: Vec<Entry> = entries.filter(|entry| seen.insert(entry.number)).collect();
+    let all = || entries.iter().copied();
+    Configuration {
+        version,
+        routes: all().map(to_route).collect(),
+        services: all().map(to_service).collect(),
+        customers: (!version.is_multiple_of(3)).then(|| all().map(to_customer).collect()),
+        ..Configuration::default()
+    }
+}
+
+fn node(number: u8, configuration: Configuration) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(options(number));
+    dispatcher.set_configuration(at(0), Arc::new(configuration));
+    dispatcher
+}
+
+fn long(version: u64, form: u8) -> Configuration {
+    let usual = (0..ROUTES).map(|number| Entry { number, form: 0 });
+    let changed = Entry { number: 7, form };
+    to_configuration(version, &usual.chain([changed]).collect::<Vec<_>>())
+}
+
+/// The same, in an order that does not depend on how it was put together.
+fn sorted(configuration: &Configuration) -> Configuration {
+    let mut sorted = configuration.clone();
+    sorted
+        .routes
+        .sort_by(|one, other| one.name.cmp(&other.name));
+    sorted
+        .services
+        .sort_by(|one, other| one.name.as_str().cmp(other.name.as_str()));
+    if let Some(customers) = &mut sorted.customers {
+        customers.sort_by(|one, other| one.name.as_str().cmp(other.name.as_str()));
+    }
+    sorted
+}
+
+fn in_force(dispatcher: &Dispatcher) -> Configuration {
+    sorted(dispatcher.configuration().expect("a configuration"))
+}
+
+#[test]
+fn a_small_change_of_a_long_configuration_costs_little() {
+    let newer = node(1, long(8, 1));
+    let mut first = Dispatcher::new(options(2));
+    let whole = pass_on(&newer, &mut first);
+    let mut behind = node(3, long(7, 0));
+    let change = pass_on(&newer, &mut behind);
+    assert_eq!(in_force(&behind), in_force(&newer));
+    assert!(change * 20 < whole, "{change} of {whole}");
+    let asked = postcard::to_extend(&ask(&newer, &mut node(4, long(7, 0))), Vec::new());
+    assert!(asked.expect("it can be written").len() < 4 << 10);
+}
+
+#[test]
+fn nothing_is_named_where_the_configuration_is_as_new() {
+    let other = node(1, long(7, 0));
+    let mut own = node(2, long(7, 0));
+    assert_eq!(ask(&other, &mut own).held, []);
+}
+
+#[test]
+fn a_transfer_that_breaks_off_goes_on_at_another_node() {
+    let (one, other) = (node(1, long(8, 1)), node(2, long(8, 1)));
+    let mut behind = Dispatcher::new(options(3));
+    let snapshot = one.snapshot(&ask(&one, &mut behind));
+    let (parts, head) = (snapshot.parts, snapshot.head.expect("a head"));
+    let (arrived, lost) = parts.split_at(parts.len() * 3 / 4);
+    for part in arrived {
+        behind.keep_part(part.clone());
+    }
+    // Not all of it is there.
+    assert!(!behind.take_head(at(1), &head));
+    assert_eq!(behind.configuration_version(), 0);
+    let rest = other.snapshot(&ask(&other, &mut behind));
+    assert_eq!(rest.parts, lost);
+    pass_on(&other, &mut behind);
+    assert_eq!(in_force(&behind), in_force(&other));
+}
+
+#[test]
+fn parts_of_a_version_in_between_serve_the_next() {
+    let (old, next) = (node(1, long(7, 0)), node(2, long(8, 1)));
+    let mut behind = Dispatcher::new(options(3));
+    for part in old.snapshot(&ask(&old, &mut behind)).parts {
+        behind.keep_part(part);
+    }
+    let rest = next.snapshot(&ask(&next, &mut behind));
+    assert!(rest.parts.len() <= 3, "{}", rest.parts.len());
+}
+
+#[test]
+fn what_is_received_and_never_used_stays_bounded() {
+    let mut behind = Dispatcher::new(options(3));
+    for form in 0..8 {
+        let entries: Vec<Entry> = (0..ROUTES).map(|number| Entry { number, form }).collect();
+        let newer = node(1, to_configuration(8, &entries));
+        for part in newer.snapshot(&Pull::default()).parts {
+            behind.keep_part(part);
+        }
+    }
+    let newest = node(2, long(9, 1));
+    assert!(ask(&newest, &mut behind).held.len() <= 512);
+    pass_on(&newest, &mut behind);
+    assert_eq!(in_force(&behind), in_force(&newest));
+}
+
+fn entries() -> impl Strategy<Value = Vec<Entry>> {
+    let entry = (0_u32..60, 0_u8..4).prop_map(|(number, form)| Entry { number, form });
+    vec(entry, 0..80)
+}
+
+proptest! {
+    #![proptest_config(Config::with_cases(64))]
+    #[test]
+    fn any_configuration_follows_any_other(
+        old in entries(),
+        new in entries(),
+        lost in any::<u8>(),
+        versions in (1_u64..6, 1_u64..6),
+    ) {
+        let (base, step) = versions;
+        let newer = node(1, to_configuration(base + step, &new));
+        let mut behind = node(2, to_configuration(base, &old));
+        // A transfer that broke off before.
+        let broken = newer.snapshot(&ask(&newer, &mut behind)).parts;
+        let arrived = broken.len() * usize::from(lost) / 256;
+        for part in broken.into_iter().take(arrived) {
+            behind.keep_part(part);
+        }
+        pass_on(&newer, &mut behind);
+        assert_eq!(in_force(&behind), in_force(&newer));
+        // And it can pass it on itself.
+        let mut last = Dispatcher::new(options(3));
+        pass_on(&behind, &mut last);
+        assert_eq!(in_force(&last), in_force(&newer));
+    }
+}
--- a/crates/dispatch/tests/dispatch/publish.rs
+++ b/crates/dispatch/tests/dispatch/publish.rs
@@ -9,7 +9,7 @@
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::message::Known;
-use woadstage_dispatch::message::Snapshot;
+use woadstage_dispatch::message::Pull;
 
 use crate::support::SERVICE;
 use crate::support::at;
@@ -19,6 +19,7 @@
 use crate::support::job;
 use crate::support::list;
 use crate::support::options;
+use crate::support::pass_on;
 use crate::support::starts;
 
 #[test]
@@ -44,21 +45,24 @@
 
 #[test]
 fn what_another_node_read_counts_only_where_it_is_newer() {
-    let mut dispatcher = dispatcher(&[endpoint("e", SERVICE, 1)]);
-    dispatcher.set_configuration(at(0), configuration(7));
-    dispatcher.set_endpoints(at(0), list(9, &[endpoint("e", SERVICE, 1)]));
-    let old = Snapshot {
-        configuration: Some(configuration(6)),
-        endpoints: Some(list(8, &[])),
-    };
-    assert!(!dispatcher.take_snapshot(at(1), old));
-    let newer = Snapshot {
-        configuration: Some(configuration(6)),
-        endpoints: Some(list(10, &[])),
-    };
-    assert!(dispatcher.take_snapshot(at(2), newer));
-    assert_eq!(dispatcher.configuration_version(), 7);
-    assert_eq!(dispatcher.endpoints_revision(), 10);
+    let mut own = dispatcher(&[endpoint("e", SERVICE, 1)]);
+    own.set_configuration(at(0), configuration(7));
+    own.set_endpoints(at(0), list(9, &[endpoint("e", SERVICE, 1)]));
+    let mut older = Dispatcher::new(options(2));
+    older.set_configuration(at(0), configuration(6));
+    older.set_endpoints(at(0), list(10, &[]));
+    pass_on(&older, &mut own);
+    assert_eq!(own.configuration_version(), 7);
+    assert_eq!(own.endpoints_revision(), 10);
+    let mut newer = Dispatcher::new(options(3));
+    newer.set_configuration(at(0), configuration(8));
+    newer.set_endpoints(at(0), list(8, &[endpoint("e", SERVICE, 1)]));
+    pass_on(&newer, &mut own);
+    assert_eq!(own.configuration_version(), 8);
+    assert_eq!(own.endpoints_revision(), 10);
+    // Nor does a head count that came late.
+    let late = older.snapshot(&Pull::default()).head.expect("a head");
+    assert!(!own.take_head(at(1), &late));
 }
 
 #[test]
@@ -67,15 +71,19 @@
     dispatcher.set_configuration(at(0), configuration(7));
     dispatcher.set_endpoints(at(0), list(9, &[]));
     let given = |configuration, revision| {
-        let snapshot = dispatcher.snapshot(Known {
-            configuration,
-            endpoints: Edition {
-                revision,
-                settled: true,
+        let endpoints = Edition {
+            revision,
+            settled: true,
+        };
+        let snapshot = dispatcher.snapshot(&Pull {
+            known: Known {
+                configuration,
+                endpoints,
             },
+            held: Vec::new(),
         });
         (
-            snapshot.configuration.is_some(),
+            snapshot.head.is_some() && !snapshot.parts.is_empty(),
             snapshot.endpoints.is_some(),
         )
     };
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -21,6 +21,9 @@
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::job::Prompt;
 use woadstage_dispatch::member;
+use woadstage_dispatch::message::Frame;
+use woadstage_dispatch::message::Pull;
+use woadstage_dispatch::message::Status;
 use woadstage_dispatch::quota;
 use woadstage_dispatch::warm;
 use woadstage_dispatch::worker;
@@ -63,6 +66,46 @@
     }
 }
 
+/// Gives one node what it asks another for. Returns the bytes that go to it.
+pub fn pass_on(from: &Dispatcher, to: &mut Dispatcher) -> usize {
+    let snapshot = from.snapshot(&ask(from, to));
+    let frames: Vec<Frame> = snapshot.into_frames().collect();
+    let written = frames
+        .iter()
+        .map(|frame| postcard::to_extend(frame, Vec::new()));
+    let bytes = written.map(|bytes| bytes.expect("it can be written").len());
+    let bytes = bytes.sum();
+    let mut head = None;
+    for frame in frames {
+        match frame {
+            Frame::Busy => unreachable!("nobody declines here"),
+            Frame::Endpoints(list) => {
+                to.set_endpoints(at(1), list);
+            }
+            Frame::Head(newer) => head = Some(newer),
+            Frame::Part(part) => to.keep_part(part),
+        }
+    }
+    if let Some(head) = head {
+        to.take_head(at(1), &head);
+    }
+    bytes
+}
+
+/// What one node asks another for, once it has heard it.
+pub fn ask(from: &Dispatcher, to: &mut Dispatcher) -> Pull {
+    let known = from.known();
+    let status = Status {
+        incarnation: 99,
+        sequence: known.configuration + known.endpoints.revision + 1,
+        configuration: known.configuration,
+        endpoints: known.endpoints,
+        ..Status::default()
+    };
+    to.hear(at(1), node(99), status);
+    to.pull(node(99))
+}
+
 /// A route to a service.
 pub fn route(name: &str, target: &str, kind: Kind, priority: u8) -> Route {
     Route {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod operators;
 pub mod peers;
 pub mod policy;
+pub mod publish;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,7 +1,11 @@
 //! Other nodes. Statuses go by datagram, since each holds all it speaks of and
 //! a lost one is made up for by the next, and so do questions to the owners of
 //! quotas, which another answers where one does not. What the platform published goes by
-//! stream, to nodes that cannot read it themselves.
+//! stream, to nodes that have not read it themselves.
+//!
+//! * [`catch_up`]: when to take documents, and from whom.
+//! * [`transfer`]: documents on their way.
+//! * [`reservations`]: questions to owners of quotas.
 
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -18,8 +22,9 @@
 use crate::event::Event;
 use crate::shell::Shell;
 
+pub mod catch_up;
 pub mod reservations;
-pub mod snapshot;
+pub mod transfer;
 
 /// Longest datagram that is read.
 const DATAGRAM_MOST: usize = 8 << 10;
--- /dev/null
+++ b/crates/gateway/src/peers/transfer/give.rs
@@ -0,0 +1,71 @@
+//! Gives documents to nodes that are behind, to a few at once: each of them is
+//! then done sooner, and can give to others itself.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use woadstage_dispatch::message::Frame;
+use woadstage_dispatch::message::Pull;
+
+use super::Direction;
+use super::frame;
+use super::logged;
+use crate::shell::Shell;
+
+/// Nodes that are given documents at once. Three of them share 10 Mbit/s, so
+/// that 100 kB take them a quarter of a second.
+const AT_ONCE: usize = 3;
+
+/// Pause after a connection could not be accepted; mostly for want of
+/// descriptors, which others free as they end.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// Gives nodes that connect what they have not, for as long as the process runs.
+pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
+    loop {
+        let Ok((stream, SocketAddr::V4(to))) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_AGAIN).await;
+            continue;
+        };
+        let shell = shell.clone();
+        tokio::task::spawn_local(async move {
+            if shell.transfers.giving.get() >= AT_ONCE {
+                shell.metrics.transfer("given", false);
+                // It asks another where even this does not reach it.
+                let _ = decline(stream).await;
+                return;
+            }
+            // The other end asks again where this fails; the log says why.
+            let _ = logged(&shell, Direction::Given, to, give(&shell, stream)).await;
+        });
+    }
+}
+
+async fn decline(mut stream: TcpStream) -> anyhow::Result<()> {
+    // Closing with unread bytes would reset the connection, and the answer
+    // with it.
+    let mut reader = frame::Reader::new(&mut stream);
+    reader.next::<Pull>().await?;
+    let mut bytes = Vec::new();
+    frame::begin(&mut bytes);
+    frame::add(&mut bytes, &Frame::Busy)?;
+    frame::write(&mut stream, &bytes).await
+}
+
+async fn give(shell: &Shell, mut stream: TcpStream) -> anyhow::Result<usize> {
+    let mut reader = frame::Reader::new(&mut stream);
+    let Some(pull) = reader.next::<Pull>().await? else {
+        anyhow::bail!("nothing was asked");
+    };
+    let snapshot = shell.query(|dispatcher, _| dispatcher.snapshot(&pull));
+    let mut bytes = Vec::new();
+    frame::begin(&mut bytes);
+    for frame in snapshot.into_frames() {
+        frame::add(&mut bytes, &frame)?;
+    }
+    frame::write(&mut stream, &bytes).await?;
+    Ok(bytes.len())
+}
--- /dev/null
+++ b/crates/gateway/src/peers/transfer/take.rs
@@ -0,0 +1,66 @@
+//! Takes documents from a node that is ahead. What has arrived is kept where a
+//! transfer breaks off, so that the next one goes on from there.
+
+use std::net::SocketAddrV4;
+
+use tokio::net::TcpStream;
+use woadstage_dispatch::message::Frame;
+use woadstage_dispatch::message::Pull;
+
+use super::Direction;
+use super::PROGRESS_WITHIN;
+use super::frame;
+use super::logged;
+use crate::publish;
+use crate::shell::Shell;
+
+/// How a transfer ended that did not break off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// All that was newer there is known here.
+    Whole,
+    /// The other node gives to enough others.
+    Declined,
+}
+
+/// Asks a node for what is newer than what this one has, and brings it into
+/// force.
+///
+/// # Errors
+/// Where it cannot be reached, speaks another version, or breaks off.
+pub async fn take(shell: &Shell, from: SocketAddrV4) -> anyhow::Result<Ended> {
+    let pull = shell.query(|dispatcher, _| dispatcher.pull(from));
+    let mut ended = Ended::Whole;
+    let transfer = ask(shell, from, &pull, &mut ended);
+    logged(shell, Direction::Taken, from, transfer).await?;
+    Ok(ended)
+}
+
+async fn ask(
+    shell: &Shell,
+    from: SocketAddrV4,
+    pull: &Pull,
+    ended: &mut Ended,
+) -> anyhow::Result<usize> {
+    let connecting = TcpStream::connect(from);
+    let mut stream = tokio::time::timeout(PROGRESS_WITHIN, connecting).await??;
+    let mut bytes = Vec::new();
+    frame::begin(&mut bytes);
+    frame::add(&mut bytes, pull)?;
+    frame::write(&mut stream, &bytes).await?;
+    let mut reader = frame::Reader::new(stream);
+    let mut head = None;
+    let name = from.to_string();
+    while let Some(frame) = reader.next().await? {
+        match frame {
+            Frame::Busy => *ended = Ended::Declined,
+            Frame::Endpoints(list) => publish::set_endpoints(shell, &name, list),
+            Frame::Head(newer) => head = Some(newer),
+            Frame::Part(part) => shell.command(|dispatcher, _| dispatcher.keep_part(part)),
+        }
+    }
+    if let Some(head) = head {
+        publish::take_head(shell, &name, &head);
+    }
+    Ok(reader.total)
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,6 @@
 use woadstage_dispatch::dispatcher;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::member::Reading;
-use woadstage_types::unit::Time;
 
 use crate::clock::to_duration;
 use crate::event::Event;
@@ -25,6 +24,7 @@
 use crate::metrics::Metrics;
 use crate::operators;
 use crate::peers;
+use crate::publish;
 use crate::serve;
 use crate::settings;
 use crate::settings::Settings;
@@ -37,13 +37,6 @@
 /// Time between two looks at what time alone brings about.
 const TICK: Duration = Duration::from_millis(20);
 
-/// How long newer documents of other nodes are waited for from the platform
-/// itself before they are taken from those.
-const AHEAD_FOR: Duration = Duration::from_millis(250);
-
-/// Nodes that are asked for newer documents, one after the other.
-const CATCH_UP_ATTEMPTS: usize = 3;
-
 /// Time between two looks at the settings file.
 const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 
@@ -85,7 +78,7 @@
     let socket = UdpSocket::bind(settings.peers).await;
     let socket = Rc::new(socket.with_context(|| format!("listen on {}", settings.peers))?);
     shell.reservations.set_socket(socket.clone());
-    let snapshots = listen(settings.peers).await?;
+    let transfers = listen(settings.peers).await?;
     let ready = listen(settings.ready).await?;
     let metrics = listen(settings.metrics).await?;
     let callers = listen(settings.callers).await?;
@@ -94,7 +87,7 @@
     spawn_local(adapter(&settings, feed));
     spawn_local(take_updates(shell.clone(), updates));
     spawn_local(peers::listen(shell.clone(), socket.clone()));
-    spawn_local(peers::snapshot::serve(shell.clone(), snapshots));
+    spawn_local(peers::transfer::serve(shell.clone(), transfers));
     let (asked, of) = (settings.ready_path.clone(), shell.clone());
     spawn_local(operators::serve(ready, move |path| {
         operators::readiness(&of, path, &asked)
@@ -103,6 +96,7 @@
     spawn_local(operators::serve(metrics, move |_| operators::metrics(&of)));
     spawn_local(serve::accept(shell.clone(), callers));
     spawn_local(tick(shell.clone(), socket, reading));
+    spawn_local(peers::catch_up::run(shell.clone()));
     spawn_local(sweep(shell.clone()));
     spawn_local(reload(shell.clone(), path.to_owned()));
     stop(&shell, to_duration(settings.stop_within)).await
@@ -142,15 +136,11 @@
     while let Some(update) = updates.recv().await {
         match update {
             Update::Configuration(configuration) => {
-                note_change(&shell, "platform", |shell| {
-                    shell.command(|dispatcher, now| {
-                        dispatcher.set_configuration(now, configuration)
-                    });
-                });
+                publish::set_configuration(&shell, publish::PLATFORM, configuration);
+            }
+            Update::Endpoints(list) => {
+                publish::set_endpoints(&shell, publish::PLATFORM, list);
             }
-            Update::Endpoints(list) => note_change(&shell, "platform", |shell| {
-                shell.command(|dispatcher, now| dispatcher.set_endpoints(now, list));
-            }),
             Update::Reached => note_platform(&shell, true, ""),
             Update::Unreachable(detail) => note_platform(&shell, false, &detail),
             Update::Unreadable(document, detail) => shell.log(&Event::Unreadable {
@@ -175,46 +165,8 @@
     });
 }
 
-/// Runs a change and logs what came into force by it.
-fn note_change(shell: &Shell, from: &str, change: impl FnOnce(&Shell)) {
-    let versions = |shell: &Shell| {
-        shell.query(|dispatcher, _| {
-            (
-                dispatcher.configuration_version(),
-                dispatcher.endpoints_revision(),
-            )
-        })
-    };
-    let before = versions(shell);
-    change(shell);
-    let after = versions(shell);
-    if after.0 != before.0 {
-        let routes = shell
-            .query(|dispatcher, _| dispatcher.configuration().map_or(0, |one| one.routes.len()));
-        shell.metrics.change("configuration");
-        shell.log(&Event::Configuration {
-            version: after.0,
-            before: before.0,
-            routes,
-            from,
-        });
-    }
-    if after.1 != before.1 {
-        let list = shell.query(|dispatcher, _| dispatcher.endpoints().clone());
-        let leaving = list.endpoints.iter().filter(|one| one.leaving).count();
-        shell.metrics.change("endpoints");
-        shell.log(&Event::Endpoints {
-            revision: after.1,
-            ready: list.endpoints.len() - leaving,
-            leaving,
-            from,
-        });
-    }
-}
-
 /// Everything that time alone brings about.
 async fn tick(shell: Rc<Shell>, socket: Rc<UdpSocket>, reading: watch::Sender<Reading>) {
-    let mut ahead_since: Option<Time> = None;
     let mut last = shell.now();
     loop {
         tokio::time::sleep(TICK).await;
@@ -229,40 +181,6 @@
         peers::tell(&shell, &socket);
         let role = shell.query(|dispatcher, now| dispatcher.reading(now));
         reading.send_if_modified(|told| std::mem::replace(told, role) != role);
-        let ahead = shell.query(|dispatcher, now| dispatcher.ahead_opt(now, 0));
-        let since = *ahead_since.get_or_insert(now);
-        match ahead {
-            None => ahead_since = None,
-            Some(_) if to_duration(now.since(since)) >= AHEAD_FOR => {
-                ahead_since = None;
-                spawn_local(catch_up(shell.clone()));
-            }
-            Some(_) => {}
-        }
-    }
-}
-
-/// Takes from other nodes what the platform has not given this one.
-async fn catch_up(shell: Rc<Shell>) {
-    for _ in 0..CATCH_UP_ATTEMPTS {
-        let attempt = shell.attempts_at_catching_up();
-        let (known, from) =
-            shell.query(|dispatcher, now| (dispatcher.known(), dispatcher.ahead_opt(now, attempt)));
-        let Some(from) = from else {
-            return;
-        };
-        match peers::snapshot::take(&shell, from, known).await {
-            Ok(taken) => {
-                return note_change(&shell, "node", |shell| {
-                    shell.command(|dispatcher, now| dispatcher.take_snapshot(now, taken.snapshot));
-                });
-            }
-            Err(error) => shell.log(&Event::Dependency {
-                name: "node",
-                reached: false,
-                detail: &format!("{from}: {error}"),
-            }),
-        }
     }
 }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -24,7 +24,7 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers::reservations::Reservations;
-use crate::peers::snapshot::Transfers;
+use crate::peers::transfer;
 use crate::upstream::Upstream;
 
 /// How far a planned stop has come.
@@ -57,8 +57,7 @@
     /// Questions to the owners of quotas.
     pub reservations: Reservations,
     /// Transfers of documents from and to other nodes.
-    pub transfers: Transfers,
-    catch_ups: Cell<u64>,
+    pub transfers: transfer::Counts,
     phase: watch::Sender<Phase>,
     dispatcher: RefCell<Dispatcher>,
     waiters: RefCell<HashMap<job::Id, oneshot::Sender<Decision>>>,
@@ -85,8 +84,7 @@
             bodies: Arc::new(Semaphore::new(((memory.0 / BODIES_PART) >> 10) as usize)),
             connections: Cell::new(0),
             reservations: Reservations::default(),
-            transfers: Transfers::default(),
-            catch_ups: Cell::new(0),
+            transfers: transfer::Counts::default(),
             phase: watch::Sender::new(Phase::Serving),
             dispatcher: RefCell::new(dispatcher),
             waiters: RefCell::default(),
@@ -118,11 +116,6 @@
         query(&self.dispatcher.borrow(), self.now())
     }
 
-    /// Counts an attempt at taking documents from another node.
-    pub fn attempts_at_catching_up(&self) -> u64 {
-        self.catch_ups.replace(self.catch_ups.get() + 1)
-    }
-
     /// Gives a command, and hands what was decided to those who wait for it.
     pub fn command<R>(&self, command: impl FnOnce(&mut Dispatcher, Time) -> R) -> R {
         let answer = command(&mut self.dispatcher.borrow_mut(), self.now());
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -6,19 +6,20 @@
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
-use woadstage_dispatch::message::Known;
 use woadstage_dispatch::message::Load;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Release;
 use woadstage_dispatch::message::Reserve;
 use woadstage_dispatch::message::Reserved;
-use woadstage_dispatch::message::Snapshot;
 use woadstage_dispatch::message::Status;
 use woadstage_dispatch::message::Trouble;
 use woadstage_dispatch::message::Usage;
 use woadstage_dispatch::message::Verdict;
+use woadstage_gateway::log;
 use woadstage_gateway::peers;
+use woadstage_gateway::peers::transfer::Ended;
 
 use crate::support::Act;
 use crate::support::Gateway;
@@ -86,25 +87,44 @@
         let SocketAddr::V4(address) = listener.local_addr().expect("an address") else {
             unreachable!("bound to IPv4");
         };
-        tokio::task::spawn_local(peers::snapshot::serve(gateway.shell.clone(), listener));
-        let nothing = Known::default();
-        let taken = peers::snapshot::take(&gateway.shell, address, nothing).await;
-        let taken = taken.expect("it is given").snapshot;
-        let own = |known| {
-            gateway
-                .shell
-                .query(|dispatcher, _| dispatcher.snapshot(known))
-        };
-        assert_eq!(taken, own(nothing));
-        assert!(taken.configuration.is_some() && taken.endpoints.is_some());
-        let all = gateway.shell.query(|dispatcher, _| dispatcher.known());
-        let taken = peers::snapshot::take(&gateway.shell, address, all).await;
-        assert_eq!(taken.expect("it is given").snapshot, Snapshot::default());
-        gateway.logged(&["\"transfer\"", "\"taken\""]).await;
+        tokio::task::spawn_local(peers::transfer::serve(gateway.shell.clone(), listener));
+        let other = Gateway::empty(log::Options::default()).await;
+        let known = |gateway: &Gateway| gateway.shell.query(|dispatcher, _| dispatcher.known());
+        assert_ne!(known(&other), known(&gateway));
+        let ended = peers::transfer::take(&other.shell, address).await;
+        assert_eq!(ended.expect("it is given"), Ended::Whole);
+        assert_eq!(known(&other), known(&gateway));
+        other.logged(&["\"transfer\"", "\"taken\""]).await;
         gateway.logged(&["\"transfer\"", "\"given\""]).await;
     });
 }
 
+#[test]
+fn a_node_gives_to_a_few_at_once_and_declines_others() {
+    run(|| async {
+        let gateway = Gateway::start(&[]).await;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a port");
+        let SocketAddr::V4(address) = listener.local_addr().expect("an address") else {
+            unreachable!("bound to IPv4");
+        };
+        tokio::task::spawn_local(peers::transfer::serve(gateway.shell.clone(), listener));
+        // They connect and ask for nothing.
+        let mut stalled = Vec::new();
+        for _ in 0..3 {
+            stalled.push(TcpStream::connect(address).await.expect("it listens"));
+        }
+        let other = Gateway::empty(log::Options::default()).await;
+        let ended = peers::transfer::take(&other.shell, address).await;
+        assert_eq!(ended.expect("an answer"), Ended::Declined);
+        drop(stalled);
+        gateway.logged(&["\"given\"", "\"whole\":false"]).await;
+        let ended = peers::transfer::take(&other.shell, address).await;
+        assert_eq!(ended.expect("an answer"), Ended::Whole);
+    });
+}
+
 #[test]
 fn nodes_hear_each_other() {
     run(|| async {
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -148,17 +148,8 @@
         configuration: Option<Configuration>,
         options: log::Options,
     ) -> Gateway {
-        let lines = Lines::default();
-        let log = Log::start(options, lines.clone()).expect("a log");
-        let memory = Size::from_mib(64);
-        let metrics = Metrics::new().expect("metrics");
-        let shell = Shell::new(
-            Dispatcher::new(dispatcher_options()),
-            headers(),
-            memory,
-            log,
-            metrics,
-        );
+        let gateway = Gateway::empty(options).await;
+        let shell = &gateway.shell;
         let list = Arc::new(List {
             settled: true,
             revision: 1,
@@ -170,6 +161,22 @@
                 dispatcher.set_configuration(now, Arc::new(configuration))
             });
         }
+        gateway
+    }
+
+    /// Starts a gateway that knows nothing yet.
+    pub async fn empty(options: log::Options) -> Gateway {
+        let lines = Lines::default();
+        let log = Log::start(options, lines.clone()).expect("a log");
+        let memory = Size::from_mib(64);
+        let metrics = Metrics::new().expect("metrics");
+        let shell = Shell::new(
+            Dispatcher::new(dispatcher_options()),
+            headers(),
+            memory,
+            log,
+            metrics,
+        );
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a port");
--- a/crates/gateway/tests/gateway/support/peer.rs
+++ b/crates/gateway/tests/gateway/support/peer.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -15,10 +14,11 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use woadstage_dispatch::dispatcher::Dispatcher;
-use woadstage_dispatch::message;
 use woadstage_dispatch::message::Message;
+use woadstage_dispatch::message::Pull;
 use woadstage_dispatch::message::Status;
 use woadstage_gateway::peers;
+use woadstage_gateway::peers::transfer::frame;
 
 /// Bytes that go over the link at once.
 const CHUNK: usize = 2 << 10;
@@ -107,19 +107,21 @@
         }
     }
 
-    async fn give(&self, mut stream: TcpStream) -> std::io::Result<()> {
-        let mut asked = Vec::new();
-        stream.read_to_end(&mut asked).await?;
-        let known = postcard::from_bytes(&asked[1..]).expect("what the node knows");
-        let snapshot = self.dispatcher.snapshot(known);
-        let bytes = postcard::to_extend(&snapshot, vec![message::VERSION]);
-        for chunk in bytes.expect("it can be written").chunks(CHUNK) {
+    async fn give(&self, mut stream: TcpStream) -> anyhow::Result<()> {
+        let pull: Option<Pull> = frame::Reader::new(&mut stream).next().await?;
+        let snapshot = self.dispatcher.snapshot(&pull.expect("a question"));
+        let mut bytes = Vec::new();
+        frame::begin(&mut bytes);
+        for frame in snapshot.into_frames() {
+            frame::add(&mut bytes, &frame)?;
+        }
+        for chunk in bytes.chunks(CHUNK) {
             let free_at = self.free_at.get().max(Instant::now()) + CHUNK_TAKES;
             self.free_at.set(free_at);
             tokio::time::sleep_until(free_at).await;
             stream.write_all(chunk).await?;
         }
-        stream.shutdown().await
+        Ok(stream.shutdown().await?)
     }
 }
 
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -10,15 +10,14 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use spdlog::warn;
+use woadstage_body::Bounds;
 use woadstage_config::hosts;
 use woadstage_config::published::DOCUMENT_LIMIT;
 use woadstage_core::node::Event;
@@ -36,12 +35,18 @@
 /// Time between two calls after one failed, or while another node reads.
 const AGAIN: Duration = Duration::from_secs(1);
 
-/// What a waiting call may take beyond its wait.
+/// What a waiting call may take beyond its wait, and a pause in its answer.
 const MARGIN: Duration = Duration::from_secs(2);
 
 /// A value as the platform gives it, base64 and all around it.
 const ANSWER_LIMIT: usize = DOCUMENT_LIMIT * 2;
 
+/// How an answer's body is read.
+const BODY: Bounds = Bounds {
+    length: ANSWER_LIMIT,
+    pause: MARGIN,
+};
+
 /// The platform.
 #[derive(Clone)]
 pub struct Platform {
@@ -92,9 +97,7 @@
         let within = to_duration(self.wait) + MARGIN;
         let answer = tokio::time::timeout(within, self.client.request(request)).await??;
         ensure!(answer.status().is_success(), "status {}", answer.status());
-        let body = Limited::new(answer.into_body(), ANSWER_LIMIT).collect();
-        let body = tokio::time::timeout(MARGIN, body).await?;
-        let body = body.map_err(|error| anyhow::anyhow!(error))?.to_bytes();
+        let body = woadstage_body::collect(answer.into_body(), BODY).await?;
         let items: Vec<Item> = serde_json::from_slice(&body)?;
         let item = items.into_iter().next().context("the key is not there")?;
         let bytes = STANDARD.decode(item.value.context("the key has no value")?)?;
