fix: a newcomer is not refused for what waits behind its rank

In the first 200 ms in which a rank waits, a newcomer was judged by what all ranks had waiting, here and on other nodes, also by what goes behind it. Now only its own rank and those before it count.

--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -100,7 +100,7 @@
         };
         let busy = now.since(busy_since);
         if busy < BUSY_LEAST {
-            return self.wait_by_slots(now, pool);
+            return self.wait_by_slots(now, pool, job.rank);
         }
         let waiting = pool.queue.count(job.rank) as u64;
         let window = self.options.policy.rate_window.min(busy);
@@ -111,9 +111,12 @@
     }
 
     /// The time in which the slots of all usable endpoints would take up what
-    /// waits now, here and on other nodes.
-    fn wait_by_slots(&self, now: Time, pool: &Pool) -> Span {
-        let waiting = pool.queue.len() + self.others_waiting(now, pool.number, |_| true);
+    /// waits now, here and on other nodes, and does not go behind this rank.
+    fn wait_by_slots(&self, now: Time, pool: &Pool, rank: Rank) -> Span {
+        let goes_before = |other: Rank| other <= rank;
+        let here = pool.queue.counts().filter(|(other, _)| goes_before(*other));
+        let here: usize = here.map(|(_, count)| count).sum();
+        let waiting = here + self.others_waiting(now, pool.number, goes_before);
         let slots = pool.usable_slots(now, &self.options.worker).max(1);
         Span((waiting as f64 * pool.call / f64::from(slots)) as u64)
     }
