fix: a node that closes still answers callers that find no other

A node that is told to stop closed its port 2.6 s after the signal and waited up to 7.5 s for streams.

Now it listens to the end. Each new connection gets one answer: a request that is over before the node ends is served (a plain one by how long its route's answers take, RFC 6298's estimator; a stream only where its deadline lies before the end, so that none is cut), others get 503, not run, with when to come back: soon where most other nodes serve, else after this one is back. Once what it held before is over the node closes its port, takes what is connected already and ends.

The test what_is_under_way_when_the_node_closes_ends_whole now goes on to the last phase.

Tests: gateway::stop, four cases of a new caller while a node closes, and one that outlasts it; on the code before, the connection is refused. dispatch::duration. A transfer that fails is logged once, as a transfer.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -25,6 +25,7 @@
 use crate::budget::Budget;
 use crate::configuration::Priority;
 use crate::configuration::Rank;
+use crate::duration::Durations;
 use crate::endpoint;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
@@ -290,6 +291,7 @@
     members: Members,
     accounts: Accounts,
     budget: Budget,
+    durations: Durations,
     next_job: u64,
     next_reserve: u64,
     sequence: u64,
@@ -313,6 +315,7 @@
             ),
             accounts: Accounts::new(options.quota.clone()),
             budget: Budget::new(options.budget.clone()),
+            durations: Durations::default(),
             options,
             table: None,
             received: parts::Received::default(),
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -112,6 +112,8 @@
             End::Whole => {
                 worker.succeed(now);
                 learn_call(pool, &run, now);
+                let took = now.since(run.job.arrived);
+                self.durations.learn(&run.job.route, took);
             }
             End::Fault => worker.fault(now),
             End::Full => worker.fill(now, options),
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use woadstage_types::id;
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
@@ -90,6 +91,20 @@
         })
     }
 
+    /// The time within which nearly all requests of a route have their whole
+    /// answer; nothing where none was seen.
+    pub fn duration_opt(&self, route: &str) -> Option<Span> {
+        self.durations.most_opt(route)
+    }
+
+    /// True while at least as many other nodes serve as are stopping.
+    pub fn do_most_others_serve(&self, now: Time) -> bool {
+        let others = self.members.fresh(now);
+        let (stopping, serving): (Vec<_>, Vec<_>) =
+            others.partition(|(_, member)| member.status.leaving);
+        serving.len() >= stopping.len().max(1)
+    }
+
     /// Requests that wait or run here.
     pub fn held(&self) -> usize {
         self.places.len()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`configuration`]: routes, services, customers and limits in force.
 //! * [`table`]: the configuration arranged for look-ups.
 //! * [`parts`]: a configuration in parts, for passing it on.
+//! * [`duration`]: how long whole answers take.
 //! * [`endpoint`]: what the platform says of endpoints.
 //! * [`worker`]: what was learnt of one endpoint.
 //! * [`warm`]: which endpoint has read which prompt.
@@ -24,6 +25,7 @@
 pub mod budget;
 pub mod configuration;
 pub mod dispatcher;
+pub mod duration;
 pub mod endpoint;
 pub mod job;
 pub mod member;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/duration.rs
@@ -0,0 +1,43 @@
+//! How long whole answers take.
+
+use rstest::rstest;
+use woadstage_dispatch::duration::Durations;
+use woadstage_types::unit::Span;
+
+macro_rules! routes {
+    ($($name:ident: $seen:expr => $least:expr, $most:expr;)*) => {
+        #[rstest]
+        $(#[case::$name($seen, $least, $most)])*
+        fn the_time_within_which_nearly_all_are_over(
+            #[case] seen: Vec<u64>,
+            #[case] least: u64,
+            #[case] most: u64,
+        ) {
+            let mut durations = Durations::default();
+            for millis in seen {
+                durations.learn("route", Span::from_millis(millis));
+            }
+            let found = durations.most_opt("route").expect("it was seen");
+            assert!(found >= Span::from_millis(least), "{found:?}");
+            assert!(found <= Span::from_millis(most), "{found:?}");
+            assert_eq!(durations.most_opt("other"), None);
+        }
+    };
+}
+
+routes! {
+    seen_once: vec![100] => 300, 300;
+    always_the_same: vec![100; 50] => 100, 101;
+    from_short_to_long: [vec![20; 50], vec![2_000; 50]].concat() => 2_000, 2_100;
+    unlike_each_other: [50, 150].repeat(50) => 150, 400;
+}
+
+#[test]
+fn routes_without_end_take_no_memory() {
+    let mut durations = Durations::default();
+    for route in 0..10_000 {
+        durations.learn(&route.to_string(), Span::from_millis(5));
+    }
+    assert_eq!(durations.most_opt("9999"), None);
+    assert!(durations.most_opt("3").is_some());
+}
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, without sockets or clocks.
 
 mod budget;
+mod duration;
 mod members;
 mod order;
 mod outcomes;
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -39,3 +39,8 @@
 pub fn to_duration(span: Span) -> Duration {
     Duration::from_micros(span.0)
 }
+
+/// A library's duration as the decisions measure it.
+pub fn to_span(duration: Duration) -> Span {
+    Span(duration.as_micros() as u64)
+}
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -11,7 +11,6 @@
 use super::transfer;
 use super::transfer::Ended;
 use crate::clock::to_duration;
-use crate::event::Event;
 use crate::shell::Shell;
 
 /// Time between two looks at whether another node is ahead.
@@ -51,12 +50,8 @@
                 pause = BROKEN_PAUSES.0;
             }
             Ok(Ended::Declined) => tokio::time::sleep(spread(&shell, attempt)).await,
-            Err(error) => {
-                shell.log(&Event::Dependency {
-                    name: "node",
-                    reached: false,
-                    detail: &format!("{from}: {error}"),
-                });
+            // The log of transfers says why.
+            Err(_) => {
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(BROKEN_PAUSES.1);
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 use woadstage_dispatch::member::Reading;
 
 use crate::clock::to_duration;
+use crate::clock::to_span;
 use crate::event::Event;
 use crate::log;
 use crate::log::Log;
@@ -46,6 +47,9 @@
 /// Time kept at the end of a planned stop for leaving in order.
 const SPARE: Duration = Duration::from_millis(500);
 
+/// Time kept for the last answers on their way, before the node ends.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+
 /// Time between two sweeps of connections at rest.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
@@ -243,16 +247,26 @@
     shell.command(|dispatcher, _| dispatcher.leave());
     tokio::time::sleep_until((tokio::time::Instant::now() + NOTICE).min(deadline)).await;
     note("closing");
-    shell.set_phase(Phase::Closing);
-    while tokio::time::Instant::now() < deadline {
+    let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+    shell.close_within(to_span(left.saturating_sub(LAST_ANSWERS)));
+    // Those that came since are short.
+    wait_until(deadline, || shell.connections.get() == 0).await;
+    shell.set_phase(Phase::Stopped);
+    tokio::task::yield_now().await;
+    let is_over = || {
         let held = shell.query(|dispatcher, _| dispatcher.held());
-        if held == 0 && shell.connections.get() == 0 {
-            break;
-        }
-        tokio::time::sleep(TICK).await;
-    }
+        held == 0 && shell.late_connections.get() == 0
+    };
+    wait_until(deadline, is_over).await;
     note("stopped");
     // The log's thread gathers lines for a moment before it writes them.
     tokio::time::sleep(log::Options::default().gather * 2).await;
     Ok(())
 }
+
+/// Waits until something is so, or the deadline has come.
+async fn wait_until(deadline: tokio::time::Instant, is_so: impl Fn() -> bool) {
+    while tokio::time::Instant::now() < deadline && !is_so() {
+        tokio::time::sleep(TICK).await;
+    }
+}
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -11,6 +11,7 @@
 use woadstage_types::unit::Time;
 
 use super::admit;
+use super::closing;
 use super::exchange;
 use super::exchange::Exchange;
 use super::payload::Payload;
@@ -36,6 +37,11 @@
         Ok(payload) => exchange.set_payload(payload),
         Err(code) => return exchange.refuse(code.into()),
     }
+    // Only now: a connection that closes with unread bytes is reset, and the
+    // answer is lost with it.
+    if let Err(reply) = closing::bound(&mut exchange) {
+        return exchange.refuse(reply);
+    }
     if let Err(reply) = exchange.enter().await {
         return exchange.refuse(reply);
     }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Callers: connections, and what becomes of each request.
 //!
 //! * `admit.rs`: which route and customer a request has.
+//! * `closing.rs`: what a node that closes still takes on.
 //! * `payload.rs`: its body.
 //! * `charge.rs`: its customer's quota.
 //! * `handle.rs`: one request, from its head to an answer that goes out.
@@ -14,6 +15,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
+use futures_util::FutureExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -34,6 +36,7 @@
 
 mod admit;
 mod charge;
+mod closing;
 mod exchange;
 pub mod framer;
 mod handle;
@@ -46,13 +49,13 @@
 /// Smallest buffer for a head that the library allows.
 const HEAD_LEAST: usize = 8_192;
 
-/// Accepts callers until the process begins to close.
+/// Accepts callers until the process ends: while many nodes stop, a caller may
+/// find no other.
 pub async fn accept(shell: Rc<Shell>, listener: TcpListener) {
-    let mut phase = shell.watch_phase();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase >= Phase::Closing) => return,
+            () = shell.reach_phase(Phase::Stopped) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -62,6 +65,10 @@
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
         }
     }
+    // Those that are connected already would be reset.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        tokio::task::spawn_local(connection(shell.clone(), stream));
+    }
 }
 
 async fn connection(shell: Rc<Shell>, stream: TcpStream) {
@@ -71,27 +78,38 @@
         let configuration = dispatcher.configuration();
         configuration.map_or_else(Limits::default, |one| one.limits.clone())
     });
+    let closes = shell.phase() >= Phase::Closing;
+    // The library counts a rest between requests as time for the head.
+    let head_within = if closes {
+        limits.head_within
+    } else {
+        limits.idle
+    };
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        // The library counts a rest between requests as time for the head.
-        .header_read_timeout(to_duration(limits.idle))
+        .keep_alive(!closes)
+        .header_read_timeout(to_duration(head_within))
         .max_buf_size((limits.head.0 as usize).max(HEAD_LEAST))
         .auto_date_header(false);
     let server = shell.clone();
     let service = service_fn(move |request| answer(server.clone(), request));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut phase = shell.watch_phase();
-    shell.connections.set(shell.connections.get() + 1);
+    let open = if closes {
+        &shell.late_connections
+    } else {
+        &shell.connections
+    };
+    open.set(open.get() + 1);
     tokio::select! {
         _ = connection.as_mut() => {}
-        _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {
+        () = shell.reach_phase(Phase::Closing), if !closes => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
     }
-    shell.connections.set(shell.connections.get() - 1);
+    open.set(open.get() - 1);
 }
 
 async fn answer(
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
 use woadstage_types::unit::Size;
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use crate::clock::Clock;
@@ -34,8 +35,11 @@
     Serving,
     /// The platform is told; callers are served, and asked to go elsewhere.
     Leaving,
-    /// Connections close as their answers end.
+    /// Connections close as their answers end. New ones get one answer each.
     Closing,
+    /// Nobody is listened to any more; the process ends once what it holds is
+    /// over.
+    Stopped,
 }
 
 /// What all tasks of one process share. One thread, so no locks.
@@ -54,11 +58,15 @@
     pub bodies: Arc<Semaphore>,
     /// Connections from callers that are open.
     pub connections: Cell<usize>,
+    /// Those that came after the node had begun to close.
+    pub late_connections: Cell<usize>,
     /// Questions to the owners of quotas.
     pub reservations: Reservations,
     /// Transfers of documents from and to other nodes.
     pub transfers: transfer::Counts,
     phase: watch::Sender<Phase>,
+    /// When every answer must be out, once the node closes.
+    ends_at: Cell<Option<Time>>,
     dispatcher: RefCell<Dispatcher>,
     waiters: RefCell<HashMap<job::Id, oneshot::Sender<Decision>>>,
 }
@@ -83,9 +91,11 @@
             upstream: Upstream::default(),
             bodies: Arc::new(Semaphore::new(((memory.0 / BODIES_PART) >> 10) as usize)),
             connections: Cell::new(0),
+            late_connections: Cell::new(0),
             reservations: Reservations::default(),
             transfers: transfer::Counts::default(),
             phase: watch::Sender::new(Phase::Serving),
+            ends_at: Cell::new(None),
             dispatcher: RefCell::new(dispatcher),
             waiters: RefCell::default(),
         })
@@ -101,9 +111,12 @@
         *self.phase.borrow()
     }
 
-    /// Tells how far a planned stop comes.
-    pub fn watch_phase(&self) -> watch::Receiver<Phase> {
-        self.phase.subscribe()
+    /// Waits until a planned stop has come so far.
+    pub async fn reach_phase(&self, phase: Phase) {
+        let mut reached = self.phase.subscribe();
+        // What this returns locks the phase and must not outlive this line. It
+        // fails only without a sender, which this shell holds.
+        let _ = reached.wait_for(|now| *now >= phase).await.is_ok();
     }
 
     /// Moves a planned stop on.
@@ -111,6 +124,17 @@
         self.phase.send_replace(phase);
     }
 
+    /// Begins to close: every answer is out within this time.
+    pub fn close_within(&self, within: Span) {
+        self.ends_at.set(Some(self.now() + within));
+        self.set_phase(Phase::Closing);
+    }
+
+    /// When every answer must be out, where the node closes.
+    pub fn ends_at_opt(&self) -> Option<Time> {
+        self.ends_at.get()
+    }
+
     /// Asks for what is known.
     pub fn query<R>(&self, query: impl FnOnce(&Dispatcher, Time) -> R) -> R {
         query(&self.dispatcher.borrow(), self.now())
