--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -38,6 +38,17 @@
     Message::Status(Box::new(status))
 }
 
+/// A port for transfers.
+async fn listen() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a port");
+    let SocketAddr::V4(address) = listener.local_addr().expect("an address") else {
+        unreachable!("bound to IPv4");
+    };
+    (listener, address)
+}
+
 #[test]
 fn a_status_comes_back_as_it_went() {
     let status = Status {
@@ -89,12 +100,7 @@
     run(|| async {
         let worker = Worker::start("e", vec![Act::Silence]).await;
         let gateway = Gateway::start(&[&worker]).await;
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("a port");
-        let SocketAddr::V4(address) = listener.local_addr().expect("an address") else {
-            unreachable!("bound to IPv4");
-        };
+        let (listener, address) = listen().await;
         tokio::task::spawn_local(peers::transfer::serve(gateway.shell.clone(), listener));
         let other = Gateway::empty(log::Options::default()).await;
         let known = |gateway: &Gateway| gateway.shell.query(|dispatcher, _| dispatcher.known());
@@ -111,12 +117,7 @@
 fn a_node_gives_to_a_few_at_once_and_declines_others() {
     run(|| async {
         let gateway = Gateway::start(&[]).await;
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("a port");
-        let SocketAddr::V4(address) = listener.local_addr().expect("an address") else {
-            unreachable!("bound to IPv4");
-        };
+        let (listener, address) = listen().await;
         tokio::task::spawn_local(peers::transfer::serve(gateway.shell.clone(), listener));
         // They connect and ask for nothing.
         let mut stalled = Vec::new();
@@ -152,12 +153,7 @@
 #[test]
 fn a_transfer_without_end_is_left_and_what_came_is_kept() {
     run(|| async {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("a port");
-        let SocketAddr::V4(address) = listener.local_addr().expect("an address") else {
-            unreachable!("bound to IPv4");
-        };
+        let (listener, address) = listen().await;
         let mut ahead = Dispatcher::new(dispatcher_options());
         ahead.set_configuration(Time(0), Arc::new(configuration(None)));
         let status = Status {
