refactor: what a reader of the diff stumbled over

`do_most_others_serve` is `are_most_others_serving`. A time that stood twice in learn_first stands once.

No behaviour changes: tests of dispatch (179) and gateway (125) pass.

--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -175,8 +175,7 @@
     let tokens = run.uncached + run.ahead;
     // Of a request that waited there for a slot the time says nothing of reading.
     if pool.engine && tokens >= LEARN_FROM && !run.queued {
-        let micros = now.since(run.started).0 as f64;
-        let reading = micros - worker.step.unwrap_or(pool.step);
+        let reading = after - worker.step.unwrap_or(pool.step);
         let seen = reading / tokens as f64 / worker.pace.max(PACE_LEAST);
         pool.prefill += (seen.clamp(PREFILL_LEAST, PREFILL_MOST) - pool.prefill) * NEWEST;
     }
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -98,7 +98,7 @@
     }
 
     /// True while at least as many other nodes serve as are stopping.
-    pub fn do_most_others_serve(&self, now: Time) -> bool {
+    pub fn are_most_others_serving(&self, now: Time) -> bool {
         let others = self.members.fresh(now);
         let (stopping, serving): (Vec<_>, Vec<_>) =
             others.partition(|(_, member)| member.status.leaving);
--- a/crates/dispatch/src/parts.rs
+++ b/crates/dispatch/src/parts.rs
@@ -161,7 +161,9 @@
 }
 
 impl Received {
-    /// Keeps a part. What was received long ago goes where there is too much.
+    /// Keeps a part. Where too many are kept all of them go first: they belong to
+    /// versions that never came into force, and what is still wanted is asked for
+    /// again.
     pub fn add(&mut self, part: Part) {
         if self.parts.len() >= KEPT_MOST {
             self.parts.clear();
@@ -215,13 +217,13 @@
     }
 }
 
-/// The part to which an entry with this hash belongs.
+/// The part to which an entry belongs, by the hash of its key.
 fn place(key: u64) -> usize {
     (key % COUNT as u64) as usize
 }
 
-/// Hashes entries as they go on the wire. An entry that cannot be written would
-/// leave the digest of an empty part, which is never sent.
+/// Hashes entries as they go on the wire. Writing to memory does not fail for
+/// these types; were it to, the part would have the digest 0, which no other has.
 fn digest<R: Serialize, S: Serialize, C: Serialize>(
     routes: &[R],
     services: &[S],
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -249,9 +249,11 @@
     note("closing");
     let left = deadline.saturating_duration_since(tokio::time::Instant::now());
     shell.close_within(to_span(left.saturating_sub(LAST_ANSWERS)));
-    // Those that came since are short.
+    // Callers go on coming while others stop too: waiting for them as well would
+    // keep the node from starting anew. What it took from them is short.
     wait_until(deadline, || shell.connections.get() == 0).await;
     shell.set_phase(Phase::Stopped);
+    // Lets `serve::accept` take those that are connected already.
     tokio::task::yield_now().await;
     let is_over = || {
         let held = shell.query(|dispatcher, _| dispatcher.held());
