perf: two nodes of a data centre read the platform, and news spreads from cell to cell

Cause: on the large fleet the store was asked 90 to 380 times a second.

Ruled out: longer watches (a silent connection would be found later).

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -298,6 +298,8 @@
     leaving: bool,
     cut_off: bool,
     urgent: bool,
+    /// True while documents have come into force of which nobody was told.
+    news: bool,
     ticked: Time,
     arranged: Time,
     decisions: Vec<Decision>,
@@ -329,6 +331,7 @@
             leaving: false,
             cut_off: false,
             urgent: false,
+            news: false,
             ticked: Time(0),
             arranged: Time(0),
             decisions: Vec::new(),
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -64,6 +64,7 @@
         self.table = Some(Arc::new(table));
         self.received.clear();
         self.urgent = true;
+        self.news = true;
         self.place_all(now);
         true
     }
@@ -99,6 +100,7 @@
             }
         }
         self.list = list;
+        self.news = true;
         self.forget_workers();
         self.assign_workers();
         self.count_others(now);
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -10,6 +10,7 @@
 use super::Dispatcher;
 use crate::endpoint;
 use crate::member::News;
+use crate::member::Occasion;
 use crate::member::Reading;
 use crate::message::Known;
 use crate::message::Load;
@@ -93,12 +94,17 @@
 
     /// Other nodes that are to be sent a status now, with the status.
     pub fn statuses(&mut self, now: Time) -> Option<(Status, Vec<SocketAddrV4>)> {
-        let pressed = self.accounts.is_pressed(now);
-        let due = self.members.due(now, self.urgent, pressed);
+        let occasion = Occasion {
+            urgent: self.urgent,
+            pressed: self.accounts.is_pressed(now),
+            news: self.news,
+        };
+        let due = self.members.due(now, occasion);
         if due.is_empty() {
             return None;
         }
         self.urgent = false;
+        self.news = false;
         Some((self.status(now), due))
     }
 
--- a/crates/dispatch/src/member/cell.rs
+++ b/crates/dispatch/src/member/cell.rs
@@ -26,9 +26,9 @@
 pub enum Reading {
     /// This node reads for itself, as do all others.
     Alone,
-    /// This node reads for its cell.
+    /// This node reads for others.
     ForOthers,
-    /// Others of its cell read for this node.
+    /// Others of its data centre read for this node.
     Resting,
 }
 
@@ -91,11 +91,14 @@
             return Reading::Alone;
         }
         let own = score(&self.own);
-        let before = self.near(now).filter(|(address, member)| {
-            let able = !member.status.cut_off && !member.status.leaving;
-            able && score(address) < own
+        let before = self.fresh(now).filter(|(address, member)| {
+            let status = &member.status;
+            status.data_centre == self.data_centre && !status.leaving && score(address) < own
         });
-        match before.count() < self.options.readers {
+        let (cut_off, able): (Vec<_>, Vec<_>) =
+            before.partition(|(_, member)| member.status.cut_off);
+        let is_candidate = cut_off.len() + able.len() < self.options.reader_candidates;
+        match is_candidate && able.len() < self.options.readers {
             true => Reading::ForOthers,
             false => Reading::Resting,
         }
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -23,6 +23,7 @@
 pub use cell::Cell;
 pub use cell::Reading;
 pub use owner::Owner;
+pub use speak::Occasion;
 
 /// Bounds of membership.
 #[derive(Debug, Clone, PartialEq)]
@@ -49,8 +50,14 @@
     pub beyond_per_second: u64,
     /// The same while a customer presses on its quota.
     pub pressed_per_second: u64,
-    /// Nodes of one cell of a larger fleet that read the platform.
+    /// Nodes of one data centre of a larger fleet that read the platform.
     pub readers: usize,
+    /// Nodes of one data centre that take part in reading at all: the first of
+    /// them that can read do. While the platform is down no more than these try.
+    pub reader_candidates: usize,
+    /// Nodes beyond its cell that a node tells at once of documents that are
+    /// new to it.
+    pub fan_out: usize,
 }
 
 impl Default for Options {
@@ -67,7 +74,9 @@
             cell: 24,
             beyond_per_second: 120,
             pressed_per_second: 300,
-            readers: 3,
+            readers: 2,
+            reader_candidates: 8,
+            fan_out: 3,
         }
     }
 }
--- a/crates/dispatch/src/member/speak.rs
+++ b/crates/dispatch/src/member/speak.rs
@@ -2,11 +2,23 @@
 
 use std::net::SocketAddrV4;
 
+use woadstage_types::hash;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::Members;
 
+/// What there is to tell others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Occasion {
+    /// Something changed that the others of the cell act on.
+    pub urgent: bool,
+    /// A customer presses on its quota, so that all should hear soon.
+    pub pressed: bool,
+    /// This node has documents that are new to it.
+    pub news: bool,
+}
+
 impl Members {
     /// Time between two statuses to a node beyond this cell.
     pub(super) fn beyond_every(&self, pressed: bool) -> Span {
@@ -30,9 +42,13 @@
         known
     }
 
-    /// The nodes to send a status now. `urgent` where something changed that
-    /// the others of the cell act on, `pressed` where all should hear soon.
-    pub fn due(&mut self, now: Time, urgent: bool, pressed: bool) -> Vec<SocketAddrV4> {
+    /// The nodes to send a status now.
+    pub fn due(&mut self, now: Time, occasion: Occasion) -> Vec<SocketAddrV4> {
+        let Occasion {
+            urgent,
+            pressed,
+            news,
+        } = occasion;
         for seed in self.seeds.clone() {
             self.meet(now, seed);
         }
@@ -55,10 +71,32 @@
                 due.push(*address);
             }
         }
+        if news {
+            due.extend(self.fan_out(now, &due));
+        }
         due.sort();
         due
     }
 
+    /// Some nodes beyond the cell, others each time, that are to hear of new
+    /// documents at once. Each node that they are new to does the same, so that
+    /// a fleet of any size has heard after a few rounds, however few read the
+    /// platform and whichever cells they are in.
+    fn fan_out(&mut self, now: Time, due: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+        let beyond = self.fresh(now).filter(|(_, member)| !member.near);
+        let beyond = beyond.map(|(address, _)| *address);
+        let mut chosen: Vec<SocketAddrV4> = beyond.filter(|one| !due.contains(one)).collect();
+        let seed = hash::chain(now.0, &self.own.ip().octets());
+        chosen.sort_by_key(|address| hash::chain(seed, &address.ip().octets()));
+        chosen.truncate(self.options.fan_out);
+        for address in &chosen {
+            if let Some(member) = self.others.get_mut(address) {
+                member.sent = now;
+            }
+        }
+        chosen
+    }
+
     /// The time between two statuses to one node of this cell: so long that all
     /// of them together cost the same in a cell of any size.
     pub fn interval(&self, urgent: bool) -> Span {
