--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -1,5 +1,7 @@
 //! Requests come: refused where they would wait too long, or put in line.
 
+use serde::Deserialize;
+use serde::Serialize;
 use woadstage_types::code::Code;
 use woadstage_types::hash;
 use woadstage_types::unit::Span;
@@ -12,9 +14,12 @@
 use crate::configuration::Rank;
 use crate::job;
 use crate::job::Job;
+use crate::lease::Answer;
+use crate::lease::Origin;
+use crate::message::Waiting;
 
 /// Why a request is refused, and when its caller may come back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why.
     pub code: Code,
@@ -39,18 +44,39 @@
 impl Dispatcher {
     /// Puts a request in line. What becomes of it is decided at once or later.
     pub fn enter(&mut self, now: Time, job: Job) -> job::Id {
-        let id = job::Id(self.next_job);
         self.next_job += 1;
-        let target = job.target.clone();
-        self.budget.earn(now, &target);
-        pool(&mut self.pools, &self.options.warm, &target);
-        if let Some(refusal) = self.verdict(now, &job) {
-            self.decisions.push(Decision::Refuse { job: id, refusal });
-            return id;
+        let id = job::Id(self.next_job);
+        self.budget.earn(now, &job.target);
+        pool(&mut self.pools, &self.options.warm, &job.target);
+        self.submit(now, id, job);
+        id
+    }
+
+    /// Puts a request in this node's queue, unless it is refused at the door.
+    pub(super) fn enqueue(&mut self, now: Time, id: job::Id, job: Job) {
+        let refusal = match Dispatcher::is_newcomer(&job) {
+            true => self.verdict(now, &job),
+            false => None,
+        };
+        if let Some(refusal) = refusal {
+            self.decide_refusal(id, job.origin, refusal);
+            return;
         }
+        let target = job.target.clone();
         self.push(now, id, job);
         self.place(now, &target);
-        id
+    }
+
+    /// Tells the one who has a request that it is refused.
+    pub(super) fn decide_refusal(&mut self, id: job::Id, origin: Option<Origin>, refusal: Refusal) {
+        self.places.remove(&id);
+        match origin {
+            None => self.decisions.push(Decision::Refuse { job: id, refusal }),
+            Some(origin) => {
+                self.remote.remove(&origin);
+                self.reply(origin, Answer::Refused(refusal));
+            }
+        }
     }
 
     pub(super) fn push(&mut self, now: Time, id: job::Id, job: Job) {
@@ -116,26 +142,26 @@
         let goes_before = |other: Rank| other <= rank;
         let here = pool.queue.counts().filter(|(other, _)| goes_before(*other));
         let here: usize = here.map(|(_, count)| count).sum();
-        let waiting = here + self.others_waiting(now, pool.number, goes_before);
+        let others = self.others_waiting(now, pool.number);
+        let others = others.filter(|waiting| goes_before(waiting.rank));
+        let others: usize = others.map(|waiting| usize::from(waiting.count)).sum();
+        let waiting = here + others;
         let slots = pool.usable_slots(now, &self.options.worker).max(1);
         Span((waiting as f64 * pool.call / f64::from(slots)) as u64)
     }
 
-    /// Requests that wait on other nodes, of the ranks that count.
+    /// What waits for a service on other nodes of this cell, as heard lately.
     pub(super) fn others_waiting(
         &self,
         now: Time,
         service: u32,
-        counts: impl Fn(Rank) -> bool,
-    ) -> usize {
+    ) -> impl Iterator<Item = &Waiting> + '_ {
         let fresh = self.options.policy.waiting_fresh;
         let members = self.members.near(now).map(|(_, member)| member);
-        let heard = members.filter(|member| member.heard.is_some_and(|at| now.since(at) <= fresh));
-        heard
-            .flat_map(|member| &member.status.waiting)
-            .filter(|waiting| waiting.service == service && counts(waiting.rank))
-            .map(|waiting| usize::from(waiting.count))
-            .sum()
+        let heard =
+            members.filter(move |member| member.heard.is_some_and(|at| now.since(at) <= fresh));
+        let waiting = heard.flat_map(|member| &member.status.waiting);
+        waiting.filter(move |waiting| waiting.service == service)
     }
 
     /// When a caller is to come back that was refused under load: it comes back
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -0,0 +1,282 @@
+//! Slots that this node owns: requests of other nodes wait in its queue as its
+//! own do, and get slots in the same order.
+
+use std::net::SocketAddrV4;
+
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::Pool;
+use super::Reason;
+use crate::job;
+use crate::job::History;
+use crate::job::Job;
+use crate::lease;
+use crate::lease::Answer;
+use crate::lease::Event;
+use crate::lease::Origin;
+use crate::lease::Reply;
+use crate::message::Message;
+
+/// Silence about a request of another node after which it is asked for.
+const CHECK_AFTER: Span = Span::from_millis(1_000);
+
+/// Silence about it after which it is taken to be over: some checks may have
+/// been lost.
+const LOST_AFTER: Span = Span::from_millis(3_000);
+
+/// The same where it waits: then its node asks many times a second.
+const WITHDRAWN_AFTER: Span = Span::from_millis(1_000);
+
+/// The part of a cell's usable slots that is not given to other cells, so that
+/// the cell's own next requests need not wait.
+const KEPT_PART: f64 = 0.1;
+
+/// A request of another node that waits here, or has a slot of this node's.
+#[derive(Debug)]
+pub(super) struct Remote {
+    /// Its name here.
+    pub id: job::Id,
+    /// The life of the other node.
+    incarnation: u64,
+    /// When its node last spoke of it.
+    heard: Time,
+    /// When its node was last asked for it.
+    checked: Time,
+    /// What was granted: the endpoint's number, and why there.
+    granted: Option<(u32, Reason)>,
+}
+
+impl Dispatcher {
+    /// Takes another node's question for a slot.
+    pub fn take_request(&mut self, now: Time, from: SocketAddrV4, request: lease::Request) {
+        let origin = Origin {
+            node: from,
+            number: request.number,
+        };
+        let known = self.remote.get(&origin).map(|remote| remote.incarnation);
+        match known {
+            Some(incarnation) if incarnation == request.incarnation => {
+                self.answer_again(now, origin);
+                return;
+            }
+            Some(_) => self.end_remote(now, origin, job::End::Abandoned, None),
+            None => {}
+        }
+        let numbers = self.pools.iter();
+        let mut numbers = numbers.filter(|(_, pool)| pool.number == request.service);
+        let Some(target) = numbers.next().map(|(target, _)| target.clone()) else {
+            self.reply(origin, Answer::Denied);
+            return;
+        };
+        if !self.is_usable(now, &target, request.endpoint) {
+            self.reply(origin, Answer::Denied);
+            return;
+        }
+        let job = self.to_job(now, origin, &target, &request);
+        self.next_job += 1;
+        let id = job::Id(self.next_job);
+        let remote = Remote {
+            id,
+            incarnation: request.incarnation,
+            heard: now,
+            checked: now,
+            granted: None,
+        };
+        if request.spare {
+            self.lend_spare(now, id, job, remote);
+            return;
+        }
+        self.remote.insert(origin, remote);
+        self.enqueue(now, id, job);
+        let waits = self.remote.get(&origin);
+        if waits.is_some_and(|remote| remote.granted.is_none()) {
+            self.reply(origin, Answer::Waiting);
+        }
+    }
+
+    /// True unless one endpoint is asked for that takes no work.
+    pub(super) fn is_usable(&self, now: Time, target: &id::Target, endpoint: Option<u32>) -> bool {
+        let Some(number) = endpoint else {
+            return true;
+        };
+        let pool = self.pools.get(target);
+        let worker = pool.and_then(|pool| pool.workers.get(pool.worker_opt(number)?));
+        worker.is_some_and(|worker| worker.takes_work(now, &self.options.worker))
+    }
+
+    fn answer_again(&mut self, now: Time, origin: Origin) {
+        let Some(remote) = self.remote.get_mut(&origin) else {
+            return;
+        };
+        remote.heard = now;
+        let id = remote.id;
+        if let Some((endpoint, reason)) = remote.granted {
+            self.reply(origin, Answer::Granted { endpoint, reason });
+            return;
+        }
+        let target = self.places.get(&id).cloned();
+        let pool = target.as_ref().and_then(|target| self.pools.get(target));
+        let only = pool.and_then(|pool| pool.queue.get(id)?.only);
+        if target.is_some_and(|target| !self.is_usable(now, &target, only)) {
+            self.end_remote(now, origin, job::End::Abandoned, None);
+            self.reply(origin, Answer::Denied);
+            return;
+        }
+        self.reply(origin, Answer::Waiting);
+    }
+
+    fn to_job(
+        &self,
+        now: Time,
+        origin: Origin,
+        target: &id::Target,
+        request: &lease::Request,
+    ) -> Job {
+        let arrived = now - request.age;
+        let workers = self.pools.get(target).map(|pool| pool.workers.iter());
+        let tried = workers.into_iter().flatten();
+        let tried = tried.filter(|worker| request.tried.contains(&worker.number));
+        Job {
+            target: target.clone(),
+            route: String::new(),
+            rank: request.rank,
+            repeatable: false,
+            attempts: 1,
+            arrived,
+            deadline: arrived + request.within,
+            objective: request.objective,
+            patience: request.patience,
+            pause: request.pause,
+            returning: request.returning,
+            prompt: request.prompt.clone(),
+            history: History {
+                tried: tried.map(|worker| worker.endpoint.name.clone()).collect(),
+                ..History::default()
+            },
+            origin: Some(origin),
+            only: request.endpoint,
+        }
+    }
+
+    /// Gives another cell a slot that this one does not need now.
+    fn lend_spare(&mut self, now: Time, id: job::Id, job: Job, remote: Remote) {
+        let Some(origin) = job.origin else {
+            return;
+        };
+        let pool = self.pools.get(&job.target);
+        let choice = pool
+            .filter(|pool| self.has_spare(now, pool, &job))
+            .and_then(|pool| self.cheapest(now, pool, &job, 0));
+        let Some(choice) = choice.filter(|_| !self.leaving) else {
+            self.reply(origin, Answer::Denied);
+            return;
+        };
+        self.remote.insert(origin, remote);
+        self.places.insert(id, job.target.clone());
+        self.start(now, id, job, choice);
+    }
+
+    fn has_spare(&self, now: Time, pool: &Pool, job: &Job) -> bool {
+        let mut ranks = pool.queue.counts();
+        if ranks.any(|(rank, _)| rank <= job.rank) {
+            return false;
+        }
+        let usable = pool.usable_slots(now, &self.options.worker);
+        let free = self.free_slots(now, pool);
+        f64::from(free) > f64::from(usable) * KEPT_PART
+    }
+
+    /// Tells the node that has a request what became of it.
+    pub(super) fn reply(&mut self, origin: Origin, answer: Answer) {
+        let reply = Reply {
+            number: origin.number,
+            answer,
+        };
+        self.outbox.push((origin.node, Message::Leased(reply)));
+    }
+
+    /// Notes that a request of another node has a slot, and tells it.
+    pub(super) fn grant_slot(&mut self, origin: Origin, endpoint: u32, reason: Reason) {
+        if let Some(remote) = self.remote.get_mut(&origin) {
+            remote.granted = Some((endpoint, reason));
+        }
+        self.reply(origin, Answer::Granted { endpoint, reason });
+    }
+
+    /// Takes what another node says of a request that it has.
+    pub fn take_report(&mut self, now: Time, from: SocketAddrV4, report: lease::Report) {
+        let origin = Origin {
+            node: from,
+            number: report.number,
+        };
+        let Some(remote) = self.remote.get_mut(&origin) else {
+            return;
+        };
+        remote.heard = now;
+        let id = remote.id;
+        match report.event {
+            Event::Held => {}
+            Event::First => self.progress(now, id, 1),
+            Event::Progress => self.progress(now, id, 0),
+            Event::Ended { end, step } => self.end_remote(now, origin, end, step),
+        }
+    }
+
+    /// Frees the slot of another node's request, or takes it out of the queue.
+    pub(super) fn end_remote(
+        &mut self,
+        now: Time,
+        origin: Origin,
+        end: job::End,
+        step: Option<u32>,
+    ) {
+        let Some(remote) = self.remote.remove(&origin) else {
+            return;
+        };
+        let Some(target) = self.places.remove(&remote.id) else {
+            return;
+        };
+        self.urgent = true;
+        self.withdraw(remote.id);
+        if let Some(pool) = self.pools.get_mut(&target) {
+            pool.queue.remove(remote.id);
+        }
+        if let Some(run) = self.runs.remove(&remote.id) {
+            self.learn_reported_step(now, &run, step);
+            self.close(now, run, end);
+        }
+        self.place(now, &target);
+    }
+
+    /// Asks after requests of other nodes of which nothing was heard for long,
+    /// and takes those for over whose node does not answer.
+    pub(super) fn check_remote(&mut self, now: Time) {
+        let mut lost = Vec::new();
+        let mut asked = Vec::new();
+        for (origin, remote) in &mut self.remote {
+            let silent = now.since(remote.heard);
+            let most = match remote.granted {
+                Some(_) => LOST_AFTER,
+                None => WITHDRAWN_AFTER,
+            };
+            if silent > most {
+                lost.push(*origin);
+            } else if silent > CHECK_AFTER && now.since(remote.checked) > CHECK_AFTER {
+                remote.checked = now;
+                asked.push(*origin);
+            }
+        }
+        for origin in lost {
+            self.end_remote(now, origin, job::End::Abandoned, None);
+        }
+        for origin in asked {
+            let check = lease::Check {
+                number: origin.number,
+            };
+            self.outbox.push((origin.node, Message::Check(check)));
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -4,6 +4,8 @@
 //! * `publish.rs`: what the platform published comes into force.
 //! * `reserve.rs`: requests are charged to their customer's quota.
 //! * `enter.rs`: requests come.
+//! * `borrow.rs`: slots that other nodes own are asked for.
+//! * `lend.rs`: slots that this node owns are given to others.
 //! * `place.rs`: which request goes to which endpoint now.
 //! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
@@ -16,6 +18,8 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
 use woadstage_types::code::Code;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
@@ -31,8 +35,11 @@
 use crate::endpoint::List;
 use crate::job;
 use crate::job::Job;
+use crate::lease::Lease;
+use crate::lease::Origin;
 use crate::member;
 use crate::member::Members;
+use crate::message::Message;
 use crate::parts;
 use crate::queue::Queue;
 use crate::quota;
@@ -43,7 +50,9 @@
 use crate::worker;
 use crate::worker::Worker;
 
+mod borrow;
 mod enter;
+mod lend;
 mod observe;
 mod place;
 mod predict;
@@ -53,7 +62,9 @@
 mod share;
 mod tick;
 
+use borrow::Question;
 pub use enter::Refusal;
+use lend::Remote;
 pub use query::Summary;
 pub use reserve::Charge;
 
@@ -98,8 +109,8 @@
     pub come_back_within: f64,
     /// The window in which it is seen how fast a rank is served.
     pub rate_window: Span,
-    /// How long a request waits for an endpoint of its own cell before any
-    /// other may have it.
+    /// How long a request waits for an endpoint of its own cell before other
+    /// cells are asked for a slot to spare.
     pub own_cell_for: Span,
     /// Attempts at connecting for one request.
     pub connects: u32,
@@ -158,7 +169,7 @@
 }
 
 /// What was known when an endpoint was chosen, for logs.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Reason {
     /// How long the request had waited.
     pub waited: Span,
@@ -187,6 +198,8 @@
         endpoint: Arc<Endpoint>,
         /// Why there.
         reason: Reason,
+        /// The node that gave the slot, where it was another.
+        owner: Option<SocketAddrV4>,
     },
     /// The request will not run; tell the caller at once.
     Refuse {
@@ -248,12 +261,45 @@
     events: u32,
     /// When it last showed an event.
     last: Time,
+    /// The shortest time between two of its events, in microseconds.
+    step: Option<f64>,
+    /// The slot, where another node gave it.
+    lease: Option<Lease>,
+    /// When that node was last told of progress.
+    reported: Time,
+}
+
+/// An endpoint that could take a request.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    worker: usize,
+    uncached: u64,
+    micros: f64,
+    /// The time until its first event is expected, in microseconds.
+    first: f64,
+    /// True where it should rather wait for another.
+    unfit: bool,
+}
+
+impl Choice {
+    /// An endpoint of which nothing is expected.
+    fn of(worker: usize) -> Choice {
+        Choice {
+            worker,
+            uncached: 0,
+            micros: 0.0,
+            first: 0.0,
+            unfit: false,
+        }
+    }
 }
 
 /// What one node knows of one service.
 #[derive(Debug)]
 struct Pool {
     engine: bool,
+    /// True where it has too few endpoints for each cell to have its own.
+    shared: bool,
     number: u32,
     least_protected: Priority,
     workers: Vec<Worker>,
@@ -292,7 +338,16 @@
     accounts: Accounts,
     budget: Budget,
     durations: Durations,
+    /// Requests of this node for which others were asked for a slot.
+    questions: HashMap<job::Id, Question>,
+    /// Requests of other nodes that wait or run in slots of this node's.
+    remote: HashMap<Origin, Remote>,
+    /// When the owners of other cells last had no slot to spare.
+    denied: HashMap<SocketAddrV4, Time>,
+    /// Messages that are to be sent.
+    outbox: Vec<(SocketAddrV4, Message)>,
     next_job: u64,
+    next_question: u64,
     next_reserve: u64,
     sequence: u64,
     leaving: bool,
@@ -325,7 +380,12 @@
             pools: HashMap::new(),
             places: HashMap::new(),
             runs: HashMap::new(),
-            next_job: 1,
+            questions: HashMap::new(),
+            remote: HashMap::new(),
+            denied: HashMap::new(),
+            outbox: Vec::new(),
+            next_job: 0,
+            next_question: 0,
             next_reserve: 0,
             sequence: 0,
             leaving: false,
@@ -343,6 +403,11 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Takes the messages that are to be sent since the last call.
+    pub fn take_messages(&mut self) -> Vec<(SocketAddrV4, Message)> {
+        std::mem::take(&mut self.outbox)
+    }
+
     fn refuse(&mut self, job: job::Id, code: Code, retry_after: Option<Span>) {
         let refusal = Refusal {
             code,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -1,5 +1,6 @@
 //! Calls make progress and end.
 
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::Cause;
@@ -10,6 +11,7 @@
 use crate::job;
 use crate::job::End;
 use crate::job::Job;
+use crate::lease;
 use crate::worker::PACE_LEAST;
 use crate::worker::PACE_MOST;
 
@@ -33,6 +35,10 @@
 /// those of an endpoint that stands still.
 const LONGEST_PAUSE: f64 = 10.0;
 
+/// How often the owner of a slot is told that a stream goes on: more than twice
+/// in the silence after which it would take the endpoint to stand still.
+const REPORT_EVERY: Span = Span::from_millis(400);
+
 /// Events after which the time between them is looked at.
 const MARK: u32 = 4;
 
@@ -46,18 +52,31 @@
             return;
         };
         pool.workers[run.worker].heard = now;
-        if run.first.is_none() {
+        let first = run.first.is_none();
+        let told = match first {
+            true => Some(lease::Event::First),
+            false if now.since(run.reported) >= REPORT_EVERY => Some(lease::Event::Progress),
+            false => None,
+        };
+        let told = run.lease.zip(told);
+        if first {
             learn_first(pool, run, now);
-            self.urgent = true;
-            return;
+        } else {
+            if events == 1 {
+                learn_pause(pool, run, now);
+            }
+            run.last = now;
+            run.events += events;
+            if run.events >= MARK {
+                learn_events(pool, run, now);
+            }
         }
-        if events == 1 {
-            learn_pause(pool, run, now);
+        if told.is_some() {
+            run.reported = now;
         }
-        run.last = now;
-        run.events += events;
-        if run.events >= MARK {
-            learn_step(pool, run, now);
+        self.urgent |= first && run.lease.is_none();
+        if let Some((lease, event)) = told {
+            self.report(lease.owner, lease.number, event);
         }
     }
 
@@ -67,7 +86,7 @@
             self.abandon(now, id);
             return Next::Over;
         };
-        self.urgent = true;
+        self.urgent |= run.lease.is_none();
         let target = run.job.target.clone();
         let mut job = self.close(now, run, end);
         let next = match end {
@@ -75,7 +94,7 @@
             _ => self.next_attempt(now, &mut job, end),
         };
         match next {
-            Next::Again => self.push(now, id, job),
+            Next::Again => self.submit(now, id, job),
             _ => {
                 self.places.remove(&id);
             }
@@ -93,6 +112,7 @@
         let Some(target) = self.places.remove(&id) else {
             return;
         };
+        self.withdraw(id);
         if let Some(pool) = self.pools.get_mut(&target) {
             pool.queue.remove(id);
             self.urgent = true;
@@ -100,7 +120,11 @@
     }
 
     /// Counts an attempt out and learns from how it ended.
-    fn close(&mut self, now: Time, run: Run, end: End) -> Job {
+    pub(super) fn close(&mut self, now: Time, run: Run, end: End) -> Job {
+        if let Some(lease) = run.lease {
+            let step = run.step.map(|step| step as u32);
+            self.report_ended(lease.owner, lease.number, end, step);
+        }
         let Some(pool) = self.pools.get_mut(&run.job.target) else {
             return run.job;
         };
@@ -112,8 +136,10 @@
             End::Whole => {
                 worker.succeed(now);
                 learn_call(pool, &run, now);
-                let took = now.since(run.job.arrived);
-                self.durations.learn(&run.job.route, took);
+                if run.job.origin.is_none() {
+                    let took = now.since(run.job.arrived);
+                    self.durations.learn(&run.job.route, took);
+                }
             }
             End::Fault => worker.fault(now),
             End::Full => worker.fill(now, options),
@@ -133,6 +159,14 @@
         run.job
     }
 
+    /// Learns an engine's step from what another node saw of it.
+    pub(super) fn learn_reported_step(&mut self, now: Time, run: &Run, step: Option<u32>) {
+        let pool = self.pools.get_mut(&run.job.target);
+        if let Some((pool, step)) = pool.filter(|pool| pool.engine).zip(step) {
+            learn_step(pool, run.worker, f64::from(step), now);
+        }
+    }
+
     fn next_attempt(&mut self, now: Time, job: &mut Job, end: End) -> Next {
         if end == End::NotSent {
             job.history.unsent += 1;
@@ -195,17 +229,22 @@
     pool.longest_pause += (ratio - pool.longest_pause) * weight;
 }
 
-fn learn_step(pool: &mut Pool, run: &mut Run, now: Time) {
+/// Learns from the time that the last events of a stream took.
+fn learn_events(pool: &mut Pool, run: &mut Run, now: Time) {
     let gap = now.since(run.marked).0 as f64 / f64::from(run.events);
     run.marked = now;
     run.events = 0;
-    if !pool.engine {
-        return;
+    run.step = Some(run.step.map_or(gap, |step| step.min(gap)));
+    if pool.engine {
+        learn_step(pool, run.worker, gap, now);
     }
-    let step = pool.workers[run.worker].learn_step(now, gap);
+}
+
+fn learn_step(pool: &mut Pool, worker: usize, gap: f64, now: Time) {
+    let step = pool.workers[worker].learn_step(now, gap);
     pool.step += (step - pool.step) * NEWEST;
     let usual = pool.step.max(1.0);
-    let worker = &mut pool.workers[run.worker];
+    let worker = &mut pool.workers[worker];
     worker.pace = (step / usual).clamp(PACE_LEAST, PACE_MOST);
 }
 
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -1,33 +1,26 @@
 //! Which waiting request goes to which endpoint now.
 
+use std::collections::BTreeMap;
+
 use woadstage_types::hash;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use super::Choice;
 use super::Decision;
 use super::Dispatcher;
 use super::Pool;
 use super::Reason;
 use super::Run;
 use super::predict::Forecast;
+use crate::configuration::Rank;
 use crate::job;
 use crate::job::Job;
+use crate::lease::Lease;
 use crate::warm;
 use crate::worker::Worker;
 
-/// An endpoint that could take a request.
-#[derive(Debug, Clone, Copy)]
-struct Choice {
-    worker: usize,
-    uncached: u64,
-    micros: f64,
-    /// The time until its first event is expected, in microseconds.
-    first: f64,
-    /// True where it should rather wait for another.
-    unfit: bool,
-}
-
 /// Starts of one rank that are remembered.
 const STARTS_KEPT: usize = 256;
 
@@ -62,18 +55,31 @@
         for worker in &mut pool.workers {
             worker.fade(now, &self.options.worker);
         }
-        while let Some((id, choice)) = self.next(now, target) {
-            self.start(now, target, id, choice);
+        let elsewhere = self.near_waiting(now, target);
+        while let Some((id, choice)) = self.next(now, target, &elsewhere) {
+            let pool = self.pools.get_mut(target);
+            let Some(job) = pool.and_then(|pool| pool.queue.remove(id)) else {
+                return;
+            };
+            self.withdraw(id);
+            self.start(now, id, job, choice);
         }
     }
 
-    /// The first request in line that an endpoint has room for.
-    fn next(&self, now: Time, target: &id::Target) -> Option<(job::Id, Choice)> {
+    /// The first request in line that an endpoint has room for, where so many
+    /// wait `elsewhere`.
+    fn next(
+        &self,
+        now: Time,
+        target: &id::Target,
+        elsewhere: &BTreeMap<Rank, usize>,
+    ) -> Option<(job::Id, Choice)> {
         let pool = self.pools.get(target)?;
         let free: u32 = self.free_slots(now, pool);
         for (id, job) in pool.queue.iter().take(self.options.policy.look_ahead) {
             // Others have more protected work waiting: leave them the room.
-            let before = self.others_waiting(now, pool.number, |rank| rank < job.rank);
+            let before = elsewhere.range(..job.rank).map(|(_, count)| count);
+            let before: usize = before.sum();
             if before > 0 && before >= free as usize {
                 return None;
             }
@@ -84,7 +90,19 @@
         None
     }
 
-    fn free_slots(&self, now: Time, pool: &Pool) -> u32 {
+    /// Requests of a service that wait on other nodes of this cell, by rank.
+    fn near_waiting(&self, now: Time, target: &id::Target) -> BTreeMap<Rank, usize> {
+        let mut counts = BTreeMap::new();
+        let Some(pool) = self.pools.get(target) else {
+            return counts;
+        };
+        for waiting in self.others_waiting(now, pool.number) {
+            *counts.entry(waiting.rank).or_default() += usize::from(waiting.count);
+        }
+        counts
+    }
+
+    pub(super) fn free_slots(&self, now: Time, pool: &Pool) -> u32 {
         let usable = pool
             .workers
             .iter()
@@ -94,31 +112,32 @@
             .sum()
     }
 
-    /// An endpoint of this node's cell, or where none takes the request for a
-    /// while, any other.
+    /// An endpoint of this node's cell.
     fn choose(&self, now: Time, pool: &Pool, job: &Job) -> Option<Choice> {
-        let own = self.cheapest(now, pool, job, true);
-        let waited = now.since(job.arrived) >= self.options.policy.own_cell_for;
-        if own.is_some() || self.members.cell().whole || !waited {
-            return own;
-        }
-        self.cheapest(now, pool, job, false)
+        let protected = pool.engine && job.rank.urgency < pool.least_protected;
+        let ahead = match protected {
+            true => self.options.policy.ahead,
+            false => 0,
+        };
+        self.cheapest(now, pool, job, ahead)
     }
 
-    /// Of the endpoints that have room, the one that costs least.
-    fn cheapest(&self, now: Time, pool: &Pool, job: &Job, own_cell: bool) -> Option<Choice> {
+    /// Of the endpoints of this cell that have room, the one that costs least;
+    /// `ahead` is what each may have beyond its slots.
+    pub(super) fn cheapest(&self, now: Time, pool: &Pool, job: &Job, ahead: u32) -> Option<Choice> {
         let chain = warm::chain(&job.prompt.parts);
         let home = home(pool, &chain);
         let mut best: Option<Choice> = None;
         for (at, worker) in pool.workers.iter().enumerate() {
             let usable = worker.takes_work(now, &self.options.worker);
-            if worker.own_cell != own_cell
+            if !worker.own_cell
                 || !usable
+                || job.only.is_some_and(|only| only != worker.number)
                 || job.history.tried.contains(&worker.endpoint.name)
             {
                 continue;
             }
-            if worker.busy() >= self.room(pool, worker, job) {
+            if worker.busy() >= room(worker, ahead) {
                 continue;
             }
             let choice = match pool.engine {
@@ -136,21 +155,6 @@
         best
     }
 
-    /// Requests that an endpoint may have before this one goes there. An
-    /// endpoint that failed gets one at a time until one works.
-    fn room(&self, pool: &Pool, worker: &Worker, job: &Job) -> u32 {
-        if worker.failures > 0 {
-            return 1 + worker.others;
-        }
-        let protected = pool.engine && job.rank.urgency < pool.least_protected;
-        let ahead = if protected {
-            self.options.policy.ahead
-        } else {
-            0
-        };
-        worker.endpoint.slots + ahead
-    }
-
     fn engine_choice(
         &self,
         now: Time,
@@ -238,15 +242,13 @@
         (worker.failing + others) * self.options.policy.failing
     }
 
-    fn start(&mut self, now: Time, target: &id::Target, id: job::Id, choice: Choice) {
+    /// Gives a request an endpoint that was chosen here.
+    pub(super) fn start(&mut self, now: Time, id: job::Id, job: Job, choice: Choice) {
         let oldest = self.oldest_word(now);
-        let Some(pool) = self.pools.get_mut(target) else {
-            return;
-        };
-        let Some(mut job) = pool.queue.remove(id) else {
+        let Some(pool) = self.pools.get(&job.target) else {
             return;
         };
-        let worker = &mut pool.workers[choice.worker];
+        let worker = &pool.workers[choice.worker];
         let reason = Reason {
             waited: now.since(job.arrived),
             running: worker.running,
@@ -256,6 +258,23 @@
             pace: worker.pace,
             oldest,
         };
+        self.run(now, id, job, choice, None, reason);
+    }
+
+    /// Counts a request in at its endpoint, and tells the one who has it.
+    pub(super) fn run(
+        &mut self,
+        now: Time,
+        id: job::Id,
+        mut job: Job,
+        choice: Choice,
+        lease: Option<Lease>,
+        reason: Reason,
+    ) {
+        let Some(pool) = self.pools.get_mut(&job.target) else {
+            return;
+        };
+        let worker = &mut pool.workers[choice.worker];
         let starts = pool.starts.entry(job.rank).or_default();
         starts.push_back(now);
         if starts.len() > STARTS_KEPT {
@@ -271,6 +290,7 @@
         let seen = f64::from(u8::from(pool.warm.knows(&chain)));
         pool.recurring += (seen - pool.recurring) * NEWEST;
         pool.warm.add(now, &chain, number);
+        let origin = job.origin;
         let run = Run {
             worker: choice.worker,
             started: now,
@@ -281,15 +301,22 @@
             marked: now,
             events: 0,
             last: now,
+            step: None,
+            lease,
+            reported: now,
             job,
         };
         self.runs.insert(id, run);
-        self.urgent = true;
-        self.decisions.push(Decision::Start {
-            job: id,
-            endpoint,
-            reason,
-        });
+        self.urgent |= lease.is_none();
+        match origin {
+            Some(origin) => self.grant_slot(origin, number, reason),
+            None => self.decisions.push(Decision::Start {
+                job: id,
+                endpoint,
+                reason,
+                owner: lease.map(|lease| lease.owner),
+            }),
+        }
     }
 
     fn oldest_word(&self, now: Time) -> Span {
@@ -301,6 +328,15 @@
     }
 }
 
+/// Requests that an endpoint may have before a further one goes there. An
+/// endpoint that failed gets one at a time until one works.
+fn room(worker: &Worker, ahead: u32) -> u32 {
+    match worker.failures {
+        0 => worker.endpoint.slots + ahead,
+        _ => 1 + worker.others,
+    }
+}
+
 /// By how much costs are spread, and in how many steps.
 const SPREAD: f64 = 0.1;
 const SPREAD_STEPS: u64 = 100;
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -20,18 +20,24 @@
 }
 
 impl Pool {
-    /// Endpoints that take work now.
+    /// Endpoints of this cell that take work now.
     pub(super) fn usable(&self, now: Time, options: &worker::Options) -> usize {
         let usable = self.workers.iter();
         usable
-            .filter(|worker| worker.takes_work(now, options))
+            .filter(|worker| worker.own_cell && worker.takes_work(now, options))
             .count()
     }
 
-    /// Slots of the endpoints that take work now.
+    /// The endpoint of this pool that has a number.
+    pub(super) fn worker_opt(&self, number: u32) -> Option<usize> {
+        let mut workers = self.workers.iter();
+        workers.position(|worker| worker.number == number)
+    }
+
+    /// Slots of the endpoints of this cell that take work now.
     pub(super) fn usable_slots(&self, now: Time, options: &worker::Options) -> u32 {
         let usable = self.workers.iter();
-        let usable = usable.filter(|worker| worker.takes_work(now, options));
+        let usable = usable.filter(|worker| worker.own_cell && worker.takes_work(now, options));
         usable.map(|worker| worker.endpoint.slots).sum()
     }
 
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -35,7 +35,7 @@
 /// Time for reading a prompt token that is expected at first, in microseconds.
 const PREFILL: f64 = 40.0;
 
-/// Endpoints for each cell from which a data centre shares them out.
+/// Endpoints for each cell of the fleet from which they are shared out.
 const SHARED_LEAST: usize = 3;
 
 /// Time of a call that is expected at first, in microseconds.
@@ -128,10 +128,11 @@
         self.set_configuration(now, Arc::new(configuration))
     }
 
-    /// Says which endpoints belong to this node's cell. A data centre that has
-    /// too few of a service shares all of it.
+    /// Says which endpoints belong to this node's cell. A service that has too
+    /// few for all cells is shared by them.
     pub(super) fn assign_workers(&mut self) {
         let cell = self.members.cell();
+        let cells = self.members.cells();
         let own = &self.options.data_centre;
         for pool in self.pools.values_mut() {
             let mut near: Vec<&mut Worker> = pool
@@ -139,17 +140,12 @@
                 .iter_mut()
                 .filter(|worker| worker.listed)
                 .collect();
-            near.iter_mut()
-                .for_each(|worker| worker.own_cell = cell.whole);
-            if cell.whole {
-                continue;
+            pool.shared = !cell.whole && near.len() < cells * SHARED_LEAST;
+            let all = cell.whole || pool.shared;
+            for worker in &mut near {
+                worker.own_cell = all;
             }
-            let in_centre = near
-                .iter()
-                .filter(|worker| worker.endpoint.data_centre == *own)
-                .count();
-            if in_centre < cell.count * SHARED_LEAST {
-                near.iter_mut().for_each(|worker| worker.own_cell = true);
+            if all {
                 continue;
             }
             near.retain(|worker| worker.endpoint.data_centre == *own);
@@ -213,6 +209,7 @@
 ) -> &'a mut Pool {
     pools.entry(target.clone()).or_insert_with(|| Pool {
         engine: false,
+        shared: false,
         number: endpoint::number_of(target.as_str()),
         least_protected: 0,
         workers: Vec::new(),
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -24,7 +24,7 @@
     pub running: u32,
     /// Requests of others in progress, as far as heard.
     pub others: u32,
-    /// Endpoints that take work now.
+    /// Endpoints of its cell that take work now.
     pub usable: usize,
     /// Endpoints known.
     pub endpoints: usize,
@@ -85,7 +85,9 @@
     /// its endpoints will take up in a moment.
     pub fn is_pressed(&self, now: Time, target: &id::Target) -> bool {
         self.pools.get(target).is_some_and(|pool| {
-            let waiting = pool.queue.len() + self.others_waiting(now, pool.number, |_| true);
+            let others = self.others_waiting(now, pool.number);
+            let others: usize = others.map(|waiting| usize::from(waiting.count)).sum();
+            let waiting = pool.queue.len() + others;
             let usable = pool.usable(now, &self.options.worker);
             waiting as f64 > usable as f64 * self.options.policy.pressed_from
         })
@@ -105,9 +107,14 @@
         serving.len() >= stopping.len().max(1)
     }
 
-    /// Requests that wait or run here.
+    /// Requests of this node's callers that wait or run.
     pub fn held(&self) -> usize {
-        self.places.len()
+        self.places.len().saturating_sub(self.remote.len())
+    }
+
+    /// Requests of other nodes that wait or run in slots of this node's.
+    pub fn held_for_others(&self) -> usize {
+        self.remote.len()
     }
 
     /// How much of the fleet this node can speak for.
--- a/crates/dispatch/src/dispatcher/reserve.rs
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -16,6 +16,7 @@
 use crate::configuration::Customer;
 use crate::configuration::Quota;
 use crate::member::Owner;
+use crate::member::Scope;
 use crate::message::Release;
 use crate::message::Reserve;
 use crate::message::Verdict;
@@ -53,7 +54,7 @@
         } else if reach.one_cell {
             self.accounts.admit(now, number, quota, demand, reach)
         } else {
-            match self.members.owner(now, number) {
+            match self.members.owner(now, Scope::Fleet, number) {
                 Owner::Own => self.grant(now, number, quota, demand),
                 Owner::Other(address) => {
                     return Charge::Ask(address, self.next_question(number, demand));
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -40,6 +40,13 @@
     trouble: Reports,
 }
 
+/// What this node runs at one endpoint in slots that others own and count.
+#[derive(Debug, Clone, Copy, Default)]
+struct Leased {
+    running: u32,
+    pending: u64,
+}
+
 impl Dispatcher {
     /// Takes in what another node said. What it runs counts from the next tick
     /// on, so that a word costs little in a large fleet.
@@ -126,18 +133,49 @@
         }
     }
 
+    /// What runs, but for what the owner of the slots tells.
     fn loads(&self, now: Time) -> Vec<Load> {
+        let leased = self.leased(now);
         let workers = self.pools.values().flat_map(|pool| &pool.workers);
-        let loads = workers.map(|worker| Load {
-            endpoint: worker.number,
-            running: worker.running.min(u32::from(u16::MAX)) as u16,
-            pending: worker.pending.min(u64::from(u32::MAX)) as u32,
-            trouble: worker.trouble(now, &self.options.worker),
+        let loads = workers.map(|worker| {
+            let told = leased.get(&worker.number).copied().unwrap_or_default();
+            let running = worker.running.saturating_sub(told.running);
+            let pending = worker.pending.saturating_sub(told.pending);
+            Load {
+                endpoint: worker.number,
+                running: running.min(u32::from(u16::MAX)) as u16,
+                pending: pending.min(u64::from(u32::MAX)) as u32,
+                trouble: worker.trouble(now, &self.options.worker),
+            }
         });
         let told = loads.filter(|load| load.running > 0 || load.trouble.is_some());
         told.take(LOADS_MOST).collect()
     }
 
+    /// What runs at each endpoint in slots whose owner is heard and counts it.
+    fn leased(&self, now: Time) -> HashMap<u32, Leased> {
+        let mut leased: HashMap<u32, Leased> = HashMap::new();
+        for run in self.runs.values() {
+            let Some(lease) = run.lease else {
+                continue;
+            };
+            let heard = self.members.incarnation_opt(now, lease.owner);
+            if heard != Some(lease.incarnation) {
+                continue;
+            }
+            let Some(pool) = self.pools.get(&run.job.target) else {
+                continue;
+            };
+            let sum = leased.entry(pool.workers[run.worker].number).or_default();
+            sum.running += 1;
+            sum.pending += match run.first {
+                None => run.uncached,
+                Some(_) => 0,
+            };
+        }
+        leased
+    }
+
     fn waiting(&self) -> Vec<Waiting> {
         let pools = self.pools.values();
         let counts = pools.flat_map(|pool| pool.queue.counts().map(|count| (pool.number, count)));
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -6,6 +6,7 @@
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
+use super::Refusal;
 use crate::job;
 
 /// Time left from which it makes sense to come back.
@@ -35,8 +36,11 @@
         for target in targets {
             self.refuse_expired(now, &target);
             self.refuse_without_endpoint(now, &target);
+            self.resubmit_stuck(now, &target);
             self.place(now, &target);
+            self.seek_spare(now, &target);
         }
+        self.renew_questions(now);
         paused
     }
 
@@ -46,11 +50,12 @@
             return;
         }
         self.arranged = now;
-        let before = self.members.cell();
+        let before = (self.members.cell(), self.members.cells());
         self.members.arrange(now);
-        if self.members.cell() != before {
+        if (self.members.cell(), self.members.cells()) != before {
             self.assign_workers();
         }
+        self.check_remote(now);
     }
 
     fn refuse_expired(&mut self, now: Time, target: &id::Target) {
@@ -66,10 +71,15 @@
                 return;
             };
             let job = pool.queue.remove(id);
-            self.places.remove(&id);
-            let left = job.map_or(Span::ZERO, |job| job.deadline.since(now));
-            let again = (left > COME_BACK_FROM).then(|| self.come_back_late(left));
-            self.refuse(id, Code::TooLate, again);
+            self.withdraw(id);
+            let left = job.as_ref();
+            let left = left.map_or(Span::ZERO, |job| job.deadline.since(now));
+            let refusal = Refusal {
+                code: Code::TooLate,
+                retry_after: (left > COME_BACK_FROM).then(|| self.come_back_late(left)),
+                wait: None,
+            };
+            self.decide_refusal(id, job.and_then(|job| job.origin), refusal);
         }
     }
 
@@ -94,11 +104,15 @@
             .collect();
         for (id, left) in hopeless {
             let retry_after = self.come_back(Span::from_secs(1), left);
-            if let Some(pool) = self.pools.get_mut(target) {
-                pool.queue.remove(id);
-            }
-            self.places.remove(&id);
-            self.refuse(id, Code::NoEndpoint, Some(retry_after));
+            let refusal = Refusal {
+                code: Code::NoEndpoint,
+                retry_after: Some(retry_after),
+                wait: None,
+            };
+            let pool = self.pools.get_mut(target);
+            let job = pool.and_then(|pool| pool.queue.remove(id));
+            self.withdraw(id);
+            self.decide_refusal(id, job.and_then(|job| job.origin), refusal);
         }
     }
 }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -2,11 +2,14 @@
 
 use std::fmt;
 
+use serde::Deserialize;
+use serde::Serialize;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use crate::configuration::Rank;
+use crate::lease::Origin;
 
 /// Names a request within one life of one node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -19,7 +22,7 @@
 }
 
 /// A part of a prompt, which other requests may begin with too.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Its name.
     pub id: u64,
@@ -28,7 +31,7 @@
 }
 
 /// What a caller says of a request for an engine.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Prompt {
     /// Tokens of the prompt.
     pub tokens: u64,
@@ -70,6 +73,10 @@
     pub prompt: Prompt,
     /// What was tried so far.
     pub history: History,
+    /// The node that has the request, where it is another.
+    pub origin: Option<Origin>,
+    /// The number of the only endpoint that may run it, where that is decided.
+    pub only: Option<u32>,
 }
 
 impl Job {
@@ -93,7 +100,7 @@
 }
 
 /// How one attempt at running a request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// The whole answer came.
     Whole,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`worker`]: what was learnt of one endpoint.
 //! * [`warm`]: which endpoint has read which prompt.
 //! * [`job`]: one request, from arrival to its final answer.
+//! * [`lease`]: slots that one node gives another.
 //! * [`queue`]: what waits for an endpoint.
 //! * [`quota`]: what customers may use, over all nodes.
 //! * [`budget`]: what may be sent again, over all nodes.
@@ -28,6 +29,7 @@
 pub mod duration;
 pub mod endpoint;
 pub mod job;
+pub mod lease;
 pub mod member;
 pub mod message;
 pub mod parts;
--- a/crates/dispatch/src/member/cell.rs
+++ b/crates/dispatch/src/member/cell.rs
@@ -1,5 +1,6 @@
 //! Cells: parts of a large fleet that share their part of the endpoints.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 use woadstage_types::hash;
@@ -51,33 +52,46 @@
             .collect();
         if heard.len() < self.options.one_cell {
             self.cell = ONE_CELL;
+            self.other_cells.clear();
             self.others
                 .values_mut()
                 .for_each(|member| member.near = true);
             return;
         }
-        let in_centre = heard
-            .iter()
-            .filter(|(_, centre)| *centre == self.data_centre);
-        let mut all: Vec<SocketAddrV4> = in_centre.map(|(address, _)| *address).collect();
-        all.push(self.own);
-        all.sort_by_key(|address| (score(address), *address));
-        let count = all.len().div_ceil(self.options.cell).max(1);
-        let place = all.iter().position(|address| *address == self.own);
-        let index = place.unwrap_or(0) % count;
-        self.cell = Cell {
-            whole: false,
-            index,
-            count,
-        };
-        self.others
-            .values_mut()
-            .for_each(|member| member.near = false);
-        for (place, address) in all.iter().enumerate() {
+        let mut centres: BTreeMap<u32, Vec<SocketAddrV4>> = BTreeMap::new();
+        for (address, centre) in heard {
+            centres.entry(centre).or_default().push(address);
+        }
+        let own_centre = centres.entry(self.data_centre).or_default();
+        own_centre.push(self.own);
+        let mut cells: Vec<Vec<SocketAddrV4>> = Vec::new();
+        for nodes in centres.into_values() {
+            let divided = divide(nodes, self.options.cell);
+            if let Some(index) = divided.iter().position(|cell| cell.contains(&self.own)) {
+                self.cell = Cell {
+                    whole: false,
+                    index,
+                    count: divided.len(),
+                };
+            }
+            cells.extend(divided);
+        }
+        for member in self.others.values_mut() {
+            member.near = false;
+        }
+        let (own, others): (Vec<_>, Vec<_>) =
+            cells.into_iter().partition(|cell| cell.contains(&self.own));
+        for address in own.iter().flatten() {
             if let Some(member) = self.others.get_mut(address) {
-                member.near = place % count == index;
+                member.near = true;
             }
         }
+        self.other_cells = others;
+    }
+
+    /// Cells of the whole fleet.
+    pub fn cells(&self) -> usize {
+        self.other_cells.len() + 1
     }
 
     /// The cell of this node.
@@ -110,6 +124,17 @@
     }
 }
 
+/// The nodes of one data centre in cells of about `most`.
+fn divide(mut nodes: Vec<SocketAddrV4>, most: usize) -> Vec<Vec<SocketAddrV4>> {
+    nodes.sort_by_key(|address| (score(address), *address));
+    let count = nodes.len().div_ceil(most).max(1);
+    let mut cells = vec![Vec::new(); count];
+    for (place, address) in nodes.into_iter().enumerate() {
+        cells[place % count].push(address);
+    }
+    cells
+}
+
 /// A node's place among others, the same for all who ask.
 fn score(address: &SocketAddrV4) -> u64 {
     hash::of(&address.ip().octets())
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! * `cell.rs`: parts of a large fleet, and who reads the platform for them.
 //! * `speak.rs`: to whom a node speaks, and how often.
-//! * `owner.rs`: which node owns a customer's quota.
+//! * `owner.rs`: which node owns a customer's quota, and slots of endpoints.
 //! * `ahead.rs`: which node to take newer documents from.
 
 use std::collections::HashMap;
@@ -23,6 +23,7 @@
 pub use cell::Cell;
 pub use cell::Reading;
 pub use owner::Owner;
+pub use owner::Scope;
 pub use speak::Occasion;
 
 /// Bounds of membership.
@@ -109,6 +110,8 @@
     seeds: Vec<SocketAddrV4>,
     others: HashMap<SocketAddrV4, Member>,
     cell: Cell,
+    /// The nodes of each other cell of the fleet.
+    other_cells: Vec<Vec<SocketAddrV4>>,
     met_any: bool,
 }
 
@@ -138,6 +141,7 @@
             seeds: Vec::new(),
             others: HashMap::new(),
             cell: cell::ONE_CELL,
+            other_cells: Vec::new(),
             met_any: false,
         };
         members.set_seeds(seeds);
@@ -268,6 +272,13 @@
         }
     }
 
+    /// The life of another node, where it was heard lately.
+    pub fn incarnation_opt(&self, now: Time, address: SocketAddrV4) -> Option<u64> {
+        let member = self.others.get(&address);
+        let fresh = member.filter(|member| self.is_fresh(now, member));
+        fresh.map(|member| member.status.incarnation)
+    }
+
     /// Other nodes that were heard or spoken of.
     pub fn len(&self) -> usize {
         self.others.len()
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -1,4 +1,5 @@
-//! Which node owns a customer's quota.
+//! Which node owns a customer's quota, or the slots of endpoints (rendezvous
+//! hashing): when a node goes, only what it owned changes owners.
 
 use std::net::SocketAddrV4;
 
@@ -6,6 +7,7 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use super::Member;
 use super::Members;
 
 /// How long a node that did not answer is passed over.
@@ -15,7 +17,7 @@
 /// node that is cut off would hold each request up many times.
 const TRIED: usize = 2;
 
-/// Who owns a customer's quota, as far as this node can tell.
+/// Who owns something, as far as this node can tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Owner {
     /// This node.
@@ -26,20 +28,31 @@
     Unheard,
 }
 
+/// Among which nodes an owner is looked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// All nodes.
+    Fleet,
+    /// The nodes of this node's cell.
+    Cell,
+}
+
 impl Members {
-    /// The owner of the quota of the customer with a number (rendezvous hashing
-    /// over all nodes that were heard lately): when a node goes, only its
-    /// customers change owners.
-    pub fn owner(&self, now: Time, customer: u64) -> Owner {
-        let score = |address: &SocketAddrV4| score(customer, address);
-        let others = self.fresh(now).filter(|(_, member)| !member.status.leaving);
-        let others = others.map(|(address, member)| (score(address), *address, member.unanswered));
-        let mut owners: Vec<_> = others.collect();
-        owners.push((score(&self.own), self.own, None));
+    /// The owner of what has a key, among the nodes that were heard lately.
+    pub fn owner(&self, now: Time, scope: Scope, key: u64) -> Owner {
+        let mut owners = vec![(score(key, &self.own), self.own, None)];
+        for (address, member) in self.fresh(now) {
+            if may_own(member) && (scope == Scope::Fleet || member.near) {
+                owners.push((score(key, address), *address, member.unanswered));
+            }
+        }
+        let tried = TRIED.min(owners.len());
+        if owners.len() > tried {
+            owners.select_nth_unstable_by(tried, |one, other| other.cmp(one));
+            owners.truncate(tried);
+        }
         owners.sort_unstable_by(|one, other| other.cmp(one));
-        owners.truncate(TRIED);
-        let passed_over = |at: &Option<Time>| at.is_some_and(|at| now.since(at) < PASSED_OVER_FOR);
-        let owner = owners.iter().find(|(_, _, at)| !passed_over(at));
+        let owner = owners.iter().find(|(_, _, at)| !is_passed_over(now, *at));
         match owner {
             None => Owner::Unheard,
             Some((_, address, _)) if *address == self.own => Owner::Own,
@@ -47,12 +60,30 @@
         }
     }
 
+    /// The nodes of the other cells that own what has a key there, in an order
+    /// that differs with `turn`.
+    pub fn other_owners(&self, now: Time, key: u64, turn: u64) -> Vec<SocketAddrV4> {
+        let owner_in = |cell: &Vec<SocketAddrV4>| {
+            let heard = cell.iter().filter(|address| {
+                let member = self.others.get(address);
+                let fresh = member.filter(|member| self.is_fresh(now, member));
+                fresh.is_some_and(|member| {
+                    may_own(member) && !is_passed_over(now, member.unanswered)
+                })
+            });
+            heard.copied().max_by_key(|address| score(key, address))
+        };
+        let mut owners: Vec<SocketAddrV4> = self.other_cells.iter().filter_map(owner_in).collect();
+        owners.sort_by_key(|address| score(turn, address));
+        owners
+    }
+
     /// True where no node that was heard lately goes before this one as the
-    /// owner of a customer's quota.
-    pub fn is_first_owner(&self, now: Time, customer: u64) -> bool {
-        let own = score(customer, &self.own);
-        let mut others = self.fresh(now).filter(|(_, member)| !member.status.leaving);
-        others.all(|(address, _)| score(customer, address) <= own)
+    /// owner of what has a key.
+    pub fn is_first_owner(&self, now: Time, key: u64) -> bool {
+        let own = score(key, &self.own);
+        let mut others = self.fresh(now).filter(|(_, member)| may_own(member));
+        others.all(|(address, _)| score(key, address) <= own)
     }
 
     /// Notes that a node did not answer though it was asked.
@@ -63,7 +94,15 @@
     }
 }
 
-/// A node's place among the owners of a customer's quota; the highest is first.
-fn score(customer: u64, address: &SocketAddrV4) -> u64 {
-    hash::chain(customer, &address.ip().octets())
+fn may_own(member: &Member) -> bool {
+    !member.status.leaving
+}
+
+fn is_passed_over(now: Time, unanswered: Option<Time>) -> bool {
+    unanswered.is_some_and(|at| now.since(at) < PASSED_OVER_FOR)
+}
+
+/// A node's place among the owners of what has a key; the highest is first.
+fn score(key: u64, address: &SocketAddrV4) -> u64 {
+    hash::chain(key, &address.ip().octets())
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -9,13 +9,14 @@
 use crate::configuration::Rank;
 use crate::endpoint::Edition;
 use crate::endpoint::List;
+use crate::lease;
 use crate::parts::Digest;
 use crate::parts::Head;
 use crate::parts::Part;
 use crate::quota::Denied;
 
 /// The version of this protocol; the first byte of everything on the wire.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 
 /// What one node runs at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -144,6 +145,14 @@
     Reserved(Reserved),
     /// Units that were not used.
     Release(Release),
+    /// A question to the owner of slots.
+    Lease(Box<lease::Request>),
+    /// Its answer.
+    Leased(lease::Reply),
+    /// How a request goes that has a slot.
+    Report(lease::Report),
+    /// Whether it still has it.
+    Check(lease::Check),
 }
 
 /// The newest documents of the platform that a node has, by version; 0 for none.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -54,6 +54,11 @@
         self.line.insert(place, job);
     }
 
+    /// A request that waits.
+    pub fn get(&self, id: job::Id) -> Option<&Job> {
+        self.line.get(self.places.get(&id)?)
+    }
+
     /// Takes a request out of line.
     pub fn remove(&mut self, id: job::Id) -> Option<Job> {
         let place = self.places.remove(&id)?;
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -250,11 +250,14 @@
         self.running > 0 && now.since(self.heard) > options.silence
     }
 
+    /// True unless it is leaving or gone.
+    pub fn is_staying(&self) -> bool {
+        self.listed && !self.endpoint.leaving && self.gone_at.is_none()
+    }
+
     /// True while new work may go there.
     pub fn takes_work(&self, now: Time, options: &Options) -> bool {
-        self.listed
-            && !self.endpoint.leaving
-            && self.gone_at.is_none()
+        self.is_staying()
             && now >= self.rests_until
             && !self.is_silent(now, options)
             && !self.is_distrusted(now)
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -0,0 +1,191 @@
+//! What many nodes do together, in virtual time.
+
+use rstest::rstest;
+use woadstage_dispatch::job::Job;
+use woadstage_types::hash;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::support::MODEL;
+use crate::support::SERVICE;
+use crate::support::job;
+
+mod world;
+
+use world::Seen;
+use world::Shape;
+use world::World;
+
+const SECOND: Span = Span::from_secs(1);
+
+/// Two data centres with two cells each.
+fn shape() -> Shape {
+    Shape {
+        nodes: 36,
+        centres: 2,
+        endpoints: 16,
+        slots: 4,
+        service: MODEL,
+        call: Span::from_millis(400),
+        lost: 0,
+    }
+}
+
+/// A request of the least protected rank that is in time within half a second.
+fn request(service: &'static str) -> impl Fn(Time) -> Job {
+    move |when| Job {
+        objective: Span::from_millis(500),
+        ..job(service, 2, when)
+    }
+}
+
+/// Sends requests for a span from now on, so many a second, to nodes by chance.
+fn load(world: &mut World, service: &'static str, per_second: u64, span: Span, nodes: &[u16]) {
+    let count = per_second * span.0 / SECOND.0;
+    for number in 0..count {
+        let drawn = hash::chain(world.now.0, &number.to_le_bytes());
+        let after = Span(drawn % span.0);
+        let node = nodes[(drawn >> 32) as usize % nodes.len()];
+        world.arrive(after, node, request(service));
+    }
+}
+
+fn all_nodes(world: &World) -> Vec<u16> {
+    world.nodes.keys().copied().collect()
+}
+
+/// The share of requests that one says so of.
+fn share(seen: &[Seen], is: impl Fn(&Seen) -> bool) -> f64 {
+    let count = seen.iter().filter(|one| is(one)).count();
+    count as f64 / seen.len().max(1) as f64
+}
+
+fn is_in_time(seen: &Seen) -> bool {
+    let since = |at: Time| at.since(seen.arrived);
+    seen.began
+        .is_some_and(|at| since(at) <= Span::from_millis(500))
+}
+
+/// Each request was sent or refused once, and no slot stays taken.
+fn assert_all_over(world: &mut World) {
+    world.run_for(Span::from_secs(20));
+    for (name, seen) in &world.seen {
+        assert_eq!(seen.decided, 1, "{name:?} {seen:?}");
+    }
+    for (node, dispatcher) in &world.nodes {
+        assert_eq!(dispatcher.held(), 0, "node {node}");
+        assert_eq!(dispatcher.held_for_others(), 0, "node {node}");
+        let running = dispatcher.summaries(world.now);
+        assert!(running.iter().all(|one| one.running == 0), "node {node}");
+    }
+}
+
+#[test]
+fn slots_are_not_given_twice() {
+    let mut world = World::start(shape());
+    // Four fifths of what 32 endpoints with 4 slots of 400 ms can do.
+    let nodes = all_nodes(&world);
+    let from = world.now;
+    load(&mut world, MODEL, 256, Span::from_secs(6), &nodes);
+    world.run_for(Span::from_secs(6));
+    let seen = world.between(from, world.now);
+    let queued = share(&seen, |one| one.queued);
+    assert!(queued <= 0.01, "{queued}");
+    assert!(share(&seen, is_in_time) >= 0.98);
+    assert_all_over(&mut world);
+}
+
+#[test]
+fn service_is_in_time_again_soon_after_a_burst() {
+    let mut world = World::start(shape());
+    let nodes = all_nodes(&world);
+    load(&mut world, MODEL, 224, Span::from_secs(12), &nodes);
+    world.run_for(Span::from_secs(2));
+    load(&mut world, MODEL, 300, Span::from_secs(4), &nodes);
+    world.run_for(Span::from_secs(4));
+    let ended = world.now;
+    world.run_for(Span::from_secs(6));
+    let seen = world.between(ended + SECOND, ended + Span::from_secs(5));
+    let in_time = share(&seen, is_in_time);
+    assert!(in_time >= 0.95, "{in_time}");
+    assert_all_over(&mut world);
+}
+
+#[test]
+fn callers_that_all_come_to_one_data_centre_use_the_slots_of_the_other() {
+    let mut world = World::start(shape());
+    let mut nodes = all_nodes(&world);
+    nodes.retain(|node| world.centre(*node) == 0);
+    let from = world.now;
+    // Half as much again as the endpoints of the data centre can do.
+    load(&mut world, MODEL, 240, Span::from_secs(6), &nodes);
+    world.run_for(Span::from_secs(6));
+    let seen = world.between(from + SECOND, world.now);
+    let in_time = share(&seen, is_in_time);
+    assert!(in_time >= 0.95, "{in_time}");
+    let queued = share(&seen, |one| one.queued);
+    assert!(queued <= 0.02, "{queued}");
+    assert_all_over(&mut world);
+}
+
+#[test]
+fn a_service_that_all_cells_share_is_not_overcommitted() {
+    let mut world = World::start(Shape {
+        endpoints: 2,
+        slots: 6,
+        service: SERVICE,
+        call: Span::from_millis(60),
+        ..shape()
+    });
+    let nodes = all_nodes(&world);
+    let from = world.now;
+    // Three quarters of what 24 slots can do.
+    load(&mut world, SERVICE, 300, Span::from_secs(5), &nodes);
+    world.run_for(Span::from_secs(5));
+    let seen = world.between(from, world.now);
+    let queued = share(&seen, |one| one.queued);
+    assert!(queued <= 0.01, "{queued}");
+    assert!(share(&seen, is_in_time) >= 0.99);
+    assert_all_over(&mut world);
+}
+
+#[rstest]
+#[case::few(2)]
+#[case::many(10)]
+fn lost_messages_leave_nothing_behind(#[case] lost: u64) {
+    let mut world = World::start(Shape { lost, ..shape() });
+    let nodes = all_nodes(&world);
+    load(&mut world, MODEL, 200, Span::from_secs(4), &nodes);
+    let from = world.now;
+    world.run_for(Span::from_secs(4));
+    let seen = world.between(from, world.now);
+    assert!(share(&seen, is_in_time) >= 0.95);
+    assert_all_over(&mut world);
+}
+
+/// Nodes that die at once while requests wait, and come back.
+#[rstest]
+#[case::one_in_six(6)]
+#[case::every_second(2)]
+fn service_goes_on_when_nodes_are_killed(#[case] one_of: u16) {
+    let mut world = World::start(shape());
+    let nodes = all_nodes(&world);
+    let (killed, left): (Vec<u16>, Vec<u16>) = nodes
+        .iter()
+        .partition(|node| (**node / 2).is_multiple_of(one_of));
+    load(&mut world, MODEL, 180, Span::from_secs(8), &left);
+    world.run_for(Span::from_secs(2));
+    for node in &killed {
+        world.kill(*node);
+    }
+    let at = world.now;
+    world.run_for(Span::from_secs(2));
+    for node in &killed {
+        world.boot(*node, 2);
+    }
+    world.run_for(Span::from_secs(4));
+    let seen = world.between(at, world.now);
+    let in_time = share(&seen, is_in_time);
+    assert!(in_time >= 0.95, "{in_time}");
+    assert_all_over(&mut world);
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -0,0 +1,351 @@
+//! A large fleet in virtual time: nodes that exchange messages with a delay,
+//! and endpoints that work on as many requests as they have slots.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use woadstage_dispatch::dispatcher::Decision;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::message::Message;
+use woadstage_types::hash;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::support::at;
+use crate::support::configuration;
+use crate::support::list;
+use crate::support::options;
+
+/// Time between two ticks of a node.
+const TICK_EVERY: Span = Span::from_millis(20);
+
+/// How long a message is on its way.
+const WAY: Span = Span::from_millis(1);
+
+/// The shape of a fleet.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// Nodes of each data centre.
+    pub nodes: u16,
+    /// Data centres.
+    pub centres: u16,
+    /// Endpoints of each data centre.
+    pub endpoints: u16,
+    /// Slots of each endpoint.
+    pub slots: u32,
+    /// Their service.
+    pub service: &'static str,
+    /// How long a call takes.
+    pub call: Span,
+    /// Messages of a hundred that are lost.
+    pub lost: u64,
+}
+
+/// What happens at some moment.
+#[derive(Debug, Clone)]
+enum Event {
+    Tick(u16),
+    Message {
+        from: u16,
+        to: u16,
+        message: Box<Message>,
+    },
+    Arrive {
+        node: u16,
+        job: Box<Job>,
+    },
+    Done(u16, job::Id, id::Endpoint),
+}
+
+/// One endpoint: what runs and what waits there.
+#[derive(Debug, Default)]
+struct Engine {
+    running: u32,
+    waiting: VecDeque<(u16, job::Id)>,
+}
+
+/// What was seen of one request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Seen {
+    /// When it came.
+    pub arrived: Time,
+    /// When an endpoint began to work on it.
+    pub began: Option<Time>,
+    /// True once it was refused.
+    pub refused: bool,
+    /// How often it was sent or refused.
+    pub decided: u32,
+    /// True where it waited at an endpoint.
+    pub queued: bool,
+}
+
+/// A fleet, its endpoints and the requests that came.
+pub struct World {
+    shape: Shape,
+    /// Nodes that run.
+    pub nodes: BTreeMap<u16, Dispatcher>,
+    engines: HashMap<id::Endpoint, Engine>,
+    events: BinaryHeap<Reverse<(Time, u64)>>,
+    what: HashMap<u64, Event>,
+    next: u64,
+    /// The time.
+    pub now: Time,
+    /// Requests by node and name there.
+    pub seen: HashMap<(u16, job::Id), Seen>,
+    /// Messages that were sent, but for statuses.
+    pub messages: usize,
+}
+
+/// The address of a node.
+fn address(node: u16) -> SocketAddrV4 {
+    let [high, low] = node.to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 7_600)
+}
+
+fn to_node(address: SocketAddrV4) -> u16 {
+    let [_, _, high, low] = address.ip().octets();
+    u16::from_be_bytes([high, low])
+}
+
+impl World {
+    /// A fleet whose nodes have met.
+    pub fn start(shape: Shape) -> World {
+        let mut world = World {
+            nodes: BTreeMap::new(),
+            engines: HashMap::new(),
+            events: BinaryHeap::new(),
+            what: HashMap::new(),
+            next: 0,
+            now: at(0),
+            seen: HashMap::new(),
+            messages: 0,
+            shape,
+        };
+        let all = world.shape.nodes * world.shape.centres;
+        for node in 0..all {
+            world.boot(node, 1);
+        }
+        world.run_for(Span::from_millis(1_500));
+        world
+    }
+
+    /// The data centre of a node.
+    pub fn centre(&self, node: u16) -> u16 {
+        node % self.shape.centres
+    }
+
+    fn endpoints(&self) -> Vec<Endpoint> {
+        let all = self.shape.endpoints * self.shape.centres;
+        let make = |number: u16| Endpoint {
+            data_centre: id::DataCentre::new(&format!("dc{}", number % self.shape.centres)),
+            ..crate::support::endpoint(&format!("e{number}"), self.shape.service, self.shape.slots)
+        };
+        (0..all).map(make).collect()
+    }
+
+    /// Starts a node, in one of its lives.
+    pub fn boot(&mut self, node: u16, life: u64) {
+        let all = self.shape.nodes * self.shape.centres;
+        let seeds = (0..3).map(|seed| address(seed * (all / 3)));
+        let mut dispatcher = Dispatcher::new(Options {
+            own: address(node),
+            incarnation: hash::chain(life, &node.to_le_bytes()),
+            data_centre: id::DataCentre::new(&format!("dc{}", self.centre(node))),
+            seeds: seeds.collect(),
+            ..options(1)
+        });
+        dispatcher.set_configuration(self.now, configuration(1));
+        dispatcher.set_endpoints(self.now, list(1, &self.endpoints()));
+        self.nodes.insert(node, dispatcher);
+        let first = Span(hash::of(&node.to_le_bytes()) % TICK_EVERY.0);
+        self.plan(self.now + first, Event::Tick(node));
+    }
+
+    /// Ends a node and whatever it runs at once.
+    pub fn kill(&mut self, node: u16) {
+        self.nodes.remove(&node);
+        for engine in self.engines.values_mut() {
+            engine.waiting.retain(|(of, _)| *of != node);
+        }
+        let gone: Vec<u64> = self
+            .what
+            .iter()
+            .filter(|(_, event)| matches!(event, Event::Tick(of) if *of == node))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in gone {
+            self.what.remove(&number);
+        }
+    }
+
+    fn plan(&mut self, when: Time, event: Event) {
+        self.next += 1;
+        self.events.push(Reverse((when, self.next)));
+        self.what.insert(self.next, event);
+    }
+
+    /// A request comes to a node after a while.
+    pub fn arrive(&mut self, after: Span, node: u16, make: impl FnOnce(Time) -> Job) {
+        let when = self.now + after;
+        let job = Box::new(make(when));
+        self.plan(when, Event::Arrive { node, job });
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, span: Span) {
+        let until = self.now + span;
+        while let Some(Reverse((when, number))) = self.events.peek().copied() {
+            if when > until {
+                break;
+            }
+            self.events.pop();
+            self.now = when;
+            if let Some(event) = self.what.remove(&number) {
+                self.handle(event);
+            }
+        }
+        self.now = until;
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Tick(node) => {
+                let Some(dispatcher) = self.nodes.get_mut(&node) else {
+                    return;
+                };
+                dispatcher.tick(now);
+                if let Some((status, due)) = dispatcher.statuses(now) {
+                    for to in due {
+                        let message = Box::new(Message::Status(Box::new(status.clone())));
+                        self.send(node, to, message);
+                    }
+                }
+                self.plan(now + TICK_EVERY, Event::Tick(node));
+                self.settle(node);
+            }
+            Event::Message { from, to, message } => self.receive(from, to, *message),
+            Event::Arrive { node, job } => {
+                let Some(dispatcher) = self.nodes.get_mut(&node) else {
+                    return;
+                };
+                let arrived = job.arrived;
+                let id = dispatcher.enter(now, *job);
+                let seen = Seen {
+                    arrived,
+                    began: None,
+                    refused: false,
+                    decided: 0,
+                    queued: false,
+                };
+                self.seen.insert((node, id), seen);
+                self.settle(node);
+            }
+            Event::Done(node, id, endpoint) => self.finish(node, id, &endpoint),
+        }
+    }
+
+    fn receive(&mut self, from: u16, to: u16, message: Message) {
+        let now = self.now;
+        let Some(dispatcher) = self.nodes.get_mut(&to) else {
+            return;
+        };
+        let from = address(from);
+        match message {
+            Message::Status(status) => {
+                dispatcher.hear(now, from, *status);
+            }
+            Message::Lease(request) => dispatcher.take_request(now, from, *request),
+            Message::Leased(reply) => dispatcher.take_reply(now, from, reply),
+            Message::Report(report) => dispatcher.take_report(now, from, report),
+            Message::Check(check) => dispatcher.answer_check(from, check),
+            Message::Reserve(_) | Message::Reserved(_) | Message::Release(_) => {}
+        }
+        self.settle(to);
+    }
+
+    fn send(&mut self, from: u16, to: SocketAddrV4, message: Box<Message>) {
+        self.next += 1;
+        let drawn = hash::of(&self.next.to_le_bytes()) % 100;
+        if drawn < self.shape.lost {
+            return;
+        }
+        let to = to_node(to);
+        self.plan(self.now + WAY, Event::Message { from, to, message });
+    }
+
+    /// Takes what a node decided and wants sent.
+    fn settle(&mut self, node: u16) {
+        let Some(dispatcher) = self.nodes.get_mut(&node) else {
+            return;
+        };
+        let decisions = dispatcher.take_decisions();
+        let messages = dispatcher.take_messages();
+        self.messages += messages.len();
+        for (to, message) in messages {
+            self.send(node, to, Box::new(message));
+        }
+        for decision in decisions {
+            match decision {
+                Decision::Start { job, endpoint, .. } => self.begin(node, job, &endpoint.name),
+                Decision::Refuse { job, .. } => {
+                    let seen = self.seen.get_mut(&(node, job)).expect("it came");
+                    seen.refused = true;
+                    seen.decided += 1;
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
+        let seen = self.seen.get_mut(&(node, id)).expect("it came");
+        seen.decided += 1;
+        let engine = self.engines.entry(endpoint.clone()).or_default();
+        if engine.running >= self.shape.slots {
+            seen.queued = true;
+            engine.waiting.push_back((node, id));
+            return;
+        }
+        seen.began = Some(self.now);
+        engine.running += 1;
+        // Calls differ in length by as much as they take at the least.
+        let spread = hash::chain(id.0, &node.to_le_bytes()) % self.shape.call.0;
+        let call = Span(self.shape.call.0 / 2 + spread);
+        self.plan(self.now + call, Event::Done(node, id, endpoint.clone()));
+    }
+
+    fn finish(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
+        let engine = self.engines.get_mut(endpoint).expect("it runs there");
+        engine.running -= 1;
+        if let Some(dispatcher) = self.nodes.get_mut(&node) {
+            dispatcher.progress(self.now, id, 1);
+            dispatcher.end(self.now, id, End::Whole);
+            self.settle(node);
+        }
+        let engine = self.engines.get_mut(endpoint).expect("it runs there");
+        let Some((node, id)) = engine.waiting.pop_front() else {
+            return;
+        };
+        let decided = self.seen[&(node, id)].decided;
+        self.begin(node, id, endpoint);
+        self.seen.get_mut(&(node, id)).expect("it came").decided = decided;
+    }
+
+    /// Requests that came between two moments, counted from the start.
+    pub fn between(&self, from: Time, until: Time) -> Vec<Seen> {
+        let seen = self.seen.values().copied();
+        seen.filter(|one| one.arrived >= from && one.arrived < until)
+            .collect()
+    }
+}
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod duration;
+mod fleet;
+mod lease;
 mod members;
 mod order;
 mod outcomes;
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -193,6 +193,8 @@
         returning: false,
         prompt: Prompt::default(),
         history: History::default(),
+        origin: None,
+        only: None,
     }
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -164,6 +164,9 @@
         unread: u64,
         /// Its pace, as a multiple of the usual.
         pace: f64,
+        /// Who gave the slot, and knew all of the above: here, or the owner's
+        /// address.
+        owner: &'a str,
     },
     /// An attempt ended.
     Attempt {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,8 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use woadstage_dispatch::lease::Answer;
+use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Verdict;
 use woadstage_types::unit::Span;
 
@@ -34,6 +36,7 @@
     attempts: IntCounterVec,
     beliefs: IntCounterVec,
     reservations: IntCounterVec,
+    leases: IntCounterVec,
     transfers: IntCounterVec,
     /// Requests held.
     pub held: IntGauge,
@@ -104,6 +107,11 @@
                 "Questions to owners of quotas, by answer.",
                 &["answer"],
             )?,
+            leases: counter(
+                "woadstage_lease_messages_total",
+                "Messages about slots that were sent, by kind.",
+                &["kind"],
+            )?,
             transfers: counter(
                 "woadstage_transfers_total",
                 "Transfers of published documents between nodes.",
@@ -133,6 +141,24 @@
         route
     }
 
+    /// Counts a message about a slot that is sent.
+    pub fn lease(&self, message: &Message) {
+        let kind = match message {
+            Message::Lease(request) if request.spare => "asked-spare",
+            Message::Lease(_) => "asked",
+            Message::Leased(reply) => match reply.answer {
+                Answer::Waiting => "waiting",
+                Answer::Granted { .. } => "granted",
+                Answer::Refused(_) => "refused",
+                Answer::Denied => "denied",
+            },
+            Message::Report(_) => "report",
+            Message::Check(_) => "check",
+            _ => return,
+        };
+        self.leases.with_label_values(&[kind]).inc();
+    }
+
     /// Counts a final answer.
     pub fn answer(&self, route: &str, status: u16, code: &str, after: Span) {
         let route = self.label(route);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,12 +1,13 @@
 //! Other nodes. Statuses go by datagram, since each holds all it speaks of and
 //! a lost one is made up for by the next, and so do questions to the owners of
-//! quotas, which another answers where one does not. What the platform published goes by
+//! quotas and of slots, which another answers where one does not. What the platform published goes by
 //! stream, to nodes that have not read it themselves.
 //!
 //! * [`catch_up`]: when to take documents, and from whom.
 //! * [`transfer`]: documents on their way.
 //! * [`reservations`]: questions to owners of quotas.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -47,6 +48,27 @@
     postcard::from_bytes(rest).ok()
 }
 
+/// Sends messages that the other end can do without.
+#[derive(Default)]
+pub struct Sender {
+    socket: OnceCell<Rc<UdpSocket>>,
+}
+
+impl Sender {
+    /// Says through which socket to send; until then nothing goes out.
+    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
+        // A process has one such socket for all its life.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Sends a message. Where it is lost, it is asked for or sent anew.
+    pub fn send(&self, to: SocketAddrV4, message: &Message) {
+        if let Some(socket) = self.socket.get() {
+            send(socket, to, message);
+        }
+    }
+}
+
 /// Takes in what other nodes say, for as long as the process runs.
 pub async fn listen(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MOST];
@@ -62,6 +84,18 @@
             Some(Message::Release(release)) => {
                 shell.command(|dispatcher, _| dispatcher.release(&release));
             }
+            Some(Message::Lease(request)) => {
+                shell.command(|dispatcher, now| dispatcher.take_request(now, from, *request));
+            }
+            Some(Message::Leased(reply)) => {
+                shell.command(|dispatcher, now| dispatcher.take_reply(now, from, reply));
+            }
+            Some(Message::Report(report)) => {
+                shell.command(|dispatcher, now| dispatcher.take_report(now, from, report));
+            }
+            Some(Message::Check(check)) => {
+                shell.command(|dispatcher, _| dispatcher.answer_check(from, check));
+            }
             None => {}
         }
     }
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -135,6 +135,8 @@
             returning,
             prompt,
             history: History::default(),
+            origin: None,
+            only: None,
         }
     }
 
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -1,5 +1,6 @@
 //! One request of a caller: attempts at endpoints until there is an answer.
 
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use hyper::Response;
@@ -192,9 +193,12 @@
         let until = self.shell.clock.to_instant(self.admitted.deadline);
         match timeout_at(until, decision).await {
             Ok(Ok(Decision::Start {
-                endpoint, reason, ..
+                endpoint,
+                reason,
+                owner,
+                ..
             })) => {
-                self.note_sent(&endpoint, reason);
+                self.note_sent(&endpoint, reason, owner);
                 Ok(endpoint)
             }
             Ok(Ok(Decision::Refuse { refusal, .. })) => Err(self.refused(refusal.into())),
@@ -211,7 +215,12 @@
         }
     }
 
-    fn note_sent(&mut self, endpoint: &std::sync::Arc<Endpoint>, reason: Reason) {
+    fn note_sent(
+        &mut self,
+        endpoint: &std::sync::Arc<Endpoint>,
+        reason: Reason,
+        owner: Option<SocketAddrV4>,
+    ) {
         self.sent_at = self.shell.now();
         self.endpoint = Some(endpoint.clone());
         self.shell
@@ -227,6 +236,7 @@
             uncached: reason.uncached,
             unread: reason.unread,
             pace: (reason.pace * HUNDREDTHS).round() / HUNDREDTHS,
+            owner: &owner.map_or_else(|| "here".to_owned(), |owner| owner.to_string()),
         });
     }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -24,6 +24,7 @@
 use crate::headers::Headers;
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::peers;
 use crate::peers::reservations::Reservations;
 use crate::peers::transfer;
 use crate::upstream::Upstream;
@@ -60,6 +61,8 @@
     pub connections: Cell<usize>,
     /// Those that came after the node had begun to close.
     pub late_connections: Cell<usize>,
+    /// Messages to other nodes.
+    pub peers: peers::Sender,
     /// Questions to the owners of quotas.
     pub reservations: Reservations,
     /// Transfers of documents from and to other nodes.
@@ -92,6 +95,7 @@
             bodies: Arc::new(Semaphore::new(((memory.0 / BODIES_PART) >> 10) as usize)),
             connections: Cell::new(0),
             late_connections: Cell::new(0),
+            peers: peers::Sender::default(),
             reservations: Reservations::default(),
             transfers: transfer::Counts::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -174,12 +178,17 @@
         loop {
             let decisions = self.dispatcher.borrow_mut().take_decisions();
             if decisions.is_empty() {
-                return;
+                break;
             }
             for decision in decisions {
                 self.hand_over(decision);
             }
         }
+        let messages = self.dispatcher.borrow_mut().take_messages();
+        for (to, message) in messages {
+            self.metrics.lease(&message);
+            self.peers.send(to, &message);
+        }
     }
 
     fn hand_over(&self, decision: Decision) {
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -95,6 +95,7 @@
         running: 0,
         others: 0,
         oldest_ms: 0,
+        owner: "here",
         unread: 0,
         uncached: 0,
         pace: 1.0,
