feat: a long stream waits for an engine where it is over before its deadline

Now the events of a stream are expected from its caller's estimate and from what streams had before, and engines that would not be through are passed over as long as one of the cell would.

--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -20,6 +20,7 @@
 use crate::lease::Answer;
 use crate::lease::Lease;
 use crate::lease::Reply;
+use crate::lease::Seen;
 use crate::member::Owner;
 use crate::member::Scope;
 use crate::message::Message;
@@ -233,7 +234,7 @@
             lease.is_some_and(|lease| lease.owner == from && lease.number == reply.number)
         });
         if matches!(reply.answer, Answer::Granted { .. }) && !in_use {
-            self.report_ended(from, reply.number, End::Abandoned, None);
+            self.report_ended(from, reply.number, End::Abandoned, Seen::default());
         }
     }
 
@@ -251,12 +252,22 @@
         let worker = pool.worker_opt(endpoint);
         let job = question.job.or_else(|| pool.queue.remove(id));
         let Some(mut job) = job else {
-            self.report_ended(question.owner, question.number, End::Abandoned, None);
+            self.report_ended(
+                question.owner,
+                question.number,
+                End::Abandoned,
+                Seen::default(),
+            );
             return;
         };
         let Some(worker) = worker else {
             // The owner's list is newer than this node's.
-            self.report_ended(question.owner, question.number, End::Abandoned, None);
+            self.report_ended(
+                question.owner,
+                question.number,
+                End::Abandoned,
+                Seen::default(),
+            );
             self.push(now, id, job);
             self.place(now, &target);
             return;
@@ -265,7 +276,12 @@
         if !known.is_staying() {
             // This node's list is newer than the owner's.
             job.history.tried.push(known.endpoint.name.clone());
-            self.report_ended(question.owner, question.number, End::NotThere, None);
+            self.report_ended(
+                question.owner,
+                question.number,
+                End::NotThere,
+                Seen::default(),
+            );
             self.submit(now, id, job);
             return;
         }
@@ -369,7 +385,12 @@
     /// Takes a question back, with its request.
     pub(super) fn withdraw(&mut self, id: job::Id) -> Option<Question> {
         let question = self.questions.remove(&id)?;
-        self.report_ended(question.owner, question.number, End::Abandoned, None);
+        self.report_ended(
+            question.owner,
+            question.number,
+            End::Abandoned,
+            Seen::default(),
+        );
         Some(question)
     }
 
@@ -378,9 +399,9 @@
         owner: std::net::SocketAddrV4,
         number: u64,
         end: End,
-        step: Option<u32>,
+        seen: Seen,
     ) {
-        let event = lease::Event::Ended { end, step };
+        let event = lease::Event::Ended { end, seen };
         self.report(owner, number, event);
     }
 
@@ -404,7 +425,7 @@
         if leases.any(|lease| lease == asked) || questions.any(|question| question == asked) {
             self.report(from, check.number, lease::Event::Held);
         } else {
-            self.report_ended(from, check.number, End::Abandoned, None);
+            self.report_ended(from, check.number, End::Abandoned, Seen::default());
         }
     }
 
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -18,6 +18,7 @@
 use crate::lease::Event;
 use crate::lease::Origin;
 use crate::lease::Reply;
+use crate::lease::Seen;
 use crate::message::Message;
 
 /// Silence about a request of another node after which it is asked for.
@@ -62,7 +63,7 @@
                 self.answer_again(now, origin);
                 return;
             }
-            Some(_) => self.end_remote(now, origin, job::End::Abandoned, None),
+            Some(_) => self.end_remote(now, origin, job::End::Abandoned, Seen::default()),
             None => {}
         }
         let numbers = self.pools.iter();
@@ -121,7 +122,7 @@
         let pool = target.as_ref().and_then(|target| self.pools.get(target));
         let only = pool.and_then(|pool| pool.queue.get(id)?.only);
         if target.is_some_and(|target| !self.is_usable(now, &target, only)) {
-            self.end_remote(now, origin, job::End::Abandoned, None);
+            self.end_remote(now, origin, job::End::Abandoned, Seen::default());
             self.reply(origin, Answer::Denied);
             return;
         }
@@ -221,18 +222,12 @@
             Event::Held => {}
             Event::First => self.progress(now, id, 1),
             Event::Progress => self.progress(now, id, 0),
-            Event::Ended { end, step } => self.end_remote(now, origin, end, step),
+            Event::Ended { end, seen } => self.end_remote(now, origin, end, seen),
         }
     }
 
     /// Frees the slot of another node's request, or takes it out of the queue.
-    pub(super) fn end_remote(
-        &mut self,
-        now: Time,
-        origin: Origin,
-        end: job::End,
-        step: Option<u32>,
-    ) {
+    pub(super) fn end_remote(&mut self, now: Time, origin: Origin, end: job::End, seen: Seen) {
         let Some(remote) = self.remote.remove(&origin) else {
             return;
         };
@@ -244,8 +239,9 @@
         if let Some(pool) = self.pools.get_mut(&target) {
             pool.queue.remove(remote.id);
         }
-        if let Some(run) = self.runs.remove(&remote.id) {
-            self.learn_reported_step(now, &run, step);
+        if let Some(mut run) = self.runs.remove(&remote.id) {
+            run.shown = seen.events;
+            self.learn_reported_step(now, &run, seen.step);
             self.close(now, run, end);
         }
         self.place(now, &target);
@@ -270,7 +266,7 @@
             }
         }
         for origin in lost {
-            self.end_remote(now, origin, job::End::Abandoned, None);
+            self.end_remote(now, origin, job::End::Abandoned, Seen::default());
         }
         for origin in asked {
             let check = lease::Check {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -259,6 +259,8 @@
     first: Option<Time>,
     marked: Time,
     events: u32,
+    /// Events that it has shown.
+    shown: u32,
     /// When it last showed an event.
     last: Time,
     /// The shortest time between two of its events, in microseconds.
@@ -294,6 +296,16 @@
     }
 }
 
+/// How long streams are beside what their callers estimate.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lengths {
+    streams: u32,
+    /// Tokens that callers estimated.
+    estimated: f64,
+    /// Events that there were.
+    events: f64,
+}
+
 /// What one node knows of one service.
 #[derive(Debug)]
 struct Pool {
@@ -317,6 +329,9 @@
     longest_pause: f64,
     /// Usual time between two events of a stream, in microseconds.
     step: f64,
+    /// Events that streams were expected to have and had, newer ones counting
+    /// more.
+    lengths: Lengths,
     /// Usual time for reading one prompt token, in microseconds.
     prefill: f64,
     /// Usual time of a whole call, in microseconds.
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -52,6 +52,7 @@
             return;
         };
         pool.workers[run.worker].heard = now;
+        run.shown += events;
         let first = run.first.is_none();
         let told = match first {
             true => Some(lease::Event::First),
@@ -122,8 +123,11 @@
     /// Counts an attempt out and learns from how it ended.
     pub(super) fn close(&mut self, now: Time, run: Run, end: End) -> Job {
         if let Some(lease) = run.lease {
-            let step = run.step.map(|step| step as u32);
-            self.report_ended(lease.owner, lease.number, end, step);
+            let seen = lease::Seen {
+                events: run.shown,
+                step: run.step.map(|step| step as u32),
+            };
+            self.report_ended(lease.owner, lease.number, end, seen);
         }
         let Some(pool) = self.pools.get_mut(&run.job.target) else {
             return run.job;
@@ -136,6 +140,7 @@
             End::Whole => {
                 worker.succeed(now);
                 learn_call(pool, &run, now);
+                learn_length(pool, &run);
                 if run.job.origin.is_none() {
                     let took = now.since(run.job.arrived);
                     self.durations.learn(&run.job.route, took);
@@ -248,6 +253,12 @@
     worker.pace = (step / usual).clamp(PACE_LEAST, PACE_MOST);
 }
 
+fn learn_length(pool: &mut Pool, run: &Run) {
+    if let Some(estimated) = run.job.prompt.output_hint.filter(|_| run.shown > 0) {
+        pool.lengths.learn(estimated, run.shown);
+    }
+}
+
 fn learn_call(pool: &mut Pool, run: &Run, now: Time) {
     let micros = now.since(run.started).0 as f64;
     if !pool.engine {
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -127,6 +127,7 @@
     pub(super) fn cheapest(&self, now: Time, pool: &Pool, job: &Job, ahead: u32) -> Option<Choice> {
         let chain = warm::chain(&job.prompt.parts);
         let home = home(pool, &chain);
+        let slowest = pool.slowest_step_opt(now, job, &self.options.worker);
         let mut best: Option<Choice> = None;
         for (at, worker) in pool.workers.iter().enumerate() {
             let usable = worker.takes_work(now, &self.options.worker);
@@ -140,6 +141,11 @@
             if worker.busy() >= room(worker, ahead) {
                 continue;
             }
+            // Its stream would be cut off at its deadline, after holding a slot
+            // for all that time.
+            if slowest.is_some_and(|slowest| pool.step_of(worker) > slowest) {
+                continue;
+            }
             let choice = match pool.engine {
                 true => self.engine_choice(now, pool, at, job, &chain, home == Some(at)),
                 false => self.service_choice(pool, at, job),
@@ -300,6 +306,7 @@
             first: None,
             marked: now,
             events: 0,
+            shown: 0,
             last: now,
             step: None,
             lease,
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -3,6 +3,7 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use super::Lengths;
 use super::Pool;
 use crate::configuration::Rank;
 use crate::job::Job;
@@ -19,6 +20,30 @@
     pub pause: f64,
 }
 
+/// By how much a stream may be longer than expected: callers' estimates are right
+/// at the median and often far off.
+const LENGTH_MARGIN: f64 = 1.3;
+
+/// Streams seen before their lengths are believed.
+const LENGTHS_FROM: u32 = 20;
+
+/// What counts of what was seen before, when one more stream is.
+const LENGTHS_KEPT: f64 = 0.99;
+
+impl Lengths {
+    /// Counts a stream that was whole.
+    pub(super) fn learn(&mut self, estimated: u64, events: u32) {
+        self.streams = self.streams.saturating_add(1);
+        self.estimated = self.estimated * LENGTHS_KEPT + estimated as f64;
+        self.events = self.events * LENGTHS_KEPT + f64::from(events);
+    }
+
+    fn per_token_opt(&self) -> Option<f64> {
+        let known = self.streams >= LENGTHS_FROM && self.estimated > 0.0;
+        known.then(|| self.events / self.estimated)
+    }
+}
+
 impl Pool {
     /// Endpoints of this cell that take work now.
     pub(super) fn usable(&self, now: Time, options: &worker::Options) -> usize {
@@ -53,7 +78,7 @@
     /// What is expected of a request at an engine that has to read `unread`
     /// tokens of its prompt.
     pub(super) fn forecast(&self, worker: &Worker, unread: f64) -> Forecast {
-        let step = worker.step.unwrap_or(self.step);
+        let step = self.step_of(worker);
         let before = (worker.pending + worker.others_pending) as f64;
         let reading = self.prefill * worker.pace * (before + unread);
         Forecast {
@@ -68,6 +93,39 @@
         self.prefill * job.prompt.tokens as f64 + self.step
     }
 
+    /// Events that a stream is expected to have, by its caller's estimate; nothing
+    /// without one, or until enough streams were seen.
+    pub(super) fn events_opt(&self, job: &Job) -> Option<f64> {
+        let estimated = job.prompt.output_hint?;
+        self.lengths
+            .per_token_opt()
+            .map(|per_token| per_token * estimated as f64)
+    }
+
+    /// An engine's time between two events of a stream, in microseconds.
+    pub(super) fn step_of(&self, worker: &Worker) -> f64 {
+        worker.step.unwrap_or(self.step)
+    }
+
+    /// The time between two events beyond which a request's stream is not over
+    /// before its deadline, in microseconds. None where there is no such bound, or
+    /// where no usable engine of this cell keeps to it.
+    pub(super) fn slowest_step_opt(
+        &self,
+        now: Time,
+        job: &Job,
+        options: &worker::Options,
+    ) -> Option<f64> {
+        let events = self.events_opt(job)?;
+        let left = job.deadline.since(now).0 as f64 - self.first;
+        let most = left / (events * LENGTH_MARGIN).max(1.0);
+        let mut usable = self.workers.iter();
+        let keeps = usable.any(|worker| {
+            worker.own_cell && worker.takes_work(now, options) && self.step_of(worker) <= most
+        });
+        keeps.then_some(most)
+    }
+
     /// The time until one of an engine's slots is free for a further request.
     pub(super) fn slot_wait(&self, worker: &Worker) -> f64 {
         let slots = worker.endpoint.slots.max(1);
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -9,6 +9,7 @@
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
+use super::Lengths;
 use super::Pool;
 use crate::configuration::Configuration;
 use crate::endpoint;
@@ -221,6 +222,7 @@
         first: FIRST,
         longest_pause: LONGEST_PAUSE,
         step: STEP,
+        lengths: Lengths::default(),
         prefill: PREFILL,
         call: CALL,
     })
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -103,12 +103,20 @@
     Ended {
         /// How it ended.
         end: End,
-        /// The shortest time between two of its events that was seen, in
-        /// microseconds.
-        step: Option<u32>,
+        /// What was seen of its stream.
+        seen: Seen,
     },
 }
 
+/// What was seen of a stream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Its events.
+    pub events: u32,
+    /// The shortest time between two of them, in microseconds.
+    pub step: Option<u32>,
+}
+
 /// Asks whether a node still holds a slot that it was given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Check {
--- a/crates/dispatch/tests/dispatch/lease.rs
+++ b/crates/dispatch/tests/dispatch/lease.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::lease::Event;
 use woadstage_dispatch::lease::Reply;
 use woadstage_dispatch::lease::Report;
+use woadstage_dispatch::lease::Seen;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Status;
 use woadstage_types::code::Code;
@@ -272,7 +273,7 @@
 fn granted_after(owner: &mut Dispatcher, number: u64) -> Vec<SocketAddrV4> {
     let event = Event::Ended {
         end: End::Whole,
-        step: None,
+        seen: Seen::default(),
     };
     owner.take_report(at(9), node(50), Report { number, event });
     let messages = owner.take_messages().into_iter();
--- a/crates/dispatch/tests/dispatch/predict.rs
+++ b/crates/dispatch/tests/dispatch/predict.rs
@@ -165,3 +165,60 @@
     let expected = [late, fresh][first];
     assert_eq!(starts(&mut dispatcher), [(expected, "e".to_owned())]);
 }
+
+/// A stream whose caller estimates its tokens.
+fn estimated(millis: u64, tokens: u64) -> Job {
+    let job = routine(millis, 100);
+    Job {
+        prompt: Prompt {
+            output_hint: Some(tokens),
+            ..job.prompt.clone()
+        },
+        ..job
+    }
+}
+
+/// When lengths are known as well.
+const LENGTHS_KNOWN: u64 = KNOWN + 20_000;
+
+/// Ends so many streams that had one event for ten estimated tokens.
+fn learn_lengths(dispatcher: &mut Dispatcher, streams: u64) {
+    for number in 0..streams {
+        let begin = KNOWN + number * 12 * FAST;
+        let stream = dispatcher.enter(at(begin), estimated(begin, 100));
+        for event in 1..=10 {
+            dispatcher.progress(at(begin + event * FAST), stream, 1);
+        }
+        dispatcher.end(at(begin + 11 * FAST), stream, End::Whole);
+    }
+    starts(dispatcher);
+}
+
+/// A stream of 100 events takes 1.6 s on the fast engine and 7 s on the slow one;
+/// its caller gives it up after 8 s, and estimates are off by a third or so.
+#[rstest]
+#[case::over_in_time_on_any(300, 40, "slow")]
+#[case::cut_off_on_the_slow_one(1_000, 40, "")]
+#[case::cut_off_on_both(10_000, 40, "slow")]
+#[case::lengths_are_not_known_yet(1_000, 5, "slow")]
+fn a_long_stream_waits_for_an_engine_where_it_is_over_in_time(
+    #[case] tokens: u64,
+    #[case] streams: u64,
+    #[case] engine: &str,
+) {
+    let mut dispatcher = unlike_engines(Policy::default());
+    learn_lengths(&mut dispatcher, streams);
+    // Keeps the fast engine busy.
+    let short = dispatcher.enter(at(LENGTHS_KNOWN), estimated(LENGTHS_KNOWN, 10));
+    assert_eq!(starts(&mut dispatcher), [(short, "fast".to_owned())]);
+    let long = dispatcher.enter(at(LENGTHS_KNOWN + 1), estimated(LENGTHS_KNOWN + 1, tokens));
+    let sent: Vec<String> = starts(&mut dispatcher)
+        .into_iter()
+        .map(|(_, engine)| engine)
+        .collect();
+    assert_eq!(sent.concat(), engine);
+    dispatcher.end(at(LENGTHS_KNOWN + 50), short, End::Whole);
+    if engine.is_empty() {
+        assert_eq!(starts(&mut dispatcher), [(long, "fast".to_owned())]);
+    }
+}
