--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -105,13 +105,22 @@
             true => job.patience.0 as f64,
             false => job.objective.0 as f64 * self.options.policy.refuse_beyond,
         };
-        (wait.0 as f64 > most).then(|| Refusal {
+        let expected = (wait + self.usual_first(job)).0 as f64;
+        (wait > Span::ZERO && expected > most).then(|| Refusal {
             code: Code::TooLate,
             retry_after: Some(self.come_back_late(left)),
             wait: Some(wait),
         })
     }
 
+    /// The time that an engine usually takes to the first event once it has a
+    /// request; none at a plain service, whose callers wait for the whole answer.
+    fn usual_first(&self, job: &Job) -> Span {
+        let pool = self.pools.get(&job.target);
+        let engine = pool.filter(|pool| pool.engine);
+        engine.map_or(Span::ZERO, |pool| Span(pool.first as u64))
+    }
+
     /// The time until a newcomer of this rank would start, if those before it
     /// went on starting as fast as lately. Starts count only since something has
     /// waited: before, they tell how many requests came, not how many could
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -49,7 +49,8 @@
             return;
         }
         if pool.engine && self.options.policy.late_last {
-            let first = Span(pool.step as u64);
+            // One whose first event would be late is late already.
+            let first = Span(pool.first as u64);
             pool.queue.demote_late(now + first);
         }
         for worker in &mut pool.workers {
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -33,6 +33,9 @@
 /// How long a message is on its way.
 const WAY: Span = Span::from_millis(1);
 
+/// How long an endpoint takes to the first event of an answer.
+const FIRST_AFTER: Span = Span::from_millis(20);
+
 /// The shape of a fleet.
 #[derive(Debug, Clone)]
 pub struct Shape {
@@ -65,6 +68,7 @@
         node: u16,
         job: Box<Job>,
     },
+    First(u16, job::Id),
     Done(u16, job::Id, id::Endpoint),
 }
 
@@ -252,6 +256,12 @@
                 self.seen.insert((node, id), seen);
                 self.settle(node);
             }
+            Event::First(node, id) => {
+                if let Some(dispatcher) = self.nodes.get_mut(&node) {
+                    dispatcher.progress(now, id, 1);
+                    self.settle(node);
+                }
+            }
             Event::Done(node, id, endpoint) => self.finish(node, id, &endpoint),
         }
     }
@@ -322,6 +332,7 @@
         // Calls differ in length by as much as they take at the least.
         let spread = hash::chain(id.0, &node.to_le_bytes()) % self.shape.call.0;
         let call = Span(self.shape.call.0 / 2 + spread);
+        self.plan(self.now + FIRST_AFTER, Event::First(node, id));
         self.plan(self.now + call, Event::Done(node, id, endpoint.clone()));
     }
 
@@ -329,7 +340,6 @@
         let engine = self.engines.get_mut(endpoint).expect("it runs there");
         engine.running -= 1;
         if let Some(dispatcher) = self.nodes.get_mut(&node) {
-            dispatcher.progress(self.now, id, 1);
             dispatcher.end(self.now, id, End::Whole);
             self.settle(node);
         }
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -330,3 +330,20 @@
         assert_eq!(place_of_last(&[part, 98, 99, 100, part]), first);
     }
 }
+
+/// Two wait for one slot, 40 ms each; an engine takes 150 ms more to a first event.
+#[rstest]
+#[case::an_engine_would_be_late(MODEL, true)]
+#[case::a_plain_service_would_not(SERVICE, false)]
+fn a_newcomer_is_judged_by_when_its_first_event_comes(#[case] target: &str, #[case] refused: bool) {
+    let mut dispatcher = dispatcher(&[endpoint("e", target, 1)]);
+    for _ in 0..3 {
+        dispatcher.enter(at(0), job(target, 2, at(0)));
+    }
+    let newcomer = Job {
+        objective: Span::from_millis(200),
+        ..job(target, 2, at(1))
+    };
+    dispatcher.enter(at(1), newcomer);
+    assert_eq!(refusals(&mut dispatcher).len(), usize::from(refused));
+}
