--- /dev/null
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -0,0 +1,156 @@
+//! What becomes of an owner's answers about slots.
+
+use std::net::SocketAddrV4;
+
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Choice;
+use super::Decision;
+use super::Dispatcher;
+use super::Reason;
+use crate::job;
+use crate::job::End;
+use crate::lease;
+use crate::lease::Answer;
+use crate::lease::Lease;
+use crate::lease::Reply;
+use crate::lease::Seen;
+
+/// How long an endpoint is left alone whose owner had no use for a request.
+const UNUSABLE_FOR: Span = Span::from_millis(200);
+
+impl Dispatcher {
+    /// Takes an owner's answer.
+    pub fn take_reply(&mut self, now: Time, from: SocketAddrV4, reply: Reply) {
+        let mut questions = self.questions.iter();
+        let found = questions
+            .find(|(_, question)| question.number == reply.number && question.owner == from);
+        let Some(id) = found.map(|(id, _)| *id) else {
+            self.return_unwanted(from, &reply);
+            return;
+        };
+        match reply.answer {
+            Answer::Waiting => {
+                if let Some(question) = self.questions.get_mut(&id) {
+                    question.unanswered = 0;
+                }
+            }
+            Answer::Granted { endpoint, reason } => self.use_slot(now, id, endpoint, reason),
+            Answer::Refused(refusal) => {
+                self.questions.remove(&id);
+                self.places.remove(&id);
+                self.decisions.push(Decision::Refuse { job: id, refusal });
+            }
+            Answer::Denied => self.take_denial(now, id),
+        }
+    }
+
+    /// Gives a slot back that nobody here waits for any more.
+    fn return_unwanted(&mut self, from: SocketAddrV4, reply: &Reply) {
+        let in_use = self.runs.values().any(|run| {
+            let lease = run.lease;
+            lease.is_some_and(|lease| lease.owner == from && lease.number == reply.number)
+        });
+        if matches!(reply.answer, Answer::Granted { .. }) && !in_use {
+            self.report_ended(from, reply.number, End::Abandoned, Seen::default());
+        }
+    }
+
+    fn use_slot(&mut self, now: Time, id: job::Id, endpoint: u32, reason: Reason) {
+        let Some(question) = self.questions.remove(&id) else {
+            return;
+        };
+        let target = self.places.get(&id).cloned();
+        let pool = target
+            .as_ref()
+            .and_then(|target| self.pools.get_mut(target));
+        let Some((pool, target)) = pool.zip(target) else {
+            return;
+        };
+        let worker = pool.worker_opt(endpoint);
+        let job = question.job.or_else(|| pool.queue.remove(id));
+        let Some(mut job) = job else {
+            self.report_ended(
+                question.owner,
+                question.number,
+                End::Abandoned,
+                Seen::default(),
+            );
+            return;
+        };
+        let Some(worker) = worker else {
+            // The owner's list is newer than this node's.
+            self.report_ended(
+                question.owner,
+                question.number,
+                End::Abandoned,
+                Seen::default(),
+            );
+            self.push(now, id, job);
+            self.place(now, &target);
+            return;
+        };
+        let known = &pool.workers[worker];
+        if !known.is_staying() {
+            // This node's list is newer than the owner's.
+            job.history.tried.push(known.endpoint.name.clone());
+            self.report_ended(
+                question.owner,
+                question.number,
+                End::NotThere,
+                Seen::default(),
+            );
+            self.submit(now, id, job);
+            return;
+        }
+        let incarnation = self.members.incarnation_opt(now, question.owner);
+        let lease = Lease {
+            owner: question.owner,
+            incarnation: incarnation.unwrap_or(0),
+            number: question.number,
+        };
+        let choice = Choice {
+            uncached: reason.uncached,
+            ..Choice::of(worker)
+        };
+        self.run(now, id, job, choice, Some(lease), reason);
+    }
+
+    /// Asks elsewhere, or decides here, after an owner had no slot to give.
+    fn take_denial(&mut self, now: Time, id: job::Id) {
+        let Some(question) = self.questions.remove(&id) else {
+            return;
+        };
+        let Some(job) = question.job else {
+            self.denied.insert(question.owner, now);
+            return;
+        };
+        let pool = self.pools.get_mut(&job.target);
+        let worker = pool.zip(question.endpoint).and_then(|(pool, endpoint)| {
+            let at = pool.worker_opt(endpoint)?;
+            pool.workers.get_mut(at)
+        });
+        match worker {
+            Some(worker) => {
+                worker.rests_until = worker.rests_until.max(now + UNUSABLE_FOR);
+                self.submit(now, id, job);
+            }
+            None => self.enqueue(now, id, job),
+        }
+    }
+
+    /// Tells an owner that asks whether a request still has its slot.
+    pub fn answer_check(&mut self, from: SocketAddrV4, check: lease::Check) {
+        let runs = self.runs.values().filter_map(|run| run.lease);
+        let mut leases = runs.map(|lease| (lease.owner, lease.number));
+        let questions = self.questions.values();
+        let mut questions = questions.map(|question| (question.owner, question.number));
+        let asked = (from, check.number);
+        if leases.any(|lease| lease == asked) || questions.any(|question| question == asked) {
+            self.report(from, check.number, lease::Event::Held);
+        } else {
+            self.report_ended(from, check.number, End::Abandoned, Seen::default());
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -1,5 +1,7 @@
 //! Slots that another node owns: which node is asked for a request's slot, and
-//! what becomes of its answers.
+//! for how long.
+
+use std::net::SocketAddrV4;
 
 use woadstage_types::code::Code;
 use woadstage_types::hash;
@@ -7,19 +9,12 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
-use super::Choice;
-use super::Decision;
 use super::Dispatcher;
 use super::Pool;
-use super::Reason;
 use crate::job;
 use crate::job::End;
-use crate::job::History;
 use crate::job::Job;
 use crate::lease;
-use crate::lease::Answer;
-use crate::lease::Lease;
-use crate::lease::Reply;
 use crate::lease::Seen;
 use crate::member::Owner;
 use crate::member::Scope;
@@ -38,35 +33,26 @@
 /// owner's end shows.
 const RENEW_EVERY: Span = Span::from_millis(250);
 
-/// Open questions of one service for slots of other cells.
-const SPARE_MOST: usize = 8;
-
-/// How long a cell that had no slot to spare is not asked again.
-const DENIED_FOR: Span = Span::from_millis(200);
-
-/// How long an endpoint is left alone whose owner had no use for a request.
-const UNUSABLE_FOR: Span = Span::from_millis(200);
-
 /// A request of this node for which an owner was asked for a slot.
 #[derive(Debug)]
 pub(super) struct Question {
     /// Names it to the owner.
-    number: u64,
-    owner: std::net::SocketAddrV4,
+    pub number: u64,
+    pub owner: SocketAddrV4,
     /// The endpoint that it is about, where its owner has just that one.
-    endpoint: Option<u32>,
+    pub endpoint: Option<u32>,
     /// When it was last asked.
     asked: Time,
     /// How often it was asked since there was an answer.
-    unanswered: u32,
+    pub unanswered: u32,
     /// The request; none where it waits in this node's own queue as well.
-    job: Option<Job>,
+    pub job: Option<Job>,
 }
 
 /// Who is asked for a slot.
-struct Asked {
-    owner: std::net::SocketAddrV4,
-    endpoint: Option<u32>,
+pub(super) struct Asked {
+    pub owner: SocketAddrV4,
+    pub endpoint: Option<u32>,
 }
 
 /// Where a request's slot is decided.
@@ -154,7 +140,7 @@
 
     /// Asks an owner for a slot. Without the request itself, which then waits
     /// here as well, only for one that is to spare.
-    fn ask(&mut self, now: Time, id: job::Id, asked: Asked, job: Option<Job>) {
+    pub(super) fn ask(&mut self, now: Time, id: job::Id, asked: Asked, job: Option<Job>) {
         self.next_question += 1;
         let question = Question {
             number: self.next_question,
@@ -202,125 +188,6 @@
         self.outbox.push((question.owner, message));
     }
 
-    /// Takes an owner's answer.
-    pub fn take_reply(&mut self, now: Time, from: std::net::SocketAddrV4, reply: Reply) {
-        let mut questions = self.questions.iter();
-        let found = questions
-            .find(|(_, question)| question.number == reply.number && question.owner == from);
-        let Some(id) = found.map(|(id, _)| *id) else {
-            self.return_unwanted(from, &reply);
-            return;
-        };
-        match reply.answer {
-            Answer::Waiting => {
-                if let Some(question) = self.questions.get_mut(&id) {
-                    question.unanswered = 0;
-                }
-            }
-            Answer::Granted { endpoint, reason } => self.use_slot(now, id, endpoint, reason),
-            Answer::Refused(refusal) => {
-                self.questions.remove(&id);
-                self.places.remove(&id);
-                self.decisions.push(Decision::Refuse { job: id, refusal });
-            }
-            Answer::Denied => self.take_denial(now, id),
-        }
-    }
-
-    /// Gives a slot back that nobody here waits for any more.
-    fn return_unwanted(&mut self, from: std::net::SocketAddrV4, reply: &Reply) {
-        let in_use = self.runs.values().any(|run| {
-            let lease = run.lease;
-            lease.is_some_and(|lease| lease.owner == from && lease.number == reply.number)
-        });
-        if matches!(reply.answer, Answer::Granted { .. }) && !in_use {
-            self.report_ended(from, reply.number, End::Abandoned, Seen::default());
-        }
-    }
-
-    fn use_slot(&mut self, now: Time, id: job::Id, endpoint: u32, reason: Reason) {
-        let Some(question) = self.questions.remove(&id) else {
-            return;
-        };
-        let target = self.places.get(&id).cloned();
-        let pool = target
-            .as_ref()
-            .and_then(|target| self.pools.get_mut(target));
-        let Some((pool, target)) = pool.zip(target) else {
-            return;
-        };
-        let worker = pool.worker_opt(endpoint);
-        let job = question.job.or_else(|| pool.queue.remove(id));
-        let Some(mut job) = job else {
-            self.report_ended(
-                question.owner,
-                question.number,
-                End::Abandoned,
-                Seen::default(),
-            );
-            return;
-        };
-        let Some(worker) = worker else {
-            // The owner's list is newer than this node's.
-            self.report_ended(
-                question.owner,
-                question.number,
-                End::Abandoned,
-                Seen::default(),
-            );
-            self.push(now, id, job);
-            self.place(now, &target);
-            return;
-        };
-        let known = &pool.workers[worker];
-        if !known.is_staying() {
-            // This node's list is newer than the owner's.
-            job.history.tried.push(known.endpoint.name.clone());
-            self.report_ended(
-                question.owner,
-                question.number,
-                End::NotThere,
-                Seen::default(),
-            );
-            self.submit(now, id, job);
-            return;
-        }
-        let incarnation = self.members.incarnation_opt(now, question.owner);
-        let lease = Lease {
-            owner: question.owner,
-            incarnation: incarnation.unwrap_or(0),
-            number: question.number,
-        };
-        let choice = Choice {
-            uncached: reason.uncached,
-            ..Choice::of(worker)
-        };
-        self.run(now, id, job, choice, Some(lease), reason);
-    }
-
-    /// Asks elsewhere, or decides here, after an owner had no slot to give.
-    fn take_denial(&mut self, now: Time, id: job::Id) {
-        let Some(question) = self.questions.remove(&id) else {
-            return;
-        };
-        let Some(job) = question.job else {
-            self.denied.insert(question.owner, now);
-            return;
-        };
-        let pool = self.pools.get_mut(&job.target);
-        let worker = pool.zip(question.endpoint).and_then(|(pool, endpoint)| {
-            let at = pool.worker_opt(endpoint)?;
-            pool.workers.get_mut(at)
-        });
-        match worker {
-            Some(worker) => {
-                worker.rests_until = worker.rests_until.max(now + UNUSABLE_FOR);
-                self.submit(now, id, job);
-            }
-            None => self.enqueue(now, id, job),
-        }
-    }
-
     /// Repeats questions that were not answered, and turns to other owners where
     /// one does not answer or owns the slots no longer.
     pub(super) fn renew_questions(&mut self, now: Time) {
@@ -394,86 +261,16 @@
         Some(question)
     }
 
-    pub(super) fn report_ended(
-        &mut self,
-        owner: std::net::SocketAddrV4,
-        number: u64,
-        end: End,
-        seen: Seen,
-    ) {
+    pub(super) fn report_ended(&mut self, owner: SocketAddrV4, number: u64, end: End, seen: Seen) {
         let event = lease::Event::Ended { end, seen };
         self.report(owner, number, event);
     }
 
-    pub(super) fn report(
-        &mut self,
-        owner: std::net::SocketAddrV4,
-        number: u64,
-        event: lease::Event,
-    ) {
+    pub(super) fn report(&mut self, owner: SocketAddrV4, number: u64, event: lease::Event) {
         let report = lease::Report { number, event };
         self.outbox.push((owner, Message::Report(report)));
     }
 
-    /// Tells an owner that asks whether a request still has its slot.
-    pub fn answer_check(&mut self, from: std::net::SocketAddrV4, check: lease::Check) {
-        let runs = self.runs.values().filter_map(|run| run.lease);
-        let mut leases = runs.map(|lease| (lease.owner, lease.number));
-        let questions = self.questions.values();
-        let mut questions = questions.map(|question| (question.owner, question.number));
-        let asked = (from, check.number);
-        if leases.any(|lease| lease == asked) || questions.any(|question| question == asked) {
-            self.report(from, check.number, lease::Event::Held);
-        } else {
-            self.report_ended(from, check.number, End::Abandoned, Seen::default());
-        }
-    }
-
-    /// Asks other cells for slots to spare, for requests at the head of the
-    /// queue that found none in this cell for a while.
-    pub(super) fn seek_spare(&mut self, now: Time, target: &id::Target) {
-        let Some(pool) = self.pools.get(target) else {
-            return;
-        };
-        if self.members.cell().whole || pool.shared || pool.queue.is_empty() {
-            return;
-        }
-        let questions = self.questions.iter();
-        let open = questions
-            .filter(|(id, question)| question.job.is_none() && self.places.get(id) == Some(target));
-        let most = SPARE_MOST.saturating_sub(open.count());
-        let without = pool.usable(now, &self.options.worker) == 0;
-        let own_cell_for = self.options.policy.own_cell_for;
-        let waiting = pool.queue.iter().take(self.options.policy.look_ahead);
-        let seeking = waiting.filter(|(id, job)| {
-            let waited = without || now.since(job.arrived) >= own_cell_for;
-            waited && !self.questions.contains_key(id)
-        });
-        let seeking: Vec<job::Id> = seeking.map(|(id, _)| id).take(most).collect();
-        if seeking.is_empty() {
-            return;
-        }
-        let key = u64::from(pool.number);
-        self.denied
-            .retain(|_, denied| now.since(*denied) < DENIED_FOR);
-        let owners = self.members.other_owners(now, key, self.next_question);
-        let mut owners = owners
-            .into_iter()
-            .filter(|owner| !self.denied.contains_key(owner))
-            .collect::<Vec<_>>()
-            .into_iter();
-        for id in seeking {
-            let Some(owner) = owners.next() else {
-                return;
-            };
-            let asked = Asked {
-                owner,
-                endpoint: None,
-            };
-            self.ask(now, id, asked, None);
-        }
-    }
-
     /// Puts requests in another queue that wait here for one endpoint which takes
     /// no work any more. Other nodes' are denied when they next ask.
     pub(super) fn resubmit_stuck(&mut self, now: Time, target: &id::Target) {
@@ -492,10 +289,4 @@
             self.submit(now, id, Job { only: None, ..job });
         }
     }
-
-    /// True for a request that comes for the first time, so that it may be
-    /// refused at the door.
-    pub(super) fn is_newcomer(job: &Job) -> bool {
-        job.history == History::default()
-    }
 }
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -13,6 +13,7 @@
 use super::publish::pool;
 use crate::configuration::Rank;
 use crate::job;
+use crate::job::History;
 use crate::job::Job;
 use crate::lease::Answer;
 use crate::lease::Origin;
@@ -190,4 +191,10 @@
         let wait = wait.max(COME_BACK_LEAST);
         Span(wait.0 + wait.0 * spread / 4_000).min(most)
     }
+
+    /// True for a request that comes for the first time, so that it may be
+    /// refused at the door.
+    pub(super) fn is_newcomer(job: &Job) -> bool {
+        job.history == History::default()
+    }
 }
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -8,7 +8,6 @@
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
-use super::Pool;
 use super::Reason;
 use crate::job;
 use crate::job::History;
@@ -31,10 +30,6 @@
 /// The same where it waits: then its node asks many times a second.
 const WITHDRAWN_AFTER: Span = Span::from_millis(1_000);
 
-/// The part of a cell's usable slots that is not given to other cells, so that
-/// the cell's own next requests need not wait.
-const KEPT_PART: f64 = 0.1;
-
 /// A request of another node that waits here, or has a slot of this node's.
 #[derive(Debug)]
 pub(super) struct Remote {
@@ -162,34 +157,6 @@
         }
     }
 
-    /// Gives another cell a slot that this one does not need now.
-    fn lend_spare(&mut self, now: Time, id: job::Id, job: Job, remote: Remote) {
-        let Some(origin) = job.origin else {
-            return;
-        };
-        let pool = self.pools.get(&job.target);
-        let choice = pool
-            .filter(|pool| self.has_spare(now, pool, &job))
-            .and_then(|pool| self.cheapest(now, pool, &job, 0));
-        let Some(choice) = choice.filter(|_| !self.leaving) else {
-            self.reply(origin, Answer::Denied);
-            return;
-        };
-        self.remote.insert(origin, remote);
-        self.places.insert(id, job.target.clone());
-        self.start(now, id, job, choice);
-    }
-
-    fn has_spare(&self, now: Time, pool: &Pool, job: &Job) -> bool {
-        let mut ranks = pool.queue.counts();
-        if ranks.any(|(rank, _)| rank <= job.rank) {
-            return false;
-        }
-        let usable = pool.usable_slots(now, &self.options.worker);
-        let free = self.free_slots(now, pool);
-        f64::from(free) > f64::from(usable) * KEPT_PART
-    }
-
     /// Tells the node that has a request what became of it.
     pub(super) fn reply(&mut self, origin: Origin, answer: Answer) {
         let reply = Reply {
