--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -68,7 +68,12 @@
 
 /// Each request was sent or refused once, and no slot stays taken.
 fn assert_all_over(world: &mut World) {
-    world.run_for(Span::from_secs(20));
+    assert_all_over_within(world, Span::from_secs(20));
+}
+
+/// The same after so long.
+fn assert_all_over_within(world: &mut World, span: Span) {
+    world.run_for(span);
     for (name, seen) in &world.seen {
         assert_eq!(seen.decided, 1, "{name:?} {seen:?}");
     }
@@ -189,3 +194,56 @@
     assert!(in_time >= 0.95, "{in_time}");
     assert_all_over(&mut world);
 }
+
+#[test]
+fn nodes_that_are_cut_off_decide_alone_and_join_again() {
+    let mut world = World::start(shape());
+    let nodes = all_nodes(&world);
+    load(&mut world, MODEL, 160, Span::from_secs(12), &nodes);
+    world.run_for(Span::from_secs(2));
+    world.cut_off = nodes.iter().copied().filter(|node| node % 6 == 0).collect();
+    let cut_at = world.now;
+    world.run_for(Span::from_secs(5));
+    world.cut_off.clear();
+    let healed_at = world.now;
+    world.run_for(Span::from_secs(5));
+    let during = world.between(cut_at, healed_at);
+    assert!(share(&during, is_in_time) >= 0.95);
+    let after = world.between(healed_at + Span::from_secs(3), world.now);
+    let queued = share(&after, |one| one.queued);
+    assert!(queued <= 0.01, "{queued}");
+    assert_all_over(&mut world);
+}
+
+/// The fleet of five data centres, half of whose nodes lose power at once.
+#[test]
+fn half_of_a_fleet_of_295_dies_and_returns() {
+    let mut world = World::start(Shape {
+        nodes: 59,
+        centres: 5,
+        endpoints: 32,
+        slots: 6,
+        ..shape()
+    });
+    let nodes = all_nodes(&world);
+    let (killed, left): (Vec<u16>, Vec<u16>) = nodes
+        .iter()
+        .partition(|node| (**node / 5).is_multiple_of(2));
+    // A third of what the endpoints can do.
+    load(&mut world, MODEL, 800, Span::from_secs(4), &left);
+    world.run_for(SECOND);
+    for node in &killed {
+        world.kill(*node);
+    }
+    let at = world.now;
+    world.run_for(SECOND);
+    for node in &killed {
+        world.boot(*node, 2);
+    }
+    world.run_for(Span::from_secs(2));
+    let seen = world.between(at, world.now);
+    let in_time = share(&seen, is_in_time);
+    assert!(in_time >= 0.95, "{in_time}");
+    // What runs is over by then, and what was lost is asked for.
+    assert_all_over_within(&mut world, Span::from_secs(5));
+}
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -107,6 +108,8 @@
     pub now: Time,
     /// Requests by node and name there.
     pub seen: HashMap<(u16, job::Id), Seen>,
+    /// Nodes whose messages reach nobody, and whom none reach.
+    pub cut_off: BTreeSet<u16>,
     /// Messages that were sent, but for statuses.
     pub messages: usize,
 }
@@ -133,6 +136,7 @@
             next: 0,
             now: at(0),
             seen: HashMap::new(),
+            cut_off: BTreeSet::new(),
             messages: 0,
             shape,
         };
@@ -292,6 +296,9 @@
             return;
         }
         let to = to_node(to);
+        if self.cut_off.contains(&from) || self.cut_off.contains(&to) {
+            return;
+        }
         self.plan(self.now + WAY, Event::Message { from, to, message });
     }
 
