--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -98,6 +98,9 @@
     assert!(queued <= 0.01, "{queued}");
     assert!(share(&seen, is_in_time) >= 0.98);
     assert_all_over(&mut world);
+    // A question, a slot, the first event and the end; some wait, and ask again.
+    let each = world.messages as f64 / seen.len() as f64;
+    assert!(each <= 5.0, "{each} messages a request");
 }
 
 #[test]
--- a/crates/dispatch/tests/dispatch/lease.rs
+++ b/crates/dispatch/tests/dispatch/lease.rs
@@ -10,6 +10,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::job::Part;
 use woadstage_dispatch::lease;
 use woadstage_dispatch::lease::Answer;
 use woadstage_dispatch::lease::Check;
@@ -392,3 +393,35 @@
         "{answers:?}"
     );
 }
+
+#[test]
+fn messages_about_a_slot_are_short() {
+    let size = |message: &Message| {
+        let bytes = postcard::to_extend(message, Vec::new());
+        bytes.expect("it can be written").len()
+    };
+    let (_, _, mut request) = asking();
+    request.prompt.tokens = 2_890;
+    request.prompt.output = 2_670;
+    request.prompt.parts = vec![
+        Part {
+            id: u64::MAX,
+            tokens: 900,
+        };
+        5
+    ];
+    let granted = granted(&request, "e3");
+    let ended = Report {
+        number: 700,
+        event: Event::Ended {
+            end: End::Whole,
+            seen: Seen {
+                events: 40,
+                step: Some(37_000),
+            },
+        },
+    };
+    assert!(size(&Message::Lease(Box::new(request))) <= 100);
+    assert!(size(&Message::Leased(granted)) <= 30);
+    assert!(size(&Message::Report(ended)) <= 12);
+}
