refactor: one holder of the socket to other nodes

Reservations and the sender of messages about slots each held the peers' socket and were each told of it. Reservations now asks through the sender and keeps its open questions alone; what was not used is released through the sender.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Other nodes. Statuses go by datagram, since each holds all it speaks of and
 //! a lost one is made up for by the next, and so do questions to the owners of
-//! quotas and of slots, which another answers where one does not. What the platform published goes by
-//! stream, to nodes that have not read it themselves.
+//! quotas and of slots, which another answers where one does not. What the platform
+//! published goes by stream, to nodes that have not read it themselves.
 //!
 //! * [`catch_up`]: when to take documents, and from whom.
 //! * [`transfer`]: documents on their way.
@@ -67,6 +67,15 @@
             send(socket, to, message);
         }
     }
+
+    /// Sends a message that somebody waits for, as soon as the system takes it.
+    /// Nothing where it cannot be sent.
+    pub async fn try_send(&self, to: SocketAddrV4, message: &Message) -> Option<()> {
+        let socket = self.socket.get()?;
+        let datagram = to_datagram(message).ok()?;
+        socket.send_to(&datagram, to).await.ok()?;
+        Some(())
+    }
 }
 
 /// Takes in what other nodes say, for as long as the process runs.
--- a/crates/gateway/src/peers/reservations.rs
+++ b/crates/gateway/src/peers/reservations.rs
@@ -1,20 +1,18 @@
 //! Questions to the owners of customers' quotas, and those who wait for answers.
 
-use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
-use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use woadstage_dispatch::message::Message;
-use woadstage_dispatch::message::Release;
 use woadstage_dispatch::message::Reserve;
 use woadstage_dispatch::message::Reserved;
 use woadstage_dispatch::message::Verdict;
 
+use super::Sender;
+
 /// How long an owner's answer is waited for: many times the way there and back
 /// within a region, and little beside any objective.
 const ANSWER_WITHIN: Duration = Duration::from_millis(60);
@@ -22,7 +20,6 @@
 /// Questions that are open.
 #[derive(Default)]
 pub struct Reservations {
-    socket: OnceCell<Rc<UdpSocket>>,
     open: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
 }
 
@@ -39,24 +36,22 @@
 }
 
 impl Reservations {
-    /// Says through which socket to ask; until then nobody answers.
-    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
-        // A process has one such socket for all its life.
-        let _ = self.socket.set(socket);
-    }
-
     /// Asks an owner; nothing where it does not answer in time.
-    pub async fn ask(&self, owner: SocketAddrV4, reserve: Reserve) -> Option<Verdict> {
-        let socket = self.socket.get()?;
+    pub async fn ask(
+        &self,
+        peers: &Sender,
+        owner: SocketAddrV4,
+        reserve: Reserve,
+    ) -> Option<Verdict> {
         let (sender, receiver) = oneshot::channel();
         self.open.borrow_mut().insert(reserve.number, sender);
         let _question = Question {
             number: reserve.number,
             reservations: self,
         };
-        let datagram = super::to_datagram(&Message::Reserve(reserve)).ok()?;
+        let question = Message::Reserve(reserve);
         let asking = async {
-            socket.send_to(&datagram, owner).await.ok()?;
+            peers.try_send(owner, &question).await?;
             receiver.await.ok()
         };
         tokio::time::timeout(ANSWER_WITHIN, asking).await.ok()?
@@ -70,14 +65,6 @@
         }
     }
 
-    /// Tells an owner what was not used. Where that is lost, the customer may
-    /// use so much less.
-    pub fn release(&self, owner: SocketAddrV4, release: Release) {
-        if let Some(socket) = self.socket.get() {
-            super::send(socket, owner, &Message::Release(release));
-        }
-    }
-
     /// Questions that are open.
     pub fn len(&self) -> usize {
         self.open.borrow().len()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -82,7 +82,6 @@
     let socket = UdpSocket::bind(settings.peers).await;
     let socket = Rc::new(socket.with_context(|| format!("listen on {}", settings.peers))?);
     shell.peers.set_socket(socket.clone());
-    shell.reservations.set_socket(socket.clone());
     let transfers = listen(settings.peers).await?;
     let ready = listen(settings.ready).await?;
     let metrics = listen(settings.metrics).await?;
--- a/crates/gateway/src/serve/charge.rs
+++ b/crates/gateway/src/serve/charge.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 
 use woadstage_dispatch::dispatcher::Charge;
+use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Verdict;
 use woadstage_dispatch::quota::Demand;
 use woadstage_dispatch::quota::Denied;
@@ -54,7 +55,7 @@
         shell.command(|dispatcher, now| dispatcher.charge(now, customer, demand, left()));
     let mut charged = Charged::Here;
     while let Charge::Ask(owner, reserve) = charge {
-        let verdict = shell.reservations.ask(owner, reserve).await;
+        let verdict = shell.reservations.ask(&shell.peers, owner, reserve).await;
         shell.metrics.reserved(verdict.as_ref());
         charged = match verdict {
             Some(Verdict::Granted | Verdict::Denied(_)) => Charged::By(owner),
@@ -108,6 +109,7 @@
     };
     let told = shell.command(|dispatcher, _| dispatcher.give_back(customer, units, owner));
     if let Some((owner, release)) = told {
-        shell.reservations.release(owner, release);
+        // Where that is lost, the customer may use so much less.
+        shell.peers.send(owner, &Message::Release(release));
     }
 }
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -251,7 +251,7 @@
     let socket = Rc::new(socket);
     // Until then the runtime does not know that it can be written to.
     socket.writable().await.expect("a socket");
-    gateway.shell.reservations.set_socket(socket.clone());
+    gateway.shell.peers.set_socket(socket.clone());
     tokio::task::spawn_local(peers::listen(gateway.shell.clone(), socket));
     gateway
 }
@@ -274,7 +274,8 @@
                 owner.send_to(&bytes, from).await.expect("it can be sent");
             }
         };
-        let asking = gateway.shell.reservations.ask(address, question(3));
+        let shell = &gateway.shell;
+        let asking = shell.reservations.ask(&shell.peers, address, question(3));
         let (verdict, ()) = tokio::join!(asking, answering);
         assert_eq!(verdict, Some(Verdict::Granted));
         assert!(gateway.shell.reservations.is_empty());
@@ -286,7 +287,11 @@
     run(|| async {
         let gateway = asking_gateway().await;
         let (_silent, address) = other_node().await;
-        let verdict = gateway.shell.reservations.ask(address, question(3)).await;
+        let shell = &gateway.shell;
+        let verdict = shell
+            .reservations
+            .ask(&shell.peers, address, question(3))
+            .await;
         assert_eq!(verdict, None);
         assert!(gateway.shell.reservations.is_empty());
     });
@@ -319,7 +324,10 @@
             customer: 7,
             units: 30,
         };
-        gateway.shell.reservations.release(address, release);
+        gateway
+            .shell
+            .peers
+            .send(address, &Message::Release(release));
         assert_eq!(read(&owner).await.0, Message::Release(release));
     });
 }
