--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -50,6 +50,32 @@
     }
 }
 
+/// Serves such a load, and gives the requests that came meanwhile.
+fn serve(
+    world: &mut World,
+    service: &'static str,
+    per_second: u64,
+    span: Span,
+    nodes: &[u16],
+) -> Vec<Seen> {
+    let from = world.now;
+    load(world, service, per_second, span, nodes);
+    world.run_for(span);
+    world.between(from, world.now)
+}
+
+/// At least so many of a hundred requests were in time.
+fn assert_in_time(seen: &[Seen], percent: f64) {
+    let in_time = share(seen, is_in_time) * 100.0;
+    assert!(in_time >= percent, "{in_time} in 100");
+}
+
+/// At the most so many of a hundred went to an endpoint without a free slot.
+fn assert_queued(seen: &[Seen], percent: f64) {
+    let queued = share(seen, |one| one.queued) * 100.0;
+    assert!(queued <= percent, "{queued} in 100");
+}
+
 fn all_nodes(world: &World) -> Vec<u16> {
     world.nodes.keys().copied().collect()
 }
@@ -90,13 +116,9 @@
     let mut world = World::start(shape());
     // Four fifths of what 32 endpoints with 4 slots of 400 ms can do.
     let nodes = all_nodes(&world);
-    let from = world.now;
-    load(&mut world, MODEL, 256, Span::from_secs(6), &nodes);
-    world.run_for(Span::from_secs(6));
-    let seen = world.between(from, world.now);
-    let queued = share(&seen, |one| one.queued);
-    assert!(queued <= 0.01, "{queued}");
-    assert!(share(&seen, is_in_time) >= 0.98);
+    let seen = serve(&mut world, MODEL, 256, Span::from_secs(6), &nodes);
+    assert_queued(&seen, 1.0);
+    assert_in_time(&seen, 98.0);
     assert_all_over(&mut world);
     // A question, a slot, the first event and the end; some wait, and ask again.
     let each = world.messages as f64 / seen.len() as f64;
@@ -114,8 +136,7 @@
     let ended = world.now;
     world.run_for(Span::from_secs(6));
     let seen = world.between(ended + SECOND, ended + Span::from_secs(5));
-    let in_time = share(&seen, is_in_time);
-    assert!(in_time >= 0.95, "{in_time}");
+    assert_in_time(&seen, 95.0);
     assert_all_over(&mut world);
 }
 
@@ -124,15 +145,11 @@
     let mut world = World::start(shape());
     let mut nodes = all_nodes(&world);
     nodes.retain(|node| world.centre(*node) == 0);
-    let from = world.now;
     // Half as much again as the endpoints of the data centre can do.
-    load(&mut world, MODEL, 240, Span::from_secs(6), &nodes);
-    world.run_for(Span::from_secs(6));
-    let seen = world.between(from + SECOND, world.now);
-    let in_time = share(&seen, is_in_time);
-    assert!(in_time >= 0.95, "{in_time}");
-    let queued = share(&seen, |one| one.queued);
-    assert!(queued <= 0.02, "{queued}");
+    serve(&mut world, MODEL, 240, SECOND, &nodes);
+    let seen = serve(&mut world, MODEL, 240, Span::from_secs(5), &nodes);
+    assert_in_time(&seen, 95.0);
+    assert_queued(&seen, 2.0);
     assert_all_over(&mut world);
 }
 
@@ -146,14 +163,10 @@
         ..shape()
     });
     let nodes = all_nodes(&world);
-    let from = world.now;
     // Three quarters of what 24 slots can do.
-    load(&mut world, SERVICE, 300, Span::from_secs(5), &nodes);
-    world.run_for(Span::from_secs(5));
-    let seen = world.between(from, world.now);
-    let queued = share(&seen, |one| one.queued);
-    assert!(queued <= 0.01, "{queued}");
-    assert!(share(&seen, is_in_time) >= 0.99);
+    let seen = serve(&mut world, SERVICE, 300, Span::from_secs(5), &nodes);
+    assert_queued(&seen, 1.0);
+    assert_in_time(&seen, 99.0);
     assert_all_over(&mut world);
 }
 
@@ -163,11 +176,8 @@
 fn lost_messages_leave_nothing_behind(#[case] lost: u64) {
     let mut world = World::start(Shape { lost, ..shape() });
     let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 200, Span::from_secs(4), &nodes);
-    let from = world.now;
-    world.run_for(Span::from_secs(4));
-    let seen = world.between(from, world.now);
-    assert!(share(&seen, is_in_time) >= 0.95);
+    let seen = serve(&mut world, MODEL, 200, Span::from_secs(4), &nodes);
+    assert_in_time(&seen, 95.0);
     assert_all_over(&mut world);
 }
 
@@ -193,8 +203,7 @@
     }
     world.run_for(Span::from_secs(4));
     let seen = world.between(at, world.now);
-    let in_time = share(&seen, is_in_time);
-    assert!(in_time >= 0.95, "{in_time}");
+    assert_in_time(&seen, 95.0);
     assert_all_over(&mut world);
 }
 
@@ -211,10 +220,9 @@
     let healed_at = world.now;
     world.run_for(Span::from_secs(5));
     let during = world.between(cut_at, healed_at);
-    assert!(share(&during, is_in_time) >= 0.95);
+    assert_in_time(&during, 95.0);
     let after = world.between(healed_at + Span::from_secs(3), world.now);
-    let queued = share(&after, |one| one.queued);
-    assert!(queued <= 0.01, "{queued}");
+    assert_queued(&after, 1.0);
     assert_all_over(&mut world);
 }
 
@@ -245,8 +253,7 @@
     }
     world.run_for(Span::from_secs(2));
     let seen = world.between(at, world.now);
-    let in_time = share(&seen, is_in_time);
-    assert!(in_time >= 0.95, "{in_time}");
+    assert_in_time(&seen, 95.0);
     // What runs is over by then, and what was lost is asked for.
     assert_all_over_within(&mut world, Span::from_secs(5));
 }
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/lease/lend.rs
@@ -0,0 +1,196 @@
+//! The owner of slots.
+
+use std::net::SocketAddrV4;
+
+use rstest::rstest;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::lease;
+use woadstage_dispatch::lease::Answer;
+use woadstage_dispatch::lease::Check;
+use woadstage_dispatch::lease::Event;
+use woadstage_dispatch::lease::Report;
+use woadstage_dispatch::lease::Seen;
+use woadstage_dispatch::message::Message;
+use woadstage_types::unit::Span;
+
+use super::answers_of;
+use super::owning;
+use super::question;
+use super::request_of;
+use crate::support::MODEL;
+use crate::support::at;
+use crate::support::job;
+use crate::support::node;
+
+/// Fills all slots that the owner of a cell gives for a rank. Gives the number
+/// of the first request that waits.
+fn fill(owner: &mut Dispatcher, urgency: u8) -> u64 {
+    for number in 1.. {
+        owner.take_request(at(2), node(50), question(number, urgency));
+        let answers = answers_of(owner.take_messages());
+        if answers == [Answer::Waiting] {
+            return number;
+        }
+    }
+    unreachable!("slots are few");
+}
+
+/// The nodes whose requests get a slot when one of node 50 is over.
+fn granted_after(owner: &mut Dispatcher, number: u64) -> Vec<SocketAddrV4> {
+    let event = Event::Ended {
+        end: End::Whole,
+        seen: Seen::default(),
+    };
+    owner.take_report(at(9), node(50), Report { number, event });
+    let messages = owner.take_messages().into_iter();
+    let granted = messages.filter(|(_, message)| {
+        matches!(message, Message::Leased(reply) if matches!(reply.answer, Answer::Granted { .. }))
+    });
+    granted.map(|(to, _)| to).collect()
+}
+
+#[test]
+fn requests_of_other_nodes_wait_in_the_order_of_their_ranks() {
+    let mut owner = owning();
+    fill(&mut owner, 0);
+    owner.take_request(at(3), node(51), question(1, 2));
+    owner.take_request(at(4), node(52), question(1, 0));
+    owner.take_messages();
+    assert_eq!(granted_after(&mut owner, 1), [node(50)]);
+    assert_eq!(granted_after(&mut owner, 2), [node(52)]);
+}
+
+#[test]
+fn a_question_that_comes_twice_gets_the_same_slot() {
+    let mut owner = owning();
+    owner.take_request(at(2), node(50), question(1, 2));
+    owner.take_request(at(3), node(50), question(1, 2));
+    let answers = answers_of(owner.take_messages());
+    assert_eq!(answers.len(), 2);
+    assert_eq!(answers[0], answers[1]);
+    assert_eq!(owner.held_for_others(), 1);
+}
+
+#[test]
+fn another_life_of_a_node_does_not_inherit_its_slots() {
+    let mut owner = owning();
+    owner.take_request(at(2), node(50), question(1, 2));
+    let other_life = lease::Request {
+        incarnation: 77,
+        ..question(1, 2)
+    };
+    owner.take_request(at(3), node(50), other_life);
+    assert_eq!(owner.held_for_others(), 1);
+}
+
+#[rstest]
+#[case::it_still_runs(true)]
+#[case::its_node_is_gone(false)]
+fn a_slot_of_which_nothing_is_heard_is_asked_after(#[case] answers: bool) {
+    let mut owner = owning();
+    owner.take_request(at(2), node(50), question(1, 2));
+    owner.take_messages();
+    for millis in (100..6_000).step_by(100) {
+        owner.tick(at(millis));
+        let checks = owner.take_messages().into_iter();
+        let checks = checks.filter(|(_, message)| *message == Message::Check(Check { number: 1 }));
+        if answers && checks.count() > 0 {
+            let held = Report {
+                number: 1,
+                event: Event::Held,
+            };
+            owner.take_report(at(millis), node(50), held);
+        }
+    }
+    assert_eq!(owner.held_for_others(), usize::from(answers));
+}
+
+#[rstest]
+#[case::free(0, true)]
+#[case::all_taken(100, false)]
+fn only_what_is_to_spare_goes_to_another_cell(#[case] taken: u64, #[case] given: bool) {
+    let mut owner = owning();
+    for number in 0..taken {
+        owner.take_request(at(2), node(50), question(number, 2));
+    }
+    owner.take_messages();
+    let spare = lease::Request {
+        spare: true,
+        ..question(1, 2)
+    };
+    owner.take_request(at(3), node(60), spare);
+    let answers = answers_of(owner.take_messages());
+    assert_eq!(matches!(answers[..], [Answer::Granted { .. }]), given);
+    assert_eq!(answers.contains(&Answer::Denied), !given);
+}
+
+#[test]
+fn other_cells_are_asked_once_a_request_has_waited() {
+    let mut owner = owning();
+    fill(&mut owner, 2);
+    owner.tick(at(40));
+    assert!(request_of(owner.take_messages()).is_none());
+    owner.tick(at(80));
+    let (_, request) = request_of(owner.take_messages()).expect("another cell is asked");
+    assert!(request.spare);
+}
+
+#[test]
+fn a_request_is_judged_by_its_age_at_its_owner() {
+    let mut owner = owning();
+    fill(&mut owner, 2);
+    // Its caller waits for 10 ms more.
+    let old = Job {
+        patience: Span::from_millis(500),
+        ..job(MODEL, 2, at(0))
+    };
+    let late = lease::Request {
+        age: Span::from_millis(490),
+        patience: old.patience,
+        tried: vec![1],
+        ..question(90, 2)
+    };
+    owner.take_request(at(100), node(60), late);
+    owner.tick(at(140));
+    let answers = answers_of(owner.take_messages());
+    assert!(
+        matches!(answers.last(), Some(Answer::Refused(_))),
+        "{answers:?}"
+    );
+}
+
+/// An owner that hears of a stream long after it gave the slot.
+#[rstest]
+#[case::of_its_first_event(Event::First, true)]
+#[case::only_that_it_goes_on(Event::Progress, false)]
+fn the_time_to_a_first_event_is_learnt_only_where_that_is_told(
+    #[case] event: Event,
+    #[case] learnt: bool,
+) {
+    let usual = least_objective(&mut owning());
+    let mut owner = owning();
+    owner.take_request(at(2), node(50), question(1, 2));
+    owner.take_report(at(60_000), node(50), Report { number: 1, event });
+    assert_eq!(least_objective(&mut owner) > usual, learnt);
+}
+
+/// The least objective, in milliseconds, with which a request is let in behind one
+/// that waits.
+fn least_objective(owner: &mut Dispatcher) -> u64 {
+    fill(owner, 2);
+    let mut objectives = (10..5_000).step_by(10);
+    let least = objectives.find(|objective| {
+        let number = 1_000 + objective;
+        let asked = lease::Request {
+            objective: Span::from_millis(*objective),
+            age: Span::ZERO,
+            ..question(number, 2)
+        };
+        owner.take_request(at(3), node(70), asked);
+        let answers = answers_of(owner.take_messages());
+        answers == [Answer::Waiting]
+    });
+    least.expect("some objective is long enough")
+}
