--- a/crates/dispatch/tests/dispatch/quota_fleet.rs
+++ b/crates/dispatch/tests/dispatch/quota_fleet/mod.rs
@@ -2,234 +2,35 @@
 //! while nodes are cut off, killed and started again. The world is virtual: the
 //! same each run.
 
-use std::net::SocketAddrV4;
-use std::ops::Range;
-use std::sync::Arc;
-
 use proptest::prelude::*;
 use rstest::rstest;
-use woadstage_dispatch::configuration::Configuration;
-use woadstage_dispatch::configuration::Customer;
-use woadstage_dispatch::configuration::Quota;
 use woadstage_dispatch::dispatcher::Charge;
 use woadstage_dispatch::dispatcher::Dispatcher;
-use woadstage_dispatch::dispatcher::Options;
 use woadstage_dispatch::message::Reserve;
 use woadstage_dispatch::message::Status;
 use woadstage_dispatch::message::Usage;
 use woadstage_dispatch::message::Verdict;
 use woadstage_dispatch::quota;
 use woadstage_dispatch::quota::Demand;
-use woadstage_types::id;
 use woadstage_types::unit::Span;
 
 use crate::support::at;
 use crate::support::node;
 use crate::support::options;
 
-/// Time between two steps of the world, in milliseconds.
-const STEP: u64 = 20;
-
-/// The window of the rule, in milliseconds.
-const WINDOW: u64 = 8_000;
-
-/// How far the rule lets the whole go beyond the limit.
-const OVERRUN: f64 = 0.25;
-const SLACK: f64 = 72_000.0;
-
-/// Tokens of one request.
-const REQUEST: u64 = 3_000;
-
-/// Nodes of a fleet of several cells.
-const NODES: u8 = 30;
-
-/// Nodes that lose all others between two moments, or are not there at all.
-#[derive(Clone)]
-struct Trouble {
-    nodes: Range<u8>,
-    from: u64,
-    to: u64,
-    kill: bool,
-}
-
-struct Fleet {
-    nodes: Vec<Option<Dispatcher>>,
-    customer: Customer,
-    troubles: Vec<Trouble>,
-    lives: u64,
-    /// The part of the allowance that is the initial credit.
-    initial: f64,
-    given: Vec<(u64, u64)>,
-    asked: u64,
-}
-
-fn quota(rate: f64) -> Quota {
-    Quota {
-        per_second: rate,
-        burst: rate * 2.0,
-        plain_tokens: Some(1),
-    }
-}
-
-impl Fleet {
-    fn new(rate: f64, troubles: &[Trouble]) -> Fleet {
-        Fleet::of(NODES, rate, troubles)
-    }
-
-    fn of(nodes: u8, rate: f64, troubles: &[Trouble]) -> Fleet {
-        let customer = Customer {
-            name: id::Customer::new("one"),
-            keys: Vec::new(),
-            priority: None,
-            quota: Some(quota(rate)),
-        };
-        let mut fleet = Fleet {
-            nodes: Vec::new(),
-            customer,
-            troubles: troubles.to_vec(),
-            lives: 0,
-            initial: quota::Options::default().initial,
-            given: Vec::new(),
-            asked: 0,
-        };
-        for number in 0..nodes {
-            let made = fleet.make(number);
-            fleet.nodes.push(Some(made));
-        }
-        fleet
-    }
-
-    fn make(&mut self, number: u8) -> Dispatcher {
-        self.lives += 1;
-        let mut dispatcher = Dispatcher::new(Options {
-            incarnation: self.lives,
-            seeds: vec![node(0), node(1), node(2)],
-            quota: quota::Options {
-                overrun: OVERRUN,
-                slack: SLACK,
-                initial: self.initial,
-                ..quota::Options::default()
-            },
-            ..options(number)
-        });
-        let configuration = Configuration {
-            version: 1,
-            customers: Some(vec![self.customer.clone()]),
-            ..Configuration::default()
-        };
-        dispatcher.set_configuration(at(0), Arc::new(configuration));
-        dispatcher
-    }
-
-    fn troubled(&self, millis: u64, number: u8, kill: bool) -> bool {
-        let mut now = self
-            .troubles
-            .iter()
-            .filter(|one| one.kill == kill && (one.from..one.to).contains(&millis));
-        now.any(|one| one.nodes.contains(&number))
-    }
-
-    /// The node at an address, where the two can reach each other.
-    fn reached(&mut self, millis: u64, from: u8, to: SocketAddrV4) -> Option<&mut Dispatcher> {
-        let number = to.ip().octets()[3];
-        if self.troubled(millis, from, false) || self.troubled(millis, number, false) {
-            return None;
-        }
-        self.nodes.get_mut(usize::from(number))?.as_mut()
-    }
-
-    fn step(&mut self, millis: u64, requests: u64) {
-        self.step_asking(millis, |_| requests);
-    }
-
-    /// One step in which each node gets as many requests as `asked` says.
-    fn step_asking(&mut self, millis: u64, asked: impl Fn(u8) -> u64) {
-        for number in 0..self.nodes.len() as u8 {
-            let killed = self.troubled(millis, number, true);
-            let place = usize::from(number);
-            match (killed, self.nodes[place].is_some()) {
-                (true, true) => self.nodes[place] = None,
-                (false, false) => self.nodes[place] = Some(self.make(number)),
-                _ => {}
-            }
-            let Some(dispatcher) = &mut self.nodes[place] else {
-                continue;
-            };
-            dispatcher.tick(at(millis));
-            if let Some((status, due)) = dispatcher.statuses(at(millis)) {
-                for to in due {
-                    if let Some(other) = self.reached(millis, number, to) {
-                        other.hear(at(millis), node(number), status.clone());
-                    }
-                }
-            }
-            for _ in 0..asked(number) {
-                self.request(millis, number);
-            }
-        }
-    }
-
-    fn request(&mut self, millis: u64, number: u8) {
-        let demand = Demand {
-            units: REQUEST,
-            routine: 0.0,
-            pressed: false,
-        };
-        let customer = self.customer.clone();
-        let place = usize::from(number);
-        let Some(dispatcher) = &mut self.nodes[place] else {
-            return;
-        };
-        let left = Span::from_secs(5);
-        let mut charge = dispatcher.charge(at(millis), &customer, demand, left);
-        while let Charge::Ask(owner, reserve) = charge {
-            self.asked += 1;
-            let verdict = self
-                .reached(millis, number, owner)
-                .map(|owner| owner.reserve(at(millis), &reserve));
-            let dispatcher = self.nodes[place].as_mut().expect("it has just asked");
-            charge = dispatcher.reserved(at(millis), owner, &customer, demand, left, verdict);
-        }
-        if charge == Charge::Admitted {
-            self.given.push((millis, REQUEST));
-        }
-    }
-
-    /// The most that was given out in any window of the rule.
-    fn most(&self) -> u64 {
-        let windows = self.given.iter().map(|(from, _)| {
-            let within = self
-                .given
-                .iter()
-                .filter(|(at, _)| (*from..from + WINDOW).contains(at));
-            within.map(|(_, units)| units).sum()
-        });
-        windows.max().unwrap_or(0)
-    }
-
-    fn sum(&self, span: Range<u64>) -> u64 {
-        let within = self.given.iter().filter(|(at, _)| span.contains(at));
-        within.map(|(_, units)| units).sum()
-    }
-}
-
-fn cut(nodes: Range<u8>, from: u64, to: u64) -> Trouble {
-    Trouble {
-        nodes,
-        from,
-        to,
-        kill: false,
-    }
-}
-
-fn kill(nodes: Range<u8>, from: u64, to: u64) -> Trouble {
-    Trouble {
-        nodes,
-        from,
-        to,
-        kill: true,
-    }
-}
+mod world;
+
+use world::Fleet;
+use world::NODES;
+use world::OVERRUN;
+use world::REQUEST;
+use world::SLACK;
+use world::STEP;
+use world::Trouble;
+use world::WINDOW;
+use world::cut;
+use world::kill;
+use world::quota;
 
 #[rstest]
 #[case::nothing_happens(300_000.0, &[])]
--- a/crates/standin/src/world/act.rs
+++ b/crates/standin/src/world/act.rs
@@ -12,9 +12,9 @@
 
 use super::Answer;
 use super::CallId;
-use super::Item;
-use super::Mail;
 use super::World;
+use super::item::Item;
+use super::item::Mail;
 use super::serve::Reach;
 
 impl World {
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -15,7 +15,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use woadstage_config::hosts;
-use woadstage_core::message::Message;
 use woadstage_core::node;
 use woadstage_core::node::Arrival;
 use woadstage_core::node::Event;
@@ -29,6 +28,7 @@
 mod endpoint;
 mod fault;
 mod forward;
+mod item;
 mod queue;
 mod serve;
 mod types;
@@ -36,6 +36,8 @@
 pub use endpoint::Endpoint;
 pub use endpoint::Kind;
 pub use endpoint::Work;
+use item::Item;
+use item::Mail;
 use queue::Queued;
 pub use types::Answer;
 pub use types::Asked;
@@ -44,43 +46,6 @@
 /// The virtual clock's start: some time in December 2026.
 pub const START: Time = Time(1_796_000_000_000_000);
 
-/// A message on its way.
-#[derive(Debug, Clone)]
-struct Mail {
-    from: Peer,
-    message: Message,
-}
-
-enum Item {
-    Event {
-        node: usize,
-        incarnation: id::Incarnation,
-        event: Box<Event>,
-    },
-    Mail {
-        node: usize,
-        incarnation: id::Incarnation,
-        mail: Box<Mail>,
-    },
-    Tick {
-        node: usize,
-        incarnation: id::Incarnation,
-    },
-    Reach(Box<serve::Reach>),
-    Leave {
-        endpoint: usize,
-        call: CallId,
-    },
-    Step {
-        endpoint: usize,
-    },
-    Served {
-        endpoint: usize,
-        call: CallId,
-    },
-    Script(Box<dyn FnOnce(&mut World)>),
-}
-
 /// One call: a request's attempt at one node's run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId {
--- a/crates/standin/src/world/queue.rs
+++ b/crates/standin/src/world/queue.rs
@@ -2,7 +2,7 @@
 
 use woadstage_types::unit::Time;
 
-use super::Item;
+use super::item::Item;
 
 /// Something that happens at a time; of one time, in the order it was planned.
 pub(super) struct Queued {
--- a/crates/standin/src/world/serve.rs
+++ b/crates/standin/src/world/serve.rs
@@ -10,9 +10,9 @@
 
 use super::Answer;
 use super::CallId;
-use super::Item;
 use super::Kind;
 use super::World;
+use super::item::Item;
 use crate::engine::Job;
 use crate::engine::Outcome;
 
