perf: of a list of endpoints only the sections that differ go from node to node

Cause: each node takes each new list whole.

Change: a list has 64 sections by the hash of an endpoint's name, each named by its content. A node names those that it has, and is given the others; what comes is put together with the list that was in force when it asked. Nothing depends on which editions both have seen.

Ruled out: a log of changes by edition. Readers see different revisions, so a node seldom has the edition that another's log starts from, and would be given the whole list again.

A property test holds that the newer list comes out whatever both lists hold.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -48,6 +48,7 @@
 use crate::queue::Queue;
 use crate::quota;
 use crate::quota::Accounts;
+use crate::section;
 use crate::table::Table;
 use crate::warm;
 use crate::warm::Warm;
@@ -244,6 +245,8 @@
     /// Parts of a configuration that is not in force yet.
     received: parts::Received,
     list: Arc<List>,
+    /// The sections of that list.
+    sections: section::Index,
     pools: HashMap<id::Target, Pool>,
     places: HashMap<job::Id, id::Target>,
     runs: HashMap<job::Id, Run>,
@@ -290,6 +293,7 @@
             table: None,
             received: parts::Received::default(),
             list: Arc::default(),
+            sections: section::Index::default(),
             pools: HashMap::new(),
             places: HashMap::new(),
             runs: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -17,6 +17,7 @@
 use crate::parts::Head;
 use crate::parts::Part;
 use crate::queue::Queue;
+use crate::section;
 use crate::table::Table;
 use crate::warm;
 use crate::warm::Warm;
@@ -100,6 +101,7 @@
                 }
             }
         }
+        self.sections = section::Index::new(&list);
         self.list = list;
         self.news = true;
         self.forget_workers();
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -21,6 +21,7 @@
 use crate::message::Waiting;
 use crate::parts::Digest;
 use crate::quota::Speaker;
+use crate::section::Difference;
 use crate::worker::Reports;
 
 /// Customers spoken of in one status.
@@ -191,10 +192,10 @@
     /// What this node has read of the platform and one that asks has not. A
     /// configuration may be a hundred times as long as a list of endpoints and
     /// changes seldom, so neither comes along with the other, and of the
-    /// configuration only the parts that differ.
+    /// configuration and of the list only the parts that differ.
     pub fn snapshot(&self, pull: &Pull) -> Snapshot {
         let later = self.list.edition() > pull.known.endpoints;
-        let endpoints = later.then(|| self.list.clone());
+        let endpoints = later.then(|| Difference::new(&self.list, &self.sections, &pull.sections));
         let table = self.table.as_ref();
         let newer = table.filter(|table| table.configuration().version > pull.known.configuration);
         let Some(table) = newer else {
@@ -212,8 +213,9 @@
         }
     }
 
-    /// What to ask another node. Parts are named only where it has a newer
-    /// configuration.
+    /// What to ask another node. Parts of the configuration are named only where it
+    /// has a newer one. What it gives of endpoints is to be put together with the
+    /// list that is in force at this moment ([`Difference::into_list`]).
     pub fn pull(&self, from: SocketAddrV4) -> Pull {
         let known = self.known();
         let newer = self.members.configuration(from) > known.configuration;
@@ -222,6 +224,7 @@
         Pull {
             known,
             held: if newer { held.collect() } else { Vec::new() },
+            sections: self.sections.clone(),
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`parts`]: a configuration in parts, for passing it on.
 //! * [`duration`]: how long whole answers take.
 //! * [`endpoint`]: what the platform says of endpoints.
+//! * [`section`]: a list of endpoints in sections, for passing it on.
 //! * [`worker`]: what was learnt of one endpoint.
 //! * [`warm`]: which endpoint has read which prompt.
 //! * [`job`]: one request, from arrival to its final answer.
@@ -37,6 +38,7 @@
 pub mod parts;
 pub mod queue;
 pub mod quota;
+pub mod section;
 pub mod table;
 pub mod warm;
 pub mod worker;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -1,19 +1,19 @@
 //! What nodes tell each other, typed; the shell puts it on the wire.
 
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::configuration::Rank;
 use crate::endpoint::Edition;
-use crate::endpoint::List;
 use crate::lease;
 use crate::parts::Digest;
 use crate::parts::Head;
 use crate::parts::Part;
 use crate::quota::Denied;
+use crate::section;
+use crate::section::Difference;
 
 /// The version of this protocol; the first byte of everything on the wire.
 pub const VERSION: u8 = 6;
@@ -172,13 +172,16 @@
     pub known: Known,
     /// Parts of configurations that it has, in force or received.
     pub held: Vec<Digest>,
+    /// Sections of its list of endpoints.
+    pub sections: section::Index,
 }
 
 /// What a node has that another asked for.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Snapshot {
-    /// The list of endpoints, where it is newer.
-    pub endpoints: Option<Arc<List>>,
+    /// The sections of the list of endpoints that the other does not have, where
+    /// it is newer.
+    pub endpoints: Option<Difference>,
     /// The configuration without its parts, where it is newer.
     pub head: Option<Head>,
     /// The parts of it that the other does not have.
@@ -190,8 +193,8 @@
 pub enum Frame {
     /// Nothing follows: enough others are being given documents. Ask another.
     Busy,
-    /// A list of endpoints.
-    Endpoints(Arc<List>),
+    /// What is new of a list of endpoints.
+    Endpoints(Difference),
     /// A configuration without its parts.
     Head(Head),
     /// A part of it.
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod quota_fleet;
 mod retry;
+mod section;
 mod share;
 mod support;
 mod table;
--- a/crates/dispatch/tests/dispatch/publish.rs
+++ b/crates/dispatch/tests/dispatch/publish.rs
@@ -81,6 +81,7 @@
                 endpoints,
             },
             held: Vec::new(),
+            ..Pull::default()
         });
         (
             snapshot.head.is_some() && !snapshot.parts.is_empty(),
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -68,7 +68,9 @@
 
 /// Gives one node what it asks another for. Returns the bytes that go to it.
 pub fn pass_on(from: &Dispatcher, to: &mut Dispatcher) -> usize {
-    let snapshot = from.snapshot(&ask(from, to));
+    let pull = ask(from, to);
+    let base = to.endpoints().clone();
+    let snapshot = from.snapshot(&pull);
     let frames: Vec<Frame> = snapshot.into_frames().collect();
     let written = frames
         .iter()
@@ -79,8 +81,8 @@
     for frame in frames {
         match frame {
             Frame::Busy => unreachable!("nobody declines here"),
-            Frame::Endpoints(list) => {
-                to.set_endpoints(at(1), list);
+            Frame::Endpoints(difference) => {
+                to.set_endpoints(at(1), Arc::new(difference.into_list(&base)));
             }
             Frame::Head(newer) => head = Some(newer),
             Frame::Part(part) => to.keep_part(part),
--- a/crates/gateway/src/peers/transfer/take.rs
+++ b/crates/gateway/src/peers/transfer/take.rs
@@ -2,8 +2,10 @@
 //! transfer breaks off, so that the next one goes on from there.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use tokio::net::TcpStream;
+use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::message::Frame;
 use woadstage_dispatch::message::Pull;
 
@@ -23,15 +25,25 @@
     Declined,
 }
 
+/// What another node is asked for.
+struct Question {
+    pull: Pull,
+    /// The list of endpoints whose sections it names.
+    endpoints: Arc<List>,
+}
+
 /// Asks a node for what is newer than what this one has, and brings it into
 /// force.
 ///
 /// # Errors
 /// Where it cannot be reached, speaks another version, or breaks off.
 pub async fn take(shell: &Shell, from: SocketAddrV4) -> anyhow::Result<Ended> {
-    let pull = shell.query(|dispatcher, _| dispatcher.pull(from));
+    let question = shell.query(|dispatcher, _| Question {
+        pull: dispatcher.pull(from),
+        endpoints: dispatcher.endpoints().clone(),
+    });
     let mut ended = Ended::Whole;
-    let transfer = ask(shell, from, &pull, &mut ended);
+    let transfer = ask(shell, from, &question, &mut ended);
     logged(shell, Direction::Taken, from, transfer).await?;
     Ok(ended)
 }
@@ -39,14 +51,14 @@
 async fn ask(
     shell: &Shell,
     from: SocketAddrV4,
-    pull: &Pull,
+    question: &Question,
     ended: &mut Ended,
 ) -> anyhow::Result<usize> {
     let connecting = TcpStream::connect(from);
     let mut stream = tokio::time::timeout(PROGRESS_WITHIN, connecting).await??;
     let mut bytes = Vec::new();
     frame::begin(&mut bytes);
-    frame::add(&mut bytes, pull)?;
+    frame::add(&mut bytes, &question.pull)?;
     frame::write(&mut stream, &bytes).await?;
     let mut reader = frame::Reader::new(stream);
     let mut head = None;
@@ -54,7 +66,10 @@
     while let Some(frame) = reader.next().await? {
         match frame {
             Frame::Busy => *ended = Ended::Declined,
-            Frame::Endpoints(list) => publish::set_endpoints(shell, &name, list),
+            Frame::Endpoints(difference) => {
+                let list = difference.into_list(&question.endpoints);
+                publish::set_endpoints(shell, &name, Arc::new(list));
+            }
             Frame::Head(newer) => head = Some(newer),
             Frame::Part(part) => shell.command(|dispatcher, _| dispatcher.keep_part(part)),
         }
