--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -76,6 +76,17 @@
     assert!(queued <= percent, "{queued} in 100");
 }
 
+/// Kills nodes at once, and starts them again after a span.
+fn kill_for(world: &mut World, nodes: &[u16], span: Span) {
+    for node in nodes {
+        world.kill(*node);
+    }
+    world.run_for(span);
+    for node in nodes {
+        world.boot(*node, 2);
+    }
+}
+
 fn all_nodes(world: &World) -> Vec<u16> {
     world.nodes.keys().copied().collect()
 }
@@ -193,14 +204,8 @@
         .partition(|node| (**node / 2).is_multiple_of(one_of));
     load(&mut world, MODEL, 180, Span::from_secs(8), &left);
     world.run_for(Span::from_secs(2));
-    for node in &killed {
-        world.kill(*node);
-    }
     let at = world.now;
-    world.run_for(Span::from_secs(2));
-    for node in &killed {
-        world.boot(*node, 2);
-    }
+    kill_for(&mut world, &killed, Span::from_secs(2));
     world.run_for(Span::from_secs(4));
     let seen = world.between(at, world.now);
     assert_in_time(&seen, 95.0);
@@ -243,14 +248,8 @@
     // A third of what the endpoints can do.
     load(&mut world, MODEL, 800, Span::from_secs(4), &left);
     world.run_for(SECOND);
-    for node in &killed {
-        world.kill(*node);
-    }
     let at = world.now;
-    world.run_for(SECOND);
-    for node in &killed {
-        world.boot(*node, 2);
-    }
+    kill_for(&mut world, &killed, SECOND);
     world.run_for(Span::from_secs(2));
     let seen = world.between(at, world.now);
     assert_in_time(&seen, 95.0);
--- a/crates/dispatch/tests/dispatch/quota/mod.rs
+++ b/crates/dispatch/tests/dispatch/quota/mod.rs
@@ -1,4 +1,5 @@
-//! What customers may
+//! What customers may use: what a node gives out of its bucket, alone and with
+//! others.
 
 use proptest::prelude::*;
 use rstest::rstest;
@@ -34,6 +35,12 @@
     Accounts::new(Options::default())
 }
 
+/// True where a node that is alone in its fleet admits a request then.
+fn admits(accounts: &mut Accounts, now: Time, demand: Demand) -> bool {
+    let admitted = accounts.admit(now, CUSTOMER, &QUOTA, demand, reach(1, 0));
+    admitted.is_ok()
+}
+
 fn reach(nodes: usize, silent: usize) -> Reach {
     Reach {
         nodes,
@@ -65,58 +72,28 @@
     given(&mut accounts, reach(1, 0), 0, 1_000);
     let wait = accounts.admit(at(1_000), CUSTOMER, &QUOTA, urgent(500), reach(1, 0));
     let wait = wait.expect_err("over the limit").wait;
-    assert!(
-        accounts
-            .admit(
-                at(1_000) + wait + Span(1_000),
-                CUSTOMER,
-                &QUOTA,
-                urgent(500),
-                reach(1, 0)
-            )
-            .is_ok()
-    );
+    assert!(admits(
+        &mut accounts,
+        at(1_000) + wait + Span(1_000),
+        urgent(500)
+    ));
 }
 
 #[test]
 fn a_request_larger_than_the_bucket_passes_when_that_is_full() {
     let mut accounts = accounts();
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, urgent(5_000), reach(1, 0))
-            .is_ok()
-    );
-    assert!(
-        accounts
-            .admit(at(1_000), CUSTOMER, &QUOTA, urgent(1), reach(1, 0))
-            .is_err()
-    );
-    assert!(
-        accounts
-            .admit(at(4_100), CUSTOMER, &QUOTA, urgent(1), reach(1, 0))
-            .is_ok()
-    );
+    assert!(admits(&mut accounts, at(0), urgent(5_000)));
+    assert!(!admits(&mut accounts, at(1_000), urgent(1)));
+    assert!(admits(&mut accounts, at(4_100), urgent(1)));
 }
 
 #[test]
 fn what_did_not_run_is_given_back() {
     let mut accounts = accounts();
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, urgent(1_000), reach(1, 0))
-            .is_ok()
-    );
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, urgent(1_000), reach(1, 0))
-            .is_err()
-    );
+    assert!(admits(&mut accounts, at(0), urgent(1_000)));
+    assert!(!admits(&mut accounts, at(0), urgent(1_000)));
     accounts.give_back(CUSTOMER, 1_000);
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, urgent(1_000), reach(1, 0))
-            .is_ok()
-    );
+    assert!(admits(&mut accounts, at(0), urgent(1_000)));
 }
 
 #[test]
@@ -139,26 +116,10 @@
         pressed: false,
     };
     let mut accounts = accounts();
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, urgent(600), reach(1, 0))
-            .is_ok()
-    );
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, routine(100), reach(1, 0))
-            .is_err()
-    );
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, routine(10), reach(1, 0))
-            .is_ok()
-    );
-    assert!(
-        accounts
-            .admit(at(0), CUSTOMER, &QUOTA, urgent(100), reach(1, 0))
-            .is_ok()
-    );
+    assert!(admits(&mut accounts, at(0), urgent(600)));
+    assert!(!admits(&mut accounts, at(0), routine(100)));
+    assert!(admits(&mut accounts, at(0), routine(10)));
+    assert!(admits(&mut accounts, at(0), urgent(100)));
 }
 
 #[test]
@@ -170,16 +131,11 @@
     };
     let rate = |pressed| {
         let mut accounts = Accounts::new(options.clone());
-        let admitted = (0..40_000).filter(|millis| {
-            let demand = Demand {
-                pressed,
-                ..urgent(10)
-            };
-            let now = at(*millis);
-            accounts
-                .admit(now, CUSTOMER, &QUOTA, demand, reach(1, 0))
-                .is_ok()
-        });
+        let demand = Demand {
+            pressed,
+            ..urgent(10)
+        };
+        let admitted = (0..40_000).filter(|millis| admits(&mut accounts, at(*millis), demand));
         // The burst of 1,000 counts once.
         (admitted.count() as u64 * 10 - 1_000) / 40
     };
@@ -203,22 +159,14 @@
         ..urgent(100)
     };
     let now = at(20_110);
-    assert!(
-        accounts
-            .admit(now, CUSTOMER, &QUOTA, demand, reach(1, 0))
-            .is_ok()
-    );
+    assert!(admits(&mut accounts, now, demand));
 }
 
 #[test]
 fn a_node_that_has_just_started_has_an_empty_bucket() {
     let mut accounts = accounts();
     accounts.begin(at(0));
-    let mut admit = |millis, units| {
-        accounts
-            .admit(at(millis), CUSTOMER, &QUOTA, urgent(units), reach(1, 0))
-            .is_ok()
-    };
+    let mut admit = |millis, units| admits(&mut accounts, at(millis), urgent(units));
     assert!(!admit(500, 600));
     assert!(admit(500, 300));
     assert!(!admit(900, 700));
@@ -303,7 +251,6 @@
 #[case::all_are_met(at(500), reach(4, 0), 250)]
 #[case::a_large_fleet(at(500), reach(100, 0), 10)]
 #[case::nobody_was_heard(at(500), Reach { alone: true, ..reach(1, 0) }, 15)]
-
 fn a_node_gives_out_its_share_of_the_initial_credit_once(
     #[case] now: Time,
     #[case] reach: Reach,
