feat: evacuated data centres and cold endpoints keep their bounds

Cause: nothing read the platform's evacuations, nor what endpoints say of being cold.

Change: an evacuation is an entry of the list of endpoints, in force with it; a node whose data centre is evacuated puts its requests in the queues of other cells. A cold endpoint's starts are spaced at what it bears by the owner of its slots, in a cut by the part of the fleet that each side hears.

Tests failed first: with the marks taken out 22 of 25 fail (17 to 25 arrivals in a second where 15 are allowed), with displaced requests left to spares one.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -9,6 +9,8 @@
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 
+use crate::cold;
+
 /// A step in the order of protection: 0 is served first and refused last.
 pub type Priority = u8;
 
@@ -91,6 +93,8 @@
     pub connections: u32,
     /// True where the endpoints are engines that batch.
     pub engine: bool,
+    /// What a cold endpoint bears; none where the operator sets no bound.
+    pub cold: Option<cold::Bound>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -80,10 +80,14 @@
             return;
         };
         let known = &pool.workers[worker];
-        if !known.is_staying() {
+        if !known.is_open() {
             // This node's list is newer than the owner's.
+            let end = match known.is_staying() {
+                true => End::Abandoned,
+                false => End::NotThere,
+            };
             job.history.tried.push(known.endpoint.name.clone());
-            self.return_slot(question.owner, question.number, End::NotThere);
+            self.return_slot(question.owner, question.number, end);
             self.submit(now, id, job);
             return;
         }
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -94,7 +94,11 @@
         if pool.shared && endpoint.is_none() {
             return alone;
         }
-        match self.slot_owner(now, pool, endpoint) {
+        let owner = match self.is_displaced(pool) {
+            true => self.host_owner(now, pool, self.next_question),
+            false => self.slot_owner(now, pool, endpoint),
+        };
+        match owner {
             Owner::Unheard => alone,
             Owner::Own => Arbiter::Own { only: endpoint },
             Owner::Other(owner) => Arbiter::Other(Asked { owner, endpoint }),
@@ -103,7 +107,7 @@
 
     /// The owner of the slots of one endpoint, or of this cell's slots of a
     /// service. In a fleet of one cell each node decides alone.
-    fn slot_owner(&self, now: Time, pool: &Pool, endpoint: Option<u32>) -> Owner {
+    pub(super) fn slot_owner(&self, now: Time, pool: &Pool, endpoint: Option<u32>) -> Owner {
         if self.members.cell().whole {
             return Owner::Own;
         }
@@ -241,8 +245,14 @@
         };
         let target = self.places.get(&id);
         let pool = target.and_then(|target| self.pools.get(target));
-        let owner = pool.map(|pool| self.slot_owner(now, pool, question.endpoint));
-        owner == Some(Owner::Other(question.owner))
+        let Some(pool) = pool else {
+            return false;
+        };
+        if self.is_displaced(pool) {
+            let mut hosts = self.host_owners(now, pool).into_iter();
+            return hosts.any(|(owner, _)| owner == question.owner);
+        }
+        self.slot_owner(now, pool, question.endpoint) == Owner::Other(question.owner)
     }
 
     /// Takes a question back, with its request.
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -42,6 +42,7 @@
 impl Dispatcher {
     /// Puts a request in line. What becomes of it is decided at once or later.
     pub fn enter(&mut self, now: Time, job: Job) -> job::Id {
+        self.accounts.begin(now);
         self.next_job += 1;
         let id = job::Id(self.next_job);
         self.budget.earn(now, &job.target);
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -11,6 +11,8 @@
 //! * `spare.rs`: slots that one cell has to spare for another.
 //! * `policy.rs`: bounds and weights.
 //! * `place.rs`: which request goes to which endpoint now.
+//! * `start_cold.rs`: who may send a request to an endpoint that is cold.
+//! * `evacuate.rs`: where requests go whose data centre is evacuated.
 //! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
 //! * `tick.rs`: what only the passing of time brings about.
@@ -30,6 +32,7 @@
 
 use crate::budget;
 use crate::budget::Budget;
+use crate::cold;
 use crate::configuration::Priority;
 use crate::configuration::Rank;
 use crate::duration::Durations;
@@ -58,6 +61,7 @@
 mod answer;
 mod borrow;
 mod enter;
+mod evacuate;
 mod lend;
 mod observe;
 mod place;
@@ -69,6 +73,7 @@
 mod retry;
 mod share;
 mod spare;
+mod start_cold;
 mod tick;
 
 use borrow::Question;
@@ -214,6 +219,8 @@
     shared: bool,
     number: u32,
     least_protected: Priority,
+    /// What its endpoints bear while they are cold; none where nothing says so.
+    cold: Option<cold::Bound>,
     workers: Vec<Worker>,
     index: HashMap<id::Endpoint, usize>,
     queue: Queue,
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -120,7 +120,7 @@
             .iter()
             .filter(|worker| worker.own_cell && worker.takes_work(now, &self.options.worker));
         usable
-            .map(|worker| worker.endpoint.slots.saturating_sub(worker.busy()))
+            .map(|worker| pool.slots_of(now, worker).saturating_sub(worker.busy()))
             .sum()
     }
 
@@ -140,6 +140,7 @@
         let chain = warm::chain(&job.prompt.parts);
         let home = home(pool, &chain);
         let slowest = pool.slowest_step_opt(now, job, &self.options.worker);
+        let permit = self.cold_permit(now, pool);
         let mut best: Option<Choice> = None;
         for (at, worker) in pool.workers.iter().enumerate() {
             let usable = worker.takes_work(now, &self.options.worker);
@@ -150,7 +151,7 @@
             {
                 continue;
             }
-            if worker.busy() >= room(worker, ahead) {
+            if worker.busy() >= room(worker, ahead) || !self.may_start(now, pool, worker, permit) {
                 continue;
             }
             // Its stream would be cut off at its deadline, after holding a slot
@@ -289,6 +290,8 @@
         lease: Option<Lease>,
         reason: Reason,
     ) {
+        let interval = self.pools.get(&job.target);
+        let interval = interval.and_then(|pool| self.cold_interval_opt(now, pool));
         let Some(pool) = self.pools.get_mut(&job.target) else {
             return;
         };
@@ -302,6 +305,9 @@
         let ahead = worker.pending + worker.others_pending;
         let queued = worker.busy() >= worker.endpoint.slots;
         worker.start(now, reason.uncached);
+        if let Some(interval) = interval {
+            worker.cold.start(now, interval);
+        }
         let endpoint = worker.endpoint.clone();
         let number = worker.number;
         job.history.tried.push(endpoint.name.clone());
@@ -373,8 +379,9 @@
 fn home(pool: &Pool, chain: &[(u64, u64)]) -> Option<usize> {
     let (key, _) = chain.last()?;
     let takers = pool.workers.iter().enumerate();
-    let listed =
-        takers.filter(|(_, worker)| worker.own_cell && worker.listed && !worker.endpoint.leaving);
+    let listed = takers.filter(|(_, worker)| {
+        worker.own_cell && worker.listed && !worker.endpoint.leaving && !worker.evacuated
+    });
     listed
         .max_by_key(|(_, worker)| hash::chain(*key, &worker.number.to_le_bytes()))
         .map(|(at, _)| at)
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -42,7 +42,7 @@
     pub(super) fn usable_slots(&self, now: Time, options: &worker::Options) -> u32 {
         let usable = self.workers.iter();
         let usable = usable.filter(|worker| worker.own_cell && worker.takes_work(now, options));
-        usable.map(|worker| worker.endpoint.slots).sum()
+        usable.map(|worker| self.slots_of(now, worker)).sum()
     }
 
     /// Requests of a rank that were started within the last `window`.
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -53,6 +53,7 @@
         for service in &table.configuration().services {
             let pool = pool(&mut self.pools, &self.options.warm, &service.name);
             pool.engine = service.engine;
+            pool.cold = service.cold;
         }
         for pool in self.pools.values_mut() {
             pool.least_protected = 0;
@@ -92,15 +93,22 @@
             let pool = pool(&mut self.pools, &self.options.warm, &endpoint.service);
             match pool.index.get(&endpoint.name) {
                 Some(at) => {
-                    pool.workers[*at].endpoint = endpoint;
+                    let worker = &mut pool.workers[*at];
+                    if worker.endpoint.cold_for != endpoint.cold_for {
+                        worker.cold.extend(now, endpoint.cold_for);
+                    }
+                    worker.endpoint = endpoint;
                 }
                 None => {
                     let at = pool.workers.len();
                     pool.index.insert(endpoint.name.clone(), at);
-                    pool.workers.push(Worker::new(endpoint));
+                    let mut worker = Worker::new(endpoint);
+                    worker.cold.extend(now, worker.endpoint.cold_for);
+                    pool.workers.push(worker);
                 }
             }
         }
+        self.note_evacuated(now, &list);
         self.sections = section::Index::new(&list);
         self.list = list;
         self.news = true;
@@ -215,6 +223,7 @@
         shared: false,
         number: endpoint::number_of(target.as_str()),
         least_protected: 0,
+        cold: None,
         workers: Vec::new(),
         index: HashMap::new(),
         queue: Queue::default(),
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -34,6 +34,7 @@
             self.refuse_expired(now, &target);
             self.refuse_without_endpoint(now, &target);
             self.resubmit_stuck(now, &target);
+            self.resubmit_displaced(now, &target);
             self.place(now, &target);
             self.seek_spare(now, &target);
         }
@@ -81,7 +82,7 @@
         if pool
             .workers
             .iter()
-            .any(|worker| worker.listed && !worker.endpoint.leaving)
+            .any(|worker| worker.listed && !worker.endpoint.leaving && !worker.evacuated)
         {
             return;
         }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use woadstage_types::hash;
 use woadstage_types::id;
+use woadstage_types::unit::Span;
 
 /// One start of one endpoint.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -23,6 +24,9 @@
     pub slots: u32,
     /// True once it was said to be leaving.
     pub leaving: bool,
+    /// How much longer it said that it is cold, when it last recorded itself;
+    /// zero where it is not.
+    pub cold_for: Span,
 }
 
 impl Endpoint {
@@ -52,6 +56,9 @@
     /// outage of the platform, until they have had time to record themselves
     /// anew.
     pub settled: bool,
+    /// Data centres that an operator evacuated: nothing is sent to their
+    /// endpoints until they are taken back.
+    pub evacuated: Vec<id::DataCentre>,
     /// The endpoints.
     pub endpoints: Vec<Endpoint>,
 }
@@ -76,15 +83,23 @@
         }
     }
 
+    /// True where the endpoints of a data centre are to be sent nothing.
+    pub fn is_evacuated(&self, data_centre: &id::DataCentre) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
     /// This list with the endpoints of an older one that it lacks, unless those
-    /// were leaving.
+    /// were leaving. Which data centres are evacuated is an operator's word and
+    /// never lapses, so the newer list alone says it.
     pub fn merge(&self, older: &List) -> List {
         let names: HashSet<&id::Endpoint> = self.endpoints.iter().map(|one| &one.name).collect();
         let kept = older.endpoints.iter();
         let kept = kept.filter(|one| !one.leaving && !names.contains(&one.name));
         List {
+            revision: self.revision,
+            settled: self.settled,
+            evacuated: self.evacuated.clone(),
             endpoints: self.endpoints.iter().chain(kept).cloned().collect(),
-            ..*self
         }
     }
 }
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -106,6 +106,11 @@
     First,
     /// Further events of its stream came.
     Progress,
+    /// Its endpoint said that it is cold.
+    Cold {
+        /// For how long.
+        cold_for: Span,
+    },
     /// It is over, at the endpoint or in the owner's queue: the slot is free.
     Ended {
         /// How it ended.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`duration`]: how long whole answers take.
 //! * [`endpoint`]: what the platform says of endpoints.
 //! * [`section`]: a list of endpoints in sections, for passing it on.
+//! * [`cold`]: endpoints that bear little, as they have just started.
 //! * [`worker`]: what was learnt of one endpoint.
 //! * [`warm`]: which endpoint has read which prompt.
 //! * [`job`]: one request, from arrival to its final answer.
@@ -26,6 +27,7 @@
 //! * [`dispatcher`]: one node's whole state, with its commands and queries.
 
 pub mod budget;
+pub mod cold;
 pub mod configuration;
 pub mod dispatcher;
 pub mod duration;
--- a/crates/dispatch/src/member/cell.rs
+++ b/crates/dispatch/src/member/cell.rs
@@ -94,6 +94,25 @@
         self.other_cells.len() + 1
     }
 
+    /// Cells of each data centre other than this node's own, by its number.
+    pub fn cells_by_data_centre(&self) -> BTreeMap<u32, usize> {
+        let mut cells = BTreeMap::new();
+        for cell in &self.other_cells {
+            let mut centres = cell.iter().filter_map(|node| self.data_centre_opt(*node));
+            if let Some(centre) = centres.next() {
+                *cells.entry(centre).or_default() += 1;
+            }
+        }
+        cells
+    }
+
+    /// The number of another node's data centre, where it was ever heard.
+    pub fn data_centre_opt(&self, address: SocketAddrV4) -> Option<u32> {
+        let member = self.others.get(&address);
+        let heard = member.filter(|member| member.heard.is_some());
+        heard.map(|member| member.status.data_centre)
+    }
+
     /// The cell of this node.
     pub fn cell(&self) -> Cell {
         self.cell
--- a/crates/dispatch/src/section.rs
+++ b/crates/dispatch/src/section.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use woadstage_types::hash;
+use woadstage_types::id;
 
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
@@ -44,6 +45,8 @@
     pub revision: u64,
     /// Whether the list is settled.
     pub settled: bool,
+    /// Data centres that are evacuated: all of them, as they are few.
+    pub evacuated: Vec<id::DataCentre>,
     /// The sections that differ, empty ones among them.
     pub sections: Vec<Section>,
 }
@@ -85,6 +88,7 @@
         Difference {
             revision: list.revision,
             settled: list.settled,
+            evacuated: list.evacuated.clone(),
             sections,
         }
     }
@@ -100,6 +104,7 @@
         List {
             revision: self.revision,
             settled: self.settled,
+            evacuated: self.evacuated,
             endpoints: kept.chain(given).collect(),
         }
     }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -6,6 +6,7 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::cold;
 use crate::endpoint::Endpoint;
 use crate::message::Trouble;
 
@@ -101,6 +102,10 @@
     pub number: u32,
     /// False once the platform lists it no more.
     pub listed: bool,
+    /// True where its data centre is evacuated.
+    pub evacuated: bool,
+    /// Whether it is cold.
+    pub cold: cold::State,
     /// True where it belongs to this node's cell.
     pub own_cell: bool,
     /// Requests in progress that we sent.
@@ -146,6 +151,8 @@
             number: endpoint.to_number(),
             endpoint,
             listed: true,
+            evacuated: false,
+            cold: cold::State::default(),
             own_cell: true,
             running: 0,
             pending: 0,
@@ -270,9 +277,15 @@
         self.listed && !self.endpoint.leaving && self.gone_at.is_none()
     }
 
+    /// True unless it is to be sent nothing, whatever state it is in: it is
+    /// leaving, gone, or in an evacuated data centre.
+    pub fn is_open(&self) -> bool {
+        self.is_staying() && !self.evacuated
+    }
+
     /// True while new work may go there.
     pub fn takes_work(&self, now: Time, options: &Options) -> bool {
-        self.is_staying()
+        self.is_open()
             && now >= self.rests_until
             && !self.is_silent(now, options)
             && !self.is_distrusted(now)
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -10,6 +10,8 @@
 use crate::support::SERVICE;
 use crate::support::job;
 
+mod cold;
+mod evacuate;
 mod world;
 
 use world::Seen;
@@ -28,6 +30,7 @@
         service: MODEL,
         call: Span::from_millis(400),
         lost: 0,
+        cold: None,
     }
 }
 
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -9,11 +9,15 @@
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
+use woadstage_dispatch::cold;
+use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Options;
 use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
@@ -34,6 +38,9 @@
 /// How long a message is on its way.
 const WAY: Span = Span::from_millis(1);
 
+/// How long a transfer of a list takes from node to node.
+const TRANSFER: Span = Span::from_millis(10);
+
 /// How long an endpoint takes to the first event of an answer.
 const FIRST_AFTER: Span = Span::from_millis(20);
 
@@ -54,6 +61,8 @@
     pub call: Span,
     /// Messages of a hundred that are lost.
     pub lost: u64,
+    /// What endpoints bear while they are cold.
+    pub cold: Option<cold::Bound>,
 }
 
 /// What happens at some moment.
@@ -70,6 +79,10 @@
         job: Box<Job>,
     },
     First(u16, job::Id),
+    Take {
+        node: u16,
+        from: u16,
+    },
     Done(u16, job::Id, id::Endpoint),
 }
 
@@ -101,6 +114,12 @@
     /// Nodes that run.
     pub nodes: BTreeMap<u16, Dispatcher>,
     engines: HashMap<id::Endpoint, Engine>,
+    /// The list of endpoints that the platform publishes.
+    pub list: Arc<List>,
+    /// Nodes that the platform turns away.
+    pub turned_away: BTreeSet<u16>,
+    /// When requests arrived at each endpoint.
+    pub arrivals: HashMap<id::Endpoint, Vec<Time>>,
     events: BinaryHeap<Reverse<(Time, u64)>>,
     what: HashMap<u64, Event>,
     next: u64,
@@ -131,6 +150,9 @@
         let mut world = World {
             nodes: BTreeMap::new(),
             engines: HashMap::new(),
+            list: Arc::default(),
+            turned_away: BTreeSet::new(),
+            arrivals: HashMap::new(),
             events: BinaryHeap::new(),
             what: HashMap::new(),
             next: 0,
@@ -140,6 +162,7 @@
             messages: 0,
             shape,
         };
+        world.list = list(1, &world.endpoints());
         let all = world.shape.nodes * world.shape.centres;
         for node in 0..all {
             world.boot(node, 1);
@@ -153,7 +176,8 @@
         node % self.shape.centres
     }
 
-    fn endpoints(&self) -> Vec<Endpoint> {
+    /// The endpoints at first.
+    pub fn endpoints(&self) -> Vec<Endpoint> {
         let all = self.shape.endpoints * self.shape.centres;
         let make = |number: u16| Endpoint {
             data_centre: id::DataCentre::new(&format!("dc{}", number % self.shape.centres)),
@@ -162,6 +186,39 @@
         (0..all).map(make).collect()
     }
 
+    fn configuration(&self) -> Arc<Configuration> {
+        let mut configuration = (*configuration(1)).clone();
+        for service in &mut configuration.services {
+            service.cold = self.shape.cold;
+        }
+        Arc::new(configuration)
+    }
+
+    /// Publishes another list of endpoints, which some nodes read at once.
+    pub fn publish(&mut self, list: List, readers: &[u16]) {
+        self.list = Arc::new(list);
+        for node in readers {
+            if let Some(dispatcher) = self.nodes.get_mut(node) {
+                dispatcher.set_endpoints(self.now, self.list.clone());
+                self.settle(*node);
+            }
+        }
+    }
+
+    /// The nodes of which two in each data centre read the platform.
+    pub fn readers(&self) -> Vec<u16> {
+        let mut readers = Vec::new();
+        for centre in 0..self.shape.centres {
+            let near = self.nodes.keys().copied().filter(|node| {
+                self.centre(*node) == centre
+                    && !self.turned_away.contains(node)
+                    && !self.cut_off.contains(node)
+            });
+            readers.extend(near.take(2));
+        }
+        readers
+    }
+
     /// Starts a node, in one of its lives.
     pub fn boot(&mut self, node: u16, life: u64) {
         let all = self.shape.nodes * self.shape.centres;
@@ -173,8 +230,10 @@
             seeds: seeds.collect(),
             ..options(1)
         });
-        dispatcher.set_configuration(self.now, configuration(1));
-        dispatcher.set_endpoints(self.now, list(1, &self.endpoints()));
+        dispatcher.set_configuration(self.now, self.configuration());
+        if !self.turned_away.contains(&node) {
+            dispatcher.set_endpoints(self.now, self.list.clone());
+        }
         self.nodes.insert(node, dispatcher);
         let first = Span(hash::of(&node.to_le_bytes()) % TICK_EVERY.0);
         self.plan(self.now + first, Event::Tick(node));
@@ -234,12 +293,22 @@
                     return;
                 };
                 dispatcher.tick(now);
+                let ahead = dispatcher.ahead_opt(now, self.next);
                 if let Some((status, due)) = dispatcher.statuses(now) {
                     for to in due {
                         let message = Box::new(Message::Status(Box::new(status.clone())));
                         self.send(node, to, message);
                     }
                 }
+                if let Some(from) = ahead {
+                    self.plan(
+                        now + TRANSFER,
+                        Event::Take {
+                            node,
+                            from: to_node(from),
+                        },
+                    );
+                }
                 self.plan(now + TICK_EVERY, Event::Tick(node));
                 self.settle(node);
             }
@@ -266,10 +335,31 @@
                     self.settle(node);
                 }
             }
+            Event::Take { node, from } => self.take(node, from),
             Event::Done(node, id, endpoint) => self.finish(node, id, &endpoint),
         }
     }
 
+    /// A node takes the list of endpoints from another.
+    fn take(&mut self, node: u16, from: u16) {
+        if self.cut_off.contains(&node) || self.cut_off.contains(&from) {
+            return;
+        }
+        let (Some(to), Some(giver)) = (self.nodes.get(&node), self.nodes.get(&from)) else {
+            return;
+        };
+        let pull = to.pull(address(from));
+        let base = to.endpoints().clone();
+        let Some(difference) = giver.snapshot(&pull).endpoints else {
+            return;
+        };
+        let list = Arc::new(difference.into_list(&base));
+        if let Some(dispatcher) = self.nodes.get_mut(&node) {
+            dispatcher.set_endpoints(self.now, list);
+            self.settle(node);
+        }
+    }
+
     fn receive(&mut self, from: u16, to: u16, message: Message) {
         let now = self.now;
         let Some(dispatcher) = self.nodes.get_mut(&to) else {
@@ -328,6 +418,8 @@
     fn begin(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
         let seen = self.seen.get_mut(&(node, id)).expect("it came");
         seen.decided += 1;
+        let arrivals = self.arrivals.entry(endpoint.clone()).or_default();
+        arrivals.push(self.now);
         let engine = self.engines.entry(endpoint.clone()).or_default();
         if engine.running >= self.shape.slots {
             seen.queued = true;
@@ -356,9 +448,18 @@
         };
         let decided = self.seen[&(node, id)].decided;
         self.begin(node, id, endpoint);
+        // It arrived and was decided before it waited here.
+        self.arrivals.get_mut(endpoint).expect("it arrived").pop();
         self.seen.get_mut(&(node, id)).expect("it came").decided = decided;
     }
 
+    /// Requests that came since a moment to the nodes that `is` says.
+    pub fn seen_at(&self, since: Time, is: impl Fn(u16) -> bool) -> Vec<Seen> {
+        let seen = self.seen.iter();
+        let there = seen.filter(|((node, _), one)| is(*node) && one.arrived >= since);
+        there.map(|(_, one)| *one).collect()
+    }
+
     /// Requests that came between two moments, counted from the start.
     pub fn between(&self, from: Time, until: Time) -> Vec<Seen> {
         let seen = self.seen.values().copied();
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the decisions, without sockets or clocks.
 
 mod budget;
+mod cold;
 mod duration;
+mod evacuate;
 mod fleet;
 mod lease;
 mod members;
--- a/crates/dispatch/tests/dispatch/parts.rs
+++ b/crates/dispatch/tests/dispatch/parts.rs
@@ -48,6 +48,7 @@
         name: id::Target::new(&format!("service-{}", entry.number)),
         connections: u32::from(entry.form),
         engine: entry.form.is_multiple_of(2),
+        cold: None,
     }
 }
 
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -134,6 +134,7 @@
         name: id::Target::new(name),
         connections: 100,
         engine,
+        cold: None,
     };
     Arc::new(Configuration {
         version,
@@ -156,6 +157,7 @@
         data_centre: id::DataCentre::new("a"),
         slots,
         leaving: false,
+        cold_for: Span::ZERO,
     }
 }
 
@@ -163,6 +165,7 @@
 pub fn list(revision: u64, endpoints: &[Endpoint]) -> Arc<List> {
     Arc::new(List {
         settled: true,
+        evacuated: Vec::new(),
         revision,
         endpoints: endpoints.to_vec(),
     })
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -53,6 +53,10 @@
         ready: usize,
         /// Endpoints that are leaving.
         leaving: usize,
+        /// Endpoints that say they are cold.
+        cold: usize,
+        /// Data centres that are evacuated, with commas between.
+        evacuated: &'a str,
         /// From where it came.
         from: &'a str,
     },
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -7,6 +7,7 @@
 use woadstage_dispatch::job::Part;
 use woadstage_dispatch::job::Prompt;
 use woadstage_types::code::Code;
+use woadstage_types::unit::Span;
 
 /// Header names. An empty name in the settings means that there is none.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +30,8 @@
     pub output_hint: HeaderName,
     /// The last event that arrived, when a stream goes on.
     pub last_event: HeaderName,
+    /// Milliseconds for which an endpoint says that it stays cold.
+    pub cold: HeaderName,
     /// Fields by which the system gives orders to endpoints. What a caller
     /// sends under these names is dropped.
     pub reserved: Vec<HeaderName>,
@@ -46,6 +49,7 @@
             parts: HeaderName::from_static("woadstage-prompt-parts"),
             output_hint: HeaderName::from_static("woadstage-output-hint"),
             last_event: HeaderName::from_static("last-event-id"),
+            cold: HeaderName::from_static("woadstage-cold-ms"),
             reserved: Vec::new(),
         }
     }
@@ -55,7 +59,7 @@
     /// Reads the names that the settings give; others keep their defaults.
     pub fn read(reader: &mut Reader) -> Headers {
         let mut headers = Headers::default();
-        let fields: [(&str, &mut HeaderName); 9] = [
+        let fields: [(&str, &mut HeaderName); 10] = [
             ("request", &mut headers.request),
             ("deadline", &mut headers.deadline),
             ("customer", &mut headers.customer),
@@ -65,6 +69,7 @@
             ("parts", &mut headers.parts),
             ("output_hint", &mut headers.output_hint),
             ("last_event", &mut headers.last_event),
+            ("cold", &mut headers.cold),
         ];
         for (field, name) in fields {
             if let Some(text) = reader.take_opt::<String>(field)
@@ -99,6 +104,12 @@
         Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
     }
 
+    /// For how long an endpoint says that it stays cold, where it does.
+    pub fn to_cold(&self, headers: &HeaderMap) -> Option<Span> {
+        let millis: u64 = text(headers, &self.cold)?.trim().parse().ok()?;
+        (millis > 0).then_some(Span::from_millis(millis))
+    }
+
     /// The milliseconds that a caller will wait, where it says so.
     pub fn to_deadline_ms(&self, headers: &HeaderMap) -> Option<u64> {
         text(headers, &self.deadline)?.trim().parse().ok()
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -5,6 +5,7 @@
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::parts::Head;
+use woadstage_types::unit::Span;
 
 use crate::event::Event;
 use crate::shell::Shell;
@@ -36,11 +37,16 @@
         return;
     }
     let leaving = list.endpoints.iter().filter(|one| one.leaving).count();
+    let cold = list.endpoints.iter();
+    let cold = cold.filter(|one| one.cold_for > Span::ZERO).count();
+    let evacuated: Vec<&str> = list.evacuated.iter().map(|one| one.as_str()).collect();
     shell.metrics.change("endpoints");
     shell.log(&Event::Endpoints {
         revision: list.revision,
         ready: list.endpoints.len() - leaving,
         leaving,
+        cold,
+        evacuated: &evacuated.join(","),
         from,
     });
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -269,6 +269,10 @@
     fn judge(&self, answer: &Answer) -> Verdict {
         let response = &answer.response;
         let names = &self.shell.headers;
+        if let Some((job, cold_for)) = self.job.zip(names.to_cold(response.headers())) {
+            self.shell
+                .command(|dispatcher, now| dispatcher.note_cold(now, job, cold_for));
+        }
         judge::judge(
             names,
             &self.admitted.request,
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -125,6 +125,7 @@
             name: id::Target::new(SERVICE),
             connections: 100,
             engine: false,
+            cold: None,
         }],
         customers: Some(vec![Customer {
             name: id::Customer::new("customer"),
@@ -152,6 +153,7 @@
         let shell = &gateway.shell;
         let list = Arc::new(List {
             settled: true,
+            evacuated: Vec::new(),
             revision: 1,
             endpoints: workers.iter().map(|worker| to_endpoint(worker)).collect(),
         });
@@ -242,5 +244,6 @@
         data_centre: id::DataCentre::new("a"),
         slots: 4,
         leaving: false,
+        cold_for: Span::ZERO,
     }
 }
