--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -209,6 +209,10 @@
         }
         if let Some(mut run) = self.runs.remove(&remote.id) {
             run.shown = seen.events;
+            let pool = self.pools.get_mut(&target);
+            if let Some((pool, used)) = pool.zip(seen.took) {
+                pool.turnaround.learn(now.since(run.started), used);
+            }
             self.learn_reported_step(now, &run, seen.step);
             self.close(now, run, end);
         }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -53,6 +53,7 @@
 use crate::quota::Accounts;
 use crate::section;
 use crate::table::Table;
+use crate::turnaround::Turnaround;
 use crate::warm;
 use crate::warm::Warm;
 use crate::worker;
@@ -242,6 +243,8 @@
     prefill: f64,
     /// Usual time of a whole call, in microseconds.
     call: f64,
+    /// How long its slots stand idle between calls of other nodes.
+    turnaround: Turnaround,
 }
 
 /// One node's decisions.
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -147,6 +147,7 @@
             let seen = lease::Seen {
                 events: run.shown,
                 step: run.step.map(|step| step as u32),
+                took: (end == End::Whole).then(|| now.since(run.started)),
             };
             let event = lease::Event::Ended { end, seen };
             self.report(lease.owner, lease.number, event);
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -126,12 +126,19 @@
 
     /// An endpoint of this node's cell.
     fn choose(&self, now: Time, pool: &Pool, job: &Job) -> Option<Choice> {
-        let protected = pool.engine && job.rank.urgency < pool.least_protected;
-        let ahead = match protected {
+        self.cheapest(now, pool, job, self.ahead(pool, job))
+    }
+
+    /// Requests beyond its slots that an endpoint may have when it is given this one.
+    fn ahead(&self, pool: &Pool, job: &Job) -> u32 {
+        if !pool.engine {
+            let slots = pool.workers.iter().map(|worker| worker.endpoint.slots);
+            return pool.turnaround.beyond(slots.max().unwrap_or(0));
+        }
+        match job.rank.urgency < pool.least_protected {
             true => self.options.policy.ahead,
             false => 0,
-        };
-        self.cheapest(now, pool, job, ahead)
+        }
     }
 
     /// Of the endpoints of this cell that have room, the one that costs least;
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -19,6 +19,7 @@
 use crate::queue::Queue;
 use crate::section;
 use crate::table::Table;
+use crate::turnaround::Turnaround;
 use crate::warm;
 use crate::warm::Warm;
 use crate::worker::Worker;
@@ -236,5 +237,6 @@
         lengths: Lengths::default(),
         prefill: PREFILL,
         call: CALL,
+        turnaround: Turnaround::default(),
     })
 }
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -120,13 +120,15 @@
     },
 }
 
-/// What was seen of a stream.
+/// What was seen of a call.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seen {
     /// Its events.
     pub events: u32,
     /// The shortest time between two of them, in microseconds.
     pub step: Option<u32>,
+    /// How long the call took, where its answer was whole.
+    pub took: Option<Span>,
 }
 
 /// Asks whether a node still holds a slot that it was given.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`section`]: a list of endpoints in sections, for passing it on.
 //! * [`cold`]: endpoints that bear little, as they have just started.
 //! * [`worker`]: what was learnt of one endpoint.
+//! * [`turnaround`]: how long slots stand idle between two requests.
 //! * [`warm`]: which endpoint has read which prompt.
 //! * [`job`]: one request, from arrival to its final answer.
 //! * [`lease`]: slots that one node gives another.
@@ -42,5 +43,6 @@
 pub mod quota;
 pub mod section;
 pub mod table;
+pub mod turnaround;
 pub mod warm;
 pub mod worker;
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -29,6 +29,7 @@
         slots: 4,
         service: MODEL,
         call: Span::from_millis(400),
+        way: Span::from_millis(1),
         lost: 0,
         cold: None,
     }
@@ -184,6 +185,27 @@
     assert_all_over(&mut world);
 }
 
+/// Calls that are short beside the way between nodes: 24 slots of 15 ms could do
+/// 1,600 a second; where each stands idle until its owner has heard of a call's end and
+/// the next node of its grant, 85 in 100 of these callers are served in time, and with
+/// requests on their way to busy slots all but 3.
+#[test]
+fn slots_of_short_calls_do_not_stand_idle() {
+    let mut world = World::start(Shape {
+        endpoints: 2,
+        slots: 6,
+        service: SERVICE,
+        call: Span::from_millis(15),
+        way: Span::from_millis(3),
+        ..shape()
+    });
+    let nodes = all_nodes(&world);
+    serve(&mut world, SERVICE, 1_300, SECOND, &nodes);
+    let seen = serve(&mut world, SERVICE, 1_300, Span::from_secs(3), &nodes);
+    assert_in_time(&seen, 97.0);
+    assert_all_over(&mut world);
+}
+
 #[rstest]
 #[case::few(2)]
 #[case::many(10)]
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -35,9 +35,6 @@
 /// Time between two ticks of a node.
 const TICK_EVERY: Span = Span::from_millis(20);
 
-/// How long a message is on its way.
-const WAY: Span = Span::from_millis(1);
-
 /// How long a transfer of a list takes from node to node.
 const TRANSFER: Span = Span::from_millis(10);
 
@@ -59,6 +56,8 @@
     pub service: &'static str,
     /// How long a call takes.
     pub call: Span,
+    /// How long a message is on its way.
+    pub way: Span,
     /// Messages of a hundred that are lost.
     pub lost: u64,
     /// What endpoints bear while they are cold.
@@ -389,7 +388,10 @@
         if self.cut_off.contains(&from) || self.cut_off.contains(&to) {
             return;
         }
-        self.plan(self.now + WAY, Event::Message { from, to, message });
+        self.plan(
+            self.now + self.shape.way,
+            Event::Message { from, to, message },
+        );
     }
 
     /// Takes what a node decided and wants sent.
--- a/crates/dispatch/tests/dispatch/lease/mod.rs
+++ b/crates/dispatch/tests/dispatch/lease/mod.rs
@@ -166,6 +166,7 @@
             seen: Seen {
                 events: 40,
                 step: Some(37_000),
+                took: None,
             },
         },
     };
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -19,5 +19,6 @@
 mod share;
 mod support;
 mod table;
+mod turnaround;
 mod warm;
 mod worker;
