fix: a list of endpoints does not wait behind a configuration

Change: each document is taken in transfers of its own, and a list is given also by a node that declines a configuration; it is a few kB.

Ruled out: more transfers at once (three share 10 Mbit/s as it is); readers (they gather 200 ms).

Tests: a configuration that comes byte by byte, and a list that becomes newer meanwhile: it came with the second transfer, now during the first. A node that gives to three gives the list to a fourth.

--- a/crates/dispatch/src/dispatcher/reserve.rs
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -82,7 +82,7 @@
                 self.urgent = true;
                 Charge::Admitted
             }
-            Err(denied) => self.to_refused(now, denied, left),
+            Err(denied) => self.refuse_charge(now, denied, left),
         }
     }
 
@@ -97,7 +97,7 @@
         }
     }
 
-    fn to_refused(&mut self, now: Time, denied: Denied, left: Span) -> Charge {
+    fn refuse_charge(&mut self, now: Time, denied: Denied, left: Span) -> Charge {
         self.first_tries.note_refused(now);
         let refusal = Refusal {
             code: Code::CustomerLimit,
@@ -169,7 +169,7 @@
                 }
                 Charge::Admitted
             }
-            Some(Verdict::Denied(denied)) => self.to_refused(now, denied, left),
+            Some(Verdict::Denied(denied)) => self.refuse_charge(now, denied, left),
             Some(Verdict::Unknown) | None => {
                 self.members.note_unanswered(now, owner);
                 self.charge(now, customer, demand, left)
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -12,6 +12,7 @@
 use crate::member::News;
 use crate::member::Occasion;
 use crate::member::Reading;
+use crate::message::Document;
 use crate::message::Known;
 use crate::message::Load;
 use crate::message::Pull;
@@ -236,10 +237,11 @@
         }
     }
 
-    /// A node that has newer documents of the platform than this one, if any;
-    /// another for each `attempt`, where there are several.
-    pub fn ahead_opt(&self, now: Time, attempt: u64) -> Option<SocketAddrV4> {
-        self.members.ahead_opt(now, self.known(), attempt)
+    /// A node that has a newer one of a document than this one, if any; another
+    /// for each `attempt`, where there are several.
+    pub fn ahead_opt(&self, now: Time, document: Document, attempt: u64) -> Option<SocketAddrV4> {
+        let known = self.known().only(document);
+        self.members.ahead_opt(now, known, attempt)
     }
 
     /// Takes other seeds, from settings that changed.
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -74,6 +74,14 @@
     pub settled: bool,
 }
 
+impl Edition {
+    /// Later than any list.
+    pub const LAST: Edition = Edition {
+        revision: u64::MAX,
+        settled: true,
+    };
+}
+
 impl List {
     /// Its place among other lists.
     pub fn edition(&self) -> Edition {
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -155,6 +155,25 @@
     Check(lease::Check),
 }
 
+/// Which of the published documents is spoken of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Document {
+    /// The configuration.
+    Configuration,
+    /// The list of endpoints.
+    Endpoints,
+}
+
+impl Document {
+    /// The word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Document::Configuration => "configuration",
+            Document::Endpoints => "endpoints",
+        }
+    }
+}
+
 /// The newest documents of the platform that a node has, by version; 0 for none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
@@ -164,6 +183,23 @@
     pub endpoints: Edition,
 }
 
+impl Known {
+    /// The same with the other document as new as can be, so that nothing of it is
+    /// asked for.
+    pub fn only(self, document: Document) -> Known {
+        match document {
+            Document::Configuration => Known {
+                endpoints: Edition::LAST,
+                ..self
+            },
+            Document::Endpoints => Known {
+                configuration: u64::MAX,
+                ..self
+            },
+        }
+    }
+}
+
 /// Asks a node for the documents of the platform that are newer than those of
 /// the node that asks.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -176,6 +212,25 @@
     pub sections: section::Index,
 }
 
+impl Pull {
+    /// The same question about one document alone.
+    pub fn only(self, document: Document) -> Pull {
+        let known = self.known.only(document);
+        match document {
+            Document::Configuration => Pull {
+                known,
+                sections: section::Index::default(),
+                ..self
+            },
+            Document::Endpoints => Pull {
+                known,
+                held: Vec::new(),
+                ..self
+            },
+        }
+    }
+}
+
 /// What a node has that another asked for.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Snapshot {
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -21,6 +21,7 @@
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
 use woadstage_types::hash;
 use woadstage_types::id;
@@ -295,7 +296,7 @@
                     return;
                 };
                 dispatcher.tick(now);
-                let ahead = dispatcher.ahead_opt(now, self.next);
+                let ahead = dispatcher.ahead_opt(now, Document::Endpoints, self.next);
                 if let Some((status, due)) = dispatcher.statuses(now) {
                     for to in due {
                         let message = Box::new(Message::Status(Box::new(status.clone())));
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -1,10 +1,13 @@
 //! Takes newer documents from other nodes while the platform does not give
-//! them to this one: from one node at a time, with pauses after failures.
+//! them to this one: each document from one node at a time, with pauses after
+//! failures. A list of endpoints does not wait for a configuration, which may take
+//! seconds over a slow link.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use woadstage_dispatch::member::Reading;
+use woadstage_dispatch::message::Document;
 use woadstage_types::hash;
 use woadstage_types::unit::Time;
 
@@ -27,14 +30,15 @@
 /// First and longest pause after a transfer broke off.
 const BROKEN_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
-/// Keeps up with the nodes that are ahead, for as long as the process runs.
-pub async fn run(shell: Rc<Shell>) {
+/// Keeps up with the nodes that have a newer one of a document, for as long as the
+/// process runs.
+pub async fn run(shell: Rc<Shell>, document: Document) {
     let mut behind_since: Option<Time> = None;
     let mut pause = BROKEN_PAUSES.0;
     for attempt in 0.. {
         let from = loop {
             tokio::time::sleep(LOOK_EVERY).await;
-            let ahead = shell.query(|dispatcher, now| dispatcher.ahead_opt(now, attempt));
+            let ahead = shell.query(|dispatcher, now| dispatcher.ahead_opt(now, document, attempt));
             let Some(from) = ahead else {
                 behind_since = None;
                 continue;
@@ -44,7 +48,7 @@
                 break from;
             }
         };
-        match transfer::take(&shell, from).await {
+        match transfer::take(&shell, from, document).await {
             Ok(Ended::Whole) => {
                 behind_since = None;
                 pause = BROKEN_PAUSES.0;
--- a/crates/gateway/src/peers/transfer/give.rs
+++ b/crates/gateway/src/peers/transfer/give.rs
@@ -35,7 +35,7 @@
             if shell.transfers.giving.get() >= AT_ONCE {
                 shell.metrics.transfer("given", false);
                 // It asks another where even this does not reach it.
-                let _ = decline(stream).await;
+                let _ = decline(&shell, stream).await;
                 return;
             }
             // The other end asks again where this fails; the log says why.
@@ -44,14 +44,25 @@
     }
 }
 
-async fn decline(mut stream: TcpStream) -> anyhow::Result<()> {
+/// Gives the list of endpoints alone. It is short, and must be in force everywhere
+/// soon: behind long configurations a host was sent to an endpoint 3,022 ms after that
+/// had said it was leaving, where 3,000 are allowed.
+async fn decline(shell: &Shell, mut stream: TcpStream) -> anyhow::Result<()> {
     // Closing with unread bytes would reset the connection, and the answer
     // with it.
     let mut reader = frame::Reader::new(&mut stream);
-    reader.next::<Pull>().await?;
+    let Some(pull) = reader.next::<Pull>().await? else {
+        anyhow::bail!("nothing was asked");
+    };
+    let wanted = shell.query(|dispatcher, _| dispatcher.snapshot(&pull));
     let mut bytes = Vec::new();
     frame::begin(&mut bytes);
-    frame::add(&mut bytes, &Frame::Busy)?;
+    if let Some(endpoints) = wanted.endpoints {
+        frame::add(&mut bytes, &Frame::Endpoints(endpoints))?;
+    }
+    if wanted.head.is_some() {
+        frame::add(&mut bytes, &Frame::Busy)?;
+    }
     frame::write(&mut stream, &bytes).await
 }
 
--- a/crates/gateway/src/peers/transfer/take.rs
+++ b/crates/gateway/src/peers/transfer/take.rs
@@ -6,6 +6,7 @@
 
 use tokio::net::TcpStream;
 use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Frame;
 use woadstage_dispatch::message::Pull;
 
@@ -32,14 +33,14 @@
     endpoints: Arc<List>,
 }
 
-/// Asks a node for what is newer than what this one has, and brings it into
-/// force.
+/// Asks a node for a document where it has a newer one than this node, and brings
+/// it into force.
 ///
 /// # Errors
 /// Where it cannot be reached, speaks another version, or breaks off.
-pub async fn take(shell: &Shell, from: SocketAddrV4) -> anyhow::Result<Ended> {
+pub async fn take(shell: &Shell, from: SocketAddrV4, document: Document) -> anyhow::Result<Ended> {
     let question = shell.query(|dispatcher, _| Question {
-        pull: dispatcher.pull(from),
+        pull: dispatcher.pull(from).only(document),
         endpoints: dispatcher.endpoints().clone(),
     });
     let mut ended = Ended::Whole;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::dispatcher;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::member::Reading;
+use woadstage_dispatch::message::Document;
 
 use crate::clock::to_duration;
 use crate::clock::to_span;
@@ -100,7 +101,9 @@
     spawn_local(operators::serve(metrics, move |_| operators::metrics(&of)));
     spawn_local(serve::accept(shell.clone(), callers));
     spawn_local(tick(shell.clone(), socket, reading));
-    spawn_local(peers::catch_up::run(shell.clone()));
+    for document in [Document::Endpoints, Document::Configuration] {
+        spawn_local(peers::catch_up::run(shell.clone(), document));
+    }
     spawn_local(sweep(shell.clone()));
     spawn_local(reload(shell.clone(), path.to_owned()));
     stop(&shell, to_duration(settings.stop_within)).await
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -8,25 +8,7 @@
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::member::Reading;
-
-/// Which of the published documents is spoken of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Document {
-    /// The configuration.
-    Configuration,
-    /// The list of endpoints.
-    Endpoints,
-}
-
-impl Document {
-    /// The word for logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Document::Configuration => "configuration",
-            Document::Endpoints => "endpoints",
-        }
-    }
-}
+pub use woadstage_dispatch::message::Document;
 
 /// What an adapter has to say.
 #[derive(Debug, Clone)]
--- a/crates/gateway/tests/gateway/catch_up.rs
+++ b/crates/gateway/tests/gateway/catch_up.rs
@@ -1,6 +1,7 @@
 //! A whole node that is behind takes documents from another.
 
 use std::future::pending;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use woadstage_dispatch::configuration::Route;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::endpoint::List;
 use woadstage_types::unit::Time;
 
 use crate::support::Peer;
@@ -68,24 +70,58 @@
     )
 }
 
+/// Starts a node whose seed is the peer.
+fn start_node(peer: &Rc<Peer>) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("woadstage-{}.toml", peer.address.port()));
+    std::fs::write(&path, settings(peer)).expect("settings are written");
+    let (file, of) = (path.clone(), Rc::clone(peer));
+    spawn_local(async move {
+        let ended = woadstage_gateway::run::run(&file, |_, _| pending()).await;
+        panic!("the node at {} ended: {ended:?}", of.other);
+    });
+    path
+}
+
+/// Waits until something is so; false where it takes too long.
+async fn comes(is_so: impl Fn() -> bool) -> bool {
+    let waiting = async {
+        while !is_so() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.is_ok()
+}
+
 #[test]
 fn a_long_document_over_a_slow_link_is_taken_once() {
     run(|| async {
         let peer = Peer::start(ahead()).await;
-        let path = std::env::temp_dir().join(format!("woadstage-{}.toml", peer.address.port()));
-        std::fs::write(&path, settings(&peer)).expect("settings are written");
-        let (file, of) = (path.clone(), Rc::clone(&peer));
-        spawn_local(async move {
-            let ended = woadstage_gateway::run::run(&file, |_, _| pending()).await;
-            panic!("the node at {} ended: {ended:?}", of.other);
-        });
-        let came = async {
-            while peer.heard.get() < VERSION {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        let came = tokio::time::timeout(PATIENCE, came).await.is_ok();
+        let path = start_node(&peer);
+        let came = comes(|| peer.heard.get() >= VERSION).await;
         std::fs::remove_file(&path).expect("settings are removed");
         assert_eq!((came, peer.most_at_once.get()), (true, 1));
     });
 }
+
+/// A list in which an endpoint leaves must not wait for a long configuration.
+#[test]
+fn a_list_of_endpoints_does_not_wait_for_a_long_configuration() {
+    run(|| async {
+        let peer = Peer::start(ahead()).await;
+        peer.is_endless.set(true);
+        let path = start_node(&peer);
+        assert!(comes(|| peer.configurations.get() > 0).await);
+        let list = List {
+            revision: 7,
+            settled: true,
+            ..List::default()
+        };
+        peer.dispatcher
+            .borrow_mut()
+            .set_endpoints(Time(0), Arc::new(list));
+        let came = comes(|| peer.heard_list.get() == 7).await;
+        std::fs::remove_file(&path).expect("settings are removed");
+        // The first transfer of the configuration is still under way.
+        assert_eq!((came, peer.configurations.get()), (true, 1));
+    });
+}
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::job::Prompt;
 use woadstage_dispatch::lease;
 use woadstage_dispatch::lease::Answer;
+use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Load;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Pull;
@@ -113,8 +114,10 @@
         let other = Gateway::empty(log::Options::default()).await;
         let known = |gateway: &Gateway| gateway.shell.query(|dispatcher, _| dispatcher.known());
         assert_ne!(known(&other), known(&gateway));
-        let ended = peers::transfer::take(&other.shell, address).await;
-        assert_eq!(ended.expect("it is given"), Ended::Whole);
+        for document in [Document::Endpoints, Document::Configuration] {
+            let ended = peers::transfer::take(&other.shell, address, document).await;
+            assert_eq!(ended.expect("it is given"), Ended::Whole);
+        }
         assert_eq!(known(&other), known(&gateway));
         other.logged(&["\"transfer\"", "\"taken\""]).await;
         gateway.logged(&["\"transfer\"", "\"given\""]).await;
@@ -133,11 +136,16 @@
             stalled.push(TcpStream::connect(address).await.expect("it listens"));
         }
         let other = Gateway::empty(log::Options::default()).await;
-        let ended = peers::transfer::take(&other.shell, address).await;
+        let take = |document| peers::transfer::take(&other.shell, address, document);
+        let ended = take(Document::Configuration).await;
         assert_eq!(ended.expect("an answer"), Ended::Declined);
+        assert_eq!(other.shell.query(|one, _| one.endpoints_revision()), 0);
+        let ended = take(Document::Endpoints).await;
+        assert_eq!(ended.expect("an answer"), Ended::Whole);
+        assert_eq!(other.shell.query(|one, _| one.endpoints_revision()), 1);
         drop(stalled);
         gateway.logged(&["\"given\"", "\"whole\":false"]).await;
-        let ended = peers::transfer::take(&other.shell, address).await;
+        let ended = take(Document::Configuration).await;
         assert_eq!(ended.expect("an answer"), Ended::Whole);
     });
 }
@@ -175,7 +183,7 @@
         gateway
             .shell
             .command(|dispatcher, now| dispatcher.hear(now, address, status));
-        let ended = peers::transfer::take(&gateway.shell, address).await;
+        let ended = peers::transfer::take(&gateway.shell, address, Document::Configuration).await;
         assert!(ended.is_err());
         let pull = gateway
             .shell
--- a/crates/gateway/tests/gateway/support/peer.rs
+++ b/crates/gateway/tests/gateway/support/peer.rs
@@ -1,6 +1,7 @@
 //! Another node that is ahead, behind a link which its transfers share.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -26,6 +27,9 @@
 /// How long the link takes for one chunk, whoever it belongs to.
 const CHUNK_TAKES: Duration = Duration::from_millis(10);
 
+/// Time between two bytes of a configuration that does not end.
+const BYTE_TAKES: Duration = Duration::from_millis(100);
+
 /// Time between two statuses.
 const STATUS_EVERY: Duration = Duration::from_millis(50);
 
@@ -42,9 +46,16 @@
     pub most_at_once: Cell<usize>,
     /// The version of the configuration that the node last said it had.
     pub heard: Cell<u64>,
+    /// The revision of the list of endpoints that it last said it had.
+    pub heard_list: Cell<u64>,
     under_way: Cell<usize>,
     free_at: Cell<Instant>,
-    dispatcher: Dispatcher,
+    /// Transfers of a configuration that have begun.
+    pub configurations: Cell<usize>,
+    /// True where a configuration comes byte by byte and does not end.
+    pub is_endless: Cell<bool>,
+    /// What it knows.
+    pub dispatcher: RefCell<Dispatcher>,
 }
 
 impl Peer {
@@ -59,9 +70,12 @@
             other: SocketAddrV4::new(HOSTS[1], address.port()),
             most_at_once: Cell::new(0),
             heard: Cell::new(0),
+            heard_list: Cell::new(0),
             under_way: Cell::new(0),
             free_at: Cell::new(Instant::now()),
-            dispatcher,
+            configurations: Cell::new(0),
+            is_endless: Cell::new(false),
+            dispatcher: RefCell::new(dispatcher),
         });
         spawn_local(peer.clone().talk(socket));
         spawn_local(peer.clone().serve(listener));
@@ -71,11 +85,12 @@
     async fn talk(self: Rc<Peer>, socket: UdpSocket) {
         let mut buffer = [0; 8 << 10];
         for sequence in 1.. {
-            let known = self.dispatcher.known();
+            let known = self.dispatcher.borrow().known();
             let status = Status {
                 incarnation: 1,
                 sequence,
                 configuration: known.configuration,
+                endpoints: known.endpoints,
                 ..Status::default()
             };
             let bytes = peers::to_datagram(&Message::Status(Box::new(status)));
@@ -88,6 +103,7 @@
             {
                 if let Some(Message::Status(status)) = peers::try_from_datagram(&buffer[..length]) {
                     self.heard.set(status.configuration);
+                    self.heard_list.set(status.endpoints.revision);
                 }
             }
         }
@@ -109,12 +125,24 @@
 
     async fn give(&self, mut stream: TcpStream) -> anyhow::Result<()> {
         let pull: Option<Pull> = frame::Reader::new(&mut stream).next().await?;
-        let snapshot = self.dispatcher.snapshot(&pull.expect("a question"));
+        let snapshot = self
+            .dispatcher
+            .borrow()
+            .snapshot(&pull.expect("a question"));
+        let long = snapshot.head.is_some();
+        self.configurations
+            .set(self.configurations.get() + usize::from(long));
         let mut bytes = Vec::new();
         frame::begin(&mut bytes);
         for frame in snapshot.into_frames() {
             frame::add(&mut bytes, &frame)?;
         }
+        if long && self.is_endless.get() {
+            for byte in &bytes {
+                tokio::time::sleep(BYTE_TAKES).await;
+                stream.write_all(&[*byte]).await?;
+            }
+        }
         for chunk in bytes.chunks(CHUNK) {
             let free_at = self.free_at.get().max(Instant::now()) + CHUNK_TAKES;
             self.free_at.set(free_at);
