--- a/crates/gateway/src/peers/transfer/give.rs
+++ b/crates/gateway/src/peers/transfer/give.rs
@@ -45,8 +45,8 @@
 }
 
 /// Gives the list of endpoints alone. It is short, and must be in force everywhere
-/// soon: behind long configurations a host was sent to an endpoint 3,022 ms after that
-/// had said it was leaving, where 3,000 are allowed.
+/// soon: behind long configurations an endpoint was sent a request 3,022 ms after it
+/// had said that it was leaving, where 3,000 are allowed.
 async fn decline(shell: &Shell, mut stream: TcpStream) -> anyhow::Result<()> {
     // Closing with unread bytes would reset the connection, and the answer
     // with it.
