--- a/crates/dispatch/tests/dispatch/fleet/cold.rs
+++ b/crates/dispatch/tests/dispatch/fleet/cold.rs
@@ -15,7 +15,7 @@
 
 /// Arrivals in one second above which an endpoint falls over: one and a half times
 /// what it bears, and five.
-const FALLS_ABOVE: usize = 15;
+pub(super) const FALLS_ABOVE: usize = 15;
 
 /// Three data centres of 26 nodes with two cells each, whose engines answer so
 /// fast that a free one would take 25 requests a second.
@@ -79,8 +79,7 @@
     world.run_for(SECOND);
     let from = world.now;
     let (list, cold) = restarted(&world, |at| at % 5 < 3);
-    let readers = world.readers();
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     world.run_for(Span::from_millis(2_900));
     // Two more than fit evenly: nodes hear of a change of owners one after the other.
     assert_bounded(&world, &cold, from, 9);
@@ -103,8 +102,7 @@
     world.run_for(SECOND);
     let from = world.now;
     let (list, cold) = restarted(&world, |at| at % 2 == 0);
-    let readers = world.readers();
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     world.run_for(Span::from_millis(500));
     kill_for(&mut world, &killed, Span::from_millis(800));
     world.run_for(Span::from_millis(1_600));
--- a/crates/dispatch/tests/dispatch/fleet/evacuate.rs
+++ b/crates/dispatch/tests/dispatch/fleet/evacuate.rs
@@ -4,12 +4,10 @@
 use woadstage_dispatch::endpoint::List;
 use woadstage_types::id;
 
+use super::cold::FALLS_ABOVE;
 use super::cold::most_in_a_second;
 use super::*;
 
-/// Arrivals in one second above which a cold endpoint falls over.
-const FALLS_ABOVE: usize = 15;
-
 /// A fleet of so many nodes in three or five data centres.
 fn fleet(nodes: u16, centres: u16) -> World {
     World::start(Shape {
@@ -76,8 +74,7 @@
     load(&mut world, MODEL, 500, Span::from_secs(5), &all);
     world.run_for(SECOND);
     let list = evacuated(&world, &["dc0"]);
-    let readers = world.readers();
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     if kill {
         let killed: Vec<u16> = all
             .iter()
@@ -102,8 +99,7 @@
     load(&mut world, MODEL, 600, Span::from_secs(8), &all);
     world.run_for(SECOND);
     let list = evacuated(&world, &["dc0"]);
-    let readers = world.readers();
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     world.run_for(SECOND);
     let from = world.now;
     world.run_for(Span::from_secs(4));
@@ -122,16 +118,14 @@
     world.run_for(SECOND);
     for centre in ["dc0", "dc1", "dc2"] {
         let list = evacuated(&world, &[centre]);
-        let readers = world.readers();
-        world.publish(list, &readers);
+        world.publish_to_readers(list);
         in_force_after(&mut world);
         let since = world.now;
         world.run_for(Span::from_secs(2));
         assert_eq!(arrivals_after(&world, centre, since), 0, "{centre}");
     }
     let list = evacuated(&world, &[]);
-    let readers = world.readers();
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     assert_all_over(&mut world);
 }
 
@@ -144,13 +138,12 @@
     load(&mut world, MODEL, 500, Span::from_secs(8), &all);
     world.run_for(SECOND);
     let list = evacuated(&world, &["dc0"]);
-    let readers = world.readers();
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     world.run_for(Span::from_secs(2));
     load(&mut world, MODEL, 800, Span::from_secs(4), &all);
     let from = world.now;
     let list = evacuated(&world, &[]);
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     world.run_for(Span::from_millis(2_900));
     let near = endpoints_of(&world, "dc0");
     let most = near.iter().map(|one| most_in_a_second(&world, one, from));
@@ -165,8 +158,7 @@
     let all = all_nodes(&world);
     world.run_for(SECOND);
     let list = evacuated(&world, &["dc0", "dc1", "dc2"]);
-    let readers = world.readers();
-    world.publish(list, &readers);
+    world.publish_to_readers(list);
     in_force_after(&mut world);
     let seen = serve(&mut world, MODEL, 200, SECOND, &all);
     world.run_for(SECOND);
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -208,8 +208,14 @@
         }
     }
 
-    /// The nodes of which two in each data centre read the platform.
-    pub fn readers(&self) -> Vec<u16> {
+    /// Publishes a list that the readers of each data centre read at once.
+    pub fn publish_to_readers(&mut self, list: List) {
+        let readers = self.readers();
+        self.publish(list, &readers);
+    }
+
+    /// Two nodes of each data centre, which read the platform.
+    fn readers(&self) -> Vec<u16> {
         let mut readers = Vec::new();
         for centre in 0..self.shape.centres {
             let near = self.nodes.keys().copied().filter(|node| {
