--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -178,6 +178,7 @@
         let request = lease::Request {
             incarnation: self.options.incarnation,
             number: question.number,
+            fingerprint: job.fingerprint,
             service: pool.number,
             endpoint: question.endpoint,
             spare: question.job.is_none(),
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -136,6 +136,7 @@
         let tried = workers.into_iter().flatten();
         let tried = tried.filter(|worker| request.tried.contains(&worker.number));
         Job {
+            fingerprint: request.fingerprint,
             target: target.clone(),
             route: String::new(),
             rank: request.rank,
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -21,6 +21,17 @@
     }
 }
 
+/// Names all requests that ask for the same: of one method, host, path, customer
+/// and body. Each attempt of a caller has an id of its own; this stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A part of a prompt, which other requests may begin with too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
@@ -46,6 +57,8 @@
 /// A request that is to be run.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Job {
+    /// What it asks for.
+    pub fingerprint: Fingerprint,
     /// The service.
     pub target: id::Target,
     /// The name of its route, under which its usual length is learnt.
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -25,6 +25,7 @@
 use crate::dispatcher::Reason;
 use crate::dispatcher::Refusal;
 use crate::job::End;
+use crate::job::Fingerprint;
 use crate::job::Prompt;
 
 /// Asks the owner of slots for one.
@@ -34,6 +35,8 @@
     pub incarnation: u64,
     /// Names the question within that life.
     pub number: u64,
+    /// What its request asks for.
+    pub fingerprint: Fingerprint,
     /// The service's number.
     pub service: u32,
     /// The only endpoint whose slots are asked for, where owners have one each.
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -16,7 +16,7 @@
 use crate::section::Difference;
 
 /// The version of this protocol; the first byte of everything on the wire.
-pub const VERSION: u8 = 7;
+pub const VERSION: u8 = 8;
 
 /// What one node runs at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -17,6 +17,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::job;
+use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::History;
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::job::Prompt;
@@ -182,6 +183,7 @@
 /// A request for a service with a route's priority.
 pub fn job(target: &str, urgency: u8, arrived: Time) -> Job {
     Job {
+        fingerprint: Fingerprint(0),
         target: id::Target::new(target),
         route: "route".into(),
         rank: Rank {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -98,6 +98,8 @@
     Accepted {
         /// The caller's id of it.
         request: &'a str,
+        /// What it asks for: the same for each attempt, on every node.
+        fingerprint: &'a str,
         /// Its route.
         route: &'a str,
         /// Its service.
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -7,6 +7,7 @@
 use woadstage_dispatch::configuration::Kind;
 use woadstage_dispatch::configuration::Rank;
 use woadstage_dispatch::configuration::Route;
+use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::History;
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::table::Table;
@@ -105,7 +106,13 @@
     }
 
     /// The request as it is put in line, whose caller has tried for so long.
-    pub fn to_job(&self, headers: &Headers, head: &Parts, tried_for: Span) -> Job {
+    pub fn to_job(
+        &self,
+        headers: &Headers,
+        head: &Parts,
+        fingerprint: Fingerprint,
+        tried_for: Span,
+    ) -> Job {
         let customer = self.customer.as_ref();
         let priority = customer.and_then(|customer| customer.priority);
         let prompt = match self.route.kind {
@@ -113,6 +120,7 @@
             Kind::Repeatable | Kind::Once => Default::default(),
         };
         Job {
+            fingerprint,
             target: self.target.clone(),
             route: self.route.name.clone(),
             rank: Rank {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -22,6 +22,7 @@
 use super::admit::Admitted;
 use super::charge;
 use super::charge::Charged;
+use super::fingerprint;
 use super::judge;
 use super::judge::Verdict;
 use super::outgoing;
@@ -134,9 +135,13 @@
         let left = self.admitted.caller_deadline.since(self.admitted.arrived);
         let timeout = self.admitted.route.timeout;
         let tried_for = shell.command(|dispatcher, now| dispatcher.tried_for(now, left, timeout));
-        let job = self.admitted.to_job(&shell.headers, &self.head, tried_for);
+        let fingerprint = fingerprint::of(&self.admitted, &self.head, self.payload.as_ref());
+        let job = self
+            .admitted
+            .to_job(&shell.headers, &self.head, fingerprint, tried_for);
         shell.log(&Event::Accepted {
             request: &self.admitted.request,
+            fingerprint: &fingerprint.to_string(),
             route: &self.admitted.route.name,
             service: self.admitted.target.as_str(),
             customer: self.admitted.customer_name(),
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -5,6 +5,7 @@
 //! * `payload.rs`: its body.
 //! * `charge.rs`: its customer's quota.
 //! * `handle.rs`: one request, from its head to an answer that goes out.
+//! * `fingerprint.rs`: what a request asks for, over all attempts.
 //! * `exchange.rs`: attempts at endpoints until there is an answer.
 //! * `outgoing.rs`: a request as an endpoint gets it.
 //! * `judge.rs`: what an answer's head means.
@@ -38,6 +39,7 @@
 mod charge;
 mod closing;
 mod exchange;
+mod fingerprint;
 pub mod framer;
 mod handle;
 mod judge;
--- a/crates/gateway/src/serve/payload.rs
+++ b/crates/gateway/src/serve/payload.rs
@@ -108,6 +108,13 @@
         Box::pin(StreamBody::new(frames))
     }
 
+    /// The whole body where it is held, or else its first [`HELD_MOST`] bytes at the
+    /// most; nothing once a long one has gone out.
+    pub fn beginning(&self) -> &[u8] {
+        let most = self.held.len().min(HELD_MOST as usize);
+        &self.held[..most]
+    }
+
     /// The length, where the whole body is held.
     pub fn length_opt(&self) -> Option<usize> {
         (!self.streams).then_some(self.held.len())
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod catch_up;
 mod explain;
+mod fingerprint;
 mod log;
 mod peers;
 mod requests;
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -13,6 +13,7 @@
 use woadstage_dispatch::configuration::Rank;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::endpoint;
+use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::Prompt;
 use woadstage_dispatch::lease;
 use woadstage_dispatch::lease::Answer;
@@ -353,6 +354,7 @@
         let request = lease::Request {
             incarnation: 2,
             number: 11,
+            fingerprint: Fingerprint(11),
             service: endpoint::number_of(SERVICE),
             endpoint: None,
             spare: false,
