--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -11,6 +11,7 @@
 use crate::support::job;
 
 mod cold;
+mod crash;
 mod evacuate;
 mod world;
 
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -15,11 +15,13 @@
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::dispatcher::Options;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
@@ -45,6 +47,18 @@
 /// How long an endpoint takes to the first event of an answer.
 const FIRST_AFTER: Span = Span::from_millis(20);
 
+/// How long after an endpoint began to run it a request that crashes it does so.
+const CRASH_AFTER: Span = Span::from_millis(70);
+
+/// How long after an endpoint's end another starts in its place.
+const BACK_AFTER: Span = Span::from_secs(2);
+
+/// How long the platform lists an endpoint that has ended.
+const LAPSE_AFTER: Span = Span::from_millis(3_600);
+
+/// How long after its request broke a caller tries again.
+const RETURN_AFTER: Span = Span::from_millis(300);
+
 /// The shape of a fleet.
 #[derive(Debug, Clone)]
 pub struct Shape {
@@ -87,18 +101,37 @@
         from: u16,
     },
     Done(u16, job::Id, id::Endpoint),
+    /// An endpoint ends, as what it runs crashes it, or by itself.
+    Crash(id::Endpoint, Option<Fingerprint>),
+    /// A node sees that its attempt broke.
+    Broken(u16, job::Id, End),
+    /// Another endpoint starts in the place of one that ended.
+    Back(id::Endpoint),
+    /// The platform lists an endpoint no more.
+    Lapse(id::Endpoint),
+}
+
+/// An endpoint's end under a request that crashes it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Crash {
+    /// When it ended.
+    pub when: Time,
+    /// What crashed it.
+    pub fingerprint: Fingerprint,
 }
 
 /// One endpoint: what runs and what waits there.
 #[derive(Debug, Default)]
 struct Engine {
-    running: u32,
+    running: Vec<(u16, job::Id)>,
     waiting: VecDeque<(u16, job::Id)>,
 }
 
 /// What was seen of one request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Seen {
+    /// What it asks for.
+    pub fingerprint: Fingerprint,
     /// When it came.
     pub arrived: Time,
     /// When an endpoint began to work on it.
@@ -109,6 +142,10 @@
     pub decided: u32,
     /// True where it waited at an endpoint.
     pub queued: bool,
+    /// True once its whole answer came.
+    pub whole: bool,
+    /// True once its last attempt broke.
+    pub broken: bool,
 }
 
 /// A fleet, its endpoints and the requests that came.
@@ -132,8 +169,22 @@
     pub seen: HashMap<(u16, job::Id), Seen>,
     /// Nodes whose messages reach nobody, and whom none reach.
     pub cut_off: BTreeSet<u16>,
+    /// The part of a fleet that a node belongs to, where parts do not hear each other.
+    pub part: Option<fn(u16) -> u16>,
     /// Messages that were sent, but for statuses.
     pub messages: usize,
+    /// What crashes the endpoints that run it.
+    pub crashing: BTreeSet<Fingerprint>,
+    /// Endpoints that ended.
+    ended: BTreeSet<id::Endpoint>,
+    /// Ends under requests that crash endpoints.
+    pub crashes: Vec<Crash>,
+    /// When a request that crashes endpoints reached one, from which node.
+    pub reached: Vec<(Time, u16, Fingerprint)>,
+    /// What callers ask for, who try once more when their request breaks.
+    jobs: HashMap<(u16, job::Id), Job>,
+    /// Callers who have tried again.
+    returned: BTreeSet<Fingerprint>,
 }
 
 /// The address of a node.
@@ -162,7 +213,14 @@
             now: at(0),
             seen: HashMap::new(),
             cut_off: BTreeSet::new(),
+            part: None,
             messages: 0,
+            crashing: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            crashes: Vec::new(),
+            reached: Vec::new(),
+            jobs: HashMap::new(),
+            returned: BTreeSet::new(),
             shape,
         };
         world.list = list(1, &world.endpoints());
@@ -333,15 +391,19 @@
                     first_try: arrived - tried_for,
                     ..*job
                 };
-                let id = dispatcher.enter(now, job);
                 let seen = Seen {
+                    fingerprint: job.fingerprint,
                     arrived,
                     began: None,
                     refused: false,
                     decided: 0,
                     queued: false,
+                    whole: false,
+                    broken: false,
                 };
+                let id = dispatcher.enter(now, job.clone());
                 self.seen.insert((node, id), seen);
+                self.jobs.insert((node, id), job);
                 self.settle(node);
             }
             Event::First(node, id) => {
@@ -352,6 +414,81 @@
             }
             Event::Take { node, from } => self.take(node, from),
             Event::Done(node, id, endpoint) => self.finish(node, id, &endpoint),
+            Event::Crash(endpoint, under) => self.crash(&endpoint, under),
+            Event::Broken(node, id, end) => self.break_off(node, id, end),
+            Event::Back(endpoint) => self.replace(&endpoint),
+            Event::Lapse(endpoint) => {
+                let mut list = (*self.list).clone();
+                list.revision += 1;
+                list.endpoints.retain(|one| one.name != endpoint);
+                self.publish_to_readers(list);
+            }
+        }
+    }
+
+    /// Ends an endpoint after a while, whatever it runs.
+    pub fn end_endpoint(&mut self, after: Span, endpoint: &id::Endpoint) {
+        self.plan(self.now + after, Event::Crash(endpoint.clone(), None));
+    }
+
+    /// An endpoint ends: whoever has a request there sees its connection close.
+    fn crash(&mut self, endpoint: &id::Endpoint, under: Option<Fingerprint>) {
+        if !self.ended.insert(endpoint.clone()) {
+            return;
+        }
+        let when = self.now;
+        if let Some(fingerprint) = under {
+            self.crashes.push(Crash { when, fingerprint });
+        }
+        let engine = self.engines.remove(endpoint).unwrap_or_default();
+        let seen = when + self.shape.way;
+        for (node, id) in engine.running.into_iter().chain(engine.waiting) {
+            self.plan(seen, Event::Broken(node, id, End::Lost));
+        }
+        self.plan(when + BACK_AFTER, Event::Back(endpoint.clone()));
+        self.plan(when + LAPSE_AFTER, Event::Lapse(endpoint.clone()));
+    }
+
+    /// Another endpoint starts, with a name of its own.
+    fn replace(&mut self, endpoint: &id::Endpoint) {
+        let mut list = (*self.list).clone();
+        list.revision += 1;
+        let old = list.endpoints.iter().find(|one| one.name == *endpoint);
+        let Some(old) = old.cloned() else {
+            return;
+        };
+        list.endpoints.push(Endpoint {
+            name: id::Endpoint::new(&format!("{endpoint}-again")),
+            ..old
+        });
+        self.publish_to_readers(list);
+    }
+
+    /// An attempt of a node broke. Where it is not sent again, its caller tries once
+    /// more, at another node.
+    fn break_off(&mut self, node: u16, id: job::Id, end: End) {
+        let Some(dispatcher) = self.nodes.get_mut(&node) else {
+            return;
+        };
+        let next = dispatcher.end(self.now, id, end);
+        self.settle(node);
+        if next == Next::Again {
+            return;
+        }
+        self.seen.get_mut(&(node, id)).expect("it came").broken = true;
+        let Some(job) = self.jobs.remove(&(node, id)) else {
+            return;
+        };
+        let first = self.returned.insert(job.fingerprint);
+        if first && !self.crashing.contains(&job.fingerprint) {
+            let nodes: Vec<u16> = self.nodes.keys().copied().collect();
+            let at = job.fingerprint.0 as usize % nodes.len();
+            let (deadline, arrived) = (job.deadline, job.arrived);
+            self.arrive(RETURN_AFTER, nodes[at], |when| Job {
+                arrived: when,
+                deadline: when + deadline.since(arrived),
+                ..job
+            });
         }
     }
 
@@ -360,6 +497,9 @@
         if self.cut_off.contains(&node) || self.cut_off.contains(&from) {
             return;
         }
+        if self.part.is_some_and(|part| part(node) != part(from)) {
+            return;
+        }
         let (Some(to), Some(giver)) = (self.nodes.get(&node), self.nodes.get(&from)) else {
             return;
         };
@@ -404,6 +544,9 @@
         if self.cut_off.contains(&from) || self.cut_off.contains(&to) {
             return;
         }
+        if self.part.is_some_and(|part| part(from) != part(to)) {
+            return;
+        }
         self.plan(
             self.now + self.shape.way,
             Event::Message { from, to, message },
@@ -436,16 +579,29 @@
     fn begin(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
         let seen = self.seen.get_mut(&(node, id)).expect("it came");
         seen.decided += 1;
+        if self.ended.contains(endpoint) {
+            let refused = self.now + self.shape.way;
+            self.plan(refused, Event::Broken(node, id, End::NotSent));
+            return;
+        }
+        let fingerprint = seen.fingerprint;
         let arrivals = self.arrivals.entry(endpoint.clone()).or_default();
         arrivals.push(self.now);
+        if self.crashing.contains(&fingerprint) {
+            self.reached.push((self.now, node, fingerprint));
+        }
         let engine = self.engines.entry(endpoint.clone()).or_default();
-        if engine.running >= self.shape.slots {
+        if engine.running.len() >= self.shape.slots as usize {
             seen.queued = true;
             engine.waiting.push_back((node, id));
             return;
         }
         seen.began = Some(self.now);
-        engine.running += 1;
+        engine.running.push((node, id));
+        if self.crashing.contains(&fingerprint) {
+            let crash = Event::Crash(endpoint.clone(), Some(fingerprint));
+            self.plan(self.now + CRASH_AFTER, crash);
+        }
         // Calls differ in length by as much as they take at the least.
         let spread = hash::chain(id.0, &node.to_le_bytes()) % self.shape.call.0;
         let call = Span(self.shape.call.0 / 2 + spread);
@@ -454,8 +610,14 @@
     }
 
     fn finish(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
-        let engine = self.engines.get_mut(endpoint).expect("it runs there");
-        engine.running -= 1;
+        let Some(engine) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        let Some(at) = engine.running.iter().position(|one| *one == (node, id)) else {
+            return;
+        };
+        engine.running.remove(at);
+        self.seen.get_mut(&(node, id)).expect("it came").whole = true;
         if let Some(dispatcher) = self.nodes.get_mut(&node) {
             dispatcher.end(self.now, id, End::Whole);
             self.settle(node);
@@ -468,6 +630,9 @@
         self.begin(node, id, endpoint);
         // It arrived and was decided before it waited here.
         self.arrivals.get_mut(endpoint).expect("it arrived").pop();
+        if self.crashing.contains(&self.seen[&(node, id)].fingerprint) {
+            self.reached.pop();
+        }
         self.seen.get_mut(&(node, id)).expect("it came").decided = decided;
     }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod callers;
 mod catch_up;
+mod crash;
 mod explain;
 mod fingerprint;
 mod log;
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use super::wire::echo;
@@ -35,6 +36,9 @@
     AnswerEarly(String, Rc<Notify>),
     /// Says nothing until the other end closes.
     Silence,
+    /// Ends the stand-in with all its connections where the body is this text, or
+    /// else writes these bytes and keeps the connection.
+    CrashOn(&'static str, String),
 }
 
 /// A stand-in of an endpoint.
@@ -51,6 +55,8 @@
     /// Told when a connection has ended.
     pub closed: Rc<Notify>,
     script: Rc<RefCell<VecDeque<Act>>>,
+    /// True once it has ended.
+    ended: Rc<watch::Sender<bool>>,
 }
 
 impl Worker {
@@ -70,14 +76,25 @@
             connections: Rc::default(),
             closed: Rc::default(),
             script: Rc::new(RefCell::new(script.into())),
+            ended: Rc::new(watch::Sender::new(false)),
         };
         let serving = worker.clone();
         spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = serving.end() => return,
+                };
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
                 serving.connections.set(serving.connections.get() + 1);
                 let one = serving.clone();
                 spawn_local(async move {
-                    one.serve(stream).await;
+                    tokio::select! {
+                        () = one.serve(stream) => {}
+                        () = one.end() => {}
+                    }
                     one.closed.notify_one();
                 });
             }
@@ -85,6 +102,12 @@
         worker
     }
 
+    /// Waits until it has ended.
+    async fn end(&self) {
+        let mut ended = self.ended.subscribe();
+        ended.wait_for(|ended| *ended).await.expect("it is held");
+    }
+
     fn next(&self) -> Act {
         let mut script = self.script.borrow_mut();
         match script.len() {
@@ -103,6 +126,10 @@
             }
             let body = read_body(&mut stream, &mut buffer, &head).await;
             self.requests.borrow_mut().push(format!("{head}{body}"));
+            if matches!(act, Act::CrashOn(text, _) if text == body) {
+                self.ended.send_replace(true);
+                return;
+            }
             if !self.act(&mut stream, act, &head).await {
                 return;
             }
@@ -112,7 +139,9 @@
     /// Does one act; true where the connection goes on.
     async fn act(&self, stream: &mut TcpStream, act: Act, head: &str) -> bool {
         match act {
-            Act::Answer(text) => stream.write_all(echo(&text, head).as_bytes()).await.is_ok(),
+            Act::Answer(text) | Act::CrashOn(_, text) => {
+                stream.write_all(echo(&text, head).as_bytes()).await.is_ok()
+            }
             Act::AnswerEarly(..) => true,
             Act::AnswerAndClose(text) => {
                 let _ = stream.write_all(echo(&text, head).as_bytes()).await;
