--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -86,7 +86,7 @@
                 true => End::Abandoned,
                 false => End::NotThere,
             };
-            job.history.tried.push(known.endpoint.name.clone());
+            job.history.tried.push(known.number);
             self.return_slot(question.owner, question.number, end);
             self.submit(now, id, job);
             return;
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -69,6 +69,10 @@
     /// Puts a request in the queue that it belongs to: here, or at the owner of
     /// the slots that it may have.
     pub(super) fn submit(&mut self, now: Time, id: job::Id, mut job: Job) {
+        if let Some(refusal) = self.bar(now, &mut job) {
+            self.refuse(now, id, job.origin, refusal);
+            return;
+        }
         match self.arbiter(now, &job) {
             Arbiter::Own { only } => {
                 job.only = only;
@@ -124,7 +128,7 @@
     fn shared_worker<'a>(&self, now: Time, pool: &'a Pool, job: &Job) -> Option<&'a Worker> {
         let options = &self.options.worker;
         let usable = pool.workers.iter().filter(|worker| {
-            worker.takes_work(now, options) && !job.history.tried.contains(&worker.endpoint.name)
+            worker.takes_work(now, options) && !job.history.tried.contains(&worker.number)
         });
         let usable: Vec<&Worker> = usable.collect();
         let waiting = |worker: &Worker| {
@@ -174,7 +178,6 @@
         let Some((pool, job)) = pool.zip(question.job.as_ref().or(waiting)) else {
             return;
         };
-        let tried = job.history.tried.iter();
         let request = lease::Request {
             incarnation: self.options.incarnation,
             number: question.number,
@@ -190,7 +193,7 @@
             patience: job.patience,
             pause: job.pause,
             prompt: job.prompt.clone(),
-            tried: tried.map(crate::endpoint::to_number).collect(),
+            tried: job.history.tried.clone(),
         };
         let message = Message::Lease(Box::new(request));
         self.outbox.push((question.owner, message));
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -132,9 +132,6 @@
         request: &lease::Request,
     ) -> Job {
         let arrived = now - request.age;
-        let workers = self.pools.get(target).map(|pool| pool.workers.iter());
-        let tried = workers.into_iter().flatten();
-        let tried = tried.filter(|worker| request.tried.contains(&worker.number));
         Job {
             fingerprint: request.fingerprint,
             target: target.clone(),
@@ -150,11 +147,12 @@
             pause: request.pause,
             prompt: request.prompt.clone(),
             history: History {
-                tried: tried.map(|worker| worker.endpoint.name.clone()).collect(),
+                tried: request.tried.clone(),
                 ..History::default()
             },
             origin: Some(origin),
             only: request.endpoint,
+            trial: false,
         }
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -15,6 +15,7 @@
 //! * `evacuate.rs`: where requests go whose data centre is evacuated.
 //! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
+//! * `suspect.rs`: requests under which endpoints ended.
 //! * `tick.rs`: what only the passing of time brings about.
 //! * `share.rs`: what nodes tell each other.
 //! * `query.rs`: queries.
@@ -49,6 +50,8 @@
 use crate::member::Members;
 use crate::message::Message;
 use crate::parts;
+use crate::quarantine;
+use crate::quarantine::Registry;
 use crate::queue::Queue;
 use crate::quota;
 use crate::quota::Accounts;
@@ -76,6 +79,7 @@
 mod share;
 mod spare;
 mod start_cold;
+mod suspect;
 mod tick;
 
 use borrow::Question;
@@ -84,6 +88,8 @@
 pub use policy::Policy;
 pub use query::Summary;
 pub use reserve::Charge;
+pub use suspect::Change;
+pub use suspect::News;
 
 /// What a dispatcher is told at its start.
 #[derive(Debug, Clone)]
@@ -108,6 +114,8 @@
     pub quota: quota::Options,
     /// What may be sent again.
     pub budget: budget::Options,
+    /// What is not run any more.
+    pub quarantine: quarantine::Options,
 }
 
 /// What was known when an endpoint was chosen, for logs.
@@ -174,6 +182,8 @@
     Budget,
     /// Too little time is left.
     Time,
+    /// Endpoints ended under it: one more is not risked for the same attempt.
+    Suspect,
 }
 
 impl Cause {
@@ -184,6 +194,7 @@
             Cause::Attempts => "attempts",
             Cause::Budget => "budget",
             Cause::Time => "time",
+            Cause::Suspect => "suspect",
         }
     }
 }
@@ -264,6 +275,10 @@
     members: Members,
     accounts: Accounts,
     budget: Budget,
+    /// Requests under which endpoints ended.
+    quarantine: Registry,
+    /// What became known of them.
+    changes: Vec<Change>,
     durations: Durations,
     first_tries: first_try::Histogram,
     /// Requests of this node for which others were asked for a slot.
@@ -300,6 +315,8 @@
             ),
             accounts: Accounts::new(options.quota.clone()),
             budget: Budget::new(options.budget.clone()),
+            quarantine: Registry::new(options.quarantine.clone()),
+            changes: Vec::new(),
             durations: Durations::default(),
             first_tries: first_try::Histogram::default(),
             options,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -110,9 +110,10 @@
         };
         self.urgent |= run.lease.is_none();
         let target = run.job.target.clone();
+        self.note_outcome(now, &run, end);
         let mut job = self.close(now, run, end);
         let next = match end {
-            End::Whole | End::Abandoned => Next::Over,
+            End::Whole | End::Rejected | End::Abandoned => Next::Over,
             _ => self.next_attempt(now, &mut job, end),
         };
         match next {
@@ -125,6 +126,22 @@
         next
     }
 
+    /// Learns of a request of this node's callers from how an attempt ended.
+    fn note_outcome(&mut self, now: Time, run: &Run, end: End) {
+        let fingerprint = run.job.fingerprint;
+        match end {
+            End::Whole => self.note_whole(now, fingerprint),
+            End::Lost => {
+                let pool = self.pools.get(&run.job.target);
+                if let Some(worker) = pool.and_then(|pool| pool.workers.get(run.worker)) {
+                    let number = worker.number;
+                    self.quarantine.note_broken(now, fingerprint, number);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// A caller left, or its time ran out.
     pub fn abandon(&mut self, now: Time, id: job::Id) {
         if self.runs.contains_key(&id) {
@@ -147,7 +164,7 @@
             let seen = lease::Seen {
                 events: run.shown,
                 step: run.step.map(|step| step as u32),
-                took: (end == End::Whole).then(|| now.since(run.started)),
+                took: matches!(end, End::Whole | End::Rejected).then(|| now.since(run.started)),
             };
             let event = lease::Event::Ended { end, seen };
             self.report(lease.owner, lease.number, event);
@@ -160,7 +177,7 @@
         let worker = &mut pool.workers[run.worker];
         worker.end(pending);
         match end {
-            End::Whole => {
+            End::Whole | End::Rejected => {
                 worker.succeed(now);
                 learn_call(pool, &run, now);
                 learn_length(pool, &run);
@@ -205,6 +222,9 @@
         if job.history.may_have_run && !job.repeatable {
             return Next::Final(Cause::MayHaveRun);
         }
+        if end == End::Lost && self.quarantine.is_suspect(job.fingerprint) {
+            return Next::Final(Cause::Suspect);
+        }
         let unsent = job.history.unsent >= self.options.policy.connects;
         if unsent || job.history.sent >= job.attempts {
             return Next::Final(Cause::Attempts);
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -148,13 +148,20 @@
         let home = home(pool, &chain);
         let slowest = pool.slowest_step_opt(now, job, &self.options.worker);
         let permit = self.cold_permit(now, pool);
+        let apart = self.keep_apart(&job.target, job);
+        if apart.as_ref().is_some_and(|apart| apart.runs) {
+            return None;
+        }
         let mut best: Option<Choice> = None;
         for (at, worker) in pool.workers.iter().enumerate() {
             let usable = worker.takes_work(now, &self.options.worker);
             if !worker.own_cell
                 || !usable
                 || job.only.is_some_and(|only| only != worker.number)
-                || job.history.tried.contains(&worker.endpoint.name)
+                || job.history.tried.contains(&worker.number)
+                || apart
+                    .as_ref()
+                    .is_some_and(|apart| apart.avoided.contains(&at))
             {
                 continue;
             }
@@ -166,7 +173,7 @@
             if slowest.is_some_and(|slowest| pool.step_of(worker) > slowest) {
                 continue;
             }
-            let choice = match pool.engine {
+            let mut choice = match pool.engine {
                 true => self.engine_choice(now, pool, at, job, &chain, home == Some(at)),
                 false => self.service_choice(pool, at, job),
             };
@@ -174,6 +181,7 @@
             if choice.unfit || now + Span(choice.first as u64) > job.latest() {
                 continue;
             }
+            choice.micros += Dispatcher::risk(apart.as_ref(), worker.busy());
             if best.is_none_or(|best| choice.micros < best.micros) {
                 best = Some(choice);
             }
@@ -317,7 +325,7 @@
         }
         let endpoint = worker.endpoint.clone();
         let number = worker.number;
-        job.history.tried.push(endpoint.name.clone());
+        job.history.tried.push(number);
         let chain = warm::chain(&job.prompt.parts);
         let seen = f64::from(u8::from(pool.warm.knows(&chain)));
         pool.recurring += (seen - pool.recurring) * NEWEST;
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -12,6 +12,7 @@
 use super::Pool;
 use crate::configuration::Configuration;
 use crate::endpoint;
+use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::length::Lengths;
 use crate::parts::Head;
@@ -69,7 +70,7 @@
         self.received.clear();
         self.urgent = true;
         self.news = true;
-        self.place_all(now);
+        self.use_list(now);
         true
     }
 
@@ -83,41 +84,81 @@
             true => list,
             false => Arc::new(list.merge(&self.list)),
         };
-        let listed: HashSet<&id::Endpoint> = list.endpoints.iter().map(|one| &one.name).collect();
-        for pool in self.pools.values_mut() {
-            for worker in &mut pool.workers {
-                worker.listed = listed.contains(&worker.endpoint.name);
-            }
-        }
-        for endpoint in &list.endpoints {
-            let endpoint = Arc::new(endpoint.clone());
-            let pool = pool(&mut self.pools, &self.options.warm, &endpoint.service);
-            match pool.index.get(&endpoint.name) {
-                Some(at) => {
-                    let worker = &mut pool.workers[*at];
-                    if worker.endpoint.cold_for != endpoint.cold_for {
-                        worker.cold.extend(now, endpoint.cold_for);
-                    }
-                    worker.endpoint = endpoint;
-                }
-                None => {
-                    let at = pool.workers.len();
-                    pool.index.insert(endpoint.name.clone(), at);
-                    let mut worker = Worker::new(endpoint);
-                    worker.cold.extend(now, worker.endpoint.cold_for);
-                    pool.workers.push(worker);
-                }
-            }
-        }
-        self.note_evacuated(now, &list);
         self.sections = section::Index::new(&list);
         self.list = list;
         self.news = true;
+        self.use_list(now);
+        true
+    }
+
+    /// Brings the list into force: that of its endpoints whose service the configuration
+    /// names. Others write under the same keys, and nobody would ever be sent to what
+    /// they name.
+    fn use_list(&mut self, now: Time) {
+        let list = self.list.clone();
+        let ended = self.unlist(&list);
+        let named = self.named_services();
+        let is_named = |service| named.as_ref().is_none_or(|named| named.contains(service));
+        for endpoint in list.endpoints.iter().filter(|one| is_named(&one.service)) {
+            self.use_endpoint(now, endpoint);
+        }
+        for endpoint in ended {
+            self.note_endpoint_ended(now, endpoint);
+        }
+        self.note_evacuated(now, &list);
         self.forget_workers();
         self.assign_workers();
         self.count_others(now);
         self.place_all(now);
-        true
+    }
+
+    /// The services of the configuration in force; none where there is none.
+    fn named_services(&self) -> Option<HashSet<id::Target>> {
+        let configuration = self.configuration()?;
+        let services = configuration.services.iter();
+        let services = services.map(|service| service.name.clone());
+        let routes = configuration.routes.iter();
+        let targets = routes.flat_map(|route| &route.targets);
+        let targets = targets.map(|(target, _)| target.clone());
+        Some(services.chain(targets).collect())
+    }
+
+    /// Takes what a list says of one endpoint. One that was started again under its name
+    /// is another, of which nothing is known.
+    fn use_endpoint(&mut self, now: Time, endpoint: &Endpoint) {
+        let endpoint = Arc::new(endpoint.clone());
+        let pool = pool(&mut self.pools, &self.options.warm, &endpoint.service);
+        let at = pool.index.get(&endpoint.name).copied();
+        let at = at.filter(|at| pool.workers[*at].endpoint.born == endpoint.born);
+        if let Some(at) = at {
+            let worker = &mut pool.workers[at];
+            if worker.endpoint.cold_for != endpoint.cold_for {
+                worker.cold.extend(now, endpoint.cold_for);
+            }
+            worker.listed = true;
+            worker.endpoint = endpoint;
+            return;
+        }
+        pool.index.insert(endpoint.name.clone(), pool.workers.len());
+        let mut worker = Worker::new(endpoint);
+        worker.cold.extend(now, worker.endpoint.cold_for);
+        pool.workers.push(worker);
+    }
+
+    /// Marks all endpoints as not listed. Gives those that have ended: all that the list
+    /// lacks, or has with a later start, and that had not said that they leave.
+    fn unlist(&mut self, list: &List) -> Vec<u32> {
+        let listed = list.endpoints.iter();
+        let listed: HashSet<u32> = listed.map(Endpoint::to_number).collect();
+        let mut ended = Vec::new();
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            let lacks = !listed.contains(&worker.number);
+            if worker.listed && lacks && !worker.endpoint.leaving {
+                ended.push(worker.number);
+            }
+            worker.listed = false;
+        }
+        ended
     }
 
     /// Keeps a part of a configuration that another node gave, until all are
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -52,8 +52,10 @@
 impl Dispatcher {
     /// Takes in what another node said. What it runs counts from the next tick
     /// on, so that a word costs little in a large fleet.
-    pub fn hear(&mut self, now: Time, from: SocketAddrV4, status: Status) -> News {
+    pub fn hear(&mut self, now: Time, from: SocketAddrV4, mut status: Status) -> News {
         self.accounts.begin(now);
+        let findings = std::mem::take(&mut status.findings);
+        let quarantine = status.quarantine;
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
         let news = self.members.hear(now, from, status);
@@ -72,6 +74,8 @@
             let quota = customer.and_then(|customer| customer.quota.as_ref());
             self.accounts.hear(now, speaker, said, quota, reach);
         }
+        self.take_findings(now, &findings);
+        self.answer_digest(now, from, quarantine);
         news
     }
 
@@ -132,6 +136,8 @@
             waiting: self.waiting(),
             usage: self.accounts.usage(now, USAGE_MOST),
             members: self.members.told(now, self.sequence),
+            quarantine: self.quarantine.digest(),
+            findings: self.quarantine.news(now),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -27,6 +27,7 @@
         self.ticked = now;
         self.accounts.begin(now);
         self.members.forget(now);
+        self.quarantine.forget(now);
         self.arrange(now);
         self.count_others(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -12,8 +12,11 @@
 /// One start of one endpoint.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
-    /// Its name; a restarted endpoint has another.
+    /// Its name. One that is started again may have the same.
     pub name: id::Endpoint,
+    /// When it was started, in milliseconds since 1970 by its own host's clock; 0 where
+    /// that is not known. Only compared with what it said before, never with a clock.
+    pub born: u64,
     /// The service that it belongs to.
     pub service: id::Target,
     /// Where it listens.
@@ -30,16 +33,31 @@
 }
 
 impl Endpoint {
-    /// The number by which nodes name it to each other.
+    /// The number by which nodes name this start of it to each other: of one that was
+    /// started again under its name nothing holds that was known before. Two endpoints
+    /// with one number would share their counts, which costs balance and nothing else.
     pub fn to_number(&self) -> u32 {
-        to_number(&self.name)
+        let name = hash::of(self.name.as_str().as_bytes());
+        match self.born {
+            0 => name as u32,
+            born => hash::chain(name, &born.to_le_bytes()) as u32,
+        }
+    }
+
+    /// Names this start of it.
+    pub fn to_life(&self) -> Life {
+        Life {
+            name: self.name.clone(),
+            born: self.born,
+        }
     }
 }
 
-/// The number by which nodes name an endpoint to each other. Two endpoints with
-/// one number would share their counts, which costs balance and nothing else.
-pub fn to_number(name: &id::Endpoint) -> u32 {
-    number_of(name.as_str())
+/// One start of an endpoint: what was open to it before belongs to another.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Life {
+    name: id::Endpoint,
+    born: u64,
 }
 
 /// The number by which nodes name anything that has a name.
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -89,6 +89,8 @@
     pub origin: Option<Origin>,
     /// The number of the only endpoint that may run it, where that is decided.
     pub only: Option<u32>,
+    /// True where it is barred, and is tried once more.
+    pub trial: bool,
 }
 
 impl Job {
@@ -118,8 +120,8 @@
 /// What was tried for a request so far.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct History {
-    /// Endpoints that it was offered to, which are not tried again.
-    pub tried: Vec<id::Endpoint>,
+    /// Numbers of endpoints that it was offered to, which are not tried again.
+    pub tried: Vec<u32>,
     /// Endpoints that at least a byte of it was sent to.
     pub sent: u32,
     /// Attempts at connecting that failed.
@@ -131,8 +133,10 @@
 /// How one attempt at running a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
-    /// The whole answer came.
+    /// The whole answer came, of a request that ran to a good end.
     Whole,
+    /// The whole answer came, and says that there is something wrong with the request.
+    Rejected,
     /// No byte of the request was written.
     NotSent,
     /// The endpoint said that it did not run it, for want of room.
@@ -160,6 +164,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             End::Whole => "whole",
+            End::Rejected => "rejected",
             End::NotSent => "not-sent",
             End::Full => "full",
             End::NotThere => "not-there",
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`job`]: one request, from arrival to its final answer.
 //! * [`lease`]: slots that one node gives another.
 //! * [`length`]: how many events a stream has.
+//! * [`quarantine`]: requests that are not run any more, as endpoints ended under them.
 //! * [`queue`]: what waits for an endpoint.
 //! * [`quota`]: what customers may use, over all nodes.
 //! * [`budget`]: what may be sent again, over all nodes.
@@ -41,6 +42,7 @@
 pub mod member;
 pub mod message;
 pub mod parts;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod section;
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -101,6 +101,8 @@
     pub returned: Option<Time>,
     /// When it last left a question unanswered.
     pub unanswered: Option<Time>,
+    /// When it was last sent findings, with what named all that this node and it knew.
+    told: Option<(Time, (u32, u32))>,
     /// What it last said.
     pub status: Status,
 }
@@ -276,6 +278,31 @@
         }
     }
 
+    /// Notes that a node is sent findings; false where it was sent them so lately with
+    /// the same known on both sides.
+    pub fn note_told(
+        &mut self,
+        now: Time,
+        address: SocketAddrV4,
+        known: (u32, u32),
+        every: Span,
+    ) -> bool {
+        let Some(member) = self.others.get_mut(&address) else {
+            return false;
+        };
+        let lately = |(at, before): (Time, (u32, u32))| before == known && now.since(at) < every;
+        if member.told.is_some_and(lately) {
+            return false;
+        }
+        member.told = Some((now, known));
+        true
+    }
+
+    /// True for a node of this one's cell.
+    pub fn is_near(&self, address: SocketAddrV4) -> bool {
+        self.others.get(&address).is_some_and(|member| member.near)
+    }
+
     /// The life of another node, where it was heard lately.
     pub fn incarnation_opt(&self, now: Time, address: SocketAddrV4) -> Option<u64> {
         let member = self.others.get(&address);
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -11,6 +11,7 @@
 use crate::parts::Digest;
 use crate::parts::Head;
 use crate::parts::Part;
+use crate::quarantine::Finding;
 use crate::quota::Denied;
 use crate::section;
 use crate::section::Difference;
@@ -88,6 +89,10 @@
     pub usage: Vec<Usage>,
     /// Some of the nodes that it has heard lately.
     pub members: Vec<SocketAddrV4>,
+    /// Names all that it knows of requests that endpoints ended under; 0 for nothing.
+    pub quarantine: u32,
+    /// What it came to know of them lately.
+    pub findings: Vec<Finding>,
 }
 
 /// Asks the owner of a customer's quota for a request's units.
@@ -153,6 +158,8 @@
     Report(lease::Report),
     /// Whether it still has it.
     Check(lease::Check),
+    /// What a node knows of requests that endpoints ended under.
+    Findings(Vec<Finding>),
 }
 
 /// Which of the published documents is spoken of.
--- /dev/null
+++ b/crates/dispatch/src/quarantine/mod.rs
@@ -0,0 +1,94 @@
+//! Requests that are not run any more, since the endpoints that ran them ended (queries
+//! of death).
+//!
+//! An endpoint that ends takes with it all that it runs, and nobody tells which of those
+//! requests crashed it. Each of them is charged with that end. Two things tell them
+//! apart afterwards: a request that crashes endpoints does so each time, and one whose
+//! whole answer came is sound, which clears it of all that it was charged with before. A
+//! request that was charged often enough without that is barred.
+//!
+//! What nodes know of a request is joined (a join semilattice, as in state-based CRDTs):
+//! however findings are lost, doubled or overtaken, nodes that hear each other come to
+//! know the same. Nothing ends because time has passed, but for the memory of one that
+//! was charged and not barred: after [`Options::forget_after`].
+//!
+//! * [`record`]: what is known of one request, and how it is joined.
+//! * [`registry`]: all that is known, in bounded memory.
+
+pub mod record;
+pub mod registry;
+
+pub use record::Finding;
+pub use record::Record;
+pub use registry::Registry;
+
+use woadstage_types::unit::Span;
+
+/// Bounds of what is barred and remembered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// Ends of endpoints from which on a request is barred. Of three, as many as may
+    /// be free of blame: an end more is known late on some nodes, and a fleet that has
+    /// lost all memory goes through them again. `docs/design/quarantine.md` compares.
+    pub barred_from: usize,
+    /// The same of a request that was sound before: many endpoints that end at once for
+    /// another reason may all have run it.
+    pub sound_barred_from: usize,
+    /// The same while this node hears less than half of the nodes that it knows: each
+    /// part of a fleet that is cut in pieces goes through its own.
+    pub cut_off_barred_from: usize,
+    /// The time from the last end until a barred request is tried once more, in case it
+    /// is free of blame.
+    pub trial_after: Span,
+    /// Trials of a request that was never sound: one that crashes endpoints takes
+    /// another with each.
+    pub trials: u8,
+    /// The time until the first trial of one that was sound before; it doubles with each.
+    pub sound_trial_after: Span,
+    /// The time over which one more half of the nodes may begin a trial that the first
+    /// ones have not begun, as the request did not come to them.
+    pub trial_turn: Span,
+    /// How long a request that is not barred is remembered after the last end.
+    pub forget_after: Span,
+    /// Requests that are remembered.
+    pub records: usize,
+    /// Requests whose whole answer came that are remembered.
+    pub sound: usize,
+    /// How long a broken attempt waits to hear whether its endpoint has ended: longer
+    /// than the platform takes to list it no more.
+    pub unconfirmed_for: Span,
+    /// Broken attempts that wait for that.
+    pub unconfirmed: usize,
+    /// How long a change is told in each status.
+    pub fresh_for: Span,
+    /// Findings in one status.
+    pub told: usize,
+    /// Findings in one message to a node that knows others.
+    pub sent: usize,
+    /// Shortest time between two such messages to one node, unless what either knows
+    /// has changed.
+    pub send_every: Span,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            barred_from: 2,
+            sound_barred_from: 3,
+            cut_off_barred_from: 1,
+            trial_after: Span::from_secs(10),
+            trials: 1,
+            sound_trial_after: Span::from_secs(1),
+            trial_turn: Span::from_secs(2),
+            forget_after: Span::from_secs(3_600),
+            records: 2_048,
+            sound: 4_096,
+            unconfirmed_for: Span::from_secs(10),
+            unconfirmed: 1_024,
+            fresh_for: Span::from_millis(1_500),
+            told: 8,
+            sent: 40,
+            send_every: Span::from_secs(1),
+        }
+    }
+}
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world.rs
@@ -105,6 +105,8 @@
     Crash(id::Endpoint, Option<Fingerprint>),
     /// A node sees that its attempt broke.
     Broken(u16, job::Id, End),
+    /// A node finds that nothing listens where its attempt broke.
+    Refused(u16, id::Endpoint),
     /// Another endpoint starts in the place of one that ended.
     Back(id::Endpoint),
     /// The platform lists an endpoint no more.
@@ -416,6 +418,15 @@
             Event::Done(node, id, endpoint) => self.finish(node, id, &endpoint),
             Event::Crash(endpoint, under) => self.crash(&endpoint, under),
             Event::Broken(node, id, end) => self.break_off(node, id, end),
+            Event::Refused(node, endpoint) => {
+                let list = self.list.endpoints.iter();
+                let found = list.clone().find(|one| one.name == endpoint);
+                let number = found.map(Endpoint::to_number);
+                if let Some((dispatcher, number)) = self.nodes.get_mut(&node).zip(number) {
+                    dispatcher.note_endpoint_ended(now, number);
+                    self.settle(node);
+                }
+            }
             Event::Back(endpoint) => self.replace(&endpoint),
             Event::Lapse(endpoint) => {
                 let mut list = (*self.list).clone();
@@ -444,6 +455,8 @@
         let seen = when + self.shape.way;
         for (node, id) in engine.running.into_iter().chain(engine.waiting) {
             self.plan(seen, Event::Broken(node, id, End::Lost));
+            let refused = seen + Span(self.shape.way.0 * 2);
+            self.plan(refused, Event::Refused(node, endpoint.clone()));
         }
         self.plan(when + BACK_AFTER, Event::Back(endpoint.clone()));
         self.plan(when + LAPSE_AFTER, Event::Lapse(endpoint.clone()));
@@ -529,6 +542,7 @@
             Message::Leased(reply) => dispatcher.take_reply(now, from, reply),
             Message::Report(report) => dispatcher.take_report(now, from, report),
             Message::Check(check) => dispatcher.answer_check(from, check),
+            Message::Findings(findings) => dispatcher.take_findings(now, &findings),
             Message::Reserve(_) | Message::Reserved(_) | Message::Release(_) => {}
         }
         self.settle(to);
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -104,7 +104,7 @@
 fn what_others_run_counts_against_the_room() {
     let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 2), endpoint("f", MODEL, 2)]);
     let load = Load {
-        endpoint: woadstage_dispatch::endpoint::to_number(&woadstage_types::id::Endpoint::new("e")),
+        endpoint: crate::support::endpoint("e", MODEL, 1).to_number(),
         running: 2,
         pending: 0,
         trouble: None,
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -25,6 +25,7 @@
 use woadstage_dispatch::message::Frame;
 use woadstage_dispatch::message::Pull;
 use woadstage_dispatch::message::Status;
+use woadstage_dispatch::quarantine;
 use woadstage_dispatch::quota;
 use woadstage_dispatch::warm;
 use woadstage_dispatch::worker;
@@ -64,6 +65,7 @@
             extra: 100.0,
             ..budget::Options::default()
         },
+        quarantine: quarantine::Options::default(),
     }
 }
 
@@ -153,6 +155,7 @@
 pub fn endpoint(name: &str, service: &str, slots: u32) -> Endpoint {
     Endpoint {
         name: id::Endpoint::new(name),
+        born: 0,
         service: id::Target::new(service),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 8_080),
         data_centre: id::DataCentre::new("a"),
@@ -202,6 +205,7 @@
         history: History::default(),
         origin: None,
         only: None,
+        trial: false,
     }
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -174,6 +174,28 @@
         /// address.
         owner: &'a str,
     },
+    /// Something became known of a request that endpoints ended under.
+    Suspect {
+        /// What it asks for.
+        fingerprint: &'a str,
+        /// What became known: `charged`, `heard`, `cleared` or `trial`.
+        what: &'a str,
+        /// Endpoints that ended under it since it was last sound.
+        ends: usize,
+        /// True where it is not run any more.
+        barred: bool,
+    },
+    /// A request is not run, as endpoints ended under what it asks for.
+    Barred {
+        /// The caller's id of it.
+        request: &'a str,
+        /// What it asks for.
+        fingerprint: &'a str,
+        /// Endpoints that ended under it since it was last sound.
+        ends: usize,
+        /// How often it was tried again since.
+        trials: u8,
+    },
     /// An attempt ended.
     Attempt {
         /// The caller's id of the request.
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -65,6 +65,9 @@
             None => "There is no final answer in these lines: the process ended, or lines were left out.".into(),
         };
     }
+    if let Some(barred) = last("barred") {
+        return barred_cause(barred);
+    }
     if let Some(limit) = last("over-limit") {
         return limit_cause(limit);
     }
@@ -88,6 +91,15 @@
     format!("The caller left after {after} ms, {state}.")
 }
 
+fn barred_cause(barred: &Value) -> String {
+    format!(
+        "Refused: {} endpoints ended while they ran what it asks for (fingerprint {}), and it was tried {} times since.",
+        barred["ends"],
+        text(barred, "fingerprint"),
+        barred["trials"],
+    )
+}
+
 fn limit_cause(limit: &Value) -> String {
     format!(
         "Refused: customer {} was over its limit: it asked for {} with {} of {} left, {} of them kept for more protected requests; of {} nodes that share it, {} were silent.",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use woadstage_dispatch::dispatcher::News;
 use woadstage_dispatch::lease::Answer;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Verdict;
@@ -38,6 +39,7 @@
     reservations: IntCounterVec,
     leases: IntCounterVec,
     transfers: IntCounterVec,
+    suspects: IntCounterVec,
     /// Requests held.
     pub held: IntGauge,
     /// The version of the configuration in force.
@@ -50,6 +52,10 @@
     pub silent_nodes: IntGauge,
     /// Log lines left out.
     pub lines_left_out: IntGauge,
+    /// Requests that endpoints ended under since they were last sound, by fingerprint.
+    pub suspected: IntGauge,
+    /// Of them, those that are not run any more.
+    pub barred: IntGauge,
     /// For each service what waits, runs and may be sent again.
     pub services: IntGaugeVec,
 }
@@ -117,6 +123,19 @@
                 "Transfers of published documents between nodes.",
                 &["direction", "end"],
             )?,
+            suspects: counter(
+                "woadstage_suspect_changes_total",
+                "What became known of requests that endpoints ended under, by kind.",
+                &["what"],
+            )?,
+            suspected: gauge(
+                "woadstage_suspects",
+                "Fingerprints of requests that endpoints ended under.",
+            )?,
+            barred: gauge(
+                "woadstage_barred",
+                "Fingerprints of requests that are not run any more.",
+            )?,
             held: gauge("woadstage_held", "Requests held.")?,
             configuration: gauge("woadstage_configuration_version", "The version in force.")?,
             endpoints: gauge("woadstage_endpoints_revision", "The revision in force.")?,
@@ -192,6 +211,11 @@
         self.attempts.with_label_values(&[service, end]).inc();
     }
 
+    /// Counts what became known of a request that endpoints ended under.
+    pub fn suspect(&self, what: News) {
+        self.suspects.with_label_values(&[what.as_str()]).inc();
+    }
+
     /// Counts a change of what the node believes.
     pub fn change(&self, what: &str) {
         self.beliefs.with_label_values(&[what]).inc();
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use woadstage_dispatch::job::Fingerprint;
 
 use crate::shell::Shell;
 
@@ -69,6 +70,18 @@
     metrics.held.set(held as i64);
     metrics.configuration.set(configuration as i64);
     metrics.endpoints.set(endpoints as i64);
+    let (suspects, barred) = shell.query(|dispatcher, now| {
+        let suspects = dispatcher.quarantine().iter();
+        let suspects: Vec<Fingerprint> = suspects
+            .filter(|(_, record)| !record.ends.is_empty())
+            .map(|(fingerprint, _)| fingerprint)
+            .collect();
+        let barred = suspects.iter();
+        let barred = barred.filter(|fingerprint| dispatcher.is_barred(now, **fingerprint));
+        (suspects.len(), barred.count())
+    });
+    metrics.suspected.set(suspects as i64);
+    metrics.barred.set(barred as i64);
     metrics.lines_left_out.set(shell.log.left_out() as i64);
     for service in services {
         let set = |kind, value: i64| {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -105,6 +105,9 @@
             Some(Message::Check(check)) => {
                 shell.command(|dispatcher, _| dispatcher.answer_check(from, check));
             }
+            Some(Message::Findings(findings)) => {
+                shell.command(|dispatcher, now| dispatcher.take_findings(now, &findings));
+            }
             None => {}
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -135,6 +135,7 @@
         member: Default::default(),
         quota: settings.quota.clone(),
         budget: settings.budget.clone(),
+        quarantine: Default::default(),
     }
 }
 
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -139,6 +139,7 @@
             history: History::default(),
             origin: None,
             only: None,
+            trial: false,
         }
     }
 
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -14,6 +14,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Fingerprint;
 use woadstage_types::code::Code;
 use woadstage_types::code::Outcome;
 use woadstage_types::unit::Span;
@@ -34,6 +35,7 @@
 use crate::upstream::Answer;
 use crate::upstream::Body;
 use crate::upstream::Fault;
+use crate::upstream::probe;
 
 /// Steps in which an endpoint's pace is logged.
 const HUNDREDTHS: f64 = 100.0;
@@ -76,6 +78,7 @@
     pub endpoint: Option<std::sync::Arc<Endpoint>>,
     head: Parts,
     payload: Option<Payload>,
+    fingerprint: Option<Fingerprint>,
     job: Option<job::Id>,
     decision: Option<oneshot::Receiver<Decision>>,
     units: u64,
@@ -112,6 +115,7 @@
             head,
             endpoint: None,
             payload: None,
+            fingerprint: None,
             job: None,
             decision: None,
             charged: Charged::Nowhere,
@@ -156,6 +160,7 @@
             quota: &self.charged.to_string(),
             configuration: self.admitted.version,
         });
+        self.fingerprint = Some(fingerprint);
         let (job, decision) = shell.enter(job);
         self.job = Some(job);
         self.decision = Some(decision);
@@ -217,6 +222,9 @@
 
     /// A refusal, unless an earlier attempt may have run.
     fn refused(&self, reply: Reply) -> Reply {
+        if reply.code == Code::Barred {
+            self.note_barred();
+        }
         if self.may_have_run {
             Code::EndpointLost.into()
         } else {
@@ -224,6 +232,23 @@
         }
     }
 
+    /// Logs what a request is refused for that endpoints ended under.
+    fn note_barred(&self) {
+        let Some(fingerprint) = self.fingerprint else {
+            return;
+        };
+        let (ends, trials) = self.shell.query(|dispatcher, _| {
+            let record = dispatcher.quarantine().get(fingerprint);
+            record.map_or((0, 0), |record| (record.ends.len(), record.trials))
+        });
+        self.shell.log(&Event::Barred {
+            request: &self.admitted.request,
+            fingerprint: &fingerprint.to_string(),
+            ends,
+            trials,
+        });
+    }
+
     fn note_sent(
         &mut self,
         endpoint: &std::sync::Arc<Endpoint>,
@@ -306,6 +331,9 @@
         self.may_have_run |= !end.is_not_run();
         let (next, decision) = self.shell.end(job, end);
         self.decision = decision;
+        if let Some(endpoint) = self.endpoint.as_ref().filter(|_| end == End::Lost) {
+            probe::look_after(&self.shell, endpoint);
+        }
         let next_word = match next {
             Next::Over => "over",
             Next::Again => "again",
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -182,10 +182,10 @@
     fn finish(&mut self) -> Bytes {
         self.ended = true;
         let rest = self.framer.as_mut().map(Framer::finish).unwrap_or_default();
-        let end = if self.status >= 500 {
-            End::Fault
-        } else {
-            End::Whole
+        let end = match self.status {
+            500.. => End::Fault,
+            400..500 => End::Rejected,
+            _ => End::Whole,
         };
         let detail = self.status.to_string();
         self.exchange.goes_on(end, &detail);
@@ -224,7 +224,8 @@
         let shell = self.exchange.shell.clone();
         let keep = self.keep;
         tokio::task::spawn_local(async move {
-            shell.upstream.keep(&endpoint.name, connection, keep).await;
+            let life = endpoint.to_life();
+            shell.upstream.keep(&life, connection, keep).await;
         });
     }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -189,6 +189,16 @@
                 self.hand_over(decision);
             }
         }
+        let changes = self.dispatcher.borrow_mut().take_changes();
+        for change in changes {
+            self.metrics.suspect(change.what);
+            self.log(&Event::Suspect {
+                fingerprint: &change.fingerprint.to_string(),
+                what: change.what.as_str(),
+                ends: change.ends,
+                barred: change.barred,
+            });
+        }
         let messages = self.dispatcher.borrow_mut().take_messages();
         for (to, message) in messages {
             self.metrics.lease(&message);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::pin::Pin;
 use std::time::Duration;
@@ -15,9 +16,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use woadstage_dispatch::endpoint::Endpoint;
-use woadstage_types::id;
+use woadstage_dispatch::endpoint::Life;
 
 mod connect;
+pub mod probe;
 pub mod reuse;
 
 /// A body on its way, in either direction; it stays on its thread.
@@ -72,10 +74,12 @@
     until: Instant,
 }
 
-/// All connections at rest.
+/// All connections at rest, and endpoints that may have ended.
 #[derive(Default)]
 pub struct Upstream {
-    idle: RefCell<HashMap<id::Endpoint, Vec<Idle>>>,
+    idle: RefCell<HashMap<Life, Vec<Idle>>>,
+    /// Numbers of endpoints that are looked after.
+    probed: RefCell<HashSet<u32>>,
 }
 
 /// How long a connection may take to come up.
@@ -92,7 +96,7 @@
     pub async fn call(&self, endpoint: &Endpoint, request: Request<Body>) -> Result<Answer, Fault> {
         let mut request = request;
         for _ in 0..KEPT_TRIES {
-            let Some(connection) = self.take(&endpoint.name) else {
+            let Some(connection) = self.take(&endpoint.to_life()) else {
                 break;
             };
             match send(connection, request).await {
--- a/crates/gateway/src/upstream/reuse.rs
+++ b/crates/gateway/src/upstream/reuse.rs
@@ -7,7 +7,7 @@
 use hyper::HeaderMap;
 use hyper::header;
 use tokio::time::Instant;
-use woadstage_types::id;
+use woadstage_dispatch::endpoint::Life;
 
 use super::Connection;
 use super::Idle;
@@ -30,7 +30,7 @@
 
 impl Upstream {
     /// Takes the connection to an endpoint that rested longest.
-    pub(super) fn take(&self, endpoint: &id::Endpoint) -> Option<Connection> {
+    pub(super) fn take(&self, endpoint: &Life) -> Option<Connection> {
         let now = Instant::now();
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(endpoint)?;
@@ -42,7 +42,7 @@
 
     /// Keeps a connection whose answer was whole, unless the endpoint said not
     /// to.
-    pub async fn keep(&self, endpoint: &id::Endpoint, mut connection: Connection, keep: Duration) {
+    pub async fn keep(&self, endpoint: &Life, mut connection: Connection, keep: Duration) {
         if keep.is_zero() {
             return;
         }
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -232,6 +232,7 @@
             extra: 1_000.0,
             ..Default::default()
         },
+        quarantine: Default::default(),
     }
 }
 
@@ -239,6 +240,7 @@
 pub fn to_endpoint(worker: &Worker) -> Endpoint {
     Endpoint {
         name: id::Endpoint::new(worker.name),
+        born: 0,
         service: id::Target::new(SERVICE),
         address: worker.address,
         data_centre: id::DataCentre::new("a"),
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -90,6 +90,7 @@
     EndpointRefused = 2008, 503, NotRun, "No endpoint could be connected to before anything was sent.";
     CallerGone = 2009, 499, NotRun, "The caller went away before the request was sent.";
     NodeBusy = 2010, 503, NotRun, "This node holds as many requests as its memory allows.";
+    Barred = 2011, 503, NotRun, "Endpoints ended while they ran what this request asks for: it is not run again.";
 
     OwnerGone = 3001, 409, Unknown, "The node that this key names is not known here: it may have run the request.";
     OwnerLost = 3002, 502, Unknown, "The connection to the node that this key names broke.";
@@ -124,7 +125,7 @@
 
     /// True where time can mend the refusal, so that `Retry-After` is given.
     pub fn mends(self) -> bool {
-        matches!(self.number(), 2001..=2008 | 2010)
+        matches!(self.number(), 2001..=2008 | 2010 | 2011)
     }
 }
 
