--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,8 +1,7 @@
-//! The time, counted by the steady clock alone: the time of day may step and
-//! plays no part in any decision.
+//! The time of one process. It goes on while the host is suspended, and never steps:
+//! the time of day may, and plays no part in any decision.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -11,16 +10,21 @@
 const START: Time = Time(1_000_000_000_000);
 
 /// The clock of one process.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Clock {
-    start: Instant,
+    clock: woadstage_clock::Clock,
 }
 
 impl Clock {
     /// Starts counting.
     pub fn start() -> Clock {
+        Clock::reading(woadstage_clock::since_boot)
+    }
+
+    /// Starts counting by another clock, as for a test that suspends its host.
+    pub fn reading(read: impl Fn() -> Duration + 'static) -> Clock {
         Clock {
-            start: Instant::now(),
+            clock: woadstage_clock::Clock::reading(read),
         }
     }
 
@@ -31,12 +35,18 @@
 
     /// The time since this clock started.
     pub fn running_for(&self) -> Span {
-        to_span(self.start.elapsed())
+        to_span(self.clock.elapsed())
+    }
+
+    /// For how long the host was suspended since then.
+    pub fn suspended(&self) -> Span {
+        to_span(self.clock.suspended())
     }
 
-    /// The instant of a time, for timers.
+    /// The instant of a time, for timers. These stand still while the host is suspended,
+    /// so that it holds until then.
     pub fn to_instant(&self, time: Time) -> tokio::time::Instant {
-        (self.start + to_duration(time.since(START))).into()
+        tokio::time::Instant::now() + to_duration(time.since(self.now()))
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,9 @@
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::member::Reading;
 use woadstage_dispatch::message::Document;
+use woadstage_types::unit::Time;
 
+use crate::clock::Clock;
 use crate::clock::to_duration;
 use crate::clock::to_span;
 use crate::event::Event;
@@ -71,6 +73,7 @@
     let shell = Shell::new(
         dispatcher,
         settings.headers.clone(),
+        Clock::start(),
         settings.memory,
         log,
         Metrics::new()?,
@@ -178,6 +181,7 @@
     let mut last = shell.now();
     loop {
         tokio::time::sleep(TICK).await;
+        shell.note_suspension();
         let now = shell.now();
         if shell.command(|dispatcher, now| dispatcher.tick(now)) {
             shell.upstream.close_idle();
@@ -196,7 +200,7 @@
     let mut left_out = 0;
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
-        shell.upstream.sweep();
+        shell.upstream.sweep(shell.now());
         let all = shell.log.left_out();
         if all > left_out {
             shell.log(&Event::LeftOut {
@@ -241,7 +245,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let deadline = tokio::time::Instant::now() + within.saturating_sub(SPARE);
+    let deadline = shell.now() + to_span(within.saturating_sub(SPARE));
     let note = |phase: &str| {
         let held = shell.query(|dispatcher, _| dispatcher.held());
         shell.log(&Event::Stopping { held, phase });
@@ -249,13 +253,14 @@
     note("leaving");
     shell.set_phase(Phase::Leaving);
     shell.command(|dispatcher, _| dispatcher.leave());
-    tokio::time::sleep_until((tokio::time::Instant::now() + NOTICE).min(deadline)).await;
+    let noticed = deadline.min(shell.now() + to_span(NOTICE));
+    wait_until(shell, noticed, || false).await;
     note("closing");
-    let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+    let left = to_duration(deadline.since(shell.now()));
     shell.close_within(to_span(left.saturating_sub(LAST_ANSWERS)));
     // Callers go on coming while others stop too: waiting for them as well would
     // keep the node from starting anew. What it took from them is short.
-    wait_until(deadline, || shell.connections.get() == 0).await;
+    wait_until(shell, deadline, || shell.connections.get() == 0).await;
     shell.set_phase(Phase::Stopped);
     // Lets `serve::accept` take those that are connected already.
     tokio::task::yield_now().await;
@@ -263,7 +268,7 @@
         let held = shell.query(|dispatcher, _| dispatcher.held());
         held == 0 && shell.late_connections.get() == 0
     };
-    wait_until(deadline, is_over).await;
+    wait_until(shell, deadline, is_over).await;
     note("stopped");
     // The log's thread gathers lines for a moment before it writes them.
     tokio::time::sleep(log::Options::default().gather * 2).await;
@@ -271,8 +276,8 @@
 }
 
 /// Waits until something is so, or the deadline has come.
-async fn wait_until(deadline: tokio::time::Instant, is_so: impl Fn() -> bool) {
-    while tokio::time::Instant::now() < deadline && !is_so() {
+async fn wait_until(shell: &Shell, deadline: Time, is_so: impl Fn() -> bool) {
+    while shell.now() < deadline && !is_so() {
         tokio::time::sleep(TICK).await;
     }
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -6,7 +6,6 @@
 use hyper::Response;
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
-use tokio::time::timeout_at;
 use woadstage_dispatch::dispatcher::Cause;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Next;
@@ -204,8 +203,11 @@
         let Some(decision) = self.decision.take() else {
             return Err(Code::EndpointLost.into());
         };
-        let until = self.shell.clock.to_instant(self.admitted.deadline);
-        match timeout_at(until, decision).await {
+        match self
+            .shell
+            .wait_until(self.admitted.deadline, decision)
+            .await
+        {
             Ok(Ok(Decision::Start {
                 endpoint,
                 reason,
@@ -291,9 +293,9 @@
         let Some(request) = request else {
             return Err(Fault::Lost("the body has gone out already".into()));
         };
-        let until = self.shell.clock.to_instant(self.admitted.deadline);
         let shell = self.shell.clone();
-        match timeout_at(until, shell.upstream.call(endpoint, request)).await {
+        let call = shell.upstream.call(shell.now(), endpoint, request);
+        match shell.wait_until(self.admitted.deadline, call).await {
             Ok(sent) => sent,
             Err(_) => Err(Fault::Late),
         }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -12,7 +12,6 @@
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
 use woadstage_dispatch::configuration::Kind;
 use woadstage_dispatch::job::End;
 use woadstage_types::unit::Span;
@@ -126,8 +125,9 @@
 
     async fn piece(&mut self) -> Piece {
         let exchange = &self.exchange;
-        let until = exchange.shell.clock.to_instant(exchange.admitted.deadline);
-        match timeout_at(until, self.incoming.frame()).await {
+        let deadline = exchange.admitted.deadline;
+        let frame = self.incoming.frame();
+        match exchange.shell.wait_until(deadline, frame).await {
             Err(_) => Piece::Late,
             Ok(None) => Piece::End,
             Ok(Some(Err(error))) => Piece::Broken(error.to_string()),
@@ -225,7 +225,9 @@
         let keep = self.keep;
         tokio::task::spawn_local(async move {
             let life = endpoint.to_life();
-            shell.upstream.keep(&life, connection, keep).await;
+            if let Some(connection) = reuse::rested(connection, keep).await {
+                shell.upstream.keep(shell.now(), life, connection, keep);
+            }
         });
     }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -3,12 +3,14 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use woadstage_clock::Elapsed;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Next;
@@ -67,6 +69,8 @@
     pub reservations: Reservations,
     /// Transfers of documents from and to other nodes.
     pub transfers: transfer::Counts,
+    /// For how long the host was suspended, as far as that was noticed.
+    suspended: watch::Sender<Span>,
     phase: watch::Sender<Phase>,
     /// When every answer must be out, once the node closes.
     ends_at: Cell<Option<Time>>,
@@ -74,6 +78,10 @@
     waiters: RefCell<HashMap<job::Id, oneshot::Sender<Decision>>>,
 }
 
+/// Suspensions that are noticed: shorter ones delay a timer no more than a busy host
+/// does.
+const SUSPENDED_LEAST: Span = Span::from_millis(50);
+
 /// The part of the memory that request bodies may fill.
 const BODIES_PART: u64 = 4;
 
@@ -82,12 +90,14 @@
     pub fn new(
         dispatcher: Dispatcher,
         headers: Headers,
+        clock: Clock,
         memory: Size,
         log: Log,
         metrics: Metrics,
     ) -> Rc<Shell> {
         Rc::new(Shell {
-            clock: Clock::start(),
+            suspended: watch::Sender::new(clock.suspended()),
+            clock,
             headers,
             log,
             metrics,
@@ -115,6 +125,37 @@
         self.clock.running_for()
     }
 
+    /// Looks whether the host was suspended. Timers stood still meanwhile: all who wait
+    /// for a time look at it anew.
+    pub fn note_suspension(&self) {
+        let suspended = self.clock.suspended();
+        self.suspended.send_if_modified(|noticed| {
+            let more = suspended.0.saturating_sub(noticed.0) >= SUSPENDED_LEAST.0;
+            if more {
+                *noticed = suspended;
+            }
+            more
+        });
+    }
+
+    /// Waits for a future until a time.
+    ///
+    /// # Errors
+    /// [`Elapsed`] where the time comes first.
+    pub async fn wait_until<F: Future>(&self, time: Time, future: F) -> Result<F::Output, Elapsed> {
+        let mut suspended = self.suspended.subscribe();
+        let mut future = pin!(future);
+        loop {
+            tokio::select! {
+                biased;
+                output = future.as_mut() => return Ok(output),
+                // Fails only without a sender, which this shell holds.
+                _ = suspended.changed() => {}
+                () = tokio::time::sleep_until(self.clock.to_instant(time)) => return Err(Elapsed),
+            }
+        }
+    }
+
     /// How far a planned stop has come.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -14,9 +14,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::Life;
+use woadstage_types::unit::Time;
 
 mod connect;
 pub mod probe;
@@ -70,8 +70,8 @@
 /// A connection at rest.
 struct Idle {
     connection: Connection,
-    since: Instant,
-    until: Instant,
+    since: Time,
+    until: Time,
 }
 
 /// All connections at rest, and endpoints that may have ended.
@@ -93,10 +93,15 @@
     ///
     /// # Errors
     /// [`Fault::NotSent`] where it is certain that nothing was written.
-    pub async fn call(&self, endpoint: &Endpoint, request: Request<Body>) -> Result<Answer, Fault> {
+    pub async fn call(
+        &self,
+        now: Time,
+        endpoint: &Endpoint,
+        request: Request<Body>,
+    ) -> Result<Answer, Fault> {
         let mut request = request;
         for _ in 0..KEPT_TRIES {
-            let Some(connection) = self.take(&endpoint.to_life()) else {
+            let Some(connection) = self.take(now, &endpoint.to_life()) else {
                 break;
             };
             match send(connection, request).await {
--- a/crates/gateway/src/upstream/reuse.rs
+++ b/crates/gateway/src/upstream/reuse.rs
@@ -6,12 +6,13 @@
 
 use hyper::HeaderMap;
 use hyper::header;
-use tokio::time::Instant;
 use woadstage_dispatch::endpoint::Life;
+use woadstage_types::unit::Time;
 
 use super::Connection;
 use super::Idle;
 use super::Upstream;
+use crate::clock::to_span;
 
 /// How long a connection rests at the least while there is another.
 const REST: Duration = Duration::from_millis(60);
@@ -30,36 +31,29 @@
 
 impl Upstream {
     /// Takes the connection to an endpoint that rested longest.
-    pub(super) fn take(&self, endpoint: &Life) -> Option<Connection> {
-        let now = Instant::now();
+    pub(super) fn take(&self, now: Time, endpoint: &Life) -> Option<Connection> {
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(endpoint)?;
         idle.retain(|one| one.until > now && !one.connection.sender.is_closed());
-        let rested = idle.iter().position(|one| now - one.since >= REST);
+        let rested = idle
+            .iter()
+            .position(|one| now.since(one.since) >= to_span(REST));
         let at = rested.or_else(|| idle.len().checked_sub(1))?;
         Some(idle.remove(at).connection)
     }
 
-    /// Keeps a connection whose answer was whole, unless the endpoint said not
-    /// to.
-    pub async fn keep(&self, endpoint: &Life, mut connection: Connection, keep: Duration) {
-        if keep.is_zero() {
-            return;
-        }
-        let ready = tokio::time::timeout(READY_WITHIN, connection.sender.ready()).await;
-        if !matches!(ready, Ok(Ok(()))) {
-            return;
-        }
-        let now = Instant::now();
+    /// Keeps a connection that has [`rested`], for so long at the most. The time for
+    /// which its other end keeps it goes on while this host is suspended.
+    pub fn keep(&self, now: Time, endpoint: Life, connection: Connection, keep: Duration) {
         let mut all = self.idle.borrow_mut();
-        let idle = all.entry(endpoint.clone()).or_default();
+        let idle = all.entry(endpoint).or_default();
         if idle.len() >= KEPT_MOST {
             idle.remove(0);
         }
         idle.push(Idle {
             connection,
             since: now,
-            until: now + keep,
+            until: now + to_span(keep),
         });
     }
 
@@ -69,8 +63,7 @@
     }
 
     /// Closes connections whose time is over.
-    pub fn sweep(&self) {
-        let now = Instant::now();
+    pub fn sweep(&self, now: Time) {
         self.idle.borrow_mut().retain(|_, idle| {
             idle.retain(|one| one.until > now && !one.connection.sender.is_closed());
             !idle.is_empty()
@@ -78,6 +71,16 @@
     }
 }
 
+/// Waits until a connection whose answer was whole can be used again; nothing where it
+/// cannot, or its endpoint said not to.
+pub async fn rested(mut connection: Connection, keep: Duration) -> Option<Connection> {
+    if keep.is_zero() {
+        return None;
+    }
+    let ready = tokio::time::timeout(READY_WITHIN, connection.sender.ready()).await;
+    matches!(ready, Ok(Ok(()))).then_some(connection)
+}
+
 /// How long a connection may be kept after an answer with this head.
 pub fn keep_for(headers: &HeaderMap) -> Duration {
     let values = |name| {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,3 +15,4 @@
 mod stop;
 mod streams;
 mod support;
+mod suspend;
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -1,5 +1,6 @@
 //! A gateway in this process.
 
+use std::cell::Cell;
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 use woadstage_dispatch::dispatcher::Policy;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
+use woadstage_gateway::clock::Clock;
 use woadstage_gateway::headers::Headers;
 use woadstage_gateway::log;
 use woadstage_gateway::log::Log;
@@ -74,6 +76,8 @@
     pub address: SocketAddrV4,
     /// What it logged.
     pub lines: Lines,
+    /// For how long its host was suspended.
+    pub suspended: Rc<Cell<Duration>>,
 }
 
 /// A route by its last word: `/once/`, `/repeatable/`, `/stream/` and so on.
@@ -172,9 +176,13 @@
         let log = Log::start(options, lines.clone()).expect("a log");
         let memory = Size::from_mib(64);
         let metrics = Metrics::new().expect("metrics");
+        let suspended: Rc<Cell<Duration>> = Rc::default();
+        let counted = suspended.clone();
+        let clock = Clock::reading(move || woadstage_clock::since_boot() + counted.get());
         let shell = Shell::new(
             Dispatcher::new(dispatcher_options()),
             headers(),
+            clock,
             memory,
             log,
             metrics,
@@ -190,9 +198,16 @@
             shell,
             address,
             lines,
+            suspended,
         }
     }
 
+    /// Its host is suspended for a while, and its process looks at the clock again.
+    pub fn suspend(&self, span: Duration) {
+        self.suspended.set(self.suspended.get() + span);
+        self.shell.note_suspension();
+    }
+
     /// Waits until a line was logged that holds all of these texts.
     pub async fn logged(&self, texts: &[&str]) -> String {
         loop {
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,8 +1,8 @@
-//! The time: read from the wall once, then driven by the monotonic clock, so
-//! that it never steps. A paused process finds on waking that time went on.
+//! The time: read from the wall once, then driven by a clock that never steps. A
+//! process that was paused, or whose host was suspended, finds on waking that time
+//! went on.
 
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     wall: Time,
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
@@ -24,18 +24,20 @@
             .unwrap_or_default();
         Clock {
             wall: Time(wall.as_micros() as u64),
-            start: Instant::now(),
+            start: woadstage_clock::since_boot(),
         }
     }
 
     /// The time now.
     pub fn now(&self) -> Time {
-        self.wall + Span(self.start.elapsed().as_micros() as u64)
+        let elapsed = woadstage_clock::since_boot().saturating_sub(self.start);
+        self.wall + Span(elapsed.as_micros() as u64)
     }
 
-    /// The instant of a time, for timers.
-    pub fn to_instant(&self, time: Time) -> Instant {
-        self.start + to_duration(time.since(self.wall))
+    /// The instant of a time, for timers. These stand still while the host is
+    /// suspended, so that it holds until then.
+    pub fn to_instant(&self, time: Time) -> tokio::time::Instant {
+        tokio::time::Instant::now() + to_duration(time.since(self.now()))
     }
 }
 
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -225,7 +225,7 @@
     /// Runs until the core is drained after a planned stop.
     pub async fn run(mut self) {
         while !self.node.is_drained() {
-            let wake = tokio::time::Instant::from_std(self.clock.to_instant(self.node.next_wake()));
+            let wake = self.clock.to_instant(self.node.next_wake());
             tokio::select! {
                 biased;
                 input = self.inputs.recv() => match input {
