--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -131,7 +131,11 @@
         let fingerprint = run.job.fingerprint;
         match end {
             End::Whole => self.note_whole(now, fingerprint),
-            End::Lost => {
+            // Endpoints that all end at one moment are met one after the other by one
+            // attempt, which may be free of blame: it is charged once. With each of them
+            // charged, six callers that returned after such a moment were refused on a
+            // day played with ten hosts, and without none.
+            End::Lost if !run.job.history.broke => {
                 let pool = self.pools.get(&run.job.target);
                 if let Some(worker) = pool.and_then(|pool| pool.workers.get(run.worker)) {
                     let number = worker.number;
@@ -218,6 +222,7 @@
         } else {
             job.history.sent += 1;
             job.history.may_have_run |= !end.is_not_run();
+            job.history.broke |= end == End::Lost;
         }
         if job.history.may_have_run && !job.repeatable {
             return Next::Final(Cause::MayHaveRun);
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -128,6 +128,8 @@
     pub unsent: u32,
     /// True once an endpoint may have run it.
     pub may_have_run: bool,
+    /// True once it was sent and its connection broke.
+    pub broke: bool,
 }
 
 /// How one attempt at running a request ended.
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::quarantine;
 use woadstage_types::hash;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -33,6 +34,7 @@
         way: Span::from_millis(1),
         lost: 0,
         cold: None,
+        quarantine: quarantine::Options::default(),
     }
 }
 
--- a/crates/dispatch/tests/dispatch/publish.rs
+++ b/crates/dispatch/tests/dispatch/publish.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use woadstage_dispatch::configuration::Service;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::endpoint::Edition;
 use woadstage_dispatch::endpoint::Endpoint;
@@ -10,7 +11,9 @@
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::message::Known;
 use woadstage_dispatch::message::Pull;
+use woadstage_types::id;
 
+use crate::support::MODEL;
 use crate::support::SERVICE;
 use crate::support::at;
 use crate::support::configuration;
@@ -180,3 +183,67 @@
     let (_, place) = starts(&mut dispatcher).remove(0);
     assert!(["a", "b"].contains(&place.as_str()));
 }
+
+/// The start of an endpoint, in milliseconds since 1970.
+fn born(name: &str, born: u64) -> Endpoint {
+    Endpoint {
+        born,
+        ..endpoint(name, MODEL, 1)
+    }
+}
+
+/// What ran there ended with it, and so did what it had read.
+#[test]
+fn an_endpoint_that_starts_again_under_its_name_has_nothing_of_before() {
+    let mut dispatcher = dispatcher(&[born("e", 1_000)]);
+    let ran = dispatcher.enter(at(0), job(MODEL, 2, at(0)));
+    assert_eq!(starts(&mut dispatcher).len(), 1);
+    // Its only slot is taken.
+    dispatcher.enter(at(1), job(MODEL, 2, at(1)));
+    assert_eq!(starts(&mut dispatcher), []);
+    dispatcher.set_endpoints(at(2), list(2, &[born("e", 2_000)]));
+    assert_eq!(starts(&mut dispatcher).len(), 1);
+    // That its connection broke is no word against the later start.
+    dispatcher.end(at(3), ran, End::Lost);
+    let summary = dispatcher.summaries(at(4));
+    let model = summary.iter().find(|one| one.target.as_str() == MODEL);
+    let model = model.expect("it has a pool");
+    assert_eq!((model.running, model.usable, model.endpoints), (1, 1, 1));
+}
+
+/// What other nodes said of the start before does not hold for the next.
+#[test]
+fn each_start_of_an_endpoint_has_a_number_of_its_own() {
+    let numbers = [0, 1_000, 2_000].map(|start| born("e", start).to_number());
+    assert_ne!(numbers[0], numbers[1]);
+    assert_ne!(numbers[1], numbers[2]);
+    assert_ne!(born("e", 1_000).to_life(), born("e", 2_000).to_life());
+    assert_eq!(born("e", 1_000).to_number(), numbers[1]);
+}
+
+/// Others write under the same keys: what names no service is not used, and is as soon as
+/// a configuration names it.
+#[test]
+fn endpoints_of_a_service_that_is_not_named_are_not_used() {
+    let stranger = endpoint("x", "stranger", 4);
+    let mut dispatcher = dispatcher(&[endpoint("e", MODEL, 1), stranger]);
+    let targets = |dispatcher: &Dispatcher| {
+        let summaries = dispatcher.summaries(at(1)).into_iter();
+        let mut targets: Vec<String> = summaries
+            .filter(|one| one.endpoints > 0)
+            .map(|one| one.target.to_string())
+            .collect();
+        targets.sort();
+        targets
+    };
+    assert_eq!(targets(&dispatcher), [MODEL]);
+    let mut later = (*configuration(2)).clone();
+    later.services.push(Service {
+        name: id::Target::new("stranger"),
+        connections: 100,
+        engine: false,
+        cold: None,
+    });
+    dispatcher.set_configuration(at(2), Arc::new(later));
+    assert_eq!(targets(&dispatcher), [MODEL, "stranger"]);
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/quarantine.rs
@@ -0,0 +1,221 @@
+//! What is known of requests under which endpoints ended: joined, bounded, forgotten.
+
+use proptest::prelude::prop;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::strategy::Strategy;
+use rstest::rstest;
+use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::quarantine::Finding;
+use woadstage_dispatch::quarantine::Options;
+use woadstage_dispatch::quarantine::Record;
+use woadstage_dispatch::quarantine::Registry;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::support::at;
+
+const ONE: Fingerprint = Fingerprint(1);
+const OTHER: Fingerprint = Fingerprint(2);
+
+fn record() -> impl Strategy<Value = Record> {
+    let ends = prop::collection::btree_set(0_u32..6, 0..5);
+    (0_u32..3, ends, 0_u8..3, 0_u64..100).prop_map(|(cleared, ends, trials, last)| Record {
+        cleared,
+        ends: ends.into_iter().collect(),
+        trials,
+        last: Time(last),
+    })
+}
+
+fn joined(one: &Record, other: &Record) -> Record {
+    let mut joined = one.clone();
+    joined.join(other);
+    joined
+}
+
+/// All but the time: of two that were cleared alike often it is the later.
+fn known(record: &Record) -> (u32, Vec<u32>, u8) {
+    (record.cleared, record.ends.clone(), record.trials)
+}
+
+proptest! {
+    #[test]
+    fn nodes_come_to_know_the_same_in_whichever_order(
+        a in record(),
+        b in record(),
+        c in record(),
+    ) {
+        prop_assert_eq!(known(&joined(&a, &b)), known(&joined(&b, &a)));
+        let left = joined(&joined(&a, &b), &c);
+        let right = joined(&a, &joined(&b, &c));
+        prop_assert_eq!(known(&left), known(&right));
+        prop_assert_eq!(joined(&a, &a), a);
+    }
+}
+
+/// Charges a request with the ends of endpoints.
+fn charge(registry: &mut Registry, now: Time, what: Fingerprint, endpoints: &[u32]) {
+    for endpoint in endpoints {
+        registry.note_broken(now, what, *endpoint);
+        registry.note_ended(now, *endpoint);
+    }
+}
+
+fn ends(registry: &Registry, what: Fingerprint) -> usize {
+    registry.get(what).map_or(0, |record| record.ends.len())
+}
+
+#[test]
+fn what_breaks_at_an_endpoint_that_lives_is_not_charged() {
+    let mut registry = Registry::new(Options::default());
+    registry.note_broken(at(0), ONE, 7);
+    registry.note_alive(7);
+    assert_eq!(registry.note_ended(at(1), 7), []);
+    assert!(!registry.is_suspect(ONE));
+}
+
+#[test]
+fn all_that_broke_at_an_endpoint_is_charged_once() {
+    let mut registry = Registry::new(Options::default());
+    registry.note_broken(at(0), ONE, 7);
+    registry.note_broken(at(0), OTHER, 7);
+    registry.note_broken(at(1), ONE, 7);
+    assert_eq!(registry.note_ended(at(2), 7), [ONE, OTHER]);
+    assert_eq!(registry.note_ended(at(3), 7), []);
+    assert_eq!((ends(&registry, ONE), ends(&registry, OTHER)), (1, 1));
+}
+
+#[test]
+fn a_broken_attempt_is_not_charged_with_an_end_long_after() {
+    let mut registry = Registry::new(Options::default());
+    registry.note_broken(at(0), ONE, 7);
+    registry.forget(at(10_001));
+    assert_eq!(registry.note_ended(at(10_002), 7), []);
+}
+
+#[test]
+fn a_whole_answer_clears_it_here_and_elsewhere() {
+    let mut one = Registry::new(Options::default());
+    let mut other = Registry::new(Options::default());
+    charge(&mut one, at(0), ONE, &[1, 2]);
+    for finding in one.findings(at(1)) {
+        assert!(other.take(at(1), &finding));
+    }
+    assert!(other.note_whole(at(2), ONE));
+    for finding in other.findings(at(3)) {
+        assert!(one.take(at(3), &finding));
+    }
+    assert!(!one.is_suspect(ONE));
+    assert_eq!(one.digest(), other.digest());
+    // What is overtaken on its way brings nothing back.
+    let late = Finding {
+        fingerprint: ONE,
+        cleared: 0,
+        ends: vec![1, 2, 3],
+        trials: 0,
+        age_s: 0,
+    };
+    assert!(!one.take(at(4), &late));
+    assert!(!one.is_suspect(ONE));
+}
+
+#[test]
+fn who_was_sound_here_lately_is_taken_for_one_that_was_sound_before() {
+    let mut registry = Registry::new(Options::default());
+    registry.note_whole(at(0), ONE);
+    charge(&mut registry, at(1), ONE, &[1]);
+    assert!(registry.get(ONE).expect("it is charged").was_sound());
+    charge(&mut registry, at(1), OTHER, &[2]);
+    assert!(!registry.get(OTHER).expect("it is charged").was_sound());
+}
+
+#[test]
+fn memory_is_bounded_and_what_is_barred_is_kept() {
+    let options = Options {
+        records: 64,
+        ..Options::default()
+    };
+    let mut registry = Registry::new(options);
+    charge(&mut registry, at(0), ONE, &[1, 2]);
+    for number in 0..1_000_u32 {
+        let what = Fingerprint(u64::from(number) + 10);
+        charge(
+            &mut registry,
+            at(1 + u64::from(number)),
+            what,
+            &[number + 10],
+        );
+    }
+    assert_eq!(registry.iter().count(), 64);
+    assert_eq!(ends(&registry, ONE), 2);
+    assert!(registry.findings(at(2_000)).len() <= Options::default().sent);
+    // Of many ends of one request a few are kept.
+    charge(
+        &mut registry,
+        at(3_000),
+        ONE,
+        &(100..200).collect::<Vec<u32>>(),
+    );
+    assert_eq!(ends(&registry, ONE), 8);
+}
+
+#[rstest]
+#[case::one_that_is_not_barred(&[1], 0)]
+#[case::never_one_that_is(&[1, 2], 2)]
+fn who_is_forgotten(#[case] endpoints: &[u32], #[case] left: usize) {
+    let mut registry = Registry::new(Options::default());
+    charge(&mut registry, at(0), ONE, endpoints);
+    let later = at(0) + Span::from_secs(3_601);
+    registry.forget(later);
+    assert_eq!(ends(&registry, ONE), left);
+    if left == 0 {
+        assert_eq!(registry.digest(), 0);
+        // Another node that forgets a moment later does not bring it back.
+        let finding = Finding {
+            fingerprint: ONE,
+            cleared: 0,
+            ends: vec![1],
+            trials: 0,
+            age_s: 3_601,
+        };
+        assert!(!registry.take(later, &finding));
+    }
+}
+
+/// All of it reaches a node that knows nothing, however much it is.
+#[test]
+fn a_node_that_knows_nothing_is_sent_all_in_turns() {
+    let mut one = Registry::new(Options::default());
+    for number in 0..300_u32 {
+        let what = Fingerprint(u64::from(number) + 10);
+        charge(&mut one, at(0), what, &[number]);
+    }
+    let mut other = Registry::new(Options::default());
+    let mut turns = 0;
+    while one.digest() != other.digest() {
+        for finding in one.findings(at(1)) {
+            other.take(at(1), &finding);
+        }
+        turns += 1;
+        assert!(turns <= 40, "{turns}");
+    }
+}
+
+#[test]
+fn findings_of_a_message_fit_a_datagram() {
+    let mut registry = Registry::new(Options::default());
+    for number in 0..100_u64 {
+        let endpoints: Vec<u32> = (0..8).map(|end| u32::MAX - end - number as u32).collect();
+        charge(
+            &mut registry,
+            at(0),
+            Fingerprint(u64::MAX - number),
+            &endpoints,
+        );
+    }
+    let written = postcard::to_extend(&registry.findings(at(1)), Vec::new());
+    let bytes = written.expect("it can be written").len();
+    // What a node reads of a datagram.
+    assert!(bytes <= 8 << 10, "{bytes}");
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/suspect.rs
@@ -0,0 +1,161 @@
+//! One node and requests under which endpoints ended: where they run, what is refused.
+
+use woadstage_dispatch::dispatcher::Cause;
+use woadstage_dispatch::dispatcher::Change;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::News;
+use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::job::Job;
+use woadstage_types::code::Code;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::support::MODEL;
+use crate::support::at;
+use crate::support::dispatcher;
+use crate::support::endpoint;
+use crate::support::job;
+use crate::support::refusals;
+use crate::support::starts;
+
+const SUSPECT: Fingerprint = Fingerprint(7);
+
+fn endpoints() -> Vec<Endpoint> {
+    let names = ["e1", "e2", "e3", "e4"];
+    names.map(|name| endpoint(name, MODEL, 4)).to_vec()
+}
+
+fn asking(what: Fingerprint, arrived: Time) -> Job {
+    Job {
+        fingerprint: what,
+        repeatable: true,
+        attempts: 4,
+        ..job(MODEL, 2, arrived)
+    }
+}
+
+/// Enters a request and says where it was sent.
+fn send(dispatcher: &mut Dispatcher, now: Time, what: Fingerprint) -> (job::Id, String) {
+    dispatcher.enter(now, asking(what, now));
+    starts(dispatcher).remove(0)
+}
+
+/// An endpoint ends under a request.
+fn end_under(dispatcher: &mut Dispatcher, now: Time, id: job::Id, name: &str) -> Next {
+    let next = dispatcher.end(now, id, End::Lost);
+    dispatcher.note_endpoint_ended(now, endpoint(name, MODEL, 4).to_number());
+    next
+}
+
+#[test]
+fn a_barred_request_is_refused_with_a_time_far_off() {
+    let mut dispatcher = dispatcher(&endpoints());
+    for millis in [0, 1_000] {
+        let once = Job {
+            attempts: 1,
+            ..asking(SUSPECT, at(millis))
+        };
+        dispatcher.enter(at(millis), once);
+        let (id, name) = starts(&mut dispatcher).remove(0);
+        end_under(&mut dispatcher, at(millis + 100), id, &name);
+    }
+    let change = |ends, barred| Change {
+        fingerprint: SUSPECT,
+        what: News::Charged,
+        ends,
+        barred,
+    };
+    assert_eq!(
+        dispatcher.take_changes(),
+        [change(1, false), change(2, true)]
+    );
+    dispatcher.enter(at(2_000), asking(SUSPECT, at(2_000)));
+    let refused = refusals(&mut dispatcher);
+    let (_, code, retry_after) = refused[0];
+    assert_eq!(code, Code::Barred);
+    assert!(retry_after.expect("a time") >= Span::from_secs(10));
+    // Another request of the same customer is served.
+    send(&mut dispatcher, at(2_001), Fingerprint(8));
+}
+
+#[test]
+fn a_suspect_is_not_sent_again_within_one_attempt() {
+    let mut dispatcher = dispatcher(&endpoints());
+    let (id, name) = send(&mut dispatcher, at(0), SUSPECT);
+    // Nobody knows yet that the endpoint has ended.
+    assert_eq!(end_under(&mut dispatcher, at(100), id, &name), Next::Again);
+    let (again, other) = starts(&mut dispatcher).remove(0);
+    assert_eq!(again, id);
+    let next = end_under(&mut dispatcher, at(200), id, &other);
+    assert_eq!(next, Next::Final(Cause::Suspect));
+    // One attempt is charged once, whichever endpoints end at one moment.
+    assert!(!dispatcher.is_barred(at(200), SUSPECT));
+}
+
+#[test]
+fn suspects_run_one_at_a_time_and_not_beside_each_other() {
+    let mut dispatcher = dispatcher(&endpoints());
+    let suspects = [SUSPECT, Fingerprint(8)];
+    for what in suspects {
+        let once = Job {
+            attempts: 1,
+            ..asking(what, at(0))
+        };
+        dispatcher.enter(at(0), once);
+        let (id, name) = starts(&mut dispatcher).remove(0);
+        end_under(&mut dispatcher, at(10), id, &name);
+    }
+    // Rests of endpoints that broke a call are over.
+    let now = at(20_000);
+    let (first, one) = send(&mut dispatcher, now, SUSPECT);
+    let (_, other) = send(&mut dispatcher, now, Fingerprint(8));
+    assert_ne!(one, other);
+    dispatcher.enter(now, asking(SUSPECT, now));
+    assert_eq!(starts(&mut dispatcher), []);
+    // Once it is known to be sound all of it runs.
+    dispatcher.end(at(20_100), first, End::Whole);
+    assert_eq!(starts(&mut dispatcher).len(), 1);
+    send(&mut dispatcher, at(20_101), SUSPECT);
+}
+
+#[test]
+fn what_waits_is_refused_as_soon_as_it_is_barred() {
+    let mut dispatcher = dispatcher(&[endpoint("e1", MODEL, 1), endpoint("e2", MODEL, 1)]);
+    for millis in [0, 1] {
+        send(&mut dispatcher, at(millis), Fingerprint(20 + millis));
+    }
+    dispatcher.enter(at(2), asking(SUSPECT, at(2)));
+    assert_eq!(starts(&mut dispatcher), []);
+    let finding = woadstage_dispatch::quarantine::Finding {
+        fingerprint: SUSPECT,
+        cleared: 0,
+        ends: vec![1, 2],
+        trials: 0,
+        age_s: 0,
+    };
+    dispatcher.take_findings(at(3), &[finding]);
+    assert_eq!(refusals(&mut dispatcher)[0].1, Code::Barred);
+    assert_eq!(dispatcher.held(), 2);
+}
+
+#[test]
+fn an_answer_that_says_the_request_is_wrong_clears_nothing() {
+    let mut dispatcher = dispatcher(&endpoints());
+    let once = Job {
+        attempts: 1,
+        ..asking(SUSPECT, at(0))
+    };
+    dispatcher.enter(at(0), once);
+    let (id, name) = starts(&mut dispatcher).remove(0);
+    end_under(&mut dispatcher, at(10), id, &name);
+    let (id, _) = send(&mut dispatcher, at(1_000), SUSPECT);
+    dispatcher.end(at(1_010), id, End::Rejected);
+    assert!(dispatcher.quarantine().is_suspect(SUSPECT));
+    let (id, _) = send(&mut dispatcher, at(2_000), SUSPECT);
+    dispatcher.end(at(2_010), id, End::Whole);
+    assert!(!dispatcher.quarantine().is_suspect(SUSPECT));
+}
