--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -224,14 +224,13 @@
 
     /// A refusal, unless an earlier attempt may have run.
     fn refused(&self, reply: Reply) -> Reply {
+        if self.may_have_run {
+            return Code::EndpointLost.into();
+        }
         if reply.code == Code::Barred {
             self.note_barred();
         }
-        if self.may_have_run {
-            Code::EndpointLost.into()
-        } else {
-            reply
-        }
+        reply
     }
 
     /// Logs what a request is refused for that endpoints ended under.
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -9,6 +9,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 
 use super::CONNECT_WITHIN;
+use super::Upstream;
 use crate::shell::Shell;
 
 /// What an attempt at connecting shows.
@@ -31,6 +32,13 @@
     }
 }
 
+impl Upstream {
+    /// True while it is not known of some endpoint whether it has ended.
+    pub fn is_looking_after_any(&self) -> bool {
+        !self.probed.borrow().is_empty()
+    }
+}
+
 /// Looks after an endpoint that broke off an answer, once for all that break at a
 /// moment. Of a host that says nothing the platform will tell.
 pub fn look_after(shell: &Rc<Shell>, endpoint: &Arc<Endpoint>) {
--- a/crates/gateway/tests/gateway/crash.rs
+++ b/crates/gateway/tests/gateway/crash.rs
@@ -1,6 +1,12 @@
 //! A request that crashes the endpoints that run it, over sockets: `fleet/crash.rs` of the
 //! decisions' tests tells the story.
 
+use std::io::Cursor;
+use std::time::Duration;
+
+use woadstage_gateway::explain;
+use woadstage_gateway::operators;
+
 use crate::support::Act;
 use crate::support::Caller;
 use crate::support::Gateway;
@@ -61,3 +67,92 @@
         assert_eq!(ask(&gateway, "id-other", "another").await.status, 200);
     });
 }
+
+/// Only what certainly has not run is said not to have run.
+#[test]
+fn whose_endpoint_ended_is_told_that_nobody_knows_and_who_is_refused_that_it_has_not_run() {
+    run(|| async {
+        let workers = workers().await;
+        let all: Vec<&Worker> = workers.iter().collect();
+        let gateway = Gateway::start(&all).await;
+        let mut outcomes = Vec::new();
+        for number in 0..4 {
+            let id = format!("id-{number}");
+            let answer = ask(&gateway, &id, CRASHING).await;
+            let line = gateway.logged(&["\"answered\"", &id]).await;
+            let line: serde_json::Value = serde_json::from_str(&line).expect("a line");
+            let outcome = line["outcome"].as_str().expect("an outcome").to_owned();
+            outcomes.push((answer.status, outcome));
+            // The look after the endpoint may come after the answer.
+            if number < 2 {
+                let ends = format!("\"ends\":{}", number + 1);
+                gateway.logged(&["\"charged\"", &ends]).await;
+            }
+        }
+        let expected = [
+            (502, "unknown"),
+            (502, "unknown"),
+            (503, "not-run"),
+            (503, "not-run"),
+        ];
+        let expected = expected.map(|(status, outcome)| (status, outcome.to_owned()));
+        assert_eq!(outcomes, expected);
+        assert_eq!(reached(&workers, CRASHING), 2);
+    });
+}
+
+#[test]
+fn logs_metrics_and_an_explanation_tell_of_it() {
+    run(|| async {
+        let workers = workers().await;
+        let all: Vec<&Worker> = workers.iter().collect();
+        let gateway = Gateway::start(&all).await;
+        for number in 0..2 {
+            ask(&gateway, &format!("id-{number}"), CRASHING).await;
+            let ends = format!("\"ends\":{}", number + 1);
+            gateway.logged(&["\"charged\"", &ends]).await;
+        }
+        ask(&gateway, "id-last", CRASHING).await;
+        gateway.logged(&["\"answered\"", "id-last"]).await;
+        let log = Cursor::new(gateway.lines.text());
+        let lines = explain::find(&mut [Box::new(log)], "id-last").expect("it can be read");
+        let said = explain::cause(&lines);
+        assert!(
+            said.contains("2 endpoints ended while they ran what it asks for"),
+            "{said}"
+        );
+        let (_, text) = operators::metrics(&gateway.shell);
+        let text = String::from_utf8(text).expect("it is text");
+        for line in [
+            "woadstage_suspects 1",
+            "woadstage_barred 1",
+            "woadstage_suspect_changes_total{what=\"charged\"} 2",
+            "woadstage_answers_total{code=\"W2011\",route=\"once\",status=\"503\"} 1",
+        ] {
+            assert!(text.contains(line), "{line}: {text}");
+        }
+    });
+}
+
+/// Endpoints that break off an answer and live on say nothing against the request.
+#[test]
+fn answers_that_break_off_alone_are_charged_to_nobody() {
+    run(|| async {
+        let broken = || Act::AnswerAndClose("HTTP/1.1 200 OK\r\ncontent-le".into());
+        let mut workers = Vec::new();
+        for name in ["e1", "e2", "e3", "e4"] {
+            workers.push(Worker::start(name, vec![broken()]).await);
+        }
+        let all: Vec<&Worker> = workers.iter().collect();
+        let gateway = Gateway::start(&all).await;
+        for number in 0..4 {
+            let answer = ask(&gateway, &format!("id-{number}"), "a body").await;
+            assert_eq!(answer.status, 502);
+            while gateway.shell.upstream.is_looking_after_any() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        assert_eq!(reached(&workers, "a body"), 4);
+        assert!(!gateway.lines.text().contains("\"suspect\""));
+    });
+}
