--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -131,11 +131,12 @@
         let fingerprint = run.job.fingerprint;
         match end {
             End::Whole => self.note_whole(now, fingerprint),
-            // Endpoints that all end at one moment are met one after the other by one
+            // One whose time ran out may have taken a whole host with it, which then says
+            // nothing; only the platform's list tells. Endpoints that all end at one moment are met one after the other by one
             // attempt, which may be free of blame: it is charged once. With each of them
             // charged, six callers that returned after such a moment were refused on a
             // day played with ten hosts, and without none.
-            End::Lost if !run.job.history.broke => {
+            End::Lost | End::Late if !run.job.history.broke => {
                 let pool = self.pools.get(&run.job.target);
                 if let Some(worker) = pool.and_then(|pool| pool.workers.get(run.worker)) {
                     let number = worker.number;
--- a/crates/dispatch/tests/dispatch/suspect.rs
+++ b/crates/dispatch/tests/dispatch/suspect.rs
@@ -19,6 +19,7 @@
 use crate::support::dispatcher;
 use crate::support::endpoint;
 use crate::support::job;
+use crate::support::list;
 use crate::support::refusals;
 use crate::support::starts;
 
@@ -159,3 +160,24 @@
     dispatcher.end(at(2_010), id, End::Whole);
     assert!(!dispatcher.quarantine().is_suspect(SUSPECT));
 }
+
+/// A host that says nothing more: only the platform tells that its endpoint has ended.
+#[test]
+fn a_request_whose_time_ran_out_is_charged_when_its_endpoint_is_listed_no_more() {
+    let all = endpoints();
+    let mut dispatcher = dispatcher(&all);
+    let once = Job {
+        attempts: 1,
+        ..asking(SUSPECT, at(0))
+    };
+    dispatcher.enter(at(0), once);
+    let (id, name) = starts(&mut dispatcher).remove(0);
+    dispatcher.end(at(2_000), id, End::Late);
+    assert!(!dispatcher.quarantine().is_suspect(SUSPECT));
+    let left: Vec<Endpoint> = all
+        .into_iter()
+        .filter(|one| one.name.as_str() != name)
+        .collect();
+    dispatcher.set_endpoints(at(4_000), list(2, &left));
+    assert!(dispatcher.quarantine().is_suspect(SUSPECT));
+}
