--- /dev/null
+++ b/crates/dispatch/tests/dispatch/fleet/world/ends.rs
@@ -0,0 +1,94 @@
+//! Endpoints that end, as what they run crashes them or by themselves, and others that
+//! start in their place.
+
+use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::job::Job;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+
+use super::Crash;
+use super::Event;
+use super::World;
+
+/// How long after an endpoint's end another starts in its place.
+const BACK_AFTER: Span = Span::from_secs(2);
+
+/// How long the platform lists an endpoint that has ended.
+const LAPSE_AFTER: Span = Span::from_millis(3_600);
+
+/// How long after its request broke a caller tries again.
+const RETURN_AFTER: Span = Span::from_millis(300);
+
+impl World {
+    /// Ends an endpoint after a while, whatever it runs.
+    pub fn end_endpoint(&mut self, after: Span, endpoint: &id::Endpoint) {
+        self.plan(self.now + after, Event::Crash(endpoint.clone(), None));
+    }
+
+    /// An endpoint ends: whoever has a request there sees its connection close.
+    pub(super) fn crash(&mut self, endpoint: &id::Endpoint, under: Option<Fingerprint>) {
+        if !self.ended.insert(endpoint.clone()) {
+            return;
+        }
+        let when = self.now;
+        if let Some(fingerprint) = under {
+            self.crashes.push(Crash { when, fingerprint });
+        }
+        let engine = self.engines.remove(endpoint).unwrap_or_default();
+        let seen = when + self.shape.way;
+        for (node, id) in engine.running.into_iter().chain(engine.waiting) {
+            self.plan(seen, Event::Broken(node, id, End::Lost));
+            let refused = seen + Span(self.shape.way.0 * 2);
+            self.plan(refused, Event::Refused(node, endpoint.clone()));
+        }
+        self.plan(when + BACK_AFTER, Event::Back(endpoint.clone()));
+        self.plan(when + LAPSE_AFTER, Event::Lapse(endpoint.clone()));
+    }
+
+    /// Another endpoint starts, with a name of its own.
+    pub(super) fn replace(&mut self, endpoint: &id::Endpoint) {
+        let mut list = (*self.list).clone();
+        list.revision += 1;
+        let old = list.endpoints.iter().find(|one| one.name == *endpoint);
+        let Some(old) = old.cloned() else {
+            return;
+        };
+        list.endpoints.push(Endpoint {
+            name: id::Endpoint::new(&format!("{endpoint}-again")),
+            ..old
+        });
+        self.publish_to_readers(list);
+    }
+
+    /// An attempt of a node broke. Where it is not sent again, its caller tries once
+    /// more, at another node.
+    pub(super) fn break_off(&mut self, node: u16, id: job::Id, end: End) {
+        let Some(dispatcher) = self.nodes.get_mut(&node) else {
+            return;
+        };
+        let next = dispatcher.end(self.now, id, end);
+        self.settle(node);
+        if next == Next::Again {
+            return;
+        }
+        self.seen.get_mut(&(node, id)).expect("it came").broken = true;
+        let Some(job) = self.jobs.remove(&(node, id)) else {
+            return;
+        };
+        let first = self.returned.insert(job.fingerprint);
+        if first && !self.crashing.contains(&job.fingerprint) {
+            let nodes: Vec<u16> = self.nodes.keys().copied().collect();
+            let at = job.fingerprint.0 as usize % nodes.len();
+            let (deadline, arrived) = (job.deadline, job.arrived);
+            self.arrive(RETURN_AFTER, nodes[at], |when| Job {
+                arrived: when,
+                deadline: when + deadline.since(arrived),
+                ..job
+            });
+        }
+    }
+}
--- a/crates/dispatch/tests/dispatch/fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -15,7 +15,6 @@
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
-use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::dispatcher::Options;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
@@ -37,6 +36,8 @@
 use crate::support::list;
 use crate::support::options;
 
+mod ends;
+
 /// Time between two ticks of a node.
 const TICK_EVERY: Span = Span::from_millis(20);
 
@@ -52,15 +53,6 @@
 /// How long after an endpoint began to run it a request that crashes it does so.
 const CRASH_AFTER: Span = Span::from_millis(70);
 
-/// How long after an endpoint's end another starts in its place.
-const BACK_AFTER: Span = Span::from_secs(2);
-
-/// How long the platform lists an endpoint that has ended.
-const LAPSE_AFTER: Span = Span::from_millis(3_600);
-
-/// How long after its request broke a caller tries again.
-const RETURN_AFTER: Span = Span::from_millis(300);
-
 /// The shape of a fleet.
 #[derive(Debug, Clone)]
 pub struct Shape {
@@ -461,74 +453,6 @@
         }
     }
 
-    /// Ends an endpoint after a while, whatever it runs.
-    pub fn end_endpoint(&mut self, after: Span, endpoint: &id::Endpoint) {
-        self.plan(self.now + after, Event::Crash(endpoint.clone(), None));
-    }
-
-    /// An endpoint ends: whoever has a request there sees its connection close.
-    fn crash(&mut self, endpoint: &id::Endpoint, under: Option<Fingerprint>) {
-        if !self.ended.insert(endpoint.clone()) {
-            return;
-        }
-        let when = self.now;
-        if let Some(fingerprint) = under {
-            self.crashes.push(Crash { when, fingerprint });
-        }
-        let engine = self.engines.remove(endpoint).unwrap_or_default();
-        let seen = when + self.shape.way;
-        for (node, id) in engine.running.into_iter().chain(engine.waiting) {
-            self.plan(seen, Event::Broken(node, id, End::Lost));
-            let refused = seen + Span(self.shape.way.0 * 2);
-            self.plan(refused, Event::Refused(node, endpoint.clone()));
-        }
-        self.plan(when + BACK_AFTER, Event::Back(endpoint.clone()));
-        self.plan(when + LAPSE_AFTER, Event::Lapse(endpoint.clone()));
-    }
-
-    /// Another endpoint starts, with a name of its own.
-    fn replace(&mut self, endpoint: &id::Endpoint) {
-        let mut list = (*self.list).clone();
-        list.revision += 1;
-        let old = list.endpoints.iter().find(|one| one.name == *endpoint);
-        let Some(old) = old.cloned() else {
-            return;
-        };
-        list.endpoints.push(Endpoint {
-            name: id::Endpoint::new(&format!("{endpoint}-again")),
-            ..old
-        });
-        self.publish_to_readers(list);
-    }
-
-    /// An attempt of a node broke. Where it is not sent again, its caller tries once
-    /// more, at another node.
-    fn break_off(&mut self, node: u16, id: job::Id, end: End) {
-        let Some(dispatcher) = self.nodes.get_mut(&node) else {
-            return;
-        };
-        let next = dispatcher.end(self.now, id, end);
-        self.settle(node);
-        if next == Next::Again {
-            return;
-        }
-        self.seen.get_mut(&(node, id)).expect("it came").broken = true;
-        let Some(job) = self.jobs.remove(&(node, id)) else {
-            return;
-        };
-        let first = self.returned.insert(job.fingerprint);
-        if first && !self.crashing.contains(&job.fingerprint) {
-            let nodes: Vec<u16> = self.nodes.keys().copied().collect();
-            let at = job.fingerprint.0 as usize % nodes.len();
-            let (deadline, arrived) = (job.deadline, job.arrived);
-            self.arrive(RETURN_AFTER, nodes[at], |when| Job {
-                arrived: when,
-                deadline: when + deadline.since(arrived),
-                ..job
-            });
-        }
-    }
-
     /// A node takes the list of endpoints from another.
     fn take(&mut self, node: u16, from: u16) {
         if self.cut_off.contains(&node) || self.cut_off.contains(&from) {
--- a/crates/gateway/tests/gateway/crash.rs
+++ b/crates/gateway/tests/gateway/crash.rs
@@ -25,14 +25,16 @@
 /// The least time after which a caller may come back whose request is not run.
 const COMES_BACK_AFTER: f64 = 5.0;
 
-/// Endpoints that such a body crashes.
-async fn workers() -> Vec<Worker> {
+/// A gateway before endpoints that such a body crashes.
+async fn start() -> (Gateway, Vec<Worker>) {
     let mut workers = Vec::new();
     for name in ["e1", "e2", "e3", "e4", "e5", "e6"] {
         let act = Act::CrashOn(CRASHING, answer("200 OK", "fine"));
         workers.push(Worker::start(name, vec![act]).await);
     }
-    workers
+    let all: Vec<&Worker> = workers.iter().collect();
+    let gateway = Gateway::start(&all).await;
+    (gateway, workers)
 }
 
 /// How many requests with a body reached endpoints.
@@ -53,9 +55,7 @@
 #[test]
 fn a_request_that_crashes_endpoints_is_refused_and_others_are_served() {
     run(|| async {
-        let workers = workers().await;
-        let all: Vec<&Worker> = workers.iter().collect();
-        let gateway = Gateway::start(&all).await;
+        let (gateway, workers) = start().await;
         for number in 0..6 {
             ask(&gateway, &format!("id-{number}"), CRASHING).await;
         }
@@ -72,9 +72,7 @@
 #[test]
 fn whose_endpoint_ended_is_told_that_nobody_knows_and_who_is_refused_that_it_has_not_run() {
     run(|| async {
-        let workers = workers().await;
-        let all: Vec<&Worker> = workers.iter().collect();
-        let gateway = Gateway::start(&all).await;
+        let (gateway, workers) = start().await;
         let mut outcomes = Vec::new();
         for number in 0..4 {
             let id = format!("id-{number}");
@@ -104,9 +102,7 @@
 #[test]
 fn logs_metrics_and_an_explanation_tell_of_it() {
     run(|| async {
-        let workers = workers().await;
-        let all: Vec<&Worker> = workers.iter().collect();
-        let gateway = Gateway::start(&all).await;
+        let (gateway, _workers) = start().await;
         for number in 0..2 {
             ask(&gateway, &format!("id-{number}"), CRASHING).await;
             let ends = format!("\"ends\":{}", number + 1);
