--- a/crates/dispatch/src/dispatcher/suspect.rs
+++ b/crates/dispatch/src/dispatcher/suspect.rs
@@ -35,8 +35,8 @@
 /// endpoints may be mended and the fleet restarted.
 const MENDED_AFTER: Span = Span::from_secs(3_600);
 
-/// Nodes beyond its cell, about, from which a node that knows less is sent findings:
-/// with all of 414, one that starts was sent each of them 413 times.
+/// Nodes beyond its cell, about, from which a node that knows less is sent findings. Were
+/// it all of 414, one that starts would be sent each finding 413 times (worked out).
 const TELLERS: u64 = 16;
 
 /// How far the part of nodes that may begin a trial is doubled at the most.
--- a/crates/dispatch/tests/dispatch/fleet/crash.rs
+++ b/crates/dispatch/tests/dispatch/fleet/crash.rs
@@ -1,8 +1,8 @@
 //! Requests that crash the endpoints that run them, and come again under other ids at
 //! other nodes.
 //!
-//! What users saw: for ten seconds over a tenth of one route's requests failed, as 24 of
-//! twelve engines ended one after the other, and those that replaced them. The order of
+//! What users saw: for ten seconds over a tenth of one route's requests failed, as twelve
+//! engines and those that replaced them ended one after the other, 24 in all. The order of
 //! events: an engine began to run a request of one customer and ended 0.1 s later, with
 //! all that ran beside it; the same request came again within a second, with another id,
 //! on another host, and was sent to the next engine. The cause: nodes know a request by
