--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -10,6 +10,7 @@
 use woadstage_types::unit::Span;
 
 use crate::cold;
+use crate::region::Regions;
 
 /// A step in the order of protection: 0 is served first and refused last.
 pub type Priority = u8;
@@ -82,6 +83,10 @@
     pub anonymous: bool,
     /// True where a broken stream may go on at another endpoint.
     pub resumable: bool,
+    /// The regions in which its requests may run. Not part of the layout of routes:
+    /// [`crate::region::Restrictions`] carries them.
+    #[serde(skip)]
+    pub regions: Regions,
 }
 
 /// Endpoints of one kind, as far as the configuration describes them.
@@ -132,6 +137,9 @@
     pub priority: Option<Priority>,
     /// What it may use over all nodes; none where it may use anything.
     pub quota: Option<Quota>,
+    /// The regions in which its requests may run; as [`Route::regions`].
+    #[serde(skip)]
+    pub regions: Regions,
 }
 
 /// What a customer may use, over all nodes together.
--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -80,8 +80,10 @@
             return;
         };
         let known = &pool.workers[worker];
-        if !known.is_open() {
-            // This node's list is newer than the owner's.
+        let centre = &known.endpoint.data_centre;
+        if !known.is_open() || !self.options.regions.allows(&job.bound, centre) {
+            // This node's list is newer than the owner's, or the owner, which does not
+            // know where the request may run, sees another fleet.
             let end = match known.is_staying() {
                 true => End::Abandoned,
                 false => End::NotThere,
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -98,8 +98,8 @@
         if pool.shared && endpoint.is_none() {
             return alone;
         }
-        let owner = match self.is_displaced(pool) {
-            true => self.host_owner(now, pool, self.next_question),
+        let owner = match self.is_displaced(pool, job) {
+            true => self.host_owner(now, pool, job, self.next_question),
             false => self.slot_owner(now, pool, endpoint),
         };
         match owner {
@@ -128,7 +128,9 @@
     fn shared_worker<'a>(&self, now: Time, pool: &'a Pool, job: &Job) -> Option<&'a Worker> {
         let options = &self.options.worker;
         let usable = pool.workers.iter().filter(|worker| {
-            worker.takes_work(now, options) && !job.history.tried.contains(&worker.number)
+            worker.takes_work(now, options)
+                && !job.history.tried.contains(&worker.number)
+                && self.may_run_at(job, worker)
         });
         let usable: Vec<&Worker> = usable.collect();
         let waiting = |worker: &Worker| {
@@ -249,11 +251,11 @@
         };
         let target = self.places.get(&id);
         let pool = target.and_then(|target| self.pools.get(target));
-        let Some(pool) = pool else {
+        let Some((pool, job)) = pool.zip(question.job.as_ref()) else {
             return false;
         };
-        if self.is_displaced(pool) {
-            let mut hosts = self.host_owners(now, pool).into_iter();
+        if self.is_displaced(pool, job) {
+            let mut hosts = self.host_owners(now, pool, job).into_iter();
             return hosts.any(|(owner, _)| owner == question.owner);
         }
         self.slot_owner(now, pool, question.endpoint) == Owner::Other(question.owner)
--- a/crates/dispatch/src/dispatcher/evacuate.rs
+++ b/crates/dispatch/src/dispatcher/evacuate.rs
@@ -1,5 +1,6 @@
-//! Data centres that an operator evacuated: their endpoints are sent nothing, and
-//! requests that come to their nodes wait in the queues of other cells.
+//! Requests that may not run in the data centre of the node to which they came, since
+//! it is evacuated, or since they are bound to other regions: they wait in the queues of
+//! other cells.
 //!
 //! Spare slots alone would not do: those are given only where nothing waits, so
 //! that callers of an evacuated data centre came after all others.
@@ -15,7 +16,9 @@
 use crate::endpoint;
 use crate::endpoint::List;
 use crate::job;
+use crate::job::Job;
 use crate::member::Owner;
+use crate::worker::Worker;
 
 impl Dispatcher {
     /// Marks the endpoints of evacuated data centres. Those of one that is taken
@@ -33,26 +36,40 @@
         }
     }
 
-    /// True where this node's data centre is evacuated, so that its cell has no
-    /// slots of its own of a service that is not shared.
-    pub(super) fn is_displaced(&self, pool: &Pool) -> bool {
+    /// True where a request may not run in this node's data centre, so that its cell
+    /// has no slots for it of a service that is not shared.
+    pub(super) fn is_displaced(&self, pool: &Pool, job: &Job) -> bool {
         let own = &self.options.data_centre;
-        !self.members.cell().whole && !pool.shared && self.list.is_evacuated(own)
+        let closed = self.list.is_evacuated(own) || !self.options.regions.allows(&job.bound, own);
+        !self.members.cell().whole && !pool.shared && closed
     }
 
-    /// Puts the requests of this node's callers that wait for slots of an evacuated
-    /// data centre in the queues of other cells.
+    /// True where an endpoint is in a region in which a request may run.
+    pub(super) fn may_run_at(&self, job: &Job, worker: &Worker) -> bool {
+        let centre = &worker.endpoint.data_centre;
+        self.options.regions.allows(&job.bound, centre)
+    }
+
+    /// True where another node is in a region in which a request may run.
+    pub(super) fn may_run_near(&self, job: &Job, node: SocketAddrV4) -> bool {
+        let centre = self.members.data_centre_opt(node);
+        let allows = |centre| self.options.regions.allows_number(&job.bound, centre);
+        job.bound.is_free() || centre.is_some_and(allows)
+    }
+
+    /// Puts the requests of this node's callers that wait for slots of a data centre in
+    /// which they may not run in the queues of other cells.
     pub(super) fn resubmit_displaced(&mut self, now: Time, target: &id::Target) {
-        let pool = self.pools.get(target);
-        let Some(pool) = pool.filter(|pool| self.is_displaced(pool)) else {
+        let Some(pool) = self.pools.get(target) else {
             return;
         };
-        if self.host_owners(now, pool).is_empty() {
-            return;
-        }
-        let own = pool.queue.iter().filter(|(_, job)| job.origin.is_none());
-        let own: Vec<job::Id> = own.map(|(id, _)| id).collect();
-        for id in own {
+        let displaced = pool.queue.iter().filter(|(_, job)| {
+            job.origin.is_none()
+                && self.is_displaced(pool, job)
+                && !self.host_owners(now, pool, job).is_empty()
+        });
+        let displaced: Vec<job::Id> = displaced.map(|(id, _)| id).collect();
+        for id in displaced {
             self.withdraw(id);
             let pool = self.pools.get_mut(target);
             let Some(job) = pool.and_then(|pool| pool.queue.remove(id)) else {
@@ -65,8 +82,8 @@
     /// The owner of slots in another cell in whose queue a request of a displaced
     /// cell waits: another for each `turn`, more often the one whose cell has more
     /// slots.
-    pub(super) fn host_owner(&self, now: Time, pool: &Pool, turn: u64) -> Owner {
-        let hosts = self.host_owners(now, pool);
+    pub(super) fn host_owner(&self, now: Time, pool: &Pool, job: &Job, turn: u64) -> Owner {
+        let hosts = self.host_owners(now, pool, job);
         let all: u64 = hosts.iter().map(|(_, slots)| u64::from(*slots)).sum();
         let drawn = hash::chain(self.options.incarnation, &turn.to_le_bytes());
         let Some(mut at) = drawn.checked_rem(all) else {
@@ -82,14 +99,20 @@
         Owner::Unheard
     }
 
-    /// Owners of slots in cells of data centres that are not evacuated, with the
-    /// slots that each has.
-    pub(super) fn host_owners(&self, now: Time, pool: &Pool) -> Vec<(SocketAddrV4, u32)> {
+    /// Owners of slots in cells of data centres that are not evacuated and where a
+    /// request may run, with the slots that each has.
+    pub(super) fn host_owners(
+        &self,
+        now: Time,
+        pool: &Pool,
+        job: &Job,
+    ) -> Vec<(SocketAddrV4, u32)> {
         let owners = self.members.other_owners(now, u64::from(pool.number), 0);
         let cells = self.members.cells_by_data_centre();
         let centres = owners.into_iter().filter_map(|owner| {
             let centre = self.members.data_centre_opt(owner)?;
-            Some((owner, centre))
+            let allowed = self.options.regions.allows_number(&job.bound, centre);
+            allowed.then_some((owner, centre))
         });
         let hosts = centres.map(|(owner, centre)| {
             let workers = pool.workers.iter();
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -19,6 +19,7 @@
 use crate::lease::Reply;
 use crate::lease::Seen;
 use crate::message::Message;
+use crate::region::Bound;
 
 /// Silence about a request of another node after which it is asked for.
 const CHECK_AFTER: Span = Span::from_millis(1_000);
@@ -153,6 +154,7 @@
             origin: Some(origin),
             only: request.endpoint,
             trial: false,
+            bound: Bound::default(),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -55,6 +55,8 @@
 use crate::queue::Queue;
 use crate::quota;
 use crate::quota::Accounts;
+use crate::region;
+use crate::restore::Memory;
 use crate::section;
 use crate::table::Table;
 use crate::turnaround::Turnaround;
@@ -116,6 +118,8 @@
     pub budget: budget::Options,
     /// What is not run any more.
     pub quarantine: quarantine::Options,
+    /// The region of each data centre.
+    pub regions: region::Map,
 }
 
 /// What was known when an endpoint was chosen, for logs.
@@ -269,6 +273,10 @@
     list: Arc<List>,
     /// The sections of that list.
     sections: section::Index,
+    /// That list as the platform has it, where more is known of what it says.
+    uncorrected: Option<Arc<List>>,
+    /// What earlier lists said that an older copy of the platform may not say.
+    memory: Memory,
     pools: HashMap<id::Target, Pool>,
     places: HashMap<job::Id, id::Target>,
     runs: HashMap<job::Id, Run>,
@@ -324,6 +332,8 @@
             received: parts::Received::default(),
             list: Arc::default(),
             sections: section::Index::default(),
+            uncorrected: None,
+            memory: Memory::default(),
             pools: HashMap::new(),
             places: HashMap::new(),
             runs: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -159,6 +159,7 @@
                 || !usable
                 || job.only.is_some_and(|only| only != worker.number)
                 || job.history.tried.contains(&worker.number)
+                || !self.may_run_at(job, worker)
             {
                 continue;
             }
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -11,6 +11,7 @@
 use super::Dispatcher;
 use super::Pool;
 use crate::configuration::Configuration;
+use crate::edition::Era;
 use crate::endpoint;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
@@ -75,20 +76,43 @@
     }
 
     /// Takes a list of endpoints; false where one as new is in force. What a
-    /// list lacks that is not settled is kept.
+    /// list lacks that is not settled is kept, and of what an older copy of the
+    /// platform says, that which was known otherwise is not believed for a while.
     pub fn set_endpoints(&mut self, now: Time, list: Arc<List>) -> bool {
         if list.edition() <= self.list.edition() {
             return false;
         }
+        if self.list.era > Era::default() && list.era > self.list.era {
+            self.memory.begin_era(now, &self.list);
+        }
+        let corrected = self.memory.correct(now, &list).map(Arc::new);
+        self.uncorrected = corrected.is_some().then(|| list.clone());
+        let list = corrected.unwrap_or(list);
         let list = match list.settled {
             true => list,
             false => Arc::new(list.merge(&self.list)),
         };
+        self.memory.note(now, &self.list, &list);
+        self.replace_list(now, list);
+        true
+    }
+
+    /// Takes the list as the platform has it once nothing of what was known before its
+    /// era goes before it any more.
+    pub(super) fn stop_correcting(&mut self, now: Time) {
+        if !self.memory.take_over(now) {
+            return;
+        }
+        if let Some(list) = self.uncorrected.take() {
+            self.replace_list(now, list);
+        }
+    }
+
+    fn replace_list(&mut self, now: Time, list: Arc<List>) {
         self.sections = section::Index::new(&list);
         self.list = list;
         self.news = true;
         self.use_list(now);
-        true
     }
 
     /// Brings the list into force: that of its endpoints whose service the configuration
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -1,5 +1,6 @@
 //! Queries.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use woadstage_types::id;
@@ -9,10 +10,17 @@
 use super::Dispatcher;
 use crate::configuration::Configuration;
 use crate::configuration::Priority;
+use crate::edition::Edition;
 use crate::endpoint::List;
+use crate::protocol::Protocol;
 use crate::quota::Reach;
 use crate::table::Table;
 
+/// How long after its start a node waits for a configuration that others have. Two
+/// seconds and more are allowed until a change is in force; a transfer from a neighbour
+/// of 260 kB takes 0.7 s on 10 Mbit/s beside two others.
+const CATCH_UP_WITHIN: Span = Span::from_secs(1);
+
 /// What a node holds, for metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summary {
@@ -59,14 +67,35 @@
         &self.list
     }
 
-    /// The platform's revision of the list of endpoints; 0 for none.
-    pub fn endpoints_revision(&self) -> u64 {
-        self.list.revision
+    /// The list of endpoints in force, among others.
+    pub fn edition(&self) -> Edition {
+        self.list.edition()
     }
 
     /// True while the node can serve: what the platform published is known.
-    pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.list.revision > 0 && !self.leaving
+    pub fn is_ready(&self, now: Time) -> bool {
+        self.admitting_table_opt(now).is_some() && self.list.revision > 0 && !self.leaving
+    }
+
+    /// The configuration by which requests are let in; none where there is none, or
+    /// where others may have a newer one.
+    pub fn admitting_table_opt(&self, now: Time) -> Option<&Arc<Table>> {
+        self.table.as_ref().filter(|_| !self.is_catching_up(now))
+    }
+
+    /// True while this node has just started and another has a newer configuration, or
+    /// none was heard yet. The platform may have come back with an older copy, in which
+    /// a key is good that was taken away; others know better. Where nobody is heard
+    /// within the time in which nodes meet, the platform alone is believed.
+    fn is_catching_up(&self, now: Time) -> bool {
+        let started = self.accounts.started();
+        if now.since(started) >= CATCH_UP_WITHIN || self.members.has_nobody_to_ask() {
+            return false;
+        }
+        match self.members.newest_configuration_opt(now) {
+            None => self.accounts.is_meeting(now),
+            Some(newest) => newest > self.configuration_version(),
+        }
     }
 
     /// True once the node has begun to stop.
@@ -122,6 +151,15 @@
         self.members.reach(now)
     }
 
+    /// Other nodes that are heard, by the protocol that they speak.
+    pub fn heard_by_protocol(&self, now: Time) -> BTreeMap<Protocol, i64> {
+        let mut heard = BTreeMap::new();
+        for (_, member) in self.members.fresh(now) {
+            *heard.entry(member.status.protocol).or_default() += 1;
+        }
+        heard
+    }
+
     /// What is held for each service.
     pub fn summaries(&self, now: Time) -> Vec<Summary> {
         let nodes = self.members.reach(now).nodes;
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -21,6 +21,7 @@
 use crate::message::Trouble;
 use crate::message::Waiting;
 use crate::parts::Digest;
+use crate::protocol::Protocol;
 use crate::quota::Speaker;
 use crate::section::Difference;
 use crate::worker::Reports;
@@ -138,6 +139,7 @@
             members: self.members.told(now, self.sequence),
             quarantine: self.quarantine.digest(),
             findings: self.quarantine.news(now),
+            protocol: Protocol::OWN,
         }
     }
 
@@ -201,7 +203,11 @@
     /// changes seldom, so neither comes along with the other, and of the
     /// configuration and of the list only the parts that differ.
     pub fn snapshot(&self, pull: &Pull) -> Snapshot {
-        let later = self.list.edition() > pull.known.endpoints;
+        let edition = match pull.protocol.knows_eras() {
+            true => self.list.edition(),
+            false => self.list.edition().without_era(),
+        };
+        let later = edition > pull.known.endpoints;
         let endpoints = later.then(|| Difference::new(&self.list, &self.sections, &pull.sections));
         let table = self.table.as_ref();
         let newer = table.filter(|table| table.configuration().version > pull.known.configuration);
@@ -232,6 +238,7 @@
             known,
             held: if newer { held.collect() } else { Vec::new() },
             sections: self.sections.clone(),
+            protocol: Protocol::OWN,
         }
     }
 
--- a/crates/dispatch/src/dispatcher/spare.rs
+++ b/crates/dispatch/src/dispatcher/spare.rs
@@ -1,5 +1,8 @@
 //! Slots that one cell has to spare for requests of another.
 
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -51,14 +54,16 @@
         self.denied
             .retain(|_, denied| now.since(*denied) < DENIED_FOR);
         let owners = self.members.other_owners(now, key, self.next_question);
-        let mut owners = owners
-            .into_iter()
+        let owners = owners.into_iter();
+        let mut owners: VecDeque<SocketAddrV4> = owners
             .filter(|owner| !self.denied.contains_key(owner))
-            .collect::<Vec<_>>()
-            .into_iter();
+            .collect();
         for id in seeking {
-            let Some(owner) = owners.next() else {
-                return;
+            let job = self.pools.get(target).and_then(|pool| pool.queue.get(id));
+            let mut near = owners.iter();
+            let at = near.position(|owner| job.is_some_and(|job| self.may_run_near(job, *owner)));
+            let Some(owner) = at.and_then(|at| owners.remove(at)) else {
+                continue;
             };
             let asked = Asked {
                 owner,
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -8,6 +8,7 @@
 use super::Dispatcher;
 use super::Refusal;
 use crate::job;
+use crate::job::Job;
 
 /// Time between two arrangements of cells.
 const ARRANGE_EVERY: Span = Span::from_millis(200);
@@ -28,6 +29,7 @@
         self.accounts.begin(now);
         self.members.forget(now);
         self.quarantine.forget(now);
+        self.stop_correcting(now);
         self.arrange(now);
         self.count_others(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
@@ -75,22 +77,24 @@
         }
     }
 
-    /// With no endpoint at all, waiting beyond the objective helps nobody.
+    /// With no endpoint at all where a request may run, waiting beyond the objective
+    /// helps nobody.
     fn refuse_without_endpoint(&mut self, now: Time, target: &id::Target) {
         let Some(pool) = self.pools.get(target) else {
             return;
         };
-        if pool
-            .workers
-            .iter()
-            .any(|worker| worker.listed && !worker.endpoint.leaving && !worker.evacuated)
-        {
-            return;
-        }
+        let is_live = |job: &Job| {
+            pool.workers.iter().any(|worker| {
+                worker.listed
+                    && !worker.endpoint.leaving
+                    && !worker.evacuated
+                    && self.may_run_at(job, worker)
+            })
+        };
         let waited = pool
             .queue
             .iter()
-            .filter(|(_, job)| now.since(job.arrived) > job.objective);
+            .filter(|(_, job)| now.since(job.arrived) > job.objective && !is_live(job));
         let hopeless: Vec<job::Id> = waited.map(|(id, _)| id).collect();
         for id in hopeless {
             let pool = self.pools.get_mut(target);
@@ -101,7 +105,10 @@
             let waited = now.since(job.arrived);
             let retry_after = self.retry_after_estimate(now, waited, job.deadline.since(now));
             let refusal = Refusal {
-                code: Code::NoEndpoint,
+                code: match job.bound.is_free() {
+                    true => Code::NoEndpoint,
+                    false => Code::RegionClosed,
+                },
                 retry_after: Some(retry_after),
                 wait: None,
                 owner: None,
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -9,6 +9,9 @@
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 
+use crate::edition::Edition;
+use crate::edition::Era;
+
 /// One start of one endpoint.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -68,7 +71,10 @@
 /// All endpoints that the platform lists.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct List {
-    /// The platform's revision of this list; higher is newer.
+    /// The platform's era in which the list was read.
+    #[serde(skip)]
+    pub era: Era,
+    /// The platform's revision of this list; higher is newer within an era.
     pub revision: u64,
     /// False where endpoints may be missing that are still there, as after an
     /// outage of the platform, until they have had time to record themselves
@@ -81,29 +87,11 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-/// Orders lists: by revision, and of one revision the settled list is newer.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Edition {
-    /// The platform's revision; 0 for no list.
-    pub revision: u64,
-    /// Whether the list is settled.
-    pub settled: bool,
-}
-
-impl Edition {
-    /// Later than any list.
-    pub const LAST: Edition = Edition {
-        revision: u64::MAX,
-        settled: true,
-    };
-}
-
 impl List {
     /// Its place among other lists.
     pub fn edition(&self) -> Edition {
         Edition {
+            era: self.era,
             revision: self.revision,
             settled: self.settled,
         }
@@ -122,6 +110,7 @@
         let kept = older.endpoints.iter();
         let kept = kept.filter(|one| !one.leaving && !names.contains(&one.name));
         List {
+            era: self.era,
             revision: self.revision,
             settled: self.settled,
             evacuated: self.evacuated.clone(),
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -10,6 +10,7 @@
 
 use crate::configuration::Rank;
 use crate::lease::Origin;
+use crate::region::Bound;
 
 /// Names a request within one life of one node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -91,6 +92,8 @@
     pub only: Option<u32>,
     /// True where it is barred, and is tried once more.
     pub trial: bool,
+    /// In which regions it may run. Of another node's request only that node knows.
+    pub bound: Bound,
 }
 
 impl Job {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,9 +9,12 @@
 //!
 //! * [`configuration`]: routes, services, customers and limits in force.
 //! * [`table`]: the configuration arranged for look-ups.
+//! * [`region`]: in which regions requests may run.
 //! * [`parts`]: a configuration in parts, for passing it on.
 //! * [`duration`]: how long whole answers take.
 //! * [`endpoint`]: what the platform says of endpoints.
+//! * [`edition`]: how new a list of endpoints is.
+//! * [`restore`]: what is kept of lists when the platform comes back with an older copy.
 //! * [`section`]: a list of endpoints in sections, for passing it on.
 //! * [`cold`]: endpoints that bear little, as they have just started.
 //! * [`worker`]: what was learnt of one endpoint.
@@ -27,6 +30,8 @@
 //! * [`budget`]: what may be sent again, over all nodes.
 //! * [`member`]: which other nodes there are.
 //! * [`message`]: what nodes tell each other.
+//! * [`protocol`]: which protocol a build speaks.
+//! * [`wire`]: how messages are written and read.
 //! * [`dispatcher`]: one node's whole state, with its commands and queries.
 
 pub mod budget;
@@ -34,6 +39,7 @@
 pub mod configuration;
 pub mod dispatcher;
 pub mod duration;
+pub mod edition;
 pub mod endpoint;
 pub mod first_try;
 pub mod job;
@@ -42,11 +48,15 @@
 pub mod member;
 pub mod message;
 pub mod parts;
+pub mod protocol;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod region;
+pub mod restore;
 pub mod section;
 pub mod table;
 pub mod turnaround;
 pub mod warm;
+pub mod wire;
 pub mod worker;
--- a/crates/dispatch/src/member/ahead.rs
+++ b/crates/dispatch/src/member/ahead.rs
@@ -7,7 +7,7 @@
 use woadstage_types::unit::Time;
 
 use super::Members;
-use crate::endpoint::Edition;
+use crate::edition::Edition;
 use crate::message::Known;
 
 /// Nodes furthest ahead among which one is chosen. Were all nodes to ask the
@@ -28,11 +28,16 @@
     /// A node that has something newer than `known`, if there is one; another
     /// for each `attempt`, where there are several. Nodes of the own cell are
     /// asked first.
+    ///
+    /// Nodes that know no eras cannot say whether a list is from before the platform
+    /// came back with an older copy, so theirs is newer only than one without an era;
+    /// and a configuration that they give says nothing of regions.
     pub fn ahead_opt(&self, now: Time, known: Known, attempt: u64) -> Option<SocketAddrV4> {
         let candidates = self.fresh(now).map(|(address, member)| {
             let status = &member.status;
             Candidate {
-                newer: (status.configuration > known.configuration).then_some(status.configuration),
+                newer: Some(status.configuration)
+                    .filter(|newer| *newer > known.configuration && status.protocol.knows_eras()),
                 later: (status.endpoints > known.endpoints).then_some(status.endpoints),
                 near: member.near,
                 address: *address,
--- a/crates/dispatch/src/member/cell.rs
+++ b/crates/dispatch/src/member/cell.rs
@@ -118,7 +118,9 @@
         self.cell
     }
 
-    /// Who reads the platform, as this node sees it.
+    /// Who reads the platform, as this node sees it. Only what nodes read that know
+    /// eras serves this one. All others count them in as well, so that wherever builds
+    /// run side by side some more nodes read, and none too few.
     pub fn reading(&self, now: Time) -> Reading {
         if self.cell.whole {
             return Reading::Alone;
@@ -126,7 +128,10 @@
         let own = score(&self.own);
         let before = self.fresh(now).filter(|(address, member)| {
             let status = &member.status;
-            status.data_centre == self.data_centre && !status.leaving && score(address) < own
+            status.data_centre == self.data_centre
+                && status.protocol.knows_eras()
+                && !status.leaving
+                && score(address) < own
         });
         let (cut_off, able): (Vec<_>, Vec<_>) =
             before.partition(|(_, member)| member.status.cut_off);
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -278,6 +278,19 @@
         }
     }
 
+    /// The newest configuration that a node says it has; none where none was heard.
+    pub fn newest_configuration_opt(&self, now: Time) -> Option<u64> {
+        let said = self
+            .fresh(now)
+            .map(|(_, member)| member.status.configuration);
+        said.max()
+    }
+
+    /// True while no other node is known that could be asked.
+    pub fn has_nobody_to_ask(&self) -> bool {
+        self.seeds.is_empty() && self.others.is_empty()
+    }
+
     /// Notes that a node is sent findings; false where it was sent them so lately with
     /// the same known on both sides.
     pub fn note_told(
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other, typed; the shell puts it on the wire.
+//! What nodes tell each other, typed; [`crate::wire`] writes and reads it.
 
 use std::net::SocketAddrV4;
 
@@ -6,19 +6,17 @@
 use serde::Serialize;
 
 use crate::configuration::Rank;
-use crate::endpoint::Edition;
+use crate::edition::Edition;
 use crate::lease;
 use crate::parts::Digest;
 use crate::parts::Head;
 use crate::parts::Part;
+use crate::protocol::Protocol;
 use crate::quarantine::Finding;
 use crate::quota::Denied;
 use crate::section;
 use crate::section::Difference;
 
-/// The version of this protocol; the first byte of everything on the wire.
-pub const VERSION: u8 = 8;
-
 /// What one node runs at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -93,6 +91,9 @@
     pub quarantine: u32,
     /// What it came to know of them lately.
     pub findings: Vec<Finding>,
+    /// What the node speaks.
+    #[serde(skip, default = "Protocol::first")]
+    pub protocol: Protocol,
 }
 
 /// Asks the owner of a customer's quota for a request's units.
@@ -217,6 +218,9 @@
     pub held: Vec<Digest>,
     /// Sections of its list of endpoints.
     pub sections: section::Index,
+    /// What the node speaks that asks.
+    #[serde(skip, default = "Protocol::first")]
+    pub protocol: Protocol,
 }
 
 impl Pull {
--- a/crates/dispatch/src/parts.rs
+++ b/crates/dispatch/src/parts.rs
@@ -14,6 +14,7 @@
 use crate::configuration::Limits;
 use crate::configuration::Route;
 use crate::configuration::Service;
+use crate::region::Restrictions;
 
 /// Parts of one configuration. Their digests take 2 KiB; of 1,500 routes one
 /// part holds about six, or half a kilobyte.
@@ -55,6 +56,10 @@
     pub keyed: bool,
     /// The names of all parts, in order.
     pub parts: Vec<Digest>,
+    /// What is bound to regions. Not part of the first layout of messages:
+    /// [`crate::wire`] adds it behind.
+    #[serde(skip)]
+    pub restrictions: Restrictions,
 }
 
 /// Which entries of a configuration belong to which part.
@@ -109,6 +114,7 @@
             limits: configuration.limits.clone(),
             keyed: configuration.customers.is_some(),
             parts: self.digests.clone(),
+            restrictions: Restrictions::of(configuration),
         }
     }
 
@@ -207,13 +213,15 @@
             whole.services.extend(part.services);
             whole.customers.extend(part.customers);
         }
-        Some(Configuration {
+        let mut configuration = Configuration {
             version: head.version,
             routes: whole.routes,
             services: whole.services,
             limits: head.limits.clone(),
             customers: head.keyed.then_some(whole.customers),
-        })
+        };
+        head.restrictions.apply(&mut configuration);
+        Some(configuration)
     }
 }
 
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// When this node started.
+    pub fn started(&self) -> Time {
+        self.started
+    }
+
     /// True until this node can have met the others.
     pub fn is_meeting(&self, now: Time) -> bool {
         now < self.met_at()
--- a/crates/dispatch/src/section.rs
+++ b/crates/dispatch/src/section.rs
@@ -11,6 +11,7 @@
 use woadstage_types::hash;
 use woadstage_types::id;
 
+use crate::edition::Era;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 
@@ -41,6 +42,9 @@
 /// A list without the sections that a node has already.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Difference {
+    /// The platform's era in which the list was read.
+    #[serde(skip)]
+    pub era: Era,
     /// The revision of the list.
     pub revision: u64,
     /// Whether the list is settled.
@@ -86,6 +90,7 @@
             }
         }
         Difference {
+            era: list.era,
             revision: list.revision,
             settled: list.settled,
             evacuated: list.evacuated.clone(),
@@ -102,6 +107,7 @@
         let given = self.sections.into_iter();
         let given = given.flat_map(|section| section.endpoints);
         List {
+            era: self.era,
             revision: self.revision,
             settled: self.settled,
             evacuated: self.evacuated,
--- /dev/null
+++ b/crates/dispatch/src/wire.rs
@@ -0,0 +1,135 @@
+//! How messages between nodes are written and read.
+//!
+//! Each message has the layout that every build reads, and behind it what later builds
+//! add: an [`Addition`], or what a configuration binds to regions. A build reads of it what it knows, takes the usual for what is
+//! missing, and leaves the rest. Nothing that stands before it ever changes
+//! (docs/PROTOCOL.md; test `what_is_written_is_kept`).
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::edition::Era;
+use crate::message::Frame;
+use crate::message::Message;
+use crate::message::Pull;
+use crate::protocol;
+use crate::protocol::Protocol;
+
+/// What stands behind a status, a question for documents, and a list of endpoints. More
+/// fields may only be added at its end, each in an addition of its own that may be
+/// missing.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct Addition {
+    /// What the node speaks that wrote it.
+    protocol: Protocol,
+    /// The era of the list of endpoints that the message speaks of.
+    era: Era,
+}
+
+impl Addition {
+    /// Of a message that has none.
+    const NONE: Addition = Addition {
+        protocol: Protocol::FIRST,
+        era: Era(0),
+    };
+}
+
+/// Writes a datagram: the layout, the message and its addition.
+///
+/// # Errors
+/// Only where the codec fails.
+pub fn to_datagram(message: &Message) -> postcard::Result<Vec<u8>> {
+    let bytes = postcard::to_extend(message, vec![protocol::LAYOUT])?;
+    let Message::Status(status) = message else {
+        return Ok(bytes);
+    };
+    let addition = Addition {
+        protocol: status.protocol,
+        era: status.endpoints.era,
+    };
+    postcard::to_extend(&addition, bytes)
+}
+
+/// Reads a datagram; nothing for another layout or for what is no message.
+pub fn try_from_datagram(bytes: &[u8]) -> Option<Message> {
+    let (layout, rest) = bytes.split_first()?;
+    if *layout != protocol::LAYOUT {
+        return None;
+    }
+    let (mut message, addition) = read(rest).ok()?;
+    if let Message::Status(status) = &mut message {
+        status.protocol = addition.protocol;
+        status.endpoints.era = addition.era;
+    }
+    Some(message)
+}
+
+/// Writes a question for documents.
+///
+/// # Errors
+/// Only where the codec fails.
+pub fn pull_to_bytes(pull: &Pull) -> postcard::Result<Vec<u8>> {
+    let addition = Addition {
+        protocol: pull.protocol,
+        era: pull.known.endpoints.era,
+    };
+    postcard::to_extend(&addition, postcard::to_extend(pull, Vec::new())?)
+}
+
+/// Reads a question for documents.
+///
+/// # Errors
+/// Where the bytes are none.
+pub fn pull_from_bytes(bytes: &[u8]) -> postcard::Result<Pull> {
+    let (mut pull, addition): (Pull, _) = read(bytes)?;
+    pull.protocol = addition.protocol;
+    pull.known.endpoints.era = addition.era;
+    Ok(pull)
+}
+
+/// Writes a piece of what a node gives to another.
+///
+/// # Errors
+/// Only where the codec fails.
+pub fn frame_to_bytes(frame: &Frame) -> postcard::Result<Vec<u8>> {
+    let bytes = postcard::to_extend(frame, Vec::new())?;
+    match frame {
+        Frame::Endpoints(difference) => {
+            let addition = Addition {
+                protocol: Protocol::OWN,
+                era: difference.era,
+            };
+            postcard::to_extend(&addition, bytes)
+        }
+        Frame::Head(head) => postcard::to_extend(&head.restrictions, bytes),
+        Frame::Busy | Frame::Part(_) => Ok(bytes),
+    }
+}
+
+/// Reads a piece of what another node gives.
+///
+/// # Errors
+/// Where the bytes are none.
+pub fn frame_from_bytes(bytes: &[u8]) -> postcard::Result<Frame> {
+    let (mut frame, rest) = postcard::take_from_bytes(bytes)?;
+    match &mut frame {
+        Frame::Endpoints(difference) => difference.era = read_addition(rest)?.era,
+        Frame::Head(head) if !rest.is_empty() => head.restrictions = postcard::from_bytes(rest)?,
+        Frame::Head(_) | Frame::Busy | Frame::Part(_) => {}
+    }
+    Ok(frame)
+}
+
+/// Reads a message and the addition behind it.
+fn read<M: DeserializeOwned>(bytes: &[u8]) -> postcard::Result<(M, Addition)> {
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    Ok((message, read_addition(rest)?))
+}
+
+fn read_addition(rest: &[u8]) -> postcard::Result<Addition> {
+    match rest {
+        [] => Ok(Addition::NONE),
+        rest => postcard::from_bytes(rest),
+    }
+}
--- a/crates/dispatch/tests/dispatch/evacuate.rs
+++ b/crates/dispatch/tests/dispatch/evacuate.rs
@@ -39,6 +39,7 @@
             .map(|name| id::DataCentre::new(name))
             .collect(),
         endpoints: endpoints(),
+        ..List::default()
     })
 }
 
--- a/crates/dispatch/tests/dispatch/fleet/evacuate.rs
+++ b/crates/dispatch/tests/dispatch/fleet/evacuate.rs
@@ -49,7 +49,7 @@
     while world
         .nodes
         .values()
-        .any(|node| node.endpoints_revision() < wanted)
+        .any(|node| node.edition().revision < wanted)
     {
         world.run_for(Span::from_millis(20));
         assert!(world.now.since(from) < Span::from_secs(10), "in force");
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -3,6 +3,7 @@
 use rstest::rstest;
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::quarantine;
+use woadstage_dispatch::region;
 use woadstage_types::hash;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -11,9 +12,12 @@
 use crate::support::SERVICE;
 use crate::support::job;
 
+mod builds;
 mod cold;
 mod crash;
+mod drill;
 mod evacuate;
+mod region_bound;
 mod world;
 
 use world::Seen;
@@ -35,6 +39,7 @@
         lost: 0,
         cold: None,
         quarantine: quarantine::Options::default(),
+        regions: region::Map::default(),
     }
 }
 
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::edition::Era;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::job;
@@ -24,7 +25,9 @@
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
+use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine;
+use woadstage_dispatch::region;
 use woadstage_types::code::Code;
 use woadstage_types::hash;
 use woadstage_types::id;
@@ -76,6 +79,8 @@
     pub cold: Option<cold::Bound>,
     /// What is not run any more.
     pub quarantine: quarantine::Options,
+    /// The region of each data centre.
+    pub regions: region::Map,
 }
 
 /// What happens at some moment.
@@ -169,6 +174,8 @@
     pub seen: HashMap<(u16, job::Id), Seen>,
     /// Nodes whose messages reach nobody, and whom none reach.
     pub cut_off: BTreeSet<u16>,
+    /// Nodes that run a build which says nothing of eras and reads nothing of them.
+    pub before: BTreeSet<u16>,
     /// The part of a fleet that a node belongs to, where parts do not hear each other.
     pub part: Option<fn(u16) -> u16>,
     /// Messages that were sent, but for statuses.
@@ -226,6 +233,7 @@
             now: at(0),
             seen: HashMap::new(),
             cut_off: BTreeSet::new(),
+            before: BTreeSet::new(),
             part: None,
             messages: 0,
             findings: 0,
@@ -273,13 +281,25 @@
     pub fn publish(&mut self, list: List, readers: &[u16]) {
         self.list = Arc::new(list);
         for node in readers {
+            let list = self.to_read(*node);
             if let Some(dispatcher) = self.nodes.get_mut(node) {
-                dispatcher.set_endpoints(self.now, self.list.clone());
+                dispatcher.set_endpoints(self.now, list);
                 self.settle(*node);
             }
         }
     }
 
+    /// The list as a node's build reads it.
+    fn to_read(&self, node: u16) -> Arc<List> {
+        match self.before.contains(&node) {
+            true => Arc::new(List {
+                era: Era::default(),
+                ..(*self.list).clone()
+            }),
+            false => self.list.clone(),
+        }
+    }
+
     /// Publishes a list that the readers of each data centre read at once.
     pub fn publish_to_readers(&mut self, list: List) {
         let readers = self.readers();
@@ -312,11 +332,12 @@
             data_centre: id::DataCentre::new(&format!("dc{}", self.centre(node))),
             seeds: seeds.collect(),
             quarantine: self.shape.quarantine.clone(),
+            regions: self.shape.regions.clone(),
             ..options(1)
         });
         dispatcher.set_configuration(self.now, self.configuration());
         if !self.turned_away.contains(&node) {
-            dispatcher.set_endpoints(self.now, self.list.clone());
+            dispatcher.set_endpoints(self.now, self.to_read(node));
         }
         self.nodes.insert(node, dispatcher);
         let first = Span(hash::of(&node.to_le_bytes()) % TICK_EVERY.0);
@@ -464,11 +485,19 @@
         let (Some(to), Some(giver)) = (self.nodes.get(&node), self.nodes.get(&from)) else {
             return;
         };
-        let pull = to.pull(address(from));
+        let mut pull = to.pull(address(from));
+        let builds = [node, from];
+        if builds.iter().any(|one| self.before.contains(one)) {
+            pull.protocol = Protocol::FIRST;
+            pull.known.endpoints.era = Era::default();
+        }
         let base = to.endpoints().clone();
-        let Some(difference) = giver.snapshot(&pull).endpoints else {
+        let Some(mut difference) = giver.snapshot(&pull).endpoints else {
             return;
         };
+        if builds.iter().any(|one| self.before.contains(one)) {
+            difference.era = Era::default();
+        }
         let list = Arc::new(difference.into_list(&base));
         if let Some(dispatcher) = self.nodes.get_mut(&node) {
             dispatcher.set_endpoints(self.now, list);
@@ -483,7 +512,13 @@
         };
         let from = address(from);
         match message {
-            Message::Status(status) => {
+            Message::Status(mut status) => {
+                if self.before.contains(&to_node(from)) {
+                    status.protocol = Protocol::FIRST;
+                }
+                if self.before.contains(&to) || self.before.contains(&to_node(from)) {
+                    status.endpoints.era = Era::default();
+                }
                 dispatcher.hear(now, from, *status);
             }
             Message::Lease(request) => dispatcher.take_request(now, from, *request),
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use woadstage_dispatch::endpoint::Edition;
+use woadstage_dispatch::edition::Edition;
 use woadstage_dispatch::member::Members;
 use woadstage_dispatch::member::News;
 use woadstage_dispatch::member::Occasion;
@@ -291,6 +291,7 @@
     Edition {
         revision,
         settled: true,
+        ..Edition::default()
     }
 }
 
--- a/crates/dispatch/tests/dispatch/parts.rs
+++ b/crates/dispatch/tests/dispatch/parts.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::configuration::Service;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::message::Pull;
+use woadstage_dispatch::region::Regions;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 
@@ -39,10 +40,17 @@
 fn to_route(entry: Entry) -> Route {
     Route {
         timeout: Span::from_secs(u64::from(entry.form) + 1),
+        regions: regions(entry),
         ..route(&format!("route-{}", entry.number), SERVICE, Kind::Once, 0)
     }
 }
 
+/// Some are bound to regions, some to none.
+fn regions(entry: Entry) -> Regions {
+    let names = (0..entry.form % 3).map(|number| id::Region::new(&format!("region-{number}")));
+    Regions::new(names)
+}
+
 fn to_service(entry: Entry) -> Service {
     Service {
         name: id::Target::new(&format!("service-{}", entry.number)),
@@ -58,6 +66,7 @@
         keys: vec![Key::of(&format!("{}-{}", entry.number, entry.form))],
         priority: Some(entry.form),
         quota: None,
+        regions: regions(entry),
     }
 }
 
--- a/crates/dispatch/tests/dispatch/publish.rs
+++ b/crates/dispatch/tests/dispatch/publish.rs
@@ -4,7 +4,7 @@
 
 use woadstage_dispatch::configuration::Service;
 use woadstage_dispatch::dispatcher::Dispatcher;
-use woadstage_dispatch::endpoint::Edition;
+use woadstage_dispatch::edition::Edition;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::job::End;
@@ -28,13 +28,13 @@
 #[test]
 fn nothing_is_ready_before_both_documents_are_known() {
     let mut dispatcher = Dispatcher::new(options(1));
-    assert!(!dispatcher.is_ready());
+    assert!(!dispatcher.is_ready(at(0)));
     dispatcher.set_configuration(at(0), configuration(3));
-    assert!(!dispatcher.is_ready());
+    assert!(!dispatcher.is_ready(at(0)));
     dispatcher.set_endpoints(at(0), list(1, &[]));
-    assert!(dispatcher.is_ready());
+    assert!(dispatcher.is_ready(at(0)));
     dispatcher.leave();
-    assert!(!dispatcher.is_ready());
+    assert!(!dispatcher.is_ready(at(0)));
 }
 
 #[test]
@@ -56,13 +56,13 @@
     older.set_endpoints(at(0), list(10, &[]));
     pass_on(&older, &mut own);
     assert_eq!(own.configuration_version(), 7);
-    assert_eq!(own.endpoints_revision(), 10);
+    assert_eq!(own.edition().revision, 10);
     let mut newer = Dispatcher::new(options(3));
     newer.set_configuration(at(0), configuration(8));
     newer.set_endpoints(at(0), list(8, &[endpoint("e", SERVICE, 1)]));
     pass_on(&newer, &mut own);
     assert_eq!(own.configuration_version(), 8);
-    assert_eq!(own.endpoints_revision(), 10);
+    assert_eq!(own.edition().revision, 10);
     // Nor does a head count that came late.
     let late = older.snapshot(&Pull::default()).head.expect("a head");
     assert!(!own.take_head(at(1), &late));
@@ -77,6 +77,7 @@
         let endpoints = Edition {
             revision,
             settled: true,
+            ..Edition::default()
         };
         let snapshot = dispatcher.snapshot(&Pull {
             known: Known {
--- a/crates/dispatch/tests/dispatch/quota_fleet/world.rs
+++ b/crates/dispatch/tests/dispatch/quota_fleet/world.rs
@@ -77,6 +77,7 @@
             keys: Vec::new(),
             priority: None,
             quota: Some(quota(rate)),
+            regions: Default::default(),
         };
         let mut fleet = Fleet {
             nodes: Vec::new(),
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/region.rs
@@ -0,0 +1,133 @@
+//! Requests run only in the regions to which their route and their customer are bound.
+
+use std::collections::HashMap;
+
+use rstest::rstest;
+use woadstage_dispatch::configuration::Configuration;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::region::Bound;
+use woadstage_dispatch::region::Map;
+use woadstage_dispatch::region::Regions;
+use woadstage_dispatch::region::Restrictions;
+use woadstage_types::code::Code;
+use woadstage_types::id;
+
+use crate::support::SERVICE;
+use crate::support::at;
+use crate::support::configuration;
+use crate::support::endpoint;
+use crate::support::job;
+use crate::support::list;
+use crate::support::options;
+use crate::support::refusals;
+use crate::support::starts;
+
+/// Regions by their names, with blanks between.
+fn regions(names: &str) -> Regions {
+    Regions::new(names.split_whitespace().map(id::Region::new))
+}
+
+fn in_centre(name: &str, centre: &str) -> Endpoint {
+    Endpoint {
+        data_centre: id::DataCentre::new(centre),
+        ..endpoint(name, SERVICE, 4)
+    }
+}
+
+/// A node that knows an endpoint in each of three data centres, of which two have a
+/// region that is known.
+fn node() -> Dispatcher {
+    let known = [("a", "north"), ("b", "south")];
+    let known = known.map(|(centre, region)| {
+        let region = id::Region::new(region);
+        (id::DataCentre::new(centre), region)
+    });
+    let mut dispatcher = Dispatcher::new(Options {
+        regions: Map::new(HashMap::from(known)),
+        ..options(1)
+    });
+    dispatcher.set_configuration(at(0), configuration(1));
+    let endpoints = [
+        in_centre("north", "a"),
+        in_centre("south", "b"),
+        in_centre("elsewhere", "c"),
+    ];
+    dispatcher.set_endpoints(at(0), list(1, &endpoints));
+    dispatcher
+}
+
+fn bound(route: &str, customer: &str) -> Job {
+    Job {
+        bound: Bound {
+            route: regions(route),
+            customer: regions(customer),
+        },
+        repeatable: true,
+        attempts: 3,
+        ..job(SERVICE, 2, at(1))
+    }
+}
+
+#[rstest]
+#[case::the_route_binds("south", "", &["south"])]
+#[case::the_customer_binds("", "north", &["north"])]
+#[case::both_agree("south north", "south", &["south"])]
+#[case::both_bind("north", "south", &[])]
+#[case::a_region_that_is_not_known("west", "", &[])]
+#[case::none_binds("", "", &["elsewhere", "north", "south"])]
+fn where_requests_run(#[case] route: &str, #[case] customer: &str, #[case] expected: &[&str]) {
+    let mut dispatcher = node();
+    for _ in 0..12 {
+        dispatcher.enter(at(1), bound(route, customer));
+    }
+    let mut used: Vec<String> = starts(&mut dispatcher)
+        .into_iter()
+        .map(|(_, to)| to)
+        .collect();
+    used.sort();
+    used.dedup();
+    assert_eq!(used, expected);
+}
+
+#[test]
+fn one_that_may_run_nowhere_is_refused_and_told_when_to_return() {
+    let mut dispatcher = node();
+    let id = dispatcher.enter(at(1), bound("north", "south"));
+    dispatcher.tick(at(900));
+    assert!(refusals(&mut dispatcher).is_empty());
+    dispatcher.tick(at(1_100));
+    let refused = refusals(&mut dispatcher);
+    assert_eq!(refused.len(), 1);
+    let (refused, code, retry_after) = refused[0];
+    assert_eq!((refused, code), (id, Code::RegionClosed));
+    assert!(retry_after.is_some());
+}
+
+#[test]
+fn another_attempt_stays_within_the_region() {
+    let mut dispatcher = node();
+    let id = dispatcher.enter(at(1), bound("south", ""));
+    assert_eq!(starts(&mut dispatcher).len(), 1);
+    dispatcher.end(at(2), id, End::Full);
+    dispatcher.tick(at(400));
+    assert!(starts(&mut dispatcher).is_empty());
+}
+
+/// What is bound travels beside the parts of a configuration.
+#[test]
+fn restrictions_are_put_together_with_the_parts() {
+    let mut configuration = Configuration::clone(&configuration(4));
+    configuration.routes[0].regions = regions("north");
+    configuration.routes[2].regions = regions("north south");
+    let restrictions = Restrictions::of(&configuration);
+    let mut other = Configuration::clone(&configuration);
+    for route in &mut other.routes {
+        route.regions = regions("west");
+    }
+    restrictions.apply(&mut other);
+    assert_eq!(other, configuration);
+}
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -27,7 +27,11 @@
 use woadstage_dispatch::message::Status;
 use woadstage_dispatch::quarantine;
 use woadstage_dispatch::quota;
+use woadstage_dispatch::region;
+use woadstage_dispatch::region::Bound;
+use woadstage_dispatch::region::Regions;
 use woadstage_dispatch::warm;
+use woadstage_dispatch::wire;
 use woadstage_dispatch::worker;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
@@ -66,6 +70,7 @@
             ..budget::Options::default()
         },
         quarantine: quarantine::Options::default(),
+        regions: region::Map::default(),
     }
 }
 
@@ -75,9 +80,7 @@
     let base = to.endpoints().clone();
     let snapshot = from.snapshot(&pull);
     let frames: Vec<Frame> = snapshot.into_frames().collect();
-    let written = frames
-        .iter()
-        .map(|frame| postcard::to_extend(frame, Vec::new()));
+    let written = frames.iter().map(wire::frame_to_bytes);
     let bytes = written.map(|bytes| bytes.expect("it can be written").len());
     let bytes = bytes.sum();
     let mut head = None;
@@ -127,6 +130,7 @@
         priority,
         anonymous: false,
         resumable: false,
+        regions: Regions::default(),
     }
 }
 
@@ -169,9 +173,9 @@
 pub fn list(revision: u64, endpoints: &[Endpoint]) -> Arc<List> {
     Arc::new(List {
         settled: true,
-        evacuated: Vec::new(),
         revision,
         endpoints: endpoints.to_vec(),
+        ..List::default()
     })
 }
 
@@ -206,6 +210,7 @@
         origin: None,
         only: None,
         trial: false,
+        bound: Bound::default(),
     }
 }
 
--- a/crates/dispatch/tests/dispatch/table.rs
+++ b/crates/dispatch/tests/dispatch/table.rs
@@ -27,6 +27,7 @@
         keys: vec![Key::of("secret")],
         priority: None,
         quota: None,
+        regions: Default::default(),
     };
     let open = Route {
         anonymous: true,
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -0,0 +1,343 @@
+//! One of every kind of message, with all that it can hold.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use woadstage_dispatch::cold;
+use woadstage_dispatch::configuration::Configuration;
+use woadstage_dispatch::configuration::Customer;
+use woadstage_dispatch::configuration::Key;
+use woadstage_dispatch::configuration::Kind;
+use woadstage_dispatch::configuration::Limits;
+use woadstage_dispatch::configuration::Quota;
+use woadstage_dispatch::configuration::Rank;
+use woadstage_dispatch::configuration::Route;
+use woadstage_dispatch::configuration::Service;
+use woadstage_dispatch::dispatcher::Reason;
+use woadstage_dispatch::dispatcher::Refusal;
+use woadstage_dispatch::edition::Edition;
+use woadstage_dispatch::edition::Era;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::job::Part;
+use woadstage_dispatch::job::Prompt;
+use woadstage_dispatch::lease;
+use woadstage_dispatch::lease::Answer;
+use woadstage_dispatch::lease::Event;
+use woadstage_dispatch::lease::Seen;
+use woadstage_dispatch::message::Frame;
+use woadstage_dispatch::message::Known;
+use woadstage_dispatch::message::Load;
+use woadstage_dispatch::message::Message;
+use woadstage_dispatch::message::Pull;
+use woadstage_dispatch::message::Release;
+use woadstage_dispatch::message::Reserve;
+use woadstage_dispatch::message::Reserved;
+use woadstage_dispatch::message::Status;
+use woadstage_dispatch::message::Trouble;
+use woadstage_dispatch::message::Usage;
+use woadstage_dispatch::message::Verdict;
+use woadstage_dispatch::message::Waiting;
+use woadstage_dispatch::parts;
+use woadstage_dispatch::protocol::Protocol;
+use woadstage_dispatch::quarantine::Finding;
+use woadstage_dispatch::quota::Denied;
+use woadstage_dispatch::region::Regions;
+use woadstage_dispatch::section;
+use woadstage_dispatch::section::Difference;
+use woadstage_types::code::Code;
+use woadstage_types::id;
+use woadstage_types::unit::Size;
+use woadstage_types::unit::Span;
+
+fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 2, last), 7_600)
+}
+
+fn edition() -> Edition {
+    Edition {
+        era: Era(3),
+        revision: 1_234,
+        settled: true,
+    }
+}
+
+fn finding() -> Finding {
+    Finding {
+        fingerprint: Fingerprint(0xfeed_beef),
+        cleared: 1,
+        ends: vec![7, 9],
+        trials: 2,
+        age_s: 11,
+    }
+}
+
+fn status() -> Status {
+    let load = |endpoint, trouble| Load {
+        endpoint,
+        running: 5,
+        pending: 2_890,
+        trouble,
+    };
+    Status {
+        incarnation: 42,
+        sequence: 77,
+        configuration: 12,
+        endpoints: edition(),
+        data_centre: 0xabcd,
+        leaving: true,
+        cut_off: true,
+        loads: vec![
+            load(1, None),
+            load(2, Some(Trouble::Failing)),
+            load(3, Some(Trouble::Unreachable)),
+            load(4, Some(Trouble::Gone)),
+        ],
+        waiting: vec![Waiting {
+            service: 8,
+            rank: rank(),
+            count: 3,
+        }],
+        usage: vec![Usage {
+            customer: 99,
+            units: 1 << 33,
+        }],
+        members: vec![address(1), address(2)],
+        quarantine: 0x1234,
+        findings: vec![finding()],
+        protocol: Protocol::OWN,
+    }
+}
+
+fn rank() -> Rank {
+    Rank {
+        priority: 1,
+        urgency: 2,
+    }
+}
+
+fn lease_request() -> lease::Request {
+    lease::Request {
+        incarnation: 42,
+        number: 5,
+        fingerprint: Fingerprint(6),
+        service: 8,
+        endpoint: Some(3),
+        spare: true,
+        rank: rank(),
+        tried_for: Span::from_millis(10),
+        age: Span::from_millis(20),
+        within: Span::from_millis(4_000),
+        objective: Span::from_millis(800),
+        patience: Span::from_millis(3_200),
+        pause: Some(Span::from_millis(600)),
+        prompt: Prompt {
+            tokens: 1_460,
+            output: 80,
+            output_hint: Some(40),
+            parts: vec![Part {
+                id: 0x5c1e_07a2,
+                tokens: 800,
+            }],
+        },
+        tried: vec![1, 2],
+    }
+}
+
+fn reason() -> Reason {
+    Reason {
+        waited: Span::from_millis(1),
+        running: 2,
+        others: 3,
+        uncached: 4,
+        unread: 5,
+        pace: 1.5,
+        oldest: Span::from_millis(6),
+    }
+}
+
+fn refusal(code: Code) -> Refusal {
+    Refusal {
+        code,
+        retry_after: Some(Span::from_millis(300)),
+        wait: Some(Span::from_millis(900)),
+        owner: Some(address(3)),
+    }
+}
+
+/// Everything that goes by datagram.
+pub fn messages() -> Vec<(&'static str, Message)> {
+    let reserved = |verdict| Message::Reserved(Reserved { number: 4, verdict });
+    let leased = |answer| Message::Leased(lease::Reply { number: 5, answer });
+    let report = |event| Message::Report(lease::Report { number: 5, event });
+    let denied = Denied {
+        wait: Span::from_millis(70),
+        level: 1.25,
+        most: 80.0,
+        kept: 3.5,
+    };
+    let ended = Event::Ended {
+        end: End::Whole,
+        seen: Seen {
+            events: 9,
+            step: Some(6_120),
+            took: Some(Span::from_millis(64)),
+        },
+    };
+    let reserve = Reserve {
+        number: 4,
+        customer: 99,
+        units: 1_500,
+        routine: 50,
+        pressed: true,
+    };
+    let release = Release {
+        customer: 99,
+        units: 1_500,
+    };
+    let granted = Answer::Granted {
+        endpoint: 3,
+        reason: reason(),
+    };
+    let cold = Event::Cold {
+        cold_for: Span::from_secs(2),
+    };
+    vec![
+        ("status", Message::Status(Box::new(status()))),
+        ("reserve", Message::Reserve(reserve)),
+        ("reserved-granted", reserved(Verdict::Granted)),
+        ("reserved-denied", reserved(Verdict::Denied(denied))),
+        ("reserved-unknown", reserved(Verdict::Unknown)),
+        ("release", Message::Release(release)),
+        ("lease", Message::Lease(Box::new(lease_request()))),
+        ("leased-waiting", leased(Answer::Waiting)),
+        ("leased-granted", leased(granted)),
+        (
+            "leased-refused",
+            leased(Answer::Refused(refusal(Code::TooLate))),
+        ),
+        ("leased-denied", leased(Answer::Denied)),
+        ("report-held", report(Event::Held)),
+        ("report-first", report(Event::First)),
+        ("report-progress", report(Event::Progress)),
+        ("report-cold", report(cold)),
+        ("report-ended", report(ended)),
+        ("check", Message::Check(lease::Check { number: 5 })),
+        ("findings", Message::Findings(vec![finding()])),
+    ]
+}
+
+/// What is answered with each code, by the code.
+pub fn refusals() -> Vec<(String, Message)> {
+    let refused = |code: &Code| {
+        let answer = Answer::Refused(refusal(*code));
+        let message = Message::Leased(lease::Reply { number: 5, answer });
+        (format!("refused-{code}"), message)
+    };
+    Code::ALL.iter().map(refused).collect()
+}
+
+fn list() -> List {
+    let endpoint = |name: &str, leaving| Endpoint {
+        name: id::Endpoint::new(name),
+        born: 1_700_000_000_123,
+        service: id::Target::new("service"),
+        address: address(4),
+        data_centre: id::DataCentre::new("a"),
+        slots: 6,
+        leaving,
+        cold_for: Span::from_millis(1_500),
+    };
+    List {
+        era: Era(3),
+        revision: 1_234,
+        settled: true,
+        evacuated: vec![id::DataCentre::new("b")],
+        endpoints: vec![endpoint("e-1", false), endpoint("e-2", true)],
+    }
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 12,
+        routes: vec![Route {
+            name: "route".into(),
+            host: "host.example".into(),
+            prefix: "/a/".into(),
+            targets: vec![(id::Target::new("service"), 3)],
+            kind: Kind::Stream,
+            timeout: Span::from_secs(4),
+            objective: Span::from_millis(800),
+            patience: Span::from_secs(4),
+            pause: Some(Span::from_millis(600)),
+            attempts: 2,
+            priority: 1,
+            anonymous: true,
+            resumable: true,
+            regions: Regions::new([id::Region::new("north"), id::Region::new("south")]),
+        }],
+        services: vec![Service {
+            name: id::Target::new("service"),
+            connections: 2_100,
+            engine: true,
+            cold: Some(cold::Bound {
+                interval: Span::from_millis(100),
+                lasts: Span::from_secs(5),
+            }),
+        }],
+        limits: Limits {
+            head: Size::from_kib(16),
+            body: Size::from_mib(4),
+            head_within: Span::from_secs(3),
+            idle: Span::from_secs(15),
+        },
+        customers: Some(vec![Customer {
+            name: id::Customer::new("customer"),
+            keys: vec![Key::of("secret")],
+            priority: Some(1),
+            quota: Some(Quota {
+                per_second: 20.5,
+                burst: 40.0,
+                plain_tokens: Some(100),
+            }),
+            regions: Regions::new([id::Region::new("north")]),
+        }]),
+    }
+}
+
+/// Every question for documents.
+pub fn pulls() -> Vec<(&'static str, Pull)> {
+    let held = vec![parts::Part::default().to_digest()];
+    let known = Known {
+        configuration: 12,
+        endpoints: edition(),
+    };
+    let pull = Pull {
+        known,
+        held,
+        sections: section::Index::new(&list()),
+        protocol: Protocol::OWN,
+    };
+    vec![("pull", pull)]
+}
+
+/// Everything that a node gives to another.
+pub fn frames() -> Vec<(&'static str, Frame)> {
+    let configuration = configuration();
+    let index = parts::Index::new(&configuration);
+    let list = list();
+    let sections = section::Index::new(&list);
+    let difference = Difference::new(&list, &sections, &section::Index::default());
+    let mut frames = vec![
+        ("frame-busy", Frame::Busy),
+        ("frame-endpoints", Frame::Endpoints(difference)),
+        ("frame-head", Frame::Head(index.to_head(&configuration))),
+    ];
+    let missing = index.to_missing(&configuration, &Default::default());
+    let names = ["frame-part-1", "frame-part-2", "frame-part-3"];
+    let parts = names.into_iter().zip(missing);
+    frames.extend(parts.map(|(name, part)| (name, Frame::Part(part))));
+    frames
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -47,7 +47,9 @@
     },
     /// A list of endpoints came into force.
     Endpoints {
-        /// Its revision.
+        /// The platform's era in which it was read; 0 where the platform counts none.
+        era: u64,
+        /// Its revision, which tells its place within its era alone.
         revision: u64,
         /// Endpoints that take work.
         ready: usize,
@@ -60,6 +62,14 @@
         /// From where it came.
         from: &'a str,
     },
+    /// The platform came back with an older copy of what it had acknowledged: all is
+    /// read anew, and what was written since is awaited.
+    Era {
+        /// The platform's era now.
+        era: u64,
+        /// The era before.
+        before: u64,
+    },
     /// Something this node depends on was lost or regained.
     Dependency {
         /// What it is.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,10 +46,14 @@
     pub configuration: IntGauge,
     /// The revision of the list of endpoints in force.
     pub endpoints: IntGauge,
+    /// The platform's era in which that list was read.
+    pub era: IntGauge,
     /// Nodes that count, this one among them.
     pub nodes: IntGauge,
     /// Of them, those that are silent.
     pub silent_nodes: IntGauge,
+    /// Other nodes that are heard, by the protocol that they speak.
+    pub heard: IntGaugeVec,
     /// Log lines left out.
     pub lines_left_out: IntGauge,
     /// Requests that endpoints ended under since they were last sound, by fingerprint.
@@ -86,6 +90,9 @@
         let services = Opts::new("woadstage_service", "What each service has, by kind.");
         let services = IntGaugeVec::new(services, &["service", "kind"])?;
         registry.register(Box::new(services.clone()))?;
+        let heard = Opts::new("woadstage_nodes_heard", "Other nodes heard, by protocol.");
+        let heard = IntGaugeVec::new(heard, &["protocol"])?;
+        registry.register(Box::new(heard.clone()))?;
         Ok(Metrics {
             answered: histogram("woadstage_answer_seconds", "Time to the whole answer.")?,
             first_event: histogram(
@@ -139,10 +146,15 @@
             held: gauge("woadstage_held", "Requests held.")?,
             configuration: gauge("woadstage_configuration_version", "The version in force.")?,
             endpoints: gauge("woadstage_endpoints_revision", "The revision in force.")?,
+            era: gauge(
+                "woadstage_endpoints_era",
+                "The platform's era in which the list in force was read.",
+            )?,
             nodes: gauge("woadstage_nodes", "Nodes that count.")?,
             silent_nodes: gauge("woadstage_silent_nodes", "Nodes that are silent.")?,
             lines_left_out: gauge("woadstage_log_lines_left_out", "Log lines left out.")?,
             services,
+            heard,
             routes: RefCell::default(),
             registry,
         })
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -47,7 +47,7 @@
     if path != asked {
         return (StatusCode::NOT_FOUND, Vec::new());
     }
-    match shell.query(|dispatcher, _| dispatcher.is_ready()) {
+    match shell.query(|dispatcher, now| dispatcher.is_ready(now)) {
         true => (StatusCode::OK, b"ready\n".to_vec()),
         false => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
     }
@@ -61,7 +61,7 @@
             dispatcher.reach(now),
             dispatcher.held(),
             dispatcher.configuration_version(),
-            dispatcher.endpoints_revision(),
+            dispatcher.edition(),
             dispatcher.summaries(now),
         )
     });
@@ -69,7 +69,13 @@
     metrics.silent_nodes.set(reach.silent as i64);
     metrics.held.set(held as i64);
     metrics.configuration.set(configuration as i64);
-    metrics.endpoints.set(endpoints as i64);
+    metrics.endpoints.set(endpoints.revision as i64);
+    metrics.era.set(endpoints.era.0 as i64);
+    metrics.heard.reset();
+    for (protocol, nodes) in shell.query(|dispatcher, now| dispatcher.heard_by_protocol(now)) {
+        let labels = [protocol.to_string()];
+        metrics.heard.with_label_values(&labels).set(nodes);
+    }
     let (suspects, barred) = shell.query(|dispatcher, now| {
         let suspects = dispatcher.quarantine().iter();
         let suspects: Vec<Fingerprint> = suspects
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,11 +14,11 @@
 
 use tokio::net::UdpSocket;
 use woadstage_dispatch::member::News;
-use woadstage_dispatch::message;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Reserve;
 use woadstage_dispatch::message::Reserved;
 use woadstage_dispatch::message::Status;
+use woadstage_dispatch::wire;
 
 use crate::event::Event;
 use crate::shell::Shell;
@@ -30,24 +30,6 @@
 /// Longest datagram that is read.
 const DATAGRAM_MOST: usize = 8 << 10;
 
-/// Writes a message as it goes on the wire: the protocol's version, then the
-/// message.
-///
-/// # Errors
-/// Only where the codec fails.
-pub fn to_datagram(message: &Message) -> postcard::Result<Vec<u8>> {
-    postcard::to_extend(message, vec![message::VERSION])
-}
-
-/// Reads a message; nothing for another version or for what is no message.
-pub fn try_from_datagram(bytes: &[u8]) -> Option<Message> {
-    let (version, rest) = bytes.split_first()?;
-    if *version != message::VERSION {
-        return None;
-    }
-    postcard::from_bytes(rest).ok()
-}
-
 /// Sends messages that the other end can do without.
 #[derive(Default)]
 pub struct Sender {
@@ -72,7 +54,7 @@
     /// Nothing where it cannot be sent.
     pub async fn try_send(&self, to: SocketAddrV4, message: &Message) -> Option<()> {
         let socket = self.socket.get()?;
-        let datagram = to_datagram(message).ok()?;
+        let datagram = wire::to_datagram(message).ok()?;
         socket.send_to(&datagram, to).await.ok()?;
         Some(())
     }
@@ -86,7 +68,7 @@
         let Ok((length, SocketAddr::V4(from))) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match try_from_datagram(&buffer[..length]) {
+        match wire::try_from_datagram(&buffer[..length]) {
             Some(Message::Status(status)) => hear(&shell, from, *status),
             Some(Message::Reserve(asked)) => reserve(&shell, &socket, from, &asked),
             Some(Message::Reserved(answer)) => shell.reservations.take_answer(answer),
@@ -125,7 +107,7 @@
 
 /// Sends a message that the other end can do without.
 fn send(socket: &UdpSocket, to: SocketAddrV4, message: &Message) {
-    if let Ok(datagram) = to_datagram(message) {
+    if let Ok(datagram) = wire::to_datagram(message) {
         // What the system cannot take now is as good as lost on the way.
         let _ = socket.try_send_to(&datagram, to.into());
     }
@@ -148,7 +130,7 @@
     let Some((status, due)) = shell.command(|dispatcher, now| dispatcher.statuses(now)) else {
         return;
     };
-    let Ok(datagram) = to_datagram(&Message::Status(Box::new(status))) else {
+    let Ok(datagram) = wire::to_datagram(&Message::Status(Box::new(status))) else {
         return;
     };
     for address in due {
--- a/crates/gateway/src/peers/transfer/frame.rs
+++ b/crates/gateway/src/peers/transfer/frame.rs
@@ -1,13 +1,10 @@
-//! Messages on a stream: the protocol's version once, then each message after
-//! its length.
+//! Messages on a stream: their layout once, then each message after its length.
 
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
-use woadstage_dispatch::message;
+use woadstage_dispatch::protocol;
 
 use super::PROGRESS_WITHIN;
 
@@ -18,20 +15,19 @@
 /// Bytes that are read at once.
 const READ_AT_ONCE: usize = 16 << 10;
 
-/// Adds the version with which every stream begins.
+/// Adds the layout with which every stream begins.
 pub fn begin(bytes: &mut Vec<u8>) {
-    bytes.push(message::VERSION);
+    bytes.push(protocol::LAYOUT);
 }
 
 /// Adds a message.
 ///
 /// # Errors
-/// Only where the codec fails.
-pub fn add<M: Serialize>(bytes: &mut Vec<u8>, message: &M) -> anyhow::Result<()> {
-    let written = postcard::to_extend(message, Vec::new())?;
-    let length = u32::try_from(written.len())?;
+/// Where it is too long for the field that holds its length.
+pub fn add(bytes: &mut Vec<u8>, message: &[u8]) -> anyhow::Result<()> {
+    let length = u32::try_from(message.len())?;
     bytes.extend_from_slice(&length.to_le_bytes());
-    bytes.extend_from_slice(&written);
+    bytes.extend_from_slice(message);
     Ok(())
 }
 
@@ -69,20 +65,23 @@
         }
     }
 
-    /// The next message, or none at the end of the stream.
+    /// The next message, which `decode` reads, or none at the end of the stream.
     ///
     /// # Errors
     /// Where the stream breaks, ends within a message or brings nothing more,
-    /// and where it speaks another version.
-    pub async fn next<M: DeserializeOwned>(&mut self) -> anyhow::Result<Option<M>> {
+    /// and where it has another layout.
+    pub async fn next<M>(
+        &mut self,
+        decode: impl FnOnce(&[u8]) -> postcard::Result<M>,
+    ) -> anyhow::Result<Option<M>> {
         if !self.begun {
             if !self.fill(1).await? {
                 return Ok(None);
             }
-            let version = self.bytes.remove(0);
+            let layout = self.bytes.remove(0);
             anyhow::ensure!(
-                version == message::VERSION,
-                "another version of the protocol: {version}"
+                layout == protocol::LAYOUT,
+                "another layout of messages: {layout}"
             );
             self.begun = true;
         }
@@ -94,7 +93,7 @@
         let end = LENGTH + u32::from_le_bytes(length) as usize;
         anyhow::ensure!(end <= MESSAGE_MOST, "a message of {end} bytes");
         anyhow::ensure!(self.fill(end).await?, "the stream ended within a message");
-        let message = postcard::from_bytes(&self.bytes[LENGTH..end])?;
+        let message = decode(&self.bytes[LENGTH..end])?;
         self.bytes.drain(..end);
         Ok(Some(message))
     }
--- a/crates/gateway/src/peers/transfer/give.rs
+++ b/crates/gateway/src/peers/transfer/give.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use woadstage_dispatch::message::Frame;
-use woadstage_dispatch::message::Pull;
+use woadstage_dispatch::wire;
 
 use super::Direction;
 use super::frame;
@@ -51,31 +51,34 @@
     // Closing with unread bytes would reset the connection, and the answer
     // with it.
     let mut reader = frame::Reader::new(&mut stream);
-    let Some(pull) = reader.next::<Pull>().await? else {
+    let Some(pull) = reader.next(wire::pull_from_bytes).await? else {
         anyhow::bail!("nothing was asked");
     };
     let wanted = shell.query(|dispatcher, _| dispatcher.snapshot(&pull));
     let mut bytes = Vec::new();
     frame::begin(&mut bytes);
     if let Some(endpoints) = wanted.endpoints {
-        frame::add(&mut bytes, &Frame::Endpoints(endpoints))?;
+        frame::add(
+            &mut bytes,
+            &wire::frame_to_bytes(&Frame::Endpoints(endpoints))?,
+        )?;
     }
     if wanted.head.is_some() {
-        frame::add(&mut bytes, &Frame::Busy)?;
+        frame::add(&mut bytes, &wire::frame_to_bytes(&Frame::Busy)?)?;
     }
     frame::write(&mut stream, &bytes).await
 }
 
 async fn give(shell: &Shell, mut stream: TcpStream) -> anyhow::Result<usize> {
     let mut reader = frame::Reader::new(&mut stream);
-    let Some(pull) = reader.next::<Pull>().await? else {
+    let Some(pull) = reader.next(wire::pull_from_bytes).await? else {
         anyhow::bail!("nothing was asked");
     };
     let snapshot = shell.query(|dispatcher, _| dispatcher.snapshot(&pull));
     let mut bytes = Vec::new();
     frame::begin(&mut bytes);
     for frame in snapshot.into_frames() {
-        frame::add(&mut bytes, &frame)?;
+        frame::add(&mut bytes, &wire::frame_to_bytes(&frame)?)?;
     }
     frame::write(&mut stream, &bytes).await?;
     Ok(bytes.len())
--- a/crates/gateway/src/peers/transfer/take.rs
+++ b/crates/gateway/src/peers/transfer/take.rs
@@ -9,6 +9,7 @@
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Frame;
 use woadstage_dispatch::message::Pull;
+use woadstage_dispatch::wire;
 
 use super::Direction;
 use super::PROGRESS_WITHIN;
@@ -59,12 +60,12 @@
     let mut stream = tokio::time::timeout(PROGRESS_WITHIN, connecting).await??;
     let mut bytes = Vec::new();
     frame::begin(&mut bytes);
-    frame::add(&mut bytes, &question.pull)?;
+    frame::add(&mut bytes, &wire::pull_to_bytes(&question.pull)?)?;
     frame::write(&mut stream, &bytes).await?;
     let mut reader = frame::Reader::new(stream);
     let mut head = None;
     let name = from.to_string();
-    while let Some(frame) = reader.next().await? {
+    while let Some(frame) = reader.next(wire::frame_from_bytes).await? {
         match frame {
             Frame::Busy => *ended = Ended::Declined,
             Frame::Endpoints(difference) => {
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -30,10 +30,10 @@
 
 /// Takes a list of endpoints, where it is newer than the one in force.
 pub fn set_endpoints(shell: &Shell, from: &str, list: Arc<List>) {
-    let before = shell.query(|dispatcher, _| dispatcher.endpoints_revision());
+    let before = shell.query(|dispatcher, _| dispatcher.edition());
     shell.command(|dispatcher, now| dispatcher.set_endpoints(now, list));
     let list = shell.query(|dispatcher, _| dispatcher.endpoints().clone());
-    if list.revision == before {
+    if list.edition() == before {
         return;
     }
     let leaving = list.endpoints.iter().filter(|one| one.leaving).count();
@@ -42,6 +42,7 @@
     let evacuated: Vec<&str> = list.evacuated.iter().map(|one| one.as_str()).collect();
     shell.metrics.change("endpoints");
     shell.log(&Event::Endpoints {
+        era: list.era.0,
         revision: list.revision,
         ready: list.endpoints.len() - leaving,
         leaving,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,6 +17,7 @@
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::member::Reading;
 use woadstage_dispatch::message::Document;
+use woadstage_dispatch::region;
 use woadstage_types::unit::Time;
 
 use crate::clock::Clock;
@@ -139,6 +140,7 @@
         quota: settings.quota.clone(),
         budget: settings.budget.clone(),
         quarantine: Default::default(),
+        regions: region::Map::new(settings.regions.clone()),
     }
 }
 
@@ -152,6 +154,13 @@
             Update::Endpoints(list) => {
                 publish::set_endpoints(&shell, publish::PLATFORM, list);
             }
+            Update::Restored { before, era } => {
+                shell.metrics.change("platform-restored");
+                shell.log(&Event::Era {
+                    era: era.0,
+                    before: before.0,
+                });
+            }
             Update::Reached => note_platform(&shell, true, ""),
             Update::Unreachable(detail) => note_platform(&shell, false, &detail),
             Update::Unreadable(document, detail) => shell.log(&Event::Unreadable {
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -10,6 +10,8 @@
 use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::History;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::region::Bound;
+use woadstage_dispatch::region::Regions;
 use woadstage_dispatch::table::Table;
 use woadstage_types::code::Code;
 use woadstage_types::hash;
@@ -140,6 +142,10 @@
             origin: None,
             only: None,
             trial: false,
+            bound: Bound {
+                route: self.route.regions.clone(),
+                customer: customer.map_or_else(Regions::default, |one| one.regions.clone()),
+            },
         }
     }
 
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -25,7 +25,7 @@
 pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
     let arrived = shell.now();
     let (head, body) = request.into_parts();
-    let table = shell.query(|dispatcher, _| dispatcher.table().cloned());
+    let table = shell.query(|dispatcher, now| dispatcher.admitting_table_opt(now).cloned());
     let admitted = admit::admit(table.as_deref(), &shell.headers, &head, arrived);
     let admitted = match admitted {
         Ok(admitted) => admitted,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! What one process is told about itself, in TOML. Every fault of a file is
 //! reported at once.
 
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
 use woadstage_config::fault::Faults;
@@ -24,6 +25,9 @@
     pub host: id::Host,
     /// Its data centre.
     pub data_centre: id::DataCentre,
+    /// The region of each data centre. Requests that are bound to regions run in none
+    /// that is not named here.
+    pub regions: HashMap<id::DataCentre, id::Region>,
     /// How long a planned stop may last.
     pub stop_within: Span,
     /// Memory that the process may use.
@@ -64,6 +68,7 @@
 pub fn parse(text: &str) -> Result<Settings, Faults> {
     let mut reader = Reader::parse(text)?;
     let mut node = reader.sub("node");
+    let regions = reader.take_or("regions", HashMap::new());
     let mut listen = reader.sub("listen");
     let mut peers = reader.sub("peers");
     let mut platform = reader.sub("platform");
@@ -74,6 +79,7 @@
     let settings = Settings {
         host: id::Host::new(&name(&mut node, "host")),
         data_centre: id::DataCentre::new(&name(&mut node, "data_centre")),
+        regions,
         stop_within: node.take_or("stop_within", Span::from_secs(8)),
         memory: node.take_or("memory", Size::from_mib(128)),
         callers: address(&mut listen, "callers"),
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use woadstage_dispatch::configuration::Configuration;
+use woadstage_dispatch::edition::Era;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::member::Reading;
 pub use woadstage_dispatch::message::Document;
@@ -19,6 +20,14 @@
     Endpoints(Arc<List>),
     /// The platform was reached again.
     Reached,
+    /// The platform came back with an older copy of what it had acknowledged, and is
+    /// read anew.
+    Restored {
+        /// The era before.
+        before: Era,
+        /// The era now.
+        era: Era,
+    },
     /// The platform could not be reached or answered with a fault.
     Unreachable(String),
     /// Something that was published could not be understood and is left out.
--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -146,9 +146,9 @@
         leaving.leaving = true;
         let list = woadstage_dispatch::endpoint::List {
             settled: true,
-            evacuated: Vec::new(),
             revision: 2,
             endpoints: vec![leaving, to_endpoint(&other)],
+            ..Default::default()
         };
         gateway
             .shell
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -20,7 +20,6 @@
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Load;
 use woadstage_dispatch::message::Message;
-use woadstage_dispatch::message::Pull;
 use woadstage_dispatch::message::Release;
 use woadstage_dispatch::message::Reserve;
 use woadstage_dispatch::message::Reserved;
@@ -28,6 +27,7 @@
 use woadstage_dispatch::message::Trouble;
 use woadstage_dispatch::message::Usage;
 use woadstage_dispatch::message::Verdict;
+use woadstage_dispatch::wire;
 use woadstage_gateway::log;
 use woadstage_gateway::peers;
 use woadstage_gateway::peers::transfer::Ended;
@@ -67,18 +67,18 @@
         ..Status::default()
     };
     let message = to_message(status);
-    let bytes = peers::to_datagram(&message).expect("it can be written");
-    assert_eq!(peers::try_from_datagram(&bytes), Some(message));
+    let bytes = wire::to_datagram(&message).expect("it can be written");
+    assert_eq!(wire::try_from_datagram(&bytes), Some(message));
 }
 
 #[test]
 fn another_version_or_nonsense_is_not_read() {
     let message = to_message(Status::default());
-    let mut bytes = peers::to_datagram(&message).expect("it can be written");
+    let mut bytes = wire::to_datagram(&message).expect("it can be written");
     bytes[0] += 1;
-    assert_eq!(peers::try_from_datagram(&bytes), None);
-    assert_eq!(peers::try_from_datagram(&[]), None);
-    assert_eq!(peers::try_from_datagram(&[1, 255, 255, 255]), None);
+    assert_eq!(wire::try_from_datagram(&bytes), None);
+    assert_eq!(wire::try_from_datagram(&[]), None);
+    assert_eq!(wire::try_from_datagram(&[1, 255, 255, 255]), None);
 }
 
 #[test]
@@ -101,7 +101,7 @@
         members: vec!["10.1.2.3:7600".parse().expect("an address"); 16],
         ..Status::default()
     };
-    let bytes = peers::to_datagram(&to_message(status)).expect("it can be written");
+    let bytes = wire::to_datagram(&to_message(status)).expect("it can be written");
     assert!(bytes.len() <= 1_400, "{}", bytes.len());
 }
 
@@ -140,10 +140,10 @@
         let take = |document| peers::transfer::take(&other.shell, address, document);
         let ended = take(Document::Configuration).await;
         assert_eq!(ended.expect("an answer"), Ended::Declined);
-        assert_eq!(other.shell.query(|one, _| one.endpoints_revision()), 0);
+        assert_eq!(other.shell.query(|one, _| one.edition().revision), 0);
         let ended = take(Document::Endpoints).await;
         assert_eq!(ended.expect("an answer"), Ended::Whole);
-        assert_eq!(other.shell.query(|one, _| one.endpoints_revision()), 1);
+        assert_eq!(other.shell.query(|one, _| one.edition().revision), 1);
         drop(stalled);
         gateway.logged(&["\"given\"", "\"whole\":false"]).await;
         let ended = take(Document::Configuration).await;
@@ -154,12 +154,13 @@
 /// Gives a part of a configuration every so often, for as long as it is let.
 async fn trickle(listener: TcpListener, from: Dispatcher) -> anyhow::Result<()> {
     let (mut stream, _) = listener.accept().await?;
-    let pull: Option<Pull> = frame::Reader::new(&mut stream).next().await?;
+    let mut reader = frame::Reader::new(&mut stream);
+    let pull = reader.next(wire::pull_from_bytes).await?;
     let snapshot = from.snapshot(&pull.expect("a question"));
     let mut bytes = Vec::new();
     frame::begin(&mut bytes);
     for frame in snapshot.into_frames() {
-        frame::add(&mut bytes, &frame)?;
+        frame::add(&mut bytes, &wire::frame_to_bytes(&frame)?)?;
         frame::write(&mut stream, &bytes).await?;
         bytes.clear();
         tokio::time::sleep(Duration::from_millis(700)).await;
@@ -207,7 +208,7 @@
             sequence: 1,
             ..Status::default()
         };
-        let bytes = peers::to_datagram(&to_message(status)).expect("it can be written");
+        let bytes = wire::to_datagram(&to_message(status)).expect("it can be written");
         let to = socket.local_addr().expect("an address");
         other.send_to(&bytes, to).await.expect("it can be sent");
         let from = other.local_addr().expect("an address").to_string();
@@ -222,7 +223,7 @@
         peers::tell(&gateway.shell, &socket);
         let mut buffer = vec![0; 2_048];
         let (length, _) = other.recv_from(&mut buffer).await.expect("a status");
-        assert!(peers::try_from_datagram(&buffer[..length]).is_some());
+        assert!(wire::try_from_datagram(&buffer[..length]).is_some());
     });
 }
 
@@ -249,7 +250,7 @@
 async fn read(socket: &UdpSocket) -> (Message, SocketAddr) {
     let mut buffer = vec![0; 2_048];
     let (length, from) = socket.recv_from(&mut buffer).await.expect("a message");
-    let message = peers::try_from_datagram(&buffer[..length]);
+    let message = wire::try_from_datagram(&buffer[..length]);
     (message.expect("of this version"), from)
 }
 
@@ -279,7 +280,7 @@
                     number,
                     verdict: Verdict::Granted,
                 });
-                let bytes = peers::to_datagram(&answer).expect("it can be written");
+                let bytes = wire::to_datagram(&answer).expect("it can be written");
                 owner.send_to(&bytes, from).await.expect("it can be sent");
             }
         };
@@ -313,7 +314,7 @@
         let (socket, address) = other_node().await;
         tokio::task::spawn_local(peers::listen(gateway.shell.clone(), Rc::new(socket)));
         let (asker, _) = other_node().await;
-        let ask = peers::to_datagram(&Message::Reserve(question(5)));
+        let ask = wire::to_datagram(&Message::Reserve(question(5)));
         let ask = ask.expect("it can be written");
         asker.send_to(&ask, address).await.expect("it can be sent");
         let unknown = Message::Reserved(Reserved {
@@ -372,7 +373,7 @@
             tried: Vec::new(),
         };
         let (asker, _) = other_node().await;
-        let ask = peers::to_datagram(&Message::Lease(Box::new(request)));
+        let ask = wire::to_datagram(&Message::Lease(Box::new(request)));
         let ask = ask.expect("it can be written");
         asker.send_to(&ask, address).await.expect("it can be sent");
         let Message::Leased(reply) = read(&asker).await.0 else {
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -78,9 +78,9 @@
         let mut caller = Caller::connect(&gateway).await;
         let list = woadstage_dispatch::endpoint::List {
             settled: true,
-            evacuated: Vec::new(),
             revision: 2,
             endpoints: vec![crate::support::to_endpoint(&one)],
+            ..Default::default()
         };
         gateway
             .shell
@@ -91,12 +91,12 @@
         // The second endpoint comes while the first has broken off.
         let list = woadstage_dispatch::endpoint::List {
             settled: true,
-            evacuated: Vec::new(),
             revision: 3,
             endpoints: vec![
                 crate::support::to_endpoint(&one),
                 crate::support::to_endpoint(&other),
             ],
+            ..Default::default()
         };
         gateway
             .shell
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -96,6 +96,7 @@
         priority: 0,
         anonymous: false,
         resumable: false,
+        regions: Default::default(),
     };
     let resumable = Route {
         resumable: true,
@@ -136,6 +137,7 @@
             keys: vec![Key::of(KEY)],
             priority: None,
             quota,
+            regions: Default::default(),
         }]),
         ..Configuration::default()
     }
@@ -157,9 +159,9 @@
         let shell = &gateway.shell;
         let list = Arc::new(List {
             settled: true,
-            evacuated: Vec::new(),
             revision: 1,
             endpoints: workers.iter().map(|worker| to_endpoint(worker)).collect(),
+            ..List::default()
         });
         shell.command(|dispatcher, now| dispatcher.set_endpoints(now, list));
         if let Some(configuration) = configuration {
@@ -248,6 +250,7 @@
             ..Default::default()
         },
         quarantine: Default::default(),
+        regions: Default::default(),
     }
 }
 
--- a/crates/gateway/tests/gateway/support/peer.rs
+++ b/crates/gateway/tests/gateway/support/peer.rs
@@ -16,9 +16,8 @@
 use tokio::time::Instant;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::message::Message;
-use woadstage_dispatch::message::Pull;
 use woadstage_dispatch::message::Status;
-use woadstage_gateway::peers;
+use woadstage_dispatch::wire;
 use woadstage_gateway::peers::transfer::frame;
 
 /// Bytes that go over the link at once.
@@ -93,7 +92,7 @@
                 endpoints: known.endpoints,
                 ..Status::default()
             };
-            let bytes = peers::to_datagram(&Message::Status(Box::new(status)));
+            let bytes = wire::to_datagram(&Message::Status(Box::new(status)));
             let bytes = bytes.expect("it can be written");
             // Nobody listens there before the node has started.
             let _ = socket.send_to(&bytes, self.other).await;
@@ -101,7 +100,7 @@
             while let Ok(Ok((length, _))) =
                 tokio::time::timeout_at(until, socket.recv_from(&mut buffer)).await
             {
-                if let Some(Message::Status(status)) = peers::try_from_datagram(&buffer[..length]) {
+                if let Some(Message::Status(status)) = wire::try_from_datagram(&buffer[..length]) {
                     self.heard.set(status.configuration);
                     self.heard_list.set(status.endpoints.revision);
                 }
@@ -124,7 +123,8 @@
     }
 
     async fn give(&self, mut stream: TcpStream) -> anyhow::Result<()> {
-        let pull: Option<Pull> = frame::Reader::new(&mut stream).next().await?;
+        let mut reader = frame::Reader::new(&mut stream);
+        let pull = reader.next(wire::pull_from_bytes).await?;
         let snapshot = self
             .dispatcher
             .borrow()
@@ -135,7 +135,7 @@
         let mut bytes = Vec::new();
         frame::begin(&mut bytes);
         for frame in snapshot.into_frames() {
-            frame::add(&mut bytes, &frame)?;
+            frame::add(&mut bytes, &wire::frame_to_bytes(&frame)?)?;
         }
         if long && self.is_endless.get() {
             for byte in &bytes {
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -115,6 +115,9 @@
     DocumentTooLarge = 5008, 0, None, "The document is larger than the platform holds.";
     IntentInvalid = 5009, 0, None, "The intent cannot be laid over the document in force.";
     RequestUnknown = 5010, 0, None, "This node remembers no such request.";
+
+    // Codes go from node to node by their place in this list: later ones stand here.
+    RegionClosed = 2012, 503, NotRun, "No endpoint is live in the regions where this request may run.";
 }
 
 impl Code {
@@ -125,7 +128,7 @@
 
     /// True where time can mend the refusal, so that `Retry-After` is given.
     pub fn mends(self) -> bool {
-        matches!(self.number(), 2001..=2008 | 2010 | 2011)
+        matches!(self.number(), 2001..=2008 | 2010 | 2011 | 2012)
     }
 }
 
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -58,6 +58,8 @@
     Host;
     /// The name of a data centre.
     DataCentre;
+    /// The name of a region, which holds data centres.
+    Region;
     /// The name of an endpoint: an engine's worker or a plain service.
     Endpoint;
     /// The name of a customer.
