--- a/crates/dispatch/src/member/ahead.rs
+++ b/crates/dispatch/src/member/ahead.rs
@@ -62,7 +62,11 @@
         let seed = hash::chain(attempt, &self.own.ip().octets());
         let preference = |one: &Candidate| hash::chain(seed, &one.address.ip().octets());
         ahead.sort_by_key(|one| Reverse((one.newer, one.later, preference(one))));
-        if !known.lacks_any() {
+        let is_first = |one: &Candidate| {
+            let configuration = known.configuration == 0 && one.newer.is_some();
+            configuration || (known.endpoints.revision == 0 && one.later.is_some())
+        };
+        if !ahead.iter().any(is_first) {
             ahead.truncate(CHOSEN_FROM);
         }
         let chosen = ahead.iter().max_by_key(|one| preference(one));
--- a/crates/dispatch/src/member/start.rs
+++ b/crates/dispatch/src/member/start.rs
@@ -21,24 +21,28 @@
 /// (`quota::Options::meet_within`), of which a node that has nobody loses no more.
 const MEET_WITHIN: Span = Span::from_millis(300);
 
-/// How long a node waits in all before it reads itself, whoever else may: two reads of
-/// 1.1 MB over 20 Mbit/s and some transfers.
+/// How long after it has heard another a node waits in all before it reads itself, whoever
+/// else may: two reads of 1.1 MB over 20 Mbit/s and some transfers. Counted from then, since
+/// nodes that were cut off as they started return together.
 const WAIT_MOST: Span = Span::from_millis(1_500);
 
 impl Members {
     /// Who reads the platform, as a node sees it that has no list yet since it started.
     pub fn first_reading(&self, now: Time, started: Time) -> Reading {
-        let since = now.since(started);
-        if since >= WAIT_MOST || self.has_nobody_to_ask() {
+        if self.has_nobody_to_ask() {
             return Reading::Alone;
         }
         let Some(first_heard) = self.first_heard else {
-            return match since < MEET_WITHIN {
+            return match now.since(started) < MEET_WITHIN {
                 true => Reading::Resting,
                 false => Reading::Alone,
             };
         };
-        if now.since(first_heard) < LISTEN_FOR || self.has_list_to_give(now) {
+        let heard_for = now.since(first_heard);
+        if heard_for >= WAIT_MOST {
+            return Reading::Alone;
+        }
+        if heard_for < LISTEN_FOR || self.has_list_to_give(now) {
             return Reading::Resting;
         }
         let own = cell::score(&self.own);
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -192,11 +192,6 @@
 }
 
 impl Known {
-    /// True where one of the documents is not there at all.
-    pub fn lacks_any(self) -> bool {
-        self.configuration == 0 || self.endpoints.revision == 0
-    }
-
     /// The same with the other document as new as can be, so that nothing of it is
     /// asked for.
     pub fn only(self, document: Document) -> Known {
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use rstest::rstest;
 use woadstage_dispatch::edition::Edition;
 use woadstage_dispatch::member::Members;
 use woadstage_dispatch::member::News;
@@ -351,3 +352,38 @@
         .collect();
     assert!(asked.len() >= 3, "{asked:?}");
 }
+
+/// What a node that starts does about the platform, `heard` so many milliseconds after its
+/// start another which has a list or none, `after` so many.
+#[rstest]
+#[case::nobody_yet(None, 200, Reading::Resting)]
+#[case::nobody_in_time(None, 400, Reading::Alone)]
+#[case::it_listens(Some((50, 0)), 100, Reading::Resting)]
+#[case::it_is_among_the_first(Some((50, 0)), 200, Reading::ForOthers)]
+#[case::another_has_a_list(Some((50, 7)), 200, Reading::Resting)]
+#[case::it_does_not_come(Some((50, 7)), 1_600, Reading::Alone)]
+#[case::it_was_cut_off_at_first(Some((2_000, 7)), 2_500, Reading::Resting)]
+fn who_reads_as_nodes_start(
+    #[case] heard: Option<(u64, u64)>,
+    #[case] after: u64,
+    #[case] expected: Reading,
+) {
+    let mut members = members(1, &[2]);
+    let started = at(0);
+    if let Some((millis, revision)) = heard {
+        let said = Status {
+            endpoints: edition(revision),
+            ..status(2, 1, &[])
+        };
+        members.hear(at(millis), node(2), said);
+    }
+    // It goes on being heard.
+    if let Some((_, revision)) = heard {
+        let said = Status {
+            endpoints: edition(revision),
+            ..status(2, 2, &[])
+        };
+        members.hear(at(after), node(2), said);
+    }
+    assert_eq!(members.first_reading(at(after), started), expected);
+}
