fix: customers far below their limits are not refused while all nodes start

Buckets are empty then and fill within half a second; but a third of a whole bucket was kept for more protected requests, which is more than had come in, and where no owner knew its customers yet a node had its even part of 585 alone. Now the part that is kept is one of what a bucket can hold since the start, and requests of a node that has just started wait for a bucket that holds enough within 300 ms, or for an owner, a quarter of their time at the most. What buckets give out is bounded as before.

--- a/crates/dispatch/src/dispatcher/reserve.rs
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -23,6 +23,21 @@
 use crate::quota::Demand;
 use crate::quota::Denied;
 
+/// How long after its start a node lets requests wait for a quota: buckets of nodes that
+/// all start together are empty, and owners may not know the customers yet. Of 60 answers
+/// of 54 hosts in the first half second after 585 had started together 20 said that a
+/// customer was over its limit, of customers that were far below.
+const STARTS_FOR: Span = Span::from_secs(2);
+
+/// Longest and shortest wait for a bucket then, and the part of its time that a request
+/// may wait.
+const WAIT_MOST: Span = Span::from_millis(300);
+const WAIT_LEAST: Span = Span::from_millis(20);
+const LEFT_PARTS: u64 = 4;
+
+/// How long a request waits for an owner that knows its customer.
+const OWNER_AWAITED: Span = Span::from_millis(100);
+
 /// What becomes of a request that is to be charged.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Charge {
@@ -71,9 +86,15 @@
                 Owner::Other(address) => {
                     return Charge::Ask(address, self.next_question(number, demand));
                 }
-                Owner::Unheard => self
-                    .accounts
-                    .admit_unheard(now, number, quota, demand, reach),
+                Owner::Unheard => {
+                    let admitted = self
+                        .accounts
+                        .admit_unheard(now, number, quota, demand, reach);
+                    if admitted.is_err() && self.may_wait(now, OWNER_AWAITED, left) {
+                        return Charge::Wait(now + OWNER_AWAITED);
+                    }
+                    admitted
+                }
             }
         };
         match admitted {
@@ -97,7 +118,17 @@
         }
     }
 
+    /// True where a request of a node that has just started is rather to wait so long
+    /// than to be refused.
+    fn may_wait(&self, now: Time, wait: Span, left: Span) -> bool {
+        let starts = now.since(self.accounts.started()) < STARTS_FOR;
+        starts && wait <= WAIT_MOST && wait.0 * LEFT_PARTS < left.0
+    }
+
     fn refuse_charge(&mut self, now: Time, denied: Denied, left: Span) -> Charge {
+        if self.may_wait(now, denied.wait, left) {
+            return Charge::Wait(now + denied.wait.max(WAIT_LEAST));
+        }
         self.first_tries.note_refused(now);
         let refusal = Refusal {
             code: Code::CustomerLimit,
--- a/crates/dispatch/src/quota/admit.rs
+++ b/crates/dispatch/src/quota/admit.rs
@@ -32,13 +32,16 @@
             pressed,
         } = demand;
         let most = self.most(quota, reach);
-        // The last part of a bucket is for what is more protected, and for
-        // what is so small that refusing it would save nothing.
+        // The last part of what a bucket can hold since this node started, when it was
+        // empty, is for what is more protected, and for what is so small that refusing it
+        // would save nothing. Of a whole bucket that part alone would take half a second
+        // to come in, in which the others would get nothing.
+        let gained = self.rate(quota, reach) * now.since(self.started).as_secs_f64();
         let small = units as f64 <= most * self.options.small;
         let kept = if small {
             0.0
         } else {
-            most * self.options.reserve * routine
+            most.min(gained) * self.options.reserve * routine
         };
         let account = self.account(now, customer, quota, reach);
         // A request larger than the whole bucket passes when that is full.
--- a/crates/dispatch/tests/dispatch/quota/mod.rs
+++ b/crates/dispatch/tests/dispatch/quota/mod.rs
@@ -174,6 +174,24 @@
     assert!(!admit(1_100, 700));
 }
 
+/// Of a bucket that fills from empty a part of what it can hold by then is kept, not of a
+/// whole one: else nothing but the most protected would be admitted for its first 350 ms.
+#[test]
+fn of_a_bucket_that_fills_a_part_is_for_others_at_once() {
+    let routine = |units| Demand {
+        units,
+        routine: 1.0,
+        pressed: false,
+    };
+    let mut accounts = accounts();
+    accounts.begin(at(0));
+    let mut admit = |millis, units| admits(&mut accounts, at(millis), routine(units));
+    assert!(!admit(200, 140));
+    assert!(admit(200, 120));
+    assert!(!admit(400, 200));
+    assert!(admit(400, 130));
+}
+
 /// A fleet of ten nodes in several cells.
 const TEN: Reach = Reach {
     nodes: 10,
