--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -12,7 +12,7 @@
 //! * `policy.rs`: bounds and weights.
 //! * `place.rs`: which request goes to which endpoint now.
 //! * `start_cold.rs`: who may send a request to an endpoint that is cold.
-//! * `evacuate.rs`: where requests go whose data centre is evacuated.
+//! * `displace.rs`: where requests go that may not run in this data centre.
 //! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
 //! * `suspect.rs`: requests under which endpoints ended.
@@ -68,7 +68,7 @@
 mod answer;
 mod borrow;
 mod enter;
-mod evacuate;
+mod displace;
 mod lend;
 mod observe;
 mod place;
