--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -67,8 +67,8 @@
 
 mod answer;
 mod borrow;
-mod enter;
 mod displace;
+mod enter;
 mod lend;
 mod observe;
 mod place;
