--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -1,9 +1,9 @@
 //! How messages between nodes are written and read.
 //!
 //! Each message has the layout that every build reads, and behind it what later builds
-//! add: an [`Addition`], or what a configuration binds to regions. A build reads of it what it knows, takes the usual for what is
-//! missing, and leaves the rest. Nothing that stands before it ever changes
-//! (docs/PROTOCOL.md; test `what_is_written_is_kept`).
+//! add: an addition, or what a configuration binds to regions. A build reads of it what it
+//! knows, takes the usual for what is missing, and leaves the rest. Nothing that stands
+//! before it ever changes (docs/PROTOCOL.md; test `what_is_written_is_kept`).
 
 use serde::Deserialize;
 use serde::Serialize;
