fix: what an unsettled copy of the list lacks is kept beyond the corrections too

Found in reading the diff. When what was known before the platform's era no longer goes before its list, the list in force was replaced by the platform's own, without what an unsettled list lacks: a node that was cut off right after the platform had come back would have dropped endpoints of which no list had said that they are gone. Test first: it used two of three endpoints. Both ways into force are one now (replace_list).

--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -87,20 +87,14 @@
         }
         let corrected = self.memory.correct(now, &list).map(Arc::new);
         self.uncorrected = corrected.is_some().then(|| list.clone());
-        let list = corrected.unwrap_or(list);
-        let list = match list.settled {
-            true => list,
-            false => Arc::new(list.merge(&self.list)),
-        };
-        self.memory.note(now, &self.list, &list);
-        self.replace_list(now, list);
+        self.replace_list(now, corrected.unwrap_or(list));
         true
     }
 
     /// Takes the list as the platform has it once nothing of what was known before its
     /// era goes before it any more.
     pub(super) fn stop_correcting(&mut self, now: Time) {
-        if !self.memory.take_over(now) {
+        if !self.memory.expire(now) {
             return;
         }
         if let Some(list) = self.uncorrected.take() {
@@ -109,6 +103,11 @@
     }
 
     fn replace_list(&mut self, now: Time, list: Arc<List>) {
+        let list = match list.settled {
+            true => list,
+            false => Arc::new(list.merge(&self.list)),
+        };
+        self.memory.note(now, &self.list, &list);
         self.sections = section::Index::new(&list);
         self.list = list;
         self.news = true;
--- a/crates/dispatch/src/restore.rs
+++ b/crates/dispatch/src/restore.rs
@@ -118,8 +118,9 @@
         (corrected != *list).then_some(corrected)
     }
 
-    /// True once, when what was kept is over: lists then count as they are.
-    pub fn take_over(&mut self, now: Time) -> bool {
+    /// Forgets what is kept once its time is over; true where it did. Lists count as they
+    /// are from then on.
+    pub fn expire(&mut self, now: Time) -> bool {
         let over = self.kept.as_ref().is_some_and(|kept| now >= kept.until);
         if over {
             self.kept = None;
--- a/crates/dispatch/tests/dispatch/restore.rs
+++ b/crates/dispatch/tests/dispatch/restore.rs
@@ -283,3 +283,22 @@
     }
     assert_eq!(dispatcher.is_ready(at(after)), ready);
 }
+
+/// A node that is cut off right after the platform came back keeps what the copy lacked:
+/// no list told it yet that this is gone.
+#[test]
+fn what_an_unsettled_copy_lacks_is_kept_beyond_the_corrections() {
+    let mut dispatcher = know(&[plain("a"), plain("b"), plain("c")]);
+    set(
+        &mut dispatcher,
+        at(1_000),
+        list(1, 101, &[plain("b"), plain("c")]),
+    );
+    let copy = List {
+        settled: false,
+        ..list(2, 99, &[plain("a"), plain("b")])
+    };
+    set(&mut dispatcher, at(2_000), copy);
+    dispatcher.tick(at(12_001));
+    assert_eq!(used(&mut dispatcher, at(12_002)), ["a", "b", "c"]);
+}
