--- a/crates/gateway/tests/gateway/callers.rs
+++ b/crates/gateway/tests/gateway/callers.rs
@@ -17,6 +17,7 @@
 use crate::support::configuration;
 use crate::support::field;
 use crate::support::run;
+use crate::support::serving;
 
 #[rstest]
 #[case::a_known_key("/once/x", "host.example", KEY, 200)]
@@ -26,9 +27,7 @@
 #[case::no_such_host("/once/x", "none.example", KEY, 404)]
 fn who_may(#[case] path: &str, #[case] host: &str, #[case] key: &str, #[case] status: u16) {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (worker, _gateway, mut caller) = serving().await;
         caller
             .send(&format!(
                 "GET {path} HTTP/1.1\r\nhost: {host}\r\nauthorization: Bearer {key}\r\nwoadstage-request: i\r\n\r\n"
@@ -119,9 +118,7 @@
 #[test]
 fn a_body_that_is_too_large_is_refused_by_its_length() {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (_worker, _gateway, mut caller) = serving().await;
         caller
             .send(&format!(
                 "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
@@ -135,9 +132,7 @@
 #[test]
 fn several_requests_follow_on_one_connection() {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (_worker, _gateway, mut caller) = serving().await;
         for status in [200, 404, 200] {
             let path = if status == 200 { "/once/x" } else { "/none/x" };
             caller.request("id", path, "a body").await;
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -19,6 +19,7 @@
 use crate::support::Worker;
 use crate::support::answer;
 use crate::support::run;
+use crate::support::serving;
 
 #[test]
 fn no_key_and_no_body_is_logged() {
@@ -47,9 +48,7 @@
 #[test]
 fn a_requests_lines_tell_its_way() {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (_worker, gateway, mut caller) = serving().await;
         caller.request("id-1", "/once/x", "").await;
         caller.answer().await;
         gateway.logged(&["\"answered\"", "id-1"]).await;
@@ -71,9 +70,7 @@
 #[case::who_has_less_has_tried_before(18_000, true)]
 fn who_comes_back_is_told_by_the_time_left(#[case] left_ms: u64, #[case] returning: bool) {
     run(move || async move {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (_worker, gateway, mut caller) = serving().await;
         let head = format!(
             "GET /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
              woadstage-request: id-1\r\nwoadstage-timeout-ms: {left_ms}\r\n\r\n"
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -20,6 +20,7 @@
 use crate::support::chunked_head;
 use crate::support::field;
 use crate::support::run;
+use crate::support::serving;
 
 #[test]
 fn readiness_is_that_of_the_node() {
@@ -41,9 +42,7 @@
 #[test]
 fn while_leaving_callers_are_served_and_asked_to_go_elsewhere() {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (_worker, gateway, mut caller) = serving().await;
         gateway.shell.set_phase(Phase::Leaving);
         caller.request("id-1", "/once/x", "").await;
         let seen = caller.answer().await;
@@ -139,9 +138,7 @@
 #[test]
 fn metrics_tell_of_answers_and_state() {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (_worker, gateway, mut caller) = serving().await;
         caller.request("id-1", "/once/x", "").await;
         caller.answer().await;
         gateway.logged(&["\"answered\"", "id-1"]).await;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -47,3 +47,11 @@
         ended.expect("the test ends");
     });
 }
+
+/// An endpoint that answers all requests well, a gateway that knows it, and a caller.
+pub async fn serving() -> (Worker, Gateway, Caller) {
+    let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
+    let gateway = Gateway::start(&[&worker]).await;
+    let caller = Caller::connect(&gateway).await;
+    (worker, gateway, caller)
+}
--- a/crates/gateway/tests/gateway/suspend.rs
+++ b/crates/gateway/tests/gateway/suspend.rs
@@ -8,9 +8,9 @@
 use crate::support::Gateway;
 use crate::support::KEY;
 use crate::support::Worker;
-use crate::support::answer;
 use crate::support::field;
 use crate::support::run;
+use crate::support::serving;
 
 /// Waits until a stand-in has been sent something.
 async fn is_reached(worker: &Worker) {
@@ -43,9 +43,7 @@
 #[test]
 fn a_connection_that_rested_too_long_meanwhile_is_not_used() {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (worker, gateway, mut caller) = serving().await;
         caller.request("id-1", "/once/x", "").await;
         caller.answer().await;
         gateway.suspend(Duration::from_secs(10));
@@ -58,9 +56,7 @@
 #[test]
 fn an_endpoint_is_given_no_time_that_its_caller_has_not_got() {
     run(|| async {
-        let worker = Worker::start("e", vec![Act::Answer(answer("200 OK", "fine"))]).await;
-        let gateway = Gateway::start(&[&worker]).await;
-        let mut caller = Caller::connect(&gateway).await;
+        let (worker, gateway, mut caller) = serving().await;
         caller
             .send(&format!(
                 "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
