refactor: one setting says how long nodes take to meet

Who reads the platform at a start had a constant of 300 ms of its own beside `quota::Options::meet_within`, which means the same: a change of one would have left the other behind.

--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -276,7 +276,7 @@
     /// Who reads the platform, as this node sees it.
     pub fn reading(&self, now: Time) -> Reading {
         match self.list.revision {
-            0 => self.members.first_reading(now, self.accounts.started()),
+            0 => self.members.first_reading(now, self.accounts.met_at()),
             _ => self.members.reading(now),
         }
     }
--- a/crates/dispatch/src/member/start.rs
+++ b/crates/dispatch/src/member/start.rs
@@ -17,23 +17,20 @@
 /// way there and back, in which the nodes that it met tell of others.
 const LISTEN_FOR: Span = Span::from_millis(80);
 
-/// How long it waits for others to be heard at all. As long as nodes take to meet
-/// (`quota::Options::meet_within`), of which a node that has nobody loses no more.
-const MEET_WITHIN: Span = Span::from_millis(300);
-
 /// How long after it has heard another a node waits in all before it reads itself, whoever
 /// else may: two reads of 1.1 MB over 20 Mbit/s and some transfers. Counted from then, since
 /// nodes that were cut off as they started return together.
 const WAIT_MOST: Span = Span::from_millis(1_500);
 
 impl Members {
-    /// Who reads the platform, as a node sees it that has no list yet since it started.
-    pub fn first_reading(&self, now: Time, started: Time) -> Reading {
+    /// Who reads the platform, as a node sees it that has no list yet since it started and
+    /// can have met others at a time.
+    pub fn first_reading(&self, now: Time, met_at: Time) -> Reading {
         if self.has_nobody_to_ask() {
             return Reading::Alone;
         }
         let Some(first_heard) = self.first_heard else {
-            return match now.since(started) < MEET_WITHIN {
+            return match now < met_at {
                 true => Reading::Resting,
                 false => Reading::Alone,
             };
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -369,7 +369,7 @@
     #[case] expected: Reading,
 ) {
     let mut members = members(1, &[2]);
-    let started = at(0);
+    let met_at = at(300);
     if let Some((millis, revision)) = heard {
         let said = Status {
             endpoints: edition(revision),
@@ -385,5 +385,5 @@
         };
         members.hear(at(after), node(2), said);
     }
-    assert_eq!(members.first_reading(at(after), started), expected);
+    assert_eq!(members.first_reading(at(after), met_at), expected);
 }
