--- a/crates/dispatch/tests/dispatch/restore.rs
+++ b/crates/dispatch/tests/dispatch/restore.rs
@@ -45,6 +45,21 @@
     dispatcher.set_endpoints(now, Arc::new(list))
 }
 
+/// Publishes a settled list of an era and a revision.
+fn publish(dispatcher: &mut Dispatcher, millis: u64, edition: (u64, u64), endpoints: &[Endpoint]) {
+    let (era, revision) = edition;
+    set(dispatcher, at(millis), list(era, revision, endpoints));
+}
+
+/// Publishes a copy of the second era that may lack endpoints.
+fn restore(dispatcher: &mut Dispatcher, endpoints: &[Endpoint]) {
+    let copy = List {
+        settled: false,
+        ..list(2, 99, endpoints)
+    };
+    set(dispatcher, at(2_000), copy);
+}
+
 fn plain(name: &str) -> Endpoint {
     endpoint(name, SERVICE, 1)
 }
@@ -84,44 +99,34 @@
 #[test]
 fn one_that_had_ended_is_not_used_though_the_copy_has_it() {
     let mut dispatcher = know(&[plain("a"), plain("b")]);
-    set(&mut dispatcher, at(1_000), list(1, 101, &[plain("b")]));
-    set(
-        &mut dispatcher,
-        at(2_000),
-        list(2, 99, &[plain("a"), plain("b")]),
-    );
+    publish(&mut dispatcher, 1_000, (1, 101), &[plain("b")]);
+    publish(&mut dispatcher, 2_000, (2, 99), &[plain("a"), plain("b")]);
     assert_eq!(used(&mut dispatcher, at(2_001)), ["b"]);
 }
 
 #[test]
 fn one_that_was_leaving_still_is() {
     let mut dispatcher = know(&[plain("a"), plain("b")]);
-    set(
-        &mut dispatcher,
-        at(1_000),
-        list(1, 101, &[leaving("a"), plain("b")]),
-    );
-    set(
+    publish(
         &mut dispatcher,
-        at(2_000),
-        list(2, 99, &[plain("a"), plain("b")]),
+        1_000,
+        (1, 101),
+        &[leaving("a"), plain("b")],
     );
+    publish(&mut dispatcher, 2_000, (2, 99), &[plain("a"), plain("b")]);
     assert_eq!(used(&mut dispatcher, at(2_001)), ["b"]);
 }
 
 #[test]
 fn an_older_start_of_the_same_name_is_not_believed() {
     let mut dispatcher = know(&[born("a", 5), plain("b")]);
-    set(
+    publish(
         &mut dispatcher,
-        at(1_000),
-        list(1, 101, &[born("a", 9), plain("b")]),
+        1_000,
+        (1, 101),
+        &[born("a", 9), plain("b")],
     );
-    let copy = List {
-        settled: false,
-        ..list(2, 99, &[born("a", 5), plain("b")])
-    };
-    set(&mut dispatcher, at(2_000), copy);
+    restore(&mut dispatcher, &[born("a", 5), plain("b")]);
     let known = dispatcher.endpoints().endpoints.iter();
     let mut known: Vec<u64> = known.map(|one| one.born).collect();
     known.sort();
@@ -131,19 +136,11 @@
 #[test]
 fn one_that_the_copy_lacks_is_kept_until_the_list_is_settled() {
     let mut dispatcher = know(&[plain("a")]);
-    set(
-        &mut dispatcher,
-        at(1_000),
-        list(1, 101, &[plain("a"), plain("b")]),
-    );
-    let copy = List {
-        settled: false,
-        ..list(2, 99, &[plain("a")])
-    };
-    set(&mut dispatcher, at(2_000), copy);
+    publish(&mut dispatcher, 1_000, (1, 101), &[plain("a"), plain("b")]);
+    restore(&mut dispatcher, &[plain("a")]);
     assert_eq!(used(&mut dispatcher, at(2_001)), ["a", "b"]);
     let mut dispatcher = know(&[plain("a"), plain("b")]);
-    set(&mut dispatcher, at(2_000), list(2, 99, &[plain("a")]));
+    publish(&mut dispatcher, 2_000, (2, 99), &[plain("a")]);
     assert_eq!(used(&mut dispatcher, at(2_001)), ["a"]);
 }
 
@@ -155,7 +152,7 @@
         ..list(1, 101, &[plain("a")])
     };
     set(&mut dispatcher, at(1_000), evacuated.clone());
-    set(&mut dispatcher, at(2_000), list(2, 99, &[plain("a")]));
+    publish(&mut dispatcher, 2_000, (2, 99), &[plain("a")]);
     assert!(used(&mut dispatcher, at(2_001)).is_empty());
     // Written again, then taken back.
     let again = List {
@@ -165,7 +162,7 @@
     set(&mut dispatcher, at(4_000), again);
     // Those that waited are refused first.
     dispatcher.tick(at(12_900));
-    set(&mut dispatcher, at(13_000), list(2, 103, &[plain("a")]));
+    publish(&mut dispatcher, 13_000, (2, 103), &[plain("a")]);
     assert_eq!(used(&mut dispatcher, at(13_001)), ["a"]);
 }
 
@@ -173,12 +170,8 @@
 #[test]
 fn the_copy_counts_as_it_is_after_a_while() {
     let mut dispatcher = know(&[plain("a"), plain("b")]);
-    set(&mut dispatcher, at(1_000), list(1, 101, &[plain("b")]));
-    set(
-        &mut dispatcher,
-        at(2_000),
-        list(2, 99, &[plain("a"), plain("b")]),
-    );
+    publish(&mut dispatcher, 1_000, (1, 101), &[plain("b")]);
+    publish(&mut dispatcher, 2_000, (2, 99), &[plain("a"), plain("b")]);
     dispatcher.tick(at(11_999));
     assert_eq!(dispatcher.endpoints().endpoints.len(), 1);
     dispatcher.tick(at(12_001));
@@ -188,12 +181,13 @@
 #[test]
 fn what_was_known_holds_over_two_drills_in_a_row() {
     let mut dispatcher = know(&[plain("a"), plain("b")]);
-    set(&mut dispatcher, at(1_000), list(1, 101, &[plain("b")]));
+    publish(&mut dispatcher, 1_000, (1, 101), &[plain("b")]);
     for (era, millis) in [(2, 2_000), (3, 4_000)] {
-        set(
+        publish(
             &mut dispatcher,
-            at(millis),
-            list(era, 99, &[plain("a"), plain("b")]),
+            millis,
+            (era, 99),
+            &[plain("a"), plain("b")],
         );
         assert_eq!(dispatcher.endpoints().endpoints.len(), 1, "era {era}");
     }
@@ -203,12 +197,8 @@
 #[test]
 fn one_that_comes_back_in_the_same_era_is_used() {
     let mut dispatcher = know(&[plain("a"), plain("b")]);
-    set(&mut dispatcher, at(1_000), list(1, 101, &[plain("b")]));
-    set(
-        &mut dispatcher,
-        at(2_000),
-        list(1, 102, &[plain("a"), plain("b")]),
-    );
+    publish(&mut dispatcher, 1_000, (1, 101), &[plain("b")]);
+    publish(&mut dispatcher, 2_000, (1, 102), &[plain("a"), plain("b")]);
     assert_eq!(used(&mut dispatcher, at(2_001)), ["a", "b"]);
 }
 
@@ -240,7 +230,7 @@
 ) {
     let mut dispatcher = Dispatcher::new(options(1));
     if own > 0 {
-        set(&mut dispatcher, at(0), list(own, 100, &[]));
+        publish(&mut dispatcher, 0, (own, 100), &[]);
     }
     let said = Status {
         incarnation: 2,
@@ -271,7 +261,7 @@
     });
     dispatcher.tick(at(0));
     dispatcher.set_configuration(at(0), configuration(5));
-    set(&mut dispatcher, at(0), list(2, 90, &[]));
+    publish(&mut dispatcher, 0, (2, 90), &[]);
     if let Some(configuration) = heard {
         let said = Status {
             incarnation: 2,
@@ -289,16 +279,8 @@
 #[test]
 fn what_an_unsettled_copy_lacks_is_kept_beyond_the_corrections() {
     let mut dispatcher = know(&[plain("a"), plain("b"), plain("c")]);
-    set(
-        &mut dispatcher,
-        at(1_000),
-        list(1, 101, &[plain("b"), plain("c")]),
-    );
-    let copy = List {
-        settled: false,
-        ..list(2, 99, &[plain("a"), plain("b")])
-    };
-    set(&mut dispatcher, at(2_000), copy);
+    publish(&mut dispatcher, 1_000, (1, 101), &[plain("b"), plain("c")]);
+    restore(&mut dispatcher, &[plain("a"), plain("b")]);
     dispatcher.tick(at(12_001));
     assert_eq!(used(&mut dispatcher, at(12_002)), ["a", "b", "c"]);
 }
