--- /dev/null
+++ b/crates/dispatch/tests/dispatch/fleet/world/lists.rs
@@ -0,0 +1,127 @@
+//! Lists of endpoints: published, read, and taken by one node from another.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use woadstage_dispatch::edition::Era;
+use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::member::Reading;
+use woadstage_dispatch::protocol::Protocol;
+
+use super::Event;
+use super::TRANSFER;
+use super::World;
+use super::address;
+use super::links;
+
+impl World {
+    /// Publishes another list of endpoints, which some nodes read at once.
+    pub fn publish(&mut self, list: List, readers: &[u16]) {
+        self.list = Arc::new(list);
+        for node in readers {
+            let list = self.to_read(*node);
+            if let Some(dispatcher) = self.nodes.get_mut(node) {
+                dispatcher.set_endpoints(self.now, list);
+                self.settle(*node);
+            }
+        }
+    }
+
+    /// The list as a node's build reads it.
+    pub(super) fn to_read(&self, node: u16) -> Arc<List> {
+        match self.before.contains(&node) {
+            true => Arc::new(List {
+                era: Era::default(),
+                ..(*self.list).clone()
+            }),
+            false => self.list.clone(),
+        }
+    }
+
+    /// Publishes a list that the readers of each data centre read at once.
+    pub fn publish_to_readers(&mut self, list: List) {
+        let readers = self.readers();
+        self.publish(list, &readers);
+    }
+
+    /// Two nodes of each data centre, and of each part of it, which read the platform.
+    fn readers(&self) -> Vec<u16> {
+        let mut near: BTreeMap<(u16, u16), Vec<u16>> = BTreeMap::new();
+        for node in self.nodes.keys().copied() {
+            if self.turned_away.contains(&node) || self.cut_off.contains(&node) {
+                continue;
+            }
+            let part = self.part.map_or(0, |part| part(node));
+            let readers = near.entry((self.centre(node), part)).or_default();
+            if readers.len() < 2 {
+                readers.push(node);
+            }
+        }
+        near.into_values().flatten().collect()
+    }
+
+    /// A node that is behind takes the list from another, or reads it.
+    pub(super) fn follow(&mut self, node: u16, ahead: Option<u16>) {
+        let now = self.now;
+        let Some(links) = &mut self.links else {
+            if let Some(from) = ahead {
+                self.plan(now + TRANSFER, Event::Take { node, from });
+            }
+            return;
+        };
+        let Some(dispatcher) = self.nodes.get(&node) else {
+            return;
+        };
+        if dispatcher.edition().revision > 0 || links.busy.contains(&node) {
+            return;
+        }
+        if dispatcher.reading(now) != Reading::Resting {
+            links.busy.insert(node);
+            let read = links.read(now);
+            self.plan(read, Event::Read(node));
+        } else if let Some(from) = ahead {
+            links.busy.insert(node);
+            match links.try_give(now, from) {
+                Some(given) => self.plan(given, Event::Take { node, from }),
+                None => self.plan(now + links::DECLINED_FOR, Event::Declined(node)),
+            }
+        }
+    }
+
+    pub(super) fn note_free(&mut self, node: u16) {
+        if let Some(links) = &mut self.links {
+            links.busy.remove(&node);
+        }
+    }
+
+    /// A node takes the list of endpoints from another.
+    pub(super) fn take(&mut self, node: u16, from: u16) {
+        if self.cut_off.contains(&node) || self.cut_off.contains(&from) {
+            return;
+        }
+        if self.part.is_some_and(|part| part(node) != part(from)) {
+            return;
+        }
+        let (Some(to), Some(giver)) = (self.nodes.get(&node), self.nodes.get(&from)) else {
+            return;
+        };
+        let mut pull = to.pull(address(from));
+        let builds = [node, from];
+        if builds.iter().any(|one| self.before.contains(one)) {
+            pull.protocol = Protocol::FIRST;
+            pull.known.endpoints.era = Era::default();
+        }
+        let base = to.endpoints().clone();
+        let Some(mut difference) = giver.snapshot(&pull).endpoints else {
+            return;
+        };
+        if builds.iter().any(|one| self.before.contains(one)) {
+            difference.era = Era::default();
+        }
+        let list = Arc::new(difference.into_list(&base));
+        if let Some(dispatcher) = self.nodes.get_mut(&node) {
+            dispatcher.set_endpoints(self.now, list);
+            self.settle(node);
+        }
+    }
+}
