--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 //! * `place.rs`: which request goes to which endpoint now.
 //! * `begin.rs`: a request is counted in at its endpoint.
 //! * `start_cold.rs`: who may send a request to an endpoint that is cold.
+//! * `note_rate_limit.rs`: endpoints name how many requests a second they take.
 //! * `displace.rs`: where requests go that may not run in this data centre.
 //! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
@@ -72,6 +73,7 @@
 mod displace;
 mod enter;
 mod lend;
+mod note_rate_limit;
 mod observe;
 mod place;
 mod policy;
@@ -89,6 +91,7 @@
 use borrow::Question;
 pub use enter::Refusal;
 use lend::Remote;
+pub use note_rate_limit::Change as RateLimitChange;
 pub use policy::Policy;
 pub use query::Summary;
 pub use reserve::Charge;
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -32,6 +32,13 @@
             .count()
     }
 
+    /// Endpoints that name a rate limit.
+    pub(super) fn rate_limited(&self) -> usize {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        let limited = listed.filter(|worker| worker.rate_limit.limit_opt().is_some());
+        limited.count()
+    }
+
     /// The endpoint of this pool that has a number.
     pub(super) fn worker_opt(&self, number: u32) -> Option<usize> {
         let mut workers = self.workers.iter();
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -37,6 +37,8 @@
     pub usable: usize,
     /// Endpoints known.
     pub endpoints: usize,
+    /// Endpoints that name a rate limit.
+    pub rate_limited: usize,
     /// Repeats left in the budget.
     pub repeats_left: u64,
 }
@@ -176,6 +178,7 @@
             others: pool.workers.iter().map(|worker| worker.others).sum(),
             usable: pool.usable(now, &self.options.worker),
             endpoints: pool.workers.iter().filter(|worker| worker.listed).count(),
+            rate_limited: pool.rate_limited(),
             repeats_left: self.budget.left(now, target, nodes),
         });
         pools.collect()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 //! * [`quarantine`]: requests that are not run any more, as endpoints ended under them.
 //! * [`queue`]: what waits for an endpoint.
 //! * [`quota`]: what customers may use, over all nodes.
+//! * [`rate_limit`]: how many requests a second endpoints say they take.
 //! * [`budget`]: what may be sent again, over all nodes.
 //! * [`member`]: which other nodes there are.
 //! * [`message`]: what nodes tell each other.
@@ -52,6 +53,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod rate_limit;
 pub mod region;
 pub mod restore;
 pub mod section;
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -9,6 +9,7 @@
 use crate::cold;
 use crate::endpoint::Endpoint;
 use crate::message::Trouble;
+use crate::rate_limit;
 
 /// Bounds of what is learnt.
 #[derive(Debug, Clone, PartialEq)]
@@ -106,6 +107,8 @@
     pub evacuated: bool,
     /// Whether it is cold.
     pub cold: cold::State,
+    /// How many requests a second it says it takes.
+    pub rate_limit: rate_limit::State,
     /// True where it belongs to this node's cell.
     pub own_cell: bool,
     /// Requests in progress that we sent.
@@ -153,6 +156,7 @@
             listed: true,
             evacuated: false,
             cold: cold::State::default(),
+            rate_limit: rate_limit::State::default(),
             own_cell: true,
             running: 0,
             pending: 0,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -221,6 +221,17 @@
         /// Milliseconds since it was sent.
         after_ms: u64,
     },
+    /// An endpoint named another rate limit than before, or named none any more.
+    RateLimit {
+        /// The caller's id of the request whose answer said so.
+        request: &'a str,
+        /// The endpoint.
+        endpoint: &'a str,
+        /// Requests a second that it takes now, or `none`.
+        limit: &'a str,
+        /// The same before.
+        before: &'a str,
+    },
     /// A request has its final answer.
     Answered {
         /// The caller's id of it.
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -6,7 +6,9 @@
 use woadstage_config::read::Reader;
 use woadstage_dispatch::job::Part;
 use woadstage_dispatch::job::Prompt;
+use woadstage_dispatch::rate_limit::Limit;
 use woadstage_types::code::Code;
+use woadstage_types::unit;
 use woadstage_types::unit::Span;
 
 /// Header names. An empty name in the settings means that there is none.
@@ -32,6 +34,8 @@
     pub last_event: HeaderName,
     /// Milliseconds for which an endpoint says that it stays cold.
     pub cold: HeaderName,
+    /// Requests a second that an endpoint says it takes from all nodes together.
+    pub rate_limit: HeaderName,
     /// Fields by which the system gives orders to endpoints. What a caller
     /// sends under these names is dropped.
     pub reserved: Vec<HeaderName>,
@@ -50,6 +54,7 @@
             output_hint: HeaderName::from_static("woadstage-output-hint"),
             last_event: HeaderName::from_static("last-event-id"),
             cold: HeaderName::from_static("woadstage-cold-ms"),
+            rate_limit: HeaderName::from_static("woadstage-rate-limit"),
             reserved: Vec::new(),
         }
     }
@@ -59,7 +64,7 @@
     /// Reads the names that the settings give; others keep their defaults.
     pub fn read(reader: &mut Reader) -> Headers {
         let mut headers = Headers::default();
-        let fields: [(&str, &mut HeaderName); 10] = [
+        let fields: [(&str, &mut HeaderName); 11] = [
             ("request", &mut headers.request),
             ("deadline", &mut headers.deadline),
             ("customer", &mut headers.customer),
@@ -70,6 +75,7 @@
             ("output_hint", &mut headers.output_hint),
             ("last_event", &mut headers.last_event),
             ("cold", &mut headers.cold),
+            ("rate_limit", &mut headers.rate_limit),
         ];
         for (field, name) in fields {
             if let Some(text) = reader.take_opt::<String>(field)
@@ -110,6 +116,16 @@
         (millis > 0).then_some(Span::from_millis(millis))
     }
 
+    /// The requests a second that an endpoint says it takes, where it does.
+    ///
+    /// # Errors
+    /// Where what it says is no such number.
+    pub fn to_rate_limit(&self, headers: &HeaderMap) -> Result<Option<Limit>, unit::Error> {
+        let said = headers.get(&self.rate_limit);
+        let limit = said.map(|value| String::from_utf8_lossy(value.as_bytes()).parse());
+        limit.transpose()
+    }
+
     /// The milliseconds that a caller will wait, where it says so.
     pub fn to_deadline_ms(&self, headers: &HeaderMap) -> Option<u64> {
         text(headers, &self.deadline)?.trim().parse().ok()
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -106,6 +106,7 @@
         set("running-elsewhere", i64::from(service.others));
         set("endpoints", service.endpoints as i64);
         set("endpoints-usable", service.usable as i64);
+        set("rate-limited", service.rate_limited as i64);
         set("repeats-left", service.repeats_left as i64);
     }
     (StatusCode::OK, metrics.to_text())
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
@@ -250,12 +251,40 @@
             self.shell
                 .command(|dispatcher, now| dispatcher.note_cold(now, job, cold_for));
         }
-        judge::judge(
+        let verdict = judge::judge(
             names,
             &self.admitted.request,
             response.status(),
             response.headers(),
-        )
+        );
+        self.note_rate_limit(response.headers(), verdict);
+        verdict
+    }
+
+    /// Takes what an answer says of its endpoint's rate limit. Nothing does that is not
+    /// this endpoint's answer to this request. That it names none counts only where it is
+    /// for the caller: what is in an endpoint's place may answer with errors of its own.
+    fn note_rate_limit(&self, headers: &HeaderMap, verdict: Verdict) {
+        if matches!(verdict, Verdict::Retry(End::Lost | End::NotThere)) {
+            return;
+        }
+        let limit = match self.shell.headers.to_rate_limit(headers) {
+            Ok(None) if verdict != Verdict::Pass => return,
+            Ok(limit) => limit,
+            Err(error) => {
+                note::unreadable_rate_limit(&self.shell, &error);
+                return;
+            }
+        };
+        let Some(job) = self.job else {
+            return;
+        };
+        let change = self
+            .shell
+            .command(|dispatcher, now| dispatcher.note_rate_limit(now, job, limit));
+        if let Some((change, endpoint)) = change.zip(self.endpoint.as_ref()) {
+            note::rate_limit(&self.shell, &self.admitted.request, endpoint, change);
+        }
     }
 
     /// Passes an endpoint's own fault to the caller, unless its status would
--- a/crates/gateway/src/serve/note.rs
+++ b/crates/gateway/src/serve/note.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddrV4;
 
+use woadstage_dispatch::dispatcher::RateLimitChange;
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::rate_limit::Limit;
+use woadstage_types::unit;
 use woadstage_types::unit::Time;
 
 use super::admit::Admitted;
@@ -52,6 +55,26 @@
     });
 }
 
+/// Logs and counts that an endpoint names another rate limit than before.
+pub fn rate_limit(shell: &Shell, request: &str, endpoint: &Endpoint, change: RateLimitChange) {
+    shell.metrics.change("rate-limit");
+    let to_text = |limit: Option<Limit>| limit.map_or("none".to_owned(), |one| one.to_string());
+    shell.log(&Event::RateLimit {
+        request,
+        endpoint: endpoint.name.as_str(),
+        limit: &to_text(change.after),
+        before: &to_text(change.before),
+    });
+}
+
+/// Logs that an endpoint names a rate limit that is none: it stays as it was.
+pub fn unreadable_rate_limit(shell: &Shell, error: &unit::Error) {
+    shell.log(&Event::Unreadable {
+        document: "rate-limit",
+        detail: &error.to_string(),
+    });
+}
+
 /// Logs and counts that a request is sent to an endpoint, why there, and which other
 /// node gave the slot.
 pub fn sent(
