--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod crash;
 mod drill;
 mod evacuate;
+mod rate_limited;
 mod region_bound;
 mod start;
 mod world;
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -27,6 +27,7 @@
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine;
+use woadstage_dispatch::rate_limit::Limit;
 use woadstage_dispatch::region;
 use woadstage_types::code::Code;
 use woadstage_types::hash;
@@ -103,7 +104,7 @@
         node: u16,
         job: Box<Job>,
     },
-    First(u16, job::Id),
+    First(u16, job::Id, id::Endpoint),
     Take {
         node: u16,
         from: u16,
@@ -207,6 +208,8 @@
     pub reached: Vec<(Time, u16, Fingerprint)>,
     /// What callers ask for, who try once more when their request breaks.
     jobs: HashMap<(u16, job::Id), Job>,
+    /// What endpoints name in their answers.
+    pub limits: HashMap<id::Endpoint, Limit>,
     /// Callers who have tried again.
     returned: BTreeSet<Fingerprint>,
 }
@@ -280,6 +283,7 @@
             crashes: Vec::new(),
             reached: Vec::new(),
             jobs: HashMap::new(),
+            limits: HashMap::new(),
             returned: BTreeSet::new(),
             shape,
         };
@@ -434,8 +438,10 @@
                 self.jobs.insert((node, id), job);
                 self.settle(node);
             }
-            Event::First(node, id) => {
+            Event::First(node, id, endpoint) => {
+                let limit = self.limits.get(&endpoint).copied();
                 if let Some(dispatcher) = self.nodes.get_mut(&node) {
+                    dispatcher.note_rate_limit(now, id, limit);
                     dispatcher.progress(now, id, 1);
                     self.settle(node);
                 }
@@ -568,7 +574,8 @@
         // Calls differ in length by as much as they take at the least.
         let spread = hash::chain(id.0, &node.to_le_bytes()) % self.shape.call.0;
         let call = Span(self.shape.call.0 / 2 + spread);
-        self.plan(self.now + FIRST_AFTER, Event::First(node, id));
+        let first = Event::First(node, id, endpoint.clone());
+        self.plan(self.now + FIRST_AFTER, first);
         self.plan(self.now + call, Event::Done(node, id, endpoint.clone()));
     }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod fingerprint;
 mod log;
 mod peers;
+mod rate_limit;
 mod requests;
 mod reserved;
 mod settings;
