fix: the owner of an endpoint's slots keeps the rate limit that it names

Callers' requests went to an endpoint in need as often as before: 36 in 4 s where 21 were allowed (2.7 a second named; seven hosts), and so on until it named no limit any more.

Cause: nobody read the limit. Its class: a bound that an endpoint sets on all nodes together, and which no node may keep alone.

Now one node keeps each limit, the owner of the endpoint's slots by rendezvous hashing: it spaces requests there evenly, and saves nothing up. In a fleet of one cell, where nodes had no owners, each other node asks that owner once all endpoints that could take its request name limits; as long as some do not, the owner's own callers use what the limited ones take. With cells the owner of the cell's slots keeps the limits as it gives the slots out. What an answer said goes to all in statuses (16 limits each, in turn), by age; to the owner of a lease at once. Answers to requests sent before a limit was known do not end it. Where nodes are cut off each side spaces by the part that it hears; a new owner waits one interval first; one that starts sends nothing there until it has met the others. However low a limit, one request in 10 s asks whether it holds.

Why it holds: one keeper, no saved starts, and each change of keepers costs an interval.

--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -93,6 +93,13 @@
             self.submit(now, id, job);
             return;
         }
+        if !self.may_use_slot(now, question.owner, &self.pools[&target].workers[worker]) {
+            let number = self.pools[&target].workers[worker].number;
+            job.history.tried.push(number);
+            self.return_slot(question.owner, question.number, End::Abandoned);
+            self.submit(now, id, job);
+            return;
+        }
         let incarnation = self.members.incarnation_opt(now, question.owner);
         let lease = Lease {
             owner: question.owner,
--- a/crates/dispatch/src/dispatcher/begin.rs
+++ b/crates/dispatch/src/dispatcher/begin.rs
@@ -51,6 +51,8 @@
     ) {
         let interval = self.pools.get(&job.target);
         let interval = interval.and_then(|pool| self.cold_interval_opt(now, pool));
+        let spacing = self.pools.get(&job.target);
+        let spacing = spacing.and_then(|pool| self.spacing_opt(now, &pool.workers[worker]));
         let Some(pool) = self.pools.get_mut(&job.target) else {
             return;
         };
@@ -67,6 +69,9 @@
         if let Some(interval) = interval {
             worker.cold.start(now, interval);
         }
+        if let Some(spacing) = spacing {
+            worker.rate_limit.start(now, spacing);
+        }
         let endpoint = worker.endpoint.clone();
         let number = worker.number;
         job.history.tried.push(number);
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -18,6 +18,7 @@
 use crate::member::Owner;
 use crate::member::Scope;
 use crate::message::Message;
+use crate::rate_limit::Limit;
 use crate::worker::Worker;
 
 /// How long an owner's answer is waited for: many times the way there and back
@@ -32,6 +33,13 @@
 /// owner's end shows.
 const RENEW_EVERY: Span = Span::from_millis(250);
 
+/// Endpoints taken by chance of which one is asked for, by what this node asked for.
+const CHOICES: usize = 2;
+
+/// The same in a fleet of one cell, by what all owners say that waits there: they have
+/// a handful of starts a second each, so that an uneven choice shows.
+const CHOICES_OF_ONE_CELL: usize = 4;
+
 /// A request of this node for which an owner was asked for a slot.
 #[derive(Debug)]
 pub(super) struct Question {
@@ -90,12 +98,13 @@
         let Some(pool) = self.pools.get(&job.target) else {
             return alone;
         };
-        let endpoint = match pool.shared {
+        let each = pool.shared || self.is_limited_throughout(now, pool, job);
+        let endpoint = match each {
             true => self.shared_worker(now, pool, job),
             false => None,
         };
         let endpoint = endpoint.map(|worker| worker.number);
-        if pool.shared && endpoint.is_none() {
+        if each && endpoint.is_none() {
             return alone;
         }
         let owner = match self.is_displaced(pool, job) {
@@ -104,27 +113,29 @@
         };
         match owner {
             Owner::Unheard => alone,
-            Owner::Own => Arbiter::Own { only: endpoint },
+            Owner::Own => Arbiter::Own {
+                only: endpoint.filter(|_| pool.shared),
+            },
             Owner::Other(owner) => Arbiter::Other(Asked { owner, endpoint }),
         }
     }
 
     /// The owner of the slots of one endpoint, or of this cell's slots of a
-    /// service. In a fleet of one cell each node decides alone.
+    /// service. In a fleet of one cell each node decides alone, but for endpoints that
+    /// name a rate limit.
     pub(super) fn slot_owner(&self, now: Time, pool: &Pool, endpoint: Option<u32>) -> Owner {
-        if self.members.cell().whole {
-            return Owner::Own;
-        }
+        let whole = self.members.cell().whole;
         let (scope, key) = match endpoint {
-            Some(endpoint) => (Scope::Fleet, endpoint),
-            None => (Scope::Cell, pool.number),
+            Some(endpoint) if !whole => (Scope::Fleet, endpoint),
+            Some(endpoint) if pool.is_rate_limited(endpoint) => (Scope::Keepers, endpoint),
+            None if !whole => (Scope::Cell, pool.number),
+            Some(_) | None => return Owner::Own,
         };
         self.members.owner(now, scope, u64::from(key))
     }
 
-    /// An endpoint of a service that all cells share: of two taken by chance,
-    /// the one for which this node has fewer requests waiting (Mitzenmacher, the
-    /// power of two choices).
+    /// An endpoint of a service whose endpoints have an owner each: of some taken by
+    /// chance, the one for which least waits (Mitzenmacher, the power of two choices).
     fn shared_worker<'a>(&self, now: Time, pool: &'a Pool, job: &Job) -> Option<&'a Worker> {
         let options = &self.options.worker;
         let usable = pool.workers.iter().filter(|worker| {
@@ -133,22 +144,49 @@
                 && self.may_run_at(job, worker)
         });
         let usable: Vec<&Worker> = usable.collect();
-        let waiting = |worker: &Worker| {
-            let questions = self.questions.values();
-            questions
-                .filter(|question| question.endpoint == Some(worker.number))
-                .count()
+        let one_cell = self.members.cell().whole;
+        let (choices, waiting): (usize, &dyn Fn(&Worker) -> f64) = match one_cell {
+            true => (CHOICES_OF_ONE_CELL, &|worker| {
+                self.waiting_at_owner(now, pool, worker)
+            }),
+            false => (CHOICES, &|worker| self.asked_for(worker) as f64),
         };
-        let seed = hash::chain(self.options.incarnation, &self.next_question.to_le_bytes());
-        let pick = |seed: u64| {
-            let at = seed.checked_rem(usable.len() as u64)?;
-            usable.get(at as usize).copied()
+        let mut drawn = hash::chain(self.options.incarnation, &self.next_question.to_le_bytes());
+        let mut chosen: Option<(f64, &Worker)> = None;
+        for _ in 0..choices {
+            let at = drawn.checked_rem(usable.len() as u64)?;
+            let worker = *usable.get(at as usize)?;
+            let waits = waiting(worker);
+            if chosen.is_none_or(|(least, _)| waits < least) {
+                chosen = Some((waits, worker));
+            }
+            drawn = hash::of(&drawn.to_le_bytes());
+        }
+        chosen.map(|(_, worker)| worker)
+    }
+
+    /// Requests of this node that wait for a slot of an endpoint at its owner.
+    fn asked_for(&self, worker: &Worker) -> usize {
+        let questions = self.questions.values();
+        questions
+            .filter(|question| question.endpoint == Some(worker.number))
+            .count()
+    }
+
+    /// What waits at the owner of an endpoint that names a rate limit, as far as it told
+    /// and as this node asked since, by what all endpoints take whose limits it keeps.
+    fn waiting_at_owner(&self, now: Time, pool: &Pool, worker: &Worker) -> f64 {
+        let owner_of = |worker: &Worker| self.slot_owner(now, pool, Some(worker.number));
+        let owner = owner_of(worker);
+        let kept = pool.workers.iter().filter(|other| owner_of(other) == owner);
+        let limits = kept.filter_map(|other| other.rate_limit.limit_opt());
+        let rate: f64 = limits.map(Limit::per_second).sum();
+        let told = match owner {
+            Owner::Own => pool.queue.len(),
+            Owner::Other(owner) => self.members.waiting_at(owner, pool.number),
+            Owner::Unheard => 0,
         };
-        let (one, other) = (pick(seed)?, pick(hash::of(&seed.to_le_bytes()))?);
-        Some(match waiting(other) < waiting(one) {
-            true => other,
-            false => one,
-        })
+        (told + self.asked_for(worker) + 1) as f64 / rate
     }
 
     /// Asks an owner for a slot. Without the request itself, which then waits
@@ -254,6 +292,9 @@
         let Some((pool, job)) = pool.zip(question.job.as_ref()) else {
             return false;
         };
+        if self.members.cell().whole && !self.is_limited_throughout(now, pool, job) {
+            return false;
+        }
         if self.is_displaced(pool, job) {
             let mut hosts = self.host_owners(now, pool, job).into_iter();
             return hosts.any(|(owner, _)| owner == question.owner);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/keep_rate_limit.rs
@@ -0,0 +1,172 @@
+//! Endpoints name in their answers how many requests a second they take: what is known of
+//! it, and who is told.
+
+use std::net::SocketAddrV4;
+
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::Pool;
+use crate::job;
+use crate::lease;
+use crate::lease::Lease;
+use crate::rate_limit::Limit;
+use crate::rate_limit::Told;
+use crate::worker::Worker;
+
+/// Rate limits told in one status, and in one to a node that has just joined and may know
+/// none. Statuses take turns with them, so that all are told however many there are.
+const TOLD_MOST: usize = 16;
+const TOLD_TO_NEWCOMER_MOST: usize = 64;
+
+/// An endpoint named another limit than before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// The limit before; none where there was none.
+    pub before: Option<Limit>,
+    /// The limit now; none where there is none any more.
+    pub after: Option<Limit>,
+}
+
+impl Dispatcher {
+    /// Takes the limit that the head of an answer names, or that it names none. Gives
+    /// the change that this brought, if any.
+    pub fn note_rate_limit(
+        &mut self,
+        now: Time,
+        id: job::Id,
+        limit: Option<Limit>,
+    ) -> Option<Change> {
+        let run = self.runs.get(&id)?;
+        let pool = self.pools.get_mut(&run.job.target)?;
+        let state = &mut pool.workers[run.worker].rate_limit;
+        let before = state.limit_opt();
+        let changed = state.note_answer(now, run.started, limit);
+        let lease = run.lease;
+        if let Some(lease) = lease.filter(|_| changed || limit.is_some()) {
+            self.report_rate_limit(lease, limit);
+        }
+        let change = Change {
+            before,
+            after: limit,
+        };
+        if changed {
+            self.spread_change(change);
+        }
+        changed.then_some(change)
+    }
+
+    /// Tells the owner of a slot what its endpoint said. It may be in another cell, and
+    /// would hear of it seconds later.
+    fn report_rate_limit(&mut self, lease: Lease, limit: Option<Limit>) {
+        if self.members.keeps_rate_limits(lease.owner) {
+            let event = lease::Event::RateLimit { limit };
+            self.report(lease.owner, lease.number, event);
+        }
+    }
+
+    /// Sees to it that others soon hear of a change: all of them where a limit begins or
+    /// ends, and those of the cell, which send requests there, where it moves.
+    fn spread_change(&mut self, change: Change) {
+        self.urgent = true;
+        self.news |= change.before.is_none() || change.after.is_none();
+    }
+
+    /// Keeps what another node tells until it is looked at together with its load.
+    pub(super) fn hear_rate_limits(&mut self, now: Time, told: &[Told]) {
+        for one in told {
+            let report = one.to_report(now);
+            let known = self.rate_limits_heard.entry(one.endpoint).or_insert(report);
+            if known.at < report.at {
+                *known = report;
+            }
+        }
+    }
+
+    /// Takes what other nodes told.
+    pub(super) fn take_rate_limits_heard(&mut self, now: Time) {
+        if self.rate_limits_heard.is_empty() {
+            return;
+        }
+        let heard = std::mem::take(&mut self.rate_limits_heard);
+        let mut changes = Vec::new();
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            let Some(report) = heard.get(&worker.number) else {
+                continue;
+            };
+            let before = worker.rate_limit.limit_opt();
+            if worker.rate_limit.note_report(now, *report) {
+                changes.push(Change {
+                    before,
+                    after: report.limit,
+                });
+            }
+        }
+        for change in changes {
+            self.spread_change(change);
+        }
+    }
+
+    /// Rate limits to tell others of, others each time.
+    pub(super) fn rate_limits_to_tell(&self, now: Time) -> Vec<Told> {
+        let workers = self.pools.values().flat_map(|pool| &pool.workers);
+        let listed = workers.filter(|worker| worker.listed);
+        let told = listed.filter_map(|worker| worker.rate_limit.to_told_opt(now, worker.number));
+        let mut told: Vec<Told> = told.collect();
+        if told.len() > TOLD_MOST {
+            told.sort_by_key(|one| one.endpoint);
+            let turn = (self.sequence as usize).wrapping_mul(TOLD_MOST);
+            let start = turn % told.len();
+            told.rotate_left(start);
+            told.truncate(TOLD_TO_NEWCOMER_MOST);
+        }
+        told
+    }
+
+    /// Of those, the ones that a node is told which has been heard for a while.
+    pub(super) fn rate_limits_to_known(told: &[Told]) -> &[Told] {
+        &told[..told.len().min(TOLD_MOST)]
+    }
+
+    /// Lets the time until this node's first request begin anew at each endpoint whose
+    /// limit another keeps.
+    pub(super) fn wait_for_limits(&mut self, now: Time) {
+        let kept_by_others = |pool: &Pool| {
+            let permit = self.permit_opt(now, pool)?;
+            let limited = pool.workers.iter().enumerate();
+            let limited = limited.filter(|(_, worker)| worker.is_rate_limited());
+            let others = limited.filter(|(_, worker)| !self.keeps_limit(now, pool, worker, permit));
+            Some(others.map(|(at, _)| at).collect::<Vec<usize>>())
+        };
+        let pools = self.pools.iter();
+        let waiting =
+            pools.filter_map(|(target, pool)| Some((target.clone(), kept_by_others(pool)?)));
+        let waiting: Vec<_> = waiting.collect();
+        for (target, workers) in waiting {
+            let Some(pool) = self.pools.get_mut(&target) else {
+                continue;
+            };
+            for at in workers {
+                pool.workers[at].rate_limit.wait(now);
+            }
+        }
+    }
+
+    /// The time between two requests of this node to an endpoint that names a limit.
+    pub(super) fn spacing_opt(&self, now: Time, worker: &Worker) -> Option<Span> {
+        let limit = worker.rate_limit.limit_opt()?;
+        Some(self.members.reach(now).stretch(limit.to_interval()))
+    }
+
+    /// True unless an owner that keeps no rate limits gave a slot of an endpoint that
+    /// names one, and this node has used its even part of what all nodes may send there.
+    pub(super) fn may_use_slot(&self, now: Time, owner: SocketAddrV4, worker: &Worker) -> bool {
+        let Some(limit) = worker.rate_limit.limit_opt() else {
+            return true;
+        };
+        let nodes = self.members.reach(now).nodes as u64;
+        let spacing = Span(limit.to_interval().0 * nodes);
+        self.members.keeps_rate_limits(owner) || worker.rate_limit.may_start(now, spacing)
+    }
+}
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -152,7 +152,9 @@
                 ..History::default()
             },
             origin: Some(origin),
-            only: request.endpoint,
+            // In a fleet of one cell it says whose slots are asked for, of all that are
+            // limited: any that this node owns will do.
+            only: request.endpoint.filter(|_| !self.members.cell().whole),
             trial: false,
             bound: Bound::default(),
         }
@@ -192,6 +194,9 @@
             Event::Progress => self.note_alive(now, id),
             Event::Cold { cold_for } => self.note_cold(now, id, cold_for),
             Event::Ended { end, seen } => self.end_remote(now, origin, end, seen),
+            Event::RateLimit { limit } => {
+                self.note_rate_limit(now, id, limit);
+            }
         }
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -12,8 +12,9 @@
 //! * `policy.rs`: bounds and weights.
 //! * `place.rs`: which request goes to which endpoint now.
 //! * `begin.rs`: a request is counted in at its endpoint.
-//! * `start_cold.rs`: who may send a request to an endpoint that is cold.
-//! * `note_rate_limit.rs`: endpoints name how many requests a second they take.
+//! * `permit.rs`: who may send a request to an endpoint with a bound over all nodes.
+//! * `start_cold.rs`: endpoints that are cold.
+//! * `keep_rate_limit.rs`: endpoints that name how many requests a second they take.
 //! * `displace.rs`: where requests go that may not run in this data centre.
 //! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
@@ -57,6 +58,7 @@
 use crate::queue::Queue;
 use crate::quota;
 use crate::quota::Accounts;
+use crate::rate_limit;
 use crate::region;
 use crate::restore::Memory;
 use crate::section;
@@ -72,9 +74,10 @@
 mod borrow;
 mod displace;
 mod enter;
+mod keep_rate_limit;
 mod lend;
-mod note_rate_limit;
 mod observe;
+mod permit;
 mod place;
 mod policy;
 mod predict;
@@ -90,8 +93,8 @@
 
 use borrow::Question;
 pub use enter::Refusal;
+pub use keep_rate_limit::Change as RateLimitChange;
 use lend::Remote;
-pub use note_rate_limit::Change as RateLimitChange;
 pub use policy::Policy;
 pub use query::Summary;
 pub use reserve::Charge;
@@ -298,6 +301,8 @@
     questions: HashMap<job::Id, Question>,
     /// Requests of other nodes that wait or run in slots of this node's.
     remote: HashMap<Origin, Remote>,
+    /// What others told of endpoints' rate limits since the last tick.
+    rate_limits_heard: HashMap<u32, rate_limit::Report>,
     /// When the owners of other cells last had no slot to spare.
     denied: HashMap<SocketAddrV4, Time>,
     /// Messages that are to be sent.
@@ -344,6 +349,7 @@
             runs: HashMap::new(),
             questions: HashMap::new(),
             remote: HashMap::new(),
+            rate_limits_heard: HashMap::new(),
             denied: HashMap::new(),
             outbox: Vec::new(),
             next_job: 0,
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -80,16 +80,21 @@
     ) -> Option<(job::Id, Choice)> {
         let pool = self.pools.get(target)?;
         let free: u32 = self.free_slots(now, pool);
+        let one_cell = self.members.cell().whole;
+        let limited = one_cell && pool.workers.iter().any(Worker::is_rate_limited);
         for (id, job) in pool.queue.iter().take(self.options.policy.look_ahead) {
-            // Others have more protected work waiting: leave them the room.
+            // Others have more protected work waiting: leave them the room, but for what
+            // this node alone gives out.
             let before = elsewhere.range(..job.rank).map(|(_, count)| count);
             let before: usize = before.sum();
-            if before > 0 && before >= free as usize {
-                return None;
-            }
-            if let Some(choice) = self.choose(now, pool, job) {
+            let leave = before > 0 && before >= free as usize;
+            let may_take = |worker: &Worker| !leave || (one_cell && worker.is_rate_limited());
+            if let Some(choice) = self.cheapest(now, pool, job, self.ahead(pool, job), may_take) {
                 return Some((id, choice));
             }
+            if leave && !limited {
+                return None;
+            }
         }
         None
     }
@@ -106,19 +111,17 @@
         counts
     }
 
+    /// Slots of this cell that nothing runs in. Where each node decides alone, those of
+    /// endpoints that name rate limits are for their owners.
     pub(super) fn free_slots(&self, now: Time, pool: &Pool) -> u32 {
-        let usable = pool
-            .workers
-            .iter()
-            .filter(|worker| worker.own_cell && worker.takes_work(now, &self.options.worker));
-        usable
-            .map(|worker| pool.slots_of(now, worker).saturating_sub(worker.busy()))
-            .sum()
-    }
-
-    /// An endpoint of this node's cell.
-    fn choose(&self, now: Time, pool: &Pool, job: &Job) -> Option<Choice> {
-        self.cheapest(now, pool, job, self.ahead(pool, job))
+        let one_cell = self.members.cell().whole;
+        let usable = pool.workers.iter().filter(|worker| {
+            worker.own_cell
+                && worker.takes_work(now, &self.options.worker)
+                && !(one_cell && worker.is_rate_limited())
+        });
+        let free = |worker: &Worker| pool.slots_of(now, worker).saturating_sub(worker.busy());
+        usable.map(free).sum()
     }
 
     /// Requests beyond its slots that an endpoint may have when it is given this one.
@@ -133,13 +136,20 @@
         }
     }
 
-    /// Of the endpoints of this cell that have room, the one that costs least;
-    /// `ahead` is what each may have beyond its slots.
-    pub(super) fn cheapest(&self, now: Time, pool: &Pool, job: &Job, ahead: u32) -> Option<Choice> {
+    /// Of the endpoints of this cell that have room and that `may_take` the request, the
+    /// one that costs least; `ahead` is what each may have beyond its slots.
+    pub(super) fn cheapest(
+        &self,
+        now: Time,
+        pool: &Pool,
+        job: &Job,
+        ahead: u32,
+        may_take: impl Fn(&Worker) -> bool,
+    ) -> Option<Choice> {
         let chain = warm::chain(&job.prompt.parts);
         let home = home(pool, &chain);
         let slowest = pool.slowest_step_opt(now, job, &self.options.worker);
-        let permit = self.cold_permit(now, pool);
+        let permit = self.permit_opt(now, pool);
         let apart = self.keep_apart(now, &job.target, job);
         if apart.as_ref().is_some_and(|apart| apart.begins) {
             return None;
@@ -149,6 +159,7 @@
             let usable = worker.takes_work(now, &self.options.worker);
             if !worker.own_cell
                 || !usable
+                || !may_take(worker)
                 || job.only.is_some_and(|only| only != worker.number)
                 || job.history.tried.contains(&worker.number)
                 || !self.may_run_at(job, worker)
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -35,8 +35,13 @@
     /// Endpoints that name a rate limit.
     pub(super) fn rate_limited(&self) -> usize {
         let listed = self.workers.iter().filter(|worker| worker.listed);
-        let limited = listed.filter(|worker| worker.rate_limit.limit_opt().is_some());
-        limited.count()
+        listed.filter(|worker| worker.is_rate_limited()).count()
+    }
+
+    /// True where the endpoint that has a number names a rate limit.
+    pub(super) fn is_rate_limited(&self, number: u32) -> bool {
+        let at = self.worker_opt(number);
+        at.is_some_and(|at| self.workers[at].is_rate_limited())
     }
 
     /// The endpoint of this pool that has a number.
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -56,6 +56,7 @@
     pub fn hear(&mut self, now: Time, from: SocketAddrV4, mut status: Status) -> News {
         self.accounts.begin(now);
         let findings = std::mem::take(&mut status.findings);
+        let rate_limits = std::mem::take(&mut status.rate_limits);
         let quarantine = status.quarantine;
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
@@ -75,6 +76,7 @@
             let quota = customer.and_then(|customer| customer.quota.as_ref());
             self.accounts.hear(now, speaker, said, quota, reach);
         }
+        self.hear_rate_limits(now, &rate_limits);
         self.take_findings(now, &findings);
         self.answer_digest(now, from, quarantine);
         news
@@ -126,6 +128,7 @@
         let status = self.status(now);
         let to_known = Status {
             members: self.members.told_to_known(&status.members).to_vec(),
+            rate_limits: Dispatcher::rate_limits_to_known(&status.rate_limits).to_vec(),
             ..status.clone()
         };
         let mut statuses = vec![(to_known, known), (status, newcomers)];
@@ -151,6 +154,7 @@
             quarantine: self.quarantine.digest(),
             findings: self.quarantine.news(now),
             protocol: Protocol::OWN,
+            rate_limits: self.rate_limits_to_tell(now),
         }
     }
 
@@ -290,6 +294,7 @@
     /// Tells the others from now on that this node is stopping.
     pub fn leave(&mut self) {
         self.leaving = true;
+        self.members.leaving = true;
         self.urgent = true;
     }
 }
--- a/crates/dispatch/src/dispatcher/spare.rs
+++ b/crates/dispatch/src/dispatcher/spare.rs
@@ -81,7 +81,7 @@
         let pool = self.pools.get(&job.target);
         let choice = pool
             .filter(|pool| self.has_spare(now, pool, &job))
-            .and_then(|pool| self.cheapest(now, pool, &job, 0));
+            .and_then(|pool| self.cheapest(now, pool, &job, 0, |_| true));
         let Some(choice) = choice.filter(|_| !self.leaving) else {
             self.reply(origin, Answer::Denied);
             return;
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -32,6 +32,8 @@
         self.stop_correcting(now);
         self.arrange(now);
         self.count_others(now);
+        self.take_rate_limits_heard(now);
+        self.wait_for_limits(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -27,6 +27,7 @@
 use crate::job::End;
 use crate::job::Fingerprint;
 use crate::job::Prompt;
+use crate::rate_limit::Limit;
 
 /// Asks the owner of slots for one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -121,6 +122,12 @@
         /// What was seen of its stream.
         seen: Seen,
     },
+    /// Its endpoint's answer named a rate limit, or none any more. Sent to nodes alone
+    /// that keep rate limits.
+    RateLimit {
+        /// The limit.
+        limit: Option<Limit>,
+    },
 }
 
 /// What was seen of a call.
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -132,6 +132,8 @@
     other_cells: Vec<Vec<SocketAddrV4>>,
     /// When another node was first heard.
     first_heard: Option<Time>,
+    /// True once this node is stopping.
+    pub leaving: bool,
 }
 
 /// What a status brought.
@@ -162,6 +164,7 @@
             cell: cell::ONE_CELL,
             other_cells: Vec::new(),
             first_heard: None,
+            leaving: false,
         };
         members.set_seeds(seeds);
         members
@@ -336,6 +339,14 @@
         fresh.map(|member| member.status.incarnation)
     }
 
+    /// Requests that wait for a service at another node, as it last said.
+    pub fn waiting_at(&self, address: SocketAddrV4, service: u32) -> usize {
+        let said = self.others.get(&address).into_iter();
+        let waiting = said.flat_map(|member| &member.status.waiting);
+        let of_service = waiting.filter(|waiting| waiting.service == service);
+        of_service.map(|waiting| usize::from(waiting.count)).sum()
+    }
+
     /// Other nodes that were heard or spoken of.
     pub fn len(&self) -> usize {
         self.others.len()
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -35,17 +35,24 @@
     Fleet,
     /// The nodes of this node's cell.
     Cell,
+    /// All nodes of builds that keep the rate limits which endpoints name.
+    Keepers,
 }
 
 impl Members {
     /// The owner of what has a key, among the nodes that were heard lately.
     pub fn owner(&self, now: Time, scope: Scope, key: u64) -> Owner {
-        let mut owners = vec![(score(key, &self.own), self.own, None)];
+        let mut owners = Vec::new();
         for (address, member) in self.fresh(now) {
-            if may_own(member) && (scope == Scope::Fleet || member.near) {
+            if may_own(member) && is_in(scope, member) {
                 owners.push((score(key, address), *address, member.unanswered));
             }
         }
+        // The others look for another owner as soon as they hear that this node stops.
+        let hands_over = scope == Scope::Keepers && self.leaving;
+        if !hands_over || owners.is_empty() {
+            owners.push((score(key, &self.own), self.own, None));
+        }
         let tried = TRIED.min(owners.len());
         if owners.len() > tried {
             owners.select_nth_unstable_by(tried, |one, other| other.cmp(one));
@@ -86,6 +93,13 @@
         others.all(|(address, _)| score(key, address) <= own)
     }
 
+    /// True for a node whose build keeps the rate limits that endpoints name.
+    pub fn keeps_rate_limits(&self, address: SocketAddrV4) -> bool {
+        let member = self.others.get(&address);
+        let heard = member.filter(|member| member.heard.is_some());
+        heard.is_some_and(|member| member.status.protocol.keeps_rate_limits())
+    }
+
     /// Notes that a node did not answer though it was asked.
     pub fn note_unanswered(&mut self, now: Time, address: SocketAddrV4) {
         if let Some(member) = self.others.get_mut(&address) {
@@ -94,6 +108,14 @@
     }
 }
 
+fn is_in(scope: Scope, member: &Member) -> bool {
+    match scope {
+        Scope::Fleet => true,
+        Scope::Cell => member.near,
+        Scope::Keepers => member.status.protocol.keeps_rate_limits(),
+    }
+}
+
 fn may_own(member: &Member) -> bool {
     !member.status.leaving
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -14,6 +14,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::Finding;
 use crate::quota::Denied;
+use crate::rate_limit;
 use crate::section;
 use crate::section::Difference;
 
@@ -94,6 +95,9 @@
     /// What the node speaks.
     #[serde(skip, default = "Protocol::first")]
     pub protocol: Protocol,
+    /// Some of the rate limits that it knows, others each time.
+    #[serde(skip)]
+    pub rate_limits: Vec<rate_limit::Told>,
 }
 
 /// Asks the owner of a customer's quota for a request's units.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -23,8 +23,12 @@
     /// and whose configurations say in which regions requests may run.
     pub const ERAS: Protocol = Protocol(9);
 
+    /// The first that keeps the rate limits which endpoints name, and whose statuses tell
+    /// of them.
+    pub const RATE_LIMITS: Protocol = Protocol(10);
+
     /// What this build speaks.
-    pub const OWN: Protocol = Protocol::ERAS;
+    pub const OWN: Protocol = Protocol::RATE_LIMITS;
 
     /// For messages that do not say which.
     pub(crate) fn first() -> Protocol {
@@ -35,6 +39,11 @@
     pub fn knows_eras(self) -> bool {
         self >= Protocol::ERAS
     }
+
+    /// True where a node keeps endpoints' rate limits.
+    pub fn keeps_rate_limits(self) -> bool {
+        self >= Protocol::RATE_LIMITS
+    }
 }
 
 impl Default for Protocol {
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -110,6 +110,15 @@
     pub one_cell: bool,
 }
 
+impl Reach {
+    /// A time between two events of this node, for a bound that all nodes keep together:
+    /// longer by the part of the fleet that is not heard and has a keeper of its own.
+    pub fn stretch(self, interval: Span) -> Span {
+        let heard = self.nodes.saturating_sub(self.silent).max(1);
+        Span(interval.0 * self.nodes as u64 / heard as u64)
+    }
+}
+
 /// Why a request was not admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Denied {
--- a/crates/dispatch/src/rate_limit.rs
+++ b/crates/dispatch/src/rate_limit.rs
@@ -1,5 +1,12 @@
 //! Endpoints that name a rate limit: how many requests a second they take from all
 //! nodes together, for as long as their answers say so.
+//!
+//! One node keeps the limit of an endpoint: the owner of its slots, which alone sends
+//! requests there or gives others leave to. It spaces them evenly, the next no sooner than
+//! the limit says, and saves nothing up while none come: with a saved start at each of many
+//! nodes, or at each of several owners that follow each other, a low limit would be
+//! exceeded at once. What an answer said goes to all nodes by their statuses, newest first,
+//! so that an owner which got no such answer, or follows another, keeps the limit too.
 
 use std::fmt;
 use std::str::FromStr;
@@ -7,11 +14,33 @@
 use serde::Deserialize;
 use serde::Serialize;
 use woadstage_types::unit;
+use woadstage_types::unit::MICROS_PER_SECOND;
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 /// Steps of a limit in one request a second.
 const STEPS: f64 = 1_000.0;
 
+/// The longest time between two requests to an endpoint, however low its limit. Only
+/// answers say that a limit has ended, so an endpoint that is sent nothing would stay
+/// limited for good.
+const SENT_AT_LEAST_EVERY: Span = Span::from_secs(10);
+
+/// How much sooner the next request may follow where one was later than its time: what
+/// waits is looked at a few dozen times a second.
+const CAUGHT_UP_MOST: Span = Span::from_millis(40);
+
+/// How much later than a limit an answer without one must have come, by what other nodes
+/// say, to end it: their reports are on their way for some milliseconds, which would make
+/// an older answer look newer.
+const ENDS_AFTER: Span = Span::from_millis(100);
+
+/// How much newer a report of the limit that is known already must be to be taken.
+const REFRESHED_AFTER: Span = Span::from_secs(1);
+
+/// How long others are told that a limit has ended.
+const END_TOLD_FOR: Span = Span::from_secs(5);
+
 /// Requests a second that an endpoint takes, in thousandths. Text form: `2.75`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -22,6 +51,12 @@
     pub fn per_second(self) -> f64 {
         f64::from(self.0) / STEPS
     }
+
+    /// The time from one request to the next.
+    pub fn to_interval(self) -> Span {
+        let micros = MICROS_PER_SECOND as f64 / self.per_second();
+        Span(micros as u64).min(SENT_AT_LEAST_EVERY)
+    }
 }
 
 impl fmt::Display for Limit {
@@ -54,10 +89,33 @@
     pub at: Time,
 }
 
+/// What one node tells others of an endpoint's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The endpoint's number.
+    pub endpoint: u32,
+    /// The limit; none where it named one and does so no more.
+    pub limit: Option<Limit>,
+    /// Milliseconds since the answer that said so.
+    pub age_ms: u32,
+}
+
+impl Told {
+    /// The same as a report of a node that heard it now.
+    pub fn to_report(self, now: Time) -> Report {
+        Report {
+            limit: self.limit,
+            at: now - Span::from_millis(u64::from(self.age_ms)),
+        }
+    }
+}
+
 /// What is known of one endpoint's limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct State {
     report: Option<Report>,
+    /// From when on the time until the next request counts.
+    since: Time,
 }
 
 impl State {
@@ -72,12 +130,62 @@
     ///
     /// True where the limit is another than before.
     pub fn note_answer(&mut self, now: Time, sent: Time, limit: Option<Limit>) -> bool {
-        let before = self.limit_opt();
         let is_older = |report: Report| report.limit.is_some() && sent <= report.at;
         if limit.is_none() && self.report.is_none_or(is_older) {
             return false;
         }
-        self.report = Some(Report { limit, at: now });
-        before != limit
+        self.replace(now, Report { limit, at: now })
+    }
+
+    /// Takes what another node reports. True where the limit is another than before.
+    pub fn note_report(&mut self, now: Time, report: Report) -> bool {
+        let Some(known) = self.report else {
+            return report.limit.is_some() && self.replace(now, report);
+        };
+        let newer_by = match report.limit {
+            same if same == known.limit => REFRESHED_AFTER,
+            Some(_) => Span::ZERO,
+            None => ENDS_AFTER,
+        };
+        report.at > known.at + newer_by && self.replace(now, report)
+    }
+
+    fn replace(&mut self, now: Time, report: Report) -> bool {
+        let before = self.limit_opt();
+        if before.is_none() {
+            // A request was sent there a moment ago, since it answered.
+            self.since = now;
+        }
+        self.report = Some(report);
+        before != report.limit
+    }
+
+    /// What others are told of the endpoint with this number, if anything.
+    pub fn to_told_opt(&self, now: Time, endpoint: u32) -> Option<Told> {
+        let report = self.report?;
+        let age = now.since(report.at);
+        let told = report.limit.is_some() || age < END_TOLD_FOR;
+        told.then_some(Told {
+            endpoint,
+            limit: report.limit,
+            age_ms: u32::try_from(age.0 / 1_000).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// True where a request may follow the one before, with `spacing` between two.
+    pub fn may_start(&self, now: Time, spacing: Span) -> bool {
+        now >= self.since + spacing
+    }
+
+    /// Notes that a request is sent, with `spacing` between two.
+    pub fn start(&mut self, now: Time, spacing: Span) {
+        let due = self.since + spacing;
+        self.since = due.clamp(now - CAUGHT_UP_MOST, now);
+    }
+
+    /// Notes that another node keeps the limit. Once this one does, its first request is
+    /// as far from what the other sent as any two are.
+    pub fn wait(&mut self, now: Time) {
+        self.since = now;
     }
 }
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -1,13 +1,12 @@
 //! How messages between nodes are written and read.
 //!
 //! Each message has the layout that every build reads, and behind it what later builds
-//! add: an addition, or what a configuration binds to regions. A build reads of it what it
+//! add: an addition with rate limits behind it, or what a configuration binds to regions. A build reads of it what it
 //! knows, takes the usual for what is missing, and leaves the rest. Nothing that stands
 //! before it ever changes (docs/PROTOCOL.md; test `what_is_written_is_kept`).
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 use crate::edition::Era;
 use crate::message::Frame;
@@ -15,6 +14,7 @@
 use crate::message::Pull;
 use crate::protocol;
 use crate::protocol::Protocol;
+use crate::rate_limit;
 
 /// What stands behind a status, a question for documents, and a list of endpoints. More
 /// fields may only be added at its end, each in an addition of its own that may be
@@ -48,7 +48,8 @@
         protocol: status.protocol,
         era: status.endpoints.era,
     };
-    postcard::to_extend(&addition, bytes)
+    let bytes = postcard::to_extend(&addition, bytes)?;
+    postcard::to_extend(&status.rate_limits, bytes)
 }
 
 /// Reads a datagram; nothing for another layout or for what is no message.
@@ -57,10 +58,12 @@
     if *layout != protocol::LAYOUT {
         return None;
     }
-    let (mut message, addition) = read(rest).ok()?;
+    let (mut message, rest) = postcard::take_from_bytes(rest).ok()?;
     if let Message::Status(status) = &mut message {
+        let (addition, rest) = take_addition(rest).ok()?;
         status.protocol = addition.protocol;
         status.endpoints.era = addition.era;
+        status.rate_limits = take_rate_limits(rest).ok()?;
     }
     Some(message)
 }
@@ -82,7 +85,8 @@
 /// # Errors
 /// Where the bytes are none.
 pub fn pull_from_bytes(bytes: &[u8]) -> postcard::Result<Pull> {
-    let (mut pull, addition): (Pull, _) = read(bytes)?;
+    let (mut pull, rest): (Pull, _) = postcard::take_from_bytes(bytes)?;
+    let (addition, _) = take_addition(rest)?;
     pull.protocol = addition.protocol;
     pull.known.endpoints.era = addition.era;
     Ok(pull)
@@ -114,22 +118,25 @@
 pub fn frame_from_bytes(bytes: &[u8]) -> postcard::Result<Frame> {
     let (mut frame, rest) = postcard::take_from_bytes(bytes)?;
     match &mut frame {
-        Frame::Endpoints(difference) => difference.era = read_addition(rest)?.era,
+        Frame::Endpoints(difference) => difference.era = take_addition(rest)?.0.era,
         Frame::Head(head) if !rest.is_empty() => head.restrictions = postcard::from_bytes(rest)?,
         Frame::Head(_) | Frame::Busy | Frame::Part(_) => {}
     }
     Ok(frame)
 }
 
-/// Reads a message and the addition behind it.
-fn read<M: DeserializeOwned>(bytes: &[u8]) -> postcard::Result<(M, Addition)> {
-    let (message, rest) = postcard::take_from_bytes(bytes)?;
-    Ok((message, read_addition(rest)?))
+/// Reads the addition behind a message, and gives what stands behind it.
+fn take_addition(rest: &[u8]) -> postcard::Result<(Addition, &[u8])> {
+    match rest {
+        [] => Ok((Addition::NONE, rest)),
+        rest => postcard::take_from_bytes(rest),
+    }
 }
 
-fn read_addition(rest: &[u8]) -> postcard::Result<Addition> {
+/// Reads the rate limits behind the addition of a status.
+fn take_rate_limits(rest: &[u8]) -> postcard::Result<Vec<rate_limit::Told>> {
     match rest {
-        [] => Ok(Addition::NONE),
+        [] => Ok(Vec::new()),
         rest => postcard::from_bytes(rest),
     }
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -276,6 +276,11 @@
         self.running > 0 && now.since(self.heard) > options.silence
     }
 
+    /// True while it names a rate limit.
+    pub fn is_rate_limited(&self) -> bool {
+        self.rate_limit.limit_opt().is_some()
+    }
+
     /// True unless it is leaving or gone.
     pub fn is_staying(&self) -> bool {
         self.listed && !self.endpoint.leaving && self.gone_at.is_none()
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod quota;
 mod quota_fleet;
+mod rate_limit;
 mod region;
 mod restore;
 mod retry;
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -44,6 +44,8 @@
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine::Finding;
 use woadstage_dispatch::quota::Denied;
+use woadstage_dispatch::rate_limit;
+use woadstage_dispatch::rate_limit::Limit;
 use woadstage_dispatch::region::Regions;
 use woadstage_dispatch::section;
 use woadstage_dispatch::section::Difference;
@@ -108,9 +110,22 @@
         quarantine: 0x1234,
         findings: vec![finding()],
         protocol: Protocol::OWN,
+        rate_limits: vec![told(5, Some("2.75")), told(6, None)],
     }
 }
 
+fn told(endpoint: u32, limit: Option<&str>) -> rate_limit::Told {
+    rate_limit::Told {
+        endpoint,
+        limit: limit.map(to_limit),
+        age_ms: 1_300,
+    }
+}
+
+fn to_limit(text: &str) -> Limit {
+    text.parse().expect("a limit")
+}
+
 fn rank() -> Rank {
     Rank {
         priority: 1,
@@ -172,6 +187,9 @@
     let reserved = |verdict| Message::Reserved(Reserved { number: 4, verdict });
     let leased = |answer| Message::Leased(lease::Reply { number: 5, answer });
     let report = |event| Message::Report(lease::Report { number: 5, event });
+    let limited = |limit: Option<&str>| Event::RateLimit {
+        limit: limit.map(to_limit),
+    };
     let denied = Denied {
         wait: Span::from_millis(70),
         level: 1.25,
@@ -224,6 +242,8 @@
         ("report-progress", report(Event::Progress)),
         ("report-cold", report(cold)),
         ("report-ended", report(ended)),
+        ("report-rate-limit", report(limited(Some("0.4")))),
+        ("report-rate-limit-ended", report(limited(None))),
         ("check", Message::Check(lease::Check { number: 5 })),
         ("findings", Message::Findings(vec![finding()])),
     ]
