--- a/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
+++ b/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
@@ -315,3 +315,28 @@
     let seen = world.between(from + HOLDS_AFTER, world.now - SECOND);
     assert_in_time(&seen, 95.0);
 }
+
+/// With cells, nodes that see different fleets for a while take different nodes for the
+/// owner of the same slots. Each restart of a node moves others to other cells.
+#[rstest]
+#[case::one_after_the_other(1, "2.7")]
+#[case::one_after_the_other_fast(1, "8")]
+#[case::six_at_a_time_fast(6, "8")]
+fn limits_hold_while_cells_change(#[case] at_once: usize, #[case] text: &str) {
+    let mut world = World::start(Shape {
+        nodes: 36,
+        centres: 2,
+        ..middle()
+    });
+    let nodes = all_nodes(&world);
+    load(&mut world, MODEL, 900, Span::from_secs(14), &nodes);
+    world.run_for(SECOND);
+    let from = world.now;
+    let named = name_limits(&mut world, 2, text);
+    world.run_for(Span::from_secs(2));
+    for turn in nodes.chunks(at_once).take(20) {
+        kill_for(&mut world, turn, Span::from_millis(200));
+        world.run_for(Span::from_millis(300));
+    }
+    assert_kept(&world, &named, text, from);
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod explain;
 mod fingerprint;
+mod keep;
 mod log;
 mod peers;
 mod rate_limit;
