fix: a node keeps its part of the connections that endpoints take

Each node kept up to 16 connections at rest to an endpoint, whatever that takes: with 585 nodes 9,360 at the most where the endpoints of such a fleet take 1,800 or 2,100 and reset those beyond.

Now a node keeps its even part of half of what the endpoint takes, one at the least and 16 at the most. Why it holds: the parts add up to half, the other half is for those in use, of which an endpoint has little more than its slots. Where more nodes than half the connections keep one each, the rest is not bounded (no deployment of ours has so few).

--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -22,6 +22,10 @@
 /// of 260 kB takes 0.7 s on 10 Mbit/s beside two others.
 const CATCH_UP_WITHIN: Span = Span::from_secs(1);
 
+/// Of so many connections that endpoints take one may be at rest: the rest is for those
+/// in use, and for nodes that have more than their even part.
+const KEPT_OF_TAKEN: usize = 2;
+
 /// What a node holds, for metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summary {
@@ -149,6 +153,20 @@
         self.remote.len()
     }
 
+    /// Connections at rest that this node may keep to one endpoint of a service, without
+    /// those in use: its even part of half of what the endpoint takes from all nodes
+    /// together, and one in any case. Endpoints reset connections beyond what they take,
+    /// which costs whoever opens the next one.
+    pub fn connections_at_rest(&self, now: Time, target: &id::Target) -> usize {
+        let service = self
+            .table
+            .as_ref()
+            .and_then(|table| table.service_opt(target));
+        let taken = service.map_or(0, |service| service.connections as usize);
+        let nodes = self.members.reach(now).nodes;
+        (taken / KEPT_OF_TAKEN / nodes.max(1)).max(1)
+    }
+
     /// How much of the fleet this node can speak for.
     pub fn reach(&self, now: Time) -> Reach {
         self.members.reach(now)
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod cold;
+mod connections;
 mod duration;
 mod evacuate;
 mod first_try;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -226,7 +226,11 @@
         tokio::task::spawn_local(async move {
             let life = endpoint.to_life();
             if let Some(connection) = reuse::rested(connection, keep).await {
-                shell.upstream.keep(shell.now(), life, connection, keep);
+                let most = shell.query(|dispatcher, now| {
+                    dispatcher.connections_at_rest(now, &endpoint.service)
+                });
+                let upstream = &shell.upstream;
+                upstream.keep(shell.now(), life, connection, keep, most);
             }
         });
     }
--- a/crates/gateway/src/upstream/reuse.rs
+++ b/crates/gateway/src/upstream/reuse.rs
@@ -23,7 +23,7 @@
 /// The part of what an endpoint says that a connection is kept, in percent.
 const KEEP_PERCENT: u32 = 70;
 
-/// Connections at rest that are kept for one endpoint.
+/// Connections at rest that are kept for one endpoint, however many it takes.
 const KEPT_MOST: usize = 16;
 
 /// How long a connection may take to be ready again after an answer.
@@ -42,14 +42,22 @@
         Some(idle.remove(at).connection)
     }
 
-    /// Keeps a connection that has [`rested`], for so long at the most. The time for
-    /// which its other end keeps it goes on while this host is suspended.
-    pub fn keep(&self, now: Time, endpoint: Life, connection: Connection, keep: Duration) {
+    /// Keeps a connection that has [`rested`], for so long at the most, and no more than
+    /// `most` to the same endpoint. The time for which its other end keeps it goes on
+    /// while this host is suspended.
+    pub fn keep(
+        &self,
+        now: Time,
+        endpoint: Life,
+        connection: Connection,
+        keep: Duration,
+        most: usize,
+    ) {
         let mut all = self.idle.borrow_mut();
         let idle = all.entry(endpoint).or_default();
-        if idle.len() >= KEPT_MOST {
-            idle.remove(0);
-        }
+        let kept_before = most.clamp(1, KEPT_MOST) - 1;
+        let over = idle.len().saturating_sub(kept_before);
+        idle.drain(..over);
         idle.push(Idle {
             connection,
             since: now,
