--- a/crates/dispatch/tests/dispatch/restore.rs
+++ b/crates/dispatch/tests/dispatch/restore.rs
@@ -284,3 +284,32 @@
     dispatcher.tick(at(12_001));
     assert_eq!(used(&mut dispatcher, at(12_002)), ["a", "b", "c"]);
 }
+
+/// What users saw (in the soak, seed 11 of drills alone): three of four nodes refused all
+/// requests for 27 s and more, as if all data centres were evacuated, though none was. The
+/// order of events: one data centre was evacuated and taken back, the platform came back
+/// from a copy in which it still was, and again; a node read the new era first and held the
+/// evacuation for 10 s, as it must; the others took its list, with the evacuation in it.
+/// The cause: a node passed on its list as it had corrected it, under the edition that the
+/// platform's own list has. Once the correction ended nothing told the others, and reads of
+/// their own were dropped, being of the same edition. The evidence: at the end the node that
+/// had corrected served, and those that had its list did not, all in one era and revision.
+#[test]
+fn a_correction_ends_for_nodes_that_took_the_list_from_others() {
+    let mut reader = know(&[plain("a")]);
+    let evacuated = List {
+        evacuated: vec![id::DataCentre::new("a")],
+        ..list(1, 101, &[plain("a")])
+    };
+    set(&mut reader, at(1_000), evacuated);
+    publish(&mut reader, 2_000, (2, 99), &[plain("a")]);
+    assert_eq!(used(&mut reader, at(2_100)), [""; 0]);
+    let mut other = know(&[plain("a")]);
+    pass_on(&reader, &mut other);
+    for millis in (2_100..=13_000).step_by(100) {
+        reader.tick(at(millis));
+        other.tick(at(millis));
+    }
+    assert_eq!(used(&mut reader, at(13_001)), ["a"]);
+    assert_eq!(used(&mut other, at(13_001)), ["a"]);
+}
