fix: nodes pass on lists as the platform has them, not as they corrected them

Cause: a node that knows better than an older copy corrects its list for 10 s, and passed that on under the edition that the platform's own list has. When the correction ended nothing told the nodes that had taken it, and what they read themselves was of the same edition and dropped.

Now a node passes on what the platform has. Why it holds: each node corrects by what it was told before, and ends that by itself; what goes between nodes under one edition is one content. The price: a node that starts in those seconds no longer hears of corrections from others (docs/PROMISES.md, hole); before, it kept them for good.

--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -23,6 +23,7 @@
 use crate::parts::Digest;
 use crate::protocol::Protocol;
 use crate::quota::Speaker;
+use crate::section;
 use crate::section::Difference;
 use crate::worker::Reports;
 
@@ -223,7 +224,7 @@
             false => self.list.edition().without_era(),
         };
         let later = edition > pull.known.endpoints;
-        let endpoints = later.then(|| Difference::new(&self.list, &self.sections, &pull.sections));
+        let endpoints = later.then(|| self.difference(pull));
         let table = self.table.as_ref();
         let newer = table.filter(|table| table.configuration().version > pull.known.configuration);
         let Some(table) = newer else {
@@ -241,6 +242,17 @@
         }
     }
 
+    /// What a node that asks lacks of the list as the platform has it. What this node
+    /// knows better goes before that for a while only, and nobody would tell the others
+    /// of its end: the platform's list has the same edition then.
+    fn difference(&self, pull: &Pull) -> Difference {
+        let Some(list) = &self.uncorrected else {
+            return Difference::new(&self.list, &self.sections, &pull.sections);
+        };
+        let sections = section::Index::new(list);
+        Difference::new(list, &sections, &pull.sections)
+    }
+
     /// What to ask another node. Parts of the configuration are named only where it
     /// has a newer one. What it gives of endpoints is to be put together with the
     /// list that is in force at this moment ([`Difference::into_list`]).
