refactor: slots at limited endpoints that nodes of the build before give out are given back

What the diff's reading found: such a slot was to be used once in the time that the limit leaves to each node, but that time began anew as long as another node owned the slot, so that it never came.

--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -93,9 +93,9 @@
             self.submit(now, id, job);
             return;
         }
-        if !self.may_use_slot(now, question.owner, &self.pools[&target].workers[worker]) {
-            let number = self.pools[&target].workers[worker].number;
-            job.history.tried.push(number);
+        let known = &self.pools[&target].workers[worker];
+        if !self.may_use_slot(question.owner, known) {
+            job.history.tried.push(known.number);
             self.return_slot(question.owner, question.number, End::Abandoned);
             self.submit(now, id, job);
             return;
--- a/crates/dispatch/src/dispatcher/keep_rate_limit.rs
+++ b/crates/dispatch/src/dispatcher/keep_rate_limit.rs
@@ -160,13 +160,8 @@
     }
 
     /// True unless an owner that keeps no rate limits gave a slot of an endpoint that
-    /// names one, and this node has used its even part of what all nodes may send there.
-    pub(super) fn may_use_slot(&self, now: Time, owner: SocketAddrV4, worker: &Worker) -> bool {
-        let Some(limit) = worker.rate_limit.limit_opt() else {
-            return true;
-        };
-        let nodes = self.members.reach(now).nodes as u64;
-        let spacing = Span(limit.to_interval().0 * nodes);
-        self.members.keeps_rate_limits(owner) || worker.rate_limit.may_start(now, spacing)
+    /// names one: how much it lets through to other nodes nobody knows.
+    pub(super) fn may_use_slot(&self, owner: SocketAddrV4, worker: &Worker) -> bool {
+        !worker.is_rate_limited() || self.members.keeps_rate_limits(owner)
     }
 }
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -33,7 +33,6 @@
         self.arrange(now);
         self.count_others(now);
         self.take_rate_limits_heard(now);
-        self.wait_for_limits(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
@@ -47,7 +46,8 @@
         paused
     }
 
-    /// Arranges cells anew, now and then: nodes and endpoints come and go.
+    /// Arranges cells anew, now and then, and looks who owns what: nodes and endpoints
+    /// come and go.
     fn arrange(&mut self, now: Time) {
         if now.since(self.arranged) < ARRANGE_EVERY {
             return;
@@ -59,6 +59,7 @@
             self.assign_workers();
         }
         self.check_remote(now);
+        self.wait_for_limits(now);
     }
 
     fn refuse_expired(&mut self, now: Time, target: &id::Target) {
