--- a/crates/dispatch/tests/dispatch/fleet/crash.rs
+++ b/crates/dispatch/tests/dispatch/fleet/crash.rs
@@ -23,28 +23,6 @@
 /// What crashes the endpoints.
 const CRASHING: Fingerprint = Fingerprint(0xc4a5);
 
-/// One cell, as of a fleet of seven hosts.
-fn small() -> Shape {
-    Shape {
-        nodes: 7,
-        centres: 1,
-        endpoints: 12,
-        slots: 7,
-        ..shape()
-    }
-}
-
-/// The fleet two years on, with a tenth of its endpoints.
-fn large() -> Shape {
-    Shape {
-        nodes: 46,
-        centres: 9,
-        endpoints: 34,
-        slots: 7,
-        ..shape()
-    }
-}
-
 /// Sends requests that each ask for something of their own, so many a second.
 fn load_others(world: &mut World, per_second: u64, span: Span, nodes: &[u16]) {
     for number in 0..per_second * span.0 / SECOND.0 {
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -45,6 +45,28 @@
     }
 }
 
+/// One cell, as of a fleet of seven hosts.
+fn small() -> Shape {
+    Shape {
+        nodes: 7,
+        centres: 1,
+        endpoints: 12,
+        slots: 7,
+        ..shape()
+    }
+}
+
+/// The fleet two years on, with a tenth of its endpoints.
+fn large() -> Shape {
+    Shape {
+        nodes: 46,
+        centres: 9,
+        endpoints: 34,
+        slots: 7,
+        ..shape()
+    }
+}
+
 /// A request of the least protected rank that is in time within half a second.
 fn request(service: &'static str) -> impl Fn(Time) -> Job {
     move |when| Job {
--- a/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
+++ b/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
@@ -24,17 +24,6 @@
 const MARGIN: f64 = 1.5;
 const MORE: f64 = 5.0;
 
-/// One cell, as of a fleet of seven hosts.
-fn small() -> Shape {
-    Shape {
-        nodes: 7,
-        centres: 1,
-        endpoints: 12,
-        slots: 7,
-        ..shape()
-    }
-}
-
 /// Three data centres with a cell each.
 fn middle() -> Shape {
     Shape {
@@ -46,17 +35,6 @@
     }
 }
 
-/// The fleet two years on, with a tenth of its endpoints.
-fn large() -> Shape {
-    Shape {
-        nodes: 46,
-        centres: 9,
-        endpoints: 34,
-        slots: 7,
-        ..shape()
-    }
-}
-
 fn limit(text: &str) -> Limit {
     text.parse().expect("a limit")
 }
@@ -282,32 +260,21 @@
 }
 
 /// Nodes of the build before send as they did; those of this build keep what they can.
-#[test]
-fn nodes_of_this_build_keep_limits_beside_those_before() {
-    let mut world = World::start(small());
-    let nodes = all_nodes(&world);
-    world.before = nodes.iter().copied().filter(|node| node % 2 == 0).collect();
-    let own: Vec<u16> = nodes.iter().copied().filter(|node| node % 2 == 1).collect();
-    world.run_for(SECOND);
-    load(&mut world, MODEL, 40, Span::from_secs(10), &own);
-    let from = world.now;
-    let named = name_limits(&mut world, 6, "2.7");
-    world.run_for(Span::from_secs(10));
-    assert_kept(&world, &named, "2.7", from);
-    let seen = world.between(from + HOLDS_AFTER, world.now - SECOND);
-    assert_in_time(&seen, 95.0);
-}
-
-/// The same with cells, whose slots nodes of the build before own in part: what such an
-/// owner gives out at an endpoint that names a limit is given back.
-#[test]
-fn slots_that_nodes_before_give_out_are_given_back() {
-    let mut world = World::start(middle());
+/// With cells the former own slots too: what they give out at an endpoint that names a
+/// limit is given back.
+#[rstest]
+#[case::one_cell(small(), 40)]
+#[case::cells(middle(), 300)]
+fn nodes_of_this_build_keep_limits_beside_those_before(
+    #[case] shape: Shape,
+    #[case] per_second: u64,
+) {
+    let mut world = World::start(shape);
     let nodes = all_nodes(&world);
-    world.before = nodes.iter().copied().filter(|node| node % 2 == 0).collect();
-    let own: Vec<u16> = nodes.iter().copied().filter(|node| node % 2 == 1).collect();
+    let (own, before): (Vec<u16>, Vec<u16>) = nodes.iter().partition(|node| **node % 2 == 1);
+    world.before = before.into_iter().collect();
     world.run_for(SECOND);
-    load(&mut world, MODEL, 300, Span::from_secs(10), &own);
+    load(&mut world, MODEL, per_second, Span::from_secs(10), &own);
     let from = world.now;
     let named = name_limits(&mut world, 6, "2.7");
     world.run_for(Span::from_secs(10));
