refactor: what an endpoint says of itself in an answer is read once, and reaches the decisions in one command

How long an endpoint is cold and how many requests a second it takes each had a way of their own from the answer's head to the decisions. Now the adapter reads a head into one typed notice, one command takes it, and every change of belief is one log event (`notice`, in place of `rate-limit`, and new for cold ones) and one count.

Decisions are the same but for one: a head that is not this endpoint's answer to this request (another id, or 421) no longer makes it cold. The tests that named the old commands and the old log line name the new ones.

--- a/crates/dispatch/src/dispatcher/keep_rate_limit.rs
+++ b/crates/dispatch/src/dispatcher/keep_rate_limit.rs
@@ -11,6 +11,7 @@
 use crate::job;
 use crate::lease;
 use crate::lease::Lease;
+use crate::notice::Change;
 use crate::rate_limit::Limit;
 use crate::rate_limit::Told;
 use crate::worker::Worker;
@@ -20,19 +21,10 @@
 const TOLD_MOST: usize = 16;
 const TOLD_TO_NEWCOMER_MOST: usize = 64;
 
-/// An endpoint named another limit than before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Change {
-    /// The limit before; none where there was none.
-    pub before: Option<Limit>,
-    /// The limit now; none where there is none any more.
-    pub after: Option<Limit>,
-}
-
 impl Dispatcher {
     /// Takes the limit that the head of an answer names, or that it names none. Gives
     /// the change that this brought, if any.
-    pub fn note_rate_limit(
+    pub(super) fn note_rate_limit(
         &mut self,
         now: Time,
         id: job::Id,
@@ -47,14 +39,14 @@
         if let Some(lease) = lease.filter(|_| changed || limit.is_some()) {
             self.report_rate_limit(lease, limit);
         }
-        let change = Change {
+        if !changed {
+            return None;
+        }
+        self.spread_limit(before, limit);
+        Some(Change::RateLimit {
             before,
             after: limit,
-        };
-        if changed {
-            self.spread_change(change);
-        }
-        changed.then_some(change)
+        })
     }
 
     /// Tells the owner of a slot what its endpoint said. It may be in another cell, and
@@ -68,9 +60,9 @@
 
     /// Sees to it that others soon hear of a change: all of them where a limit begins or
     /// ends, and those of the cell, which send requests there, where it moves.
-    fn spread_change(&mut self, change: Change) {
+    fn spread_limit(&mut self, before: Option<Limit>, after: Option<Limit>) {
         self.urgent = true;
-        self.news |= change.before.is_none() || change.after.is_none();
+        self.news |= before.is_none() || after.is_none();
     }
 
     /// Keeps what another node tells until it is looked at together with its load.
@@ -97,14 +89,11 @@
             };
             let before = worker.rate_limit.limit_opt();
             if worker.rate_limit.note_report(now, *report) {
-                changes.push(Change {
-                    before,
-                    after: report.limit,
-                });
+                changes.push((before, report.limit));
             }
         }
-        for change in changes {
-            self.spread_change(change);
+        for (before, after) in changes {
+            self.spread_limit(before, after);
         }
     }
 
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -192,7 +192,9 @@
             Event::Held => {}
             Event::First => self.progress(now, id, 1),
             Event::Progress => self.note_alive(now, id),
-            Event::Cold { cold_for } => self.note_cold(now, id, cold_for),
+            Event::Cold { cold_for } => {
+                self.note_cold(now, id, cold_for);
+            }
             Event::Ended { end, seen } => self.end_remote(now, origin, end, seen),
             Event::RateLimit { limit } => {
                 self.note_rate_limit(now, id, limit);
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -18,6 +18,7 @@
 //! * `displace.rs`: where requests go that may not run in this data centre.
 //! * `predict.rs`: what is expected of an engine.
 //! * `observe.rs`: calls make progress and end.
+//! * `take_notice.rs`: what endpoints say of themselves in answers.
 //! * `suspect.rs`: requests under which endpoints ended.
 //! * `tick.rs`: what only the passing of time brings about.
 //! * `share.rs`: what nodes tell each other.
@@ -89,11 +90,11 @@
 mod spare;
 mod start_cold;
 mod suspect;
+mod take_notice;
 mod tick;
 
 use borrow::Question;
 pub use enter::Refusal;
-pub use keep_rate_limit::Change as RateLimitChange;
 use lend::Remote;
 pub use policy::Policy;
 pub use query::Summary;
--- a/crates/dispatch/src/dispatcher/start_cold.rs
+++ b/crates/dispatch/src/dispatcher/start_cold.rs
@@ -5,8 +5,6 @@
 
 use super::Dispatcher;
 use super::Pool;
-use crate::job;
-use crate::lease;
 use crate::worker::Worker;
 
 impl Pool {
@@ -39,19 +37,4 @@
         let interval = pool.cold?.interval;
         Some(self.members.reach(now).stretch(interval))
     }
-
-    /// An endpoint said in an answer that it is cold for so long.
-    pub fn note_cold(&mut self, now: Time, id: job::Id, cold_for: Span) {
-        let Some(run) = self.runs.get(&id) else {
-            return;
-        };
-        let Some(pool) = self.pools.get_mut(&run.job.target) else {
-            return;
-        };
-        pool.workers[run.worker].cold.extend(now, cold_for);
-        let lease = run.lease;
-        if let Some(lease) = lease {
-            self.report(lease.owner, lease.number, lease::Event::Cold { cold_for });
-        }
-    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 //! * [`quarantine`]: requests that are not run any more, as endpoints ended under them.
 //! * [`queue`]: what waits for an endpoint.
 //! * [`quota`]: what customers may use, over all nodes.
+//! * [`notice`]: what endpoints say of themselves in answers.
 //! * [`rate_limit`]: how many requests a second endpoints say they take.
 //! * [`budget`]: what may be sent again, over all nodes.
 //! * [`member`]: which other nodes there are.
@@ -48,6 +49,7 @@
 pub mod length;
 pub mod member;
 pub mod message;
+pub mod notice;
 pub mod parts;
 pub mod protocol;
 pub mod quarantine;
--- /dev/null
+++ b/crates/dispatch/src/notice.rs
@@ -0,0 +1,81 @@
+//! What an endpoint says of itself in the head of an answer.
+//!
+//! The adapter reads a head once, into a [`Notice`], and all of it reaches the decisions by
+//! one command ([`Dispatcher::take_notice`](crate::dispatcher::Dispatcher::take_notice)).
+
+use std::fmt;
+
+use woadstage_types::unit::Span;
+
+use crate::rate_limit::Limit;
+
+/// What one head says of its endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// How much longer the endpoint is cold; none where it does not say that it is.
+    pub cold_for: Option<Span>,
+    /// How many requests a second it takes from all nodes together.
+    pub rate_limit: Field<Limit>,
+}
+
+/// A field whose absence says something too.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Field<T> {
+    /// Nothing is known: it could not be read, or the head does not count for it.
+    #[default]
+    Unknown,
+    /// The head does not have it.
+    Absent,
+    /// The head has it.
+    Given(T),
+}
+
+/// What is believed of an endpoint otherwise than before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// It is cold, which it was not.
+    Cold {
+        /// For how long.
+        lasts: Span,
+    },
+    /// It takes another number of requests a second; none where it names no limit.
+    RateLimit {
+        /// The limit before.
+        before: Option<Limit>,
+        /// The limit now.
+        after: Option<Limit>,
+    },
+}
+
+impl Change {
+    /// What it is about, as logs and metrics name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Change::Cold { .. } => "cold",
+            Change::RateLimit { .. } => "rate-limit",
+        }
+    }
+
+    /// What was believed before, for logs.
+    pub fn to_before(self) -> String {
+        match self {
+            Change::Cold { .. } => NONE.to_owned(),
+            Change::RateLimit { before, .. } => to_text(before),
+        }
+    }
+
+    /// What is believed now, for logs.
+    pub fn to_after(self) -> String {
+        match self {
+            Change::Cold { lasts } => lasts.to_string(),
+            Change::RateLimit { after, .. } => to_text(after),
+        }
+    }
+}
+
+/// How logs name that an endpoint says nothing of a kind.
+const NONE: &str = "none";
+
+fn to_text<T: fmt::Display>(value: Option<T>) -> String {
+    value.map_or_else(|| NONE.to_owned(), |value| value.to_string())
+}
--- a/crates/dispatch/tests/dispatch/cold.rs
+++ b/crates/dispatch/tests/dispatch/cold.rs
@@ -5,6 +5,7 @@
 use woadstage_dispatch::cold::Bound;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::notice::Notice;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
@@ -103,7 +104,11 @@
     let mut dispatcher = node(Some(BOUND), &[endpoint("e", SERVICE, 8)]);
     let first = dispatcher.enter(at(1_000), job(SERVICE, 2, at(1_000)));
     starts(&mut dispatcher);
-    dispatcher.note_cold(at(1_000), first, Span::from_millis(600));
+    let notice = Notice {
+        cold_for: Some(Span::from_millis(600)),
+        ..Notice::default()
+    };
+    dispatcher.take_notice(at(1_000), first, &notice);
     // The one that brought the word counts as well.
     assert_eq!(
         sent_by(&mut dispatcher, &[1_000, 1_199, 1_200, 1_600]),
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -25,6 +25,8 @@
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
+use woadstage_dispatch::notice::Field;
+use woadstage_dispatch::notice::Notice;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine;
 use woadstage_dispatch::rate_limit::Limit;
@@ -442,7 +444,11 @@
                 let reads = !self.before.contains(&node);
                 let limit = self.limits.get(&endpoint).filter(|_| reads).copied();
                 if let Some(dispatcher) = self.nodes.get_mut(&node) {
-                    dispatcher.note_rate_limit(now, id, limit);
+                    let notice = Notice {
+                        rate_limit: limit.map_or(Field::Absent, Field::Given),
+                        ..Notice::default()
+                    };
+                    dispatcher.take_notice(now, id, &notice);
                     dispatcher.progress(now, id, 1);
                     self.settle(node);
                 }
--- a/crates/dispatch/tests/dispatch/rate_limit.rs
+++ b/crates/dispatch/tests/dispatch/rate_limit.rs
@@ -3,6 +3,8 @@
 use rstest::rstest;
 use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::job::End;
+use woadstage_dispatch::notice::Field;
+use woadstage_dispatch::notice::Notice;
 use woadstage_dispatch::rate_limit::Limit;
 use woadstage_dispatch::rate_limit::Report;
 use woadstage_dispatch::rate_limit::State;
@@ -123,7 +125,11 @@
     dispatcher.tick(at(1));
     let first = dispatcher.enter(at(400), job(SERVICE, 1, at(400)));
     let (_, needy) = starts(&mut dispatcher)[0].clone();
-    dispatcher.note_rate_limit(at(410), first, limit("2"));
+    let notice = Notice {
+        rate_limit: Field::Given(limit("2").expect("a limit")),
+        ..Notice::default()
+    };
+    dispatcher.take_notice(at(410), first, &notice);
     dispatcher.end(at(420), first, End::Whole);
     let second = dispatcher.enter(at(430), job(SERVICE, 1, at(430)));
     assert_ne!(starts(&mut dispatcher)[0].1, needy);
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -221,14 +221,16 @@
         /// Milliseconds since it was sent.
         after_ms: u64,
     },
-    /// An endpoint named another rate limit than before, or named none any more.
-    RateLimit {
-        /// The caller's id of the request whose answer said so.
+    /// Something else is believed of an endpoint, by what it says of itself.
+    Notice {
+        /// The caller's id of the request whose answer said so; empty where no answer did.
         request: &'a str,
         /// The endpoint.
         endpoint: &'a str,
-        /// Requests a second that it takes now, or `none`.
-        limit: &'a str,
+        /// What it is about: `cold` or `rate-limit`.
+        what: &'a str,
+        /// What is believed now: a time, requests a second, or `none`.
+        now: &'a str,
         /// The same before.
         before: &'a str,
     },
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -6,10 +6,7 @@
 use woadstage_config::read::Reader;
 use woadstage_dispatch::job::Part;
 use woadstage_dispatch::job::Prompt;
-use woadstage_dispatch::rate_limit::Limit;
 use woadstage_types::code::Code;
-use woadstage_types::unit;
-use woadstage_types::unit::Span;
 
 /// Header names. An empty name in the settings means that there is none.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -110,22 +107,6 @@
         Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
     }
 
-    /// For how long an endpoint says that it stays cold, where it does.
-    pub fn to_cold(&self, headers: &HeaderMap) -> Option<Span> {
-        let millis: u64 = text(headers, &self.cold)?.trim().parse().ok()?;
-        (millis > 0).then_some(Span::from_millis(millis))
-    }
-
-    /// The requests a second that an endpoint says it takes, where it does.
-    ///
-    /// # Errors
-    /// Where what it says is no such number.
-    pub fn to_rate_limit(&self, headers: &HeaderMap) -> Result<Option<Limit>, unit::Error> {
-        let said = headers.get(&self.rate_limit);
-        let limit = said.map(|value| String::from_utf8_lossy(value.as_bytes()).parse());
-        limit.transpose()
-    }
-
     /// The milliseconds that a caller will wait, where it says so.
     pub fn to_deadline_ms(&self, headers: &HeaderMap) -> Option<u64> {
         text(headers, &self.deadline)?.trim().parse().ok()
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use hyper::HeaderMap;
 use hyper::Response;
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
 use woadstage_dispatch::dispatcher::Decision;
+use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
@@ -29,6 +29,8 @@
 use super::outgoing;
 use super::outgoing::Attempt;
 use super::payload::Payload;
+use super::read_notice;
+use super::read_notice::Read;
 use super::reply::Reply;
 use crate::event::Event;
 use crate::shell::Shell;
@@ -247,43 +249,28 @@
     fn judge(&self, answer: &Answer) -> Verdict {
         let response = &answer.response;
         let names = &self.shell.headers;
-        if let Some((job, cold_for)) = self.job.zip(names.to_cold(response.headers())) {
-            self.shell
-                .command(|dispatcher, now| dispatcher.note_cold(now, job, cold_for));
-        }
         let verdict = judge::judge(
             names,
             &self.admitted.request,
             response.status(),
             response.headers(),
         );
-        self.note_rate_limit(response.headers(), verdict);
+        self.take_notice(read_notice::read(names, response.headers(), verdict));
         verdict
     }
 
-    /// Takes what an answer says of its endpoint's rate limit. Nothing does that is not
-    /// this endpoint's answer to this request. That it names none counts only where it is
-    /// for the caller: what is in an endpoint's place may answer with errors of its own.
-    fn note_rate_limit(&self, headers: &HeaderMap, verdict: Verdict) {
-        if matches!(verdict, Verdict::Retry(End::Lost | End::NotThere)) {
-            return;
+    /// Takes what an answer says of its endpoint.
+    fn take_notice(&self, read: Read) {
+        for unreadable in &read.unreadable {
+            note::unreadable(&self.shell, unreadable);
         }
-        let limit = match self.shell.headers.to_rate_limit(headers) {
-            Ok(None) if verdict != Verdict::Pass => return,
-            Ok(limit) => limit,
-            Err(error) => {
-                note::unreadable_rate_limit(&self.shell, &error);
-                return;
-            }
-        };
-        let Some(job) = self.job else {
+        let Some((job, endpoint)) = self.job.zip(self.endpoint.as_ref()) else {
             return;
         };
-        let change = self
-            .shell
-            .command(|dispatcher, now| dispatcher.note_rate_limit(now, job, limit));
-        if let Some((change, endpoint)) = change.zip(self.endpoint.as_ref()) {
-            note::rate_limit(&self.shell, &self.admitted.request, endpoint, change);
+        let take =
+            |dispatcher: &mut Dispatcher, now| dispatcher.take_notice(now, job, &read.notice);
+        for change in self.shell.command(take) {
+            note::notice(&self.shell, &self.admitted.request, endpoint, change);
         }
     }
 
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -9,6 +9,7 @@
 //! * `exchange.rs`: attempts at endpoints until there is an answer.
 //! * `outgoing.rs`: a request as an endpoint gets it.
 //! * `judge.rs`: what an answer's head means.
+//! * `read_notice.rs`: what an answer's head says of its endpoint.
 //! * `note.rs`: what becomes of a request, for logs and metrics.
 //! * `relay.rs`: the answer's way to the caller.
 //! * `framer.rs`: events of a stream.
@@ -47,6 +48,7 @@
 mod note;
 mod outgoing;
 mod payload;
+mod read_notice;
 mod relay;
 mod reply;
 
--- a/crates/gateway/src/serve/note.rs
+++ b/crates/gateway/src/serve/note.rs
@@ -2,15 +2,14 @@
 
 use std::net::SocketAddrV4;
 
-use woadstage_dispatch::dispatcher::RateLimitChange;
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::Fingerprint;
-use woadstage_dispatch::rate_limit::Limit;
-use woadstage_types::unit;
+use woadstage_dispatch::notice::Change;
 use woadstage_types::unit::Time;
 
 use super::admit::Admitted;
+use super::read_notice::Unreadable;
 use super::reply::Reply;
 use crate::event::Event;
 use crate::shell::Shell;
@@ -55,23 +54,24 @@
     });
 }
 
-/// Logs and counts that an endpoint names another rate limit than before.
-pub fn rate_limit(shell: &Shell, request: &str, endpoint: &Endpoint, change: RateLimitChange) {
-    shell.metrics.change("rate-limit");
-    let to_text = |limit: Option<Limit>| limit.map_or("none".to_owned(), |one| one.to_string());
-    shell.log(&Event::RateLimit {
+/// Logs and counts that something else is believed of an endpoint, by its answer to a
+/// request.
+pub fn notice(shell: &Shell, request: &str, endpoint: &Endpoint, change: Change) {
+    shell.metrics.change(change.as_str());
+    shell.log(&Event::Notice {
         request,
         endpoint: endpoint.name.as_str(),
-        limit: &to_text(change.after),
-        before: &to_text(change.before),
+        what: change.as_str(),
+        now: &change.to_after(),
+        before: &change.to_before(),
     });
 }
 
-/// Logs that an endpoint names a rate limit that is none: it stays as it was.
-pub fn unreadable_rate_limit(shell: &Shell, error: &unit::Error) {
+/// Logs that an answer says something of its endpoint that cannot be understood.
+pub fn unreadable(shell: &Shell, unreadable: &Unreadable) {
     shell.log(&Event::Unreadable {
-        document: "rate-limit",
-        detail: &error.to_string(),
+        document: unreadable.field,
+        detail: &unreadable.error.to_string(),
     });
 }
 
--- a/crates/gateway/tests/gateway/rate_limit.rs
+++ b/crates/gateway/tests/gateway/rate_limit.rs
@@ -69,7 +69,7 @@
         let began = Instant::now();
         ask(&gateway, 0, 1).await;
         gateway
-            .logged(&["\"rate-limit\"", "needy", "\"limit\":\"2\""])
+            .logged(&["\"rate-limit\"", "needy", "\"now\":\"2\""])
             .await;
         let list = Arc::new(List {
             settled: true,
@@ -97,7 +97,9 @@
         ask(&gateway, 0, 2).await;
         assert_eq!(rate_limited(&gateway), 1);
         ask(&gateway, 2, 1).await;
-        gateway.logged(&["\"limit\":\"none\"", "needy"]).await;
+        gateway
+            .logged(&["\"rate-limit\"", "\"now\":\"none\"", "needy"])
+            .await;
         assert_eq!(rate_limited(&gateway), 0);
         ask(&gateway, 3, 60).await;
         assert_eq!(needy.requests.borrow().len(), 63);
