feat: answers that say that an endpoint leaves, or asks for rest, are read, logged and counted

Two fields of the notice (`headers.leaving`, `headers.rest`), a `notice` line where the belief changes and one where it ends, gauges `cold`, `leaving` and `resting` of `woadstage_service`, and the time that a refusal asks for in the `attempt` line. No decision heeds them yet.

Only a 503 to this request asks for rest.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -49,10 +49,12 @@
 use crate::job::Job;
 use crate::lease::Lease;
 use crate::lease::Origin;
+use crate::leaving;
 use crate::length::Lengths;
 use crate::member;
 use crate::member::Members;
 use crate::message::Message;
+use crate::notice;
 use crate::parts;
 use crate::quarantine;
 use crate::quarantine::Registry;
@@ -296,6 +298,10 @@
     quarantine: Registry,
     /// What became known of them.
     changes: Vec<Change>,
+    /// Endpoints that said in answers that they leave.
+    leaving_endpoints: leaving::Registry,
+    /// What is believed of endpoints otherwise than before, by no answer to this node.
+    updates: Vec<notice::Update>,
     durations: Durations,
     first_tries: first_try::Histogram,
     /// Requests of this node for which others were asked for a slot.
@@ -336,6 +342,8 @@
             budget: Budget::new(options.budget.clone()),
             quarantine: Registry::new(options.quarantine.clone()),
             changes: Vec::new(),
+            leaving_endpoints: leaving::Registry::default(),
+            updates: Vec::new(),
             durations: Durations::default(),
             first_tries: first_try::Histogram::default(),
             options,
@@ -372,6 +380,12 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Takes what is believed of endpoints otherwise than at the last call, but for what
+    /// answers to this node's requests brought.
+    pub fn take_updates(&mut self) -> Vec<notice::Update> {
+        std::mem::take(&mut self.updates)
+    }
+
     /// Takes the messages that are to be sent since the last call.
     pub fn take_messages(&mut self) -> Vec<(SocketAddrV4, Message)> {
         std::mem::take(&mut self.outbox)
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -32,10 +32,10 @@
             .count()
     }
 
-    /// Endpoints that name a rate limit.
-    pub(super) fn rate_limited(&self) -> usize {
+    /// Endpoints of which something holds, of those that the platform lists.
+    pub(super) fn count_listed(&self, holds: impl Fn(&Worker) -> bool) -> usize {
         let listed = self.workers.iter().filter(|worker| worker.listed);
-        listed.filter(|worker| worker.is_rate_limited()).count()
+        listed.filter(|worker| holds(worker)).count()
     }
 
     /// True where the endpoint that has a number names a rate limit.
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -16,6 +16,8 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::length::Lengths;
+use crate::notice::Change;
+use crate::notice::Update;
 use crate::parts::Head;
 use crate::parts::Part;
 use crate::queue::Queue;
@@ -165,6 +167,7 @@
         pool.index.insert(endpoint.name.clone(), pool.workers.len());
         let mut worker = Worker::new(endpoint);
         worker.cold.extend(now, worker.endpoint.cold_for);
+        worker.leaving = self.leaving_endpoints.contains(worker.number);
         pool.workers.push(worker);
     }
 
@@ -256,6 +259,12 @@
             for (at, worker) in std::mem::take(&mut pool.workers).into_iter().enumerate() {
                 if gone(at, &worker) {
                     pool.warm.forget(worker.number);
+                    if worker.leaving {
+                        self.updates.push(Update {
+                            endpoint: worker.endpoint.name.clone(),
+                            change: Change::Left,
+                        });
+                    }
                 } else {
                     moved.insert(at, kept.len());
                     kept.push(worker);
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -16,6 +16,7 @@
 use crate::protocol::Protocol;
 use crate::quota::Reach;
 use crate::table::Table;
+use crate::worker::Worker;
 
 /// How long after its start a node waits for a configuration that others have. Two
 /// seconds and more are allowed until a change is in force; a transfer from a neighbour
@@ -43,6 +44,12 @@
     pub endpoints: usize,
     /// Endpoints that name a rate limit.
     pub rate_limited: usize,
+    /// Endpoints that are cold.
+    pub cold: usize,
+    /// Endpoints that leave, by the platform or by their own answers.
+    pub leaving: usize,
+    /// Endpoints that want nothing from this node for a while.
+    pub resting: usize,
     /// Repeats left in the budget.
     pub repeats_left: u64,
 }
@@ -196,7 +203,10 @@
             others: pool.workers.iter().map(|worker| worker.others).sum(),
             usable: pool.usable(now, &self.options.worker),
             endpoints: pool.workers.iter().filter(|worker| worker.listed).count(),
-            rate_limited: pool.rate_limited(),
+            rate_limited: pool.count_listed(Worker::is_rate_limited),
+            cold: pool.count_listed(|worker| worker.cold.is_cold(now)),
+            leaving: pool.count_listed(Worker::is_leaving),
+            resting: pool.count_listed(|worker| worker.rest.is_resting(now)),
             repeats_left: self.budget.left(now, target, nodes),
         });
         pools.collect()
--- a/crates/dispatch/src/dispatcher/take_notice.rs
+++ b/crates/dispatch/src/dispatcher/take_notice.rs
@@ -9,6 +9,7 @@
 use crate::notice::Change;
 use crate::notice::Field;
 use crate::notice::Notice;
+use crate::notice::Update;
 
 impl Dispatcher {
     /// Takes what the head of the answer to a request says of the endpoint that runs it.
@@ -22,7 +23,40 @@
             Field::Absent => self.note_rate_limit(now, id, None),
             Field::Given(limit) => self.note_rate_limit(now, id, Some(limit)),
         };
-        cold.into_iter().chain(limit).collect()
+        let leaving = notice.leaving.then(|| self.note_leaving(id)).flatten();
+        let rest = notice.rest.and_then(|rest| self.note_rest(now, id, rest));
+        let changes = cold.into_iter().chain(limit);
+        changes.chain(leaving).chain(rest).collect()
+    }
+
+    /// An endpoint said in an answer that it leaves.
+    fn note_leaving(&mut self, id: job::Id) -> Option<Change> {
+        let run = self.runs.get(&id)?;
+        let pool = self.pools.get_mut(&run.job.target)?;
+        let worker = &mut pool.workers[run.worker];
+        worker.leaving = true;
+        let new = self.leaving_endpoints.insert(worker.number);
+        new.then_some(Change::Leaving)
+    }
+
+    /// An endpoint turned a request away and wants nothing from this node for so long.
+    fn note_rest(&mut self, now: Time, id: job::Id, rest: Span) -> Option<Change> {
+        let run = self.runs.get(&id)?;
+        let pool = self.pools.get_mut(&run.job.target)?;
+        let state = &mut pool.workers[run.worker].rest;
+        state.ask(now, rest).then_some(Change::Rest { lasts: rest })
+    }
+
+    /// Notes which rests are over.
+    pub(super) fn end_rests(&mut self, now: Time) {
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            if worker.rest.take_end(now) {
+                self.updates.push(Update {
+                    endpoint: worker.endpoint.name.clone(),
+                    change: Change::Rested,
+                });
+            }
+        }
     }
 
     /// An endpoint said in an answer that it is cold for so long.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,8 @@
 //! * [`first_try`]: who has tried before.
 //! * [`job`]: one request, from arrival to its final answer.
 //! * [`lease`]: slots that one node gives another.
+//! * [`leaving`]: endpoints that said in an answer that they leave.
+//! * [`rest`]: endpoints that asked for rest.
 //! * [`length`]: how many events a stream has.
 //! * [`quarantine`]: requests that are not run any more, as endpoints ended under them.
 //! * [`queue`]: what waits for an endpoint.
@@ -46,6 +48,7 @@
 pub mod first_try;
 pub mod job;
 pub mod lease;
+pub mod leaving;
 pub mod length;
 pub mod member;
 pub mod message;
@@ -57,6 +60,7 @@
 pub mod quota;
 pub mod rate_limit;
 pub mod region;
+pub mod rest;
 pub mod restore;
 pub mod section;
 pub mod table;
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 
 use crate::rate_limit::Limit;
@@ -16,6 +17,10 @@
     pub cold_for: Option<Span>,
     /// How many requests a second it takes from all nodes together.
     pub rate_limit: Field<Limit>,
+    /// True where it leaves: it wants no further request.
+    pub leaving: bool,
+    /// For how long it wants nothing from this node; none where it does not say so.
+    pub rest: Option<Span>,
 }
 
 /// A field whose absence says something too.
@@ -45,6 +50,26 @@
         /// The limit now.
         after: Option<Limit>,
     },
+    /// It leaves.
+    Leaving,
+    /// The start of it that was leaving is not listed any more.
+    Left,
+    /// It wants nothing for so long from now on.
+    Rest {
+        /// For how long.
+        lasts: Span,
+    },
+    /// The time for which it wanted nothing is over.
+    Rested,
+}
+
+/// A change that no answer to a request of this node's brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Update {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// What changed.
+    pub change: Change,
 }
 
 impl Change {
@@ -53,13 +78,17 @@
         match self {
             Change::Cold { .. } => "cold",
             Change::RateLimit { .. } => "rate-limit",
+            Change::Leaving | Change::Left => "leaving",
+            Change::Rest { .. } | Change::Rested => "rest",
         }
     }
 
     /// What was believed before, for logs.
     pub fn to_before(self) -> String {
         match self {
-            Change::Cold { .. } => NONE.to_owned(),
+            Change::Cold { .. } | Change::Leaving | Change::Rest { .. } => NONE.to_owned(),
+            Change::Left => YES.to_owned(),
+            Change::Rested => OVER.to_owned(),
             Change::RateLimit { before, .. } => to_text(before),
         }
     }
@@ -67,7 +96,9 @@
     /// What is believed now, for logs.
     pub fn to_after(self) -> String {
         match self {
-            Change::Cold { lasts } => lasts.to_string(),
+            Change::Cold { lasts } | Change::Rest { lasts } => lasts.to_string(),
+            Change::Leaving => YES.to_owned(),
+            Change::Left | Change::Rested => NONE.to_owned(),
             Change::RateLimit { after, .. } => to_text(after),
         }
     }
@@ -76,6 +107,10 @@
 /// How logs name that an endpoint says nothing of a kind.
 const NONE: &str = "none";
 
+/// How logs name that it leaves, and that it has rested.
+const YES: &str = "yes";
+const OVER: &str = "over";
+
 fn to_text<T: fmt::Display>(value: Option<T>) -> String {
     value.map_or_else(|| NONE.to_owned(), |value| value.to_string())
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::endpoint::Endpoint;
 use crate::message::Trouble;
 use crate::rate_limit;
+use crate::rest;
 
 /// Bounds of what is learnt.
 #[derive(Debug, Clone, PartialEq)]
@@ -109,6 +110,10 @@
     pub cold: cold::State,
     /// How many requests a second it says it takes.
     pub rate_limit: rate_limit::State,
+    /// True where it said in an answer that it leaves.
+    pub leaving: bool,
+    /// How long it wants nothing from this node.
+    pub rest: rest::State,
     /// True where it belongs to this node's cell.
     pub own_cell: bool,
     /// Requests in progress that we sent.
@@ -157,6 +162,8 @@
             evacuated: false,
             cold: cold::State::default(),
             rate_limit: rate_limit::State::default(),
+            leaving: false,
+            rest: rest::State::default(),
             own_cell: true,
             running: 0,
             pending: 0,
@@ -281,6 +288,11 @@
         self.rate_limit.limit_opt().is_some()
     }
 
+    /// True where it leaves, by the platform's word or by its own.
+    pub fn is_leaving(&self) -> bool {
+        self.endpoint.leaving || self.leaving
+    }
+
     /// True unless it is leaving or gone.
     pub fn is_staying(&self) -> bool {
         self.listed && !self.endpoint.leaving && self.gone_at.is_none()
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -227,7 +227,7 @@
         request: &'a str,
         /// The endpoint.
         endpoint: &'a str,
-        /// What it is about: `cold` or `rate-limit`.
+        /// What it is about: `cold`, `rate-limit`, `leaving` or `rest`.
         what: &'a str,
         /// What is believed now: a time, requests a second, or `none`.
         now: &'a str,
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -2,6 +2,7 @@
 //! from the settings, since each platform has its own.
 
 use hyper::HeaderMap;
+use hyper::header;
 use hyper::header::HeaderName;
 use woadstage_config::read::Reader;
 use woadstage_dispatch::job::Part;
@@ -33,6 +34,11 @@
     pub cold: HeaderName,
     /// Requests a second that an endpoint says it takes from all nodes together.
     pub rate_limit: HeaderName,
+    /// An endpoint's word that it leaves.
+    pub leaving: HeaderName,
+    /// Seconds for which an endpoint that turns a request away wants nothing from this
+    /// node.
+    pub rest: HeaderName,
     /// Fields by which the system gives orders to endpoints. What a caller
     /// sends under these names is dropped.
     pub reserved: Vec<HeaderName>,
@@ -52,6 +58,8 @@
             last_event: HeaderName::from_static("last-event-id"),
             cold: HeaderName::from_static("woadstage-cold-ms"),
             rate_limit: HeaderName::from_static("woadstage-rate-limit"),
+            leaving: HeaderName::from_static("woadstage-leaving"),
+            rest: header::RETRY_AFTER,
             reserved: Vec::new(),
         }
     }
@@ -61,7 +69,7 @@
     /// Reads the names that the settings give; others keep their defaults.
     pub fn read(reader: &mut Reader) -> Headers {
         let mut headers = Headers::default();
-        let fields: [(&str, &mut HeaderName); 11] = [
+        let fields: [(&str, &mut HeaderName); 13] = [
             ("request", &mut headers.request),
             ("deadline", &mut headers.deadline),
             ("customer", &mut headers.customer),
@@ -73,6 +81,8 @@
             ("last_event", &mut headers.last_event),
             ("cold", &mut headers.cold),
             ("rate_limit", &mut headers.rate_limit),
+            ("leaving", &mut headers.leaving),
+            ("rest", &mut headers.rest),
         ];
         for (field, name) in fields {
             if let Some(text) = reader.take_opt::<String>(field)
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -107,6 +107,9 @@
         set("endpoints", service.endpoints as i64);
         set("endpoints-usable", service.usable as i64);
         set("rate-limited", service.rate_limited as i64);
+        set("cold", service.cold as i64);
+        set("leaving", service.leaving as i64);
+        set("resting", service.resting as i64);
         set("repeats-left", service.repeats_left as i64);
     }
     (StatusCode::OK, metrics.to_text())
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -33,6 +33,7 @@
 use super::read_notice::Read;
 use super::reply::Reply;
 use crate::event::Event;
+use crate::headers::text;
 use crate::shell::Shell;
 use crate::upstream::Answer;
 use crate::upstream::Body;
@@ -156,7 +157,7 @@
                 Ok(answer) => match self.judge(&answer) {
                     Verdict::Pass => return Ok(answer),
                     Verdict::Retry(end) => {
-                        let detail = answer.response.status().as_u16().to_string();
+                        let detail = self.to_detail(&answer);
                         // An endpoint's own fault may still be the answer.
                         if end == End::Fault && !self.goes_on(end, &detail) {
                             return self.pass_fault(answer);
@@ -255,10 +256,20 @@
             response.status(),
             response.headers(),
         );
-        self.take_notice(read_notice::read(names, response.headers(), verdict));
+        let read = read_notice::read(names, response.status(), response.headers(), verdict);
+        self.take_notice(read);
         verdict
     }
 
+    /// The status of an answer, and for how long its endpoint wants nothing.
+    fn to_detail(&self, answer: &Answer) -> String {
+        let status = answer.response.status().as_u16();
+        match text(answer.response.headers(), &self.shell.headers.rest) {
+            Some(rest) => format!("{status}, rest {rest}"),
+            None => status.to_string(),
+        }
+    }
+
     /// Takes what an answer says of its endpoint.
     fn take_notice(&self, read: Read) {
         for unreadable in &read.unreadable {
@@ -270,7 +281,9 @@
         let take =
             |dispatcher: &mut Dispatcher, now| dispatcher.take_notice(now, job, &read.notice);
         for change in self.shell.command(take) {
-            note::notice(&self.shell, &self.admitted.request, endpoint, change);
+            let request = &self.admitted.request;
+            let endpoint = endpoint.name.as_str();
+            self.shell.note_change(request, endpoint, change);
         }
     }
 
--- a/crates/gateway/src/serve/note.rs
+++ b/crates/gateway/src/serve/note.rs
@@ -5,7 +5,6 @@
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::Fingerprint;
-use woadstage_dispatch::notice::Change;
 use woadstage_types::unit::Time;
 
 use super::admit::Admitted;
@@ -54,19 +53,6 @@
     });
 }
 
-/// Logs and counts that something else is believed of an endpoint, by its answer to a
-/// request.
-pub fn notice(shell: &Shell, request: &str, endpoint: &Endpoint, change: Change) {
-    shell.metrics.change(change.as_str());
-    shell.log(&Event::Notice {
-        request,
-        endpoint: endpoint.name.as_str(),
-        what: change.as_str(),
-        now: &change.to_after(),
-        before: &change.to_before(),
-    });
-}
-
 /// Logs that an answer says something of its endpoint that cannot be understood.
 pub fn unreadable(shell: &Shell, unreadable: &Unreadable) {
     shell.log(&Event::Unreadable {
--- a/crates/gateway/src/serve/read_notice.rs
+++ b/crates/gateway/src/serve/read_notice.rs
@@ -1,11 +1,16 @@
 //! Reads what an endpoint says of itself in the head of an answer.
 
+use std::borrow::Cow;
+
 use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::notice::Field;
 use woadstage_dispatch::notice::Notice;
 use woadstage_dispatch::rate_limit::Limit;
+use woadstage_dispatch::rest;
 use woadstage_types::unit;
 use woadstage_types::unit::Span;
 
@@ -32,7 +37,7 @@
 }
 
 /// Reads a head. Nothing in it counts that is not the endpoint's answer to this request.
-pub fn read(names: &Headers, headers: &HeaderMap, verdict: Verdict) -> Read {
+pub fn read(names: &Headers, status: StatusCode, headers: &HeaderMap, verdict: Verdict) -> Read {
     if matches!(verdict, Verdict::Retry(End::Lost | End::NotThere)) {
         return Read::default();
     }
@@ -40,6 +45,11 @@
     read.notice = Notice {
         cold_for: cold(names, headers),
         rate_limit: read.rate_limit(&names.rate_limit, headers, verdict),
+        leaving: read.leaving(&names.leaving, headers),
+        rest: match status {
+            StatusCode::SERVICE_UNAVAILABLE => read.rest(&names.rest, headers),
+            _ => None,
+        },
     };
     read
 }
@@ -66,16 +76,47 @@
                 Verdict::Retry(_) => Field::Unknown,
             };
         };
-        match String::from_utf8_lossy(value.as_bytes()).parse() {
-            Ok(limit) => Field::Given(limit),
+        let limit = self.keep_readable("rate-limit", to_text(value).parse());
+        limit.map_or(Field::Unknown, Field::Given)
+    }
+
+    /// True where an endpoint says that it leaves. Where it says so twice, once is enough.
+    fn leaving(&mut self, name: &HeaderName, headers: &HeaderMap) -> bool {
+        let values = headers.get_all(name).iter();
+        let said = values.filter_map(|value| self.keep_readable("leaving", parse_leaving(value)));
+        said.count() > 0
+    }
+
+    /// For how long an endpoint wants nothing; of several times the longest.
+    fn rest(&mut self, name: &HeaderName, headers: &HeaderMap) -> Option<Span> {
+        let values = headers.get_all(name).iter();
+        let rests =
+            values.filter_map(|value| self.keep_readable("rest", rest::parse(&to_text(value))));
+        rests.max().filter(|rest| *rest > Span::ZERO)
+    }
+
+    /// What was read, or nothing where it could not be.
+    fn keep_readable<T>(&mut self, field: &'static str, read: Result<T, unit::Error>) -> Option<T> {
+        match read {
+            Ok(value) => Some(value),
             Err(error) => {
-                self.note_unreadable("rate-limit", error);
-                Field::Unknown
+                self.unreadable.push(Unreadable { field, error });
+                None
             }
         }
     }
+}
 
-    fn note_unreadable(&mut self, field: &'static str, error: unit::Error) {
-        self.unreadable.push(Unreadable { field, error });
-    }
+fn to_text(value: &HeaderValue) -> Cow<'_, str> {
+    String::from_utf8_lossy(value.as_bytes())
+}
+
+/// Reads an endpoint's word that it leaves.
+fn parse_leaving(value: &HeaderValue) -> Result<(), unit::Error> {
+    let text = to_text(value);
+    let error = || unit::Error {
+        text: text.clone().into_owned(),
+        expected: "\"1\"",
+    };
+    (text.trim() == "1").then_some(()).ok_or_else(error)
 }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -17,6 +17,7 @@
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::notice;
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -240,6 +241,10 @@
                 barred: change.barred,
             });
         }
+        let updates = self.dispatcher.borrow_mut().take_updates();
+        for update in updates {
+            self.note_change("", update.endpoint.as_str(), update.change);
+        }
         let messages = self.dispatcher.borrow_mut().take_messages();
         for (to, message) in messages {
             self.metrics.lease(&message);
@@ -258,6 +263,19 @@
         }
     }
 
+    /// Logs and counts that something else is believed of an endpoint: by its answer to a
+    /// request, or without one.
+    pub fn note_change(&self, request: &str, endpoint: &str, change: notice::Change) {
+        self.metrics.change(change.as_str());
+        self.log(&Event::Notice {
+            request,
+            endpoint,
+            what: change.as_str(),
+            now: &change.to_after(),
+            before: &change.to_before(),
+        });
+    }
+
     /// Logs an event.
     pub fn log(&self, event: &Event<'_>) {
         self.log.write(event);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod fingerprint;
 mod keep;
 mod log;
+mod notice;
 mod peers;
 mod rate_limit;
 mod requests;
--- /dev/null
+++ b/crates/gateway/tests/gateway/notice.rs
@@ -0,0 +1,133 @@
+//! What endpoints say of themselves in the heads of answers, over sockets.
+
+use rstest::rstest;
+
+use crate::support::Act;
+use crate::support::Caller;
+use crate::support::Gateway;
+use crate::support::Worker;
+use crate::support::answer;
+use crate::support::run;
+
+/// How a refusal says that the request has not run.
+pub const NOT_RUN: &str = "woadstage-not-run: 1";
+
+/// An answer with a status and some fields.
+pub fn saying(status: &str, fields: &[&str]) -> Act {
+    let head = [&[status], fields].concat().join("\r\n");
+    Act::Answer(answer(&head, ""))
+}
+
+/// Endpoints that leave, and that want rest, as a gateway's gauges count them.
+pub fn believed(gateway: &Gateway) -> (usize, usize) {
+    let summaries = gateway.shell.query(|one, now| one.summaries(now));
+    let leaving = summaries.iter().map(|one| one.leaving).sum();
+    let resting = summaries.iter().map(|one| one.resting).sum();
+    (leaving, resting)
+}
+
+/// A gateway that has asked one endpoint once, which answers so.
+async fn ask_once(act: Act) -> (Worker, Gateway) {
+    let worker = Worker::start("e", vec![act]).await;
+    let gateway = Gateway::start(&[&worker]).await;
+    let mut caller = Caller::connect(&gateway).await;
+    caller.request("id-1", "/once/x", "").await;
+    caller.head().await;
+    (worker, gateway)
+}
+
+const MISDIRECTED: &str = "421 Misdirected Request";
+
+#[rstest]
+#[case::good("200 OK", &["woadstage-leaving: 1"], 1)]
+#[case::blanks("200 OK", &["woadstage-leaving:  1 "], 1)]
+#[case::twice("200 OK", &["woadstage-leaving: 1", "woadstage-leaving: 1"], 1)]
+#[case::refused("503 Full", &["woadstage-leaving: 1", NOT_RUN], 1)]
+#[case::failed("500 Broken", &["woadstage-leaving: 1"], 1)]
+#[case::not_found("404 Not Found", &["woadstage-leaving: 1"], 1)]
+#[case::of_another_endpoint(MISDIRECTED, &["woadstage-leaving: 1"], 0)]
+#[case::zero("200 OK", &["woadstage-leaving: 0"], 0)]
+#[case::word("200 OK", &["woadstage-leaving: yes"], 0)]
+#[case::empty("200 OK", &["woadstage-leaving:"], 0)]
+fn an_endpoint_leaves_by_its_answer(
+    #[case] status: &str,
+    #[case] fields: &[&str],
+    #[case] leaving: usize,
+) {
+    run(|| async {
+        let (_worker, gateway) = ask_once(saying(status, fields)).await;
+        assert_eq!(believed(&gateway).0, leaving);
+        match (leaving, status) {
+            (0, MISDIRECTED) => {}
+            (0, _) => drop(gateway.logged(&["\"unreadable\"", "\"leaving\""]).await),
+            _ => drop(gateway.logged(&["\"notice\"", "\"leaving\"", "id-1"]).await),
+        }
+    });
+}
+
+#[rstest]
+#[case::whole("3", 1)]
+#[case::fraction("0.4", 1)]
+#[case::more_than_can_be_held("1e300", 1)]
+#[case::twice_the_longest_counts("0\r\nretry-after: 5", 1)]
+#[case::one_of_two_is_readable("soon\r\nretry-after: 5", 1)]
+#[case::zero("0", 0)]
+#[case::negative("-1", 0)]
+#[case::date("Wed, 21 Oct 2026 07:28:00 GMT", 0)]
+#[case::empty("", 0)]
+#[case::word("soon", 0)]
+fn an_endpoint_asks_for_rest_by_its_refusal(#[case] value: &str, #[case] resting: usize) {
+    run(|| async {
+        let field = format!("retry-after: {value}");
+        let (_worker, gateway) = ask_once(saying("503 Full", &[NOT_RUN, &field])).await;
+        assert_eq!(believed(&gateway).1, resting);
+        match (resting, value) {
+            (0, "0") => drop(gateway.logged(&["\"attempt\"", "503, rest 0"]).await),
+            (0, _) => drop(gateway.logged(&["\"unreadable\"", "\"rest\""]).await),
+            _ => drop(gateway.logged(&["\"notice\"", "\"rest\"", "id-1"]).await),
+        }
+    });
+}
+
+/// Others than refusals tell callers when to come back, not nodes.
+#[rstest]
+#[case::too_many("429 Too Many Requests")]
+#[case::good("200 OK")]
+#[case::moved("301 Moved")]
+#[case::of_another_endpoint(MISDIRECTED)]
+fn what_is_no_refusal_asks_for_no_rest(#[case] status: &str) {
+    run(|| async {
+        let (_worker, gateway) = ask_once(saying(status, &["retry-after: 3", NOT_RUN])).await;
+        assert_eq!(believed(&gateway).1, 0);
+    });
+}
+
+/// An answer to an earlier request stands where that to another is due.
+#[test]
+fn an_answer_to_another_request_says_nothing() {
+    run(|| async {
+        let text = "HTTP/1.1 503 Full\r\nwoadstage-request: other\r\nwoadstage-not-run: 1\r\n\
+                    woadstage-leaving: 1\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n";
+        let (_worker, gateway) = ask_once(Act::Answer(text.into())).await;
+        assert_eq!(believed(&gateway), (0, 0));
+    });
+}
+
+#[test]
+fn the_end_of_a_rest_is_told() {
+    run(|| async {
+        let act = saying("503 Full", &[NOT_RUN, "retry-after: 0.2"]);
+        let (_worker, gateway) = ask_once(act).await;
+        assert_eq!(believed(&gateway).1, 1);
+        loop {
+            gateway
+                .shell
+                .command(|dispatcher, now| dispatcher.tick(now));
+            if gateway.lines.text().contains("\"before\":\"over\"") {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        assert_eq!(believed(&gateway).1, 0);
+    });
+}
