--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -17,8 +17,10 @@
 mod crash;
 mod drill;
 mod evacuate;
+mod leaving;
 mod rate_limited;
 mod region_bound;
+mod resting;
 mod start;
 mod world;
 
--- a/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
+++ b/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
@@ -25,7 +25,7 @@
 const MORE: f64 = 5.0;
 
 /// Three data centres with a cell each.
-fn middle() -> Shape {
+pub fn middle() -> Shape {
     Shape {
         nodes: 24,
         centres: 3,
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -25,8 +25,6 @@
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
-use woadstage_dispatch::notice::Field;
-use woadstage_dispatch::notice::Notice;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine;
 use woadstage_dispatch::rate_limit::Limit;
@@ -39,6 +37,7 @@
 
 use self::links::Links;
 use self::links::Rates;
+use self::words::Words;
 use crate::support::at;
 use crate::support::configuration;
 use crate::support::list;
@@ -47,6 +46,7 @@
 mod ends;
 pub mod links;
 mod lists;
+pub mod words;
 
 /// Time between two ticks of a node.
 const TICK_EVERY: Span = Span::from_millis(20);
@@ -122,6 +122,8 @@
     Crash(id::Endpoint, Option<Fingerprint>),
     /// A node sees that its attempt broke.
     Broken(u16, job::Id, End),
+    /// A node sees that its request was turned away.
+    TurnedAway(u16, job::Id, id::Endpoint),
     /// A node finds that nothing listens where its attempt broke.
     Refused(u16, id::Endpoint),
     /// Another endpoint starts in the place of one that ended.
@@ -212,6 +214,8 @@
     jobs: HashMap<(u16, job::Id), Job>,
     /// What endpoints name in their answers.
     pub limits: HashMap<id::Endpoint, Limit>,
+    /// What else they say of themselves.
+    pub words: Words,
     /// Callers who have tried again.
     returned: BTreeSet<Fingerprint>,
 }
@@ -286,6 +290,7 @@
             reached: Vec::new(),
             jobs: HashMap::new(),
             limits: HashMap::new(),
+            words: Words::default(),
             returned: BTreeSet::new(),
             shape,
         };
@@ -318,6 +323,7 @@
 
     /// Starts a node, in one of its lives.
     pub fn boot(&mut self, node: u16, life: u64) {
+        self.words.start(node);
         let all = self.shape.nodes * self.shape.centres;
         let seeds = (0..3).map(|seed| address(seed * (all / 3)));
         let mut dispatcher = Dispatcher::new(Options {
@@ -441,13 +447,8 @@
                 self.settle(node);
             }
             Event::First(node, id, endpoint) => {
-                let reads = !self.before.contains(&node);
-                let limit = self.limits.get(&endpoint).filter(|_| reads).copied();
+                let notice = self.read_notice(node, &endpoint);
                 if let Some(dispatcher) = self.nodes.get_mut(&node) {
-                    let notice = Notice {
-                        rate_limit: limit.map_or(Field::Absent, Field::Given),
-                        ..Notice::default()
-                    };
                     dispatcher.take_notice(now, id, &notice);
                     dispatcher.progress(now, id, 1);
                     self.settle(node);
@@ -463,6 +464,7 @@
             Event::Done(node, id, endpoint) => self.finish(node, id, &endpoint),
             Event::Crash(endpoint, under) => self.crash(&endpoint, under),
             Event::Broken(node, id, end) => self.break_off(node, id, end),
+            Event::TurnedAway(node, id, endpoint) => self.take_refusal(node, id, &endpoint),
             Event::Refused(node, endpoint) => {
                 let list = self.list.endpoints.iter();
                 let found = list.clone().find(|one| one.name == endpoint);
@@ -542,7 +544,7 @@
         }
         for decision in decisions {
             match decision {
-                Decision::Start { job, endpoint, .. } => self.begin(node, job, &endpoint.name),
+                Decision::Start { job, endpoint, .. } => self.reach(node, job, &endpoint.name),
                 Decision::Refuse { job, refusal } => {
                     let seen = self.seen.get_mut(&(node, job)).expect("it came");
                     seen.refused = true;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/fleet/world/words.rs
@@ -0,0 +1,164 @@
+//! What endpoints say of themselves in answers: that they leave, and that they want rest.
+
+use std::collections::HashMap;
+
+use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_dispatch::notice::Field;
+use woadstage_dispatch::notice::Notice;
+use woadstage_types::hash;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Event;
+use super::World;
+
+/// How long after an answer said so requests may still go to an endpoint that leaves.
+const LEAVES_WITHIN: Span = Span::from_secs(2);
+
+/// How long after a refusal its rest binds, and the requests that may come in it.
+const RESTS_AFTER: Span = Span::from_millis(500);
+const DURING_REST_MOST: usize = 2;
+
+/// How an endpoint turns requests away.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Refusing {
+    /// For how long it wants nothing from a node that it turned away.
+    pub rest: Span,
+    /// One request of so many is turned away.
+    pub one_of: u64,
+}
+
+/// One life of a node, and an endpoint that it sends requests to.
+type Pair = (u16, u32, id::Endpoint);
+
+/// What endpoints say, and what nodes that were told then did.
+#[derive(Debug, Default)]
+pub struct Words {
+    /// Endpoints whose answers say that they leave.
+    pub leaving: Vec<id::Endpoint>,
+    /// Endpoints that turn requests away.
+    pub refusing: HashMap<id::Endpoint, Refusing>,
+    /// How often each node was started.
+    lives: HashMap<u16, u32>,
+    /// When a node first got an answer by which an endpoint leaves.
+    told: HashMap<Pair, Time>,
+    /// When a node was turned away, and for how long the endpoint wants nothing.
+    refusals: HashMap<Pair, Vec<(Time, Span)>>,
+    /// When requests of a node reached an endpoint, and when those had come.
+    sent: HashMap<Pair, Vec<(Time, Time)>>,
+}
+
+impl Words {
+    fn pair(&self, node: u16, endpoint: &id::Endpoint) -> Pair {
+        let life = self.lives.get(&node).copied().unwrap_or(0);
+        (node, life, endpoint.clone())
+    }
+
+    /// A node starts and knows nothing of before.
+    pub(super) fn start(&mut self, node: u16) {
+        *self.lives.entry(node).or_default() += 1;
+    }
+
+    /// True where an endpoint turns a request away.
+    fn refuses(&self, endpoint: &id::Endpoint, drawn: u64) -> bool {
+        let refusing = self.refusing.get(endpoint);
+        refusing.is_some_and(|one| hash::of(&drawn.to_le_bytes()).is_multiple_of(one.one_of))
+    }
+
+    /// Requests that came later than allowed after their node was told that the endpoint
+    /// leaves.
+    pub fn late(&self) -> usize {
+        let late = self.sent.iter().map(|(pair, sent)| {
+            let told = self.told.get(pair);
+            let is_late = |came: &Time| told.is_some_and(|told| *came > *told + LEAVES_WITHIN);
+            sent.iter().filter(|(_, came)| is_late(came)).count()
+        });
+        late.sum()
+    }
+
+    /// The most requests that reached an endpoint from one node while it rested for it.
+    pub fn most_during_rest(&self) -> usize {
+        let most = self.refusals.iter().filter_map(|(pair, refusals)| {
+            let sent = self.sent.get(pair)?;
+            let within = refusals.iter().map(|(at, rest)| {
+                let rests = |when: &Time| *when > *at + RESTS_AFTER && *when < *at + *rest;
+                sent.iter().filter(|(when, _)| rests(when)).count()
+            });
+            within.max()
+        });
+        most.max().unwrap_or(0)
+    }
+
+    /// Fails where an endpoint that rests got more requests from a node than it may.
+    pub fn assert_rested(&self) {
+        let most = self.most_during_rest();
+        assert!(most <= DURING_REST_MOST, "{most} in one rest");
+    }
+}
+
+impl World {
+    /// What the head of an endpoint's answer to a node says.
+    pub(super) fn read_notice(&mut self, node: u16, endpoint: &id::Endpoint) -> Notice {
+        if self.before.contains(&node) {
+            return Notice::default();
+        }
+        let leaving = self.words.leaving.contains(endpoint);
+        if leaving {
+            let pair = self.words.pair(node, endpoint);
+            self.words.told.entry(pair).or_insert(self.now);
+        }
+        let limit = self.limits.get(endpoint).copied();
+        Notice {
+            rate_limit: limit.map_or(Field::Absent, Field::Given),
+            leaving,
+            ..Notice::default()
+        }
+    }
+
+    /// A request reaches an endpoint, which turns it away or runs it.
+    pub(super) fn reach(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
+        let seen = &self.seen[&(node, id)];
+        let (came, decided) = (seen.arrived, seen.decided);
+        let pair = self.words.pair(node, endpoint);
+        let sent = self.words.sent.entry(pair.clone()).or_default();
+        sent.push((self.now, came));
+        let drawn = hash::chain(id.0 + u64::from(decided), &node.to_le_bytes());
+        if !self.words.refuses(endpoint, drawn) {
+            self.begin(node, id, endpoint);
+            return;
+        }
+        let rest = self.words.refusing[endpoint].rest;
+        let refusals = self.words.refusals.entry(pair).or_default();
+        refusals.push((self.now, rest));
+        self.seen.get_mut(&(node, id)).expect("it came").decided += 1;
+        let arrivals = self.arrivals.entry(endpoint.clone()).or_default();
+        arrivals.push(self.now);
+        let heard = self.now + self.shape.way;
+        self.plan(heard, Event::TurnedAway(node, id, endpoint.clone()));
+    }
+
+    /// A node learns that its request was turned away.
+    pub(super) fn take_refusal(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
+        let reads = !self.before.contains(&node);
+        let refusing = self.words.refusing.get(endpoint).filter(|_| reads);
+        let rest = refusing.map(|one| one.rest);
+        let notice = Notice {
+            rate_limit: Field::Unknown,
+            rest,
+            ..self.read_notice(node, endpoint)
+        };
+        let Some(dispatcher) = self.nodes.get_mut(&node) else {
+            return;
+        };
+        dispatcher.take_notice(self.now, id, &notice);
+        let next = dispatcher.end(self.now, id, End::Full);
+        if next != Next::Again {
+            let seen = self.seen.get_mut(&(node, id)).expect("it came");
+            seen.refused = true;
+        }
+        self.settle(node);
+    }
+}
--- a/crates/gateway/tests/gateway/notice.rs
+++ b/crates/gateway/tests/gateway/notice.rs
@@ -1,6 +1,10 @@
 //! What endpoints say of themselves in the heads of answers, over sockets.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use rstest::rstest;
+use woadstage_dispatch::endpoint::List;
 
 use crate::support::Act;
 use crate::support::Caller;
@@ -8,6 +12,7 @@
 use crate::support::Worker;
 use crate::support::answer;
 use crate::support::run;
+use crate::support::to_endpoint;
 
 /// How a refusal says that the request has not run.
 pub const NOT_RUN: &str = "woadstage-not-run: 1";
@@ -126,8 +131,55 @@
             if gateway.lines.text().contains("\"before\":\"over\"") {
                 break;
             }
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
         }
         assert_eq!(believed(&gateway).1, 0);
     });
 }
+
+/// A gateway that knows another endpoint as well from now on.
+fn list_also(gateway: &Gateway, workers: &[&Worker]) {
+    let list = Arc::new(List {
+        settled: true,
+        revision: 2,
+        endpoints: workers.iter().map(|worker| to_endpoint(worker)).collect(),
+        ..List::default()
+    });
+    let shell = &gateway.shell;
+    shell.command(|dispatcher, now| dispatcher.set_endpoints(now, list));
+}
+
+async fn ask(gateway: &Gateway, count: usize) {
+    let mut caller = Caller::connect(gateway).await;
+    for number in 0..count {
+        caller.request(&format!("id-{number}"), "/once/x", "").await;
+        assert_eq!(caller.answer().await.status, 200);
+    }
+}
+
+/// A list that still says that it is ready changes nothing.
+#[test]
+fn an_endpoint_that_says_it_leaves_is_sent_nothing_more() {
+    run(|| async {
+        let act = saying("200 OK", &["woadstage-leaving: 1"]);
+        let (leaving, gateway) = ask_once(act).await;
+        let other = Worker::start("other", vec![saying("200 OK", &[])]).await;
+        list_also(&gateway, &[&leaving, &other]);
+        ask(&gateway, 60).await;
+        assert_eq!(leaving.requests.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn an_endpoint_that_asks_for_rest_gets_it() {
+    run(|| async {
+        let act = saying("503 Full", &[NOT_RUN, "retry-after: 60"]);
+        let (resting, gateway) = ask_once(act).await;
+        let other = Worker::start("other", vec![saying("200 OK", &[])]).await;
+        list_also(&gateway, &[&resting, &other]);
+        // Longer than a full endpoint without a word of rest is left alone.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        ask(&gateway, 60).await;
+        assert_eq!(resting.requests.borrow().len(), 1);
+    });
+}
