fix: an endpoint that says in an answer that it leaves is sent nothing more

Cause: only the platform's list made an endpoint one that leaves, and the store was silent for 13 s. Ruled out: a list that took the word back, requests that had waited since before it.

Now the word is kept by the number of the endpoint's start, apart from lists: neither a list that says ready, nor an older copy, nor a list without it, nor silence takes it back; a later start has another number. Every way to an endpoint goes by `Worker::is_open`: choice, grants (a grant on its way is given back, and the owner takes the endpoint to be gone), requests bound to one endpoint, further attempts, resumed streams. Nodes tell each other at once (protocol 11, behind the rate limits). A cell whose endpoints all leave uses the slots of others as one in an evacuated data centre does; where all of a service leave, callers are refused within a tick with a time to return that grows with the outage.

`sent`, `answered`, `explain` and `losses` name what was passed over.

--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -249,6 +249,12 @@
     }
 
     fn renew_question(&mut self, now: Time, id: job::Id) {
+        if self.asks_for_closed(id) {
+            if let Some(Question { job: Some(job), .. }) = self.withdraw(id) {
+                self.submit(now, id, job);
+            }
+            return;
+        }
         let Some(question) = self.questions.get(&id) else {
             return;
         };
@@ -282,6 +288,21 @@
         self.send_question(now, id);
     }
 
+    /// True where a request waits at the owner of one endpoint that is closed. In a fleet
+    /// of one cell the owner gives it any that is its own.
+    fn asks_for_closed(&self, id: job::Id) -> bool {
+        let question = self.questions.get(&id).filter(|one| one.job.is_some());
+        let asked = question.and_then(|question| question.endpoint);
+        let Some((endpoint, target)) = asked.zip(self.places.get(&id)) else {
+            return false;
+        };
+        let worker = self.pools.get(target).and_then(|pool| {
+            let at = pool.worker_opt(endpoint)?;
+            pool.workers.get(at)
+        });
+        !self.members.cell().whole && worker.is_some_and(|worker| !worker.is_open())
+    }
+
     /// True where the node that was asked owns the slots that were asked for.
     fn is_still_owner(&self, now: Time, id: job::Id) -> bool {
         let Some(question) = self.questions.get(&id) else {
--- a/crates/dispatch/src/dispatcher/displace.rs
+++ b/crates/dispatch/src/dispatcher/displace.rs
@@ -1,6 +1,6 @@
 //! Requests that may not run in the data centre of the node to which they came, since
-//! it is evacuated, or since they are bound to other regions: they wait in the queues of
-//! other cells.
+//! it is evacuated, since they are bound to other regions, or since all endpoints there
+//! leave: they wait in the queues of other cells.
 //!
 //! Spare slots alone would not do: those are given only where nothing waits, so
 //! that callers of an evacuated data centre came after all others.
@@ -36,12 +36,16 @@
         }
     }
 
-    /// True where a request may not run in this node's data centre, so that its cell
-    /// has no slots for it of a service that is not shared.
+    /// True where a request may not run in this node's data centre, or all endpoints of
+    /// its cell leave, so that the cell has no slots for it of a service that is not shared.
     pub(super) fn is_displaced(&self, pool: &Pool, job: &Job) -> bool {
+        if self.members.cell().whole || pool.shared {
+            return false;
+        }
         let own = &self.options.data_centre;
-        let closed = self.list.is_evacuated(own) || !self.options.regions.allows(&job.bound, own);
-        !self.members.cell().whole && !pool.shared && closed
+        self.list.is_evacuated(own)
+            || !self.options.regions.allows(&job.bound, own)
+            || pool.is_left_by_cell()
     }
 
     /// True where an endpoint is in a region in which a request may run.
--- a/crates/dispatch/src/dispatcher/keep_rate_limit.rs
+++ b/crates/dispatch/src/dispatcher/keep_rate_limit.rs
@@ -16,11 +16,6 @@
 use crate::rate_limit::Told;
 use crate::worker::Worker;
 
-/// Rate limits told in one status, and in one to a node that has just joined and may know
-/// none. Statuses take turns with them, so that all are told however many there are.
-const TOLD_MOST: usize = 16;
-const TOLD_TO_NEWCOMER_MOST: usize = 64;
-
 impl Dispatcher {
     /// Takes the limit that the head of an answer names, or that it names none. Gives
     /// the change that this brought, if any.
@@ -97,27 +92,16 @@
         }
     }
 
-    /// Rate limits to tell others of, others each time.
+    /// Rate limits to tell others of, in the order of their endpoints.
     pub(super) fn rate_limits_to_tell(&self, now: Time) -> Vec<Told> {
         let workers = self.pools.values().flat_map(|pool| &pool.workers);
         let listed = workers.filter(|worker| worker.listed);
         let told = listed.filter_map(|worker| worker.rate_limit.to_told_opt(now, worker.number));
         let mut told: Vec<Told> = told.collect();
-        if told.len() > TOLD_MOST {
-            told.sort_by_key(|one| one.endpoint);
-            let turn = (self.sequence as usize).wrapping_mul(TOLD_MOST);
-            let start = turn % told.len();
-            told.rotate_left(start);
-            told.truncate(TOLD_TO_NEWCOMER_MOST);
-        }
+        told.sort_by_key(|one| one.endpoint);
         told
     }
 
-    /// Of those, the ones that a node is told which has been heard for a while.
-    pub(super) fn rate_limits_to_known(told: &[Told]) -> &[Told] {
-        &told[..told.len().min(TOLD_MOST)]
-    }
-
     /// Lets the time until this node's first request begin anew at each endpoint whose
     /// limit another keeps.
     pub(super) fn wait_for_limits(&mut self, now: Time) {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -99,6 +99,7 @@
 pub use enter::Refusal;
 use lend::Remote;
 pub use policy::Policy;
+pub use query::PassedOver;
 pub use query::Summary;
 pub use reserve::Charge;
 pub use suspect::Change;
@@ -272,6 +273,8 @@
     call: f64,
     /// How long its slots stand idle between calls of other nodes.
     turnaround: Turnaround,
+    /// When one of its endpoints was last open; none where none was yet.
+    open_at: Option<Time>,
 }
 
 /// One node's decisions.
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -305,10 +305,10 @@
 fn home(pool: &Pool, chain: &[(u64, u64)]) -> Option<usize> {
     let (key, _) = chain.last()?;
     let takers = pool.workers.iter().enumerate();
-    let listed = takers.filter(|(_, worker)| {
-        worker.own_cell && worker.listed && !worker.endpoint.leaving && !worker.evacuated
+    let homes = takers.filter(|(_, worker)| {
+        worker.own_cell && worker.listed && !worker.is_leaving() && !worker.evacuated
     });
-    listed
+    homes
         .max_by_key(|(_, worker)| hash::chain(*key, &worker.number.to_le_bytes()))
         .map(|(at, _)| at)
 }
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -32,6 +32,14 @@
             .count()
     }
 
+    /// True where this cell has endpoints and all of them leave.
+    pub(super) fn is_left_by_cell(&self) -> bool {
+        let near = self.workers.iter();
+        let mut near = near.filter(|worker| worker.own_cell && worker.listed);
+        let first = near.next();
+        first.is_some_and(Worker::is_leaving) && near.all(Worker::is_leaving)
+    }
+
     /// Endpoints of which something holds, of those that the platform lists.
     pub(super) fn count_listed(&self, holds: impl Fn(&Worker) -> bool) -> usize {
         let listed = self.workers.iter().filter(|worker| worker.listed);
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -179,7 +179,7 @@
         let mut ended = Vec::new();
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
             let lacks = !listed.contains(&worker.number);
-            if worker.listed && lacks && !worker.endpoint.leaving {
+            if worker.listed && lacks && !worker.is_leaving() {
                 ended.push(worker.number);
             }
             worker.listed = false;
@@ -311,5 +311,6 @@
         prefill: PREFILL,
         call: CALL,
         turnaround: Turnaround::default(),
+        open_at: None,
     })
 }
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -27,6 +27,15 @@
 /// in use, and for nodes that have more than their even part.
 const KEPT_OF_TAKEN: usize = 2;
 
+/// Endpoints that a request is not sent to, by what they said of themselves.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PassedOver {
+    /// Those that leave.
+    pub leaving: Vec<id::Endpoint>,
+    /// Those that want nothing from this node for a while.
+    pub resting: Vec<id::Endpoint>,
+}
+
 /// What a node holds, for metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summary {
@@ -112,6 +121,21 @@
         }
     }
 
+    /// Endpoints of a service that are passed over now by what they said in answers.
+    pub fn passed_over(&self, now: Time, target: &id::Target) -> PassedOver {
+        let mut passed_over = PassedOver::default();
+        let pool = self.pools.get(target);
+        let workers = pool.into_iter().flat_map(|pool| &pool.workers);
+        for worker in workers.filter(|worker| worker.listed) {
+            if worker.leaving {
+                passed_over.leaving.push(worker.endpoint.name.clone());
+            } else if worker.rest.is_resting(now) {
+                passed_over.resting.push(worker.endpoint.name.clone());
+            }
+        }
+        passed_over
+    }
+
     /// True once the node has begun to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -33,6 +33,12 @@
 /// Endpoints spoken of in one status, so that it fits a datagram.
 const LOADS_MOST: usize = 64;
 
+/// What endpoints said of one kind that is told in one status, and in one to a node that
+/// has just joined and may know nothing of it. Statuses take turns, so that all is told
+/// however much there is.
+const TOLD_MOST: usize = 16;
+const TOLD_TO_NEWCOMER_MOST: usize = 64;
+
 /// Endpoints that one node cannot connect to from which on it may be the node.
 const MANY_UNREACHABLE: usize = 4;
 
@@ -58,6 +64,7 @@
         self.accounts.begin(now);
         let findings = std::mem::take(&mut status.findings);
         let rate_limits = std::mem::take(&mut status.rate_limits);
+        let words = std::mem::take(&mut status.words);
         let quarantine = status.quarantine;
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
@@ -78,6 +85,7 @@
             self.accounts.hear(now, speaker, said, quota, reach);
         }
         self.hear_rate_limits(now, &rate_limits);
+        self.hear_words(&words);
         self.take_findings(now, &findings);
         self.answer_digest(now, from, quarantine);
         news
@@ -129,7 +137,8 @@
         let status = self.status(now);
         let to_known = Status {
             members: self.members.told_to_known(&status.members).to_vec(),
-            rate_limits: Dispatcher::rate_limits_to_known(&status.rate_limits).to_vec(),
+            rate_limits: told_to_known(&status.rate_limits),
+            words: told_to_known(&status.words),
             ..status.clone()
         };
         let mut statuses = vec![(to_known, known), (status, newcomers)];
@@ -155,8 +164,20 @@
             quarantine: self.quarantine.digest(),
             findings: self.quarantine.news(now),
             protocol: Protocol::OWN,
-            rate_limits: self.rate_limits_to_tell(now),
+            rate_limits: self.in_turn(self.rate_limits_to_tell(now)),
+            words: self.in_turn(self.words_to_tell()),
+        }
+    }
+
+    /// Of what there is to tell of endpoints as much as one status holds, others each time.
+    fn in_turn<T>(&self, mut told: Vec<T>) -> Vec<T> {
+        if told.len() > TOLD_MOST {
+            let turn = (self.sequence as usize).wrapping_mul(TOLD_MOST);
+            let start = turn % told.len();
+            told.rotate_left(start);
+            told.truncate(TOLD_TO_NEWCOMER_MOST);
         }
+        told
     }
 
     /// What runs, but for what the owner of the slots tells.
@@ -318,3 +339,8 @@
     let unreachable = loads.iter().filter(unreachable).count();
     unreachable >= MANY_UNREACHABLE && unreachable * 2 > loads.len()
 }
+
+/// Of what is told to a newcomer, what a node is told that has been heard for a while.
+fn told_to_known<T: Clone>(told: &[T]) -> Vec<T> {
+    told[..told.len().min(TOLD_MOST)].to_vec()
+}
--- a/crates/dispatch/src/dispatcher/take_notice.rs
+++ b/crates/dispatch/src/dispatcher/take_notice.rs
@@ -9,7 +9,9 @@
 use crate::notice::Change;
 use crate::notice::Field;
 use crate::notice::Notice;
+use crate::notice::Told;
 use crate::notice::Update;
+use crate::notice::Word;
 
 impl Dispatcher {
     /// Takes what the head of the answer to a request says of the endpoint that runs it.
@@ -29,16 +31,56 @@
         changes.chain(leaving).chain(rest).collect()
     }
 
-    /// An endpoint said in an answer that it leaves.
+    /// An endpoint said in an answer that it leaves. All others are told at once: each
+    /// would otherwise learn it by a request that it sends there.
     fn note_leaving(&mut self, id: job::Id) -> Option<Change> {
         let run = self.runs.get(&id)?;
         let pool = self.pools.get_mut(&run.job.target)?;
         let worker = &mut pool.workers[run.worker];
         worker.leaving = true;
         let new = self.leaving_endpoints.insert(worker.number);
+        self.urgent |= new;
+        self.news |= new;
         new.then_some(Change::Leaving)
     }
 
+    /// Takes what endpoints said to another node.
+    pub(super) fn hear_words(&mut self, told: &[Told]) {
+        for one in told {
+            match one.word {
+                Word::Leaving => self.hear_leaving(one.endpoint),
+            }
+        }
+    }
+
+    fn hear_leaving(&mut self, endpoint: u32) {
+        if !self.leaving_endpoints.insert(endpoint) {
+            return;
+        }
+        let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
+        for worker in workers.filter(|worker| worker.number == endpoint) {
+            worker.leaving = true;
+            self.updates.push(Update {
+                endpoint: worker.endpoint.name.clone(),
+                change: Change::Leaving,
+            });
+        }
+    }
+
+    /// What endpoints said and lists do not say, in the order of the endpoints.
+    pub(super) fn words_to_tell(&self) -> Vec<Told> {
+        let workers = self.pools.values().flat_map(|pool| &pool.workers);
+        let leaving = workers.filter(|worker| worker.listed && worker.leaving);
+        let unlisted = leaving.filter(|worker| !worker.endpoint.leaving);
+        let told = unlisted.map(|worker| Told {
+            endpoint: worker.number,
+            word: Word::Leaving,
+        });
+        let mut told: Vec<Told> = told.collect();
+        told.sort_by_key(|one| one.endpoint);
+        told
+    }
+
     /// An endpoint turned a request away and wants nothing from this node for so long.
     fn note_rest(&mut self, now: Time, id: job::Id, rest: Span) -> Option<Change> {
         let run = self.runs.get(&id)?;
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -6,9 +6,11 @@
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
+use super::Pool;
 use super::Refusal;
 use crate::job;
 use crate::job::Job;
+use crate::worker::Worker;
 
 /// Time between two arrangements of cells.
 const ARRANGE_EVERY: Span = Span::from_millis(200);
@@ -17,6 +19,17 @@
 /// stopped in between, so that nothing that others said holds any more.
 const PAUSE: Span = Span::from_millis(1_500);
 
+/// What a request may expect of the endpoints of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Prospect {
+    /// One is neither leaving nor evacuated.
+    Live,
+    /// Some are listed, and leave.
+    Leaving,
+    /// None is listed, or all are evacuated.
+    Nothing,
+}
+
 impl Dispatcher {
     /// Refuses what ran out of time, forgets what is old and gives free
     /// endpoints work. True where this process seems to have been paused.
@@ -82,23 +95,23 @@
     }
 
     /// With no endpoint at all where a request may run, waiting beyond the objective
-    /// helps nobody.
+    /// helps nobody; where all have said that they leave, waiting at all.
     fn refuse_without_endpoint(&mut self, now: Time, target: &id::Target) {
-        let Some(pool) = self.pools.get(target) else {
+        let Some(pool) = self.pools.get_mut(target) else {
             return;
         };
-        let is_live = |job: &Job| {
-            pool.workers.iter().any(|worker| {
-                worker.listed
-                    && !worker.endpoint.leaving
-                    && !worker.evacuated
-                    && self.may_run_at(job, worker)
-            })
+        if pool.workers.iter().any(Worker::is_open) {
+            pool.open_at = Some(now);
+        }
+        let closed_for = pool.open_at.map_or(Span::ZERO, |at| now.since(at));
+        let Some(pool) = self.pools.get(target) else {
+            return;
         };
-        let waited = pool
-            .queue
-            .iter()
-            .filter(|(_, job)| now.since(job.arrived) > job.objective && !is_live(job));
+        let waited = pool.queue.iter().filter(|(_, job)| {
+            let prospect = self.prospect(pool, job);
+            let waited = now.since(job.arrived) > job.objective;
+            prospect == Prospect::Leaving || (waited && prospect == Prospect::Nothing)
+        });
         let hopeless: Vec<job::Id> = waited.map(|(id, _)| id).collect();
         for id in hopeless {
             let pool = self.pools.get_mut(target);
@@ -106,8 +119,8 @@
                 continue;
             };
             self.withdraw(id);
-            let waited = now.since(job.arrived);
-            let retry_after = self.retry_after_estimate(now, waited, job.deadline.since(now));
+            let outage = now.since(job.arrived).max(closed_for);
+            let retry_after = self.retry_after_estimate(now, outage, job.deadline.since(now));
             let refusal = Refusal {
                 code: match job.bound.is_free() {
                     true => Code::NoEndpoint,
@@ -120,4 +133,21 @@
             self.refuse(now, id, job.origin, refusal);
         }
     }
+
+    /// What a request may expect of the endpoints where it may run.
+    fn prospect(&self, pool: &Pool, job: &Job) -> Prospect {
+        let workers = pool.workers.iter();
+        let mut near = workers.filter(|worker| worker.listed && self.may_run_at(job, worker));
+        let mut prospect = Prospect::Nothing;
+        let live = near.any(|worker| {
+            if worker.is_leaving() {
+                prospect = Prospect::Leaving;
+            }
+            !worker.is_leaving() && !worker.evacuated
+        });
+        match live {
+            true => Prospect::Live,
+            false => prospect,
+        }
+    }
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -8,6 +8,7 @@
 use crate::configuration::Rank;
 use crate::edition::Edition;
 use crate::lease;
+use crate::notice;
 use crate::parts::Digest;
 use crate::parts::Head;
 use crate::parts::Part;
@@ -98,6 +99,9 @@
     /// Some of the rate limits that it knows, others each time.
     #[serde(skip)]
     pub rate_limits: Vec<rate_limit::Told>,
+    /// Some of what else endpoints said in answers, others each time.
+    #[serde(skip)]
+    pub words: Vec<notice::Told>,
 }
 
 /// Asks the owner of a customer's quota for a request's units.
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use serde::Deserialize;
+use serde::Serialize;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 
@@ -63,6 +65,22 @@
     Rested,
 }
 
+/// What nodes tell each other of an endpoint, by its answer to one of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The number of the endpoint's start.
+    pub endpoint: u32,
+    /// What it said.
+    pub word: Word,
+}
+
+/// One thing that an endpoint said.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// It leaves.
+    Leaving,
+}
+
 /// A change that no answer to a request of this node's brought.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Update {
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -27,8 +27,11 @@
     /// of them.
     pub const RATE_LIMITS: Protocol = Protocol(10);
 
+    /// The first whose statuses tell what else endpoints say of themselves in answers.
+    pub const WORDS: Protocol = Protocol(11);
+
     /// What this build speaks.
-    pub const OWN: Protocol = Protocol::RATE_LIMITS;
+    pub const OWN: Protocol = Protocol::WORDS;
 
     /// For messages that do not say which.
     pub(crate) fn first() -> Protocol {
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -1,12 +1,13 @@
 //! How messages between nodes are written and read.
 //!
 //! Each message has the layout that every build reads, and behind it what later builds
-//! add: an addition with rate limits behind it, or what a configuration binds to regions. A build reads of it what it
-//! knows, takes the usual for what is missing, and leaves the rest. Nothing that stands
+//! add: an addition with lists of what endpoints said behind it, or what a configuration
+//! binds to regions. A build reads of it what it knows, takes the usual for what is missing, and leaves the rest. Nothing that stands
 //! before it ever changes (docs/PROTOCOL.md; test `what_is_written_is_kept`).
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::edition::Era;
 use crate::message::Frame;
@@ -14,7 +15,6 @@
 use crate::message::Pull;
 use crate::protocol;
 use crate::protocol::Protocol;
-use crate::rate_limit;
 
 /// What stands behind a status, a question for documents, and a list of endpoints. More
 /// fields may only be added at its end, each in an addition of its own that may be
@@ -49,7 +49,8 @@
         era: status.endpoints.era,
     };
     let bytes = postcard::to_extend(&addition, bytes)?;
-    postcard::to_extend(&status.rate_limits, bytes)
+    let bytes = postcard::to_extend(&status.rate_limits, bytes)?;
+    postcard::to_extend(&status.words, bytes)
 }
 
 /// Reads a datagram; nothing for another layout or for what is no message.
@@ -63,7 +64,9 @@
         let (addition, rest) = take_addition(rest).ok()?;
         status.protocol = addition.protocol;
         status.endpoints.era = addition.era;
-        status.rate_limits = take_rate_limits(rest).ok()?;
+        let (rate_limits, rest) = take_list(rest).ok()?;
+        status.rate_limits = rate_limits;
+        status.words = take_list(rest).ok()?.0;
     }
     Some(message)
 }
@@ -133,10 +136,11 @@
     }
 }
 
-/// Reads the rate limits behind the addition of a status.
-fn take_rate_limits(rest: &[u8]) -> postcard::Result<Vec<rate_limit::Told>> {
+/// Reads a list behind the addition of a status, which may be missing, and gives what
+/// stands behind it.
+fn take_list<T: DeserializeOwned>(rest: &[u8]) -> postcard::Result<(Vec<T>, &[u8])> {
     match rest {
-        [] => Ok(Vec::new()),
-        rest => postcard::from_bytes(rest),
+        [] => Ok((Vec::new(), rest)),
+        rest => postcard::take_from_bytes(rest),
     }
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -295,7 +295,7 @@
 
     /// True unless it is leaving or gone.
     pub fn is_staying(&self) -> bool {
-        self.listed && !self.endpoint.leaving && self.gone_at.is_none()
+        self.listed && !self.is_leaving() && self.gone_at.is_none()
     }
 
     /// True unless it is to be sent nothing, whatever state it is in: it is
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -498,6 +498,7 @@
                 if self.before.contains(&to) || self.before.contains(&to_node(from)) {
                     status.endpoints.era = Era::default();
                     status.rate_limits.clear();
+                    status.words.clear();
                 }
                 dispatcher.hear(now, from, *status);
             }
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -40,6 +40,7 @@
 use woadstage_dispatch::message::Usage;
 use woadstage_dispatch::message::Verdict;
 use woadstage_dispatch::message::Waiting;
+use woadstage_dispatch::notice;
 use woadstage_dispatch::parts;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine::Finding;
@@ -111,6 +112,10 @@
         findings: vec![finding()],
         protocol: Protocol::OWN,
         rate_limits: vec![told(5, Some("2.75")), told(6, None)],
+        words: vec![notice::Told {
+            endpoint: 7,
+            word: notice::Word::Leaving,
+        }],
     }
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -183,6 +183,10 @@
         /// Who gave the slot, and knew all of the above: here, or the owner's
         /// address.
         owner: &'a str,
+        /// Endpoints that were passed over by what they said in answers, each with
+        /// `leaving` or `rest`, with commas between.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        passed_over: &'a str,
     },
     /// Something became known of a request that endpoints ended under.
     Suspect {
@@ -261,6 +265,9 @@
         pause_ms: u64,
         /// The version of the configuration that decided it; 0 for none.
         configuration: u64,
+        /// Endpoints that were passed over where this node refused it, as in `sent`.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        passed_over: &'a str,
     },
     /// A caller left before its answer was whole.
     Left {
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -138,8 +138,12 @@
         Some(wait) if wait > 0 => format!(" A wait of {wait} ms was expected."),
         _ => String::new(),
     };
+    let passed_over = match text(answered, "passed_over") {
+        "" => String::new(),
+        names => format!(" Passed over by what they said in answers: {names}."),
+    };
     format!(
-        "This node answered {status} {code} ({}), under configuration {version}; it had tried {tried}.{wait}",
+        "This node answered {status} {code} ({}), under configuration {version}; it had tried {tried}.{wait}{passed_over}",
         text(answered, "outcome"),
     )
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -26,6 +26,7 @@
 use super::judge;
 use super::judge::Verdict;
 use super::note;
+use super::note::Asked;
 use super::outgoing;
 use super::outgoing::Attempt;
 use super::payload::Payload;
@@ -363,13 +364,13 @@
         if not_run {
             charge::give_back(&self.shell, &self.admitted, self.units, self.charged);
         }
-        let Admitted {
-            request,
-            route,
-            arrived,
-            ..
-        } = &self.admitted;
-        note::answer(&self.shell, request, &route.name, *arrived, reply);
+        let asked = Asked {
+            request: &self.admitted.request,
+            route: &self.admitted.route.name,
+            target: Some(&self.admitted.target),
+            arrived: self.admitted.arrived,
+        };
+        note::answer(&self.shell, asked, reply);
         self.over = true;
         reply.to_response()
     }
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -17,6 +17,7 @@
 use super::closing;
 use super::exchange::Exchange;
 use super::note;
+use super::note::Asked;
 use super::payload::Payload;
 use super::relay;
 use super::reply::Reply;
@@ -106,6 +107,12 @@
         wait: None,
         owner: None,
     };
-    note::answer(shell, request, "", arrived, reply);
+    let asked = Asked {
+        request,
+        route: "",
+        target: None,
+        arrived,
+    };
+    note::answer(shell, asked, reply);
     reply.to_response()
 }
--- a/crates/gateway/src/serve/note.rs
+++ b/crates/gateway/src/serve/note.rs
@@ -5,6 +5,7 @@
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::Fingerprint;
+use woadstage_types::id;
 use woadstage_types::unit::Time;
 
 use super::admit::Admitted;
@@ -16,8 +17,31 @@
 /// Steps in which an endpoint's pace is logged.
 const HUNDREDTHS: f64 = 100.0;
 
+/// Whom an answer of this node's own is for, and when its request came.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked<'a> {
+    /// The caller's id of it.
+    pub request: &'a str,
+    /// Its route; empty where it has none.
+    pub route: &'a str,
+    /// Its service, where it has one.
+    pub target: Option<&'a id::Target>,
+    /// When it came.
+    pub arrived: Time,
+}
+
+/// Endpoints that a line names as passed over.
+const PASSED_OVER_MOST: usize = 8;
+
 /// Logs and counts an answer of this node's own.
-pub fn answer(shell: &Shell, request: &str, route: &str, arrived: Time, reply: Reply) {
+pub fn answer(shell: &Shell, asked: Asked<'_>, reply: Reply) {
+    let Asked {
+        request,
+        route,
+        target,
+        arrived,
+    } = asked;
+    let passed_over = target.map(|target| passed_over(shell, target));
     let after = shell.now().since(arrived);
     let code = reply.code.to_string();
     shell
@@ -36,6 +60,7 @@
         first_ms: 0,
         pause_ms: 0,
         configuration: shell.query(|dispatcher, _| dispatcher.configuration_version()),
+        passed_over: &passed_over.unwrap_or_default(),
     });
 }
 
@@ -82,9 +107,22 @@
         unread: reason.unread,
         pace: (reason.pace * HUNDREDTHS).round() / HUNDREDTHS,
         owner: &to_owner(owner),
+        passed_over: &passed_over(shell, &admitted.target),
     });
 }
 
+/// Endpoints of a service that are passed over by what they said in answers, as logs name
+/// them.
+fn passed_over(shell: &Shell, target: &id::Target) -> String {
+    let passed_over = shell.query(|dispatcher, now| dispatcher.passed_over(now, target));
+    let leaving = passed_over.leaving.iter();
+    let leaving = leaving.map(|endpoint| format!("{endpoint} leaving"));
+    let resting = passed_over.resting.iter();
+    let resting = resting.map(|endpoint| format!("{endpoint} rest"));
+    let named: Vec<String> = leaving.chain(resting).take(PASSED_OVER_MOST).collect();
+    named.join(", ")
+}
+
 /// Who decided, as logs name it: the address of another node, or `here`.
 fn to_owner(owner: Option<SocketAddrV4>) -> String {
     owner.map_or_else(|| "here".to_owned(), |owner| owner.to_string())
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -210,6 +210,7 @@
             first_ms: self.first_ms(),
             pause_ms: self.pause.0 / 1_000,
             configuration: exchange.admitted.version,
+            passed_over: "",
         });
         rest
     }
--- a/crates/gateway/tests/gateway/explain.rs
+++ b/crates/gateway/tests/gateway/explain.rs
@@ -119,3 +119,13 @@
     }
     text
 }
+
+#[test]
+fn a_refusal_names_the_endpoints_that_were_passed_over() {
+    let answered = r#"{"time_ms":6,"event":"answered","request":"r","status":503,"code":"W2001","outcome":"not-run","configuration":7,"passed_over":"e leaving, f rest"}"#;
+    let said = cause(&format!("{ACCEPTED}\n{answered}\n"));
+    assert!(
+        said.ends_with("Passed over by what they said in answers: e leaving, f rest."),
+        "{said}"
+    );
+}
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -118,6 +118,7 @@
         unread: 0,
         uncached: 0,
         pace: 1.0,
+        passed_over: "",
     }
 }
 
--- a/crates/losses/src/line.rs
+++ b/crates/losses/src/line.rs
@@ -102,6 +102,9 @@
         /// The longest pause between two events, in milliseconds.
         #[serde(default)]
         pause_ms: u64,
+        /// Endpoints that were passed over by what they said in answers.
+        #[serde(default)]
+        passed_over: String,
     },
     /// A caller left.
     Left {
--- a/crates/losses/src/plot.rs
+++ b/crates/losses/src/plot.rs
@@ -35,6 +35,8 @@
         Cause::RefusedAtOnce => RGBColor(150, 190, 230),
         Cause::RefusedAfterWait => RGBColor(90, 140, 200),
         Cause::RefusedOnReturn => RGBColor(40, 80, 150),
+        Cause::EndpointsLeaving => RGBColor(60, 110, 90),
+        Cause::EndpointsResting => RGBColor(100, 150, 130),
         Cause::Quota => RGBColor(150, 110, 190),
         Cause::NoConfiguration => RGBColor(70, 160, 170),
         Cause::RetryBudget => RGBColor(110, 60, 130),
--- a/crates/losses/src/request.rs
+++ b/crates/losses/src/request.rs
@@ -27,6 +27,10 @@
     RefusedAfterWait,
     /// Refused again after its caller had returned.
     RefusedOnReturn,
+    /// Refused while endpoints that said that they leave were passed over.
+    EndpointsLeaving,
+    /// Refused while endpoints that had asked for rest were passed over.
+    EndpointsResting,
     /// Its customer was over its limit.
     Quota,
     /// No configuration was in force yet.
@@ -50,7 +54,7 @@
 
 impl Cause {
     /// Every cause, in the order in which they are shown.
-    pub const ALL: [Cause; 16] = [
+    pub const ALL: [Cause; 18] = [
         Cause::InTime,
         Cause::LateWaited,
         Cause::LateEndpoint,
@@ -58,6 +62,8 @@
         Cause::RefusedAtOnce,
         Cause::RefusedAfterWait,
         Cause::RefusedOnReturn,
+        Cause::EndpointsLeaving,
+        Cause::EndpointsResting,
         Cause::Quota,
         Cause::NoConfiguration,
         Cause::RetryBudget,
@@ -79,6 +85,8 @@
             Cause::RefusedAtOnce => "refused-at-once",
             Cause::RefusedAfterWait => "refused-after-wait",
             Cause::RefusedOnReturn => "refused-on-return",
+            Cause::EndpointsLeaving => "endpoints-leaving",
+            Cause::EndpointsResting => "endpoints-resting",
             Cause::Quota => "quota",
             Cause::NoConfiguration => "no-configuration",
             Cause::RetryBudget => "retry-budget",
@@ -131,6 +139,8 @@
     pub first_ms: u64,
     /// The longest pause between two events, in milliseconds.
     pub pause_ms: u64,
+    /// Endpoints that were passed over by what they said in answers.
+    pub passed_over: String,
 }
 
 /// One request of a caller, put together from its lines.
@@ -234,6 +244,7 @@
                 events,
                 first_ms,
                 pause_ms,
+                passed_over,
                 ..
             } => {
                 self.answered = Some(Answered {
@@ -243,6 +254,7 @@
                     events: *events,
                     first_ms: *first_ms,
                     pause_ms: *pause_ms,
+                    passed_over: passed_over.clone(),
                 });
             }
             Event::Left { .. } => self.left = true,
@@ -310,6 +322,12 @@
         if is(Code::AnswerLate) {
             return Cause::TimedOut;
         }
+        if answered.status == 503 && answered.passed_over.contains("rest") {
+            return Cause::EndpointsResting;
+        }
+        if answered.status == 503 && answered.passed_over.contains("leaving") {
+            return Cause::EndpointsLeaving;
+        }
         if self.no_budget {
             return Cause::RetryBudget;
         }
--- a/crates/losses/tests/losses/causes.rs
+++ b/crates/losses/tests/losses/causes.rs
@@ -27,6 +27,8 @@
 const OVER_LIMIT: &str =
     r#"{"time_ms":1000,"event":"over-limit","request":"r","route":"chat","customer":"c"}"#;
 const NO_BUDGET: &str = r#"{"time_ms":2000,"event":"attempt","request":"r","endpoint":"e","end":"lost","next":"budget","detail":"","after_ms":5}"#;
+const PASSED_LEAVING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W2001","after_ms":5,"passed_over":"e leaving"}"#;
+const PASSED_RESTING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W3004","after_ms":5,"passed_over":"e rest"}"#;
 const CUT: &str = r#"{"time_ms":2000,"event":"cut","request":"r","detail":"reset","after_ms":5}"#;
 const LEFT: &str = r#"{"time_ms":2000,"event":"left","request":"r","after_ms":900}"#;
 
@@ -39,6 +41,8 @@
     a_pause_too_long: [sent(1_010, "r", 10, 50), streamed("r", 700, 260)] => Cause::LatePause;
     refused_at_once: [answered("r", 503, "W2002", 3)] => Cause::RefusedAtOnce;
     refused_after_a_wait: [answered("r", 503, "W2002", 300)] => Cause::RefusedAfterWait;
+    refused_beside_an_endpoint_that_leaves: [PASSED_LEAVING] => Cause::EndpointsLeaving;
+    refused_beside_one_that_rests: [PASSED_RESTING] => Cause::EndpointsResting;
     over_the_limit: [OVER_LIMIT, answered("r", 429, "W2003", 1)] => Cause::Quota;
     no_configuration: [answered("r", 503, "W2007", 0)] => Cause::NoConfiguration;
     no_budget_left: [sent(1_010, "r", 0, 0), NO_BUDGET, answered("r", 502, "W3003", 9)] => Cause::RetryBudget;
