fix: an endpoint that asks for rest gets it, and callers do not notice while others have room

Engines that had turned a host away and asked it for 3 s of rest got 22 and 4 more requests from it in that time, where two are allowed (BUDGET).

Class: an endpoint that turns away at once runs nothing, so it looks free and draws requests. Ruled out: leases, waiting requests and further attempts (a fleet of seven is one cell, and each send was decided by its own host).

Now a rest binds the node that was asked, whatever it has to send: choice, grants (an owner is told which endpoints to avoid; protocol 11), requests bound to one endpoint. A later answer extends a rest and cuts none. After it the endpoint is in doubt until it takes a request: one at a time is sent there, at first those that may be sent again, later ones after a growing pause while others have room, and a request that cannot be sent again only once it has waited a quarter of its objective. Other nodes hear of a rest and turn to others first, but may use the endpoint: it asked one node. Callers who are refused while all rest are told to come back when the first has rested.

--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -94,6 +94,15 @@
             return;
         }
         let known = &self.pools[&target].workers[worker];
+        if known.rest.is_resting(now) {
+            // An owner that is told so gives another; one of a build before does not know.
+            if !self.members.knows_words(question.owner) {
+                job.history.tried.push(known.number);
+            }
+            self.return_slot(question.owner, question.number, End::Abandoned);
+            self.submit(now, id, job);
+            return;
+        }
         if !self.may_use_slot(question.owner, known) {
             job.history.tried.push(known.number);
             self.return_slot(question.owner, question.number, End::Abandoned);
--- a/crates/dispatch/src/dispatcher/begin.rs
+++ b/crates/dispatch/src/dispatcher/begin.rs
@@ -66,6 +66,9 @@
         let ahead = worker.pending + worker.others_pending;
         let queued = worker.busy() >= worker.endpoint.slots;
         worker.start(now, reason.uncached);
+        if job.origin.is_none() && worker.is_in_doubt(now) {
+            worker.rest.start(now);
+        }
         if let Some(interval) = interval {
             worker.cold.start(now, interval);
         }
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -40,6 +40,9 @@
 /// a handful of starts a second each, so that an uneven choice shows.
 const CHOICES_OF_ONE_CELL: usize = 4;
 
+/// Endpoints that rest which an owner is told of, so that the question fits a datagram.
+const AVOIDED_MOST: usize = 64;
+
 /// A request of this node for which an owner was asked for a slot.
 #[derive(Debug)]
 pub(super) struct Question {
@@ -144,6 +147,9 @@
                 && self.may_run_at(job, worker)
         });
         let usable: Vec<&Worker> = usable.collect();
+        let sure = usable.iter().filter(|worker| !worker.is_in_doubt(now));
+        let sure: Vec<&Worker> = sure.copied().collect();
+        let usable = if sure.is_empty() { usable } else { sure };
         let one_cell = self.members.cell().whole;
         let (choices, waiting): (usize, &dyn Fn(&Worker) -> f64) = match one_cell {
             true => (CHOICES_OF_ONE_CELL, &|worker| {
@@ -234,11 +240,25 @@
             pause: job.pause,
             prompt: job.prompt.clone(),
             tried: job.history.tried.clone(),
+            avoided: self.avoided(now, pool, job),
         };
         let message = Message::Lease(Box::new(request));
         self.outbox.push((question.owner, message));
     }
 
+    /// Endpoints of a service that want nothing from the node which has a request.
+    fn avoided(&self, now: Time, pool: &Pool, job: &Job) -> Vec<u32> {
+        if job.origin.is_some() {
+            return job.avoided.clone();
+        }
+        let workers = pool.workers.iter().filter(|worker| worker.listed);
+        let rest =
+            workers.filter(|worker| worker.rest.is_resting(now) || worker.rest.is_on_trial());
+        rest.map(|worker| worker.number)
+            .take(AVOIDED_MOST)
+            .collect()
+    }
+
     /// Repeats questions that were not answered, and turns to other owners where
     /// one does not answer or owns the slots no longer.
     pub(super) fn renew_questions(&mut self, now: Time) {
@@ -249,7 +269,7 @@
     }
 
     fn renew_question(&mut self, now: Time, id: job::Id) {
-        if self.asks_for_closed(id) {
+        if self.asks_for_closed(now, id) {
             if let Some(Question { job: Some(job), .. }) = self.withdraw(id) {
                 self.submit(now, id, job);
             }
@@ -288,19 +308,23 @@
         self.send_question(now, id);
     }
 
-    /// True where a request waits at the owner of one endpoint that is closed. In a fleet
-    /// of one cell the owner gives it any that is its own.
-    fn asks_for_closed(&self, id: job::Id) -> bool {
+    /// True where a request waits at the owner of one endpoint that is closed, or rests. In
+    /// a fleet of one cell the owner gives it any that is its own.
+    fn asks_for_closed(&self, now: Time, id: job::Id) -> bool {
         let question = self.questions.get(&id).filter(|one| one.job.is_some());
         let asked = question.and_then(|question| question.endpoint);
         let Some((endpoint, target)) = asked.zip(self.places.get(&id)) else {
             return false;
         };
-        let worker = self.pools.get(target).and_then(|pool| {
-            let at = pool.worker_opt(endpoint)?;
-            pool.workers.get(at)
-        });
-        !self.members.cell().whole && worker.is_some_and(|worker| !worker.is_open())
+        let worker = self.worker_opt(target, endpoint);
+        let is_closed = |worker: &Worker| !worker.is_open() || worker.rest.is_resting(now);
+        !self.members.cell().whole && worker.is_some_and(is_closed)
+    }
+
+    /// What is known of the endpoint of a service that has a number.
+    pub(super) fn worker_opt(&self, target: &id::Target, number: u32) -> Option<&Worker> {
+        let pool = self.pools.get(target)?;
+        pool.workers.get(pool.worker_opt(number)?)
     }
 
     /// True where the node that was asked owns the slots that were asked for.
@@ -348,8 +372,12 @@
             return;
         };
         let waiting = pool.queue.iter();
-        let stuck = waiting
-            .filter(|(_, job)| job.origin.is_none() && !self.is_usable(now, target, job.only));
+        let is_stuck = |number| {
+            let worker = self.worker_opt(target, number);
+            !worker.is_some_and(|worker| worker.takes_work(now, &self.options.worker))
+        };
+        let stuck =
+            waiting.filter(|(_, job)| job.origin.is_none() && job.only.is_some_and(is_stuck));
         let stuck: Vec<job::Id> = stuck.map(|(id, _)| id).collect();
         for id in stuck {
             let pool = self.pools.get_mut(target);
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -68,7 +68,7 @@
             self.reply(origin, Answer::Denied);
             return;
         };
-        if !self.is_usable(now, &target, request.endpoint) {
+        if !self.may_lend(now, &target, request.endpoint) {
             self.reply(origin, Answer::Denied);
             return;
         }
@@ -94,14 +94,13 @@
         }
     }
 
-    /// True unless one endpoint is asked for that takes no work.
-    pub(super) fn is_usable(&self, now: Time, target: &id::Target, endpoint: Option<u32>) -> bool {
-        let Some(number) = endpoint else {
-            return true;
-        };
-        let pool = self.pools.get(target);
-        let worker = pool.and_then(|pool| pool.workers.get(pool.worker_opt(number)?));
-        worker.is_some_and(|worker| worker.takes_work(now, &self.options.worker))
+    /// True unless one endpoint is asked for whose slots may not be given to others.
+    fn may_lend(&self, now: Time, target: &id::Target, endpoint: Option<u32>) -> bool {
+        let options = &self.options.worker;
+        endpoint.is_none_or(|number| {
+            let worker = self.worker_opt(target, number);
+            worker.is_some_and(|worker| worker.lends(now, options))
+        })
     }
 
     fn answer_again(&mut self, now: Time, origin: Origin) {
@@ -117,7 +116,7 @@
         let target = self.places.get(&id).cloned();
         let pool = target.as_ref().and_then(|target| self.pools.get(target));
         let only = pool.and_then(|pool| pool.queue.get(id)?.only);
-        if target.is_some_and(|target| !self.is_usable(now, &target, only)) {
+        if target.is_some_and(|target| !self.may_lend(now, &target, only)) {
             self.end_remote(now, origin, job::End::Abandoned, Seen::default());
             self.reply(origin, Answer::Denied);
             return;
@@ -155,6 +154,7 @@
             // In a fleet of one cell it says whose slots are asked for, of all that are
             // limited: any that this node owns will do.
             only: request.endpoint.filter(|_| !self.members.cell().whole),
+            avoided: request.avoided.clone(),
             trial: false,
             bound: Bound::default(),
         }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -313,6 +313,8 @@
     remote: HashMap<Origin, Remote>,
     /// What others told of endpoints' rate limits since the last tick.
     rate_limits_heard: HashMap<u32, rate_limit::Report>,
+    /// Until when endpoints rest for other nodes, as heard since the last tick.
+    rests_heard: HashMap<u32, Time>,
     /// When the owners of other cells last had no slot to spare.
     denied: HashMap<SocketAddrV4, Time>,
     /// Messages that are to be sent.
@@ -362,6 +364,7 @@
             questions: HashMap::new(),
             remote: HashMap::new(),
             rate_limits_heard: HashMap::new(),
+            rests_heard: HashMap::new(),
             denied: HashMap::new(),
             outbox: Vec::new(),
             next_job: 0,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -52,6 +52,9 @@
             return;
         };
         pool.workers[run.worker].heard = now;
+        if run.job.origin.is_none() {
+            pool.workers[run.worker].rest.serve(run.started);
+        }
         run.shown += events;
         let first = run.first.is_none();
         let told = match first {
@@ -183,6 +186,12 @@
         let options = &self.options.worker;
         let worker = &mut pool.workers[run.worker];
         worker.end(pending);
+        if run.job.origin.is_none() {
+            match end {
+                End::Whole | End::Rejected | End::Fault => worker.rest.serve(run.started),
+                _ => worker.rest.end_trial(run.started),
+            }
+        }
         match end {
             End::Whole | End::Rejected => {
                 worker.succeed(now);
@@ -241,14 +250,19 @@
             return Next::Final(Cause::Time);
         }
         // Only what reaches a second endpoint counts as sent again.
-        let nodes = self.members.reach(now);
-        let nodes = if nodes.alone { ALONE } else { nodes.nodes };
+        let nodes = self.budget_nodes(now);
         let counted = job.history.sent > 0 && end != End::NotSent;
         if counted && !self.budget.try_spend(now, &job.target, nodes) {
             return Next::Final(Cause::Budget);
         }
         Next::Again
     }
+
+    /// Nodes that share what may be sent again.
+    pub(super) fn budget_nodes(&self, now: Time) -> usize {
+        let reach = self.members.reach(now);
+        if reach.alone { ALONE } else { reach.nodes }
+    }
 }
 
 /// Nodes that share the budget as long as none was heard.
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -28,6 +28,59 @@
     first: f64,
     /// True where it should rather wait for another.
     unfit: bool,
+    turn: Turn,
+}
+
+/// Which endpoints are looked at first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    /// It is time to see whether the endpoint takes requests again.
+    Trial,
+    /// Nothing speaks against it.
+    Sure,
+    /// It may turn the request away.
+    InDoubt,
+}
+
+impl Choice {
+    fn goes_before(&self, other: &Choice) -> bool {
+        self.turn < other.turn || (self.turn == other.turn && self.micros < other.micros)
+    }
+}
+
+/// What is risked where an endpoint turns a request away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Risk {
+    /// Nothing: it may be sent to another.
+    Nothing,
+    /// That it is refused, which it has not yet waited long enough for.
+    Refusal,
+    /// That it is refused, instead of waiting on.
+    Waiting,
+}
+
+/// The part of its objective for which a request that cannot be sent again waits for an
+/// endpoint that is sure to take it.
+const WAITS_PART: u64 = 4;
+
+impl Risk {
+    /// When an endpoint is looked at; none where it is not.
+    fn turn_opt(self, now: Time, job: &Job, worker: &Worker) -> Option<Turn> {
+        if !worker.is_in_doubt(now) {
+            return Some(Turn::Sure);
+        }
+        if job.origin.is_some() {
+            return Some(Turn::InDoubt);
+        }
+        if worker.rest.is_on_trial() {
+            return None;
+        }
+        match self {
+            Risk::Refusal => None,
+            Risk::Nothing if worker.rest.is_trial_due(now) => Some(Turn::Trial),
+            Risk::Nothing | Risk::Waiting => Some(Turn::InDoubt),
+        }
+    }
 }
 
 /// What it counts for that other nodes keep away from an endpoint: half of what
@@ -116,9 +169,12 @@
     pub(super) fn free_slots(&self, now: Time, pool: &Pool) -> u32 {
         let one_cell = self.members.cell().whole;
         let usable = pool.workers.iter().filter(|worker| {
-            worker.own_cell
-                && worker.takes_work(now, &self.options.worker)
-                && !(one_cell && worker.is_rate_limited())
+            let options = &self.options.worker;
+            let open = match one_cell {
+                true => worker.takes_work(now, options) && !worker.is_rate_limited(),
+                false => worker.lends(now, options),
+            };
+            worker.own_cell && open
         });
         let free = |worker: &Worker| pool.slots_of(now, worker).saturating_sub(worker.busy());
         usable.map(free).sum()
@@ -137,7 +193,8 @@
     }
 
     /// Of the endpoints of this cell that have room and that `may_take` the request, the
-    /// one that costs least; `ahead` is what each may have beyond its slots.
+    /// one that costs least; `ahead` is what each may have beyond its slots. One that may
+    /// turn the request away comes after all others.
     pub(super) fn cheapest(
         &self,
         now: Time,
@@ -154,11 +211,11 @@
         if apart.as_ref().is_some_and(|apart| apart.begins) {
             return None;
         }
+        let risk = self.risk(now, pool, job);
         let mut best: Option<Choice> = None;
         for (at, worker) in pool.workers.iter().enumerate() {
-            let usable = worker.takes_work(now, &self.options.worker);
             if !worker.own_cell
-                || !usable
+                || !self.is_usable(now, job, worker)
                 || !may_take(worker)
                 || job.only.is_some_and(|only| only != worker.number)
                 || job.history.tried.contains(&worker.number)
@@ -182,16 +239,49 @@
             if choice.unfit || now + Span(choice.first as u64) > job.latest() {
                 continue;
             }
+            let Some(turn) = risk.turn_opt(now, job, worker) else {
+                continue;
+            };
+            choice.turn = turn;
             if let Some(apart) = &apart {
                 choice.micros += apart.risk(at, worker.busy());
             }
-            if best.is_none_or(|best| choice.micros < best.micros) {
+            if best.is_none_or(|best| choice.goes_before(&best)) {
                 best = Some(choice);
             }
         }
         best
     }
 
+    /// True where an endpoint may be sent a request now: of this node, or of another for
+    /// which it does not rest.
+    fn is_usable(&self, now: Time, job: &Job, worker: &Worker) -> bool {
+        let options = &self.options.worker;
+        match job.origin {
+            None => worker.takes_work(now, options),
+            Some(_) => worker.lends(now, options) && !job.avoided.contains(&worker.number),
+        }
+    }
+
+    fn risk(&self, now: Time, pool: &Pool, job: &Job) -> Risk {
+        if !pool.workers.iter().any(|worker| worker.is_in_doubt(now)) {
+            return Risk::Nothing;
+        }
+        // Each trial under way may need one as well.
+        let repeats = self.budget.left(now, &job.target, self.budget_nodes(now));
+        let trials = pool
+            .workers
+            .iter()
+            .filter(|worker| worker.rest.is_on_trial());
+        if job.has_spare_attempt() && repeats > trials.count() as u64 {
+            return Risk::Nothing;
+        }
+        match now.since(job.arrived).0 * WAITS_PART >= job.objective.0 {
+            true => Risk::Waiting,
+            false => Risk::Refusal,
+        }
+    }
+
     fn engine_choice(
         &self,
         now: Time,
@@ -223,6 +313,7 @@
                 + believed * policy.reread
                 + self.doubt(worker),
             unfit: self.is_unfit(now, pool, worker, job, forecast),
+            turn: Turn::Sure,
         }
     }
 
@@ -265,6 +356,7 @@
             uncached: 0,
             first: 0.0,
             unfit: false,
+            turn: Turn::Sure,
             micros: pool.call * worker.pace * (1.0 + load) * spread + crossing + self.doubt(worker),
         }
     }
--- a/crates/dispatch/src/dispatcher/retry.rs
+++ b/crates/dispatch/src/dispatcher/retry.rs
@@ -6,6 +6,7 @@
 //! forecast is cut to that.
 
 use woadstage_types::hash;
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
@@ -15,6 +16,9 @@
 /// back within a region.
 const LEAST: Span = Span::from_millis(100);
 
+/// When a caller may come back whom no endpoint had room for, and none asked for rest.
+const SOON: Span = Span::from_millis(200);
+
 /// The part of a known wait over which the callers that wait for it are spread,
 /// so that they do not all come at one moment.
 const SPREAD: f64 = 0.25;
@@ -44,6 +48,18 @@
         (wait + Span(spread as u64)).max(LEAST)
     }
 
+    /// When a caller with so much time `left` is to come back whose request endpoints
+    /// turned away: at once, or where all rest once the first of them has rested.
+    pub fn retry_after_refusal(&self, now: Time, target: &id::Target, left: Span) -> Span {
+        let pool = self.pools.get(target);
+        let open = pool.into_iter().flat_map(|pool| &pool.workers);
+        let rests = open
+            .filter(|worker| worker.is_open())
+            .map(|worker| worker.rest.left(now));
+        let soonest = rests.min().unwrap_or_default();
+        self.retry_after(now, soonest.max(SOON), left)
+    }
+
     /// The longest time that a caller heeds which has so much `left`.
     fn longest_wait(&self, left: Span) -> Span {
         Span((left.0 as f64 * self.options.policy.come_back_within) as u64)
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -85,7 +85,7 @@
             self.accounts.hear(now, speaker, said, quota, reach);
         }
         self.hear_rate_limits(now, &rate_limits);
-        self.hear_words(&words);
+        self.hear_words(now, &words);
         self.take_findings(now, &findings);
         self.answer_digest(now, from, quarantine);
         news
@@ -165,7 +165,7 @@
             findings: self.quarantine.news(now),
             protocol: Protocol::OWN,
             rate_limits: self.in_turn(self.rate_limits_to_tell(now)),
-            words: self.in_turn(self.words_to_tell()),
+            words: self.in_turn(self.words_to_tell(now)),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/take_notice.rs
+++ b/crates/dispatch/src/dispatcher/take_notice.rs
@@ -1,5 +1,6 @@
 //! What endpoints say of themselves in the heads of answers.
 
+use woadstage_types::hash;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
@@ -12,6 +13,7 @@
 use crate::notice::Told;
 use crate::notice::Update;
 use crate::notice::Word;
+use crate::worker::Worker;
 
 impl Dispatcher {
     /// Takes what the head of the answer to a request says of the endpoint that runs it.
@@ -45,10 +47,15 @@
     }
 
     /// Takes what endpoints said to another node.
-    pub(super) fn hear_words(&mut self, told: &[Told]) {
+    pub(super) fn hear_words(&mut self, now: Time, told: &[Told]) {
         for one in told {
             match one.word {
                 Word::Leaving => self.hear_leaving(one.endpoint),
+                Word::Rest { left_ms } => {
+                    let until = now + Span::from_millis(u64::from(left_ms));
+                    let heard = self.rests_heard.entry(one.endpoint).or_default();
+                    *heard = until.max(*heard);
+                }
             }
         }
     }
@@ -68,15 +75,10 @@
     }
 
     /// What endpoints said and lists do not say, in the order of the endpoints.
-    pub(super) fn words_to_tell(&self) -> Vec<Told> {
+    pub(super) fn words_to_tell(&self, now: Time) -> Vec<Told> {
         let workers = self.pools.values().flat_map(|pool| &pool.workers);
-        let leaving = workers.filter(|worker| worker.listed && worker.leaving);
-        let unlisted = leaving.filter(|worker| !worker.endpoint.leaving);
-        let told = unlisted.map(|worker| Told {
-            endpoint: worker.number,
-            word: Word::Leaving,
-        });
-        let mut told: Vec<Told> = told.collect();
+        let open = workers.filter(|worker| worker.listed && !worker.endpoint.leaving);
+        let mut told: Vec<Told> = open.filter_map(|worker| to_told_opt(now, worker)).collect();
         told.sort_by_key(|one| one.endpoint);
         told
     }
@@ -85,13 +87,22 @@
     fn note_rest(&mut self, now: Time, id: job::Id, rest: Span) -> Option<Change> {
         let run = self.runs.get(&id)?;
         let pool = self.pools.get_mut(&run.job.target)?;
-        let state = &mut pool.workers[run.worker].rest;
-        state.ask(now, rest).then_some(Change::Rest { lasts: rest })
+        let worker = &mut pool.workers[run.worker];
+        let drawn = hash::chain(self.options.incarnation, &worker.number.to_le_bytes());
+        if !worker.rest.ask(now, rest, drawn) {
+            return None;
+        }
+        self.urgent = true;
+        Some(Change::Rest { lasts: rest })
     }
 
-    /// Notes which rests are over.
-    pub(super) fn end_rests(&mut self, now: Time) {
+    /// Takes what was heard of rests since the last tick, and notes which are over.
+    pub(super) fn update_rests(&mut self, now: Time) {
+        let heard = std::mem::take(&mut self.rests_heard);
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            if let Some(until) = heard.get(&worker.number) {
+                worker.rest.hear(*until);
+            }
             if worker.rest.take_end(now) {
                 self.updates.push(Update {
                     endpoint: worker.endpoint.name.clone(),
@@ -115,3 +126,19 @@
         (!was_cold).then_some(Change::Cold { lasts: cold_for })
     }
 }
+
+/// What others are told of an endpoint by its answers to this node.
+fn to_told_opt(now: Time, worker: &Worker) -> Option<Told> {
+    let left = worker.rest.left(now);
+    let word = match worker.leaving {
+        true => Word::Leaving,
+        false if left == Span::ZERO => return None,
+        false => Word::Rest {
+            left_ms: u32::try_from(left.0 / 1_000).unwrap_or(u32::MAX),
+        },
+    };
+    Some(Told {
+        endpoint: worker.number,
+        word,
+    })
+}
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -46,7 +46,7 @@
         self.arrange(now);
         self.count_others(now);
         self.take_rate_limits_heard(now);
-        self.end_rests(now);
+        self.update_rests(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -90,6 +90,9 @@
     pub origin: Option<Origin>,
     /// The number of the only endpoint that may run it, where that is decided.
     pub only: Option<u32>,
+    /// Numbers of endpoints that want nothing from the node that has the request, where
+    /// that is another.
+    pub avoided: Vec<u32>,
     /// True where it is barred, and is tried once more.
     pub trial: bool,
     /// In which regions it may run. Of another node's request only that node knows.
@@ -109,6 +112,11 @@
         self.first_try < self.arrived
     }
 
+    /// True where a further attempt may follow the next one.
+    pub fn has_spare_attempt(&self) -> bool {
+        self.history.sent + 1 < self.attempts
+    }
+
     /// Until when its answer, or its first event, is in time.
     pub fn in_time_until(&self) -> Time {
         self.first_try + self.objective
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -63,6 +63,9 @@
     pub prompt: Prompt,
     /// Numbers of endpoints that it was offered to.
     pub tried: Vec<u32>,
+    /// Numbers of endpoints that want nothing from the node that asks.
+    #[serde(skip)]
+    pub avoided: Vec<u32>,
 }
 
 /// What an owner answers to a [`Request`].
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -9,6 +9,7 @@
 
 use super::Member;
 use super::Members;
+use crate::protocol::Protocol;
 
 /// How long a node that did not answer is passed over.
 const PASSED_OVER_FOR: Span = Span::from_millis(1_000);
@@ -95,9 +96,21 @@
 
     /// True for a node whose build keeps the rate limits that endpoints name.
     pub fn keeps_rate_limits(&self, address: SocketAddrV4) -> bool {
+        let protocol = self.protocol_opt(address);
+        protocol.is_some_and(Protocol::keeps_rate_limits)
+    }
+
+    /// True for a node whose build knows what else endpoints say of themselves.
+    pub fn knows_words(&self, address: SocketAddrV4) -> bool {
+        self.protocol_opt(address)
+            .is_some_and(Protocol::knows_words)
+    }
+
+    /// What a node speaks that was heard.
+    fn protocol_opt(&self, address: SocketAddrV4) -> Option<Protocol> {
         let member = self.others.get(&address);
         let heard = member.filter(|member| member.heard.is_some());
-        heard.is_some_and(|member| member.status.protocol.keeps_rate_limits())
+        heard.map(|member| member.status.protocol)
     }
 
     /// Notes that a node did not answer though it was asked.
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -79,6 +79,11 @@
 pub enum Word {
     /// It leaves.
     Leaving,
+    /// It turned the node away that tells, and wants nothing from it for a while.
+    Rest {
+        /// How much longer, in milliseconds.
+        left_ms: u32,
+    },
 }
 
 /// A change that no answer to a request of this node's brought.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -43,6 +43,11 @@
         self >= Protocol::ERAS
     }
 
+    /// True where a node knows what else endpoints say of themselves.
+    pub fn knows_words(self) -> bool {
+        self >= Protocol::WORDS
+    }
+
     /// True where a node keeps endpoints' rate limits.
     pub fn keeps_rate_limits(self) -> bool {
         self >= Protocol::RATE_LIMITS
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -41,8 +41,10 @@
 /// Only where the codec fails.
 pub fn to_datagram(message: &Message) -> postcard::Result<Vec<u8>> {
     let bytes = postcard::to_extend(message, vec![protocol::LAYOUT])?;
-    let Message::Status(status) = message else {
-        return Ok(bytes);
+    let status = match message {
+        Message::Status(status) => status,
+        Message::Lease(request) => return postcard::to_extend(&request.avoided, bytes),
+        _ => return Ok(bytes),
     };
     let addition = Addition {
         protocol: status.protocol,
@@ -60,6 +62,9 @@
         return None;
     }
     let (mut message, rest) = postcard::take_from_bytes(rest).ok()?;
+    if let Message::Lease(request) = &mut message {
+        request.avoided = take_list(rest).ok()?.0;
+    }
     if let Message::Status(status) = &mut message {
         let (addition, rest) = take_addition(rest).ok()?;
         status.protocol = addition.protocol;
@@ -136,7 +141,7 @@
     }
 }
 
-/// Reads a list behind the addition of a status, which may be missing, and gives what
+/// Reads a list behind a question for a slot or the addition of a status, which may be missing, and gives what
 /// stands behind it.
 fn take_list<T: DeserializeOwned>(rest: &[u8]) -> postcard::Result<(Vec<T>, &[u8])> {
     match rest {
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -304,14 +304,26 @@
         self.is_staying() && !self.evacuated
     }
 
-    /// True while new work may go there.
+    /// True while new work of this node may go there.
     pub fn takes_work(&self, now: Time, options: &Options) -> bool {
+        self.lends(now, options) && !self.rest.is_resting(now)
+    }
+
+    /// True while its slots may be given to other nodes: its rest binds this one alone.
+    pub fn lends(&self, now: Time, options: &Options) -> bool {
         self.is_open()
             && now >= self.rests_until
             && !self.is_silent(now, options)
             && !self.is_distrusted(now)
     }
 
+    /// True while it may turn away what is sent there: it did so lately, here or at another
+    /// node, and no call of this node worked since.
+    pub fn is_in_doubt(&self, now: Time) -> bool {
+        let proved = self.proved_at.is_some_and(|at| now.since(at) < PROVED_FOR);
+        self.rest.is_in_doubt(now) || (!proved && self.rest.is_in_doubt_elsewhere(now))
+    }
+
     /// True where others found it gone, or several could not connect to it, and
     /// no call of ours worked lately. Those who say so try it again.
     fn is_distrusted(&self, now: Time) -> bool {
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -19,6 +19,7 @@
 mod quota_fleet;
 mod rate_limit;
 mod region;
+mod rest;
 mod restore;
 mod retry;
 mod section;
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -209,6 +209,7 @@
         history: History::default(),
         origin: None,
         only: None,
+        avoided: Vec::new(),
         trial: false,
         bound: Bound::default(),
     }
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -146,6 +146,10 @@
             status.words.clear();
             Message::Status(status)
         }
+        Message::Lease(mut request) => {
+            request.avoided.clear();
+            Message::Lease(request)
+        }
         other => other,
     }
 }
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -41,6 +41,7 @@
 use woadstage_dispatch::message::Verdict;
 use woadstage_dispatch::message::Waiting;
 use woadstage_dispatch::notice;
+use woadstage_dispatch::notice::Word;
 use woadstage_dispatch::parts;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine::Finding;
@@ -112,13 +113,17 @@
         findings: vec![finding()],
         protocol: Protocol::OWN,
         rate_limits: vec![told(5, Some("2.75")), told(6, None)],
-        words: vec![notice::Told {
-            endpoint: 7,
-            word: notice::Word::Leaving,
-        }],
+        words: vec![
+            word(7, Word::Leaving),
+            word(8, Word::Rest { left_ms: 2_500 }),
+        ],
     }
 }
 
+fn word(endpoint: u32, word: Word) -> notice::Told {
+    notice::Told { endpoint, word }
+}
+
 fn told(endpoint: u32, limit: Option<&str>) -> rate_limit::Told {
     rate_limit::Told {
         endpoint,
@@ -163,6 +168,7 @@
             }],
         },
         tried: vec![1, 2],
+        avoided: vec![3, 300],
     }
 }
 
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -141,6 +141,7 @@
             history: History::default(),
             origin: None,
             only: None,
+            avoided: Vec::new(),
             trial: false,
             bound: Bound {
                 route: self.route.regions.clone(),
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -41,9 +41,6 @@
 use crate::upstream::Fault;
 use crate::upstream::probe;
 
-/// When a caller may come back whom no endpoint had room for.
-const SOON: Span = Span::from_millis(200);
-
 /// A request on its way to an answer. Dropping it means that the caller left.
 pub struct Exchange {
     /// What all tasks share.
@@ -341,7 +338,7 @@
         if !self.may_have_run {
             let retry_after = self.shell.query(|dispatcher, now| {
                 let left = self.admitted.deadline.since(now);
-                dispatcher.retry_after(now, SOON, left)
+                dispatcher.retry_after_refusal(now, &self.admitted.target, left)
             });
             return Reply {
                 code: Code::EndpointRefused,
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -373,6 +373,7 @@
             tried_for: Span::ZERO,
             prompt: Prompt::default(),
             tried: Vec::new(),
+            avoided: Vec::new(),
         };
         let (asker, _) = other_node().await;
         let ask = wire::to_datagram(&Message::Lease(Box::new(request)));
