--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -96,7 +96,7 @@
         let known = &self.pools[&target].workers[worker];
         if known.rest.is_resting(now) {
             // An owner that is told so gives another; one of a build before does not know.
-            if !self.members.knows_words(question.owner) {
+            if !self.members.knows_notices(question.owner) {
                 job.history.tried.push(known.number);
             }
             self.return_slot(question.owner, question.number, End::Abandoned);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/doubt.rs
@@ -0,0 +1,77 @@
+//! Endpoints that may turn a request away, as they did lately: when one is chosen.
+//!
+//! Others that have room go before them, but for a request now and then which shows
+//! whether they take requests again. That is one that may be sent elsewhere if they do not.
+
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::Pool;
+use crate::job::Job;
+use crate::worker::Worker;
+
+/// Which endpoints are chosen first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    /// It is time to see whether the endpoint takes requests again.
+    Trial,
+    /// Nothing speaks against it.
+    Sure,
+    /// It may turn the request away.
+    InDoubt,
+}
+
+/// What it would mean for a request to be turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Risk {
+    /// It is sent to another endpoint.
+    Again,
+    /// It is refused, and may wait for a better endpoint yet.
+    RefusedTooSoon,
+    /// It is refused, and has waited long enough.
+    Refused,
+}
+
+/// The part of its objective for which a request that cannot be sent again waits for an
+/// endpoint that nothing speaks against.
+const WAITS_PART: u64 = 4;
+
+impl Dispatcher {
+    /// What it would mean for a request to be turned away now.
+    pub(super) fn risk(&self, now: Time, pool: &Pool, job: &Job) -> Risk {
+        if !pool.workers.iter().any(|worker| worker.is_in_doubt(now)) {
+            return Risk::Again;
+        }
+        // Each trial under way may need a repeat as well.
+        let repeats = self.budget.left(now, &job.target, self.budget_nodes(now));
+        let on_trial = |worker: &&Worker| worker.rest.is_on_trial();
+        let trials = pool.workers.iter().filter(on_trial).count();
+        if job.has_spare_attempt() && repeats > trials as u64 {
+            return Risk::Again;
+        }
+        match now.since(job.arrived).0 * WAITS_PART >= job.objective.0 {
+            true => Risk::Refused,
+            false => Risk::RefusedTooSoon,
+        }
+    }
+}
+
+impl Risk {
+    /// When an endpoint is chosen; none where it is not.
+    pub(super) fn turn_opt(self, now: Time, job: &Job, worker: &Worker) -> Option<Turn> {
+        if !worker.is_in_doubt(now) {
+            return Some(Turn::Sure);
+        }
+        if job.origin.is_some() {
+            return Some(Turn::InDoubt);
+        }
+        if worker.rest.is_on_trial() {
+            return None;
+        }
+        match self {
+            Risk::RefusedTooSoon => None,
+            Risk::Again if worker.rest.is_trial_due(now) => Some(Turn::Trial),
+            Risk::Again | Risk::Refused => Some(Turn::InDoubt),
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 //! * `spare.rs`: slots that one cell has to spare for another.
 //! * `policy.rs`: bounds and weights.
 //! * `place.rs`: which request goes to which endpoint now.
+//! * `doubt.rs`: endpoints that may turn a request away.
 //! * `begin.rs`: a request is counted in at its endpoint.
 //! * `permit.rs`: who may send a request to an endpoint with a bound over all nodes.
 //! * `start_cold.rs`: endpoints that are cold.
@@ -76,6 +77,7 @@
 mod begin;
 mod borrow;
 mod displace;
+mod doubt;
 mod enter;
 mod keep_rate_limit;
 mod lend;
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -9,6 +9,7 @@
 
 use super::Dispatcher;
 use super::Pool;
+use super::doubt::Turn;
 use super::predict::Forecast;
 use crate::configuration::Rank;
 use crate::job;
@@ -31,58 +32,12 @@
     turn: Turn,
 }
 
-/// Which endpoints are looked at first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Turn {
-    /// It is time to see whether the endpoint takes requests again.
-    Trial,
-    /// Nothing speaks against it.
-    Sure,
-    /// It may turn the request away.
-    InDoubt,
-}
-
 impl Choice {
     fn goes_before(&self, other: &Choice) -> bool {
         self.turn < other.turn || (self.turn == other.turn && self.micros < other.micros)
     }
 }
 
-/// What is risked where an endpoint turns a request away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Risk {
-    /// Nothing: it may be sent to another.
-    Nothing,
-    /// That it is refused, which it has not yet waited long enough for.
-    Refusal,
-    /// That it is refused, instead of waiting on.
-    Waiting,
-}
-
-/// The part of its objective for which a request that cannot be sent again waits for an
-/// endpoint that is sure to take it.
-const WAITS_PART: u64 = 4;
-
-impl Risk {
-    /// When an endpoint is looked at; none where it is not.
-    fn turn_opt(self, now: Time, job: &Job, worker: &Worker) -> Option<Turn> {
-        if !worker.is_in_doubt(now) {
-            return Some(Turn::Sure);
-        }
-        if job.origin.is_some() {
-            return Some(Turn::InDoubt);
-        }
-        if worker.rest.is_on_trial() {
-            return None;
-        }
-        match self {
-            Risk::Refusal => None,
-            Risk::Nothing if worker.rest.is_trial_due(now) => Some(Turn::Trial),
-            Risk::Nothing | Risk::Waiting => Some(Turn::InDoubt),
-        }
-    }
-}
-
 /// What it counts for that other nodes keep away from an endpoint: half of what
 /// it would if all calls of this node failed.
 const REPORTED: f64 = 0.5;
@@ -263,25 +218,6 @@
         }
     }
 
-    fn risk(&self, now: Time, pool: &Pool, job: &Job) -> Risk {
-        if !pool.workers.iter().any(|worker| worker.is_in_doubt(now)) {
-            return Risk::Nothing;
-        }
-        // Each trial under way may need one as well.
-        let repeats = self.budget.left(now, &job.target, self.budget_nodes(now));
-        let trials = pool
-            .workers
-            .iter()
-            .filter(|worker| worker.rest.is_on_trial());
-        if job.has_spare_attempt() && repeats > trials.count() as u64 {
-            return Risk::Nothing;
-        }
-        match now.since(job.arrived).0 * WAITS_PART >= job.objective.0 {
-            true => Risk::Waiting,
-            false => Risk::Refusal,
-        }
-    }
-
     fn engine_choice(
         &self,
         now: Time,
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -64,7 +64,7 @@
         self.accounts.begin(now);
         let findings = std::mem::take(&mut status.findings);
         let rate_limits = std::mem::take(&mut status.rate_limits);
-        let words = std::mem::take(&mut status.words);
+        let notices = std::mem::take(&mut status.notices);
         let quarantine = status.quarantine;
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
@@ -85,7 +85,7 @@
             self.accounts.hear(now, speaker, said, quota, reach);
         }
         self.hear_rate_limits(now, &rate_limits);
-        self.hear_words(now, &words);
+        self.hear_notices(now, &notices);
         self.take_findings(now, &findings);
         self.answer_digest(now, from, quarantine);
         news
@@ -138,7 +138,7 @@
         let to_known = Status {
             members: self.members.told_to_known(&status.members).to_vec(),
             rate_limits: told_to_known(&status.rate_limits),
-            words: told_to_known(&status.words),
+            notices: told_to_known(&status.notices),
             ..status.clone()
         };
         let mut statuses = vec![(to_known, known), (status, newcomers)];
@@ -165,7 +165,7 @@
             findings: self.quarantine.news(now),
             protocol: Protocol::OWN,
             rate_limits: self.in_turn(self.rate_limits_to_tell(now)),
-            words: self.in_turn(self.words_to_tell(now)),
+            notices: self.in_turn(self.notices_to_tell(now)),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/take_notice.rs
+++ b/crates/dispatch/src/dispatcher/take_notice.rs
@@ -8,11 +8,11 @@
 use crate::job;
 use crate::lease;
 use crate::notice::Change;
+use crate::notice::Fact;
 use crate::notice::Field;
 use crate::notice::Notice;
 use crate::notice::Told;
 use crate::notice::Update;
-use crate::notice::Word;
 use crate::worker::Worker;
 
 impl Dispatcher {
@@ -47,11 +47,11 @@
     }
 
     /// Takes what endpoints said to another node.
-    pub(super) fn hear_words(&mut self, now: Time, told: &[Told]) {
+    pub(super) fn hear_notices(&mut self, now: Time, told: &[Told]) {
         for one in told {
-            match one.word {
-                Word::Leaving => self.hear_leaving(one.endpoint),
-                Word::Rest { left_ms } => {
+            match one.fact {
+                Fact::Leaving => self.hear_leaving(one.endpoint),
+                Fact::Rest { left_ms } => {
                     let until = now + Span::from_millis(u64::from(left_ms));
                     let heard = self.rests_heard.entry(one.endpoint).or_default();
                     *heard = until.max(*heard);
@@ -75,7 +75,7 @@
     }
 
     /// What endpoints said and lists do not say, in the order of the endpoints.
-    pub(super) fn words_to_tell(&self, now: Time) -> Vec<Told> {
+    pub(super) fn notices_to_tell(&self, now: Time) -> Vec<Told> {
         let workers = self.pools.values().flat_map(|pool| &pool.workers);
         let open = workers.filter(|worker| worker.listed && !worker.endpoint.leaving);
         let mut told: Vec<Told> = open.filter_map(|worker| to_told_opt(now, worker)).collect();
@@ -130,15 +130,15 @@
 /// What others are told of an endpoint by its answers to this node.
 fn to_told_opt(now: Time, worker: &Worker) -> Option<Told> {
     let left = worker.rest.left(now);
-    let word = match worker.leaving {
-        true => Word::Leaving,
+    let fact = match worker.leaving {
+        true => Fact::Leaving,
         false if left == Span::ZERO => return None,
-        false => Word::Rest {
+        false => Fact::Rest {
             left_ms: u32::try_from(left.0 / 1_000).unwrap_or(u32::MAX),
         },
     };
     Some(Told {
         endpoint: worker.number,
-        word,
+        fact,
     })
 }
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -101,9 +101,9 @@
     }
 
     /// True for a node whose build knows what else endpoints say of themselves.
-    pub fn knows_words(&self, address: SocketAddrV4) -> bool {
+    pub fn knows_notices(&self, address: SocketAddrV4) -> bool {
         self.protocol_opt(address)
-            .is_some_and(Protocol::knows_words)
+            .is_some_and(Protocol::knows_notices)
     }
 
     /// What a node speaks that was heard.
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -101,7 +101,7 @@
     pub rate_limits: Vec<rate_limit::Told>,
     /// Some of what else endpoints said in answers, others each time.
     #[serde(skip)]
-    pub words: Vec<notice::Told>,
+    pub notices: Vec<notice::Told>,
 }
 
 /// Asks the owner of a customer's quota for a request's units.
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -71,12 +71,12 @@
     /// The number of the endpoint's start.
     pub endpoint: u32,
     /// What it said.
-    pub word: Word,
+    pub fact: Fact,
 }
 
 /// One thing that an endpoint said.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
+pub enum Fact {
     /// It leaves.
     Leaving,
     /// It turned the node away that tells, and wants nothing from it for a while.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -28,10 +28,10 @@
     pub const RATE_LIMITS: Protocol = Protocol(10);
 
     /// The first whose statuses tell what else endpoints say of themselves in answers.
-    pub const WORDS: Protocol = Protocol(11);
+    pub const NOTICES: Protocol = Protocol(11);
 
     /// What this build speaks.
-    pub const OWN: Protocol = Protocol::WORDS;
+    pub const OWN: Protocol = Protocol::NOTICES;
 
     /// For messages that do not say which.
     pub(crate) fn first() -> Protocol {
@@ -44,8 +44,8 @@
     }
 
     /// True where a node knows what else endpoints say of themselves.
-    pub fn knows_words(self) -> bool {
-        self >= Protocol::WORDS
+    pub fn knows_notices(self) -> bool {
+        self >= Protocol::NOTICES
     }
 
     /// True where a node keeps endpoints' rate limits.
--- a/crates/dispatch/src/rest.rs
+++ b/crates/dispatch/src/rest.rs
@@ -55,8 +55,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct State {
     until: Time,
-    /// True until it was told that the rest is over.
-    told: bool,
+    /// True until its end was taken note of.
+    open: bool,
     /// Rests that it asked for since it last took a request.
     rests: u32,
     /// When the request was sent of which nothing is known yet, after the rest.
@@ -78,7 +78,7 @@
         self.until = self.until.max(until);
         self.rests += u32::from(new);
         self.trial = None;
-        self.told = true;
+        self.open = true;
         changed
     }
 
@@ -144,8 +144,8 @@
 
     /// True where the rest is over, once for each rest.
     pub fn take_end(&mut self, now: Time) -> bool {
-        let ends = self.told && !self.is_resting(now);
-        self.told &= !ends;
+        let ends = self.open && !self.is_resting(now);
+        self.open &= !ends;
         ends
     }
 }
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -52,7 +52,7 @@
     };
     let bytes = postcard::to_extend(&addition, bytes)?;
     let bytes = postcard::to_extend(&status.rate_limits, bytes)?;
-    postcard::to_extend(&status.words, bytes)
+    postcard::to_extend(&status.notices, bytes)
 }
 
 /// Reads a datagram; nothing for another layout or for what is no message.
@@ -71,7 +71,7 @@
         status.endpoints.era = addition.era;
         let (rate_limits, rest) = take_list(rest).ok()?;
         status.rate_limits = rate_limits;
-        status.words = take_list(rest).ok()?.0;
+        status.notices = take_list(rest).ok()?.0;
     }
     Some(message)
 }
--- a/crates/dispatch/tests/dispatch/fleet/leaving.rs
+++ b/crates/dispatch/tests/dispatch/fleet/leaving.rs
@@ -11,7 +11,7 @@
 fn leave(world: &mut World, one_of: usize) {
     let endpoints = world.endpoints();
     let names = endpoints.iter().step_by(one_of);
-    world.words.leaving = names.map(|endpoint| endpoint.name.clone()).collect();
+    world.notices.leaving = names.map(|endpoint| endpoint.name.clone()).collect();
 }
 
 /// The platform says nothing of it: no list is published.
@@ -32,7 +32,7 @@
     leave(&mut world, one_of);
     let from = world.now;
     world.run_for(Span::from_secs(4));
-    assert_eq!(world.words.late(), 0);
+    assert_eq!(world.notices.late(), 0);
     let seen = world.between(from, world.now - SECOND);
     assert_in_time(&seen, 95.0);
     assert_all_over_within(&mut world, Span::from_secs(3));
@@ -54,7 +54,7 @@
     without.revision += 10;
     without
         .endpoints
-        .retain(|one| !world.words.leaving.contains(&one.name));
+        .retain(|one| !world.notices.leaving.contains(&one.name));
     world.publish_to_readers(without);
     world.run_for(SECOND);
     let older = List {
@@ -102,7 +102,7 @@
     happens(&mut world);
     // Longer than anything is kept that is known of older lists.
     world.run_for(Span::from_secs(12));
-    assert_eq!(world.words.late(), 0);
+    assert_eq!(world.notices.late(), 0);
 }
 
 /// A later start under the same name has said nothing.
@@ -114,7 +114,7 @@
     world.run_for(SECOND);
     leave(&mut world, 6);
     world.run_for(Span::from_secs(3));
-    let names = std::mem::take(&mut world.words.leaving);
+    let names = std::mem::take(&mut world.notices.leaving);
     let mut list = (*world.list).clone();
     list.revision += 1;
     for endpoint in &mut list.endpoints {
@@ -159,10 +159,10 @@
     let nodes = all_nodes(&world);
     load(&mut world, MODEL, 300, Span::from_secs(7), &nodes);
     world.run_for(SECOND);
-    world.words.leaving = of_centre(&world, "dc0");
+    world.notices.leaving = of_centre(&world, "dc0");
     let from = world.now;
     world.run_for(Span::from_secs(6));
-    assert_eq!(world.words.late(), 0);
+    assert_eq!(world.notices.late(), 0);
     let seen = world.between(from, world.now - SECOND);
     assert_in_time(&seen, 95.0);
 }
--- a/crates/dispatch/tests/dispatch/fleet/resting.rs
+++ b/crates/dispatch/tests/dispatch/fleet/resting.rs
@@ -3,7 +3,7 @@
 use woadstage_types::id;
 
 use super::rate_limited::middle;
-use super::world::words::Refusing;
+use super::world::notices::Refusing;
 use super::*;
 
 /// Some endpoints turn requests away from now on, one of so many.
@@ -11,7 +11,7 @@
     let endpoints = world.endpoints().into_iter().take(count);
     let names: Vec<id::Endpoint> = endpoints.map(|one| one.name).collect();
     for name in &names {
-        world.words.refusing.insert(name.clone(), refusing);
+        world.notices.refusing.insert(name.clone(), refusing);
     }
     names
 }
@@ -49,7 +49,7 @@
     world.run_for(SECOND);
     refuse(&mut world, count, all(Span::from_secs(3)));
     world.run_for(Span::from_secs(8));
-    world.words.assert_rested();
+    world.notices.assert_rested();
 }
 
 /// Others have room, so no caller is to notice once the endpoints have said so.
@@ -75,7 +75,7 @@
     let refused = seen.iter().filter(|one| one.refused).count();
     assert_eq!(refused, 0, "of {}", seen.len());
     assert_in_time(&seen, 99.0);
-    world.words.assert_rested();
+    world.notices.assert_rested();
 }
 
 /// What serves again is used again, all of it.
@@ -89,7 +89,7 @@
     world.run_for(SECOND);
     let names = refuse(&mut world, 4, all(SECOND));
     world.run_for(Span::from_secs(4));
-    world.words.refusing.clear();
+    world.notices.refusing.clear();
     world.run_for(Span::from_secs(5));
     let from = world.now;
     world.run_for(Span::from_secs(6));
@@ -123,7 +123,7 @@
     let names = refuse(&mut world, 1, some);
     let from = world.now;
     world.run_for(Span::from_secs(10));
-    world.words.assert_rested();
+    world.notices.assert_rested();
     let arrivals = world.arrivals[&names[0]].iter();
     let got = arrivals.filter(|at| **at > from).count();
     assert!(got >= 20, "{got} in 10 s");
@@ -141,9 +141,9 @@
     let from = world.now;
     refuse(&mut world, 12, all(Span::from_millis(400)));
     world.run_for(Span::from_millis(300));
-    world.words.refusing.clear();
+    world.notices.refusing.clear();
     world.run_for(Span::from_secs(5));
-    world.words.assert_rested();
+    world.notices.assert_rested();
     let seen = world.between(from + SECOND, world.now - SECOND);
     assert_in_time(&seen, 97.0);
 }
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -37,7 +37,7 @@
 
 use self::links::Links;
 use self::links::Rates;
-use self::words::Words;
+use self::notices::Notices;
 use crate::support::at;
 use crate::support::configuration;
 use crate::support::list;
@@ -46,7 +46,7 @@
 mod ends;
 pub mod links;
 mod lists;
-pub mod words;
+pub mod notices;
 
 /// Time between two ticks of a node.
 const TICK_EVERY: Span = Span::from_millis(20);
@@ -215,7 +215,7 @@
     /// What endpoints name in their answers.
     pub limits: HashMap<id::Endpoint, Limit>,
     /// What else they say of themselves.
-    pub words: Words,
+    pub notices: Notices,
     /// Callers who have tried again.
     returned: BTreeSet<Fingerprint>,
 }
@@ -290,7 +290,7 @@
             reached: Vec::new(),
             jobs: HashMap::new(),
             limits: HashMap::new(),
-            words: Words::default(),
+            notices: Notices::default(),
             returned: BTreeSet::new(),
             shape,
         };
@@ -323,7 +323,7 @@
 
     /// Starts a node, in one of its lives.
     pub fn boot(&mut self, node: u16, life: u64) {
-        self.words.start(node);
+        self.notices.start(node);
         let all = self.shape.nodes * self.shape.centres;
         let seeds = (0..3).map(|seed| address(seed * (all / 3)));
         let mut dispatcher = Dispatcher::new(Options {
@@ -498,7 +498,7 @@
                 if self.before.contains(&to) || self.before.contains(&to_node(from)) {
                     status.endpoints.era = Era::default();
                     status.rate_limits.clear();
-                    status.words.clear();
+                    status.notices.clear();
                 }
                 dispatcher.hear(now, from, *status);
             }
--- a/crates/dispatch/tests/dispatch/fleet/world/words.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/notices.rs
@@ -36,7 +36,7 @@
 
 /// What endpoints say, and what nodes that were told then did.
 #[derive(Debug, Default)]
-pub struct Words {
+pub struct Notices {
     /// Endpoints whose answers say that they leave.
     pub leaving: Vec<id::Endpoint>,
     /// Endpoints that turn requests away.
@@ -51,7 +51,7 @@
     sent: HashMap<Pair, Vec<(Time, Time)>>,
 }
 
-impl Words {
+impl Notices {
     fn pair(&self, node: u16, endpoint: &id::Endpoint) -> Pair {
         let life = self.lives.get(&node).copied().unwrap_or(0);
         (node, life, endpoint.clone())
@@ -105,10 +105,10 @@
         if self.before.contains(&node) {
             return Notice::default();
         }
-        let leaving = self.words.leaving.contains(endpoint);
+        let leaving = self.notices.leaving.contains(endpoint);
         if leaving {
-            let pair = self.words.pair(node, endpoint);
-            self.words.told.entry(pair).or_insert(self.now);
+            let pair = self.notices.pair(node, endpoint);
+            self.notices.told.entry(pair).or_insert(self.now);
         }
         let limit = self.limits.get(endpoint).copied();
         Notice {
@@ -122,16 +122,16 @@
     pub(super) fn reach(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
         let seen = &self.seen[&(node, id)];
         let (came, decided) = (seen.arrived, seen.decided);
-        let pair = self.words.pair(node, endpoint);
-        let sent = self.words.sent.entry(pair.clone()).or_default();
+        let pair = self.notices.pair(node, endpoint);
+        let sent = self.notices.sent.entry(pair.clone()).or_default();
         sent.push((self.now, came));
         let drawn = hash::chain(id.0 + u64::from(decided), &node.to_le_bytes());
-        if !self.words.refuses(endpoint, drawn) {
+        if !self.notices.refuses(endpoint, drawn) {
             self.begin(node, id, endpoint);
             return;
         }
-        let rest = self.words.refusing[endpoint].rest;
-        let refusals = self.words.refusals.entry(pair).or_default();
+        let rest = self.notices.refusing[endpoint].rest;
+        let refusals = self.notices.refusals.entry(pair).or_default();
         refusals.push((self.now, rest));
         self.seen.get_mut(&(node, id)).expect("it came").decided += 1;
         let arrivals = self.arrivals.entry(endpoint.clone()).or_default();
@@ -143,7 +143,7 @@
     /// A node learns that its request was turned away.
     pub(super) fn take_refusal(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
         let reads = !self.before.contains(&node);
-        let refusing = self.words.refusing.get(endpoint).filter(|_| reads);
+        let refusing = self.notices.refusing.get(endpoint).filter(|_| reads);
         let rest = refusing.map(|one| one.rest);
         let notice = Notice {
             rate_limit: Field::Unknown,
--- a/crates/dispatch/tests/dispatch/order.rs
+++ b/crates/dispatch/tests/dispatch/order.rs
@@ -84,7 +84,7 @@
     dispatcher.tick(at(10));
     let routine = dispatcher.enter(at(11), job(MODEL, 2, at(11)));
     assert_eq!(starts(&mut dispatcher), []);
-    // Words that are old bind nobody.
+    // Notices that are old bind nobody.
     dispatcher.tick(at(600));
     assert_eq!(starts(&mut dispatcher), [(routine, "e".to_owned())]);
 }
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -139,11 +139,11 @@
 }
 
 /// A message without what the protocol with rate limits does not have.
-fn without_words(message: Message) -> Message {
+fn without_notices(message: Message) -> Message {
     match message {
         Message::Status(mut status) => {
             status.protocol = Protocol::RATE_LIMITS;
-            status.words.clear();
+            status.notices.clear();
             Message::Status(status)
         }
         Message::Lease(mut request) => {
@@ -156,7 +156,7 @@
 
 /// A message without what the protocol with eras does not have.
 fn without_rate_limits(message: Message) -> Message {
-    match without_words(message) {
+    match without_notices(message) {
         Message::Status(mut status) => {
             status.protocol = Protocol::ERAS;
             status.rate_limits.clear();
@@ -181,7 +181,7 @@
 #[rstest]
 #[case::of_the_first_protocol(FIRST, without_additions)]
 #[case::of_the_protocol_with_eras(ERAS, without_rate_limits)]
-#[case::of_the_protocol_with_rate_limits(RATE_LIMITS, without_words)]
+#[case::of_the_protocol_with_rate_limits(RATE_LIMITS, without_notices)]
 #[case::of_this_build(OWN, |message| message)]
 fn datagrams_are_read(#[case] file: &str, #[case] expected: fn(Message) -> Message) {
     let kept = kept(file);
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -41,7 +41,7 @@
 use woadstage_dispatch::message::Verdict;
 use woadstage_dispatch::message::Waiting;
 use woadstage_dispatch::notice;
-use woadstage_dispatch::notice::Word;
+use woadstage_dispatch::notice::Fact;
 use woadstage_dispatch::parts;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine::Finding;
@@ -113,15 +113,15 @@
         findings: vec![finding()],
         protocol: Protocol::OWN,
         rate_limits: vec![told(5, Some("2.75")), told(6, None)],
-        words: vec![
-            word(7, Word::Leaving),
-            word(8, Word::Rest { left_ms: 2_500 }),
+        notices: vec![
+            notice(7, Fact::Leaving),
+            notice(8, Fact::Rest { left_ms: 2_500 }),
         ],
     }
 }
 
-fn word(endpoint: u32, word: Word) -> notice::Told {
-    notice::Told { endpoint, word }
+fn notice(endpoint: u32, fact: Fact) -> notice::Told {
+    notice::Told { endpoint, fact }
 }
 
 fn told(endpoint: u32, limit: Option<&str>) -> rate_limit::Told {
