--- a/crates/dispatch/tests/dispatch/fleet/leaving.rs
+++ b/crates/dispatch/tests/dispatch/fleet/leaving.rs
@@ -25,10 +25,7 @@
     #[case] per_second: u64,
     #[case] one_of: usize,
 ) {
-    let mut world = World::start(shape);
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, per_second, Span::from_secs(5), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(shape, MODEL, per_second, Span::from_secs(5));
     leave(&mut world, one_of);
     let from = world.now;
     world.run_for(Span::from_secs(4));
@@ -92,11 +89,13 @@
     #[values(false, true)] with_cells: bool,
 ) {
     let shape = if with_cells { middle() } else { small() };
-    let mut world = World::start(Shape { lost, ..shape });
-    let nodes = all_nodes(&world);
     let per_second = if with_cells { 200 } else { 60 };
-    load(&mut world, MODEL, per_second, Span::from_secs(16), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(
+        Shape { lost, ..shape },
+        MODEL,
+        per_second,
+        Span::from_secs(16),
+    );
     leave(&mut world, 6);
     world.run_for(Span::from_secs(2));
     happens(&mut world);
@@ -108,10 +107,7 @@
 /// A later start under the same name has said nothing.
 #[test]
 fn a_later_start_under_its_name_is_used() {
-    let mut world = World::start(small());
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 72, Span::from_secs(9), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(small(), MODEL, 72, Span::from_secs(9));
     leave(&mut world, 6);
     world.run_for(Span::from_secs(3));
     let names = std::mem::take(&mut world.notices.leaving);
@@ -133,10 +129,7 @@
 /// to come back.
 #[test]
 fn callers_are_refused_at_once_where_all_endpoints_leave() {
-    let mut world = World::start(small());
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 40, Span::from_secs(4), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(small(), MODEL, 40, Span::from_secs(4));
     leave(&mut world, 1);
     world.run_for(SECOND);
     let from = world.now;
@@ -155,10 +148,7 @@
 /// Callers of a data centre whose endpoints all leave are served by the others.
 #[test]
 fn a_data_centre_whose_endpoints_all_leave_uses_others() {
-    let mut world = World::start(middle());
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 300, Span::from_secs(7), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(middle(), MODEL, 300, Span::from_secs(7));
     world.notices.leaving = of_centre(&world, "dc0");
     let from = world.now;
     world.run_for(Span::from_secs(6));
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -88,6 +88,15 @@
     }
 }
 
+/// A fleet whose nodes have met and have served such a load for a second.
+fn under_load(shape: Shape, service: &'static str, per_second: u64, span: Span) -> World {
+    let mut world = World::start(shape);
+    let nodes = all_nodes(&world);
+    load(&mut world, service, per_second, span, &nodes);
+    world.run_for(SECOND);
+    world
+}
+
 /// Serves such a load, and gives the requests that came meanwhile.
 fn serve(
     world: &mut World,
--- a/crates/dispatch/tests/dispatch/fleet/resting.rs
+++ b/crates/dispatch/tests/dispatch/fleet/resting.rs
@@ -43,10 +43,7 @@
     #[case] per_second: u64,
     #[case] count: usize,
 ) {
-    let mut world = World::start(shape);
-    let nodes = all_nodes(&world);
-    load(&mut world, service, per_second, Span::from_secs(9), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(shape, service, per_second, Span::from_secs(9));
     refuse(&mut world, count, all(Span::from_secs(3)));
     world.run_for(Span::from_secs(8));
     world.notices.assert_rested();
@@ -64,10 +61,7 @@
     #[case] rest_ms: u64,
     #[case] per_second: u64,
 ) {
-    let mut world = World::start(shape);
-    let nodes = all_nodes(&world);
-    load(&mut world, SERVICE, per_second, Span::from_secs(21), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(shape, SERVICE, per_second, Span::from_secs(21));
     refuse(&mut world, count, all(Span::from_millis(rest_ms)));
     let from = world.now;
     world.run_for(Span::from_secs(20));
@@ -83,10 +77,7 @@
 #[case::seven_hosts(small(), 200)]
 #[case::cells(middle(), 800)]
 fn an_endpoint_that_has_rested_is_used_again(#[case] shape: Shape, #[case] per_second: u64) {
-    let mut world = World::start(shape);
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, per_second, Span::from_secs(16), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(shape, MODEL, per_second, Span::from_secs(16));
     let names = refuse(&mut world, 4, all(SECOND));
     world.run_for(Span::from_secs(4));
     world.notices.refusing.clear();
@@ -112,10 +103,7 @@
 /// A worker that turns away one request in three is neither starved nor flooded.
 #[test]
 fn an_endpoint_that_turns_some_away_goes_on_serving() {
-    let mut world = World::start(small());
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 120, Span::from_secs(11), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(small(), MODEL, 120, Span::from_secs(11));
     let some = Refusing {
         rest: SECOND,
         one_of: 3,
@@ -134,10 +122,7 @@
 /// Where all rest, requests wait and are served as soon as one may be sent.
 #[test]
 fn requests_wait_where_all_endpoints_rest() {
-    let mut world = World::start(small());
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 40, Span::from_secs(6), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(small(), MODEL, 40, Span::from_secs(6));
     let from = world.now;
     refuse(&mut world, 12, all(Span::from_millis(400)));
     world.run_for(Span::from_millis(300));
