fix: losses takes no endpoint's name for the reason why it was passed over

Found by reading. `passed_over` of `sent` and `answered` held names and reasons in one text, in which losses searched for "rest" and "leaving": a refusal beside "everest-1 leaving" counted as one beside an endpoint that rests. Two fields now, `passed_leaving` and `passed_resting`; explain tells each with its reason. The test of the cause is that name, which the search took for the other reason.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -183,10 +183,13 @@
         /// Who gave the slot, and knew all of the above: here, or the owner's
         /// address.
         owner: &'a str,
-        /// Endpoints that were passed over by what they said in answers, each with
-        /// `leaving` or `rest`, with commas between.
+        /// Endpoints that were passed over as they said that they leave, with commas
+        /// between.
         #[serde(skip_serializing_if = "str::is_empty")]
-        passed_over: &'a str,
+        passed_leaving: &'a str,
+        /// Endpoints that were passed over as they rest for this node.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        passed_resting: &'a str,
     },
     /// Something became known of a request that endpoints ended under.
     Suspect {
@@ -267,7 +270,10 @@
         configuration: u64,
         /// Endpoints that were passed over where this node refused it, as in `sent`.
         #[serde(skip_serializing_if = "str::is_empty")]
-        passed_over: &'a str,
+        passed_leaving: &'a str,
+        /// The same of those that rest.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        passed_resting: &'a str,
     },
     /// A caller left before its answer was whole.
     Left {
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -138,16 +138,22 @@
         Some(wait) if wait > 0 => format!(" A wait of {wait} ms was expected."),
         _ => String::new(),
     };
-    let passed_over = match text(answered, "passed_over") {
-        "" => String::new(),
-        names => format!(" Passed over by what they said in answers: {names}."),
-    };
+    let leaving = passed_over(answered, "passed_leaving", "said that they leave");
+    let resting = passed_over(answered, "passed_resting", "had asked for rest");
     format!(
-        "This node answered {status} {code} ({}), under configuration {version}; it had tried {tried}.{wait}{passed_over}",
+        "This node answered {status} {code} ({}), under configuration {version}; it had tried {tried}.{wait}{leaving}{resting}",
         text(answered, "outcome"),
     )
 }
 
+/// Says which endpoints were passed over, and why; nothing where none were.
+fn passed_over(answered: &Value, field: &str, why: &str) -> String {
+    match text(answered, field) {
+        "" => String::new(),
+        names => format!(" Passed over, as they {why}: {names}."),
+    }
+}
+
 fn text<'a>(event: &'a Value, field: &str) -> &'a str {
     event[field].as_str().unwrap_or_default()
 }
--- a/crates/gateway/src/serve/note.rs
+++ b/crates/gateway/src/serve/note.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use woadstage_dispatch::dispatcher::PassedOver;
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::Fingerprint;
@@ -30,7 +31,7 @@
     pub arrived: Time,
 }
 
-/// Endpoints that a line names as passed over.
+/// Endpoints of each kind that a line names as passed over.
 const PASSED_OVER_MOST: usize = 8;
 
 /// Logs and counts an answer of this node's own.
@@ -42,6 +43,7 @@
         arrived,
     } = asked;
     let passed_over = target.map(|target| passed_over(shell, target));
+    let passed_over = passed_over.unwrap_or_default();
     let after = shell.now().since(arrived);
     let code = reply.code.to_string();
     shell
@@ -60,7 +62,8 @@
         first_ms: 0,
         pause_ms: 0,
         configuration: shell.query(|dispatcher, _| dispatcher.configuration_version()),
-        passed_over: &passed_over.unwrap_or_default(),
+        passed_leaving: &to_names(&passed_over.leaving),
+        passed_resting: &to_names(&passed_over.resting),
     });
 }
 
@@ -96,6 +99,7 @@
     owner: Option<SocketAddrV4>,
 ) {
     shell.metrics.sent(&admitted.route.name, reason.waited);
+    let passed_over = passed_over(shell, &admitted.target);
     shell.log(&Event::Sent {
         request: &admitted.request,
         endpoint: endpoint.name.as_str(),
@@ -107,19 +111,20 @@
         unread: reason.unread,
         pace: (reason.pace * HUNDREDTHS).round() / HUNDREDTHS,
         owner: &to_owner(owner),
-        passed_over: &passed_over(shell, &admitted.target),
+        passed_leaving: &to_names(&passed_over.leaving),
+        passed_resting: &to_names(&passed_over.resting),
     });
 }
 
-/// Endpoints of a service that are passed over by what they said in answers, as logs name
-/// them.
-fn passed_over(shell: &Shell, target: &id::Target) -> String {
-    let passed_over = shell.query(|dispatcher, now| dispatcher.passed_over(now, target));
-    let leaving = passed_over.leaving.iter();
-    let leaving = leaving.map(|endpoint| format!("{endpoint} leaving"));
-    let resting = passed_over.resting.iter();
-    let resting = resting.map(|endpoint| format!("{endpoint} rest"));
-    let named: Vec<String> = leaving.chain(resting).take(PASSED_OVER_MOST).collect();
+/// Endpoints of a service that are passed over now by what they said in answers.
+fn passed_over(shell: &Shell, target: &id::Target) -> PassedOver {
+    shell.query(|dispatcher, now| dispatcher.passed_over(now, target))
+}
+
+/// Endpoints as logs name them.
+fn to_names(endpoints: &[id::Endpoint]) -> String {
+    let named = endpoints.iter().take(PASSED_OVER_MOST);
+    let named: Vec<&str> = named.map(id::Endpoint::as_str).collect();
     named.join(", ")
 }
 
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -210,7 +210,8 @@
             first_ms: self.first_ms(),
             pause_ms: self.pause.0 / 1_000,
             configuration: exchange.admitted.version,
-            passed_over: "",
+            passed_leaving: "",
+            passed_resting: "",
         });
         rest
     }
--- a/crates/gateway/tests/gateway/explain.rs
+++ b/crates/gateway/tests/gateway/explain.rs
@@ -122,10 +122,10 @@
 
 #[test]
 fn a_refusal_names_the_endpoints_that_were_passed_over() {
-    let answered = r#"{"time_ms":6,"event":"answered","request":"r","status":503,"code":"W2001","outcome":"not-run","configuration":7,"passed_over":"e leaving, f rest"}"#;
+    let answered = r#"{"time_ms":6,"event":"answered","request":"r","status":503,"code":"W2001","outcome":"not-run","configuration":7,"passed_leaving":"e","passed_resting":"f, g"}"#;
     let said = cause(&format!("{ACCEPTED}\n{answered}\n"));
     assert!(
-        said.ends_with("Passed over by what they said in answers: e leaving, f rest."),
+        said.ends_with("Passed over, as they said that they leave: e. Passed over, as they had asked for rest: f, g."),
         "{said}"
     );
 }
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -118,7 +118,8 @@
         unread: 0,
         uncached: 0,
         pace: 1.0,
-        passed_over: "",
+        passed_leaving: "",
+        passed_resting: "",
     }
 }
 
--- a/crates/losses/src/line.rs
+++ b/crates/losses/src/line.rs
@@ -102,9 +102,12 @@
         /// The longest pause between two events, in milliseconds.
         #[serde(default)]
         pause_ms: u64,
-        /// Endpoints that were passed over by what they said in answers.
+        /// Endpoints that were passed over as they said that they leave.
         #[serde(default)]
-        passed_over: String,
+        passed_leaving: String,
+        /// Endpoints that were passed over as they had asked for rest.
+        #[serde(default)]
+        passed_resting: String,
     },
     /// A caller left.
     Left {
--- a/crates/losses/src/request.rs
+++ b/crates/losses/src/request.rs
@@ -139,8 +139,10 @@
     pub first_ms: u64,
     /// The longest pause between two events, in milliseconds.
     pub pause_ms: u64,
-    /// Endpoints that were passed over by what they said in answers.
-    pub passed_over: String,
+    /// True where endpoints were passed over as they said that they leave.
+    pub passed_leaving: bool,
+    /// True where endpoints were passed over as they had asked for rest.
+    pub passed_resting: bool,
 }
 
 /// One request of a caller, put together from its lines.
@@ -244,7 +246,8 @@
                 events,
                 first_ms,
                 pause_ms,
-                passed_over,
+                passed_leaving,
+                passed_resting,
                 ..
             } => {
                 self.answered = Some(Answered {
@@ -254,7 +257,8 @@
                     events: *events,
                     first_ms: *first_ms,
                     pause_ms: *pause_ms,
-                    passed_over: passed_over.clone(),
+                    passed_leaving: !passed_leaving.is_empty(),
+                    passed_resting: !passed_resting.is_empty(),
                 });
             }
             Event::Left { .. } => self.left = true,
@@ -322,10 +326,10 @@
         if is(Code::AnswerLate) {
             return Cause::TimedOut;
         }
-        if answered.status == 503 && answered.passed_over.contains("rest") {
+        if answered.status == 503 && answered.passed_resting {
             return Cause::EndpointsResting;
         }
-        if answered.status == 503 && answered.passed_over.contains("leaving") {
+        if answered.status == 503 && answered.passed_leaving {
             return Cause::EndpointsLeaving;
         }
         if self.no_budget {
--- a/crates/losses/tests/losses/causes.rs
+++ b/crates/losses/tests/losses/causes.rs
@@ -27,8 +27,8 @@
 const OVER_LIMIT: &str =
     r#"{"time_ms":1000,"event":"over-limit","request":"r","route":"chat","customer":"c"}"#;
 const NO_BUDGET: &str = r#"{"time_ms":2000,"event":"attempt","request":"r","endpoint":"e","end":"lost","next":"budget","detail":"","after_ms":5}"#;
-const PASSED_LEAVING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W2001","after_ms":5,"passed_over":"e leaving"}"#;
-const PASSED_RESTING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W3004","after_ms":5,"passed_over":"e rest"}"#;
+const PASSED_LEAVING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W2001","after_ms":5,"passed_leaving":"everest-1"}"#;
+const PASSED_RESTING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W3004","after_ms":5,"passed_resting":"e"}"#;
 const CUT: &str = r#"{"time_ms":2000,"event":"cut","request":"r","detail":"reset","after_ms":5}"#;
 const LEFT: &str = r#"{"time_ms":2000,"event":"left","request":"r","after_ms":900}"#;
 
