fix: a word of cold that cannot be read is logged, as every other word is

Found by reading. Leaving, rest and rate limit wrote an `unreadable` line where an answer's field held no such value; cold was passed over in silence. And an `attempt` line named a rest for any answer with the field, though only a refusal with 503 asks for one. Four cases over sockets; the two of unreadable values fail without the change. No decision changes.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
 use woadstage_dispatch::dispatcher::Decision;
@@ -259,12 +260,15 @@
         verdict
     }
 
-    /// The status of an answer, and for how long its endpoint wants nothing.
+    /// The status of an answer, and where it turns the request away, for how long its
+    /// endpoint says that it wants nothing.
     fn to_detail(&self, answer: &Answer) -> String {
-        let status = answer.response.status().as_u16();
-        match text(answer.response.headers(), &self.shell.headers.rest) {
-            Some(rest) => format!("{status}, rest {rest}"),
-            None => status.to_string(),
+        let status = answer.response.status();
+        let rest = text(answer.response.headers(), &self.shell.headers.rest);
+        let rest = rest.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        match rest {
+            Some(rest) => format!("{}, rest {rest}", status.as_u16()),
+            None => status.as_u16().to_string(),
         }
     }
 
--- a/crates/gateway/src/serve/read_notice.rs
+++ b/crates/gateway/src/serve/read_notice.rs
@@ -16,7 +16,6 @@
 
 use super::judge::Verdict;
 use crate::headers::Headers;
-use crate::headers::text;
 
 /// A field that cannot be understood, and changes nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,7 +42,7 @@
     }
     let mut read = Read::default();
     read.notice = Notice {
-        cold_for: cold(names, headers),
+        cold_for: read.cold(&names.cold, headers),
         rate_limit: read.rate_limit(&names.rate_limit, headers, verdict),
         leaving: read.leaving(&names.leaving, headers),
         rest: match status {
@@ -54,13 +53,14 @@
     read
 }
 
-/// For how long an endpoint says that it stays cold, where it does.
-fn cold(names: &Headers, headers: &HeaderMap) -> Option<Span> {
-    let millis: u64 = text(headers, &names.cold)?.trim().parse().ok()?;
-    (millis > 0).then_some(Span::from_millis(millis))
-}
-
 impl Read {
+    /// For how long an endpoint says that it stays cold.
+    fn cold(&mut self, name: &HeaderName, headers: &HeaderMap) -> Option<Span> {
+        let value = headers.get(name)?;
+        let cold_for = self.keep_readable("cold", parse_cold(value))?;
+        (cold_for > Span::ZERO).then_some(cold_for)
+    }
+
     /// The requests a second that an endpoint says it takes. That it names none counts
     /// only where the answer is for the caller: what is in an endpoint's place may answer
     /// with errors of its own.
@@ -111,6 +111,16 @@
     String::from_utf8_lossy(value.as_bytes())
 }
 
+/// Reads how long an endpoint stays cold, in milliseconds.
+fn parse_cold(value: &HeaderValue) -> Result<Span, unit::Error> {
+    let text = to_text(value);
+    let millis = text.trim().parse().map_err(|_| unit::Error {
+        text: text.clone().into_owned(),
+        expected: "whole milliseconds such as \"600\"",
+    });
+    millis.map(Span::from_millis)
+}
+
 /// Reads an endpoint's word that it leaves.
 fn parse_leaving(value: &HeaderValue) -> Result<(), unit::Error> {
     let text = to_text(value);
--- a/crates/gateway/tests/gateway/notice.rs
+++ b/crates/gateway/tests/gateway/notice.rs
@@ -94,6 +94,26 @@
     });
 }
 
+#[rstest]
+#[case::for_a_while("600", 1)]
+#[case::not_any_more("0", 0)]
+#[case::word("soon", 0)]
+#[case::fraction("0.5", 0)]
+fn an_endpoint_is_cold_by_its_answer(#[case] value: &str, #[case] cold: usize) {
+    run(|| async {
+        let field = format!("woadstage-cold-ms: {value}");
+        let (_worker, gateway) = ask_once(saying("200 OK", &[&field])).await;
+        let summaries = gateway.shell.query(|one, now| one.summaries(now));
+        let found: usize = summaries.iter().map(|one| one.cold).sum();
+        assert_eq!(found, cold);
+        match (cold, value) {
+            (0, "0") => {}
+            (0, _) => drop(gateway.logged(&["\"unreadable\"", "\"cold\""]).await),
+            _ => drop(gateway.logged(&["\"notice\"", "\"cold\"", "id-1"]).await),
+        }
+    });
+}
+
 /// Others than refusals tell callers when to come back, not nodes.
 #[rstest]
 #[case::too_many("429 Too Many Requests")]
