--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -10,14 +10,24 @@
 use super::Refusal;
 use crate::job;
 use crate::job::End;
+use crate::job::Job;
 use crate::lease;
 use crate::lease::Answer;
 use crate::lease::Lease;
 use crate::lease::Reply;
+use crate::worker::Worker;
 
 /// How long an endpoint is left alone whose owner had no use for a request.
 const UNUSABLE_FOR: Span = Span::from_millis(200);
 
+/// A slot that is of no use to the node that it was given to.
+struct Unusable {
+    /// What the owner is told.
+    end: End,
+    /// True where the request is not to be offered to this endpoint again.
+    is_tried: bool,
+}
+
 impl Dispatcher {
     /// Takes an owner's answer.
     pub fn take_reply(&mut self, now: Time, from: SocketAddrV4, reply: Reply) {
@@ -79,33 +89,12 @@
             self.place(now, &target);
             return;
         };
-        let known = &pool.workers[worker];
-        let centre = &known.endpoint.data_centre;
-        if !known.is_open() || !self.options.regions.allows(&job.bound, centre) {
-            // This node's list is newer than the owner's, or the owner, which does not
-            // know where the request may run, sees another fleet.
-            let end = match known.is_staying() {
-                true => End::Abandoned,
-                false => End::NotThere,
-            };
-            job.history.tried.push(known.number);
-            self.return_slot(question.owner, question.number, end);
-            self.submit(now, id, job);
-            return;
-        }
         let known = &self.pools[&target].workers[worker];
-        if known.rest.is_resting(now) {
-            // An owner that is told so gives another; one of a build before does not know.
-            if !self.members.knows_notices(question.owner) {
+        if let Some(unusable) = self.unusable_opt(now, question.owner, &job, known) {
+            if unusable.is_tried {
                 job.history.tried.push(known.number);
             }
-            self.return_slot(question.owner, question.number, End::Abandoned);
-            self.submit(now, id, job);
-            return;
-        }
-        if !self.may_use_slot(question.owner, known) {
-            job.history.tried.push(known.number);
-            self.return_slot(question.owner, question.number, End::Abandoned);
+            self.return_slot(question.owner, question.number, unusable.end);
             self.submit(now, id, job);
             return;
         }
@@ -118,6 +107,36 @@
         self.run(now, id, job, worker, Some(lease), reason);
     }
 
+    /// Why this node gives back a slot that an owner gave it; none where it uses the slot.
+    fn unusable_opt(
+        &self,
+        now: Time,
+        owner: SocketAddrV4,
+        job: &Job,
+        worker: &Worker,
+    ) -> Option<Unusable> {
+        if !worker.is_staying() {
+            // This node's list is newer than the owner's.
+            return Some(Unusable {
+                end: End::NotThere,
+                is_tried: true,
+            });
+        }
+        // The owner may see another fleet, and does not know where the request may run.
+        let barred = worker.evacuated || !self.may_run_at(job, worker);
+        if barred || !self.may_use_slot(owner, worker) {
+            return Some(Unusable {
+                end: End::Abandoned,
+                is_tried: true,
+            });
+        }
+        // An owner that is told so gives another; one of a build before does not know.
+        worker.rest.is_resting(now).then(|| Unusable {
+            end: End::Abandoned,
+            is_tried: !self.members.knows_notices(owner),
+        })
+    }
+
     /// Asks elsewhere, or decides here, after an owner had no slot to give.
     fn take_denial(&mut self, now: Time, id: job::Id) {
         let Some(question) = self.questions.remove(&id) else {
--- a/crates/dispatch/src/dispatcher/begin.rs
+++ b/crates/dispatch/src/dispatcher/begin.rs
@@ -49,10 +49,11 @@
         lease: Option<Lease>,
         reason: Reason,
     ) {
-        let interval = self.pools.get(&job.target);
-        let interval = interval.and_then(|pool| self.cold_interval_opt(now, pool));
-        let spacing = self.pools.get(&job.target);
-        let spacing = spacing.and_then(|pool| self.spacing_opt(now, &pool.workers[worker]));
+        let Some(pool) = self.pools.get(&job.target) else {
+            return;
+        };
+        let interval = self.cold_interval_opt(now, pool);
+        let spacing = self.spacing_opt(now, &pool.workers[worker]);
         let Some(pool) = self.pools.get_mut(&job.target) else {
             return;
         };
--- a/crates/dispatch/src/dispatcher/keep_rate_limit.rs
+++ b/crates/dispatch/src/dispatcher/keep_rate_limit.rs
@@ -3,11 +3,11 @@
 
 use std::net::SocketAddrV4;
 
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
-use super::Pool;
 use crate::job;
 use crate::lease;
 use crate::lease::Lease;
@@ -25,12 +25,10 @@
         id: job::Id,
         limit: Option<Limit>,
     ) -> Option<Change> {
-        let run = self.runs.get(&id)?;
-        let pool = self.pools.get_mut(&run.job.target)?;
-        let state = &mut pool.workers[run.worker].rate_limit;
-        let before = state.limit_opt();
-        let changed = state.note_answer(now, run.started, limit);
+        let (run, worker) = self.running_at_mut(id)?;
         let lease = run.lease;
+        let before = worker.rate_limit.limit_opt();
+        let changed = worker.rate_limit.note_answer(now, run.started, limit);
         if let Some(lease) = lease.filter(|_| changed || limit.is_some()) {
             self.report_rate_limit(lease, limit);
         }
@@ -105,27 +103,31 @@
     /// Lets the time until this node's first request begin anew at each endpoint whose
     /// limit another keeps.
     pub(super) fn wait_for_limits(&mut self, now: Time) {
-        let kept_by_others = |pool: &Pool| {
-            let permit = self.permit_opt(now, pool)?;
-            let limited = pool.workers.iter().enumerate();
-            let limited = limited.filter(|(_, worker)| worker.is_rate_limited());
-            let others = limited.filter(|(_, worker)| !self.keeps_limit(now, pool, worker, permit));
-            Some(others.map(|(at, _)| at).collect::<Vec<usize>>())
-        };
-        let pools = self.pools.iter();
-        let waiting =
-            pools.filter_map(|(target, pool)| Some((target.clone(), kept_by_others(pool)?)));
-        let waiting: Vec<_> = waiting.collect();
-        for (target, workers) in waiting {
+        let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
+        for target in targets {
+            let kept = self.kept_by_others(now, &target);
             let Some(pool) = self.pools.get_mut(&target) else {
                 continue;
             };
-            for at in workers {
+            for at in kept {
                 pool.workers[at].rate_limit.wait(now);
             }
         }
     }
 
+    /// The places of a service's endpoints whose rate limits other nodes keep.
+    fn kept_by_others(&self, now: Time, target: &id::Target) -> Vec<usize> {
+        let pool = self.pools.get(target);
+        let permit = pool.and_then(|pool| self.permit_opt(now, pool));
+        let Some((pool, permit)) = pool.zip(permit) else {
+            return Vec::new();
+        };
+        let limited = pool.workers.iter().enumerate();
+        let limited = limited.filter(|(_, worker)| worker.is_rate_limited());
+        let others = limited.filter(|(_, worker)| !self.keeps_limit(now, pool, worker, permit));
+        others.map(|(at, _)| at).collect()
+    }
+
     /// The time between two requests of this node to an endpoint that names a limit.
     pub(super) fn spacing_opt(&self, now: Time, worker: &Worker) -> Option<Span> {
         let limit = worker.rate_limit.limit_opt()?;
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 //! * `lend.rs`: slots that this node owns are given to others.
 //! * `spare.rs`: slots that one cell has to spare for another.
 //! * `policy.rs`: bounds and weights.
+//! * `decision.rs`: what is decided.
 //! * `place.rs`: which request goes to which endpoint now.
 //! * `doubt.rs`: endpoints that may turn a request away.
 //! * `begin.rs`: a request is counted in at its endpoint.
@@ -30,10 +31,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
 use woadstage_types::id;
-use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use crate::budget;
@@ -43,7 +41,6 @@
 use crate::configuration::Rank;
 use crate::duration::Durations;
 use crate::endpoint;
-use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::first_try;
 use crate::job;
@@ -76,6 +73,7 @@
 mod answer;
 mod begin;
 mod borrow;
+mod decision;
 mod displace;
 mod doubt;
 mod enter;
@@ -98,6 +96,10 @@
 mod tick;
 
 use borrow::Question;
+pub use decision::Cause;
+pub use decision::Decision;
+pub use decision::Next;
+pub use decision::Reason;
 pub use enter::Refusal;
 use lend::Remote;
 pub use policy::Policy;
@@ -136,87 +138,6 @@
     pub regions: region::Map,
 }
 
-/// What was known when an endpoint was chosen, for logs.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Reason {
-    /// How long the request had waited.
-    pub waited: Span,
-    /// Requests of ours in progress there before this one.
-    pub running: u32,
-    /// Requests of others in progress there.
-    pub others: u32,
-    /// Prompt tokens that the endpoint is believed to have to read.
-    pub uncached: u64,
-    /// Prompt tokens of other requests that it has to read before.
-    pub unread: u64,
-    /// Its pace.
-    pub pace: f64,
-    /// The age of the oldest word of another node that was used.
-    pub oldest: Span,
-}
-
-/// What was decided.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Decision {
-    /// Send the request to the endpoint.
-    Start {
-        /// The request.
-        job: job::Id,
-        /// Where to.
-        endpoint: Arc<Endpoint>,
-        /// Why there.
-        reason: Reason,
-        /// The node that gave the slot, where it was another.
-        owner: Option<SocketAddrV4>,
-    },
-    /// The request will not run; tell the caller at once.
-    Refuse {
-        /// The request.
-        job: job::Id,
-        /// Why, and when to come back.
-        refusal: Refusal,
-    },
-}
-
-/// What is to happen after an attempt has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Next {
-    /// The request is over.
-    Over,
-    /// It waits for another endpoint; a decision will come.
-    Again,
-    /// It is not sent again, for this cause.
-    Final(Cause),
-}
-
-/// Why a request is not sent again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cause {
-    /// It may have run and must not run twice.
-    MayHaveRun,
-    /// It was sent to as many endpoints as its route allows.
-    Attempts,
-    /// The fleet has used up what may be sent again.
-    Budget,
-    /// Too little time is left.
-    Time,
-    /// Endpoints ended under it: one more is not risked for the same attempt.
-    Suspect,
-}
-
-impl Cause {
-    /// The word for logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Cause::MayHaveRun => "may-have-run",
-            Cause::Attempts => "attempts",
-            Cause::Budget => "budget",
-            Cause::Time => "time",
-            Cause::Suspect => "suspect",
-        }
-    }
-}
-
 /// A request that runs at an endpoint.
 #[derive(Debug)]
 struct Run {
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -260,10 +260,7 @@
                 if gone(at, &worker) {
                     pool.warm.forget(worker.number);
                     if worker.leaving {
-                        self.updates.push(Update {
-                            endpoint: worker.endpoint.name.clone(),
-                            change: Change::Left,
-                        });
+                        self.updates.push(Update::new(&worker, Change::Left));
                     }
                 } else {
                     moved.insert(at, kept.len());
--- a/crates/dispatch/src/dispatcher/take_notice.rs
+++ b/crates/dispatch/src/dispatcher/take_notice.rs
@@ -5,6 +5,7 @@
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
+use super::Run;
 use crate::job;
 use crate::lease;
 use crate::notice::Change;
@@ -33,14 +34,20 @@
         changes.chain(leaving).chain(rest).collect()
     }
 
+    /// A request that runs, and the endpoint that runs it.
+    pub(super) fn running_at_mut(&mut self, id: job::Id) -> Option<(&Run, &mut Worker)> {
+        let run = self.runs.get(&id)?;
+        let pool = self.pools.get_mut(&run.job.target)?;
+        Some((run, &mut pool.workers[run.worker]))
+    }
+
     /// An endpoint said in an answer that it leaves. All others are told at once: each
     /// would otherwise learn it by a request that it sends there.
     fn note_leaving(&mut self, id: job::Id) -> Option<Change> {
-        let run = self.runs.get(&id)?;
-        let pool = self.pools.get_mut(&run.job.target)?;
-        let worker = &mut pool.workers[run.worker];
+        let (_, worker) = self.running_at_mut(id)?;
         worker.leaving = true;
-        let new = self.leaving_endpoints.insert(worker.number);
+        let number = worker.number;
+        let new = self.leaving_endpoints.insert(number);
         self.urgent |= new;
         self.news |= new;
         new.then_some(Change::Leaving)
@@ -67,10 +74,7 @@
         let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
         for worker in workers.filter(|worker| worker.number == endpoint) {
             worker.leaving = true;
-            self.updates.push(Update {
-                endpoint: worker.endpoint.name.clone(),
-                change: Change::Leaving,
-            });
+            self.updates.push(Update::new(worker, Change::Leaving));
         }
     }
 
@@ -85,10 +89,9 @@
 
     /// An endpoint turned a request away and wants nothing from this node for so long.
     fn note_rest(&mut self, now: Time, id: job::Id, rest: Span) -> Option<Change> {
-        let run = self.runs.get(&id)?;
-        let pool = self.pools.get_mut(&run.job.target)?;
-        let worker = &mut pool.workers[run.worker];
-        let drawn = hash::chain(self.options.incarnation, &worker.number.to_le_bytes());
+        let incarnation = self.options.incarnation;
+        let (_, worker) = self.running_at_mut(id)?;
+        let drawn = hash::chain(incarnation, &worker.number.to_le_bytes());
         if !worker.rest.ask(now, rest, drawn) {
             return None;
         }
@@ -104,22 +107,17 @@
                 worker.rest.hear(*until);
             }
             if worker.rest.take_end(now) {
-                self.updates.push(Update {
-                    endpoint: worker.endpoint.name.clone(),
-                    change: Change::Rested,
-                });
+                self.updates.push(Update::new(worker, Change::Rested));
             }
         }
     }
 
     /// An endpoint said in an answer that it is cold for so long.
     pub(super) fn note_cold(&mut self, now: Time, id: job::Id, cold_for: Span) -> Option<Change> {
-        let run = self.runs.get(&id)?;
-        let pool = self.pools.get_mut(&run.job.target)?;
-        let state = &mut pool.workers[run.worker].cold;
-        let was_cold = state.is_cold(now);
-        state.extend(now, cold_for);
+        let (run, worker) = self.running_at_mut(id)?;
         let lease = run.lease;
+        let was_cold = worker.cold.is_cold(now);
+        worker.cold.extend(now, cold_for);
         if let Some(lease) = lease {
             self.report(lease.owner, lease.number, lease::Event::Cold { cold_for });
         }
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -50,6 +50,7 @@
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
+            self.note_open(now, &target);
             self.refuse_without_endpoint(now, &target);
             self.resubmit_stuck(now, &target);
             self.resubmit_displaced(now, &target);
@@ -94,46 +95,58 @@
         }
     }
 
+    /// Notes whether a service has an open endpoint.
+    fn note_open(&mut self, now: Time, target: &id::Target) {
+        if let Some(pool) = self.pools.get_mut(target)
+            && pool.workers.iter().any(Worker::is_open)
+        {
+            pool.open_at = Some(now);
+        }
+    }
+
     /// With no endpoint at all where a request may run, waiting beyond the objective
     /// helps nobody; where all have said that they leave, waiting at all.
     fn refuse_without_endpoint(&mut self, now: Time, target: &id::Target) {
-        let Some(pool) = self.pools.get_mut(target) else {
-            return;
-        };
-        if pool.workers.iter().any(Worker::is_open) {
-            pool.open_at = Some(now);
-        }
-        let closed_for = pool.open_at.map_or(Span::ZERO, |at| now.since(at));
         let Some(pool) = self.pools.get(target) else {
             return;
         };
-        let waited = pool.queue.iter().filter(|(_, job)| {
-            let prospect = self.prospect(pool, job);
+        let closed_for = pool.open_at.map_or(Span::ZERO, |at| now.since(at));
+        let hopeless = pool.queue.iter().filter(|(_, job)| {
             let waited = now.since(job.arrived) > job.objective;
-            prospect == Prospect::Leaving || (waited && prospect == Prospect::Nothing)
+            match self.prospect(pool, job) {
+                Prospect::Live => false,
+                Prospect::Leaving => true,
+                Prospect::Nothing => waited,
+            }
         });
-        let hopeless: Vec<job::Id> = waited.map(|(id, _)| id).collect();
+        let hopeless: Vec<job::Id> = hopeless.map(|(id, _)| id).collect();
         for id in hopeless {
             let pool = self.pools.get_mut(target);
             let Some(job) = pool.and_then(|pool| pool.queue.remove(id)) else {
                 continue;
             };
             self.withdraw(id);
-            let outage = now.since(job.arrived).max(closed_for);
-            let retry_after = self.retry_after_estimate(now, outage, job.deadline.since(now));
-            let refusal = Refusal {
-                code: match job.bound.is_free() {
-                    true => Code::NoEndpoint,
-                    false => Code::RegionClosed,
-                },
-                retry_after: Some(retry_after),
-                wait: None,
-                owner: None,
-            };
+            let refusal = self.without_endpoint(now, &job, closed_for);
             self.refuse(now, id, job.origin, refusal);
         }
     }
 
+    /// What a caller is told whose request no endpoint can run, where the service was
+    /// closed for so long.
+    fn without_endpoint(&self, now: Time, job: &Job, closed_for: Span) -> Refusal {
+        let outage = now.since(job.arrived).max(closed_for);
+        let retry_after = self.retry_after_estimate(now, outage, job.deadline.since(now));
+        Refusal {
+            code: match job.bound.is_free() {
+                true => Code::NoEndpoint,
+                false => Code::RegionClosed,
+            },
+            retry_after: Some(retry_after),
+            wait: None,
+            owner: None,
+        }
+    }
+
     /// What a request may expect of the endpoints where it may run.
     fn prospect(&self, pool: &Pool, job: &Job) -> Prospect {
         let workers = pool.workers.iter();
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -11,6 +11,7 @@
 use woadstage_types::unit::Span;
 
 use crate::rate_limit::Limit;
+use crate::worker::Worker;
 
 /// What one head says of its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -95,6 +96,16 @@
     pub change: Change,
 }
 
+impl Update {
+    /// A change of what is believed of an endpoint.
+    pub fn new(worker: &Worker, change: Change) -> Update {
+        Update {
+            endpoint: worker.endpoint.name.clone(),
+            change,
+        }
+    }
+}
+
 impl Change {
     /// What it is about, as logs and metrics name it.
     pub fn as_str(self) -> &'static str {
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -43,15 +43,15 @@
         self >= Protocol::ERAS
     }
 
-    /// True where a node knows what else endpoints say of themselves.
-    pub fn knows_notices(self) -> bool {
-        self >= Protocol::NOTICES
-    }
-
     /// True where a node keeps endpoints' rate limits.
     pub fn keeps_rate_limits(self) -> bool {
         self >= Protocol::RATE_LIMITS
     }
+
+    /// True where a node knows what else endpoints say of themselves.
+    pub fn knows_notices(self) -> bool {
+        self >= Protocol::NOTICES
+    }
 }
 
 impl Default for Protocol {
--- a/crates/dispatch/src/rate_limit.rs
+++ b/crates/dispatch/src/rate_limit.rs
@@ -69,12 +69,8 @@
     type Err = unit::Error;
 
     fn from_str(text: &str) -> Result<Limit, unit::Error> {
-        let number: Option<f64> = text.trim().parse().ok();
-        let usable = number.filter(|number| number.is_finite() && *number >= 0.0);
-        let per_second = usable.ok_or_else(|| unit::Error {
-            text: text.into(),
-            expected: "requests a second such as \"2.75\"",
-        })?;
+        let expected = "requests a second such as \"2.75\"";
+        let per_second = unit::parse_from_zero(text, expected)?;
         // What is too large to be held bounds nothing.
         Ok(Limit((per_second * STEPS) as u32))
     }
--- a/crates/dispatch/src/rest.rs
+++ b/crates/dispatch/src/rest.rs
@@ -40,12 +40,7 @@
 /// # Errors
 /// Where the text is no number from 0 on, such as a date.
 pub fn parse(text: &str) -> Result<Span, unit::Error> {
-    let number: Option<f64> = text.trim().parse().ok();
-    let usable = number.filter(|number| number.is_finite() && *number >= 0.0);
-    let seconds = usable.ok_or_else(|| unit::Error {
-        text: text.into(),
-        expected: "seconds such as \"2.5\"",
-    })?;
+    let seconds = unit::parse_from_zero(text, "seconds such as \"2.5\"")?;
     let micros = seconds * MICROS_PER_SECOND as f64;
     // What is too large to be held is cut to the longest.
     Ok(Span(micros as u64).min(LONGEST))
@@ -55,8 +50,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct State {
     until: Time,
-    /// True until its end was taken note of.
-    open: bool,
+    /// True until its end was taken ([`State::take_end`]).
+    is_end_due: bool,
     /// Rests that it asked for since it last took a request.
     rests: u32,
     /// When the request was sent of which nothing is known yet, after the rest.
@@ -78,7 +73,7 @@
         self.until = self.until.max(until);
         self.rests += u32::from(new);
         self.trial = None;
-        self.open = true;
+        self.is_end_due = true;
         changed
     }
 
@@ -144,8 +139,8 @@
 
     /// True where the rest is over, once for each rest.
     pub fn take_end(&mut self, now: Time) -> bool {
-        let ends = self.open && !self.is_resting(now);
-        self.open &= !ends;
+        let ends = self.is_end_due && !self.is_resting(now);
+        self.is_end_due &= !ends;
         ends
     }
 }
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -2,8 +2,9 @@
 //!
 //! Each message has the layout that every build reads, and behind it what later builds
 //! add: an addition with lists of what endpoints said behind it, or what a configuration
-//! binds to regions. A build reads of it what it knows, takes the usual for what is missing, and leaves the rest. Nothing that stands
-//! before it ever changes (docs/PROTOCOL.md; test `what_is_written_is_kept`).
+//! binds to regions. A build reads of it what it knows, takes the usual for what is
+//! missing, and leaves the rest. Nothing that stands before it ever changes
+//! (docs/PROTOCOL.md; test `what_is_written_is_kept`).
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -62,16 +63,17 @@
         return None;
     }
     let (mut message, rest) = postcard::take_from_bytes(rest).ok()?;
-    if let Message::Lease(request) = &mut message {
-        request.avoided = take_list(rest).ok()?.0;
-    }
-    if let Message::Status(status) = &mut message {
-        let (addition, rest) = take_addition(rest).ok()?;
-        status.protocol = addition.protocol;
-        status.endpoints.era = addition.era;
-        let (rate_limits, rest) = take_list(rest).ok()?;
-        status.rate_limits = rate_limits;
-        status.notices = take_list(rest).ok()?.0;
+    match &mut message {
+        Message::Lease(request) => request.avoided = take_list(rest).ok()?.0,
+        Message::Status(status) => {
+            let (addition, rest) = take_addition(rest).ok()?;
+            status.protocol = addition.protocol;
+            status.endpoints.era = addition.era;
+            let (rate_limits, rest) = take_list(rest).ok()?;
+            status.rate_limits = rate_limits;
+            status.notices = take_list(rest).ok()?.0;
+        }
+        _ => {}
     }
     Some(message)
 }
@@ -141,8 +143,8 @@
     }
 }
 
-/// Reads a list behind a question for a slot or the addition of a status, which may be missing, and gives what
-/// stands behind it.
+/// Reads a list behind a question for a slot, or behind the addition of a status, which may
+/// be missing, and gives what stands behind it.
 fn take_list<T: DeserializeOwned>(rest: &[u8]) -> postcard::Result<(Vec<T>, &[u8])> {
     match rest {
         [] => Ok((Vec::new(), rest)),
--- a/crates/types/src/unit.rs
+++ b/crates/types/src/unit.rs
@@ -32,6 +32,19 @@
 
 impl std::error::Error for Error {}
 
+/// Reads a number from 0 on that others wrote, as `2`, `2.75` or `1e3`.
+///
+/// # Errors
+/// For anything else, with the form that is `expected`.
+pub fn parse_from_zero(text: &str, expected: &'static str) -> Result<f64, Error> {
+    let number: Option<f64> = text.trim().parse().ok();
+    let usable = number.filter(|number| number.is_finite() && *number >= 0.0);
+    usable.ok_or_else(|| Error {
+        text: text.into(),
+        expected,
+    })
+}
+
 /// Digits behind the point that a number may have.
 const PLACES: usize = 6;
 
