--- a/crates/dispatch/tests/dispatch/fleet/cold.rs
+++ b/crates/dispatch/tests/dispatch/fleet/cold.rs
@@ -73,10 +73,7 @@
 /// Six tenths of all endpoints are replaced while twice the usual load comes.
 #[test]
 fn replaced_endpoints_are_not_overrun() {
-    let mut world = World::start(shape());
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 900, Span::from_secs(6), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(shape(), MODEL, 900, Span::from_secs(6));
     let from = world.now;
     let (list, cold) = restarted(&world, |at| at % 5 < 3);
     world.publish_to_readers(list);
@@ -114,10 +111,8 @@
 #[case::a_few(6)]
 #[case::half(2)]
 fn nodes_that_are_cut_off_add_little(#[case] one_of: u16) {
-    let mut world = World::start(shape());
+    let mut world = under_load(shape(), MODEL, 700, Span::from_secs(6));
     let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 700, Span::from_secs(6), &nodes);
-    world.run_for(SECOND);
     let from = world.now;
     let (list, cold) = restarted(&world, |at| at % 2 == 0);
     // All nodes read the platform, those that are cut off from each other too.
--- a/crates/dispatch/tests/dispatch/fleet/leaving.rs
+++ b/crates/dispatch/tests/dispatch/fleet/leaving.rs
@@ -4,7 +4,6 @@
 use woadstage_dispatch::endpoint::List;
 use woadstage_types::id;
 
-use super::rate_limited::middle;
 use super::*;
 
 /// Every so-manieth endpoint says in its answers that it leaves from now on.
@@ -29,7 +28,7 @@
     leave(&mut world, one_of);
     let from = world.now;
     world.run_for(Span::from_secs(4));
-    assert_eq!(world.notices.late(), 0);
+    world.notices.assert_left();
     let seen = world.between(from, world.now - SECOND);
     assert_in_time(&seen, 95.0);
     assert_all_over_within(&mut world, Span::from_secs(3));
@@ -101,7 +100,7 @@
     happens(&mut world);
     // Longer than anything is kept that is known of older lists.
     world.run_for(Span::from_secs(12));
-    assert_eq!(world.notices.late(), 0);
+    world.notices.assert_left();
 }
 
 /// A later start under the same name has said nothing.
@@ -135,6 +134,7 @@
     let from = world.now;
     world.run_for(SECOND);
     let seen = world.between(from, world.now - Span::from_millis(100));
+    assert!(!seen.is_empty());
     assert!(seen.iter().all(|one| one.refused), "{seen:?}");
 }
 
@@ -152,7 +152,7 @@
     world.notices.leaving = of_centre(&world, "dc0");
     let from = world.now;
     world.run_for(Span::from_secs(6));
-    assert_eq!(world.notices.late(), 0);
+    world.notices.assert_left();
     let seen = world.between(from, world.now - SECOND);
     assert_in_time(&seen, 95.0);
 }
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -58,6 +58,17 @@
     }
 }
 
+/// Three data centres with a cell each.
+fn middle() -> Shape {
+    Shape {
+        nodes: 24,
+        centres: 3,
+        endpoints: 24,
+        slots: 7,
+        ..shape()
+    }
+}
+
 /// The fleet two years on, with a tenth of its endpoints.
 fn large() -> Shape {
     Shape {
--- a/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
+++ b/crates/dispatch/tests/dispatch/fleet/rate_limited.rs
@@ -24,17 +24,6 @@
 const MARGIN: f64 = 1.5;
 const MORE: f64 = 5.0;
 
-/// Three data centres with a cell each.
-pub fn middle() -> Shape {
-    Shape {
-        nodes: 24,
-        centres: 3,
-        endpoints: 24,
-        slots: 7,
-        ..shape()
-    }
-}
-
 fn limit(text: &str) -> Limit {
     text.parse().expect("a limit")
 }
@@ -90,10 +79,7 @@
     #[case] one_of: usize,
     #[case] text: &str,
 ) {
-    let mut world = World::start(shape);
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, per_second, Span::from_secs(9), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(shape, MODEL, per_second, Span::from_secs(9));
     let from = world.now;
     let named = name_limits(&mut world, one_of, text);
     world.run_for(Span::from_secs(7));
@@ -108,10 +94,7 @@
 #[case::less_than_they_take(24, 90.0)]
 #[case::twice_as_much(58, 42.0)]
 fn all_endpoints_name_limits(#[case] per_second: u64, #[case] in_time: f64) {
-    let mut world = World::start(small());
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, per_second, Span::from_secs(16), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(small(), MODEL, per_second, Span::from_secs(16));
     let from = world.now;
     // 28.8 requests a second together.
     let named = name_limits(&mut world, 1, "2.4");
@@ -189,10 +172,7 @@
     #[case] text: &str,
     #[values(1, 3)] one_of: usize,
 ) {
-    let mut world = World::start(Shape { lost, ..small() });
-    let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 50, Span::from_secs(16), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(Shape { lost, ..small() }, MODEL, 50, Span::from_secs(16));
     let from = world.now;
     let named = name_limits(&mut world, one_of, text);
     world.run_for(Span::from_secs(2));
@@ -209,11 +189,8 @@
 #[case::nothing_taken("0", Some("0"), 0.01)]
 #[case::then_all("0", None, 8.0)]
 fn a_limit_moves(#[case] before: &str, #[case] after: Option<&str>, #[case] used: f64) {
-    let mut world = World::start(small());
-    let nodes = all_nodes(&world);
     // More than the other endpoints can do.
-    load(&mut world, MODEL, 200, Span::from_secs(40), &nodes);
-    world.run_for(SECOND);
+    let mut world = under_load(small(), MODEL, 200, Span::from_secs(40));
     let from = world.now;
     let named = name_limits(&mut world, 3, before);
     world.run_for(Span::from_secs(8));
@@ -244,10 +221,8 @@
 /// A limit ends while nobody sends anything. Once requests come again, that is learnt.
 #[test]
 fn a_limit_ends_while_nothing_is_sent() {
-    let mut world = World::start(small());
+    let mut world = under_load(small(), MODEL, 60, Span::from_secs(3));
     let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 60, Span::from_secs(3), &nodes);
-    world.run_for(SECOND);
     let named = name_limits(&mut world, 1, "0.5");
     world.run_for(Span::from_secs(2));
     world.limits.clear();
@@ -290,14 +265,17 @@
 #[case::one_after_the_other_fast(1, "8")]
 #[case::six_at_a_time_fast(6, "8")]
 fn limits_hold_while_cells_change(#[case] at_once: usize, #[case] text: &str) {
-    let mut world = World::start(Shape {
-        nodes: 36,
-        centres: 2,
-        ..middle()
-    });
+    let mut world = under_load(
+        Shape {
+            nodes: 36,
+            centres: 2,
+            ..middle()
+        },
+        MODEL,
+        900,
+        Span::from_secs(14),
+    );
     let nodes = all_nodes(&world);
-    load(&mut world, MODEL, 900, Span::from_secs(14), &nodes);
-    world.run_for(SECOND);
     let from = world.now;
     let named = name_limits(&mut world, 2, text);
     world.run_for(Span::from_secs(2));
--- a/crates/dispatch/tests/dispatch/fleet/resting.rs
+++ b/crates/dispatch/tests/dispatch/fleet/resting.rs
@@ -2,7 +2,6 @@
 
 use woadstage_types::id;
 
-use super::rate_limited::middle;
 use super::world::notices::Refusing;
 use super::*;
 
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/fleet/world/engine.rs
@@ -0,0 +1,92 @@
+//! Endpoints of a fleet in virtual time: what runs and what waits there.
+
+use std::collections::VecDeque;
+
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::End;
+use woadstage_types::hash;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+
+use super::Event;
+use super::World;
+
+/// How long an endpoint takes to the first event of an answer.
+const FIRST_AFTER: Span = Span::from_millis(20);
+
+/// How long after an endpoint began to run it a request that crashes it does so.
+const CRASH_AFTER: Span = Span::from_millis(70);
+
+/// One endpoint: what runs and what waits there.
+#[derive(Debug, Default)]
+pub struct Engine {
+    /// What runs.
+    pub running: Vec<(u16, job::Id)>,
+    /// What waits.
+    pub waiting: VecDeque<(u16, job::Id)>,
+}
+
+impl World {
+    /// A request reaches an endpoint, which runs it or puts it in line.
+    pub(super) fn begin(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
+        let seen = self.seen.get_mut(&(node, id)).expect("it came");
+        seen.decided += 1;
+        if self.ended.contains(endpoint) {
+            let refused = self.now + self.shape.way;
+            self.plan(refused, Event::Broken(node, id, End::NotSent));
+            return;
+        }
+        let fingerprint = seen.fingerprint;
+        let arrivals = self.arrivals.entry(endpoint.clone()).or_default();
+        arrivals.push(self.now);
+        if self.crashing.contains(&fingerprint) {
+            self.reached.push((self.now, node, fingerprint));
+        }
+        let engine = self.engines.entry(endpoint.clone()).or_default();
+        if engine.running.len() >= self.shape.slots as usize {
+            seen.queued = true;
+            engine.waiting.push_back((node, id));
+            return;
+        }
+        seen.began = Some(self.now);
+        engine.running.push((node, id));
+        if self.crashing.contains(&fingerprint) {
+            let crash = Event::Crash(endpoint.clone(), Some(fingerprint));
+            self.plan(self.now + CRASH_AFTER, crash);
+        }
+        // Calls differ in length by as much as they take at the least.
+        let spread = hash::chain(id.0, &node.to_le_bytes()) % self.shape.call.0;
+        let call = Span(self.shape.call.0 / 2 + spread);
+        let first = Event::First(node, id, endpoint.clone());
+        self.plan(self.now + FIRST_AFTER, first);
+        self.plan(self.now + call, Event::Done(node, id, endpoint.clone()));
+    }
+
+    /// A run ends well, and the next in line begins.
+    pub(super) fn finish(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
+        let Some(engine) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        let Some(at) = engine.running.iter().position(|one| *one == (node, id)) else {
+            return;
+        };
+        engine.running.remove(at);
+        self.seen.get_mut(&(node, id)).expect("it came").whole = true;
+        if let Some(dispatcher) = self.nodes.get_mut(&node) {
+            dispatcher.end(self.now, id, End::Whole);
+            self.settle(node);
+        }
+        let engine = self.engines.get_mut(endpoint).expect("it runs there");
+        let Some((node, id)) = engine.waiting.pop_front() else {
+            return;
+        };
+        let decided = self.seen[&(node, id)].decided;
+        self.begin(node, id, endpoint);
+        // It arrived and was decided before it waited here.
+        self.arrivals.get_mut(endpoint).expect("it arrived").pop();
+        if self.crashing.contains(&self.seen[&(node, id)].fingerprint) {
+            self.reached.pop();
+        }
+        self.seen.get_mut(&(node, id)).expect("it came").decided = decided;
+    }
+}
--- a/crates/dispatch/tests/dispatch/fleet/world/notices.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/notices.rs
@@ -70,7 +70,7 @@
 
     /// Requests that came later than allowed after their node was told that the endpoint
     /// leaves.
-    pub fn late(&self) -> usize {
+    fn late(&self) -> usize {
         let late = self.sent.iter().map(|(pair, sent)| {
             let told = self.told.get(pair);
             let is_late = |came: &Time| told.is_some_and(|told| *came > *told + LEAVES_WITHIN);
@@ -79,8 +79,14 @@
         late.sum()
     }
 
+    /// Fails where an endpoint that leaves got a request too late, or said so to nobody.
+    pub fn assert_left(&self) {
+        assert!(!self.told.is_empty(), "nobody was told");
+        assert_eq!(self.late(), 0);
+    }
+
     /// The most requests that reached an endpoint from one node while it rested for it.
-    pub fn most_during_rest(&self) -> usize {
+    fn most_during_rest(&self) -> usize {
         let most = self.refusals.iter().filter_map(|(pair, refusals)| {
             let sent = self.sent.get(pair)?;
             let within = refusals.iter().map(|(at, rest)| {
@@ -92,8 +98,10 @@
         most.max().unwrap_or(0)
     }
 
-    /// Fails where an endpoint that rests got more requests from a node than it may.
+    /// Fails where an endpoint that rests got more requests from a node than it may, or
+    /// turned nobody away.
     pub fn assert_rested(&self) {
+        assert!(!self.refusals.is_empty(), "nobody was turned away");
         let most = self.most_during_rest();
         assert!(most <= DURING_REST_MOST, "{most} in one rest");
     }
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -8,6 +8,7 @@
 use woadstage_dispatch::message::Frame;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Pull;
+use woadstage_dispatch::message::Status;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::region::Restrictions;
 use woadstage_dispatch::wire;
@@ -138,44 +139,39 @@
     assert_eq!(differ.count(), 1);
 }
 
+/// A message with a status changed, where it is one.
+fn with_status(mut message: Message, change: impl FnOnce(&mut Status)) -> Message {
+    if let Message::Status(status) = &mut message {
+        change(status);
+    }
+    message
+}
+
 /// A message without what the protocol with rate limits does not have.
-fn without_notices(message: Message) -> Message {
-    match message {
-        Message::Status(mut status) => {
-            status.protocol = Protocol::RATE_LIMITS;
-            status.notices.clear();
-            Message::Status(status)
-        }
-        Message::Lease(mut request) => {
-            request.avoided.clear();
-            Message::Lease(request)
-        }
-        other => other,
+fn without_notices(mut message: Message) -> Message {
+    if let Message::Lease(request) = &mut message {
+        request.avoided.clear();
     }
+    with_status(message, |status| {
+        status.protocol = Protocol::RATE_LIMITS;
+        status.notices.clear();
+    })
 }
 
 /// A message without what the protocol with eras does not have.
 fn without_rate_limits(message: Message) -> Message {
-    match without_notices(message) {
-        Message::Status(mut status) => {
-            status.protocol = Protocol::ERAS;
-            status.rate_limits.clear();
-            Message::Status(status)
-        }
-        other => other,
-    }
+    with_status(without_notices(message), |status| {
+        status.protocol = Protocol::ERAS;
+        status.rate_limits.clear();
+    })
 }
 
 /// A message without what the first protocol does not have.
 fn without_additions(message: Message) -> Message {
-    match without_rate_limits(message) {
-        Message::Status(mut status) => {
-            status.protocol = Protocol::FIRST;
-            status.endpoints.era = Era::default();
-            Message::Status(status)
-        }
-        other => other,
-    }
+    with_status(without_rate_limits(message), |status| {
+        status.protocol = Protocol::FIRST;
+        status.endpoints.era = Era::default();
+    })
 }
 
 #[rstest]
