feat: a request without a route or customer names the configuration by which it was judged, and how that came

Callers got 404 on a route that had been published.

The unmatched line and explain name these, with a digest of the contents and the versions of the nodes that are heard; configuration lines name the call that brought them, the item's revision and that of the answer. Gauges for the ages of both, a histogram from the answer until in force. No decision is changed.

--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -85,6 +85,11 @@
             .map_or(0, |configuration| configuration.version)
     }
 
+    /// The versions of the configuration that other nodes say they have, the newest first.
+    pub fn configurations_heard(&self, now: Time) -> Vec<(SocketAddrV4, u64)> {
+        self.members.configurations(now)
+    }
+
     /// The list of endpoints in force.
     pub fn endpoints(&self) -> &Arc<List> {
         &self.list
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -7,6 +7,7 @@
 //! * `start.rs`: who reads the platform while nodes start.
 //! * `ahead.rs`: which node to take newer documents from.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
@@ -302,6 +303,17 @@
         said.max()
     }
 
+    /// The versions of the configuration that the nodes heard lately say they have, the
+    /// newest first.
+    pub fn configurations(&self, now: Time) -> Vec<(SocketAddrV4, u64)> {
+        let said = self.fresh(now);
+        let mut said: Vec<_> = said
+            .map(|(address, member)| (*address, member.status.configuration))
+            .collect();
+        said.sort_by_key(|(address, version)| (Reverse(*version), *address));
+        said
+    }
+
     /// True while no other node is known that could be asked.
     pub fn has_nobody_to_ask(&self) -> bool {
         self.seeds.is_empty() && self.others.is_empty()
--- a/crates/dispatch/src/parts.rs
+++ b/crates/dispatch/src/parts.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +28,12 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Digest(u64);
 
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Some entries of a configuration, in its order.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Part {
@@ -62,6 +69,15 @@
     pub restrictions: Restrictions,
 }
 
+impl Head {
+    /// Names the whole configuration by its content. Nodes that hold the same version
+    /// with other contents differ in it.
+    pub fn to_digest(&self) -> Digest {
+        let written = postcard::to_extend(&(self, &self.restrictions), Vec::new());
+        Digest(written.map_or(0, |bytes| hash::of(&bytes)))
+    }
+}
+
 /// Which entries of a configuration belong to which part.
 #[derive(Debug)]
 pub struct Index {
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -78,6 +78,11 @@
             .get_or_init(|| parts::Index::new(&self.configuration))
     }
 
+    /// Names the whole configuration by its content.
+    pub fn to_digest(&self) -> parts::Digest {
+        self.parts().to_head(&self.configuration).to_digest()
+    }
+
     /// The route with the longest prefix that begins the path.
     pub fn route_opt(&self, host: &str, path: &str) -> Option<&Route> {
         let prefixes = self.routes.get(&to_name(host))?;
--- a/crates/dispatch/tests/dispatch/parts.rs
+++ b/crates/dispatch/tests/dispatch/parts.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::configuration::Service;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::message::Pull;
+use woadstage_dispatch::parts::Digest;
 use woadstage_dispatch::region::Regions;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
@@ -213,3 +214,23 @@
         assert_eq!(in_force(&last), in_force(&newer));
     }
 }
+
+fn digest(dispatcher: &Dispatcher) -> Digest {
+    let table = dispatcher.table().expect("a configuration");
+    table.to_digest()
+}
+
+#[test]
+fn who_was_given_a_configuration_names_it_as_who_gave_it() {
+    let newer = node(1, long(8, 1));
+    let mut behind = node(2, long(7, 0));
+    pass_on(&newer, &mut behind);
+    assert_eq!(digest(&behind), digest(&newer));
+}
+
+#[test]
+fn one_version_with_two_contents_has_two_names() {
+    let names =
+        [(8, 1), (8, 2), (7, 1)].map(|(version, form)| digest(&node(1, long(version, form))));
+    assert!(names[0] != names[1] && names[0] != names[2]);
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -40,10 +40,18 @@
         version: u64,
         /// The version before.
         before: u64,
+        /// Names its content.
+        digest: &'a str,
         /// Its routes.
         routes: usize,
-        /// From where it came.
+        /// From where it came: `platform` or the address of a node.
         from: &'a str,
+        /// The way it came: `read`, `stale-read`, `watch` or `transfer`.
+        way: &'a str,
+        /// The platform's revision at which it was written; 0 for a transfer.
+        revision: u64,
+        /// The platform's revision as the answer says it that held it; 0 for a transfer.
+        at: u64,
     },
     /// A list of endpoints came into force.
     Endpoints {
@@ -137,6 +145,33 @@
         /// The version of the configuration that decided it.
         configuration: u64,
     },
+    /// A request has no route, or no customer holds its key.
+    Unmatched {
+        /// The caller's id of it.
+        request: &'a str,
+        /// What is missing: `route` or `customer`.
+        what: &'a str,
+        /// The version of the configuration by which it was judged.
+        configuration: u64,
+        /// Names the content of that.
+        digest: &'a str,
+        /// For how long it has been in force, in milliseconds.
+        in_force_ms: u64,
+        /// From where it came, and the way, as in `configuration`.
+        from: &'a str,
+        /// The way.
+        way: &'a str,
+        /// The platform's revisions, as in `configuration`.
+        revision: u64,
+        /// The one that the answer says.
+        at: u64,
+        /// How long ago the platform last answered this node, in milliseconds; none where
+        /// it never did.
+        platform_ms: Option<u64>,
+        /// The nodes heard and their versions of the configuration, the newest first,
+        /// with commas between.
+        heard: &'a str,
+    },
     /// A customer is over its limit.
     OverLimit {
         /// The caller's id of the request.
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -65,6 +65,9 @@
             None => "There is no final answer in these lines: the process ended, or lines were left out.".into(),
         };
     }
+    if let Some(unmatched) = last("unmatched") {
+        return unmatched_cause(unmatched);
+    }
     if let Some(barred) = last("barred") {
         return barred_cause(barred);
     }
@@ -91,6 +94,34 @@
     format!("The caller left after {after} ms, {state}.")
 }
 
+fn unmatched_cause(unmatched: &Value) -> String {
+    let missing = match text(unmatched, "what") {
+        "customer" => "no customer holds its key",
+        _ => "no route matches it",
+    };
+    let came = match text(unmatched, "way") {
+        "transfer" => format!("from node {}", text(unmatched, "from")),
+        call => format!(
+            "by a {call} of the platform, written at revision {} and answered at {}",
+            unmatched["revision"], unmatched["at"]
+        ),
+    };
+    let platform = match unmatched["platform_ms"].as_u64() {
+        Some(ago) => format!("the platform had last answered {ago} ms before"),
+        None => "the platform had never answered this node".to_owned(),
+    };
+    let heard = match text(unmatched, "heard") {
+        "" => "no other node was heard".to_owned(),
+        heard => format!("nodes heard, with their versions: {heard}"),
+    };
+    format!(
+        "Refused: {missing} under configuration {} ({}), in force for {} ms, which came {came}; {platform}; {heard}.",
+        unmatched["configuration"],
+        text(unmatched, "digest"),
+        unmatched["in_force_ms"],
+    )
+}
+
 fn barred_cause(barred: &Value) -> String {
     format!(
         "Refused: {} endpoints ended while they ran what it asks for (fingerprint {}), and it was tried {} times since.",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`headers`]: the names under which callers and endpoints speak of requests.
 //! * [`run`]: the whole process, from settings to a planned stop.
 //! * [`source`]: how what the platform publishes reaches the node.
+//! * [`publish`], [`in_force`]: what comes into force, and how it came.
 //! * [`shell`]: the decisions, and who waits for them.
 //! * [`serve`] answers callers.
 //! * [`upstream`] calls endpoints.
@@ -19,6 +20,7 @@
 pub mod event;
 pub mod explain;
 pub mod headers;
+pub mod in_force;
 pub mod log;
 pub mod metrics;
 pub mod operators;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     answered: HistogramVec,
     first_event: HistogramVec,
     waited: HistogramVec,
+    applied: HistogramVec,
     answers: IntCounterVec,
     attempts: IntCounterVec,
     beliefs: IntCounterVec,
@@ -44,6 +45,11 @@
     pub held: IntGauge,
     /// The version of the configuration in force.
     pub configuration: IntGauge,
+    /// For how long it has been in force, in milliseconds.
+    pub configuration_age: IntGauge,
+    /// How long ago the platform last answered this node, in milliseconds; -1 where it
+    /// never did.
+    pub platform_age: IntGauge,
     /// The revision of the list of endpoints in force.
     pub endpoints: IntGauge,
     /// The platform's era in which that list was read.
@@ -75,9 +81,9 @@
     /// Only if two names were the same.
     pub fn new() -> prometheus::Result<Metrics> {
         let registry = Registry::new();
-        let histogram = |name: &str, help: &str| {
+        let histogram = |name: &str, help: &str, label: &str| {
             let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
-            let made = HistogramVec::new(options, &["route"])?;
+            let made = HistogramVec::new(options, &[label])?;
             registry.register(Box::new(made.clone()))?;
             prometheus::Result::Ok(made)
         };
@@ -105,12 +111,26 @@
         let heard = IntGaugeVec::new(heard, &["protocol"])?;
         registry.register(Box::new(heard.clone()))?;
         Ok(Metrics {
-            answered: histogram("woadstage_answer_seconds", "Time to the whole answer.")?,
+            answered: histogram(
+                "woadstage_answer_seconds",
+                "Time to the whole answer.",
+                "route",
+            )?,
             first_event: histogram(
                 "woadstage_first_byte_seconds",
                 "Time to the answer's first byte.",
+                "route",
+            )?,
+            waited: histogram(
+                "woadstage_queue_seconds",
+                "Time until a request was sent.",
+                "route",
+            )?,
+            applied: histogram(
+                "woadstage_configuration_apply_seconds",
+                "Time from the platform's answer until its configuration is in force, by call.",
+                "call",
             )?,
-            waited: histogram("woadstage_queue_seconds", "Time until a request was sent.")?,
             answers: counter(
                 "woadstage_answers_total",
                 "Final answers.",
@@ -156,6 +176,14 @@
             )?,
             held: gauge("woadstage_held", "Requests held.")?,
             configuration: gauge("woadstage_configuration_version", "The version in force.")?,
+            configuration_age: gauge(
+                "woadstage_configuration_age_milliseconds",
+                "For how long the version in force has been.",
+            )?,
+            platform_age: gauge(
+                "woadstage_platform_answer_age_milliseconds",
+                "How long ago the platform last answered this node; -1 if it never did.",
+            )?,
             endpoints: gauge("woadstage_endpoints_revision", "The revision in force.")?,
             era: gauge(
                 "woadstage_endpoints_era",
@@ -231,6 +259,14 @@
             .observe(waited.as_secs_f64());
     }
 
+    /// Counts a configuration that came into force, so long after the answer to a call
+    /// that held it.
+    pub fn applied(&self, call: &str, after: Span) {
+        self.applied
+            .with_label_values(&[call])
+            .observe(after.as_secs_f64());
+    }
+
     /// Counts an attempt that ended.
     pub fn attempt(&self, service: &str, end: &str) {
         self.attempts.with_label_values(&[service, end]).inc();
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -1,5 +1,6 @@
 //! Brings documents of the platform into force, and logs what came into force.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use woadstage_dispatch::configuration::Configuration;
@@ -7,25 +8,34 @@
 use woadstage_dispatch::parts::Head;
 use woadstage_types::unit::Span;
 
+use crate::clock::to_span;
 use crate::event::Event;
+use crate::in_force::InForce;
+use crate::in_force::Origin;
 use crate::shell::Shell;
+use crate::source::Answer;
 
-/// Where a document came from when this node read it itself.
+/// Where a list of endpoints came from when this node read it itself.
 pub const PLATFORM: &str = "platform";
 
-/// Takes a configuration, where it is newer than the one in force.
-pub fn set_configuration(shell: &Shell, from: &str, configuration: Arc<Configuration>) {
+/// Takes a configuration that this node read, where it is newer than the one in force.
+pub fn set_configuration(shell: &Shell, answer: Answer, configuration: Arc<Configuration>) {
     let before = shell.query(|dispatcher, _| dispatcher.configuration_version());
-    shell.command(|dispatcher, now| dispatcher.set_configuration(now, configuration));
-    note_configuration(shell, from, before);
+    let taken = shell.command(|dispatcher, now| dispatcher.set_configuration(now, configuration));
+    if taken {
+        let after = to_span(answer.received.elapsed());
+        shell.metrics.applied(answer.call.as_str(), after);
+        note_configuration(shell, Origin::Platform(answer), before);
+    }
 }
 
 /// Takes a configuration of which another node gave the parts that were
 /// missing, where it is newer and all of it is there.
-pub fn take_head(shell: &Shell, from: &str, head: &Head) {
+pub fn take_head(shell: &Shell, from: SocketAddrV4, head: &Head) {
     let before = shell.query(|dispatcher, _| dispatcher.configuration_version());
-    shell.command(|dispatcher, now| dispatcher.take_head(now, head));
-    note_configuration(shell, from, before);
+    if shell.command(|dispatcher, now| dispatcher.take_head(now, head)) {
+        note_configuration(shell, Origin::Node(from), before);
+    }
 }
 
 /// Takes a list of endpoints, where it is newer than the one in force.
@@ -52,19 +62,28 @@
     });
 }
 
-fn note_configuration(shell: &Shell, from: &str, before: u64) {
-    let (version, routes) = shell.query(|dispatcher, _| {
-        let routes = dispatcher.configuration().map_or(0, |one| one.routes.len());
-        (dispatcher.configuration_version(), routes)
-    });
-    if version == before {
+/// Notes and logs how the configuration came that is in force now.
+fn note_configuration(shell: &Shell, origin: Origin, before: u64) {
+    let Some(table) = shell.query(|dispatcher, _| dispatcher.table().cloned()) else {
         return;
-    }
+    };
+    let in_force = InForce {
+        version: table.configuration().version,
+        digest: table.to_digest(),
+        since: shell.now(),
+        origin,
+    };
+    shell.in_force.set(Some(in_force));
+    let answer = origin.answer_opt();
     shell.metrics.change("configuration");
     shell.log(&Event::Configuration {
-        version,
+        version: in_force.version,
         before,
-        routes,
-        from,
+        digest: &in_force.digest.to_string(),
+        routes: table.configuration().routes.len(),
+        from: &origin.to_giver(),
+        way: origin.way(),
+        revision: answer.map_or(0, |answer| answer.revision),
+        at: answer.map_or(0, |answer| answer.at),
     });
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -148,8 +148,9 @@
 async fn take_updates(shell: Rc<Shell>, mut updates: UnboundedReceiver<Update>) {
     while let Some(update) = updates.recv().await {
         match update {
-            Update::Configuration(configuration) => {
-                publish::set_configuration(&shell, publish::PLATFORM, configuration);
+            Update::Answered => shell.platform_heard.set(Some(shell.now())),
+            Update::Configuration(configuration, answer) => {
+                publish::set_configuration(&shell, answer, configuration);
             }
             Update::Endpoints(list) => {
                 publish::set_endpoints(&shell, publish::PLATFORM, list);
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -113,6 +113,11 @@
         target: None,
         arrived,
     };
+    match code {
+        Code::RouteUnknown => note::unmatched(shell, request, "route"),
+        Code::CustomerUnknown => note::unmatched(shell, request, "customer"),
+        _ => {}
+    }
     note::answer(shell, asked, reply);
     reply.to_response()
 }
--- a/crates/gateway/src/serve/note.rs
+++ b/crates/gateway/src/serve/note.rs
@@ -34,6 +34,9 @@
 /// Endpoints of each kind that a line names as passed over.
 const PASSED_OVER_MOST: usize = 8;
 
+/// Nodes that a line names with their versions.
+const HEARD_MOST: usize = 8;
+
 /// Logs and counts an answer of this node's own.
 pub fn answer(shell: &Shell, asked: Asked<'_>, reply: Reply) {
     let Asked {
@@ -67,6 +70,34 @@
     });
 }
 
+/// Logs by what a request was judged that has no route or customer.
+pub fn unmatched(shell: &Shell, request: &str, what: &str) {
+    let Some(in_force) = shell.in_force.get() else {
+        return;
+    };
+    let now = shell.now();
+    let answer = in_force.origin.answer_opt();
+    let platform = shell.platform_heard.get();
+    let heard = shell.query(|dispatcher, now| dispatcher.configurations_heard(now));
+    let heard = heard.iter().take(HEARD_MOST);
+    let heard: Vec<String> = heard
+        .map(|(address, version)| format!("{address}={version}"))
+        .collect();
+    shell.log(&Event::Unmatched {
+        request,
+        what,
+        configuration: in_force.version,
+        digest: &in_force.digest.to_string(),
+        in_force_ms: now.since(in_force.since).0 / 1_000,
+        from: &in_force.origin.to_giver(),
+        way: in_force.origin.way(),
+        revision: answer.map_or(0, |answer| answer.revision),
+        at: answer.map_or(0, |answer| answer.at),
+        platform_ms: platform.map(|at| now.since(at).0 / 1_000),
+        heard: &heard.join(", "),
+    });
+}
+
 /// Logs what a request is refused for that endpoints ended under.
 pub fn barred(shell: &Shell, admitted: &Admitted, fingerprint: Fingerprint) {
     let (ends, trials) = shell.query(|dispatcher, _| {
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -25,6 +25,7 @@
 use crate::clock::Clock;
 use crate::event::Event;
 use crate::headers::Headers;
+use crate::in_force::InForce;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers;
@@ -70,6 +71,10 @@
     pub reservations: Reservations,
     /// Transfers of documents from and to other nodes.
     pub transfers: transfer::Counts,
+    /// The configuration in force, and how it came.
+    pub in_force: Cell<Option<InForce>>,
+    /// When the platform last answered this node.
+    pub platform_heard: Cell<Option<Time>>,
     /// For how long the host was suspended, as far as that was noticed.
     suspended: watch::Sender<Span>,
     phase: watch::Sender<Phase>,
@@ -109,6 +114,8 @@
             peers: peers::Sender::default(),
             reservations: Reservations::default(),
             transfers: transfer::Counts::default(),
+            in_force: Cell::default(),
+            platform_heard: Cell::default(),
             phase: watch::Sender::new(Phase::Serving),
             ends_at: Cell::new(None),
             dispatcher: RefCell::new(dispatcher),
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -5,17 +5,55 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::edition::Era;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::member::Reading;
 pub use woadstage_dispatch::message::Document;
 
+/// By which call an adapter came to a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Call {
+    /// A read of everything.
+    Read,
+    /// A read of everything that may lack the newest changes.
+    StaleRead,
+    /// A wait for changes.
+    Watch,
+}
+
+impl Call {
+    /// The word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Call::Read => "read",
+            Call::StaleRead => "stale-read",
+            Call::Watch => "watch",
+        }
+    }
+}
+
+/// The answer of the platform that held a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// To which call.
+    pub call: Call,
+    /// The platform's revision at which the document was written.
+    pub revision: u64,
+    /// The platform's revision as the answer says it.
+    pub at: u64,
+    /// When the answer was whole, by the steady clock.
+    pub received: Instant,
+}
+
 /// What an adapter has to say.
 #[derive(Debug, Clone)]
 pub enum Update {
+    /// The platform answered.
+    Answered,
     /// A configuration was read.
-    Configuration(Arc<Configuration>),
+    Configuration(Arc<Configuration>, Answer),
     /// The endpoints were read, whole.
     Endpoints(Arc<List>),
     /// The platform was reached again.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,3 +19,4 @@
 mod streams;
 mod support;
 mod suspend;
+mod unmatched;
