fix: a wait for changes ends so early that its silence shows before the node counts as in touch

Callers got 404 on a new route, and the dropped one went on to run, for up to 600 ms after nodes counted as in touch again. All connections to the platform had fallen silent at one moment while new ones worked, and a configuration was published right after.

The cause: a wait of 2.5 s, and one second more for its answer, are longer than the 3 s in which a node has to regain what was published. Neighbours did not help, since all of them begin to wait together, upon each change.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,9 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Where the platform publishes.
     pub platform: SocketAddrV4,
+    /// How long after a fault of the way to the platform all that it published has to be
+    /// in force.
+    pub regained_within: Span,
     /// How far quotas may be exceeded.
     pub quota: quota::Options,
     /// What may be sent again.
@@ -58,6 +61,9 @@
 
 const UNSET: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0);
 
+/// The usual time after a fault of the way to the platform until all is in force.
+const REGAINED_WITHIN: Span = Span::from_secs(3);
+
 /// Least memory that a process can be told to do with.
 const MEMORY_LEAST: Size = Size::from_mib(32);
 
@@ -89,6 +95,7 @@
         peers: address(&mut peers, "address"),
         seeds: seeds(&mut peers),
         platform: address(&mut platform, "address"),
+        regained_within: platform.take_or("regained_within", REGAINED_WITHIN),
         quota: read_quota(&mut quota),
         budget: read_budget(&mut retry),
         policy: policy::read(&mut policy),
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -9,11 +9,13 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
+use woadstage_gateway::clock::to_duration;
 use woadstage_gateway::settings::Settings;
 use woadstage_losses::line;
 use woadstage_losses::report;
 use woadstage_node::commands;
 use woadstage_node::commands::Refused;
+use woadstage_platform::follow;
 
 mod flags;
 
@@ -168,8 +170,12 @@
 /// Runs a gateway, all of whose tasks stay on this thread.
 async fn run_gateway(settings: &Path) -> anyhow::Result<()> {
     let tasks = tokio::task::LocalSet::new();
-    let adapter =
-        |settings: &Settings, feed| woadstage_platform::follow::follow(settings.platform, feed);
+    let adapter = |settings: &Settings, feed| {
+        let options = follow::Options {
+            regained_within: to_duration(settings.regained_within),
+        };
+        follow::follow(settings.platform, options, feed)
+    };
     let running = woadstage_gateway::run::run(settings, adapter);
     tasks.run_until(running).await
 }
