feat: a change that the platform did not tell of is logged when all is read anew

What a node holds rests on waits for changes that miss nothing. Nothing noticed where one did. The missed line and woadstage_changes_total{what="missed"} name the document, the change's revision and the revision after which the node had waited; entries that were removed cannot be told so. No decision is changed.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -105,6 +105,15 @@
         /// ended, this one among them.
         at_once: usize,
     },
+    /// A change was missed that the platform should have told of: a read anew brought it.
+    Missed {
+        /// Of which document.
+        document: &'a str,
+        /// The platform's revision of the change.
+        revision: u64,
+        /// The revision after which the node had waited for changes.
+        waited_after: u64,
+    },
     /// Something that was published could not be understood.
     Unreadable {
         /// Which document.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -162,6 +162,18 @@
                     before: before.0,
                 });
             }
+            Update::Missed {
+                document,
+                revision,
+                waited_after,
+            } => {
+                shell.metrics.change("missed");
+                shell.log(&Event::Missed {
+                    document: document.as_str(),
+                    revision,
+                    waited_after,
+                });
+            }
             Update::Reached => note_platform(&shell, true, ""),
             Update::Unreachable(detail) => note_platform(&shell, false, &detail),
             Update::Unreadable(document, detail) => shell.log(&Event::Unreadable {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -65,6 +65,16 @@
     },
     /// The platform could not be reached or answered with a fault.
     Unreachable(String),
+    /// A read anew brought a change that lies before what this node had waited for, and
+    /// that it did not have.
+    Missed {
+        /// Of which document.
+        document: Document,
+        /// The platform's revision of the change.
+        revision: u64,
+        /// The revision after which the node had waited for changes.
+        waited_after: u64,
+    },
     /// Something that was published could not be understood and is left out.
     Unreadable(Document, String),
 }
