--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -64,9 +64,7 @@
     pub readers: usize,
     /// Nodes of one data centre that take part in reading at all: the first of
     /// them that can read do. While the platform is down no more than these try,
-    /// where otherwise all would take over from each other: calls fell from 12,809
-    /// to 1,870 on a day on which 295 nodes were all killed three times and the
-    /// platform went down twice (with few readers and stale first reads).
+    /// where otherwise all would take over from each other.
     pub reader_candidates: usize,
     /// Nodes beyond its cell that a node tells at once of documents that are
     /// new to it. What two of 250 nodes read reaches all within a second, and
