--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -128,6 +128,7 @@
 pub use policy::Policy;
 pub use query::PassedOver;
 pub use query::Summary;
+pub use query::Unusable;
 pub use reserve::Charge;
 pub use suspect::Change;
 pub use suspect::Evidence;
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -1,6 +1,7 @@
 //! Read-only queries of the dispatcher.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -18,6 +19,7 @@
 use crate::queue_report;
 use crate::quota::Reach;
 use crate::table::Table;
+use crate::worker::Failure;
 use crate::worker::Worker;
 
 /// How long a starting node waits for a configuration that other nodes have. A change may take at
@@ -38,6 +40,36 @@
     pub resting: Vec<id::Endpoint>,
 }
 
+/// The number of listed endpoints that this node sends nothing to because of failures, by the kind
+/// of failure. Each endpoint counts once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Unusable {
+    /// Endpoints that this node could not connect to.
+    pub unreachable: usize,
+    /// Endpoints whose calls broke at this node.
+    pub failing: usize,
+    /// Endpoints whose calls make no progress at this node.
+    pub stalled: usize,
+    /// Endpoints that other nodes report as down.
+    pub reported_down: usize,
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let counts = [
+            ("unreachable", self.unreachable),
+            ("failing", self.failing),
+            ("stalled", self.stalled),
+            ("reported down", self.reported_down),
+        ];
+        let named = counts.iter().filter(|(_, count)| *count > 0);
+        let texts: Vec<String> = named
+            .map(|(name, count)| format!("{name} {count}"))
+            .collect();
+        f.write_str(&texts.join(", "))
+    }
+}
+
 /// The state of a service on this node, for metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Summary {
@@ -61,6 +93,8 @@
     pub leaving: usize,
     /// Endpoints that asked this node to send nothing for a while.
     pub resting: usize,
+    /// Endpoints that this node sends nothing to because of failures.
+    pub unusable: Unusable,
     /// Whether most of its endpoints state how long work takes there at present.
     pub variable_capacity: bool,
     /// Endpoints that are slower at present than usual, by their own statements.
@@ -173,6 +207,23 @@
         passed_over
     }
 
+    /// Counts the listed endpoints of a service that this node sends nothing to because of failures.
+    pub fn unusable(&self, now: Time, target: &id::Target) -> Unusable {
+        let mut unusable = Unusable::default();
+        let pool = self.pools.get(target);
+        let workers = pool.into_iter().flat_map(|pool| &pool.workers);
+        for worker in workers.filter(|worker| worker.listed) {
+            match worker.failure_opt(now, &self.options.worker) {
+                Some(Failure::Unreachable) => unusable.unreachable += 1,
+                Some(Failure::Broken) => unusable.failing += 1,
+                Some(Failure::Stalled) => unusable.stalled += 1,
+                Some(Failure::ReportedDown) => unusable.reported_down += 1,
+                None => {}
+            }
+        }
+        unusable
+    }
+
     /// Whether the node is stopping.
     pub fn is_leaving(&self) -> bool {
         self.leaving
@@ -273,6 +324,7 @@
             cold: pool.count_listed(|worker| worker.cold.is_cold(now)),
             leaving: pool.count_listed(Worker::is_leaving),
             resting: pool.count_listed(|worker| worker.rest.is_resting(now)),
+            unusable: self.unusable(now, target),
             variable_capacity: pool.has_variable_capacity,
             slow: pool.count_slow(now),
             avoided_slow: pool.avoided_slow,
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -96,6 +96,19 @@
     pub gone: u32,
 }
 
+/// Why a node sends nothing to an endpoint that is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// It could not be connected to.
+    Unreachable,
+    /// Calls to it broke.
+    Broken,
+    /// Calls to it make no progress.
+    Stalled,
+    /// Other nodes report it as down.
+    ReportedDown,
+}
+
 /// The state of an endpoint as tracked by one node.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -331,6 +344,19 @@
             && !self.is_reported_down(now)
     }
 
+    /// Why this node sends it nothing although it is open, if failures are the reason.
+    pub fn failure_opt(&self, now: Time, options: &Options) -> Option<Failure> {
+        let is_backing_off = self.consecutive_failures > 0 && now < self.backoff_until;
+        match () {
+            () if !self.is_open() => None,
+            () if is_backing_off && self.unreachable => Some(Failure::Unreachable),
+            () if is_backing_off => Some(Failure::Broken),
+            () if self.is_stalled(now, options) => Some(Failure::Stalled),
+            () if self.is_reported_down(now) => Some(Failure::ReportedDown),
+            () => None,
+        }
+    }
+
     /// Whether the endpoint may reject requests: it did so recently, at this node or another,
     /// and none of this node's calls has succeeded since.
     pub fn is_unconfirmed(&self, now: Time) -> bool {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -353,6 +353,10 @@
         /// request.
         #[serde(skip_serializing_if = "str::is_empty")]
         passed_resting: &'a str,
+        /// The number of endpoints that this node sends nothing to because of failures, by the kind
+        /// of failure, if this node refused the request.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        unusable: &'a str,
     },
     /// A caller disconnected before its answer was complete.
     Left {
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -124,6 +124,10 @@
         set("cold", service.cold as i64);
         set("leaving", service.leaving as i64);
         set("resting", service.resting as i64);
+        set("unreachable", service.unusable.unreachable as i64);
+        set("failing", service.unusable.failing as i64);
+        set("stalled", service.unusable.stalled as i64);
+        set("reported-down", service.unusable.reported_down as i64);
         set("variable-capacity", i64::from(service.variable_capacity));
         set("slow", service.slow as i64);
         set("avoided-slow", service.avoided_slow as i64);
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 
 use woadstage_dispatch::dispatcher::Admission;
+use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::PassedOver;
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
@@ -51,6 +52,10 @@
     } = context;
     let passed_over = target.map(|target| passed_over(shell, target));
     let passed_over = passed_over.unwrap_or_default();
+    let unusable = target.map(|target| {
+        let count = |dispatcher: &Dispatcher, now| dispatcher.unusable(now, target);
+        shell.query(count).to_string()
+    });
     let elapsed = shell.now().since(arrived);
     let code = reply.code.to_string();
     shell
@@ -74,6 +79,7 @@
         booking_ms: admission.booking.map(|span| span.0 / 1_000),
         passed_leaving: &join_names(&passed_over.leaving),
         passed_resting: &join_names(&passed_over.resting),
+        unusable: unusable.as_deref().unwrap_or_default(),
     });
 }
 
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -220,6 +220,7 @@
             booking_ms: None,
             passed_leaving: "",
             passed_resting: "",
+            unusable: "",
         });
         remaining
     }
