test: show that callers of a node without links to endpoints are not served

Three whole nodes in the test process, each with links of its own to four endpoints. From three seconds after one node's links hang or are reset, it serves none of 30 first tries; with open connections that live on it serves all.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod fingerprint;
 mod keep;
+mod links;
 mod log;
 mod notice;
 mod peers;
--- a/crates/gateway/tests/gateway/support/caller.rs
+++ b/crates/gateway/tests/gateway/support/caller.rs
@@ -1,5 +1,7 @@
 //! A caller that works on raw bytes.
 
+use std::net::SocketAddrV4;
+
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -41,6 +43,15 @@
         }
     }
 
+    /// Connects to an address, if something listens there.
+    pub async fn try_connect(address: SocketAddrV4) -> Option<Caller> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        Some(Caller {
+            stream,
+            buffer: Vec::new(),
+        })
+    }
+
     /// Sends raw text.
     pub async fn send(&mut self, text: &str) {
         self.stream
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -6,6 +6,7 @@
 use tokio::task::LocalSet;
 
 mod caller;
+pub mod fleet;
 mod gateway;
 mod peer;
 mod wire;
