--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -99,6 +99,10 @@
     pub engine: bool,
     /// The load that a cold endpoint bears; `None` if the operator sets no bound.
     pub cold: Option<cold::Bound>,
+    /// The path at which its endpoints answer health checks, if any. Not part of the serialised
+    /// layout of services; [`crate::parts::Manifest::health_paths`] carries it.
+    #[serde(skip)]
+    pub health_path: Option<String>,
 }
 
 /// Limits on what a caller may send.
--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -148,7 +148,8 @@
         }
         // An owner that knows notices grants a different endpoint next time. An owner of an
         // earlier build doesn't know them and would grant the same one again.
-        worker.rest.is_resting(now).then(|| UnusableSlot {
+        let is_hindered = worker.rest.is_resting(now) || worker.link.is_lost();
+        is_hindered.then(|| UnusableSlot {
             end: End::Abandoned,
             excludes_endpoint: !self.members.supports_notices(owner),
         })
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -90,6 +90,10 @@
             self.refuse(now, id, &job, refusal);
             return;
         }
+        if let Some(node) = self.forward_target_opt(now, id, &job) {
+            self.forward(id, job, node);
+            return;
+        }
         match self.arbiter(now, &job) {
             Arbiter::Local { only } => {
                 job.only_endpoint = only;
@@ -273,16 +277,17 @@
         self.outbox.push((open_request.owner, message));
     }
 
-    /// Returns the endpoints of a service that this node must not use, because they rest or a
-    /// probe is in flight.
+    /// Returns the endpoints of a service that this node must not or can't use, because they rest, a
+    /// request that ends a rest is in progress, or this node's link to them is lost.
     fn avoided(&self, now: Time, pool: &Pool, job: &Job) -> Vec<u32> {
         if job.origin.is_some() {
             return job.avoided.clone();
         }
         let workers = pool.workers.iter().filter(|worker| worker.listed);
-        let resting =
-            workers.filter(|worker| worker.rest.is_resting(now) || worker.rest.is_probing());
-        resting
+        let avoided = workers.filter(|worker| {
+            worker.rest.is_resting(now) || worker.rest.is_probing() || !worker.link.is_usable()
+        });
+        avoided
             .map(|worker| worker.number)
             .take(MAX_AVOIDED_ENDPOINTS)
             .collect()
@@ -352,7 +357,7 @@
         self.send_open_request(now, id);
     }
 
-    /// Whether a request waits at the owner of one endpoint that is closed or resting. In a
+    /// Whether a request waits at the owner of one endpoint that is closed, resting or out of reach. In a
     /// fleet of one cell the owner may grant any endpoint that it owns.
     fn waits_for_closed_endpoint(&self, now: Time, id: job::Id) -> bool {
         let open_request = self
@@ -364,7 +369,9 @@
             return false;
         };
         let worker = self.worker_opt(target, endpoint);
-        let is_closed = |worker: &Worker| !worker.is_open() || worker.rest.is_resting(now);
+        let is_closed = |worker: &Worker| {
+            !worker.is_open() || worker.rest.is_resting(now) || worker.link.is_lost()
+        };
         !self.members.cell().covers_fleet && worker.is_some_and(is_closed)
     }
 
--- a/crates/dispatch/src/dispatcher/decision.rs
+++ b/crates/dispatch/src/dispatcher/decision.rs
@@ -71,6 +71,17 @@
         /// What shared admission did to it.
         admission: Admission,
     },
+    /// Forward the request to another node, which reaches the endpoints.
+    Forward {
+        /// The request.
+        job: job::Id,
+        /// The node.
+        node: SocketAddrV4,
+        /// The number of endpoints that received it already.
+        sent: u32,
+        /// The numbers of endpoints that it was offered to already.
+        tried: Vec<u32>,
+    },
     /// Refuse the request; the caller gets the refusal at once.
     Refuse {
         /// The request.
@@ -109,6 +120,17 @@
     Suspect,
 }
 
+impl Next {
+    /// The name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Next::Over => "over",
+            Next::Again => "again",
+            Next::Final(cause) => cause.as_str(),
+        }
+    }
+}
+
 impl Cause {
     /// The name used in logs and metrics.
     pub fn as_str(self) -> &'static str {
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -50,7 +50,10 @@
         self.accounts.record_start(now);
         self.next_job += 1;
         let id = job::Id(self.next_job);
-        self.budget.record_request(now, &job.target);
+        // The node that forwarded a request has counted it.
+        if !job.is_forwarded {
+            self.budget.record_request(now, &job.target);
+        }
         pool_mut(&mut self.pools, &self.options.prefix_cache, &job.target);
         self.submit(now, id, job);
         id
--- a/crates/dispatch/src/dispatcher/forecast.rs
+++ b/crates/dispatch/src/dispatcher/forecast.rs
@@ -295,7 +295,7 @@
             let owner = self
                 .members
                 .owner(now, Scope::Fleet, u64::from(worker.number));
-            worker.accepts_work(now, &self.options.worker) && owner == Owner::Local
+            worker.is_lendable(now, &self.options.worker) && owner == Owner::Local
         };
         let owned = pool.workers.iter().filter(is_owner);
         owned.map(|worker| pool.slots_of(now, worker)).sum()
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -174,6 +174,8 @@
             customer: request.details.customer,
             is_booked: false,
             is_redirected: request.details.redirected,
+            is_forwarded: false,
+            declined_by: Vec::new(),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -19,6 +19,8 @@
 //! * `decision.rs`: decision types.
 //! * `place.rs`: assigns waiting requests to endpoints.
 //! * `rejection.rs`: ranks endpoints that may reject a request.
+//! * `track_links.rs`: tracks which endpoints this node reaches.
+//! * `forward.rs`: forwards requests to nodes that reach endpoints which this node doesn't.
 //! * `start.rs`: records the start of a request at its endpoint.
 //! * `permit.rs`: decides which node may send to an endpoint with a fleet-wide limit.
 //! * `start_cold.rs`: limits the rate of requests to cold endpoints.
@@ -91,6 +93,7 @@
 mod enter;
 mod flow;
 pub mod forecast;
+mod forward;
 mod keep_rate_limit;
 mod lend;
 mod measure_load;
@@ -114,6 +117,7 @@
 mod start_cold;
 mod suspect;
 mod tick;
+mod track_links;
 
 use borrow::OpenRequest;
 pub use decision::Admission;
@@ -124,6 +128,8 @@
 pub use enter::Refusal;
 use flow::Flow;
 pub use flow::Rate;
+use forward::Forward;
+pub use forward::ForwardEnd;
 use lend::RemoteRequest;
 pub use policy::Policy;
 pub use query::PassedOver;
@@ -132,6 +138,8 @@
 pub use reserve::Charge;
 pub use suspect::Change;
 pub use suspect::Evidence;
+pub use track_links::LinkUpdate;
+pub use track_links::ProbeTarget;
 
 /// The settings of a dispatcher.
 #[derive(Debug, Clone)]
@@ -198,6 +206,8 @@
     engine: bool,
     /// Whether the service has too few endpoints to give each cell its own.
     shared: bool,
+    /// Whether the slots of its endpoints have owners, which grant them to other nodes.
+    has_owners: bool,
     number: u32,
     least_protected: Priority,
     /// The request rate that its endpoints sustain while cold, if configured.
@@ -228,6 +238,10 @@
     turnaround: Turnaround,
     /// When one of its endpoints was last open, if ever.
     open_at: Option<Time>,
+    /// The path at which its endpoints answer health checks, if configured.
+    health_path: Option<String>,
+    /// Until when no further probe of a lost link starts.
+    lost_probe_after: Time,
     /// Whether its endpoints state how long work takes there at present.
     has_variable_capacity: bool,
     /// The number of requests that were not sent to an endpoint because it is slow at present.
@@ -263,6 +277,13 @@
     pools: HashMap<id::Target, Pool>,
     targets: HashMap<job::Id, id::Target>,
     runs: HashMap<job::Id, Run>,
+    /// Requests of this node's callers that other nodes run.
+    forwards: HashMap<job::Id, Forward>,
+    /// Changes of this node's links since they were last taken.
+    link_updates: Vec<LinkUpdate>,
+    /// Endpoints that refused a connection after a call broke, until another endpoint shows whether
+    /// this node's links are to blame.
+    refused_endpoints: Vec<(Time, u32)>,
     members: Members,
     accounts: Accounts,
     budget: Budget,
@@ -332,6 +353,9 @@
             pools: HashMap::new(),
             targets: HashMap::new(),
             runs: HashMap::new(),
+            forwards: HashMap::new(),
+            link_updates: Vec::new(),
+            refused_endpoints: Vec::new(),
             open_requests: HashMap::new(),
             remote_requests: HashMap::new(),
             received_rate_limits: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -44,14 +44,16 @@
 impl Dispatcher {
     /// Records events of a stream.
     pub fn progress(&mut self, now: Time, id: job::Id, events: u32) {
+        self.record_answering(now, id);
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
         let Some(pool) = self.pools.get_mut(&run.job.target) else {
             return;
         };
-        pool.workers[run.worker].last_progress = now;
-        if run.job.origin.is_none() {
+        let is_own = run.job.origin.is_none();
+        pool.workers[run.worker].record_progress(now, is_own);
+        if is_own {
             pool.workers[run.worker].rest.record_served(run.started);
         }
         run.event_count += events;
@@ -94,7 +96,7 @@
             return;
         };
         let worker = &mut pool.workers[run.worker];
-        worker.last_progress = now;
+        worker.record_progress(now, false);
         if run.first.is_none() {
             run.first = Some(now);
             worker.pending = worker.pending.saturating_sub(run.uncached);
@@ -110,6 +112,7 @@
             self.abandon(now, id);
             return Next::Over;
         };
+        self.record_link_evidence(now, &run, end);
         self.urgent |= run.lease.is_none();
         let target = run.job.target.clone();
         self.update_quarantine(now, &run, end);
@@ -142,7 +145,9 @@
             // wrong.
             End::Lost | End::Late if !run.job.history.connection_broke => {
                 let pool = self.pools.get(&run.job.target);
-                if let Some(worker) = pool.and_then(|pool| pool.workers.get(run.worker)) {
+                let worker = pool.and_then(|pool| pool.workers.get(run.worker));
+                // A call that hangs on a lost link says nothing of its endpoint.
+                if let Some(worker) = worker.filter(|worker| !worker.link.is_lost()) {
                     let number = worker.number;
                     self.quarantine.record_broken(now, fingerprint, number);
                 }
@@ -157,6 +162,7 @@
             self.end(now, id, End::Abandoned);
             return;
         }
+        self.forwards.remove(&id);
         let Some(target) = self.targets.remove(&id) else {
             return;
         };
@@ -184,9 +190,13 @@
         };
         let pending = if run.first.is_none() { run.uncached } else { 0 };
         let options = &self.options.worker;
+        let own = self.options.own;
+        let reporter = run.job.origin.map_or(own, |origin| origin.node);
+        let is_own = run.job.origin.is_none();
+        let is_credible = is_own || !self.members.has_lost_links(reporter, pool.number);
         let worker = &mut pool.workers[run.worker];
-        worker.end(pending);
-        if run.job.origin.is_none() {
+        worker.end(pending, is_own);
+        if is_own {
             match end {
                 End::Whole | End::Rejected | End::Fault => worker.rest.record_served(run.started),
                 _ => worker.rest.end_probe(run.started),
@@ -194,27 +204,31 @@
         }
         match end {
             End::Whole | End::Rejected => {
-                worker.record_success(now);
+                worker.record_success(now, is_own);
                 learn_call(pool, &run, now);
                 learn_length(pool, &run);
-                if run.job.origin.is_none() {
+                if is_own {
                     let took = now.since(run.job.arrived);
                     self.durations.learn(&run.job.route, took);
                 }
             }
-            End::Fault => worker.record_fault(now),
-            End::Full => worker.record_full(now, options),
+            End::Fault => worker.record_fault(now, is_own),
+            End::Full => worker.record_full(now, options, is_own),
             End::NotThere => worker.gone_at = Some(now),
-            End::NotSent | End::Lost => {
+            End::NotSent | End::Lost if is_credible => {
                 let number = worker.number;
-                worker.record_failure(now, end == End::NotSent, options);
-                pool.prefix_cache.remove_endpoint(number);
+                worker.record_failure_at(now, reporter, options);
+                if is_own {
+                    worker.record_failure(now, end == End::NotSent, options);
+                    pool.prefix_cache.remove_endpoint(number);
+                }
             }
             // A timeout says little about an endpoint that makes progress with other requests.
-            End::Late if now.since(worker.last_progress) > options.stall_timeout => {
+            End::Late if is_own && now.since(worker.last_progress) > options.stall_timeout => {
+                worker.record_failure_at(now, reporter, options);
                 worker.record_failure(now, false, options);
             }
-            End::Late | End::Abandoned => {}
+            End::NotSent | End::Lost | End::Late | End::Abandoned => {}
         }
         run.job
     }
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -213,7 +213,7 @@
             {
                 continue;
             }
-            if worker.busy() >= capacity(worker, ahead(worker))
+            if worker.busy() >= capacity(worker, ahead(worker), job)
                 || !self.may_start(now, pool, worker, permit)
             {
                 continue;
@@ -361,10 +361,11 @@
 }
 
 /// The number of requests that an endpoint may have in progress before it counts as full. After a
-/// failure it gets one request of this node at a time until one succeeds.
-fn capacity(worker: &Worker, ahead: u32) -> u32 {
+/// failure it gets one request of this node's callers at a time until one succeeds.
+fn capacity(worker: &Worker, ahead: u32, job: &Job) -> u32 {
     match worker.consecutive_failures {
         0 => worker.endpoint.slots + ahead,
+        _ if job.origin.is_some() => worker.endpoint.slots + ahead,
         _ => 1 + worker.remote_running,
     }
 }
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -28,10 +28,19 @@
     pub(super) fn usable(&self, now: Time, options: &worker::Options) -> usize {
         let usable = self.workers.iter();
         usable
-            .filter(|worker| worker.own_cell && worker.accepts_work(now, options))
+            .filter(|worker| worker.own_cell && self.is_usable(now, worker, options))
             .count()
     }
 
+    /// Whether an endpoint of this cell runs requests now: for this node, or for any node of the cell
+    /// if its slots have an owner.
+    fn is_usable(&self, now: Time, worker: &Worker, options: &worker::Options) -> bool {
+        match self.has_owners {
+            true => worker.is_lendable(now, options),
+            false => worker.accepts_work(now, options),
+        }
+    }
+
     /// Whether this cell has endpoints and all of them are leaving.
     pub(super) fn is_cell_leaving(&self) -> bool {
         let cell_endpoints = self.workers.iter();
@@ -61,7 +70,8 @@
     /// Counts the slots of the endpoints of this cell that accept work now.
     pub(super) fn usable_slots(&self, now: Time, options: &worker::Options) -> u32 {
         let usable = self.workers.iter();
-        let usable = usable.filter(|worker| worker.own_cell && worker.accepts_work(now, options));
+        let usable =
+            usable.filter(|worker| worker.own_cell && self.is_usable(now, worker, options));
         usable.map(|worker| self.slots_of(now, worker)).sum()
     }
 
@@ -131,7 +141,9 @@
         let max_step = remaining_us / (events * LENGTH_MARGIN).max(1.0);
         let mut usable = self.workers.iter();
         let is_achievable = usable.any(|worker| {
-            worker.own_cell && worker.accepts_work(now, options) && self.step_of(worker) <= max_step
+            worker.own_cell
+                && self.is_usable(now, worker, options)
+                && self.step_of(worker) <= max_step
         });
         is_achievable.then_some(max_step)
     }
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -61,6 +61,7 @@
             let pool = pool_mut(&mut self.pools, &self.options.prefix_cache, &service.name);
             pool.engine = service.engine;
             pool.cold = service.cold;
+            pool.health_path = service.health_path.clone();
         }
         for pool in self.pools.values_mut() {
             pool.least_protected = 0;
@@ -234,6 +235,7 @@
                 .iter_mut()
                 .filter(|worker| worker.listed)
                 .collect();
+            pool.has_owners = !cell.covers_fleet;
             pool.shared = !cell.covers_fleet && listed.len() < cells * MIN_ENDPOINTS_PER_CELL;
             let owns_all = cell.covers_fleet || pool.shared;
             for worker in &mut listed {
@@ -308,6 +310,7 @@
     pools.entry(target.clone()).or_insert_with(|| Pool {
         engine: false,
         shared: false,
+        has_owners: false,
         number: endpoint::number_of(target.as_str()),
         least_protected: 0,
         cold: None,
@@ -326,6 +329,8 @@
         call_us: INITIAL_CALL_US,
         turnaround: Turnaround::default(),
         open_at: None,
+        health_path: None,
+        lost_probe_after: Time(0),
         has_variable_capacity: false,
         avoided_slow: 0,
         redirection: redirect::State::default(),
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -95,6 +95,10 @@
     pub resting: usize,
     /// Endpoints that this node sends nothing to because of failures.
     pub unusable: Unusable,
+    /// Open endpoints that this node's links to are lost.
+    pub lost_links: usize,
+    /// Requests of this node's callers that other nodes run.
+    pub forwarded: usize,
     /// Whether most of its endpoints state how long work takes there at present.
     pub variable_capacity: bool,
     /// Endpoints that are slower at present than usual, by their own statements.
@@ -128,6 +132,11 @@
 }
 
 impl Dispatcher {
+    /// The address at which other nodes reach this node.
+    pub fn own_address(&self) -> SocketAddrV4 {
+        self.options.own
+    }
+
     /// The incarnation of this node.
     pub fn incarnation(&self) -> u64 {
         self.options.incarnation
@@ -325,6 +334,8 @@
             leaving: pool.count_listed(Worker::is_leaving),
             resting: pool.count_listed(|worker| worker.rest.is_resting(now)),
             unusable: self.unusable(now, target),
+            lost_links: pool.count_open(|worker| worker.link.is_lost()),
+            forwarded: self.forwarded_count(target),
             variable_capacity: pool.has_variable_capacity,
             slow: pool.count_slow(now),
             avoided_slow: pool.avoided_slow,
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -106,7 +106,7 @@
         let mut sums: HashMap<u32, RemoteLoad> = HashMap::new();
         for (_, member) in self.members.live(now) {
             let loads = &member.status.loads;
-            let credible = !is_disconnected(loads);
+            let credible = !is_disconnected(loads) && member.status.lost_links.is_empty();
             for load in loads {
                 let sum = sums.entry(load.endpoint).or_default();
                 sum.running += u32::from(load.running);
@@ -179,6 +179,7 @@
             protocol: Protocol::CURRENT,
             rate_limits: self.rotate_announcements(self.rate_limits_to_announce(now)),
             notices: self.rotate_announcements(self.announcements(now)),
+            lost_links: self.lost_links(),
         }
     }
 
@@ -203,8 +204,13 @@
                 .get(&worker.number)
                 .copied()
                 .unwrap_or_default();
-            let running = worker.running.saturating_sub(leased.running);
-            let pending = worker.pending.saturating_sub(leased.pending);
+            // What hangs on a lost link is no load of the endpoint.
+            let (hung, hung_pending) = match worker.link.is_usable() {
+                true => (0, 0),
+                false => (worker.own_running, worker.pending),
+            };
+            let running = worker.running.saturating_sub(leased.running + hung);
+            let pending = worker.pending.saturating_sub(leased.pending + hung_pending);
             Load {
                 endpoint: worker.number,
                 running: running.min(u32::from(u16::MAX)) as u16,
--- a/crates/dispatch/src/dispatcher/start.rs
+++ b/crates/dispatch/src/dispatcher/start.rs
@@ -72,7 +72,7 @@
         }
         let tokens_ahead = worker.pending + worker.remote_pending;
         let queued = worker.busy() >= worker.endpoint.slots;
-        worker.start(now, reason.uncached);
+        worker.start(now, reason.uncached, job.origin.is_none());
         if job.origin.is_none() && worker.is_unconfirmed(now) {
             worker.rest.start_probe(now);
         }
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -37,6 +37,7 @@
         let paused = self.ticked_at > Time(0) && now.since(self.ticked_at) > MIN_PROCESS_PAUSE;
         if paused {
             self.members.clear_loads();
+            self.forget_silence(now);
         }
         self.ticked_at = now;
         self.accounts.record_start(now);
@@ -47,6 +48,7 @@
         self.sum_remote_loads(now);
         self.apply_received_rate_limits(now);
         self.update_rests(now);
+        self.track_links(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
@@ -55,6 +57,7 @@
             self.refuse_unservable(now, &target);
             self.resubmit_stuck_requests(now, &target);
             self.resubmit_displaced(now, &target);
+            self.forward_waiting(now, &target);
             self.place(now, &target);
             self.request_spare_slots(now, &target);
             self.report_queue(now, &target);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/track_links.rs
@@ -0,0 +1,462 @@
+//! Tracks which endpoints this node reaches, from its own calls and from probes. What it finds
+//! says nothing of the endpoints themselves.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::Pool;
+use super::Run;
+use crate::endpoint::Endpoint;
+use crate::job;
+use crate::job::End;
+use crate::link;
+use crate::link::Change;
+use crate::link::Evidence;
+use crate::link::Probe;
+use crate::message::LostLinks;
+use crate::worker;
+use crate::worker::Worker;
+
+/// The time between two probes of lost links to the endpoints of one service.
+const LOST_PROBE_SPACING: Span = Span::from_millis(400);
+
+/// The same after one of them was regained, when most of the others are expected to be up too.
+const REGAIN_PROBE_SPACING: Span = Span::from_millis(20);
+
+/// How long after a link was regained that applies.
+const REGAIN_PERIOD: Span = Span::from_secs(1);
+
+/// The maximum number of links to the endpoints of one service that are put in doubt at once
+/// because others were lost.
+const MAX_DOUBTED_AT_ONCE: usize = 8;
+
+/// The minimum number of links in trouble from which on this node may be disconnected.
+const MIN_TROUBLED: usize = 2;
+
+/// How long it is open whether an endpoint that refused a connection has ended.
+const REFUSAL_TIMEOUT: Span = Span::from_secs(3);
+
+/// An endpoint to probe.
+#[derive(Debug, Clone)]
+pub struct ProbeTarget {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// The path at which it answers health checks, if configured.
+    pub health_path: Option<String>,
+}
+
+/// A change of a link, for logs and metrics.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LinkUpdate {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// What changed.
+    pub change: Change,
+    /// The number of lost links to the endpoints of the service.
+    pub lost: usize,
+    /// The number of open endpoints of the service.
+    pub open: usize,
+}
+
+impl Dispatcher {
+    /// Takes the changes of links since the last call.
+    pub fn take_link_updates(&mut self) -> Vec<LinkUpdate> {
+        std::mem::take(&mut self.link_updates)
+    }
+
+    /// Whether this node's link to an endpoint is lost.
+    pub fn is_link_lost(&self, endpoint: &Endpoint) -> bool {
+        let worker = self.worker_opt(&endpoint.service, endpoint.to_number());
+        worker.is_some_and(|worker| worker.link.is_lost())
+    }
+
+    /// Records that an endpoint answers a request of this node's callers.
+    pub fn record_answering(&mut self, now: Time, id: job::Id) {
+        let Some(run) = self.runs.get(&id).filter(|run| run.job.origin.is_none()) else {
+            return;
+        };
+        let (target, index) = (run.job.target.clone(), run.worker);
+        self.record_heard(now, &target, index);
+    }
+
+    fn record_heard(&mut self, now: Time, target: &id::Target, index: usize) {
+        let Some(pool) = self.pools.get_mut(target) else {
+            return;
+        };
+        let change = pool.workers[index].link.record_heard(now);
+        let number = pool.workers[index].number;
+        self.settle_refusals(now, number);
+        if let Some(change) = change {
+            self.record_link_change(now, target, index, change);
+        }
+    }
+
+    /// Records what the end of an attempt of this node's callers shows of the link.
+    pub(super) fn record_link_evidence(&mut self, now: Time, run: &Run, end: End) {
+        if run.job.origin.is_some() {
+            return;
+        }
+        let target = run.job.target.clone();
+        let evidence = match end {
+            End::Whole | End::Rejected | End::Full | End::NotThere | End::Fault => {
+                self.record_heard(now, &target, run.worker);
+                return;
+            }
+            End::NotSent => Evidence::ConnectFailed,
+            End::Lost => Evidence::CallBroke,
+            End::Late | End::Abandoned => return,
+        };
+        if let Some(pool) = self.pools.get_mut(&target) {
+            pool.workers[run.worker].link.doubt(now, evidence);
+        }
+    }
+
+    /// Forgets how long endpoints have been silent, after this process was suspended.
+    pub(super) fn forget_silence(&mut self, now: Time) {
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            worker.link.record_heard(now);
+        }
+    }
+
+    /// Puts links in doubt by silence, by what other nodes report, and because others were lost.
+    pub(super) fn track_links(&mut self, now: Time) {
+        let options = &self.options.worker;
+        let first_starts = first_own_starts(self.runs.values());
+        for (target, pool) in &mut self.pools {
+            let typical = pool.typical_response_time();
+            let mut silent = 0;
+            for (index, worker) in pool.workers.iter_mut().enumerate() {
+                worker.link.expire_doubt(now, &options.link);
+                let started = first_starts
+                    .iter()
+                    .find(|(service, at, _)| service == target && *at == index);
+                if let Some((_, _, started)) = started {
+                    silent += usize::from(is_silent(now, worker, *started, typical, &options.link));
+                }
+                if worker.is_open() && worker.is_reported_unreachable(now, options) {
+                    worker.link.doubt(now, Evidence::Reported);
+                }
+            }
+            if silent >= MIN_TROUBLED {
+                pool.doubt_if_unheard(now, typical, &options.link);
+            }
+        }
+        self.doubt_others(now);
+        self.count_holders();
+        self.refused_endpoints
+            .retain(|(at, _)| now.since(*at) < REFUSAL_TIMEOUT);
+    }
+
+    /// Counts, for each endpoint, the nodes whose requests its slots hold.
+    fn count_holders(&mut self) {
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            worker.holders = u32::from(worker.own_running > 0 && !worker.link.is_lost());
+        }
+        let mut counted = HashSet::new();
+        for run in self.runs.values() {
+            let Some(origin) = run.job.origin else {
+                continue;
+            };
+            let Some(pool) = self.pools.get_mut(&run.job.target) else {
+                continue;
+            };
+            let is_new = counted.insert((origin.node, pool.workers[run.worker].number));
+            if is_new && !self.members.has_lost_links(origin.node, pool.number) {
+                pool.workers[run.worker].holders += 1;
+            }
+        }
+    }
+
+    /// Puts the remaining links in doubt if this node appears to be disconnected.
+    fn doubt_others(&mut self, now: Time) {
+        let options = &self.options.worker;
+        let deaf = self.pools.values().filter_map(|pool| {
+            let since = pool.deaf_since_opt(now, options)?;
+            pool.count_open(|worker| worker.link.is_lost())
+                .gt(&0)
+                .then_some(since)
+        });
+        let Some(since) = deaf.min() else {
+            return;
+        };
+        for pool in self.pools.values_mut() {
+            let unheard = pool.workers.iter_mut().filter(|worker| {
+                worker.own_cell && worker.is_open() && is_silent_since(worker, since)
+            });
+            for worker in unheard
+                .filter(|worker| worker.link.troubled_since_opt().is_none())
+                .take(MAX_DOUBTED_AT_ONCE)
+            {
+                worker.link.doubt(now, Evidence::OthersLost);
+            }
+        }
+    }
+
+    /// Returns the endpoints to probe now.
+    pub fn take_probe_targets(&mut self, now: Time) -> Vec<ProbeTarget> {
+        let options = &self.options.worker.link;
+        let mut targets = Vec::new();
+        for pool in self.pools.values_mut() {
+            let may_probe_lost = now >= pool.lost_probe_after;
+            let lost = pool.workers.iter().enumerate().filter(|(_, worker)| {
+                worker.is_open() && worker.link.is_lost() && worker.link.is_probe_due(now)
+            });
+            let next_lost = lost
+                .min_by_key(|(_, worker)| worker.link.next_probe_opt())
+                .map(|(index, _)| index)
+                .filter(|_| may_probe_lost);
+            if next_lost.is_some() {
+                pool.lost_probe_after = now + pool.lost_probe_spacing(now);
+            }
+            for (index, worker) in pool.workers.iter_mut().enumerate() {
+                let is_doubted = !worker.link.is_lost() && worker.link.is_probe_due(now);
+                if next_lost == Some(index) || (is_doubted && worker.is_open()) {
+                    worker.link.start_probe(now, options);
+                    targets.push(ProbeTarget {
+                        endpoint: worker.endpoint.clone(),
+                        health_path: pool.health_path.clone(),
+                    });
+                }
+            }
+        }
+        targets
+    }
+
+    /// Returns an endpoint to probe at once, after a call to it broke. `None` if a probe of it is in
+    /// progress.
+    pub fn probe_target_opt(&mut self, now: Time, endpoint: &Endpoint) -> Option<ProbeTarget> {
+        let options = &self.options.worker.link;
+        let pool = self.pools.get_mut(&endpoint.service)?;
+        let index = pool.worker_opt(endpoint.to_number())?;
+        let health_path = pool.health_path.clone();
+        let worker = &mut pool.workers[index];
+        worker.link.doubt(now, Evidence::CallBroke);
+        if worker.link.is_probing() {
+            return None;
+        }
+        worker.link.start_probe(now, options);
+        Some(ProbeTarget {
+            endpoint: worker.endpoint.clone(),
+            health_path,
+        })
+    }
+
+    /// Records the result of a probe.
+    pub fn record_probe(&mut self, now: Time, endpoint: &Endpoint, probe: Probe) {
+        let number = endpoint.to_number();
+        let options = &self.options.worker;
+        let Some(pool) = self.pools.get_mut(&endpoint.service) else {
+            return;
+        };
+        let Some(index) = pool.worker_opt(number) else {
+            return;
+        };
+        let is_deaf = pool.deaf_since_opt(now, options).is_some();
+        let link = &mut pool.workers[index].link;
+        let change = link.finish_probe(now, probe, is_deaf, &options.link);
+        if let Some(change) = change {
+            self.record_link_change(now, &endpoint.service.clone(), index, change);
+        }
+    }
+
+    /// Records that a probe opened a connection to an endpoint.
+    pub fn record_connected(&mut self, now: Time, endpoint: &Endpoint) {
+        let number = endpoint.to_number();
+        self.record_endpoint_alive(number);
+        self.settle_refusals(now, number);
+    }
+
+    /// Records that an endpoint refused a connection after a call to it broke. It has ended if other
+    /// endpoints are reached; otherwise this node's links may be broken. Returns another endpoint to
+    /// probe for that.
+    pub fn record_refused(&mut self, now: Time, endpoint: &Endpoint) -> Option<ProbeTarget> {
+        let number = endpoint.to_number();
+        let is_known = |(_, known): &(Time, u32)| *known == number;
+        if !self.refused_endpoints.iter().any(is_known) {
+            self.refused_endpoints.push((now, number));
+        }
+        let pool = self.pools.get(&endpoint.service)?;
+        let mut others = pool.workers.iter();
+        let other = others.find(|worker| {
+            worker.number != number
+                && worker.is_open()
+                && worker.link.troubled_since_opt().is_none()
+        });
+        let other = other?.endpoint.clone();
+        self.probe_target_opt(now, &other)
+    }
+
+    /// Charges the ends of endpoints that refused connections, now that another one is reached.
+    fn settle_refusals(&mut self, now: Time, reached: u32) {
+        let refused = std::mem::take(&mut self.refused_endpoints);
+        for (at, endpoint) in refused {
+            match endpoint == reached {
+                true => self.refused_endpoints.push((at, endpoint)),
+                false => self.record_endpoint_ended(now, endpoint),
+            }
+        }
+    }
+
+    fn record_link_change(&mut self, now: Time, target: &id::Target, index: usize, change: Change) {
+        let Some(pool) = self.pools.get_mut(target) else {
+            return;
+        };
+        let worker = &mut pool.workers[index];
+        if matches!(change, Change::Regained(_)) {
+            worker.backoff_until = Time(0);
+            pool.hasten_probes(now);
+        }
+        let number = pool.workers[index].number;
+        let update = LinkUpdate {
+            endpoint: pool.workers[index].endpoint.clone(),
+            change,
+            lost: pool.count_open(|worker| worker.link.is_lost()),
+            open: pool.count_open(|_| true),
+        };
+        self.link_updates.push(update);
+        self.urgent = true;
+        if matches!(change, Change::Lost(_)) {
+            self.release_slots_at(target, number);
+        }
+    }
+
+    /// Releases the slots that other nodes granted for requests that hang on a lost link: they
+    /// are no load of the endpoint.
+    fn release_slots_at(&mut self, target: &id::Target, number: u32) {
+        let Some(index) = self
+            .pools
+            .get(target)
+            .and_then(|pool| pool.worker_opt(number))
+        else {
+            return;
+        };
+        let runs = self.runs.values_mut();
+        let there = runs.filter(|run| run.job.target == *target && run.worker == index);
+        let leases: Vec<_> = there.filter_map(|run| run.lease.take()).collect();
+        for lease in leases {
+            self.release_slot(lease.owner, lease.number, End::Abandoned);
+        }
+    }
+
+    /// Returns the services of which this node doesn't reach every open endpoint of its cell.
+    pub(super) fn lost_links(&self) -> Vec<LostLinks> {
+        let lost = self.pools.values().map(|pool| LostLinks {
+            service: pool.number,
+            percent: pool.lost_percent(),
+        });
+        lost.filter(|lost| lost.percent > 0).collect()
+    }
+}
+
+impl Pool {
+    /// Counts the open endpoints that satisfy a predicate.
+    pub(super) fn count_open(&self, holds: impl Fn(&Worker) -> bool) -> usize {
+        let open = self.workers.iter().filter(|worker| worker.is_open());
+        open.filter(|worker| holds(worker)).count()
+    }
+
+    /// Returns the part of the slots of this cell's open endpoints whose links are lost, in percent.
+    pub(super) fn lost_percent(&self) -> u8 {
+        let open = self.workers.iter();
+        let open = open.filter(|worker| worker.own_cell && worker.is_open());
+        let (mut lost, mut all) = (0, 0);
+        for worker in open {
+            all += worker.endpoint.slots;
+            if worker.link.is_lost() {
+                lost += worker.endpoint.slots;
+            }
+        }
+        (lost * 100).div_ceil(all.max(1)) as u8
+    }
+
+    /// Since when several links are in trouble and nothing arrived from any endpoint of the service,
+    /// if that is so.
+    fn deaf_since_opt(&self, now: Time, options: &worker::Options) -> Option<Time> {
+        let window = options.link.trouble_window;
+        let troubles = self.workers.iter().filter(|worker| worker.is_open());
+        let troubles = troubles.filter_map(|worker| worker.link.troubled_since_opt());
+        let recent: Vec<Time> = troubles.filter(|at| now.since(*at) < window).collect();
+        let since = recent.iter().min().copied()?;
+        let is_silent = self
+            .workers
+            .iter()
+            .all(|worker| is_silent_since(worker, since));
+        (recent.len() >= MIN_TROUBLED && is_silent).then_some(since)
+    }
+
+    /// Puts the links to all endpoints of this cell in doubt, unless one was heard recently.
+    fn doubt_if_unheard(&mut self, now: Time, typical: Span, options: &link::Options) {
+        let is_heard = |worker: &Worker| {
+            let silence = worker
+                .link
+                .max_common_silence(worker.typical_time(typical), options);
+            worker.link.was_heard_within(now, silence)
+        };
+        if self.workers.iter().any(is_heard) {
+            return;
+        }
+        let open = self.workers.iter_mut();
+        for worker in open.filter(|worker| worker.own_cell && worker.is_open()) {
+            worker.link.doubt(now, Evidence::OthersSilent);
+        }
+    }
+
+    fn lost_probe_spacing(&self, now: Time) -> Span {
+        let mut regained = self.workers.iter();
+        match regained.any(|worker| worker.link.was_regained_within(now, REGAIN_PERIOD)) {
+            true => REGAIN_PROBE_SPACING,
+            false => LOST_PROBE_SPACING,
+        }
+    }
+
+    fn hasten_probes(&mut self, now: Time) {
+        self.lost_probe_after = now;
+        for worker in &mut self.workers {
+            worker.link.hasten_probe(now);
+        }
+    }
+}
+
+/// Whether nothing arrived from an endpoint since a time.
+fn is_silent_since(worker: &Worker, since: Time) -> bool {
+    worker.link.heard_at().is_none_or(|at| at <= since)
+}
+
+/// Whether an endpoint is silent although calls of this node's callers are in progress there, the
+/// first of which began at `started`. Puts the link in doubt if it is silent for too long.
+fn is_silent(
+    now: Time,
+    worker: &mut Worker,
+    started: Time,
+    typical: Span,
+    options: &link::Options,
+) -> bool {
+    let silent_since = worker.link.heard_at().map_or(started, |at| at.max(started));
+    let silence = now.since(silent_since);
+    let typical = worker.typical_time(typical);
+    if silence > worker.link.max_silence(typical, options) {
+        worker.link.doubt(now, Evidence::Silence);
+    }
+    silence > worker.link.max_common_silence(typical, options)
+}
+
+/// Returns when the first request in progress of this node's callers began at each endpoint, by
+/// its service and index.
+fn first_own_starts<'a>(runs: impl Iterator<Item = &'a Run>) -> Vec<(id::Target, usize, Time)> {
+    let mut starts: Vec<(id::Target, usize, Time)> = Vec::new();
+    for run in runs.filter(|run| run.job.origin.is_none()) {
+        let known = starts
+            .iter_mut()
+            .find(|(service, index, _)| *service == run.job.target && *index == run.worker);
+        match known {
+            Some((_, _, started)) => *started = run.started.min(*started),
+            None => starts.push((run.job.target.clone(), run.worker, run.started)),
+        }
+    }
+    starts
+}
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -1,6 +1,7 @@
 //! A request, from its arrival to its final answer.
 
 use std::fmt;
+use std::net::SocketAddrV4;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -102,6 +103,10 @@
     pub is_booked: bool,
     /// Whether the owner of other slots redirected it to this node.
     pub is_redirected: bool,
+    /// Whether another node, which can't reach the endpoints, forwarded it to this node.
+    pub is_forwarded: bool,
+    /// The nodes that this node forwarded it to and that did not run it.
+    pub declined_by: Vec<SocketAddrV4>,
 }
 
 impl Job {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,6 +30,7 @@
 //! * [`lease`]: slots that one node grants to another.
 //! * [`leaving`]: endpoints that stated in an answer that they are leaving.
 //! * [`rest`]: endpoints that asked to be sent nothing for a while.
+//! * [`link`]: this node's own links to endpoints.
 //! * [`length`]: estimates of the number of events of a stream.
 //! * [`quarantine`]: requests that are not run any more because endpoints ended under them.
 //! * [`queue_report`]: how long requests wait at the other owners of a service's slots.
@@ -59,6 +60,7 @@
 pub mod lease;
 pub mod leaving;
 pub mod length;
+pub mod link;
 pub mod member;
 pub mod message;
 pub mod notice;
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -18,6 +18,9 @@
 /// were considered, a partitioned node would delay each request by one timeout per node.
 const MAX_OWNERS_TRIED: usize = 2;
 
+/// All slots of a service, in percent.
+const ALL_PERCENT: u8 = 100;
+
 /// The owner of a resource, as seen by this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Owner {
@@ -112,6 +115,30 @@
         protocol.is_some_and(Protocol::supports_shared_admission)
     }
 
+    /// Whether a node states that it doesn't reach most of the endpoints of a service.
+    pub fn has_lost_links(&self, address: SocketAddrV4, service: u32) -> bool {
+        let member = self.peers.get(&address);
+        member.is_some_and(|member| lost_percent(member, service) * 2 > ALL_PERCENT)
+    }
+
+    /// Returns the nodes to which requests for a service may be forwarded: live ones that stay,
+    /// answer, and state that they lack at most half as much of it as this node, which lacks
+    /// `own_percent` of it.
+    pub fn forwarding_nodes(
+        &self,
+        now: Time,
+        service: u32,
+        own_percent: u8,
+    ) -> impl Iterator<Item = (SocketAddrV4, &Member)> + '_ {
+        let live = self.live(now).filter(move |(_, member)| {
+            is_eligible(member)
+                && member.status.protocol.supports_forwarding()
+                && !is_backing_off(now, member.last_unanswered)
+                && lost_percent(member, service) * 2 <= own_percent
+        });
+        live.map(|(address, member)| (*address, member))
+    }
+
     /// Returns the protocol of a node, if a status of the node was received.
     fn protocol_opt(&self, address: SocketAddrV4) -> Option<Protocol> {
         let member = self.peers.get(&address);
@@ -135,6 +162,13 @@
     }
 }
 
+/// Returns the part of a service's slots that a node states it can't use, in percent.
+fn lost_percent(member: &Member, service: u32) -> u8 {
+    let mut lost_links = member.status.lost_links.iter();
+    let lost = lost_links.find(|lost| lost.service == service);
+    lost.map_or(0, |lost| lost.percent.min(ALL_PERCENT))
+}
+
 fn is_eligible(member: &Member) -> bool {
     !member.status.leaving
 }
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -105,6 +105,19 @@
     /// status.
     #[serde(skip)]
     pub notices: Vec<notice::Announcement>,
+    /// The services of which the node does not reach every open endpoint.
+    #[serde(skip)]
+    pub lost_links: Vec<LostLinks>,
+}
+
+/// How many of a service's endpoints a node doesn't reach.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostLinks {
+    /// The service's number.
+    pub service: u32,
+    /// The part of the slots of its open endpoints that the node can't use, in percent: 100 for all
+    /// of them.
+    pub percent: u8,
 }
 
 /// Asks the owner of a customer's quota to charge a request's units.
--- a/crates/dispatch/src/parts.rs
+++ b/crates/dispatch/src/parts.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use woadstage_types::hash;
+use woadstage_types::id;
 
 use crate::configuration::Configuration;
 use crate::configuration::Customer;
@@ -68,6 +69,9 @@
     /// [`crate::wire`] appends them.
     #[serde(skip)]
     pub restrictions: Restrictions,
+    /// The health check paths of services; appended like the restrictions.
+    #[serde(skip)]
+    pub health_paths: Vec<(id::Target, String)>,
 }
 
 impl Manifest {
@@ -132,6 +136,7 @@
             requires_key: configuration.customers.is_some(),
             parts: self.digests.clone(),
             restrictions: Restrictions::from_configuration(configuration),
+            health_paths: health_paths(configuration),
         }
     }
 
@@ -249,10 +254,25 @@
             customers: manifest.requires_key.then_some(whole.customers),
         };
         manifest.restrictions.apply(&mut configuration);
+        for service in &mut configuration.services {
+            let mut paths = manifest.health_paths.iter();
+            let path = paths.find(|(name, _)| *name == service.name);
+            service.health_path = path.map(|(_, path)| path.clone());
+        }
         Some(configuration)
     }
 }
 
+/// Returns the health check paths of the services that have one.
+fn health_paths(configuration: &Configuration) -> Vec<(id::Target, String)> {
+    let services = configuration.services.iter();
+    let paths = services.filter_map(|service| {
+        let path = service.health_path.clone()?;
+        Some((service.name.clone(), path))
+    });
+    paths.collect()
+}
+
 /// Returns the part to which an entry belongs, by the hash of its key.
 fn part_index(key: u64) -> usize {
     (key % COUNT as u64) as usize
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -35,8 +35,12 @@
     /// reports carry the load that endpoints state, and owners exchange queue reports and bookings.
     pub const SHARED_ADMISSION: Protocol = Protocol(12);
 
+    /// The first version that runs requests which other nodes forward, and whose statuses name the
+    /// services that a node doesn't reach.
+    pub const FORWARDING: Protocol = Protocol(13);
+
     /// The version of this build.
-    pub const CURRENT: Protocol = Protocol::SHARED_ADMISSION;
+    pub const CURRENT: Protocol = Protocol::FORWARDING;
 
     /// Returns the version assumed for messages that do not contain one.
     pub(crate) fn first() -> Protocol {
@@ -58,6 +62,11 @@
         self >= Protocol::NOTICES
     }
 
+    /// Whether a node runs requests that other nodes forward.
+    pub fn supports_forwarding(self) -> bool {
+        self >= Protocol::FORWARDING
+    }
+
     /// Whether a node reads queue reports, bookings and redirections of slot owners.
     pub fn supports_shared_admission(self) -> bool {
         self >= Protocol::SHARED_ADMISSION
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -64,7 +64,11 @@
     };
     let bytes = postcard::to_extend(&extension, bytes)?;
     let bytes = postcard::to_extend(&status.rate_limits, bytes)?;
-    postcard::to_extend(&status.notices, bytes)
+    let bytes = postcard::to_extend(&status.notices, bytes)?;
+    match status.lost_links.is_empty() {
+        true => Ok(bytes),
+        false => postcard::to_extend(&status.lost_links, bytes),
+    }
 }
 
 /// Decodes a datagram. Returns `None` for another layout version or invalid bytes.
@@ -91,7 +95,9 @@
             status.endpoints.era = extension.era;
             let (rate_limits, rest) = take_list(rest).ok()?;
             status.rate_limits = rate_limits;
-            status.notices = take_list(rest).ok()?.0;
+            let (notices, rest) = take_list(rest).ok()?;
+            status.notices = notices;
+            status.lost_links = take_list(rest).ok()?.0;
         }
         _ => {}
     }
@@ -136,7 +142,13 @@
             };
             postcard::to_extend(&extension, bytes)
         }
-        Frame::Manifest(manifest) => postcard::to_extend(&manifest.restrictions, bytes),
+        Frame::Manifest(manifest) => {
+            let bytes = postcard::to_extend(&manifest.restrictions, bytes)?;
+            match manifest.health_paths.is_empty() {
+                true => Ok(bytes),
+                false => postcard::to_extend(&manifest.health_paths, bytes),
+            }
+        }
         Frame::Busy | Frame::Part(_) => Ok(bytes),
     }
 }
@@ -150,7 +162,9 @@
     match &mut frame {
         Frame::Endpoints(difference) => difference.era = take_extension(rest)?.0.era,
         Frame::Manifest(manifest) if !rest.is_empty() => {
-            manifest.restrictions = postcard::from_bytes(rest)?
+            let (restrictions, rest) = postcard::take_from_bytes(rest)?;
+            manifest.restrictions = restrictions;
+            manifest.health_paths = take_list(rest)?.0;
         }
         Frame::Manifest(_) | Frame::Busy | Frame::Part(_) => {}
     }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -1,5 +1,6 @@
 //! The state that a node tracks for an endpoint: its load, its speed and whether it accepts work.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use woadstage_types::unit::Span;
@@ -7,6 +8,8 @@
 
 use crate::cold;
 use crate::endpoint::Endpoint;
+use crate::link;
+use crate::link::Link;
 use crate::message::Unavailability;
 use crate::rate_limit;
 use crate::rest;
@@ -30,6 +33,8 @@
     /// How long an endpoint is reported to other nodes as gone. Covers the time until
     /// endpoint lists no longer contain it.
     pub gone_report_period: Span,
+    /// Settings for tracking this node's links to endpoints.
+    pub link: link::Options,
 }
 
 impl Default for Options {
@@ -41,6 +46,7 @@
             half_life: Span::from_secs(4),
             full_backoff: Span::from_millis(60),
             gone_report_period: Span::from_secs(6),
+            link: link::Options::default(),
         }
     }
 }
@@ -85,6 +91,9 @@
 /// of which break, and a backoff of 300 ms for each).
 const BREAKS_BEFORE_BACKOFF: u32 = 3;
 
+/// How long a node's report that its calls to an endpoint failed is remembered.
+const FAILURE_REPORT_VALID_FOR: Span = Span::from_secs(2);
+
 /// The number of other nodes that report each kind of problem with an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Reports {
@@ -136,8 +145,15 @@
     pub slowness: stated_load::Slowness,
     /// The requests that it is given beyond its slots.
     pub depth: slot_depth::Depth,
-    /// Requests of this node in progress.
+    /// This node's link to it.
+    pub link: Link,
+    /// Requests in progress, of this node's callers and in slots granted to other nodes.
     pub running: u32,
+    /// Requests of this node's callers in progress.
+    pub own_running: u32,
+    /// The number of nodes that hold its slots and do not state that their links to the service are
+    /// lost. Counts this node.
+    pub holders: u32,
     /// Prompt tokens of this node's requests that have no event yet.
     pub pending: u64,
     /// Requests of other nodes in progress.
@@ -164,10 +180,16 @@
     consecutive_breaks: u32,
     /// Consecutive failures that caused a backoff.
     pub consecutive_failures: u32,
-    /// The time until which it gets no work.
+    /// The time until which this node sends it nothing.
     pub backoff_until: Time,
+    /// The time until which its slots are not granted to other nodes.
+    pub lending_backoff_until: Time,
+    /// The nodes whose calls to it failed since one succeeded, and when.
+    failure_reporters: Vec<(SocketAddrV4, Time)>,
     /// When it last made progress or became busy after being idle.
     pub last_progress: Time,
+    /// The same for requests of this node's callers.
+    own_progress: Time,
     /// When `pace` and `failure_rate` were last updated.
     updated_at: Time,
 }
@@ -188,7 +210,10 @@
             stated_load: None,
             slowness: stated_load::Slowness::default(),
             depth: slot_depth::Depth::default(),
+            link: Link::default(),
             running: 0,
+            own_running: 0,
+            holders: 0,
             pending: 0,
             remote_running: 0,
             remote_pending: 0,
@@ -202,7 +227,10 @@
             consecutive_breaks: 0,
             consecutive_failures: 0,
             backoff_until: Time(0),
+            lending_backoff_until: Time(0),
+            failure_reporters: Vec::new(),
             last_progress: Time(0),
+            own_progress: Time(0),
             updated_at: Time(0),
         }
     }
@@ -212,21 +240,34 @@
         self.running + self.remote_running
     }
 
-    /// Adds a request to the endpoint's load.
-    pub fn start(&mut self, now: Time, uncached: u64) {
+    /// Adds a request to the endpoint's load. `is_own` tells whether a caller of this node sent it.
+    pub fn start(&mut self, now: Time, uncached: u64, is_own: bool) {
         if self.running == 0 {
             self.last_progress = now;
         }
+        if is_own && self.own_running == 0 {
+            self.own_progress = now;
+        }
         self.running += 1;
+        self.own_running += u32::from(is_own);
         self.pending += uncached;
     }
 
     /// Removes a request from the endpoint's load, with the prompt tokens that were still unread.
-    pub fn end(&mut self, pending: u64) {
+    pub fn end(&mut self, pending: u64, is_own: bool) {
         self.running = self.running.saturating_sub(1);
+        self.own_running = self.own_running.saturating_sub(u32::from(is_own));
         self.pending = self.pending.saturating_sub(pending);
     }
 
+    /// Records that a request makes progress. `is_own` tells whether a caller of this node sent it.
+    pub fn record_progress(&mut self, now: Time, is_own: bool) {
+        self.last_progress = now;
+        if is_own {
+            self.own_progress = now;
+        }
+    }
+
     /// Moves the failure rate, and the pace unless it follows [`Worker::step_us`], towards their
     /// initial values, so that an endpoint that was slow or failing is tried again.
     pub fn decay(&mut self, now: Time, options: &Options) {
@@ -242,6 +283,11 @@
         }
     }
 
+    /// The time to a response of this endpoint, given the typical one of its service.
+    pub fn typical_time(&self, typical: Span) -> Span {
+        Span((typical.0 as f64 * self.pace.max(1.0)) as u64)
+    }
+
     /// Updates the pace from a step or call that took `ratio` times the typical time.
     pub fn learn_pace(&mut self, now: Time, ratio: f64) {
         self.pace += (ratio.clamp(MIN_PACE, MAX_PACE) - self.pace) * PACE_WEIGHT;
@@ -263,8 +309,9 @@
     }
 
     /// Records a successful call.
-    pub fn record_success(&mut self, now: Time) {
-        self.last_progress = now;
+    pub fn record_success(&mut self, now: Time, is_own: bool) {
+        self.record_progress(now, is_own);
+        self.failure_reporters.clear();
         self.last_success = Some(now);
         self.consecutive_failures = 0;
         self.consecutive_breaks = 0;
@@ -273,8 +320,8 @@
 
     /// Records a call answered with an error. Causes no backoff, because some services answer
     /// certain requests that way.
-    pub fn record_fault(&mut self, now: Time) {
-        self.last_progress = now;
+    pub fn record_fault(&mut self, now: Time, is_own: bool) {
+        self.record_progress(now, is_own);
         self.failure_rate += (1.0 - self.failure_rate) * OUTCOME_WEIGHT;
         self.updated_at = now;
     }
@@ -298,15 +345,36 @@
         self.backoff_until = now + Span(backoff.min(options.max_backoff.0));
     }
 
+    /// Records that a call of a node, this one or one that holds a slot, failed. One node's link may
+    /// be broken, so only the failures of two show that the endpoint is down for all.
+    pub fn record_failure_at(&mut self, now: Time, node: SocketAddrV4, options: &Options) {
+        self.failure_reporters.retain(|(reporter, at)| {
+            *reporter != node && now.since(*at) < FAILURE_REPORT_VALID_FOR
+        });
+        self.failure_reporters.push((node, now));
+        if self.failure_reporters.len() > 1 {
+            self.lending_backoff_until = now + options.initial_backoff;
+        }
+    }
+
     /// Records that the endpoint reported to be full.
-    pub fn record_full(&mut self, now: Time, options: &Options) {
-        self.last_progress = now;
-        self.backoff_until = self.backoff_until.max(now + options.full_backoff);
+    pub fn record_full(&mut self, now: Time, options: &Options, is_own: bool) {
+        self.record_progress(now, is_own);
+        let until = now + options.full_backoff;
+        self.backoff_until = self.backoff_until.max(until);
+        self.lending_backoff_until = self.lending_backoff_until.max(until);
     }
 
-    /// Whether the endpoint runs requests of this node and has made no progress for too long.
+    /// Whether the endpoint runs requests of this node's callers and has made no progress with them
+    /// for too long.
     pub fn is_stalled(&self, now: Time, options: &Options) -> bool {
-        self.running > 0 && now.since(self.last_progress) > options.stall_timeout
+        self.own_running > 0 && now.since(self.own_progress) > options.stall_timeout
+    }
+
+    /// Whether the endpoint has made no progress for too long with the requests of several nodes.
+    /// The requests of a single node may hang because its link is broken.
+    fn is_stalled_for_all(&self, now: Time, options: &Options) -> bool {
+        self.holders > 1 && now.since(self.last_progress) > options.stall_timeout
     }
 
     /// Whether the endpoint stated a rate limit.
@@ -332,16 +400,21 @@
 
     /// Whether this node may send the endpoint new requests.
     pub fn accepts_work(&self, now: Time, options: &Options) -> bool {
-        self.is_lendable(now, options) && !self.rest.is_resting(now)
+        self.is_open()
+            && now >= self.backoff_until
+            && self.link.is_usable()
+            && !self.is_stalled(now, options)
+            && !self.is_reported_down(now, options)
+            && !self.rest.is_resting(now)
     }
 
-    /// Whether the endpoint's slots may be granted to other nodes. A rest that it asked of this
-    /// node does not apply to them.
+    /// Whether the endpoint's slots may be granted to other nodes. What binds or hinders this node
+    /// alone does not apply to them: a rest that the endpoint asked of it, or a link that is lost.
     pub fn is_lendable(&self, now: Time, options: &Options) -> bool {
         self.is_open()
-            && now >= self.backoff_until
-            && !self.is_stalled(now, options)
-            && !self.is_reported_down(now)
+            && now >= self.lending_backoff_until
+            && !self.is_stalled_for_all(now, options)
+            && !self.is_reported_down(now, options)
     }
 
     /// Why this node sends it nothing although it is open, if failures are the reason.
@@ -349,10 +422,11 @@
         let is_backing_off = self.consecutive_failures > 0 && now < self.backoff_until;
         match () {
             () if !self.is_open() => None,
+            () if !self.link.is_usable() => Some(Failure::Unreachable),
             () if is_backing_off && self.unreachable => Some(Failure::Unreachable),
             () if is_backing_off => Some(Failure::Broken),
             () if self.is_stalled(now, options) => Some(Failure::Stalled),
-            () if self.is_reported_down(now) => Some(Failure::ReportedDown),
+            () if self.is_reported_down(now, options) => Some(Failure::ReportedDown),
             () => None,
         }
     }
@@ -366,16 +440,24 @@
         self.rest.is_unconfirmed(now) || (!succeeded && self.rest.is_unconfirmed_elsewhere(now))
     }
 
-    /// Whether other nodes found the endpoint gone, or several could not connect to it, and no call
-    /// of this node succeeded recently. The nodes that report this keep trying the endpoint.
-    fn is_reported_down(&self, now: Time) -> bool {
+    /// Whether other nodes found the endpoint gone, or several could not connect to it, and neither a
+    /// call nor a probe of this node reached it recently.
+    fn is_reported_down(&self, now: Time, options: &Options) -> bool {
         let succeeded = self
             .last_success
             .is_some_and(|last| now.since(last) < SUCCESS_VALID_FOR);
-        let reports = self.remote_reports;
-        let unreachable =
-            self.consecutive_failures == 0 && reports.unreachable >= MIN_UNREACHABLE_REPORTS;
-        !succeeded && (reports.gone > 0 || unreachable)
+        let is_gone = self.remote_reports.gone > 0;
+        !succeeded && (is_gone || self.is_reported_unreachable(now, options))
+    }
+
+    /// Whether several other nodes could not connect to the endpoint, and nothing arrived from it at
+    /// this node recently.
+    pub fn is_reported_unreachable(&self, now: Time, options: &Options) -> bool {
+        self.consecutive_failures == 0
+            && self.remote_reports.unreachable >= MIN_UNREACHABLE_REPORTS
+            && !self
+                .link
+                .was_heard_within(now, options.link.contact_valid_for)
     }
 
     /// The problem to report to other nodes, if any.
@@ -386,6 +468,9 @@
         {
             return Some(Unavailability::Gone);
         }
+        if self.link.is_lost() {
+            return Some(Unavailability::Unreachable);
+        }
         let is_backing_off = self.consecutive_failures > 0 && now < self.backoff_until;
         let unavailability = match self.unreachable {
             true => Unavailability::Unreachable,
--- a/crates/dispatch/tests/dispatch/booking/owner.rs
+++ b/crates/dispatch/tests/dispatch/booking/owner.rs
@@ -333,6 +333,7 @@
         Decision::Start { job, admission, .. } | Decision::Refuse { job, admission, .. } => {
             (job == claimed).then_some(admission)
         }
+        Decision::Forward { .. } => None,
     });
     let expected = Admission {
         booked: Some(true),
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod fair;
 mod forecast;
 mod leaving;
+mod links;
 mod present_speed;
 mod rate_limited;
 mod redirect;
--- a/crates/dispatch/tests/dispatch/fleet/world/ends.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/ends.rs
@@ -71,7 +71,7 @@
         };
         let next = dispatcher.end(self.now, id, end);
         self.apply_decisions(node);
-        if next == Next::Again {
+        if next == Next::Again || self.return_forwarded(node, id) {
             return;
         }
         self.outcomes
--- a/crates/dispatch/tests/dispatch/fleet/world/engine.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/engine.rs
@@ -130,12 +130,16 @@
 
     /// Reports the whole answer of a request to its node.
     pub(super) fn end_answered(&mut self, node: u16, id: job::Id, load: Option<stated_load::Load>) {
+        if self.is_answer_lost(node, id) {
+            return;
+        }
         if let Some(dispatcher) = self.nodes.get_mut(&node) {
             if let Some(load) = load {
                 dispatcher.record_stated_load(self.now, id, load);
             }
             dispatcher.end(self.now, id, End::Whole);
             self.apply_decisions(node);
+            self.return_forwarded(node, id);
         }
     }
 
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -23,6 +23,7 @@
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::link::Probe;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::protocol::Protocol;
@@ -47,6 +48,7 @@
 use crate::support::options;
 
 mod callers;
+mod cut;
 mod ends;
 mod engine;
 pub mod links;
@@ -131,6 +133,14 @@
     Finish(u16, job::Id, id::Endpoint),
     /// An endpoint ends by itself, or is crashed by a request.
     Crash(id::Endpoint, Option<Fingerprint>),
+    /// A forwarded request reaches another node.
+    ForwardArrives {
+        node: u16,
+        id: job::Id,
+        to: u16,
+    },
+    /// A probe of an endpoint ends.
+    Probed(u16, Box<Endpoint>, Probe),
     /// A node learns that its attempt broke.
     AttemptBroken(u16, job::Id, End),
     /// A node learns that its request was rejected.
@@ -196,6 +206,11 @@
     pub now: Time,
     /// The outcomes of requests, by node and id there.
     pub outcomes: HashMap<(u16, job::Id), Outcome>,
+    /// Nodes that reach no endpoint.
+    pub cut: BTreeSet<u16>,
+    /// The requests that run at other nodes, by node and id there, with node and id where they
+    /// arrived.
+    forwarded: HashMap<(u16, job::Id), (u16, job::Id)>,
     /// Nodes that neither send nor receive messages.
     pub partitioned: BTreeSet<u16>,
     /// Nodes on the previous build, which neither sends nor reads eras, rate limits and
@@ -285,6 +300,8 @@
             next_number: 0,
             now: at(0),
             outcomes: HashMap::new(),
+            cut: BTreeSet::new(),
+            forwarded: HashMap::new(),
             partitioned: BTreeSet::new(),
             previous_build: BTreeSet::new(),
             links: None,
@@ -406,6 +423,10 @@
                     return;
                 };
                 dispatcher.tick(now);
+                self.start_probes(node);
+                let Some(dispatcher) = self.nodes.get_mut(&node) else {
+                    return;
+                };
                 let ahead = dispatcher.newer_peer_opt(now, Document::Endpoints, self.next_number);
                 for (status, due) in dispatcher.statuses(now) {
                     for to in due {
@@ -457,6 +478,7 @@
             }
             Event::Reach(node, id, endpoint) => self.deliver(node, id, &endpoint),
             Event::Answered(node, id, load) => self.end_answered(node, id, load),
+            Event::FirstOutput(node, ..) if self.is_cut(node) => {}
             Event::FirstOutput(node, id, endpoint) => {
                 let notice = self.read_notice(node, &endpoint);
                 let load = self.load_of_stream_opt(&endpoint);
@@ -478,6 +500,8 @@
             }
             Event::Finish(node, id, endpoint) => self.finish_run(node, id, &endpoint),
             Event::Crash(endpoint, under) => self.crash(&endpoint, under),
+            Event::ForwardArrives { node, id, to } => self.receive_forwarded(node, id, to),
+            Event::Probed(node, endpoint, probe) => self.finish_probe(node, &endpoint, probe),
             Event::AttemptBroken(node, id, end) => self.handle_broken(node, id, end),
             Event::Rejected(node, id, endpoint) => self.handle_rejection(node, id, &endpoint),
             Event::ConnectionRefused(node, endpoint) => {
@@ -572,6 +596,7 @@
                     self.schedule(reached, Event::Reach(node, job, endpoint.name.clone()));
                 }
                 Decision::Start { job, endpoint, .. } => self.deliver(node, job, &endpoint.name),
+                Decision::Forward { job, node: to, .. } => self.forward(node, job, to_node(to)),
                 Decision::Refuse { job, refusal, .. } => {
                     let outcome = self
                         .outcomes
@@ -580,7 +605,9 @@
                     outcome.refused = true;
                     outcome.barred = refusal.code == Code::Barred;
                     outcome.decided += 1;
-                    self.retry_refused(node, job, refusal);
+                    if !self.return_forwarded(node, job) {
+                        self.retry_refused(node, job, refusal);
+                    }
                 }
             }
         }
--- a/crates/dispatch/tests/dispatch/fleet/world/notices.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/notices.rs
@@ -133,6 +133,10 @@
 
     /// Delivers a request to an endpoint, which rejects or runs it.
     pub(super) fn deliver(&mut self, node: u16, id: job::Id, endpoint: &id::Endpoint) {
+        if self.is_cut(node) {
+            self.hang(node, id);
+            return;
+        }
         let outcome = &self.outcomes[&(node, id)];
         let (arrived, decided) = (outcome.arrived, outcome.decided);
         let pair = self.notices.pair(node, endpoint);
--- a/crates/dispatch/tests/dispatch/forecast.rs
+++ b/crates/dispatch/tests/dispatch/forecast.rs
@@ -136,6 +136,7 @@
                 Decision::Refuse { job, .. } => {
                     refused.push((job, now));
                 }
+                Decision::Forward { .. } => unreachable!("there is no other node"),
             }
         }
     }
@@ -264,7 +265,7 @@
     let decisions = dispatcher.take_decisions();
     let refusal = decisions.iter().find_map(|decision| match decision {
         Decision::Refuse { refusal, .. } => Some(*refusal),
-        Decision::Start { .. } => None,
+        Decision::Start { .. } | Decision::Forward { .. } => None,
     });
     let refusal = refusal.expect("some are refused");
     assert_eq!(refusal.code, Code::TooLate);
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod forecast;
 mod lease;
+mod link;
 mod members;
 mod order;
 mod outcomes;
--- a/crates/dispatch/tests/dispatch/parts.rs
+++ b/crates/dispatch/tests/dispatch/parts.rs
@@ -59,6 +59,7 @@
         connections: u32::from(entry.form),
         engine: entry.form.is_multiple_of(2),
         cold: None,
+        health_path: None,
     }
 }
 
--- a/crates/dispatch/tests/dispatch/publish.rs
+++ b/crates/dispatch/tests/dispatch/publish.rs
@@ -250,6 +250,7 @@
         connections: 100,
         engine: false,
         cold: None,
+        health_path: None,
     });
     dispatcher.set_configuration(at(2), Arc::new(later));
     assert_eq!(targets(&dispatcher), [MODEL, "stranger"]);
--- a/crates/dispatch/tests/dispatch/retry.rs
+++ b/crates/dispatch/tests/dispatch/retry.rs
@@ -27,7 +27,7 @@
     let decisions = dispatcher.take_decisions().into_iter();
     let refused = decisions.filter_map(|decision| match decision {
         Decision::Refuse { refusal, .. } => Some(refusal),
-        Decision::Start { .. } => None,
+        Decision::Start { .. } | Decision::Forward { .. } => None,
     });
     refused.collect()
 }
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -142,6 +142,7 @@
         connections: 100,
         engine,
         cold: None,
+        health_path: None,
     };
     Arc::new(Configuration {
         version,
@@ -215,6 +216,8 @@
         customer: None,
         is_booked: false,
         is_redirected: false,
+        is_forwarded: false,
+        declined_by: Vec::new(),
     }
 }
 
@@ -223,7 +226,7 @@
     let decisions = dispatcher.take_decisions().into_iter();
     let starts = decisions.filter_map(|decision| match decision {
         Decision::Start { job, endpoint, .. } => Some((job, endpoint.name.to_string())),
-        Decision::Refuse { .. } => None,
+        Decision::Forward { .. } | Decision::Refuse { .. } => None,
     });
     starts.collect()
 }
@@ -236,7 +239,7 @@
     let decisions = dispatcher.take_decisions().into_iter();
     let refusals = decisions.filter_map(|decision| match decision {
         Decision::Refuse { job, refusal, .. } => Some((job, refusal.code, refusal.retry_after)),
-        Decision::Start { .. } => None,
+        Decision::Start { .. } | Decision::Forward { .. } => None,
     });
     refusals.collect()
 }
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -28,8 +28,11 @@
 /// Messages as encoded by builds of the version that added notices.
 const NOTICES: &str = include_str!("11.hex");
 
+/// Messages as encoded by builds of the version that added shared admission.
+const SHARED_ADMISSION: &str = include_str!("12.hex");
+
 /// Messages as encoded by this build.
-const CURRENT: &str = include_str!("12.hex");
+const CURRENT: &str = include_str!("13.hex");
 
 /// Returns the messages in a file, by name.
 fn samples_of(file: &str) -> HashMap<&str, Vec<u8>> {
@@ -118,7 +121,7 @@
         assert_eq!(
             extension,
             EraExtension {
-                protocol: 12,
+                protocol: 13,
                 era: 3
             }
         );
@@ -152,8 +155,17 @@
     message
 }
 
+/// Returns the message without what the version with shared admission lacks.
+fn without_forwarding(message: Message) -> Message {
+    with_status(message, |status| {
+        status.protocol = Protocol::SHARED_ADMISSION;
+        status.lost_links.clear();
+    })
+}
+
 /// Returns the message without what the version with notices lacks.
-fn without_shared_admission(mut message: Message) -> Message {
+fn without_shared_admission(message: Message) -> Message {
+    let mut message = without_forwarding(message);
     match &mut message {
         Message::Lease(request) => request.details = Details::default(),
         Message::Report(report) => report.load = None,
@@ -195,6 +207,7 @@
 #[case::of_the_protocol_with_eras(ERAS, without_rate_limits)]
 #[case::of_the_protocol_with_rate_limits(RATE_LIMITS, without_notices)]
 #[case::of_the_protocol_with_notices(NOTICES, without_shared_admission)]
+#[case::of_the_protocol_with_shared_admission(SHARED_ADMISSION, without_forwarding)]
 #[case::of_this_build(CURRENT, |message| message)]
 fn datagrams_are_decoded(#[case] file: &str, #[case] expected: fn(Message) -> Message) {
     let stored = samples_of(file);
@@ -230,7 +243,10 @@
     for (name, mut frame) in samples::frames() {
         match &mut frame {
             Frame::Endpoints(difference) => difference.era = Era::default(),
-            Frame::Manifest(manifest) => manifest.restrictions = Restrictions::default(),
+            Frame::Manifest(manifest) => {
+                manifest.restrictions = Restrictions::default();
+                manifest.health_paths.clear();
+            }
             Frame::Busy | Frame::Part(_) => {}
         }
         match (wire::frame_from_bytes(&stored[name]), frame) {
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -31,6 +31,7 @@
 use woadstage_dispatch::lease::Observation;
 use woadstage_dispatch::message::Frame;
 use woadstage_dispatch::message::Load;
+use woadstage_dispatch::message::LostLinks;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Pull;
 use woadstage_dispatch::message::Release;
@@ -124,6 +125,10 @@
             notice(7, Condition::Leaving),
             notice(8, Condition::Rest { left_ms: 2_500 }),
         ],
+        lost_links: vec![LostLinks {
+            service: 9,
+            percent: 92,
+        }],
     }
 }
 
@@ -380,6 +385,7 @@
                 interval: Span::from_millis(100),
                 duration: Span::from_secs(5),
             }),
+            health_path: Some("/health".to_owned()),
         }],
         limits: Limits {
             head: Size::from_kib(16),
--- a/crates/dispatch/tests/dispatch/worker.rs
+++ b/crates/dispatch/tests/dispatch/worker.rs
@@ -53,13 +53,13 @@
 ) {
     let options = Options::default();
     let mut worker = Worker::new(Arc::new(endpoint("e", MODEL, 4)));
-    worker.record_success(at(0));
+    worker.record_success(at(0), true);
     for _ in 0..broken {
         worker.record_failure(at(after), unreachable, &options);
     }
     assert_eq!(worker.accepts_work(at(after + 1), &options), accepts_work);
     // A success ends the series of failures.
-    worker.record_success(at(after + 2));
+    worker.record_success(at(after + 2), true);
     worker.record_failure(at(after + 3), false, &options);
     assert_eq!(worker.consecutive_failures, 0);
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -88,6 +88,24 @@
         /// What was observed, or the address of the node.
         detail: &'a str,
     },
+    /// This node lost or regained its link to an endpoint.
+    Link {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// Its service.
+        service: &'a str,
+        /// The state: `lost` or `regained`.
+        state: &'a str,
+        /// What put a lost link in doubt.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        evidence: &'a str,
+        /// How long a regained link was lost, in milliseconds.
+        after_ms: u64,
+        /// The number of lost links to open endpoints of the service.
+        lost: usize,
+        /// The number of open endpoints of the service.
+        open: usize,
+    },
     /// A transfer of published documents between nodes ended.
     Transfer {
         /// The direction: `taken` by this node or `given` by it.
@@ -153,8 +171,12 @@
         prompt: u64,
         /// The maximum number of output tokens, as given by the caller.
         output: u64,
-        /// Who charged the customer's quota: `none`, `here` or the owner's address.
+        /// Who charged the customer's quota: `none`, `here`, the owner's address, or `forwarder` for
+        /// the node that forwarded the request.
         quota: &'a str,
+        /// The node that forwarded the request; empty if a caller sent it.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        forwarded_by: &'a str,
         /// The version of the configuration used for the decision.
         configuration: u64,
     },
@@ -290,6 +312,30 @@
         /// The time in milliseconds since the request was sent.
         after_ms: u64,
     },
+    /// A request was forwarded to another node, which reaches the endpoints.
+    Forwarded {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The other node.
+        node: &'a str,
+        /// The time in milliseconds since the request arrived.
+        after_ms: u64,
+    },
+    /// A forwarded request returned from the other node.
+    ForwardEnded {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The other node.
+        node: &'a str,
+        /// How it ended: `answered`, `declined`, `not-sent` or `lost`.
+        end: &'a str,
+        /// The next step, as in `attempt`.
+        next: &'a str,
+        /// The status, the result code or the connection error.
+        detail: &'a str,
+        /// The time in milliseconds since the request was forwarded.
+        after_ms: u64,
+    },
     /// The known condition of an endpoint, which it announces in its responses, has
     /// changed.
     Notice {
@@ -357,6 +403,12 @@
         /// of failure, if this node refused the request.
         #[serde(skip_serializing_if = "str::is_empty")]
         unusable: &'a str,
+        /// The node that ran or refused the request, if it was forwarded there.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        forwarded_to: &'a str,
+        /// The node that forwarded the request; empty if a caller sent it.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        forwarded_by: &'a str,
     },
     /// A caller disconnected before its answer was complete.
     Left {
@@ -385,7 +437,8 @@
     /// Whether the event explains a failure; such lines are dropped last.
     pub fn is_failure(&self) -> bool {
         match self {
-            Event::Accepted { .. } | Event::Sent { .. } => false,
+            Event::Accepted { .. } | Event::Sent { .. } | Event::Forwarded { .. } => false,
+            Event::ForwardEnded { end, .. } => *end != "answered",
             Event::Attempt { end, .. } => *end != "whole",
             Event::Answered { status, .. } => *status >= 400,
             _ => true,
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -54,7 +54,14 @@
 /// Returns a sentence that describes what happened to the request.
 pub fn cause(lines: &[Line]) -> String {
     let events: Vec<&Value> = lines.iter().map(|line| &line.event).collect();
-    let last = |name: &str| events.iter().rev().find(|event| event["event"] == name);
+    let last = |name: &str| {
+        let named = |event: &&&Value| event["event"] == name;
+        // The node that a caller asked knows more than one that it forwarded the request to.
+        let is_callers =
+            |event: &&&Value| named(event) && str_field(event, "forwarded_by").is_empty();
+        let found = events.iter().rev().find(is_callers);
+        found.or_else(|| events.iter().rev().find(named))
+    };
     if let Some(cut) = last("cut") {
         return format!(
             "The answer broke off after it had begun: {}.",
@@ -81,12 +88,24 @@
         .iter()
         .filter(|event| event["event"] == "attempt")
         .collect();
+    let forwards = events.iter();
+    let forwards = forwards.filter(|event| event["event"] == "forward-ended");
+    let forwards: String = forwards.map(|event| forward_cause(event)).collect();
     match last("answered") {
-        Some(answered) => answer_cause(answered, &attempts),
+        Some(answered) => answer_cause(answered, &attempts) + &forwards,
         None => String::new(),
     }
 }
 
+/// Returns a sentence that describes a forward to another node.
+fn forward_cause(event: &Value) -> String {
+    let [node, end, detail] = ["node", "end", "detail"].map(|field| str_field(event, field));
+    format!(
+        " It was forwarded to node {node} ({end}: {detail}) for {} ms, as this node did not reach the endpoints.",
+        event["after_ms"]
+    )
+}
+
 fn caller_left_cause(event: &Value, sent: bool) -> String {
     let after = &event["after_ms"];
     let state = if sent {
@@ -177,8 +196,12 @@
     };
     let leaving = passed_over(answered, "passed_leaving", "said that they leave");
     let resting = passed_over(answered, "passed_resting", "had asked for rest");
+    let unusable = match str_field(answered, "unusable") {
+        "" => String::new(),
+        counts => format!(" Endpoints not used because of failures: {counts}."),
+    };
     format!(
-        "This node answered {status} {code} ({}), under configuration {version}; it had tried {tried}.{wait}{leaving}{resting}{}",
+        "This node answered {status} {code} ({}), under configuration {version}; it had tried {tried}.{wait}{leaving}{resting}{unusable}{}",
         str_field(answered, "outcome"),
         shared_admission(answered),
     )
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,7 @@
     booking_error: Histogram,
     answers: IntCounterVec,
     attempts: IntCounterVec,
+    forwards: IntCounterVec,
     invalid_fields: IntCounterVec,
     state_changes: IntCounterVec,
     reservations: IntCounterVec,
@@ -52,6 +53,8 @@
     suspect_changes: IntCounterVec,
     /// The number of requests held.
     pub held_requests: IntGauge,
+    /// The number of requests in progress that other nodes forwarded to this one.
+    pub forwarded_requests: IntGauge,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
     /// How long that configuration has been in force, in milliseconds.
@@ -160,6 +163,11 @@
                 "Attempts by how they ended.",
                 &["service", "end"],
             )?,
+            forwards: counter(
+                "woadstage_forwards_total",
+                "Requests forwarded to other nodes, by how they ended.",
+                &["service", "end"],
+            )?,
             invalid_fields: counter(
                 "woadstage_invalid_fields_total",
                 "Header fields of answers that could not be parsed and were ignored.",
@@ -199,6 +207,10 @@
                 "Fingerprints of requests that are not run any more.",
             )?,
             held_requests: gauge("woadstage_held", "Requests held.")?,
+            forwarded_requests: gauge(
+                "woadstage_forwarded_here",
+                "Requests in progress that other nodes forwarded to this one.",
+            )?,
             configuration_version: gauge(
                 "woadstage_configuration_version",
                 "The version in force.",
@@ -306,6 +318,11 @@
         self.attempts.with_label_values(&[service, end]).inc();
     }
 
+    /// Counts a request that was forwarded to another node and has returned.
+    pub fn record_forward(&self, service: &str, end: &str) {
+        self.forwards.with_label_values(&[service, end]).inc();
+    }
+
     /// Counts a header field of an answer that could not be parsed.
     pub fn record_invalid_field(&self, field: &str) {
         self.invalid_fields.with_label_values(&[field]).inc();
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -70,6 +70,7 @@
     metrics.nodes.set(reach.nodes as i64);
     metrics.silent_nodes.set(reach.silent as i64);
     metrics.held_requests.set(held as i64);
+    metrics.forwarded_requests.set(shell.forwarded.get() as i64);
     metrics.configuration_version.set(configuration as i64);
     let now = shell.now();
     let age = |since: Option<Time>| since.map_or(-1, |at| (now.since(at).0 / 1_000) as i64);
@@ -124,6 +125,8 @@
         set("cold", service.cold as i64);
         set("leaving", service.leaving as i64);
         set("resting", service.resting as i64);
+        set("links-lost", service.lost_links as i64);
+        set("forwarded", service.forwarded as i64);
         set("unreachable", service.unusable.unreachable as i64);
         set("failing", service.unusable.failing as i64);
         set("stalled", service.unusable.stalled as i64);
--- a/crates/gateway/src/peers/transfer/frame.rs
+++ b/crates/gateway/src/peers/transfer/frame.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Returns a reader of a stream whose layout byte was read and is supported.
+    pub fn after_layout(stream: S) -> Reader<S> {
+        Reader {
+            layout_checked: true,
+            ..Reader::new(stream)
+        }
+    }
+
     /// Returns the next message as decoded by `decode`, or `None` at the end of the stream.
     ///
     /// # Errors
--- a/crates/gateway/src/peers/transfer/mod.rs
+++ b/crates/gateway/src/peers/transfer/mod.rs
@@ -37,6 +37,8 @@
 pub struct Counts {
     receiving: Cell<usize>,
     sending: Cell<usize>,
+    /// Connections of other nodes on which nothing has arrived yet.
+    opening: Cell<usize>,
 }
 
 /// The direction of a transfer, as seen from this node.
--- a/crates/gateway/src/peers/transfer/serve.rs
+++ b/crates/gateway/src/peers/transfer/serve.rs
@@ -1,19 +1,25 @@
-//! Sends documents to nodes that have older ones. Only a few transfers run at once, so that
+//! Accepts connections of other nodes. Serves the requests that they forward, and sends documents
+//! to nodes that have older ones. Only a few transfers run at once, so that
 //! each one ends sooner and its receiver can serve other nodes.
 
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use woadstage_dispatch::message::Frame;
+use woadstage_dispatch::protocol;
 use woadstage_dispatch::wire;
 
 use super::Direction;
+use super::PROGRESS_TIMEOUT;
 use super::frame;
 use super::run_logged;
 use crate::peers::traffic::Kind;
+use crate::serve;
 use crate::shell::Shell;
 
 /// The maximum number of transfers at once. Three transfers of 100 kB that share 10 Mbit/s take
@@ -29,34 +35,56 @@
 /// connections free when they close.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Sends the documents that connecting nodes lack, for as long as the process runs.
+/// Serves the requests of connecting nodes, for as long as the process runs.
 pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
     loop {
         let Ok((stream, SocketAddr::V4(to))) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let shell = shell.clone();
-        tokio::task::spawn_local(async move {
-            if shell.transfers.sending.get() >= MAX_TRANSFERS {
-                shell.metrics.record_transfer("given", false);
-                // If this fails too, the node tries another one.
-                let _ = decline(&shell, stream).await;
-                return;
-            }
+        tokio::task::spawn_local(serve_connection(shell.clone(), stream, to));
+    }
+}
+
+async fn serve_connection(shell: Rc<Shell>, mut stream: TcpStream, to: SocketAddrV4) {
+    let transfers = &shell.transfers;
+    let is_busy = transfers.sending.get() + transfers.opening.get() >= MAX_TRANSFERS;
+    transfers.opening.set(transfers.opening.get() + 1);
+    let first = read_first_byte(&mut stream).await;
+    transfers.opening.set(transfers.opening.get() - 1);
+    match first {
+        // Every message between nodes starts with the layout, and no forwarded request does.
+        Ok(first) if first != protocol::LAYOUT => {
+            serve::serve_node(shell, stream, vec![first]).await;
+        }
+        Ok(_) if is_busy => {
+            shell.metrics.record_transfer("given", false);
+            // If this fails too, the node tries another one.
+            let _ = decline(&shell, stream).await;
+        }
+        Ok(_) => {
             // On failure the other node asks again; `run_logged` logs the error.
             let _ = run_logged(&shell, Direction::Sent, to, send(&shell, stream)).await;
-        });
+        }
+        Err(error) => {
+            let failed = std::future::ready(Err(error));
+            let _ = run_logged(&shell, Direction::Sent, to, failed).await;
+        }
     }
 }
 
+async fn read_first_byte(stream: &mut TcpStream) -> anyhow::Result<u8> {
+    let reading = stream.read_u8();
+    Ok(tokio::time::timeout(PROGRESS_TIMEOUT, reading).await??)
+}
+
 /// Sends only the changes of the endpoint list, if they are small, and reports that this node is
 /// busy if it leaves out other changes. Endpoint lists must take effect quickly on all nodes:
 /// when they queued behind long configurations, an endpoint received a request 3,022 ms after it
 /// had announced that it was leaving, where 3,000 ms are allowed.
 async fn decline(shell: &Shell, mut stream: TcpStream) -> anyhow::Result<()> {
     // Closing a connection with unread bytes resets it, and the reply would be lost.
-    let mut reader = frame::Reader::new(&mut stream);
+    let mut reader = frame::Reader::after_layout(&mut stream);
     let Some(pull) = reader.next(wire::pull_from_bytes).await? else {
         anyhow::bail!("the peer closed the connection without a request");
     };
@@ -82,7 +110,7 @@
 }
 
 async fn send(shell: &Shell, mut stream: TcpStream) -> anyhow::Result<usize> {
-    let mut reader = frame::Reader::new(&mut stream);
+    let mut reader = frame::Reader::after_layout(&mut stream);
     let Some(pull) = reader.next(wire::pull_from_bytes).await? else {
         anyhow::bail!("the peer closed the connection without a request");
     };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -38,6 +38,7 @@
 use crate::source;
 use crate::source::Source;
 use crate::source::Update;
+use crate::upstream::probe;
 
 /// The interval of the dispatcher's timer.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -218,6 +219,7 @@
             });
         }
         last = now;
+        probe::start_due(&shell);
         peers::send_statuses(&shell, &socket);
         let role = shell.query(|dispatcher, now| dispatcher.role(now));
         advertised_role.send_if_modified(|known| std::mem::replace(known, role) != role);
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -153,6 +153,8 @@
             customer: customer.map(|customer| customer.name.to_number()),
             is_booked: false,
             is_redirected: false,
+            is_forwarded: false,
+            declined_by: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/serve/charge.rs
+++ b/crates/gateway/src/serve/charge.rs
@@ -24,6 +24,8 @@
     Local,
     /// Another node, the owner of the quota.
     Remote(SocketAddrV4),
+    /// The node that forwarded the request, which also refunds it.
+    Forwarder,
 }
 
 impl fmt::Display for ChargedBy {
@@ -32,6 +34,7 @@
             ChargedBy::Nobody => f.write_str("none"),
             ChargedBy::Local => f.write_str("here"),
             ChargedBy::Remote(owner) => owner.fmt(f),
+            ChargedBy::Forwarder => f.write_str("forwarder"),
         }
     }
 }
@@ -112,7 +115,7 @@
         return;
     };
     let owner = match charged_by {
-        ChargedBy::Nobody => return,
+        ChargedBy::Nobody | ChargedBy::Forwarder => return,
         ChargedBy::Local => None,
         ChargedBy::Remote(owner) => Some(owner),
     };
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use hyper::Response;
 use hyper::StatusCode;
@@ -10,12 +11,15 @@
 use woadstage_dispatch::dispatcher::Admission;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::ForwardEnd;
 use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::job::History;
+use woadstage_dispatch::job::Job;
 use woadstage_types::code::Code;
 use woadstage_types::code::Outcome;
 use woadstage_types::unit::Span;
@@ -27,6 +31,7 @@
 use super::classify;
 use super::classify::Disposition;
 use super::fingerprint;
+use super::hop;
 use super::outgoing;
 use super::outgoing::Attempt;
 use super::parse_notice;
@@ -41,6 +46,7 @@
 use crate::upstream::Answer;
 use crate::upstream::Body;
 use crate::upstream::CallError;
+use crate::upstream::Target;
 use crate::upstream::probe;
 
 /// A request in progress. Dropping it before it is finished means that the caller left.
@@ -52,12 +58,19 @@
     /// When the request was last sent.
     pub sent_at: Time,
     /// The endpoint that the request was last sent to.
-    pub endpoint: Option<std::sync::Arc<Endpoint>>,
+    pub endpoint: Option<Arc<Endpoint>>,
     /// What shared admission did to the request, as known at the last decision about it.
     pub admission: Admission,
+    /// The node that the request was last forwarded to, if it was.
+    pub forwarded_to: Option<SocketAddrV4>,
+    /// What the node that forwarded the request states about it, if one did.
+    pub hop: Option<hop::Request>,
+    /// Counts the request among those that other nodes forwarded to this one.
+    pub in_progress: Option<hop::InProgress>,
     head: Parts,
     payload: Option<Payload>,
     fingerprint: Option<Fingerprint>,
+    since_first_try: Span,
     job: Option<job::Id>,
     decision: Option<oneshot::Receiver<Decision>>,
     units: u64,
@@ -94,8 +107,12 @@
             head,
             endpoint: None,
             admission: Admission::default(),
+            forwarded_to: None,
+            hop: None,
+            in_progress: None,
             payload: None,
             fingerprint: None,
+            since_first_try: Span::ZERO,
             job: None,
             decision: None,
             charged_by: ChargedBy::Nobody,
@@ -115,15 +132,35 @@
     /// Returns the reply to a request that exceeds its customer's quota.
     pub async fn submit(&mut self) -> Result<(), Reply> {
         let shell = self.shell.clone();
-        self.charged_by = charge::charge(&shell, &self.admitted, self.units).await?;
+        self.charged_by = match self.hop {
+            Some(_) => ChargedBy::Forwarder,
+            None => charge::charge(&shell, &self.admitted, self.units).await?,
+        };
         let caller_timeout = self.admitted.caller_deadline.since(self.admitted.arrived);
         let timeout = self.admitted.route.timeout;
-        let since_first_try = shell
-            .command(|dispatcher, now| dispatcher.since_first_try(now, caller_timeout, timeout));
+        let since_first_try = match &self.hop {
+            Some(hop) => Span(hop.since_first_try_us),
+            None => shell.command(|dispatcher, now| {
+                dispatcher.since_first_try(now, caller_timeout, timeout)
+            }),
+        };
+        self.since_first_try = since_first_try;
         let fingerprint = fingerprint::of(&self.admitted, &self.head, self.payload.as_ref());
         let job = self
             .admitted
             .to_job(&shell.headers, &self.head, fingerprint, since_first_try);
+        let job = match &self.hop {
+            Some(hop) => Job {
+                is_forwarded: true,
+                history: History {
+                    sent: hop.sent,
+                    tried: hop.tried.clone(),
+                    ..History::default()
+                },
+                ..job
+            },
+            None => job,
+        };
         shell.log(&Event::Accepted {
             request: &self.admitted.request_id,
             fingerprint: &fingerprint.to_string(),
@@ -139,6 +176,7 @@
             prompt: job.prompt.tokens,
             output: job.prompt.output,
             quota: &self.charged_by.to_string(),
+            forwarded_by: &self.forwarder_name(),
             configuration: self.admitted.configuration_version,
         });
         self.fingerprint = Some(fingerprint);
@@ -148,14 +186,20 @@
         Ok(())
     }
 
-    /// Sends the request to one endpoint after another until one gives an answer that is
-    /// forwarded to the caller.
+    /// Sends the request to one endpoint after another, or forwards it to other nodes, until there
+    /// is an answer for the caller.
     ///
     /// # Errors
     /// Returns the final reply that this node generates if there is no such answer.
     pub async fn run(&mut self, last_event: Option<&str>) -> Result<Answer, Reply> {
         loop {
-            let endpoint = self.wait_for_endpoint().await?;
+            let endpoint = match self.wait_for_destination().await? {
+                Destination::Endpoint(endpoint) => endpoint,
+                Destination::Node(forward) => match self.forward(&forward, last_event).await? {
+                    Some(answer) => return Ok(answer),
+                    None => continue,
+                },
+            };
             let sent = self.send(&endpoint, last_event).await;
             let (end, detail) = match sent {
                 Ok(answer) => match self.classify(&answer) {
@@ -180,11 +224,12 @@
         }
     }
 
-    /// Waits for the dispatcher to choose an endpoint.
-    async fn wait_for_endpoint(&mut self) -> Result<std::sync::Arc<Endpoint>, Reply> {
+    /// Waits for the dispatcher to choose an endpoint, or a node to forward the request to.
+    async fn wait_for_destination(&mut self) -> Result<Destination, Reply> {
         let Some(decision) = self.decision.take() else {
             return Err(Code::EndpointLost.into());
         };
+        self.forwarded_to = None;
         match self
             .shell
             .timeout_at(self.admitted.deadline, decision)
@@ -199,7 +244,15 @@
             })) => {
                 self.admission = admission;
                 self.record_sent(&endpoint, reason, owner);
-                Ok(endpoint)
+                Ok(Destination::Endpoint(endpoint))
+            }
+            Ok(Ok(Decision::Forward {
+                node, sent, tried, ..
+            })) => {
+                self.sent_at = self.shell.now();
+                self.endpoint = None;
+                self.forwarded_to = Some(node);
+                Ok(Destination::Node(Forward { node, sent, tried }))
             }
             Ok(Ok(Decision::Refuse {
                 refusal, admission, ..
@@ -218,6 +271,138 @@
         }
     }
 
+    /// Forwards the request to another node. Returns an endpoint's answer that it passed on, or
+    /// `None` if the request is to be tried elsewhere.
+    ///
+    /// # Errors
+    /// Returns the final reply, of the other node or of this one.
+    async fn forward(
+        &mut self,
+        forward: &Forward,
+        last_event: Option<&str>,
+    ) -> Result<Option<Answer>, Reply> {
+        let node = forward.node;
+        self.shell.log(&Event::Forwarded {
+            request: &self.admitted.request_id,
+            node: &node.to_string(),
+            after_ms: self.shell.now().since(self.admitted.arrived).0 / 1_000,
+        });
+        let mut answer = match self.send_to_node(forward, last_event).await {
+            Ok(answer) => answer,
+            Err(fault) => {
+                let (end, forward_end) = match fault {
+                    CallError::NotSent(_) => (End::NotSent, ForwardEnd::NotSent),
+                    CallError::Lost(_) => (End::Lost, ForwardEnd::Lost),
+                    CallError::Late => (End::Late, ForwardEnd::Answered),
+                };
+                let is_retried = self.end_forward(node, forward_end, end, &fault.to_string());
+                return match is_retried {
+                    true => Ok(None),
+                    false => Err(self.to_final_reply(end)),
+                };
+            }
+        };
+        let head = answer.response.headers_mut();
+        let stated: Option<hop::Answer> = hop::take(head);
+        let Some(stated) = stated else {
+            let detail = "the node did not state who answers";
+            return match self.end_forward(node, ForwardEnd::Lost, End::Lost, detail) {
+                true => Ok(None),
+                false => Err(self.to_final_reply(End::Lost)),
+            };
+        };
+        let Some(reply) = stated.to_reply_opt(node) else {
+            return Ok(Some(answer));
+        };
+        let code = reply.code.to_string();
+        if stated.is_declined(reply, self.admitted.configuration_version) {
+            return match self.end_forward(node, ForwardEnd::Declined, End::NotSent, &code) {
+                true => Ok(None),
+                false => Err(self.to_final_reply(End::NotSent)),
+            };
+        }
+        self.end_forward(node, ForwardEnd::Answered, End::Rejected, &code);
+        Err(self.to_refusal(reply))
+    }
+
+    async fn send_to_node(
+        &mut self,
+        forward: &Forward,
+        last_event: Option<&str>,
+    ) -> Result<Answer, CallError> {
+        let now = self.shell.now();
+        let stated = hop::Request {
+            node: self.shell.query(|dispatcher, _| dispatcher.own_address()),
+            age_us: now.since(self.admitted.arrived).0,
+            since_first_try_us: self.since_first_try.0,
+            sent: forward.sent,
+            tried: forward.tried.clone(),
+        };
+        let names = &self.shell.headers;
+        let payload = self.payload.as_mut();
+        let request = payload.and_then(|payload| {
+            outgoing::build_forwarded(names, &self.head, payload, &stated, last_event)
+        });
+        let Some(request) = request else {
+            return Err(CallError::Lost("the body has gone out already".into()));
+        };
+        let shell = self.shell.clone();
+        let target = Target::Node(forward.node);
+        let call = shell.upstream.call(now, &target, forward.node, request);
+        match shell.timeout_at(self.admitted.deadline, call).await {
+            Ok(sent) => sent,
+            Err(_) => Err(CallError::Late),
+        }
+    }
+
+    /// Reports the end of a forwarded request to the dispatcher. Returns whether it is tried again.
+    fn end_forward(
+        &mut self,
+        node: SocketAddrV4,
+        forward_end: ForwardEnd,
+        end: End,
+        detail: &str,
+    ) -> bool {
+        let Some(job) = self.job else {
+            return false;
+        };
+        self.may_have_run |= matches!(end, End::Lost | End::Late);
+        let (next, decision) = self.shell.end_forward(job, forward_end);
+        self.decision = decision;
+        let service = self.admitted.target.as_str();
+        self.shell
+            .metrics
+            .record_forward(service, forward_end.as_str());
+        self.shell.log(&Event::ForwardEnded {
+            request: &self.admitted.request_id,
+            node: &node.to_string(),
+            end: forward_end.as_str(),
+            next: next.as_str(),
+            detail,
+            after_ms: self.shell.now().since(self.sent_at).0 / 1_000,
+        });
+        self.finish_step(next)
+    }
+
+    /// Returns the name of the node that forwarded the request; empty if a caller sent it.
+    pub fn forwarder_name(&self) -> String {
+        let node = self.hop.as_ref().map(|hop| hop.node.to_string());
+        node.unwrap_or_default()
+    }
+
+    /// Returns the process at the other end of the connection in use, and the maximum number of idle
+    /// connections to it.
+    pub fn connection_target_opt(&self) -> Option<(Target, usize)> {
+        if let Some(node) = self.forwarded_to {
+            return Some((Target::Node(node), MAX_IDLE_TO_NODE));
+        }
+        let endpoint = self.endpoint.as_ref()?;
+        let max_idle = self
+            .shell
+            .query(|dispatcher, now| dispatcher.max_idle_connections(now, &endpoint.service));
+        Some((Target::Endpoint(endpoint.to_instance()), max_idle))
+    }
+
     /// Returns the refusal, or `EndpointLost` if an earlier attempt may have run. Logs a barred
     /// request.
     fn to_refusal(&self, reply: Reply) -> Reply {
@@ -232,7 +417,7 @@
 
     fn record_sent(
         &mut self,
-        endpoint: &std::sync::Arc<Endpoint>,
+        endpoint: &Arc<Endpoint>,
         reason: Reason,
         owner: Option<SocketAddrV4>,
     ) {
@@ -267,7 +452,20 @@
             return Err(CallError::Lost("the body has gone out already".into()));
         };
         let shell = self.shell.clone();
-        let call = shell.upstream.call(shell.now(), endpoint, request);
+        let target = Target::Endpoint(endpoint.to_instance());
+        let call = shell
+            .upstream
+            .call(shell.now(), &target, endpoint.address, request);
+        let can_move = self.admitted.route.may_repeat()
+            && self.payload.as_ref().is_some_and(Payload::can_send);
+        let call = async {
+            tokio::select! {
+                sent = call => sent,
+                () = shell.wait_for_link_loss(endpoint), if can_move => {
+                    Err(CallError::Lost("link lost".into()))
+                }
+            }
+        };
         match shell.timeout_at(self.admitted.deadline, call).await {
             Ok(sent) => sent,
             Err(_) => Err(CallError::Late),
@@ -275,6 +473,10 @@
     }
 
     fn classify(&self, answer: &Answer) -> Disposition {
+        if let Some(job) = self.job {
+            self.shell
+                .command(|dispatcher, now| dispatcher.record_answering(now, job));
+        }
         let response = &answer.response;
         let names = &self.shell.headers;
         let disposition = classify::classify(
@@ -330,17 +532,19 @@
         let Some(job) = self.job else {
             return false;
         };
+        if let Some(node) = self.forwarded_to {
+            let forward_end = match end {
+                End::Lost => ForwardEnd::Lost,
+                _ => ForwardEnd::Answered,
+            };
+            return self.end_forward(node, forward_end, end, detail);
+        }
         self.may_have_run |= !end.is_not_run();
         let (next, decision) = self.shell.end(job, end);
         self.decision = decision;
         if let Some(endpoint) = self.endpoint.as_ref().filter(|_| end == End::Lost) {
-            probe::start(&self.shell, endpoint);
+            probe::start_after_loss(&self.shell, endpoint);
         }
-        let next_name = match next {
-            Next::Over => "over",
-            Next::Again => "again",
-            Next::Final(cause) => cause.as_str(),
-        };
         let endpoint = self
             .endpoint
             .as_ref()
@@ -352,10 +556,15 @@
             request: &self.admitted.request_id,
             endpoint,
             end: end.as_str(),
-            next: next_name,
+            next: next.as_str(),
             detail,
             after_ms: self.shell.now().since(self.sent_at).0 / 1_000,
         });
+        self.finish_step(next)
+    }
+
+    /// Returns whether the request is tried again, and forgets its id in the dispatcher if not.
+    fn finish_step(&mut self, next: Next) -> bool {
         if next != Next::Again {
             self.job = None;
         }
@@ -399,6 +608,8 @@
             target: Some(&self.admitted.target),
             arrived: self.admitted.arrived,
             admission: self.admission,
+            forwarded_to: self.forwarded_to,
+            forwarded_by: self.hop.as_ref().map(|hop| hop.node),
         };
         record::reply(&self.shell, context, reply);
         self.is_finished = true;
@@ -416,6 +627,24 @@
     }
 }
 
+/// The maximum number of idle connections that are kept to another node.
+const MAX_IDLE_TO_NODE: usize = 16;
+
+/// Where a request is sent next.
+enum Destination {
+    /// An endpoint.
+    Endpoint(Arc<Endpoint>),
+    /// Another node.
+    Node(Forward),
+}
+
+/// A node to forward a request to, and the endpoints that were tried before.
+struct Forward {
+    node: SocketAddrV4,
+    sent: u32,
+    tried: Vec<u32>,
+}
+
 fn to_end(fault: &CallError) -> End {
     match fault {
         CallError::NotSent(_) => End::NotSent,
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -17,6 +17,7 @@
 use super::admit;
 use super::closing;
 use super::exchange::Exchange;
+use super::hop;
 use super::payload::Payload;
 use super::record;
 use super::record::Context;
@@ -24,6 +25,7 @@
 use super::reply::Reply;
 use crate::headers::text;
 use crate::shell::Shell;
+use crate::upstream::Answer;
 use crate::upstream::Body;
 
 /// The maximum time that a request waits for the first configuration. Callers give up if
@@ -72,6 +74,75 @@
     }
 }
 
+/// Serves a request that another node forwarded. It waits and runs like one of this node's own
+/// callers'; the other node has charged the customer's quota.
+pub async fn serve_forwarded(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
+    let in_progress = hop::InProgress::new(&shell);
+    let (mut head, body) = request.into_parts();
+    let reply_with = |reply: Reply| {
+        let mut response = reply.to_response();
+        state_reply(&shell, &mut response, reply);
+        response
+    };
+    let Some(hop) = hop::take::<hop::Request>(&mut head.headers) else {
+        return reply_with(Code::HeaderInvalid.into());
+    };
+    if shell.forwarded.get() > MAX_FORWARDED {
+        return reply_with(Code::NodeBusy.into());
+    }
+    let arrived = shell.now() - Span(hop.age_us) - hop::MARGIN;
+    let table = shell.query(|dispatcher, now| dispatcher.admission_table_opt(now).cloned());
+    let admitted = match admit::admit(table.as_deref(), &shell.headers, &head, arrived) {
+        Ok(admitted) => admitted,
+        Err(code) => return reply_with(code.into()),
+    };
+    if !shell.query(|dispatcher, _| dispatcher.reaches(&admitted.target)) {
+        return reply_with(Code::EndpointRefused.into());
+    }
+    let payload = Payload::read(body, admitted.max_body, &shell.body_budget).await;
+    let mut exchange = Exchange::new(shell.clone(), admitted, head);
+    exchange.hop = Some(hop);
+    exchange.in_progress = Some(in_progress);
+    let reply = match payload {
+        Ok(payload) => {
+            exchange.set_payload(payload);
+            match run_forwarded(&mut exchange).await {
+                Ok(answer) => return relay_forwarded(exchange, answer),
+                Err(reply) => reply,
+            }
+        }
+        Err(code) => code.into(),
+    };
+    let mut response = exchange.refuse(reply);
+    state_reply(&shell, &mut response, reply);
+    response
+}
+
+async fn run_forwarded(exchange: &mut Exchange) -> Result<Answer, Reply> {
+    closing::limit_deadline(exchange)?;
+    exchange.submit().await?;
+    exchange.run(None).await
+}
+
+fn relay_forwarded(exchange: Exchange, answer: Answer) -> Response<Body> {
+    let endpoint = exchange.endpoint.as_ref();
+    let name = endpoint.map_or("", |endpoint| endpoint.name.as_str());
+    let stated = hop::Answer::Endpoint(name.to_owned());
+    let mut response = relay::relay(exchange, answer);
+    hop::insert(response.headers_mut(), &stated);
+    response
+}
+
+/// States in a response to another node that this node generated it.
+fn state_reply(shell: &Shell, response: &mut Response<Body>, reply: Reply) {
+    let configuration = shell.query(|dispatcher, _| dispatcher.configuration_version());
+    let stated = hop::Answer::from_reply(reply, configuration);
+    hop::insert(response.headers_mut(), &stated);
+}
+
+/// The maximum number of forwarded requests in progress, each of which takes two connections.
+const MAX_FORWARDED: usize = 512;
+
 /// Returns the table by which a request is admitted. A node that has just started waits
 /// briefly for it: callers retry only once, and after all nodes were killed together, a
 /// caller refused immediately would retry while they are still starting.
@@ -114,6 +185,8 @@
         target: None,
         arrived,
         admission: Admission::default(),
+        forwarded_to: None,
+        forwarded_by: None,
     };
     match code {
         Code::RouteUnknown => record::unmatched(shell, request_id, "route"),
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,6 +6,7 @@
 //! * `closing.rs`: limits requests during a planned stop.
 //! * `charge.rs`: charges requests to their customer's quota.
 //! * `fingerprint.rs`: computes fingerprints of requests.
+//! * `hop.rs`: what nodes tell each other about a forwarded request.
 //! * `exchange.rs`: makes attempts at endpoints until there is an answer.
 //! * `outgoing.rs`: builds the requests to endpoints.
 //! * `classify.rs`: classifies an answer by its head.
@@ -28,6 +29,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use woadstage_dispatch::configuration::Limits;
@@ -45,6 +49,7 @@
 mod fingerprint;
 pub mod framer;
 mod handle;
+mod hop;
 mod outgoing;
 mod parse_notice;
 mod payload;
@@ -65,7 +70,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(shell.clone(), stream));
+                tokio::task::spawn_local(serve_caller(shell.clone(), stream));
             }
             // The usual cause is a lack of file descriptors: wait for connections to close.
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
@@ -73,13 +78,38 @@
     }
     // Connections left in the backlog would be reset.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        tokio::task::spawn_local(serve_connection(shell.clone(), stream));
+        tokio::task::spawn_local(serve_caller(shell.clone(), stream));
     }
 }
 
-async fn serve_connection(shell: Rc<Shell>, stream: TcpStream) {
+async fn serve_caller(shell: Rc<Shell>, stream: TcpStream) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
+    serve_connection(shell, stream, Peer::Caller).await;
+}
+
+/// Serves the requests that another node forwards over a connection, the first bytes of which were
+/// read already.
+pub async fn serve_node(shell: Rc<Shell>, stream: TcpStream, read: Vec<u8>) {
+    // A failure only adds latency.
+    let _ = stream.set_nodelay(true);
+    let (rest, writer) = stream.into_split();
+    let reader = AsyncReadExt::chain(std::io::Cursor::new(read), rest);
+    serve_connection(shell, tokio::io::join(reader, writer), Peer::Node).await;
+}
+
+/// Who sends requests over a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Peer {
+    Caller,
+    Node,
+}
+
+async fn serve_connection(
+    shell: Rc<Shell>,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    peer: Peer,
+) {
     let limits = shell.query(|dispatcher, _| {
         let configuration = dispatcher.configuration();
         configuration.map_or_else(Limits::default, |active| active.limits.clone())
@@ -99,7 +129,7 @@
         .max_buf_size((limits.head.0 as usize).max(MIN_HEAD_BUFFER_BYTES))
         .auto_date_header(false);
     let server = shell.clone();
-    let service = service_fn(move |request| respond(server.clone(), request));
+    let service = service_fn(move |request| respond(server.clone(), request, peer));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let open_connections = if is_closing {
@@ -121,8 +151,12 @@
 async fn respond(
     shell: Rc<Shell>,
     request: Request<Incoming>,
+    peer: Peer,
 ) -> Result<Response<Body>, Infallible> {
-    let mut response = handle::serve(shell.clone(), request).await;
+    let mut response = match peer {
+        Peer::Caller => handle::serve(shell.clone(), request).await,
+        Peer::Node => handle::serve_forwarded(shell.clone(), request).await,
+    };
     if shell.phase() >= Phase::Leaving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -11,6 +11,7 @@
 use woadstage_types::unit::Span;
 
 use super::admit::Admitted;
+use super::hop;
 use super::payload::Payload;
 use crate::headers::Headers;
 use crate::upstream::Body;
@@ -62,6 +63,7 @@
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::EXPECT);
     headers.remove(&names.customer);
+    headers.remove(hop::FIELD);
     for name in &names.reserved {
         headers.remove(name);
     }
@@ -81,6 +83,42 @@
     Some(request)
 }
 
+/// Builds the request that forwards a caller's request to another node: unchanged except for
+/// hop-by-hop header fields. `None` as for [`build`].
+pub fn build_forwarded(
+    names: &Headers,
+    head: &Parts,
+    payload: &mut Payload,
+    stated: &hop::Request,
+    last_event: Option<&str>,
+) -> Option<Request<Body>> {
+    if !payload.can_send() {
+        return None;
+    }
+    let length = payload.length_opt();
+    let path = head.uri.path_and_query()?.as_str();
+    let mut request = Request::builder()
+        .method(head.method.clone())
+        .uri(path)
+        .body(payload.take_body())
+        .ok()?;
+    let headers = request.headers_mut();
+    *headers = head.headers.clone();
+    remove_hop_by_hop(headers);
+    headers.remove(header::EXPECT);
+    set_framing(headers, &head.headers, length);
+    if let Some(authority) = head.uri.authority()
+        && !headers.contains_key(header::HOST)
+    {
+        headers.insert(header::HOST, to_value(authority.as_str())?);
+    }
+    if let Some(last_event) = last_event {
+        headers.insert(names.last_event.clone(), to_value(last_event)?);
+    }
+    hop::insert(headers, stated);
+    Some(request)
+}
+
 /// Sets the framing of the body. A buffered body is sent with `Content-Length`, however it
 /// was received; a streamed one that was received chunked stays chunked.
 fn set_framing(headers: &mut HeaderMap, received: &HeaderMap, length: Option<usize>) {
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -33,6 +33,10 @@
     pub arrived: Time,
     /// What shared admission did to the request, as far as known.
     pub admission: Admission,
+    /// The node that the request was forwarded to, if it was.
+    pub forwarded_to: Option<SocketAddrV4>,
+    /// The node that forwarded it, if one did.
+    pub forwarded_by: Option<SocketAddrV4>,
 }
 
 /// The maximum number of endpoints passed over for one reason that a log line names.
@@ -49,6 +53,8 @@
         target,
         arrived,
         admission,
+        forwarded_to,
+        forwarded_by,
     } = context;
     let passed_over = target.map(|target| passed_over(shell, target));
     let passed_over = passed_over.unwrap_or_default();
@@ -80,6 +86,8 @@
         passed_leaving: &join_names(&passed_over.leaving),
         passed_resting: &join_names(&passed_over.resting),
         unusable: unusable.as_deref().unwrap_or_default(),
+        forwarded_to: &to_text(forwarded_to),
+        forwarded_by: &to_text(forwarded_by),
     });
 }
 
@@ -179,6 +187,11 @@
     names.join(", ")
 }
 
+/// Formats an optional node for the log.
+fn to_text(node: Option<SocketAddrV4>) -> String {
+    node.map(|node| node.to_string()).unwrap_or_default()
+}
+
 /// Formats the deciding node for the log: the address of another node, or `here`.
 fn to_owner_name(owner: Option<SocketAddrV4>) -> String {
     owner.map_or_else(|| "here".to_owned(), |owner| owner.to_string())
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -221,6 +221,11 @@
             passed_leaving: "",
             passed_resting: "",
             unusable: "",
+            forwarded_to: &exchange
+                .forwarded_to
+                .map(|node| node.to_string())
+                .unwrap_or_default(),
+            forwarded_by: &exchange.forwarder_name(),
         });
         remaining
     }
@@ -229,19 +234,15 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
-        let Some(endpoint) = self.exchange.endpoint.clone() else {
+        let Some((target, max_idle)) = self.exchange.connection_target_opt() else {
             return;
         };
         let shell = self.exchange.shell.clone();
         let keep_alive = self.keep_alive;
         tokio::task::spawn_local(async move {
-            let instance = endpoint.to_instance();
             if let Some(connection) = reuse::into_reusable(connection, keep_alive).await {
-                let max_idle = shell.query(|dispatcher, now| {
-                    dispatcher.max_idle_connections(now, &endpoint.service)
-                });
                 let upstream = &shell.upstream;
-                upstream.add_idle(shell.now(), instance, connection, keep_alive, max_idle);
+                upstream.add_idle(shell.now(), target, connection, keep_alive, max_idle);
             }
         });
     }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -14,10 +14,14 @@
 use woadstage_clock::Elapsed;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::ForwardEnd;
+use woadstage_dispatch::dispatcher::LinkUpdate;
 use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::link::Change;
 use woadstage_dispatch::notice;
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
@@ -32,6 +36,7 @@
 use crate::peers;
 use crate::peers::reservations::Reservations;
 use crate::peers::transfer;
+use crate::upstream::Target;
 use crate::upstream::Upstream;
 
 /// A phase of a graceful shutdown.
@@ -77,6 +82,10 @@
     pub active_configuration: Cell<Option<ActiveConfiguration>>,
     /// When the platform last answered this node.
     pub platform_answered_at: Cell<Option<Time>>,
+    /// The number of requests in progress that other nodes forwarded to this one.
+    pub forwarded: Cell<usize>,
+    /// The number of link losses so far.
+    link_losses: watch::Sender<u64>,
     /// The total time for which the host was suspended, as detected so far.
     suspended: watch::Sender<Span>,
     phase: watch::Sender<Phase>,
@@ -120,6 +129,8 @@
             transfers: transfer::Counts::default(),
             active_configuration: Cell::default(),
             platform_answered_at: Cell::default(),
+            forwarded: Cell::new(0),
+            link_losses: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Serving),
             answer_deadline: Cell::new(None),
             dispatcher: RefCell::new(dispatcher),
@@ -226,6 +237,31 @@
         (next, decision)
     }
 
+    /// Reports how a forwarded request ended. Returns a receiver of the next decision if the
+    /// request is to be tried again.
+    pub fn end_forward(
+        &self,
+        id: job::Id,
+        end: ForwardEnd,
+    ) -> (Next, Option<oneshot::Receiver<Decision>>) {
+        let now = self.now();
+        let next = self.dispatcher.borrow_mut().end_forward(now, id, end);
+        let decision = (next == Next::Again).then(|| self.register_waiter(id));
+        self.deliver();
+        (next, decision)
+    }
+
+    /// Waits until this node's link to an endpoint is lost.
+    pub async fn wait_for_link_loss(&self, endpoint: &Endpoint) {
+        let mut losses = self.link_losses.subscribe();
+        while !self.query(|dispatcher, _| dispatcher.is_link_lost(endpoint)) {
+            // Fails only if the sender was dropped, and `self` owns it.
+            if losses.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn register_waiter(&self, id: job::Id) -> oneshot::Receiver<Decision> {
         let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(id, sender);
@@ -258,6 +294,10 @@
         for update in updates {
             self.record_endpoint_change("", update.endpoint.as_str(), update.change);
         }
+        let updates = self.dispatcher.borrow_mut().take_link_updates();
+        for update in updates {
+            self.record_link_update(&update);
+        }
         let starts = self.dispatcher.borrow_mut().take_booking_starts();
         for start in starts {
             self.metrics.record_booked_start(start);
@@ -273,7 +313,9 @@
     /// gone.
     fn deliver_decision(&self, decision: Decision) {
         let id = match &decision {
-            Decision::Start { job, .. } | Decision::Refuse { job, .. } => *job,
+            Decision::Start { job, .. }
+            | Decision::Forward { job, .. }
+            | Decision::Refuse { job, .. } => *job,
         };
         let waiter = self.waiters.borrow_mut().remove(&id);
         let is_delivered = waiter.is_some_and(|waiter| waiter.send(decision).is_ok());
@@ -295,6 +337,33 @@
         });
     }
 
+    /// Logs and counts a change of this node's link to an endpoint.
+    fn record_link_update(&self, update: &LinkUpdate) {
+        let (state, evidence, after) = match update.change {
+            Change::Lost(evidence) => ("lost", evidence.as_str(), Span::ZERO),
+            Change::Regained(after) => ("regained", "", after),
+        };
+        let is_lost = matches!(update.change, Change::Lost(_));
+        self.metrics.record_state_change(match is_lost {
+            true => "link-lost",
+            false => "link-regained",
+        });
+        self.log(&Event::Link {
+            endpoint: update.endpoint.name.as_str(),
+            service: update.endpoint.service.as_str(),
+            state,
+            evidence,
+            after_ms: after.0 / 1_000,
+            lost: update.lost,
+            open: update.open,
+        });
+        if is_lost {
+            let target = Target::Endpoint(update.endpoint.to_instance());
+            self.upstream.close_idle_to(&target);
+            self.link_losses.send_modify(|losses| *losses += 1);
+        }
+    }
+
     /// Writes an event to the log.
     pub fn log(&self, event: &Event<'_>) {
         self.log.write(event);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,10 +1,11 @@
 //! Calls to endpoints over pooled connections. A request is never sent again here once a byte of it
 //! may have been written.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::fmt;
+use std::net::SocketAddrV4;
 use std::pin::Pin;
 use std::time::Duration;
 
@@ -14,7 +15,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::JoinHandle;
-use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::Instance;
 use woadstage_types::unit::Time;
 
@@ -67,6 +67,15 @@
     pub connection: Connection,
 }
 
+/// The process that a connection leads to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Target {
+    /// One start of an endpoint.
+    Endpoint(Instance),
+    /// Another node.
+    Node(SocketAddrV4),
+}
+
 /// An idle connection.
 struct Idle {
     connection: Connection,
@@ -77,9 +86,9 @@
 /// The pool of idle connections, and the endpoints that are being probed.
 #[derive(Default)]
 pub struct Upstream {
-    idle: RefCell<HashMap<Instance, Vec<Idle>>>,
-    /// The numbers of the endpoints with a probe in progress.
-    probing: RefCell<HashSet<u32>>,
+    idle: RefCell<HashMap<Target, Vec<Idle>>>,
+    /// The number of probes in progress.
+    probes: Cell<usize>,
 }
 
 /// The time limit for opening a connection.
@@ -89,7 +98,7 @@
 const MAX_REUSE_ATTEMPTS: usize = 3;
 
 impl Upstream {
-    /// Sends a request to an endpoint and waits for the head of its response.
+    /// Sends a request to an endpoint or node and waits for the head of its response.
     ///
     /// # Errors
     /// Returns [`CallError::NotSent`] if certainly nothing was written, otherwise
@@ -97,12 +106,13 @@
     pub async fn call(
         &self,
         now: Time,
-        endpoint: &Endpoint,
+        target: &Target,
+        address: SocketAddrV4,
         request: Request<Body>,
     ) -> Result<Answer, CallError> {
         let mut request = request;
         for _ in 0..MAX_REUSE_ATTEMPTS {
-            let Some(connection) = self.take_idle(now, &endpoint.to_instance()) else {
+            let Some(connection) = self.take_idle(now, target) else {
                 break;
             };
             match send(connection, request).await {
@@ -111,7 +121,7 @@
                 Err(SendError::Lost(detail)) => return Err(CallError::Lost(detail)),
             }
         }
-        let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect::open(endpoint.address));
+        let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect::open(address));
         let connection = match opening.await {
             Ok(Ok(connection)) => connection,
             Ok(Err(error)) => return Err(CallError::NotSent(format!("connect: {error}"))),
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -1,63 +1,170 @@
-//! Probes an endpoint whose response broke off, to find out whether its process has ended.
+//! Probes endpoints: whether this node reaches them, and whether one whose response broke off has
+//! ended.
 
 use std::io::ErrorKind;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use tokio::net::TcpStream;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use hyper::Request;
+use hyper::header;
+use woadstage_dispatch::dispatcher::ProbeTarget;
 use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::link::Probe;
 
+use super::Answer;
 use super::CONNECT_TIMEOUT;
+use super::Connection;
+use super::Target;
 use super::Upstream;
+use super::connect;
+use super::reuse;
+use super::send;
 use crate::shell::Shell;
 
-/// What a connection attempt shows of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Liveness {
-    /// The connection was refused: nothing listens at the address, so the process has ended.
-    Ended,
-    /// The connection was accepted.
-    Alive,
-    /// The connection was neither accepted nor refused, as when the host does not respond.
-    Unknown,
-}
-
-/// Opens a connection to an address and closes it again.
-pub async fn probe(address: SocketAddrV4) -> Liveness {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Liveness::Alive,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Liveness::Ended,
-        Ok(Err(_)) | Err(_) => Liveness::Unknown,
-    }
+/// How long an endpoint may take to answer a health check. One that is full may let it wait.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long a connection without a health check must stay open.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// What a probe found.
+struct Finding {
+    probe: Probe,
+    /// Whether nothing listens at the address.
+    is_refused: bool,
 }
 
 impl Upstream {
     /// Whether a probe of any endpoint is in progress.
     pub fn is_probing(&self) -> bool {
-        !self.probing.borrow().is_empty()
+        self.probes.get() > 0
     }
 }
 
-/// Starts a probe of an endpoint whose response broke off, unless it is being probed. If the host
-/// does not respond, this node learns from the platform whether the endpoint has ended.
-pub fn start(shell: &Rc<Shell>, endpoint: &Arc<Endpoint>) {
-    let number = endpoint.to_number();
-    if !shell.upstream.probing.borrow_mut().insert(number) {
-        return;
+/// Starts the probes that are due.
+pub fn start_due(shell: &Rc<Shell>) {
+    for target in shell.command(|dispatcher, now| dispatcher.take_probe_targets(now)) {
+        start(shell, target);
     }
-    let (shell, address) = (shell.clone(), endpoint.address);
+}
+
+/// Probes an endpoint whose response broke off, unless it is being probed.
+pub fn start_after_loss(shell: &Rc<Shell>, endpoint: &Arc<Endpoint>) {
+    let target = shell.command(|dispatcher, now| dispatcher.probe_target_opt(now, endpoint));
+    if let Some(target) = target {
+        start(shell, target);
+    }
+}
+
+fn start(shell: &Rc<Shell>, target: ProbeTarget) {
+    let shell = shell.clone();
+    let probes = &shell.upstream.probes;
+    probes.set(probes.get() + 1);
     tokio::task::spawn_local(async move {
-        let liveness = probe(address).await;
-        shell.upstream.probing.borrow_mut().remove(&number);
-        match liveness {
-            Liveness::Ended => {
-                shell.command(|dispatcher, now| dispatcher.record_endpoint_ended(now, number));
-            }
-            Liveness::Alive => {
-                shell.command(|dispatcher, _| dispatcher.record_endpoint_alive(number))
+        let finding = run(&shell, &target).await;
+        let probes = &shell.upstream.probes;
+        probes.set(probes.get() - 1);
+        record(&shell, &target.endpoint, finding);
+    });
+}
+
+fn record(shell: &Rc<Shell>, endpoint: &Endpoint, finding: Finding) {
+    let other = shell.command(|dispatcher, now| {
+        let other = finding
+            .is_refused
+            .then(|| dispatcher.record_refused(now, endpoint));
+        dispatcher.record_probe(now, endpoint, finding.probe);
+        other.flatten()
+    });
+    if let Some(other) = other {
+        start(shell, other);
+    }
+}
+
+async fn run(shell: &Rc<Shell>, target: &ProbeTarget) -> Finding {
+    let opening = connect::open(target.endpoint.address);
+    match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+        Ok(Ok(connection)) => {
+            shell.command(|dispatcher, now| dispatcher.record_connected(now, &target.endpoint));
+            Finding {
+                probe: check(shell, target, connection).await,
+                is_refused: false,
             }
-            Liveness::Unknown => {}
         }
-    });
+        Ok(Err(error)) => Finding {
+            probe: Probe::Failed,
+            is_refused: is_refusal(&error),
+        },
+        Err(_) => Finding {
+            probe: Probe::Failed,
+            is_refused: false,
+        },
+    }
+}
+
+fn is_refusal(error: &anyhow::Error) -> bool {
+    let error = error.downcast_ref::<std::io::Error>();
+    error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
+
+/// Sends a health check over a new connection, which is kept if it can be reused. Without a path
+/// for it, the connection itself counts as an answer.
+async fn check(shell: &Rc<Shell>, target: &ProbeTarget, connection: Connection) -> Probe {
+    let Some(path) = &target.health_path else {
+        let mut connection = connection;
+        let closed = tokio::time::timeout(CLOSE_TIMEOUT, &mut connection.task).await;
+        if closed.is_ok() {
+            return Probe::Failed;
+        }
+        keep(
+            shell,
+            &target.endpoint,
+            connection,
+            reuse::DEFAULT_KEEP_ALIVE,
+        )
+        .await;
+        return Probe::Answered;
+    };
+    let body = Empty::new().map_err(anyhow::Error::from);
+    let request = Request::get(path)
+        .header(header::HOST, target.endpoint.address.to_string())
+        .body(Box::pin(body) as super::Body);
+    let Ok(request) = request else {
+        return Probe::Connected;
+    };
+    match tokio::time::timeout(HEALTH_TIMEOUT, send(connection, request)).await {
+        Ok(Ok(answer)) => {
+            keep_after_answer(shell, &target.endpoint, answer).await;
+            Probe::Answered
+        }
+        Ok(Err(_)) => Probe::Failed,
+        Err(_) => Probe::Connected,
+    }
+}
+
+async fn keep_after_answer(shell: &Rc<Shell>, endpoint: &Endpoint, answer: Answer) {
+    let keep_alive = reuse::keep_alive_duration(answer.response.headers());
+    let body = answer.response.into_body().collect();
+    if let Ok(Ok(_)) = tokio::time::timeout(HEALTH_TIMEOUT, body).await {
+        keep(shell, endpoint, answer.connection, keep_alive).await;
+    }
+}
+
+async fn keep(
+    shell: &Rc<Shell>,
+    endpoint: &Endpoint,
+    connection: Connection,
+    keep_alive: Duration,
+) {
+    let Some(connection) = reuse::into_reusable(connection, keep_alive).await else {
+        return;
+    };
+    let max_idle =
+        shell.query(|dispatcher, now| dispatcher.max_idle_connections(now, &endpoint.service));
+    let target = Target::Endpoint(endpoint.to_instance());
+    let upstream = &shell.upstream;
+    upstream.add_idle(shell.now(), target, connection, keep_alive, max_idle);
 }
--- a/crates/gateway/src/upstream/reuse.rs
+++ b/crates/gateway/src/upstream/reuse.rs
@@ -6,11 +6,11 @@
 
 use hyper::HeaderMap;
 use hyper::header;
-use woadstage_dispatch::endpoint::Instance;
 use woadstage_types::unit::Time;
 
 use super::Connection;
 use super::Idle;
+use super::Target;
 use super::Upstream;
 use crate::clock::to_span;
 
@@ -18,7 +18,7 @@
 const REUSE_DELAY: Duration = Duration::from_millis(60);
 
 /// How long a connection is kept if its endpoint announces no keep-alive timeout.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+pub(super) const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 /// The part of an endpoint's keep-alive timeout for which a connection is kept, in percent.
 const KEEP_ALIVE_PERCENT: u32 = 70;
@@ -32,9 +32,9 @@
 impl Upstream {
     /// Takes the connection to an endpoint that has been idle longest; if none has been idle for
     /// [`REUSE_DELAY`], the one that became idle last.
-    pub(super) fn take_idle(&self, now: Time, endpoint: &Instance) -> Option<Connection> {
+    pub(super) fn take_idle(&self, now: Time, target: &Target) -> Option<Connection> {
         let mut pool = self.idle.borrow_mut();
-        let idle = pool.get_mut(endpoint)?;
+        let idle = pool.get_mut(target)?;
         idle.retain(|entry| entry.expires_at > now && !entry.connection.sender.is_closed());
         let reusable = idle
             .iter()
@@ -50,13 +50,13 @@
     pub fn add_idle(
         &self,
         now: Time,
-        endpoint: Instance,
+        target: Target,
         connection: Connection,
         keep_alive: Duration,
         max_idle: usize,
     ) {
         let mut pool = self.idle.borrow_mut();
-        let idle = pool.entry(endpoint).or_default();
+        let idle = pool.entry(target).or_default();
         let max_before = max_idle.clamp(1, MAX_IDLE_PER_ENDPOINT) - 1;
         let excess = idle.len().saturating_sub(max_before);
         idle.drain(..excess);
@@ -67,6 +67,11 @@
         });
     }
 
+    /// Closes the idle connections to an endpoint or node.
+    pub fn close_idle_to(&self, target: &Target) {
+        self.idle.borrow_mut().remove(target);
+    }
+
     /// Closes all idle connections, as after a pause of this process.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/gateway/tests/gateway/explain.rs
+++ b/crates/gateway/tests/gateway/explain.rs
@@ -177,3 +177,20 @@
     assert!(text.contains("booked=false"), "{text}");
     assert!(text.contains("redirected=true"), "{text}");
 }
+
+#[test]
+fn a_forwarded_request_is_followed_over_both_nodes() {
+    let here = format!(
+        "{ACCEPTED}\n{}\n{}\n",
+        r#"{"time_ms":5,"event":"forward-ended","request":"r","node":"10.0.0.2:7600","end":"answered","next":"over","detail":"200","after_ms":30}"#,
+        r#"{"time_ms":6,"event":"answered","request":"r","status":200,"code":"","after_ms":31,"forwarded_to":"10.0.0.2:7600"}"#,
+    );
+    let there = r#"{"time_ms":9,"event":"answered","request":"r","status":200,"code":"","after_ms":99,"forwarded_by":"10.0.0.1:7600"}"#;
+    let lines = explain::find(&mut files(&[&here, there]), "r").expect("the log is readable");
+    let explanation = explain::cause(&lines);
+    assert!(
+        explanation.contains("whole after 31 ms")
+            && explanation.contains("forwarded to node 10.0.0.2:7600 (answered: 200)"),
+        "{explanation}"
+    );
+}
--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -78,3 +78,18 @@
         assert_eq!(count_served(&nodes[1], "other", "/once/x").await, REQUESTS);
     });
 }
+
+#[test]
+fn callers_of_a_node_that_reaches_few_endpoints_are_served() {
+    run(|| async {
+        let workers = start_workers().await;
+        let all: Vec<&Worker> = workers.iter().collect();
+        let nodes = fleet::start(2, &all).await;
+        for endpoint in 0..3 {
+            nodes[0].cut_one(endpoint, Cut::Reset);
+        }
+        let noticing = count_served(&nodes[0], "noticing", "/once/x");
+        tokio::join!(noticing, tokio::time::sleep(DETECTION_TIME));
+        assert_eq!(count_served(&nodes[0], "few", "/once/x").await, REQUESTS);
+    });
+}
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -131,7 +131,11 @@
 
 /// Starts nodes that know each other, and waits until each serves callers.
 pub async fn start(count: u8, workers: &[&Worker]) -> Vec<Node> {
-    start_configured(count, workers, configuration(None)).await
+    let mut configuration = configuration(None);
+    for service in &mut configuration.services {
+        service.health_path = Some("/health".to_owned());
+    }
+    start_configured(count, workers, configuration).await
 }
 
 /// Like [`start`], with another configuration.
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -131,6 +131,7 @@
             connections: 100,
             engine: false,
             cold: None,
+            health_path: None,
         }],
         customers: Some(vec![Customer {
             name: id::Customer::new("customer"),
--- a/crates/losses/src/line.rs
+++ b/crates/losses/src/line.rs
@@ -56,6 +56,9 @@
         pause_limit_ms: u64,
         /// Whether the caller appears to retry after a refusal.
         returning: bool,
+        /// Address of the node that forwarded it; empty if a caller sent it.
+        #[serde(default)]
+        forwarded_by: String,
     },
     /// A customer exceeded its quota.
     OverLimit {
@@ -120,6 +123,13 @@
         /// Endpoints that were skipped because they had asked for a rest.
         #[serde(default)]
         passed_resting: String,
+        /// Numbers of endpoints that are not used because of failures, by the kind of
+        /// failure.
+        #[serde(default)]
+        unusable: String,
+        /// Address of the node that forwarded it; empty if a caller sent it.
+        #[serde(default)]
+        forwarded_by: String,
     },
     /// A caller disconnected.
     Left {
--- a/crates/losses/src/plot.rs
+++ b/crates/losses/src/plot.rs
@@ -26,7 +26,7 @@
 const MARK_LABELS: [&str; 3] = ["started", "platform lost", "platform regained"];
 
 /// Returns the colour of a cause: green for served in time, yellow to brown for
-/// late, blue for refused, dark green for leaving or resting endpoints, violet for
+/// late, blue for refused, dark green for leaving, resting or unreachable endpoints, violet for
 /// quotas and the retry budget, teal for a missing configuration, red for lost
 /// or faulty endpoints and timeouts, and grey for disconnected callers and for
 /// requests that are unfinished or not allowed.
@@ -41,6 +41,7 @@
         Cause::RefusedOnReturn => RGBColor(40, 80, 150),
         Cause::EndpointsLeaving => RGBColor(60, 110, 90),
         Cause::EndpointsResting => RGBColor(100, 150, 130),
+        Cause::EndpointsUnreachable => RGBColor(30, 80, 60),
         Cause::Quota => RGBColor(150, 110, 190),
         Cause::NoConfiguration => RGBColor(70, 160, 170),
         Cause::RetryBudget => RGBColor(110, 60, 130),
--- a/crates/losses/src/request.rs
+++ b/crates/losses/src/request.rs
@@ -8,6 +8,9 @@
 use crate::line::Event;
 use crate::line::Line;
 
+/// The word by which a refusal counts endpoints that the node could not connect to.
+const UNREACHABLE: &str = "unreachable";
+
 /// The outcome of a request: served in time, or the cause of its loss.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -33,6 +36,8 @@
     EndpointsLeaving,
     /// Refused while endpoints were skipped because they had asked for a rest.
     EndpointsResting,
+    /// Refused while the node could not connect to endpoints.
+    EndpointsUnreachable,
     /// The customer exceeded its quota.
     Quota,
     /// No configuration had taken effect yet.
@@ -57,7 +62,7 @@
 
 impl Cause {
     /// All causes, in display order.
-    pub const ALL: [Cause; 18] = [
+    pub const ALL: [Cause; 19] = [
         Cause::InTime,
         Cause::LateWaited,
         Cause::LateEndpoint,
@@ -67,6 +72,7 @@
         Cause::RefusedOnReturn,
         Cause::EndpointsLeaving,
         Cause::EndpointsResting,
+        Cause::EndpointsUnreachable,
         Cause::Quota,
         Cause::NoConfiguration,
         Cause::RetryBudget,
@@ -90,6 +96,7 @@
             Cause::RefusedOnReturn => "refused-on-return",
             Cause::EndpointsLeaving => "endpoints-leaving",
             Cause::EndpointsResting => "endpoints-resting",
+            Cause::EndpointsUnreachable => "endpoints-unreachable",
             Cause::Quota => "quota",
             Cause::NoConfiguration => "no-configuration",
             Cause::RetryBudget => "retry-budget",
@@ -154,6 +161,8 @@
     pub skipped_leaving: bool,
     /// Whether endpoints were skipped because they had asked for a rest.
     pub skipped_resting: bool,
+    /// Whether the node could not connect to some endpoints.
+    pub has_unreachable: bool,
 }
 
 /// A request, reconstructed from its log lines.
@@ -177,9 +186,11 @@
     pub caller_left: bool,
     /// Whether the answer was cut off before its end.
     pub answer_cut: bool,
+    /// Whether another node forwarded it, whose log has its outcome.
+    pub is_forwarded: bool,
 }
 
-/// Reconstructs the requests in the log of one node, in order of arrival.
+/// Reconstructs the requests of callers in the log of one node, in order of arrival.
 pub fn collect(lines: &[Line]) -> Vec<Request> {
     let mut index: HashMap<&str, usize> = HashMap::new();
     let mut requests: Vec<Request> = Vec::new();
@@ -196,6 +207,7 @@
         });
         requests[position].apply(line);
     }
+    requests.retain(|request| !request.is_forwarded);
     requests
 }
 
@@ -223,8 +235,10 @@
                 objective_ms,
                 pause_limit_ms,
                 returning,
+                forwarded_by,
                 ..
             } => {
+                self.is_forwarded = !forwarded_by.is_empty();
                 self.route.clone_from(route);
                 self.accepted = Some(Accepted {
                     objective_ms: *objective_ms,
@@ -262,8 +276,11 @@
                 booking_ms,
                 passed_leaving,
                 passed_resting,
+                unusable,
+                forwarded_by,
                 ..
             } => {
+                self.is_forwarded |= !forwarded_by.is_empty();
                 self.answered = Some(Answered {
                     status: *status,
                     code: code.clone(),
@@ -276,6 +293,7 @@
                     has_booking: *booking_ms > 0,
                     skipped_leaving: !passed_leaving.is_empty(),
                     skipped_resting: !passed_resting.is_empty(),
+                    has_unreachable: unusable.contains(UNREACHABLE),
                 });
             }
             Event::Left { .. } => self.caller_left = true,
@@ -350,6 +368,9 @@
         if answered.status == 503 && answered.skipped_leaving {
             return Cause::EndpointsLeaving;
         }
+        if answered.status == 503 && answered.has_unreachable {
+            return Cause::EndpointsUnreachable;
+        }
         if self.retry_budget_exhausted {
             return Cause::RetryBudget;
         }
--- a/crates/losses/tests/losses/causes.rs
+++ b/crates/losses/tests/losses/causes.rs
@@ -29,6 +29,7 @@
 const NO_BUDGET: &str = r#"{"time_ms":2000,"event":"attempt","request":"r","endpoint":"e","end":"lost","next":"budget","detail":"","after_ms":5}"#;
 const PASSED_LEAVING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W2001","after_ms":5,"passed_leaving":"everest-1"}"#;
 const PASSED_RESTING: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W3004","after_ms":5,"passed_resting":"e"}"#;
+const UNREACHABLE: &str = r#"{"time_ms":2000,"event":"answered","request":"r","status":503,"code":"W2002","after_ms":5,"unusable":"unreachable 9"}"#;
 const CUT: &str = r#"{"time_ms":2000,"event":"cut","request":"r","detail":"reset","after_ms":5}"#;
 const LEFT: &str = r#"{"time_ms":2000,"event":"left","request":"r","after_ms":900}"#;
 
@@ -43,6 +44,7 @@
     refused_after_queueing: [answered("r", 503, "W2002", 300)] => Cause::RefusedAfterWait;
     refused_with_a_leaving_endpoint: [PASSED_LEAVING] => Cause::EndpointsLeaving;
     refused_with_a_resting_endpoint: [PASSED_RESTING] => Cause::EndpointsResting;
+    refused_with_unreachable_endpoints: [UNREACHABLE] => Cause::EndpointsUnreachable;
     over_quota: [OVER_LIMIT, answered("r", 429, "W2003", 1)] => Cause::Quota;
     no_configuration: [answered("r", 503, "W2007", 0)] => Cause::NoConfiguration;
     retry_budget_exhausted: [sent(1_010, "r", 0, 0), NO_BUDGET, answered("r", 502, "W3003", 9)] => Cause::RetryBudget;
@@ -69,3 +71,16 @@
     assert_eq!(report.routes[0].name, "");
     assert_eq!(report.all.count(Cause::NoConfiguration), 1);
 }
+
+#[test]
+fn a_forwarded_request_is_counted_at_the_node_that_its_caller_asked() {
+    let by = r#""forwarded_by":"10.0.0.1:7600""#;
+    let there = [
+        accepted(1_000, "r", false).replacen('{', &format!("{{{by},"), 1),
+        answered("r", 503, "W2002", 300).replacen('{', &format!("{{{by},"), 1),
+    ];
+    let here = vec![accepted(1_000, "r", false), answered("r", 200, "", 20)];
+    let report = report(&[here, there.to_vec()]);
+    assert_eq!(report.all.total, 1);
+    assert_eq!(report.all.count(Cause::InTime), 1);
+}
