--- a/crates/dispatch/src/dispatcher/track_links.rs
+++ b/crates/dispatch/src/dispatcher/track_links.rs
@@ -119,7 +119,7 @@
     /// Forgets how long endpoints have been silent, after this process was suspended.
     pub(super) fn forget_silence(&mut self, now: Time) {
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
-            worker.link.record_heard(now);
+            worker.link.forget_silence(now);
         }
     }
 
--- a/crates/dispatch/src/link.rs
+++ b/crates/dispatch/src/link.rs
@@ -202,6 +202,12 @@
         }
     }
 
+    /// Forgets how long the endpoint has been silent.
+    pub fn forget_silence(&mut self, now: Time) {
+        self.heard_at = Some(now);
+        self.doubt = None;
+    }
+
     /// Puts the link in doubt, unless it already is or is lost.
     pub fn doubt(&mut self, now: Time, evidence: Evidence) {
         if self.loss.is_none() && self.doubt.is_none() {
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -102,6 +102,11 @@
         worker
     }
 
+    /// Replaces the actions that are still to be taken.
+    pub fn set_script(&self, script: Vec<Action>) {
+        *self.script.borrow_mut() = script.into();
+    }
+
     /// Waits until the stand-in crashes.
     async fn wait_until_crashed(&self) {
         let mut crashed = self.crashed.subscribe();
