fix: grant the initial credit of a quota once when nodes are killed one after the other

Found by a random case: six nodes, all killed by three overlapping outages within two seconds, admitted 207,000 units where 197,000 are allowed in a window.

Cause: a node that starts has an even part of the initial credit, once. The budget for that covers one start of each node in a window, and a second start is covered as long as a node that ran throughout charges what was used to its bucket. Here nodes 1 to 5 start at 7.2 s, two of them again at 8.3 s and the last three at 8.6 s: ten parts of a credit of six, and no node is left that saw the earlier ones.

A node that started clearly after another one in the same window uses no initial credit; nodes that start together still share it.

--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -76,6 +76,9 @@
         let quarantine = status.quarantine_digest;
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
+        if let Some(uptime) = status.uptime {
+            self.accounts.record_peer_start(now - uptime);
+        }
         let reception = self.members.record_status(now, from, status);
         if reception == Reception::Stale {
             return reception;
@@ -180,6 +183,7 @@
             rate_limits: self.rotate_announcements(self.rate_limits_to_announce(now)),
             notices: self.rotate_announcements(self.announcements(now)),
             lost_links: self.lost_links(),
+            uptime: self.accounts.recent_uptime_opt(now),
         }
     }
 
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use woadstage_types::unit::Span;
 
 use crate::booking;
 use crate::configuration::Rank;
@@ -108,6 +109,9 @@
     /// The services of which the node does not reach every open endpoint.
     #[serde(skip)]
     pub lost_links: Vec<LostLinks>,
+    /// How long ago the node started, if that was recent enough to matter for quotas.
+    #[serde(skip)]
+    pub uptime: Option<Span>,
 }
 
 /// How many of a service's endpoints a node doesn't reach.
--- a/crates/dispatch/src/quota/initial.rs
+++ b/crates/dispatch/src/quota/initial.rs
@@ -12,9 +12,12 @@
 //! * before: the rate and the burst with the first part of the allowance;
 //! * after: the same rate, empty buckets and the second part.
 //!
-//! Each node has an even share of the credit, which it uses once. The share grows
+//! Each node has an even share of the credit, which it uses once. Nodes that start later in the
+//! same window than others get none: if all are killed one after the other, nobody is left who
+//! knows what was used. The share grows
 //! with the time since the start, as the node discovers the others.
 
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::Accounts;
@@ -36,7 +39,7 @@
         demand: Demand,
         reach: Reach,
     ) -> bool {
-        if now.since(self.started) > self.options.window {
+        if self.is_initial_credit_used || now.since(self.started) > self.options.window {
             return false;
         }
         let credit = self.allowance(quota) * self.options.initial;
@@ -51,6 +54,20 @@
         true
     }
 
+    /// Returns how long this node has been running, if less than a window.
+    pub fn recent_uptime_opt(&self, now: Time) -> Option<Span> {
+        let uptime = now.since(self.started);
+        (uptime < self.options.window).then_some(uptime)
+    }
+
+    /// Records when another node started. If that was in this window but clearly before this node
+    /// did, the two did not start together, and the nodes that did have used the credit.
+    pub fn record_peer_start(&mut self, peer_started: Time) {
+        let before = self.started.since(peer_started);
+        self.is_initial_credit_used |=
+            before > self.options.discovery_time && before < self.options.window;
+    }
+
     /// This node's share of the initial credit.
     fn initial_share(&self, now: Time, reach: Reach) -> f64 {
         let min_share = 1.0 / ASSUMED_NODES as f64;
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -192,6 +192,8 @@
 pub struct Accounts {
     options: Options,
     started: Time,
+    /// Whether other nodes have used the initial credit of this window.
+    is_initial_credit_used: bool,
     accounts: HashMap<u64, Account>,
 }
 
@@ -204,6 +206,7 @@
         Accounts {
             options,
             started: Time(0),
+            is_initial_credit_used: false,
             accounts: HashMap::new(),
         }
     }
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -65,9 +65,9 @@
     let bytes = postcard::to_extend(&extension, bytes)?;
     let bytes = postcard::to_extend(&status.rate_limits, bytes)?;
     let bytes = postcard::to_extend(&status.notices, bytes)?;
-    match status.lost_links.is_empty() {
-        true => Ok(bytes),
-        false => postcard::to_extend(&status.lost_links, bytes),
+    match (status.lost_links.is_empty(), status.uptime) {
+        (true, None) => Ok(bytes),
+        (_, uptime) => postcard::to_extend(&(&status.lost_links, uptime), bytes),
     }
 }
 
@@ -97,7 +97,9 @@
             status.rate_limits = rate_limits;
             let (notices, rest) = take_list(rest).ok()?;
             status.notices = notices;
-            status.lost_links = take_list(rest).ok()?.0;
+            if !rest.is_empty() {
+                (status.lost_links, status.uptime) = postcard::take_from_bytes(rest).ok()?.0;
+            }
         }
         _ => {}
     }
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -160,6 +160,7 @@
     with_status(message, |status| {
         status.protocol = Protocol::SHARED_ADMISSION;
         status.lost_links.clear();
+        status.uptime = None;
     })
 }
 
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -129,6 +129,7 @@
             service: 9,
             percent: 92,
         }],
+        uptime: Some(Span::from_millis(900)),
     }
 }
 
