fix(standin): drop the answer to a forward that was given up

Cause: in the virtual world an answer leaves the other node one hop before it arrives. If the first node gives the forward up within that hop, the world no longer finds the forward, and so did not mark it as given up; the answer on its way was delivered as well. In the real node the task that would receive it is aborted (driver/act.rs), so callers never saw this. The check is unchanged.

--- a/crates/standin/src/world/act.rs
+++ b/crates/standin/src/world/act.rs
@@ -153,6 +153,8 @@
             attempt,
             incarnation,
         };
+        // An answer that is on its way back reaches nobody.
+        self.passing.remove(&(incarnation, request));
         // A request that was passed on: the other node sees the stream end.
         let passed = self
             .forwards
