--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -262,3 +262,34 @@
         assert!(limited < 10, "{answers:?}");
     });
 }
+
+#[test]
+fn an_endpoint_that_is_silent_for_a_second_keeps_its_calls() {
+    run(|| async {
+        let proceed = Rc::new(Notify::new());
+        let texts = vec![answer("200 OK", "slow")];
+        let stepwise = Action::AnswerStepwise(texts, proceed.clone());
+        let worker = Worker::start("e", vec![Action::Answer(answer("200 OK", "fine"))]).await;
+        let nodes = fleet::start(2, &[&worker]).await;
+        worker.set_script(vec![stepwise, Action::Answer(answer("200 OK", "fine"))]);
+        let call = spawn_local(send(nodes[0].callers, "r".into(), "/once/x"));
+        while received(&worker)
+            .iter()
+            .all(|request| !request.contains("woadstage-request: r\r"))
+        {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        nodes[0].cut(Cut::Hang);
+        proceed.notify_one();
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        nodes[0].cut(Cut::None);
+        assert_eq!(call.await.expect("the call ends"), 200);
+        assert_eq!(
+            received(&worker)
+                .iter()
+                .filter(|one| one.contains("request: r\r"))
+                .count(),
+            1
+        );
+    });
+}
