refactor: forward requests in a module of their own, look for silence only where calls run

Each tick compared every endpoint with every running call, which grows with both on large fleets; now only endpoints with calls of this node's callers are looked at. exchange.rs keeps the attempts, forward.rs holds what concerns another node; the copy of a caller's head is made in one place. Behaviour is unchanged: gateway::links 10 and dispatch link 26 tests pass.

--- a/crates/dispatch/src/dispatcher/track_links.rs
+++ b/crates/dispatch/src/dispatcher/track_links.rs
@@ -1,6 +1,7 @@
 //! Tracks which endpoints this node reaches, from its own calls and from probes. What it finds
 //! says nothing of the endpoints themselves.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -126,24 +127,28 @@
     /// Puts links in doubt by silence, by what other nodes report, and because others were lost.
     pub(super) fn track_links(&mut self, now: Time) {
         let options = &self.options.worker;
-        let first_starts = first_own_starts(self.runs.values());
-        for (target, pool) in &mut self.pools {
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            worker.link.expire_doubt(now, &options.link);
+            if worker.is_reported_unreachable(now, options) && worker.is_open() {
+                worker.link.doubt(now, Evidence::Reported);
+            }
+        }
+        let mut silent_counts: HashMap<id::Target, usize> = HashMap::new();
+        for call in first_calls(self.runs.values()) {
+            let Some(pool) = self.pools.get_mut(&call.target) else {
+                continue;
+            };
             let typical = pool.typical_response_time();
-            let mut silent = 0;
-            for (index, worker) in pool.workers.iter_mut().enumerate() {
-                worker.link.expire_doubt(now, &options.link);
-                let started = first_starts
-                    .iter()
-                    .find(|(service, at, _)| service == target && *at == index);
-                if let Some((_, _, started)) = started {
-                    silent += usize::from(is_silent(now, worker, *started, typical, &options.link));
-                }
-                if worker.is_open() && worker.is_reported_unreachable(now, options) {
-                    worker.link.doubt(now, Evidence::Reported);
-                }
+            let worker = &mut pool.workers[call.worker];
+            if is_silent(now, worker, call.started, typical, &options.link) {
+                *silent_counts.entry(call.target).or_default() += 1;
             }
-            if silent >= MIN_TROUBLED {
-                pool.doubt_if_unheard(now, typical, &options.link);
+        }
+        for (target, count) in silent_counts {
+            if let Some(pool) = self.pools.get_mut(&target)
+                && count >= MIN_TROUBLED
+            {
+                pool.doubt_if_unheard(now, &options.link);
             }
         }
         self.doubt_others(now);
@@ -177,9 +182,8 @@
         let options = &self.options.worker;
         let deaf = self.pools.values().filter_map(|pool| {
             let since = pool.deaf_since_opt(now, options)?;
-            pool.count_open(|worker| worker.link.is_lost())
-                .gt(&0)
-                .then_some(since)
+            let lost = pool.count_open(|worker| worker.link.is_lost());
+            (lost > 0).then_some(since)
         });
         let Some(since) = deaf.min() else {
             return;
@@ -366,9 +370,10 @@
         let open = open.filter(|worker| worker.own_cell && worker.is_open());
         let (mut lost, mut all) = (0, 0);
         for worker in open {
-            all += worker.endpoint.slots;
+            let slots = u64::from(worker.endpoint.slots);
+            all += slots;
             if worker.link.is_lost() {
-                lost += worker.endpoint.slots;
+                lost += slots;
             }
         }
         (lost * 100).div_ceil(all.max(1)) as u8
@@ -390,7 +395,8 @@
     }
 
     /// Puts the links to all endpoints of this cell in doubt, unless one was heard recently.
-    fn doubt_if_unheard(&mut self, now: Time, typical: Span, options: &link::Options) {
+    fn doubt_if_unheard(&mut self, now: Time, options: &link::Options) {
+        let typical = self.typical_response_time();
         let is_heard = |worker: &Worker| {
             let silence = worker
                 .link
@@ -445,18 +451,28 @@
     silence > worker.link.max_common_silence(typical, options)
 }
 
-/// Returns when the first request in progress of this node's callers began at each endpoint, by
-/// its service and index.
-fn first_own_starts<'a>(runs: impl Iterator<Item = &'a Run>) -> Vec<(id::Target, usize, Time)> {
-    let mut starts: Vec<(id::Target, usize, Time)> = Vec::new();
+/// The first request in progress of this node's callers at one endpoint.
+struct FirstCall {
+    target: id::Target,
+    worker: usize,
+    started: Time,
+}
+
+/// Returns the first request in progress of this node's callers at each endpoint that has one.
+fn first_calls<'a>(runs: impl Iterator<Item = &'a Run>) -> Vec<FirstCall> {
+    let mut calls: Vec<FirstCall> = Vec::new();
     for run in runs.filter(|run| run.job.origin.is_none()) {
-        let known = starts
+        let known = calls
             .iter_mut()
-            .find(|(service, index, _)| *service == run.job.target && *index == run.worker);
+            .find(|call| call.worker == run.worker && call.target == run.job.target);
         match known {
-            Some((_, _, started)) => *started = run.started.min(*started),
-            None => starts.push((run.job.target.clone(), run.worker, run.started)),
+            Some(call) => call.started = run.started.min(call.started),
+            None => calls.push(FirstCall {
+                target: run.job.target.clone(),
+                worker: run.worker,
+                started: run.started,
+            }),
         }
     }
-    starts
+    calls
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -31,6 +31,7 @@
 use super::classify;
 use super::classify::Disposition;
 use super::fingerprint;
+use super::forward::Forward;
 use super::hop;
 use super::outgoing;
 use super::outgoing::Attempt;
@@ -67,15 +68,15 @@
     pub hop: Option<hop::Request>,
     /// Counts the request among those that other nodes forwarded to this one.
     pub in_progress: Option<hop::InProgress>,
-    head: Parts,
-    payload: Option<Payload>,
+    pub(super) head: Parts,
+    pub(super) payload: Option<Payload>,
     fingerprint: Option<Fingerprint>,
-    since_first_try: Span,
-    job: Option<job::Id>,
-    decision: Option<oneshot::Receiver<Decision>>,
+    pub(super) since_first_try: Span,
+    pub(super) job: Option<job::Id>,
+    pub(super) decision: Option<oneshot::Receiver<Decision>>,
     units: u64,
     charged_by: ChargedBy,
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     is_finished: bool,
 }
 
@@ -271,119 +272,6 @@
         }
     }
 
-    /// Forwards the request to another node. Returns an endpoint's answer that it passed on, or
-    /// `None` if the request is to be tried elsewhere.
-    ///
-    /// # Errors
-    /// Returns the final reply, of the other node or of this one.
-    async fn forward(
-        &mut self,
-        forward: &Forward,
-        last_event: Option<&str>,
-    ) -> Result<Option<Answer>, Reply> {
-        let node = forward.node;
-        self.shell.log(&Event::Forwarded {
-            request: &self.admitted.request_id,
-            node: &node.to_string(),
-            after_ms: self.shell.now().since(self.admitted.arrived).0 / 1_000,
-        });
-        let mut answer = match self.send_to_node(forward, last_event).await {
-            Ok(answer) => answer,
-            Err(fault) => {
-                let (end, forward_end) = match fault {
-                    CallError::NotSent(_) => (End::NotSent, ForwardEnd::NotSent),
-                    CallError::Lost(_) => (End::Lost, ForwardEnd::Lost),
-                    CallError::Late => (End::Late, ForwardEnd::Answered),
-                };
-                let is_retried = self.end_forward(node, forward_end, end, &fault.to_string());
-                return match is_retried {
-                    true => Ok(None),
-                    false => Err(self.to_final_reply(end)),
-                };
-            }
-        };
-        let head = answer.response.headers_mut();
-        let stated: Option<hop::Answer> = hop::take(head);
-        let Some(stated) = stated else {
-            let detail = "the node did not state who answers";
-            return match self.end_forward(node, ForwardEnd::Lost, End::Lost, detail) {
-                true => Ok(None),
-                false => Err(self.to_final_reply(End::Lost)),
-            };
-        };
-        let Some(reply) = stated.to_reply_opt(node) else {
-            return Ok(Some(answer));
-        };
-        let code = reply.code.to_string();
-        if stated.is_declined(reply, self.admitted.configuration_version) {
-            return match self.end_forward(node, ForwardEnd::Declined, End::NotSent, &code) {
-                true => Ok(None),
-                false => Err(self.to_final_reply(End::NotSent)),
-            };
-        }
-        self.end_forward(node, ForwardEnd::Answered, End::Rejected, &code);
-        Err(self.to_refusal(reply))
-    }
-
-    async fn send_to_node(
-        &mut self,
-        forward: &Forward,
-        last_event: Option<&str>,
-    ) -> Result<Answer, CallError> {
-        let now = self.shell.now();
-        let stated = hop::Request {
-            node: self.shell.query(|dispatcher, _| dispatcher.own_address()),
-            age_us: now.since(self.admitted.arrived).0,
-            since_first_try_us: self.since_first_try.0,
-            sent: forward.sent,
-            tried: forward.tried.clone(),
-        };
-        let names = &self.shell.headers;
-        let payload = self.payload.as_mut();
-        let request = payload.and_then(|payload| {
-            outgoing::build_forwarded(names, &self.head, payload, &stated, last_event)
-        });
-        let Some(request) = request else {
-            return Err(CallError::Lost("the body has gone out already".into()));
-        };
-        let shell = self.shell.clone();
-        let target = Target::Node(forward.node);
-        let call = shell.upstream.call(now, &target, forward.node, request);
-        match shell.timeout_at(self.admitted.deadline, call).await {
-            Ok(sent) => sent,
-            Err(_) => Err(CallError::Late),
-        }
-    }
-
-    /// Reports the end of a forwarded request to the dispatcher. Returns whether it is tried again.
-    fn end_forward(
-        &mut self,
-        node: SocketAddrV4,
-        forward_end: ForwardEnd,
-        end: End,
-        detail: &str,
-    ) -> bool {
-        let Some(job) = self.job else {
-            return false;
-        };
-        self.may_have_run |= matches!(end, End::Lost | End::Late);
-        let (next, decision) = self.shell.end_forward(job, forward_end);
-        self.decision = decision;
-        let service = self.admitted.target.as_str();
-        self.shell
-            .metrics
-            .record_forward(service, forward_end.as_str());
-        self.shell.log(&Event::ForwardEnded {
-            request: &self.admitted.request_id,
-            node: &node.to_string(),
-            end: forward_end.as_str(),
-            next: next.as_str(),
-            detail,
-            after_ms: self.shell.now().since(self.sent_at).0 / 1_000,
-        });
-        self.finish_step(next)
-    }
-
     /// Returns the name of the node that forwarded the request; empty if a caller sent it.
     pub fn forwarder_name(&self) -> String {
         let node = self.hop.as_ref().map(|hop| hop.node.to_string());
@@ -405,7 +293,7 @@
 
     /// Returns the refusal, or `EndpointLost` if an earlier attempt may have run. Logs a barred
     /// request.
-    fn to_refusal(&self, reply: Reply) -> Reply {
+    pub(super) fn to_refusal(&self, reply: Reply) -> Reply {
         if self.may_have_run {
             return Code::EndpointLost.into();
         }
@@ -564,7 +452,7 @@
     }
 
     /// Returns whether the request is tried again, and forgets its id in the dispatcher if not.
-    fn finish_step(&mut self, next: Next) -> bool {
+    pub(super) fn finish_step(&mut self, next: Next) -> bool {
         if next != Next::Again {
             self.job = None;
         }
@@ -574,7 +462,7 @@
     }
 
     /// Returns the final reply after the last attempt.
-    fn to_final_reply(&self, end: End) -> Reply {
+    pub(super) fn to_final_reply(&self, end: End) -> Reply {
         if !self.may_have_run {
             let retry_after = self.shell.query(|dispatcher, now| {
                 let time_left = self.admitted.deadline.since(now);
@@ -638,13 +526,6 @@
     Node(Forward),
 }
 
-/// A node to forward a request to, and the endpoints that were tried before.
-struct Forward {
-    node: SocketAddrV4,
-    sent: u32,
-    tried: Vec<u32>,
-}
-
 fn to_end(fault: &CallError) -> End {
     match fault {
         CallError::NotSent(_) => End::NotSent,
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,6 +6,7 @@
 //! * `closing.rs`: limits requests during a planned stop.
 //! * `charge.rs`: charges requests to their customer's quota.
 //! * `fingerprint.rs`: computes fingerprints of requests.
+//! * `forward.rs`: forwards requests to other nodes.
 //! * `hop.rs`: what nodes tell each other about a forwarded request.
 //! * `exchange.rs`: makes attempts at endpoints until there is an answer.
 //! * `outgoing.rs`: builds the requests to endpoints.
@@ -47,6 +48,7 @@
 mod closing;
 mod exchange;
 mod fingerprint;
+mod forward;
 pub mod framer;
 mod handle;
 mod hop;
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -47,27 +47,14 @@
     payload: &mut Payload,
     attempt: &Attempt<'_>,
 ) -> Option<Request<Body>> {
-    if !payload.can_send() {
-        return None;
-    }
-    let length = payload.length_opt();
-    let path = head.uri.path_and_query()?.as_str();
-    let mut request = Request::builder()
-        .method(head.method.clone())
-        .uri(path)
-        .body(payload.take_body())
-        .ok()?;
+    let mut request = copy(head, payload)?;
     let headers = request.headers_mut();
-    *headers = head.headers.clone();
-    remove_hop_by_hop(headers);
     headers.remove(header::AUTHORIZATION);
-    headers.remove(header::EXPECT);
     headers.remove(&names.customer);
     headers.remove(hop::FIELD);
     for name in &names.reserved {
         headers.remove(name);
     }
-    set_framing(headers, &head.headers, length);
     let time_left_ms = (attempt.time_left.0 / 1_000).max(1);
     headers.insert(names.deadline.clone(), time_left_ms.into());
     headers.insert(
@@ -83,15 +70,8 @@
     Some(request)
 }
 
-/// Builds the request that forwards a caller's request to another node: unchanged except for
-/// hop-by-hop header fields. `None` as for [`build`].
-pub fn build_forwarded(
-    names: &Headers,
-    head: &Parts,
-    payload: &mut Payload,
-    stated: &hop::Request,
-    last_event: Option<&str>,
-) -> Option<Request<Body>> {
+/// Copies a caller's request, without its hop-by-hop header fields. `None` as for [`build`].
+fn copy(head: &Parts, payload: &mut Payload) -> Option<Request<Body>> {
     if !payload.can_send() {
         return None;
     }
@@ -107,6 +87,20 @@
     remove_hop_by_hop(headers);
     headers.remove(header::EXPECT);
     set_framing(headers, &head.headers, length);
+    Some(request)
+}
+
+/// Builds the request that forwards a caller's request to another node: unchanged except for
+/// hop-by-hop header fields. `None` as for [`build`].
+pub fn build_forwarded(
+    names: &Headers,
+    head: &Parts,
+    payload: &mut Payload,
+    stated: &hop::Request,
+    last_event: Option<&str>,
+) -> Option<Request<Body>> {
+    let mut request = copy(head, payload)?;
+    let headers = request.headers_mut();
     if let Some(authority) = head.uri.authority()
         && !headers.contains_key(header::HOST)
     {
