fix: read the body of a forwarded request before it is declined

A node that is busy, starting or out of reach of the endpoints declined a forwarded request with its body unread. Closing such a connection resets it, so the node that forwarded might not see that the request had not run, and told its caller that it may have (found by reading the diff, not seen). The body is now read first, as for callers.

--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
+use woadstage_dispatch::configuration::Limits;
 use woadstage_dispatch::dispatcher::Admission;
 use woadstage_dispatch::table::Table;
 use woadstage_types::code::Code;
@@ -15,6 +16,7 @@
 use woadstage_types::unit::Time;
 
 use super::admit;
+use super::admit::Admitted;
 use super::closing;
 use super::exchange::Exchange;
 use super::hop;
@@ -79,29 +81,28 @@
 pub async fn serve_forwarded(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
     let in_progress = hop::InProgress::new(&shell);
     let (mut head, body) = request.into_parts();
-    let reply_with = |reply: Reply| {
-        let mut response = reply.to_response();
-        state_reply(&shell, &mut response, reply);
-        response
+    let hop: Option<hop::Request> = hop::take(&mut head.headers);
+    let admitted = match &hop {
+        Some(hop) => admit_forwarded(&shell, &head, hop),
+        None => Err(Code::HeaderInvalid),
     };
-    let Some(hop) = hop::take::<hop::Request>(&mut head.headers) else {
-        return reply_with(Code::HeaderInvalid.into());
+    let max_body = match &admitted {
+        Ok(admitted) => admitted.max_body,
+        Err(_) => Limits::default().body,
     };
-    if shell.forwarded.get() > MAX_FORWARDED {
-        return reply_with(Code::NodeBusy.into());
-    }
-    let arrived = shell.now() - Span(hop.age_us) - hop::MARGIN;
-    let table = shell.query(|dispatcher, now| dispatcher.admission_table_opt(now).cloned());
-    let admitted = match admit::admit(table.as_deref(), &shell.headers, &head, arrived) {
+    // As for callers, the body is read before any reply.
+    let payload = Payload::read(body, max_body, &shell.body_budget).await;
+    let admitted = match admitted {
         Ok(admitted) => admitted,
-        Err(code) => return reply_with(code.into()),
+        Err(code) => {
+            let reply = Reply::from(code);
+            let mut response = reply.to_response();
+            state_reply(&shell, &mut response, reply);
+            return response;
+        }
     };
-    if !shell.query(|dispatcher, _| dispatcher.reaches(&admitted.target)) {
-        return reply_with(Code::EndpointRefused.into());
-    }
-    let payload = Payload::read(body, admitted.max_body, &shell.body_budget).await;
     let mut exchange = Exchange::new(shell.clone(), admitted, head);
-    exchange.hop = Some(hop);
+    exchange.hop = hop;
     exchange.in_progress = Some(in_progress);
     let reply = match payload {
         Ok(payload) => {
@@ -118,6 +119,24 @@
     response
 }
 
+/// Admits a forwarded request as of its arrival at the node that forwarded it.
+///
+/// # Errors
+/// Returns the code of the reply if this node has no route for it, serves too many already, or
+/// does not reach its endpoints either.
+fn admit_forwarded(shell: &Shell, head: &Parts, hop: &hop::Request) -> Result<Admitted, Code> {
+    if shell.forwarded.get() > MAX_FORWARDED {
+        return Err(Code::NodeBusy);
+    }
+    let arrived = shell.now() - Span(hop.age_us) - hop::MARGIN;
+    let table = shell.query(|dispatcher, now| dispatcher.admission_table_opt(now).cloned());
+    let admitted = admit::admit(table.as_deref(), &shell.headers, head, arrived)?;
+    match shell.query(|dispatcher, _| dispatcher.reaches(&admitted.target)) {
+        true => Ok(admitted),
+        false => Err(Code::EndpointRefused),
+    }
+}
+
 async fn run_forwarded(exchange: &mut Exchange) -> Result<Answer, Reply> {
     closing::limit_deadline(exchange)?;
     exchange.submit().await?;
