fix: state a recent uptime to newcomers only

Only a node that starts needs to know who started before it, and the others know it as a newcomer from its first status on.

--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -155,6 +155,8 @@
                 .to_vec(),
             rate_limits: limit_announcements(&status.rate_limits),
             notices: limit_announcements(&status.notices),
+            // Only a node that starts needs to know who started before it.
+            uptime: None,
             ..status.clone()
         };
         let mut statuses = vec![(to_established, established), (status, newcomers)];
