feat: send fewer requests to endpoints that tolerate few rejections

While an endpoint states it: * All requests to it go through the owner of its slots, also in a fleet of one cell. A rejection also backs off for 250 ms. * A node that begins to send starts with a few requests in progress and has one more for each that is accepted, since it does not know what others left there. In a partition each side uses its part of the slots by the nodes it hears. * A newly listed endpoint is taken to tolerate what the others of its service state until it answers.

What rate limits and tolerances share, statements that are passed on by age, is a module of its own (`statement`). Protocol 14; the bytes before it are as they were.

--- a/crates/dispatch/src/dispatcher/apply_notice.rs
+++ b/crates/dispatch/src/dispatcher/apply_notice.rs
@@ -28,9 +28,14 @@
             Field::Absent => self.record_rate_limit(now, id, None),
             Field::Given(limit) => self.record_rate_limit(now, id, Some(limit)),
         };
+        let tolerance = match notice.tolerance {
+            Field::Unknown => None,
+            Field::Absent => self.record_tolerance(now, id, None),
+            Field::Given(tolerance) => self.record_tolerance(now, id, Some(tolerance)),
+        };
         let leaving = notice.leaving.then(|| self.record_leaving(id)).flatten();
         let rest = notice.rest.and_then(|rest| self.record_rest(now, id, rest));
-        let changes = cold.into_iter().chain(limit);
+        let changes = cold.into_iter().chain(limit).chain(tolerance);
         changes.chain(leaving).chain(rest).collect()
     }
 
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -20,7 +20,6 @@
 use crate::member::Scope;
 use crate::message::Message;
 use crate::queue_report::Source;
-use crate::rate_limit::Limit;
 use crate::stated_load;
 use crate::worker::Worker;
 
@@ -111,7 +110,7 @@
         let Some(pool) = self.pools.get(&job.target) else {
             return local;
         };
-        let per_endpoint = pool.shared || self.is_fully_rate_limited(now, pool, job);
+        let per_endpoint = pool.shared || self.is_fully_owned(now, pool, job);
         let endpoint = match per_endpoint {
             true => self.sample_endpoint(now, pool, job),
             false => None,
@@ -134,13 +133,13 @@
     }
 
     /// Returns the owner of one endpoint's slots, or of this cell's slots of a service. In
-    /// a fleet of one cell every node decides on its own, except for rate-limited
-    /// endpoints.
+    /// a fleet of one cell every node decides on its own, except for endpoints
+    /// that need an owner.
     pub(super) fn slot_owner(&self, now: Time, pool: &Pool, endpoint: Option<u32>) -> Owner {
         let one_cell = self.members.cell().covers_fleet;
         let (scope, key) = match endpoint {
             Some(endpoint) if !one_cell => (Scope::Fleet, endpoint),
-            Some(endpoint) if pool.is_rate_limited(endpoint) => (Scope::RateLimitCapable, endpoint),
+            Some(endpoint) if pool.needs_owner(endpoint) => (Scope::RateLimitCapable, endpoint),
             None if !one_cell => (Scope::Cell, pool.number),
             Some(_) | None => return Owner::Local,
         };
@@ -200,16 +199,14 @@
             .count()
     }
 
-    /// Returns the expected wait, in seconds, at the owner of a rate-limited endpoint: the
-    /// requests that the owner last reported as waiting plus this node's open requests for
-    /// the endpoint, divided by the total rate of the endpoints whose limits the owner
-    /// enforces.
+    /// Returns the expected wait, in seconds, at the owner of an endpoint: the requests that
+    /// the owner last reported as waiting plus this node's open requests for the endpoint,
+    /// divided by the total rate of the endpoints that it owns.
     fn owner_wait_seconds(&self, now: Time, pool: &Pool, worker: &Worker) -> f64 {
         let owner_of = |worker: &Worker| self.slot_owner(now, pool, Some(worker.number));
         let owner = owner_of(worker);
         let owned = pool.workers.iter().filter(|other| owner_of(other) == owner);
-        let limits = owned.filter_map(|other| other.rate_limit.limit_opt());
-        let rate: f64 = limits.map(Limit::per_second).sum();
+        let rate: f64 = owned.map(|other| pool.rate_of(other)).sum();
         let reported_waiting = match owner {
             Owner::Local => pool.queue.len(),
             Owner::Remote(owner) => self.members.waiting_at(owner, pool.number),
@@ -391,7 +388,7 @@
         let Some((pool, job)) = pool.zip(open_request.job.as_ref()) else {
             return false;
         };
-        if self.members.cell().covers_fleet && !self.is_fully_rate_limited(now, pool, job) {
+        if self.members.cell().covers_fleet && !self.is_fully_owned(now, pool, job) {
             return false;
         }
         if self.is_displaced(pool, job) {
--- a/crates/dispatch/src/dispatcher/forward.rs
+++ b/crates/dispatch/src/dispatcher/forward.rs
@@ -109,7 +109,7 @@
         }
         let options = &self.options.worker;
         let is_free = |worker: &&&Worker| {
-            worker.accepts_work(now, options) && worker.busy() < worker.endpoint.slots
+            worker.accepts_work(now, options) && worker.busy() < worker.usable_slots()
         };
         if reached.iter().any(|worker| is_free(&worker)) {
             return false;
--- a/crates/dispatch/src/dispatcher/keep_rate_limit.rs
+++ b/crates/dispatch/src/dispatcher/keep_rate_limit.rs
@@ -85,7 +85,7 @@
             };
             let before = worker.rate_limit.limit_opt();
             if worker.rate_limit.record_report(now, *report) {
-                changes.push((before, report.limit));
+                changes.push((before, report.value));
             }
         }
         for (before, after) in changes {
@@ -130,7 +130,7 @@
         let limited = pool.workers.iter().enumerate();
         let limited = limited.filter(|(_, worker)| worker.is_rate_limited());
         let owned_elsewhere =
-            limited.filter(|(_, worker)| !self.owns_rate_limit(now, pool, worker, permit));
+            limited.filter(|(_, worker)| !self.owns_slots_of(now, pool, worker, permit));
         owned_elsewhere.map(|(index, _)| index).collect()
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -95,6 +95,7 @@
 pub mod forecast;
 mod forward;
 mod keep_rate_limit;
+mod keep_tolerance;
 mod lend;
 mod measure_load;
 mod observe;
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -53,6 +53,9 @@
         };
         let is_own = run.job.origin.is_none();
         pool.workers[run.worker].record_progress(now, is_own);
+        if run.first.is_none() {
+            pool.workers[run.worker].record_accepted(now);
+        }
         if is_own {
             pool.workers[run.worker].rest.record_served(run.started);
         }
@@ -195,6 +198,9 @@
         let is_own = run.job.origin.is_none();
         let is_credible = is_own || !self.members.has_lost_links(reporter, pool.number);
         let worker = &mut pool.workers[run.worker];
+        if run.first.is_none() && matches!(end, End::Whole | End::Rejected | End::Fault) {
+            worker.record_accepted(now);
+        }
         worker.end(pending, is_own);
         if is_own {
             match end {
@@ -213,7 +219,14 @@
                 }
             }
             End::Fault => worker.record_fault(now, is_own),
-            End::Full => worker.record_full(now, options, is_own),
+            End::Full => {
+                worker.record_full(now, options, is_own);
+                if is_own && worker.tolerance.tolerance_opt().is_some() {
+                    worker.tolerance.record_rejection(now);
+                    self.urgent = true;
+                    self.has_news = true;
+                }
+            }
             End::NotThere => worker.gone_at = Some(now),
             End::NotSent | End::Lost if is_credible => {
                 let number = worker.number;
--- a/crates/dispatch/src/dispatcher/permit.rs
+++ b/crates/dispatch/src/dispatcher/permit.rs
@@ -36,7 +36,7 @@
     /// Returns the permit of this node for the limited endpoints of a service, or `None` if the
     /// service has no limited endpoint.
     pub(super) fn permit_opt(&self, now: Time, pool: &Pool) -> Option<Permit> {
-        let is_bounded = |worker: &Worker| pool.is_cold(now, worker) || worker.is_rate_limited();
+        let is_bounded = |worker: &Worker| pool.is_cold(now, worker) || worker.needs_owner();
         pool.workers.iter().any(is_bounded).then(|| Permit {
             authority: self.authority(now, pool),
             reach: self.members.reach(now),
@@ -67,7 +67,24 @@
         let cold = pool.is_cold(now, worker);
         let may_while_cold =
             || worker.cold.may_start(now) && self.owns_cold_start(now, worker, permit);
-        (!cold || may_while_cold()) && self.may_start_rate_limited(now, pool, worker, permit)
+        (!cold || may_while_cold()) && self.may_start_owned(now, pool, worker, permit)
+    }
+
+    /// The number of requests that an endpoint may have in progress when one more is sent there, or
+    /// `usual` if it may reject as many as it likes.
+    pub(super) fn capacity(
+        &self,
+        now: Time,
+        worker: &Worker,
+        permit: Option<Permit>,
+        usual: u32,
+    ) -> u32 {
+        let Some(permit) = permit.filter(|_| worker.tolerance.tolerance_opt().is_some()) else {
+            return usual;
+        };
+        let slots = worker.tolerance.capacity(now, worker.endpoint.slots);
+        let scaled = permit.reach.scale_slots(worker.usable_slots());
+        slots.min(scaled).min(usual)
     }
 
     fn owns_cold_start(&self, now: Time, worker: &Worker, permit: Permit) -> bool {
@@ -78,22 +95,19 @@
         }
     }
 
-    fn may_start_rate_limited(
-        &self,
-        now: Time,
-        pool: &Pool,
-        worker: &Worker,
-        permit: Permit,
-    ) -> bool {
-        let Some(limit) = worker.rate_limit.limit_opt() else {
+    fn may_start_owned(&self, now: Time, pool: &Pool, worker: &Worker, permit: Permit) -> bool {
+        if !worker.needs_owner() {
             return true;
-        };
-        let spacing = permit.reach.scale_interval(limit.to_interval());
-        worker.rate_limit.may_start(now, spacing) && self.owns_rate_limit(now, pool, worker, permit)
+        }
+        let is_due = worker.rate_limit.limit_opt().is_none_or(|limit| {
+            let spacing = permit.reach.scale_interval(limit.to_interval());
+            worker.rate_limit.may_start(now, spacing)
+        });
+        is_due && self.owns_slots_of(now, pool, worker, permit)
     }
 
-    /// Whether this node enforces the rate limit of an endpoint.
-    pub(super) fn owns_rate_limit(
+    /// Whether this node alone sends requests to an endpoint that needs an owner.
+    pub(super) fn owns_slots_of(
         &self,
         now: Time,
         pool: &Pool,
@@ -108,12 +122,12 @@
         }
     }
 
-    /// Whether the fleet has one cell and every endpoint that can take the request has a rate limit.
-    /// If so, the request waits for a slot at the owners of those endpoints.
+    /// Whether the fleet has one cell and every endpoint that can take the request needs an owner. If
+    /// so, the request waits for a slot at the owners of those endpoints.
     ///
-    /// Without this rule the callers of an owner would use up the rate limit of its endpoints, and
+    /// Without this rule the callers of an owner would use up its endpoints, and
     /// callers of a node that owns none would not be served at all.
-    pub(super) fn is_fully_rate_limited(&self, now: Time, pool: &Pool, job: &Job) -> bool {
+    pub(super) fn is_fully_owned(&self, now: Time, pool: &Pool, job: &Job) -> bool {
         if !self.members.cell().covers_fleet {
             return false;
         }
@@ -124,6 +138,6 @@
                 && self.may_run_at(job, worker)
         });
         let mut open = open.peekable();
-        open.peek().is_some() && open.all(Worker::is_rate_limited)
+        open.peek().is_some() && open.all(Worker::needs_owner)
     }
 }
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -110,20 +110,20 @@
         let pool = self.pools.get(target)?;
         let free: u32 = self.free_slots(now, pool);
         let one_cell = self.members.cell().covers_fleet;
-        let limited = one_cell && pool.workers.iter().any(Worker::is_rate_limited);
+        let owned = one_cell && pool.workers.iter().any(Worker::needs_owner);
         for (id, job) in pool.queue.iter().take(self.options.policy.look_ahead) {
             // The free slots are reserved for more protected requests that wait on other nodes,
             // except for slots that only this node hands out.
             let higher_ranked = elsewhere.range(..job.rank).map(|(_, count)| count);
             let higher_ranked: usize = higher_ranked.sum();
             let reserve = higher_ranked > 0 && higher_ranked >= free as usize;
-            let may_take = |worker: &Worker| !reserve || (one_cell && worker.is_rate_limited());
+            let may_take = |worker: &Worker| !reserve || (one_cell && worker.needs_owner());
             let usual = self.overcommit(pool, job);
             let ahead = |worker: &Worker| self.depth_opt(now, pool, worker).unwrap_or(usual);
             if let Some(candidate) = self.cheapest(now, pool, job, ahead, may_take) {
                 return Some((id, candidate));
             }
-            if reserve && !limited {
+            if reserve && !owned {
                 return None;
             }
         }
@@ -142,14 +142,14 @@
         counts
     }
 
-    /// Counts the free slots of this cell. In a fleet of one cell, endpoints with a rate limit are
-    /// left out because only their owners hand out their slots.
+    /// Counts the free slots of this cell. In a fleet of one cell, endpoints whose
+    /// slots only their owners hand out are left out.
     pub(super) fn free_slots(&self, now: Time, pool: &Pool) -> u32 {
         let one_cell = self.members.cell().covers_fleet;
         let usable = pool.workers.iter().filter(|worker| {
             let options = &self.options.worker;
             let open = match one_cell {
-                true => worker.accepts_work(now, options) && !worker.is_rate_limited(),
+                true => worker.accepts_work(now, options) && !worker.needs_owner(),
                 false => worker.is_lendable(now, options),
             };
             worker.own_cell && open
@@ -213,7 +213,8 @@
             {
                 continue;
             }
-            if worker.busy() >= capacity(worker, ahead(worker), job)
+            let usual = capacity(worker, ahead(worker), job);
+            if worker.busy() >= self.capacity(now, worker, permit, usual)
                 || !self.may_start(now, pool, worker, permit)
             {
                 continue;
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -55,10 +55,10 @@
         listed.filter(|worker| holds(worker)).count()
     }
 
-    /// Whether the endpoint with this number has a rate limit.
-    pub(super) fn is_rate_limited(&self, number: u32) -> bool {
+    /// Whether all requests to the endpoint with this number go through its owner.
+    pub(super) fn needs_owner(&self, number: u32) -> bool {
         let index = self.worker_opt(number);
-        index.is_some_and(|index| self.workers[index].is_rate_limited())
+        index.is_some_and(|index| self.workers[index].needs_owner())
     }
 
     /// Returns the index of the endpoint with this number.
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -185,6 +185,10 @@
         let mut worker = Worker::new(endpoint);
         worker.cold.extend(now, worker.endpoint.cold_for);
         worker.leaving = self.leaving_endpoints.contains(worker.number);
+        // It may fail as easily as the others, and its first answers come too late to tell.
+        let others = pool.workers.iter();
+        let tolerances = others.filter_map(|other| other.tolerance.tolerance_opt());
+        worker.tolerance.assume(tolerances.min());
         pool.workers.push(worker);
     }
 
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -73,6 +73,7 @@
         let findings = std::mem::take(&mut status.findings);
         let rate_limits = std::mem::take(&mut status.rate_limits);
         let notices = std::mem::take(&mut status.notices);
+        let tolerances = std::mem::take(&mut status.tolerances);
         let quarantine = status.quarantine_digest;
         let incarnation = status.incarnation;
         let usage = status.usage.clone();
@@ -99,6 +100,7 @@
         }
         self.receive_rate_limits(now, &rate_limits);
         self.receive_announcements(now, &notices);
+        self.receive_tolerances(now, from, &tolerances);
         self.take_findings(now, &findings);
         self.answer_digest(now, from, quarantine);
         reception
@@ -155,6 +157,7 @@
                 .to_vec(),
             rate_limits: limit_announcements(&status.rate_limits),
             notices: limit_announcements(&status.notices),
+            tolerances: limit_announcements(&status.tolerances),
             // Only a node that starts needs to know who started before it.
             uptime: None,
             ..status.clone()
@@ -184,6 +187,7 @@
             protocol: Protocol::CURRENT,
             rate_limits: self.rotate_announcements(self.rate_limits_to_announce(now)),
             notices: self.rotate_announcements(self.announcements(now)),
+            tolerances: self.rotate_announcements(self.tolerances_to_announce(now)),
             lost_links: self.lost_links(),
             uptime: self.accounts.recent_uptime_opt(now),
         }
--- a/crates/dispatch/src/dispatcher/start_cold.rs
+++ b/crates/dispatch/src/dispatcher/start_cold.rs
@@ -5,6 +5,7 @@
 
 use super::Dispatcher;
 use super::Pool;
+use crate::rate_limit::Limit;
 use crate::worker::Worker;
 
 impl Pool {
@@ -17,7 +18,7 @@
     /// its requests one after the other, and one with a rate limit runs no more at once
     /// than it accepts within the duration of a call.
     pub(super) fn slots_of(&self, now: Time, worker: &Worker) -> u32 {
-        let slots = worker.endpoint.slots;
+        let slots = worker.usable_slots();
         if self.is_cold(now, worker) {
             return slots.min(1);
         }
@@ -29,6 +30,19 @@
     }
 }
 
+impl Pool {
+    /// Returns the number of requests a second that an endpoint can take, by its rate limit or else
+    /// by its slots.
+    pub(super) fn rate_of(&self, worker: &Worker) -> f64 {
+        let by_slots = || {
+            let call = Span(self.call_us as u64).max(Span::from_millis(1));
+            f64::from(worker.usable_slots()) / call.as_secs_f64()
+        };
+        let limit = worker.rate_limit.limit_opt();
+        limit.map_or_else(by_slots, Limit::per_second)
+    }
+}
+
 impl Dispatcher {
     /// Returns the interval between two requests of this node to a cold endpoint of a
     /// service. It is lengthened in proportion to the part of the fleet that this node
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 //! * [`worker`]: what was measured of one endpoint.
 //! * [`slot_depth`]: requests that an endpoint is given beyond its slots, by the load it states.
 //! * [`stated_load`]: the load that endpoints state in answers.
+//! * [`statement`]: what endpoints state in all their answers, passed on between nodes.
 //! * [`turnaround`]: the idle time of slots between two requests.
 //! * [`prefix_cache`]: which endpoint has which prompt in its cache.
 //! * [`fair_share`]: fair queuing among the customers of one rank.
@@ -38,6 +39,7 @@
 //! * [`quota`]: usage limits of customers across all nodes.
 //! * [`notice`]: notices that endpoints send in answers.
 //! * [`rate_limit`]: the request rates that endpoints state they accept.
+//! * [`tolerance`]: endpoints that fail if they have to reject too many requests.
 //! * [`budget`]: the retry budget across all nodes.
 //! * [`member`]: the other nodes of the fleet.
 //! * [`message`]: messages between nodes.
@@ -78,7 +80,9 @@
 pub mod section;
 pub mod slot_depth;
 pub mod stated_load;
+pub mod statement;
 pub mod table;
+pub mod tolerance;
 pub mod turnaround;
 pub mod wire;
 pub mod worker;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -21,6 +21,7 @@
 use crate::rate_limit;
 use crate::section;
 use crate::section::Difference;
+use crate::tolerance;
 
 /// The load that one node puts on one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -106,6 +107,10 @@
     /// status.
     #[serde(skip)]
     pub notices: Vec<notice::Announcement>,
+    /// A part of the rejections that endpoints tolerate and those that the node received, a
+    /// different part in each status.
+    #[serde(skip)]
+    pub tolerances: Vec<tolerance::Announcement>,
     /// The services of which the node does not reach every open endpoint.
     #[serde(skip)]
     pub lost_links: Vec<LostLinks>,
--- a/crates/dispatch/src/notice.rs
+++ b/crates/dispatch/src/notice.rs
@@ -11,6 +11,7 @@
 use woadstage_types::unit::Span;
 
 use crate::rate_limit::Limit;
+use crate::tolerance::Tolerance;
 use crate::worker::Worker;
 
 /// The contents of one answer head about its endpoint.
@@ -20,6 +21,8 @@
     pub cold_for: Option<Span>,
     /// The number of requests a second that the endpoint accepts from all nodes together.
     pub rate_limit: Field<Limit>,
+    /// How many rejections within a second the endpoint tolerates.
+    pub tolerance: Field<Tolerance>,
     /// Whether the endpoint is leaving and asks for no further requests.
     pub leaving: bool,
     /// How long this node is asked to send the endpoint no requests, if stated.
@@ -53,6 +56,13 @@
         /// The new limit, if there is one.
         after: Option<Limit>,
     },
+    /// How many rejections the endpoint tolerates changed.
+    Tolerance {
+        /// The previous number, if there was one.
+        before: Option<Tolerance>,
+        /// The new number, if there is one.
+        after: Option<Tolerance>,
+    },
     /// The endpoint is leaving.
     Leaving,
     /// The endpoint that was leaving is no longer listed.
@@ -113,6 +123,7 @@
         match self {
             Change::Cold { .. } => "cold",
             Change::RateLimit { .. } => "rate-limit",
+            Change::Tolerance { .. } => "tolerance",
             Change::Leaving | Change::Left => "leaving",
             Change::Rest { .. } | Change::Rested => "rest",
         }
@@ -125,6 +136,7 @@
             Change::Left => YES.to_owned(),
             Change::Rested => OVER.to_owned(),
             Change::RateLimit { before, .. } => to_text(before),
+            Change::Tolerance { before, .. } => to_text(before),
         }
     }
 
@@ -135,6 +147,7 @@
             Change::Leaving => YES.to_owned(),
             Change::Left | Change::Rested => NONE.to_owned(),
             Change::RateLimit { after, .. } => to_text(after),
+            Change::Tolerance { after, .. } => to_text(after),
         }
     }
 }
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -39,8 +39,12 @@
     /// services that a node doesn't reach.
     pub const FORWARDING: Protocol = Protocol(13);
 
+    /// The first version that sends fewer requests to endpoints which tolerate few rejections, and
+    /// announces those in statuses.
+    pub const TOLERANCES: Protocol = Protocol(14);
+
     /// The version of this build.
-    pub const CURRENT: Protocol = Protocol::FORWARDING;
+    pub const CURRENT: Protocol = Protocol::TOLERANCES;
 
     /// Returns the version assumed for messages that do not contain one.
     pub(crate) fn first() -> Protocol {
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -119,6 +119,14 @@
         let live = self.nodes.saturating_sub(self.silent).max(1);
         Span(interval.0 * self.nodes as u64 / live as u64)
     }
+
+    /// Scales the number of slots of an endpoint that this node hands out in the same way, but
+    /// leaves one.
+    pub fn scale_slots(self, slots: u32) -> u32 {
+        let live = self.nodes.saturating_sub(self.silent).max(1);
+        let scaled = u64::from(slots) * live as u64 / self.nodes.max(1) as u64;
+        (scaled as u32).max(1)
+    }
 }
 
 /// Why a request was not admitted.
--- a/crates/dispatch/src/rate_limit.rs
+++ b/crates/dispatch/src/rate_limit.rs
@@ -19,6 +19,9 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::statement;
+use crate::statement::Statement;
+
 /// The resolution of a limit: steps in one request a second.
 const STEPS_PER_REQUEST: f64 = 1_000.0;
 
@@ -31,17 +34,6 @@
 /// Queues are examined only a few dozen times a second.
 const MAX_CATCH_UP: Span = Span::from_millis(40);
 
-/// How much newer another node's report of an answer without a limit must be to end a
-/// known limit. Reports are in transit for some milliseconds, which could make an older
-/// answer look newer.
-const END_MIN_NEWER_BY: Span = Span::from_millis(100);
-
-/// How much newer a report of the same limit must be to replace the known one.
-const REFRESH_MIN_NEWER_BY: Span = Span::from_secs(1);
-
-/// How long the end of a limit is announced.
-const ANNOUNCE_END_FOR: Span = Span::from_secs(5);
-
 /// A rate limit in thousandths of a request a second. Text form: `2.75`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -78,39 +70,15 @@
 }
 
 /// The most recent statement of an endpoint about its limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Report {
-    /// The limit; `None` if it stated none.
-    pub limit: Option<Limit>,
-    /// When the statement became known.
-    pub at: Time,
-}
+pub type Report = statement::Report<Limit>;
 
 /// An endpoint's limit as one node announces it to others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// The endpoint's number.
-    pub endpoint: u32,
-    /// The limit; `None` if the endpoint stated one before and no longer does.
-    pub limit: Option<Limit>,
-    /// Milliseconds since the answer that stated it.
-    pub age_ms: u32,
-}
-
-impl Announcement {
-    /// Converts this to a report, as seen by a node that receives it now.
-    pub fn to_report(self, now: Time) -> Report {
-        Report {
-            limit: self.limit,
-            at: now - Span::from_millis(u64::from(self.age_ms)),
-        }
-    }
-}
+pub type Announcement = statement::Announcement<Limit>;
 
 /// The limit of one endpoint, and when the next request may be sent to it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct State {
-    report: Option<Report>,
+    statement: Statement<Limit>,
     /// The start of the interval before the next request.
     interval_start: Time,
 }
@@ -118,55 +86,34 @@
 impl State {
     /// Returns the limit in force, if any.
     pub fn limit_opt(&self) -> Option<Limit> {
-        self.report?.limit
+        self.statement.value_opt()
     }
 
-    /// Records the statement in an answer that arrived now, to a request sent at `sent`. An
-    /// answer without a limit ends the known limit only if the request was sent after the
-    /// limit became known, because heads of earlier requests may be older.
+    /// Records the statement in an answer that arrived now, to a request sent at `sent`.
     ///
     /// Returns true if the limit changed.
     pub fn record_answer(&mut self, now: Time, sent: Time, limit: Option<Limit>) -> bool {
-        let is_older = |report: Report| report.limit.is_some() && sent <= report.at;
-        if limit.is_none() && self.report.is_none_or(is_older) {
-            return false;
-        }
-        self.replace(now, Report { limit, at: now })
+        self.update(now, |statement| statement.record_answer(now, sent, limit))
     }
 
     /// Records a report of another node. Returns true if the limit changed.
     pub fn record_report(&mut self, now: Time, report: Report) -> bool {
-        let Some(known) = self.report else {
-            return report.limit.is_some() && self.replace(now, report);
-        };
-        let newer_by = match report.limit {
-            limit if limit == known.limit => REFRESH_MIN_NEWER_BY,
-            Some(_) => Span::ZERO,
-            None => END_MIN_NEWER_BY,
-        };
-        report.at > known.at + newer_by && self.replace(now, report)
+        self.update(now, |statement| statement.record_report(report))
     }
 
-    fn replace(&mut self, now: Time, report: Report) -> bool {
+    fn update(&mut self, now: Time, change: impl FnOnce(&mut Statement<Limit>) -> bool) -> bool {
         let before = self.limit_opt();
-        if before.is_none() {
+        let is_changed = change(&mut self.statement);
+        if before.is_none() && is_changed {
             // The endpoint has just answered, so a request was sent there recently.
             self.interval_start = now;
         }
-        self.report = Some(report);
-        before != report.limit
+        is_changed
     }
 
     /// Returns the announcement about the endpoint with this number, if there is one.
     pub fn to_announcement_opt(&self, now: Time, endpoint: u32) -> Option<Announcement> {
-        let report = self.report?;
-        let age = now.since(report.at);
-        let is_announced = report.limit.is_some() || age < ANNOUNCE_END_FOR;
-        is_announced.then_some(Announcement {
-            endpoint,
-            limit: report.limit,
-            age_ms: u32::try_from(age.0 / 1_000).unwrap_or(u32::MAX),
-        })
+        self.statement.to_announcement_opt(now, endpoint)
     }
 
     /// Whether a request may follow the previous one, at an interval of `spacing`.
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -65,9 +65,14 @@
     let bytes = postcard::to_extend(&extension, bytes)?;
     let bytes = postcard::to_extend(&status.rate_limits, bytes)?;
     let bytes = postcard::to_extend(&status.notices, bytes)?;
-    match (status.lost_links.is_empty(), status.uptime) {
-        (true, None) => Ok(bytes),
-        (_, uptime) => postcard::to_extend(&(&status.lost_links, uptime), bytes),
+    let has_tolerances = !status.tolerances.is_empty();
+    if status.lost_links.is_empty() && status.uptime.is_none() && !has_tolerances {
+        return Ok(bytes);
+    }
+    let bytes = postcard::to_extend(&(&status.lost_links, status.uptime), bytes)?;
+    match has_tolerances {
+        true => postcard::to_extend(&status.tolerances, bytes),
+        false => Ok(bytes),
     }
 }
 
@@ -98,7 +103,9 @@
             let (notices, rest) = take_list(rest).ok()?;
             status.notices = notices;
             if !rest.is_empty() {
-                (status.lost_links, status.uptime) = postcard::take_from_bytes(rest).ok()?.0;
+                let ((lost_links, uptime), rest) = postcard::take_from_bytes(rest).ok()?;
+                (status.lost_links, status.uptime) = (lost_links, uptime);
+                status.tolerances = take_list(rest).ok()?.0;
             }
         }
         _ => {}
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -15,6 +15,7 @@
 use crate::rest;
 use crate::slot_depth;
 use crate::stated_load;
+use crate::tolerance;
 
 /// Settings for tracking endpoint state.
 #[derive(Debug, Clone, PartialEq)]
@@ -133,6 +134,8 @@
     pub cold: cold::State,
     /// The rate limit that it stated, if any.
     pub rate_limit: rate_limit::State,
+    /// How many rejections it tolerates, and the recent ones.
+    pub tolerance: tolerance::State,
     /// Whether it stated in an answer that it is leaving.
     pub leaving: bool,
     /// Whether it asked this node to send nothing for a while.
@@ -204,6 +207,7 @@
             evacuated: false,
             cold: cold::State::default(),
             rate_limit: rate_limit::State::default(),
+            tolerance: tolerance::State::default(),
             leaving: false,
             rest: rest::State::default(),
             own_cell: true,
@@ -318,6 +322,13 @@
         self.failure_rate -= self.failure_rate * OUTCOME_WEIGHT;
     }
 
+    /// Records that the endpoint began to answer a request.
+    pub fn record_accepted(&mut self, now: Time) {
+        if self.tolerance.tolerance_opt().is_some() {
+            self.tolerance.record_accepted(now, self.busy());
+        }
+    }
+
     /// Records a call answered with an error. Causes no backoff, because some services answer
     /// certain requests that way.
     pub fn record_fault(&mut self, now: Time, is_own: bool) {
@@ -360,7 +371,14 @@
     /// Records that the endpoint reported to be full.
     pub fn record_full(&mut self, now: Time, options: &Options, is_own: bool) {
         self.record_progress(now, is_own);
-        let until = now + options.full_backoff;
+        let backoff = match self.tolerance.tolerance_opt() {
+            Some(_) => {
+                self.tolerance.record_full(now, self.busy());
+                options.full_backoff.max(tolerance::BACKOFF)
+            }
+            None => options.full_backoff,
+        };
+        let until = now + backoff;
         self.backoff_until = self.backoff_until.max(until);
         self.lending_backoff_until = self.lending_backoff_until.max(until);
     }
@@ -377,11 +395,22 @@
         self.holders > 1 && now.since(self.last_progress) > options.stall_timeout
     }
 
+    /// The number of requests that it is given at once, cold starts and rate limits apart.
+    pub fn usable_slots(&self) -> u32 {
+        self.tolerance.usable_slots(self.endpoint.slots)
+    }
+
     /// Whether the endpoint stated a rate limit.
     pub fn is_rate_limited(&self) -> bool {
         self.rate_limit.limit_opt().is_some()
     }
 
+    /// Whether all requests to the endpoint go through the owner of its slots, also in a fleet of
+    /// one cell: its rate, or the number of requests that it may have to reject, has one account.
+    pub fn needs_owner(&self) -> bool {
+        self.is_rate_limited() || self.tolerance.tolerance_opt().is_some()
+    }
+
     /// Whether the endpoint is leaving according to the platform or its own answers.
     pub fn is_leaving(&self) -> bool {
         self.endpoint.leaving || self.leaving
@@ -406,6 +435,7 @@
             && !self.is_stalled(now, options)
             && !self.is_reported_down(now, options)
             && !self.rest.is_resting(now)
+            && self.tolerance.accepts_work(now)
     }
 
     /// Whether the endpoint's slots may be granted to other nodes. What binds or hinders this node
@@ -415,6 +445,7 @@
             && now >= self.lending_backoff_until
             && !self.is_stalled_for_all(now, options)
             && !self.is_reported_down(now, options)
+            && self.tolerance.accepts_work(now)
     }
 
     /// Why this node sends it nothing although it is open, if failures are the reason.
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -14,6 +14,7 @@
 use crate::support::job;
 
 mod booking;
+mod brittle;
 mod builds;
 mod cold;
 mod crash;
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -37,6 +37,7 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use self::brittle::Brittle;
 use self::engine::Engine;
 use self::links::Links;
 use self::links::Rates;
@@ -47,6 +48,7 @@
 use crate::support::list;
 use crate::support::options;
 
+pub mod brittle;
 mod callers;
 mod cut;
 mod ends;
@@ -238,6 +240,8 @@
     pub rate_limits: HashMap<id::Endpoint, Limit>,
     /// The other conditions that endpoints state.
     pub notices: Notices,
+    /// What endpoints tolerate, if they are brittle.
+    pub brittle: Option<Brittle>,
     /// The requests that were retried.
     retried: BTreeSet<Fingerprint>,
 }
@@ -315,6 +319,7 @@
             jobs: HashMap::new(),
             rate_limits: HashMap::new(),
             notices: Notices::default(),
+            brittle: None,
             retried: BTreeSet::new(),
             shape,
         };
@@ -539,6 +544,7 @@
                     status.endpoints.era = Era::default();
                     status.rate_limits.clear();
                     status.notices.clear();
+                    status.tolerances.clear();
                 }
                 dispatcher.receive_status(now, from, *status);
             }
--- a/crates/dispatch/tests/dispatch/fleet/world/notices.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/notices.rs
@@ -14,6 +14,7 @@
 
 use super::Event;
 use super::World;
+use super::brittle::Brittle;
 
 /// How long requests may still be sent to an endpoint after it stated that it leaves.
 const LEAVING_GRACE: Span = Span::from_secs(2);
@@ -124,8 +125,10 @@
             self.notices.learnt_at.entry(pair).or_insert(self.now);
         }
         let limit = self.rate_limits.get(endpoint).copied();
+        let tolerance = self.brittle.as_ref().map(Brittle::tolerance);
         Notice {
             rate_limit: limit.map_or(Field::Absent, Field::Given),
+            tolerance: tolerance.map_or(Field::Absent, Field::Given),
             leaving,
             ..Notice::default()
         }
@@ -143,6 +146,9 @@
         let sent = self.notices.sent.entry(pair.clone()).or_default();
         sent.push((self.now, arrived));
         let drawn = hash::chain(id.0 + u64::from(decided), &node.to_le_bytes());
+        if self.reject_for_want_of_room(node, id, endpoint) {
+            return;
+        }
         if !self.notices.rejects(endpoint, drawn) {
             self.start_run(node, id, endpoint);
             return;
@@ -167,6 +173,7 @@
         let rest = rejecting.map(|one| one.rest);
         let notice = Notice {
             rate_limit: Field::Unknown,
+            tolerance: Field::Unknown,
             rest,
             ..self.read_notice(node, endpoint)
         };
--- a/crates/dispatch/tests/dispatch/rate_limit.rs
+++ b/crates/dispatch/tests/dispatch/rate_limit.rs
@@ -31,7 +31,7 @@
 
 fn report(text: Option<&str>, when: Time) -> Report {
     Report {
-        limit: text.and_then(limit),
+        value: text.and_then(limit),
         at: when,
     }
 }
@@ -117,7 +117,7 @@
     assert_eq!(
         (
             announcement.endpoint,
-            announcement.limit,
+            announcement.value,
             announcement.age_ms
         ),
         (7, None, 300)
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -31,8 +31,11 @@
 /// Messages as encoded by builds of the version that added shared admission.
 const SHARED_ADMISSION: &str = include_str!("12.hex");
 
+/// Messages as encoded by builds of the version that added forwarding.
+const FORWARDING: &str = include_str!("13.hex");
+
 /// Messages as encoded by this build.
-const CURRENT: &str = include_str!("13.hex");
+const CURRENT: &str = include_str!("14.hex");
 
 /// Returns the messages in a file, by name.
 fn samples_of(file: &str) -> HashMap<&str, Vec<u8>> {
@@ -121,7 +124,7 @@
         assert_eq!(
             extension,
             EraExtension {
-                protocol: 13,
+                protocol: 14,
                 era: 3
             }
         );
@@ -155,9 +158,17 @@
     message
 }
 
+/// Returns the message without what the version with forwarding lacks.
+fn without_tolerances(message: Message) -> Message {
+    with_status(message, |status| {
+        status.protocol = Protocol::FORWARDING;
+        status.tolerances.clear();
+    })
+}
+
 /// Returns the message without what the version with shared admission lacks.
 fn without_forwarding(message: Message) -> Message {
-    with_status(message, |status| {
+    with_status(without_tolerances(message), |status| {
         status.protocol = Protocol::SHARED_ADMISSION;
         status.lost_links.clear();
         status.uptime = None;
@@ -209,6 +220,7 @@
 #[case::of_the_protocol_with_rate_limits(RATE_LIMITS, without_notices)]
 #[case::of_the_protocol_with_notices(NOTICES, without_shared_admission)]
 #[case::of_the_protocol_with_shared_admission(SHARED_ADMISSION, without_forwarding)]
+#[case::of_the_protocol_with_forwarding(FORWARDING, without_tolerances)]
 #[case::of_this_build(CURRENT, |message| message)]
 fn datagrams_are_decoded(#[case] file: &str, #[case] expected: fn(Message) -> Message) {
     let stored = samples_of(file);
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -56,6 +56,8 @@
 use woadstage_dispatch::section;
 use woadstage_dispatch::section::Difference;
 use woadstage_dispatch::stated_load;
+use woadstage_dispatch::statement;
+use woadstage_dispatch::tolerance;
 use woadstage_types::code::Code;
 use woadstage_types::id;
 use woadstage_types::unit::Size;
@@ -130,6 +132,18 @@
             percent: 92,
         }],
         uptime: Some(Span::from_millis(900)),
+        tolerances: vec![tolerance(10, Some("12"), 3), tolerance(11, None, 0)],
+    }
+}
+
+fn tolerance(endpoint: u32, text: Option<&str>, rejections: u16) -> tolerance::Announcement {
+    tolerance::Announcement {
+        statement: statement::Announcement {
+            endpoint,
+            value: text.map(|text| text.parse().expect("a tolerance")),
+            age_ms: 400,
+        },
+        rejections,
     }
 }
 
@@ -143,7 +157,7 @@
 fn limit_announcement(endpoint: u32, limit: Option<&str>) -> rate_limit::Announcement {
     rate_limit::Announcement {
         endpoint,
-        limit: limit.map(to_limit),
+        value: limit.map(to_limit),
         age_ms: 1_300,
     }
 }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -35,6 +35,8 @@
     pub cold: HeaderName,
     /// The rate limit that an endpoint states, in requests a second from all nodes together.
     pub rate_limit: HeaderName,
+    /// The number of rejections within a second that an endpoint states it tolerates.
+    pub tolerance: HeaderName,
     /// The load that an endpoint states: the requests that run and wait there, its slots and how
     /// long work takes there at present, separated by commas.
     pub load: HeaderName,
@@ -62,6 +64,7 @@
             last_event: HeaderName::from_static("last-event-id"),
             cold: HeaderName::from_static("woadstage-cold-ms"),
             rate_limit: HeaderName::from_static("woadstage-rate-limit"),
+            tolerance: HeaderName::from_static("woadstage-tolerance"),
             load: HeaderName::from_static("woadstage-load"),
             leaving: HeaderName::from_static("woadstage-leaving"),
             rest: header::RETRY_AFTER,
@@ -74,7 +77,7 @@
     /// Reads the names from the settings. Those that the settings omit keep their defaults.
     pub fn read(reader: &mut Reader) -> Headers {
         let mut headers = Headers::default();
-        let fields: [(&str, &mut HeaderName); 14] = [
+        let fields: [(&str, &mut HeaderName); 15] = [
             ("request", &mut headers.request),
             ("deadline", &mut headers.deadline),
             ("customer", &mut headers.customer),
@@ -86,6 +89,7 @@
             ("last_event", &mut headers.last_event),
             ("cold", &mut headers.cold),
             ("rate_limit", &mut headers.rate_limit),
+            ("tolerance", &mut headers.tolerance),
             ("load", &mut headers.load),
             ("leaving", &mut headers.leaving),
             ("rest", &mut headers.rest),
--- a/crates/gateway/src/serve/parse_notice.rs
+++ b/crates/gateway/src/serve/parse_notice.rs
@@ -1,6 +1,7 @@
 //! Parses what an endpoint reports about itself in the head of an answer.
 
 use std::borrow::Cow;
+use std::str::FromStr;
 
 use hyper::HeaderMap;
 use hyper::StatusCode;
@@ -12,7 +13,6 @@
 use woadstage_dispatch::notice::Change;
 use woadstage_dispatch::notice::Field;
 use woadstage_dispatch::notice::Notice;
-use woadstage_dispatch::rate_limit::Limit;
 use woadstage_dispatch::rest;
 use woadstage_dispatch::stated_load;
 use woadstage_types::unit;
@@ -56,7 +56,8 @@
     let mut parsed = Parsed::default();
     parsed.notice = Notice {
         cold_for: parsed.cold(&names.cold, headers),
-        rate_limit: parsed.rate_limit(&names.rate_limit, headers, disposition),
+        rate_limit: parsed.statement("rate-limit", headers.get(&names.rate_limit), disposition),
+        tolerance: parsed.statement("tolerance", headers.get(&names.tolerance), disposition),
         leaving: parsed.leaving(&names.leaving, headers),
         rest: match status {
             StatusCode::SERVICE_UNAVAILABLE => parsed.rest(&names.rest, headers),
@@ -83,23 +84,23 @@
         (cold_for > Span::ZERO).then_some(cold_for)
     }
 
-    /// Returns the endpoint's rate limit, in requests per second. A missing field counts as no
-    /// limit only in an answer that is forwarded: an error may come from another service at
-    /// the endpoint's address.
-    fn rate_limit(
+    /// Returns what the endpoint states in all its answers while it holds. A missing field counts as
+    /// the end only in an answer that is forwarded: an error may come from another service at the
+    /// endpoint's address.
+    fn statement<T: FromStr<Err = unit::Error>>(
         &mut self,
-        name: &HeaderName,
-        headers: &HeaderMap,
+        field: &'static str,
+        value: Option<&HeaderValue>,
         disposition: Disposition,
-    ) -> Field<Limit> {
-        let Some(value) = headers.get(name) else {
+    ) -> Field<T> {
+        let Some(value) = value else {
             return match disposition {
                 Disposition::Forward => Field::Absent,
                 Disposition::Retry(_) => Field::Unknown,
             };
         };
-        let limit = self.ok_or_record("rate-limit", to_text(value).parse());
-        limit.map_or(Field::Unknown, Field::Given)
+        let parsed = self.ok_or_record(field, to_text(value).parse());
+        parsed.map_or(Field::Unknown, Field::Given)
     }
 
     /// Returns the load that the endpoint states.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -20,4 +20,5 @@
 mod streams;
 mod support;
 mod suspend;
+mod tolerance;
 mod unmatched;
--- a/crates/gateway/tests/gateway/rate_limit.rs
+++ b/crates/gateway/tests/gateway/rate_limit.rs
@@ -45,7 +45,7 @@
 
 /// Calls the dispatcher's tick periodically, as the gateway process does, so that waiting
 /// requests are sent.
-fn spawn_ticks(gateway: &Gateway) {
+pub fn spawn_ticks(gateway: &Gateway) {
     let shell = gateway.shell.clone();
     spawn_local(async move {
         loop {
