--- a/crates/dispatch/src/dispatcher/permit.rs
+++ b/crates/dispatch/src/dispatcher/permit.rs
@@ -1,5 +1,5 @@
-//! Decides which node may send requests to an endpoint with a fleet-wide limit: one that is cold or
-//! that stated a rate limit.
+//! Decides which node may send requests to an endpoint with a fleet-wide limit: one that is cold, or
+//! that stated a rate limit or how few rejections it tolerates.
 //!
 //! Only the node that owns the endpoint's slots sends requests there and permits others to do so.
 //! In a network partition each side has its own owner. Each owner then scales its request interval
