fix: let an assumed tolerance of rejections expire

A newly listed endpoint is taken to tolerate what the others of its service state until it answers. In a fleet of one cell only the owner of its slots sends requests there then, so the other nodes got no answer from it and would have avoided it for good, also after the others stated nothing any more.

The assumption ends with an answer, with what another node announces, or after 10 s.

--- a/crates/dispatch/src/dispatcher/apply_notice.rs
+++ b/crates/dispatch/src/dispatcher/apply_notice.rs
@@ -112,14 +112,15 @@
         Some(Change::Rest { duration: rest })
     }
 
-    /// Applies the rests announced since the last tick, and reports those that have
-    /// ended.
+    /// Applies the rests announced since the last tick, reports those that have ended, and
+    /// drops outdated assumptions on tolerances.
     pub(super) fn update_rests(&mut self, now: Time) {
         let received = std::mem::take(&mut self.received_rests);
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
             if let Some(until) = received.get(&worker.number) {
                 worker.rest.extend_remote(*until);
             }
+            worker.tolerance.expire_assumption(now);
             if worker.rest.take_end(now) {
                 self.endpoint_updates
                     .push(Update::new(worker, Change::Rested));
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -188,7 +188,9 @@
         // It may fail as easily as the others, and its first answers come too late to tell.
         let others = pool.workers.iter();
         let tolerances = others.filter_map(|other| other.tolerance.tolerance_opt());
-        worker.tolerance.assume(tolerances.min());
+        if let Some(tolerance) = tolerances.min() {
+            worker.tolerance.assume(now, tolerance);
+        }
         pool.workers.push(worker);
     }
 
--- a/crates/dispatch/src/tolerance.rs
+++ b/crates/dispatch/src/tolerance.rs
@@ -30,6 +30,9 @@
 /// How long an endpoint's window is kept without an accepted request.
 const WINDOW_KEPT_FOR: Span = Span::from_secs(1);
 
+/// How long the tolerance of other endpoints is assumed for one that did not answer yet.
+const ASSUMED_FOR: Span = Span::from_secs(10);
+
 /// How long a node sends the endpoint nothing after a rejection.
 pub const BACKOFF: Span = Span::from_millis(250);
 
@@ -84,8 +87,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct State {
     statement: Statement<Tolerance>,
-    /// What is assumed until the endpoint answers for the first time.
-    assumed: Option<Tolerance>,
+    /// What is assumed until the endpoint answers for the first time, and since when.
+    assumed: Option<(Tolerance, Time)>,
     /// When it rejected requests of this node's callers, the oldest first.
     rejected_at: Vec<Time>,
     /// The newest announcement of each node.
@@ -99,12 +102,21 @@
 impl State {
     /// Returns what the endpoint tolerates, if it stated that.
     pub fn tolerance_opt(&self) -> Option<Tolerance> {
-        self.statement.value_opt().or(self.assumed)
+        let assumed = self.assumed.map(|(tolerance, _)| tolerance);
+        self.statement.value_opt().or(assumed)
     }
 
     /// Assumes what the other endpoints of a service state, until this one answers.
-    pub fn assume(&mut self, tolerance: Option<Tolerance>) {
-        self.assumed = tolerance;
+    pub fn assume(&mut self, now: Time, tolerance: Tolerance) {
+        self.assumed = Some((tolerance, now));
+    }
+
+    /// Drops an assumption that no answer replaced. A node that sends the endpoint nothing gets
+    /// none.
+    pub fn expire_assumption(&mut self, now: Time) {
+        self.assumed = self
+            .assumed
+            .filter(|(_, since)| now.since(*since) < ASSUMED_FOR);
     }
 
     /// Records the statement in an answer that arrived now, to a request sent at `sent`.
@@ -150,6 +162,7 @@
                 at: now,
             });
         }
+        self.assumed = None;
         self.statement
             .record_report(announcement.statement.to_report(now))
     }
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -36,6 +36,7 @@
 mod support;
 mod suspect;
 mod table;
+mod tolerance;
 mod turnaround;
 mod wire;
 mod worker;
