fix: let only builds that know tolerances own brittle endpoints' slots

What callers saw: while a fleet of one cell is upgraded from protocol 13 to 14, brittle endpoints fall over although the nodes of 14 take care.

Cause: the owner of such an endpoint's slots was chosen among the nodes that know rate limits (10 and later). Nodes of 14 asked one of 13, which knows of no tolerance and hands out every slot, and more.

Change: the scope of such an owner names the protocol that it has to know, 14 for a tolerance. An endpoint that names a rate limit keeps an owner among those of 10, since the builds have to agree on who counts that.

With cells a node of 13 still hands out its slots as usual: returning them, as for rate limits, would leave callers of the service unserved where all its endpoints are brittle.

--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -133,15 +133,16 @@
     }
 
     /// Returns the owner of one endpoint's slots, or of this cell's slots of a service. In
-    /// a fleet of one cell every node decides on its own, except for endpoints
-    /// that need an owner.
+    /// a fleet of one cell every node decides on its own, except for endpoints that need
+    /// an owner.
     pub(super) fn slot_owner(&self, now: Time, pool: &Pool, endpoint: Option<u32>) -> Owner {
         let one_cell = self.members.cell().covers_fleet;
-        let (scope, key) = match endpoint {
-            Some(endpoint) if !one_cell => (Scope::Fleet, endpoint),
-            Some(endpoint) if pool.needs_owner(endpoint) => (Scope::RateLimitCapable, endpoint),
-            None if !one_cell => (Scope::Cell, pool.number),
-            Some(_) | None => return Owner::Local,
+        let protocol = endpoint.and_then(|endpoint| pool.owner_protocol_opt(endpoint));
+        let (scope, key) = match (endpoint, protocol) {
+            (Some(endpoint), _) if !one_cell => (Scope::Fleet, endpoint),
+            (Some(endpoint), Some(protocol)) => (Scope::Knowing(protocol), endpoint),
+            (None, _) if !one_cell => (Scope::Cell, pool.number),
+            (Some(_) | None, _) => return Owner::Local,
         };
         self.members.owner(now, scope, u64::from(key))
     }
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -6,6 +6,7 @@
 use super::Pool;
 use crate::configuration::Rank;
 use crate::job::Job;
+use crate::protocol::Protocol;
 use crate::worker;
 use crate::worker::Worker;
 
@@ -55,10 +56,11 @@
         listed.filter(|worker| holds(worker)).count()
     }
 
-    /// Whether all requests to the endpoint with this number go through its owner.
-    pub(super) fn needs_owner(&self, number: u32) -> bool {
-        let index = self.worker_opt(number);
-        index.is_some_and(|index| self.workers[index].needs_owner())
+    /// Returns the protocol that the owner of the endpoint with this number has to know, if all
+    /// requests there go through its owner.
+    pub(super) fn owner_protocol_opt(&self, number: u32) -> Option<Protocol> {
+        let index = self.worker_opt(number)?;
+        self.workers[index].owner_protocol_opt()
     }
 
     /// Returns the index of the endpoint with this number.
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -39,8 +39,8 @@
     Fleet,
     /// The nodes of this node's cell.
     Cell,
-    /// All nodes whose build enforces the rate limits that endpoints state.
-    RateLimitCapable,
+    /// All nodes whose build knows what this protocol added.
+    Knowing(Protocol),
 }
 
 impl Members {
@@ -53,7 +53,7 @@
             }
         }
         // Other nodes select another owner once a status reports that this node is stopping.
-        let hands_over = scope == Scope::RateLimitCapable && self.leaving;
+        let hands_over = matches!(scope, Scope::Knowing(_)) && self.leaving;
         if !hands_over || owners.is_empty() {
             owners.push((score(key, &self.own_address), self.own_address, None));
         }
@@ -158,7 +158,7 @@
     match scope {
         Scope::Fleet => true,
         Scope::Cell => member.in_cell,
-        Scope::RateLimitCapable => member.status.protocol.supports_rate_limits(),
+        Scope::Knowing(protocol) => member.status.protocol >= protocol,
     }
 }
 
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::link;
 use crate::link::Link;
 use crate::message::Unavailability;
+use crate::protocol::Protocol;
 use crate::rate_limit;
 use crate::rest;
 use crate::slot_depth;
@@ -408,7 +409,16 @@
     /// Whether all requests to the endpoint go through the owner of its slots, also in a fleet of
     /// one cell: its rate, or the number of requests that it may have to reject, has one account.
     pub fn needs_owner(&self) -> bool {
-        self.is_rate_limited() || self.tolerance.tolerance_opt().is_some()
+        self.owner_protocol_opt().is_some()
+    }
+
+    /// The protocol from which on builds can be that owner, if the endpoint needs one.
+    pub fn owner_protocol_opt(&self) -> Option<Protocol> {
+        let is_brittle = self.tolerance.tolerance_opt().is_some();
+        match self.is_rate_limited() {
+            true => Some(Protocol::RATE_LIMITS),
+            false => is_brittle.then_some(Protocol::TOLERANCES),
+        }
     }
 
     /// Whether the endpoint is leaving according to the platform or its own answers.
--- a/crates/dispatch/tests/dispatch/fleet/brittle.rs
+++ b/crates/dispatch/tests/dispatch/fleet/brittle.rs
@@ -1,6 +1,8 @@
 //! Endpoints that fall over if they have to reject too many requests within a second, and let no
 //! requests wait.
 
+use woadstage_dispatch::protocol::Protocol;
+
 use super::world::brittle::Brittle;
 use super::*;
 
@@ -105,3 +107,19 @@
     disrupt(&mut world);
     assert_few_fell(&world);
 }
+
+/// Nodes of the previous build, which serve no callers here, must not be asked for slots that they
+/// would hand out without bound.
+#[test]
+fn nodes_of_this_build_keep_brittle_endpoints_up_beside_those_before() {
+    let mut world = World::start(plain_service(9, 10));
+    let nodes = all_nodes(&world);
+    let (own, before): (Vec<u16>, Vec<u16>) = nodes.iter().partition(|node| **node % 2 == 1);
+    world.previous_build = before.into_iter().collect();
+    world.previous_protocol = Protocol::FORWARDING;
+    world.run_for(SECOND);
+    load(&mut world, SERVICE, 1_400, BRITTLE_FOR, &own);
+    world.brittle = Some(Brittle::new(world.now, 5, 0));
+    world.run_for(BRITTLE_FOR);
+    assert_few_fell(&world);
+}
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -26,6 +26,7 @@
 use woadstage_dispatch::link::Probe;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
+use woadstage_dispatch::message::Status;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::quarantine;
 use woadstage_dispatch::rate_limit::Limit;
@@ -215,9 +216,10 @@
     forwarded: HashMap<(u16, job::Id), (u16, job::Id)>,
     /// Nodes that neither send nor receive messages.
     pub partitioned: BTreeSet<u16>,
-    /// Nodes on the previous build, which neither sends nor reads eras, rate limits and
-    /// notices.
+    /// Nodes on a previous build.
     pub previous_build: BTreeSet<u16>,
+    /// The protocol of that build. The first one has no eras, rate limits and notices.
+    pub previous_protocol: Protocol,
     /// The list transfers of a fleet whose nodes start without a list.
     pub links: Option<Links>,
     /// The network partition of a node, if the fleet is partitioned.
@@ -263,6 +265,18 @@
     written.expect("encodes").len()
 }
 
+/// Removes what builds of a protocol neither send nor read.
+fn remove_later_parts(status: &mut Status, protocol: Protocol) {
+    if protocol < Protocol::TOLERANCES {
+        status.tolerances.clear();
+    }
+    if protocol < Protocol::ERAS {
+        status.endpoints.era = Era::default();
+        status.rate_limits.clear();
+        status.notices.clear();
+    }
+}
+
 fn to_node(address: SocketAddrV4) -> u16 {
     let [_, _, high, low] = address.ip().octets();
     u16::from_be_bytes([high, low])
@@ -308,6 +322,7 @@
             forwarded: HashMap::new(),
             partitioned: BTreeSet::new(),
             previous_build: BTreeSet::new(),
+            previous_protocol: Protocol::FIRST,
             links: None,
             partition_of: None,
             messages: 0,
@@ -536,15 +551,12 @@
         let from = address(from);
         match message {
             Message::Status(mut status) => {
-                if self.previous_build.contains(&to_node(from)) {
-                    status.protocol = Protocol::FIRST;
+                let is_previous = |node: u16| self.previous_build.contains(&node);
+                if is_previous(to_node(from)) {
+                    status.protocol = self.previous_protocol;
                 }
-                if self.previous_build.contains(&to) || self.previous_build.contains(&to_node(from))
-                {
-                    status.endpoints.era = Era::default();
-                    status.rate_limits.clear();
-                    status.notices.clear();
-                    status.tolerances.clear();
+                if is_previous(to) || is_previous(to_node(from)) {
+                    remove_later_parts(&mut status, self.previous_protocol);
                 }
                 dispatcher.receive_status(now, from, *status);
             }
