fix: treat a later build's unknown code as a reply, not as an endpoint's answer

A node that forwards a request and gets back a refusal with a code that only a later build knows passed the other node's reply on as if an endpoint had answered. Found by reading.

Such a reply is now W3003: the code may mean that the request ran, so neither this node nor the caller may take it for not run. The test fails before (no reply).

--- a/crates/gateway/src/serve/hop.rs
+++ b/crates/gateway/src/serve/hop.rs
@@ -68,8 +68,7 @@
         }
     }
 
-    /// Returns the reply of the other node, or `None` if an endpoint answered or the code is
-    /// not known to this build.
+    /// Returns the reply of the other node, or `None` if an endpoint answered.
     pub fn to_reply_opt(&self, node: SocketAddrV4) -> Option<Reply> {
         let Answer::Node {
             code,
@@ -81,9 +80,10 @@
             return None;
         };
         let mut codes = Code::ALL.iter();
-        let code = codes.find(|known| known.number() == *code)?;
+        let known = codes.find(|known| known.number() == *code);
         Some(Reply {
-            code: *code,
+            // A later build's code may mean that the request ran.
+            code: known.copied().unwrap_or(Code::EndpointLost),
             retry_after: retry_after_us.map(Span),
             wait: wait_us.map(Span),
             owner: Some(node),
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -51,7 +51,7 @@
 mod forward;
 pub mod framer;
 mod handle;
-mod hop;
+pub mod hop;
 mod outgoing;
 mod parse_notice;
 mod payload;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod explain;
 mod fingerprint;
+mod hop;
 mod keep;
 mod links;
 mod log;
