refactor: keep what is known of brittle endpoints with the endpoint

Read as a newcomer: an endpoint's rejections were recorded in two places, its rate stood among cold starts, two functions were called `capacity`, and the number of live nodes was worked out twice. No change of behaviour.

--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -355,8 +355,8 @@
         self.send_open_request(now, id);
     }
 
-    /// Whether a request waits at the owner of one endpoint that is closed, resting or out of reach. In a
-    /// fleet of one cell the owner may grant any endpoint that it owns.
+    /// Whether a request waits at the owner of one endpoint that is closed, resting or out of
+    /// reach. In a fleet of one cell the owner may grant any endpoint that it owns.
     fn waits_for_closed_endpoint(&self, now: Time, id: job::Id) -> bool {
         let open_request = self
             .open_requests
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -221,11 +221,10 @@
             End::Fault => worker.record_fault(now, is_own),
             End::Full => {
                 worker.record_full(now, options, is_own);
-                if is_own && worker.tolerance.tolerance_opt().is_some() {
-                    worker.tolerance.record_rejection(now);
-                    self.urgent = true;
-                    self.has_news = true;
-                }
+                // All nodes have to hear of it before they send more.
+                let is_news = is_own && worker.is_brittle();
+                self.urgent |= is_news;
+                self.has_news |= is_news;
             }
             End::NotThere => worker.gone_at = Some(now),
             End::NotSent | End::Lost if is_credible => {
--- a/crates/dispatch/src/dispatcher/permit.rs
+++ b/crates/dispatch/src/dispatcher/permit.rs
@@ -71,7 +71,7 @@
     }
 
     /// The number of requests that an endpoint may have in progress when one more is sent there, or
-    /// `usual` if it may reject as many as it likes.
+    /// `usual` if it can reject any number of requests.
     pub(super) fn capacity(
         &self,
         now: Time,
@@ -79,7 +79,7 @@
         permit: Option<Permit>,
         usual: u32,
     ) -> u32 {
-        let Some(permit) = permit.filter(|_| worker.tolerance.tolerance_opt().is_some()) else {
+        let Some(permit) = permit.filter(|_| worker.is_brittle()) else {
             return usual;
         };
         let slots = worker.tolerance.capacity(now, worker.endpoint.slots);
@@ -125,8 +125,8 @@
     /// Whether the fleet has one cell and every endpoint that can take the request needs an owner. If
     /// so, the request waits for a slot at the owners of those endpoints.
     ///
-    /// Without this rule the callers of an owner would use up its endpoints, and
-    /// callers of a node that owns none would not be served at all.
+    /// Without this rule the callers of an owner would use up its endpoints, and callers of a node
+    /// that owns none would not be served at all.
     pub(super) fn is_fully_owned(&self, now: Time, pool: &Pool, job: &Job) -> bool {
         if !self.members.cell().covers_fleet {
             return false;
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -142,8 +142,8 @@
         counts
     }
 
-    /// Counts the free slots of this cell. In a fleet of one cell, endpoints whose
-    /// slots only their owners hand out are left out.
+    /// Counts the free slots of this cell. In a fleet of one cell, endpoints whose slots only their
+    /// owners hand out are left out.
     pub(super) fn free_slots(&self, now: Time, pool: &Pool) -> u32 {
         let one_cell = self.members.cell().covers_fleet;
         let usable = pool.workers.iter().filter(|worker| {
@@ -213,7 +213,7 @@
             {
                 continue;
             }
-            let usual = capacity(worker, ahead(worker), job);
+            let usual = usual_capacity(worker, ahead(worker), job);
             if worker.busy() >= self.capacity(now, worker, permit, usual)
                 || !self.may_start(now, pool, worker, permit)
             {
@@ -361,9 +361,9 @@
     }
 }
 
-/// The number of requests that an endpoint may have in progress before it counts as full. After a
+/// The number of requests that an endpoint without a fleet-wide limit may have in progress. After a
 /// failure it gets one request of this node's callers at a time until one succeeds.
-fn capacity(worker: &Worker, ahead: u32, job: &Job) -> u32 {
+fn usual_capacity(worker: &Worker, ahead: u32, job: &Job) -> u32 {
     match worker.consecutive_failures {
         0 => worker.endpoint.slots + ahead,
         _ if job.origin.is_some() => worker.endpoint.slots + ahead,
--- a/crates/dispatch/src/dispatcher/predict.rs
+++ b/crates/dispatch/src/dispatcher/predict.rs
@@ -7,6 +7,7 @@
 use crate::configuration::Rank;
 use crate::job::Job;
 use crate::protocol::Protocol;
+use crate::rate_limit::Limit;
 use crate::worker;
 use crate::worker::Worker;
 
@@ -63,6 +64,17 @@
         self.workers[index].owner_protocol_opt()
     }
 
+    /// Returns the number of requests a second that an endpoint can take, by its rate limit or else
+    /// by its slots.
+    pub(super) fn rate_of(&self, worker: &Worker) -> f64 {
+        let by_slots = || {
+            let call = Span(self.call_us as u64).max(Span::from_millis(1));
+            f64::from(worker.usable_slots()) / call.as_secs_f64()
+        };
+        let limit = worker.rate_limit.limit_opt();
+        limit.map_or_else(by_slots, Limit::per_second)
+    }
+
     /// Returns the index of the endpoint with this number.
     pub(super) fn worker_opt(&self, number: u32) -> Option<usize> {
         let mut workers = self.workers.iter();
--- a/crates/dispatch/src/dispatcher/start_cold.rs
+++ b/crates/dispatch/src/dispatcher/start_cold.rs
@@ -5,7 +5,6 @@
 
 use super::Dispatcher;
 use super::Pool;
-use crate::rate_limit::Limit;
 use crate::worker::Worker;
 
 impl Pool {
@@ -30,19 +29,6 @@
     }
 }
 
-impl Pool {
-    /// Returns the number of requests a second that an endpoint can take, by its rate limit or else
-    /// by its slots.
-    pub(super) fn rate_of(&self, worker: &Worker) -> f64 {
-        let by_slots = || {
-            let call = Span(self.call_us as u64).max(Span::from_millis(1));
-            f64::from(worker.usable_slots()) / call.as_secs_f64()
-        };
-        let limit = worker.rate_limit.limit_opt();
-        limit.map_or_else(by_slots, Limit::per_second)
-    }
-}
-
 impl Dispatcher {
     /// Returns the interval between two requests of this node to a cold endpoint of a
     /// service. It is lengthened in proportion to the part of the fleet that this node
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -116,17 +116,19 @@
     /// whole fleet. Silent nodes may have an enforcer of the same bound among
     /// themselves, so the interval grows with their number.
     pub fn scale_interval(self, interval: Span) -> Span {
-        let live = self.nodes.saturating_sub(self.silent).max(1);
-        Span(interval.0 * self.nodes as u64 / live as u64)
+        Span(interval.0 * self.nodes as u64 / self.live_nodes())
     }
 
     /// Scales the number of slots of an endpoint that this node hands out in the same way, but
     /// leaves one.
     pub fn scale_slots(self, slots: u32) -> u32 {
-        let live = self.nodes.saturating_sub(self.silent).max(1);
-        let scaled = u64::from(slots) * live as u64 / self.nodes.max(1) as u64;
+        let scaled = u64::from(slots) * self.live_nodes() / self.nodes.max(1) as u64;
         (scaled as u32).max(1)
     }
+
+    fn live_nodes(self) -> u64 {
+        self.nodes.saturating_sub(self.silent).max(1) as u64
+    }
 }
 
 /// Why a request was not admitted.
--- a/crates/dispatch/src/tolerance.rs
+++ b/crates/dispatch/src/tolerance.rs
@@ -100,7 +100,7 @@
 }
 
 impl State {
-    /// Returns what the endpoint tolerates, if it stated that.
+    /// Returns what the endpoint tolerates, if it stated that or is assumed to.
     pub fn tolerance_opt(&self) -> Option<Tolerance> {
         let assumed = self.assumed.map(|(tolerance, _)| tolerance);
         self.statement.value_opt().or(assumed)
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -325,7 +325,7 @@
 
     /// Records that the endpoint began to answer a request.
     pub fn record_accepted(&mut self, now: Time) {
-        if self.tolerance.tolerance_opt().is_some() {
+        if self.is_brittle() {
             self.tolerance.record_accepted(now, self.busy());
         }
     }
@@ -372,13 +372,14 @@
     /// Records that the endpoint reported to be full.
     pub fn record_full(&mut self, now: Time, options: &Options, is_own: bool) {
         self.record_progress(now, is_own);
-        let backoff = match self.tolerance.tolerance_opt() {
-            Some(_) => {
-                self.tolerance.record_full(now, self.busy());
-                options.full_backoff.max(tolerance::BACKOFF)
+        let mut backoff = options.full_backoff;
+        if self.is_brittle() {
+            backoff = backoff.max(tolerance::BACKOFF);
+            self.tolerance.record_full(now, self.busy());
+            if is_own {
+                self.tolerance.record_rejection(now);
             }
-            None => options.full_backoff,
-        };
+        }
         let until = now + backoff;
         self.backoff_until = self.backoff_until.max(until);
         self.lending_backoff_until = self.lending_backoff_until.max(until);
@@ -406,6 +407,11 @@
         self.rate_limit.limit_opt().is_some()
     }
 
+    /// Whether the endpoint fails if it has to reject too many requests, as far as known.
+    pub fn is_brittle(&self) -> bool {
+        self.tolerance.tolerance_opt().is_some()
+    }
+
     /// Whether all requests to the endpoint go through the owner of its slots, also in a fleet of
     /// one cell: its rate, or the number of requests that it may have to reject, has one account.
     pub fn needs_owner(&self) -> bool {
@@ -414,10 +420,9 @@
 
     /// The protocol from which on builds can be that owner, if the endpoint needs one.
     pub fn owner_protocol_opt(&self) -> Option<Protocol> {
-        let is_brittle = self.tolerance.tolerance_opt().is_some();
         match self.is_rate_limited() {
             true => Some(Protocol::RATE_LIMITS),
-            false => is_brittle.then_some(Protocol::TOLERANCES),
+            false => self.is_brittle().then_some(Protocol::TOLERANCES),
         }
     }
 
