--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -20,6 +20,7 @@
 //! * `place.rs`: assigns waiting requests to endpoints.
 //! * `rejection.rs`: ranks endpoints that may reject a request.
 //! * `track_links.rs`: tracks which endpoints this node reaches.
+//! * `probe_links.rs`: probes of endpoints that this node may not reach.
 //! * `forward.rs`: forwards requests to nodes that reach endpoints which this node doesn't.
 //! * `start.rs`: records the start of a request at its endpoint.
 //! * `permit.rs`: decides which node may send to an endpoint with a fleet-wide limit.
@@ -104,6 +105,7 @@
 mod policy;
 mod predict;
 mod present_speed;
+mod probe_links;
 mod publish;
 mod query;
 mod redirect;
@@ -133,6 +135,7 @@
 pub use forward::ForwardEnd;
 use lend::RemoteRequest;
 pub use policy::Policy;
+pub use probe_links::ProbeTarget;
 pub use query::PassedOver;
 pub use query::Summary;
 pub use query::Unusable;
@@ -140,7 +143,6 @@
 pub use suspect::Change;
 pub use suspect::Evidence;
 pub use track_links::LinkUpdate;
-pub use track_links::ProbeTarget;
 
 /// The settings of a dispatcher.
 #[derive(Debug, Clone)]
--- a/crates/dispatch/src/dispatcher/track_links.rs
+++ b/crates/dispatch/src/dispatcher/track_links.rs
@@ -18,20 +18,10 @@
 use crate::link;
 use crate::link::Change;
 use crate::link::Evidence;
-use crate::link::Probe;
 use crate::message::LostLinks;
 use crate::worker;
 use crate::worker::Worker;
 
-/// The time between two probes of lost links to the endpoints of one service.
-const LOST_PROBE_SPACING: Span = Span::from_millis(400);
-
-/// The same after one of them was regained, when most of the others are expected to be up too.
-const REGAIN_PROBE_SPACING: Span = Span::from_millis(20);
-
-/// How long after a link was regained that applies.
-const REGAIN_PERIOD: Span = Span::from_secs(1);
-
 /// The maximum number of links to the endpoints of one service that are put in doubt at once
 /// because others were lost.
 const MAX_DOUBTED_AT_ONCE: usize = 8;
@@ -39,18 +29,6 @@
 /// The minimum number of links in trouble from which on this node may be disconnected.
 const MIN_TROUBLED: usize = 2;
 
-/// How long it is open whether an endpoint that refused a connection has ended.
-const REFUSAL_TIMEOUT: Span = Span::from_secs(3);
-
-/// An endpoint to probe.
-#[derive(Debug, Clone)]
-pub struct ProbeTarget {
-    /// The endpoint.
-    pub endpoint: Arc<Endpoint>,
-    /// The path at which it answers health checks, if configured.
-    pub health_path: Option<String>,
-}
-
 /// A change of a link, for logs and metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LinkUpdate {
@@ -153,8 +131,7 @@
         }
         self.doubt_others(now);
         self.count_holders();
-        self.refused_endpoints
-            .retain(|(at, _)| now.since(*at) < REFUSAL_TIMEOUT);
+        self.expire_refusals(now);
     }
 
     /// Counts, for each endpoint, the nodes whose requests its slots hold.
@@ -201,112 +178,13 @@
         }
     }
 
-    /// Returns the endpoints to probe now.
-    pub fn take_probe_targets(&mut self, now: Time) -> Vec<ProbeTarget> {
-        let options = &self.options.worker.link;
-        let mut targets = Vec::new();
-        for pool in self.pools.values_mut() {
-            let may_probe_lost = now >= pool.lost_probe_after;
-            let lost = pool.workers.iter().enumerate().filter(|(_, worker)| {
-                worker.is_open() && worker.link.is_lost() && worker.link.is_probe_due(now)
-            });
-            let next_lost = lost
-                .min_by_key(|(_, worker)| worker.link.next_probe_opt())
-                .map(|(index, _)| index)
-                .filter(|_| may_probe_lost);
-            if next_lost.is_some() {
-                pool.lost_probe_after = now + pool.lost_probe_spacing(now);
-            }
-            for (index, worker) in pool.workers.iter_mut().enumerate() {
-                let is_doubted = !worker.link.is_lost() && worker.link.is_probe_due(now);
-                if next_lost == Some(index) || (is_doubted && worker.is_open()) {
-                    worker.link.start_probe(now, options);
-                    targets.push(ProbeTarget {
-                        endpoint: worker.endpoint.clone(),
-                        health_path: pool.health_path.clone(),
-                    });
-                }
-            }
-        }
-        targets
-    }
-
-    /// Returns an endpoint to probe at once, after a call to it broke. `None` if a probe of it is in
-    /// progress.
-    pub fn probe_target_opt(&mut self, now: Time, endpoint: &Endpoint) -> Option<ProbeTarget> {
-        let options = &self.options.worker.link;
-        let pool = self.pools.get_mut(&endpoint.service)?;
-        let index = pool.worker_opt(endpoint.to_number())?;
-        let health_path = pool.health_path.clone();
-        let worker = &mut pool.workers[index];
-        worker.link.doubt(now, Evidence::CallBroke);
-        if worker.link.is_probing() {
-            return None;
-        }
-        worker.link.start_probe(now, options);
-        Some(ProbeTarget {
-            endpoint: worker.endpoint.clone(),
-            health_path,
-        })
-    }
-
-    /// Records the result of a probe.
-    pub fn record_probe(&mut self, now: Time, endpoint: &Endpoint, probe: Probe) {
-        let number = endpoint.to_number();
-        let options = &self.options.worker;
-        let Some(pool) = self.pools.get_mut(&endpoint.service) else {
-            return;
-        };
-        let Some(index) = pool.worker_opt(number) else {
-            return;
-        };
-        let is_deaf = pool.deaf_since_opt(now, options).is_some();
-        let link = &mut pool.workers[index].link;
-        let change = link.finish_probe(now, probe, is_deaf, &options.link);
-        if let Some(change) = change {
-            self.record_link_change(now, &endpoint.service.clone(), index, change);
-        }
-    }
-
-    /// Records that a probe opened a connection to an endpoint.
-    pub fn record_connected(&mut self, now: Time, endpoint: &Endpoint) {
-        let number = endpoint.to_number();
-        self.record_endpoint_alive(number);
-        self.settle_refusals(now, number);
-    }
-
-    /// Records that an endpoint refused a connection after a call to it broke. It has ended if other
-    /// endpoints are reached; otherwise this node's links may be broken. Returns another endpoint to
-    /// probe for that.
-    pub fn record_refused(&mut self, now: Time, endpoint: &Endpoint) -> Option<ProbeTarget> {
-        let number = endpoint.to_number();
-        let is_known = |(_, known): &(Time, u32)| *known == number;
-        if !self.refused_endpoints.iter().any(is_known) {
-            self.refused_endpoints.push((now, number));
-        }
-        let pool = self.pools.get(&endpoint.service)?;
-        let mut others = pool.workers.iter();
-        let other = others.find(|worker| {
-            worker.number != number
-                && worker.is_open()
-                && worker.link.troubled_since_opt().is_none()
-        });
-        let other = other?.endpoint.clone();
-        self.probe_target_opt(now, &other)
-    }
-
-    /// Charges the ends of endpoints that refused connections, now that another one is reached.
-    fn settle_refusals(&mut self, now: Time, reached: u32) {
-        let refused = std::mem::take(&mut self.refused_endpoints);
-        for (at, endpoint) in refused {
-            match endpoint == reached {
-                true => self.refused_endpoints.push((at, endpoint)),
-                false => self.record_endpoint_ended(now, endpoint),
-            }
-        }
-    }
-
-    fn record_link_change(&mut self, now: Time, target: &id::Target, index: usize, change: Change) {
+    pub(super) fn record_link_change(
+        &mut self,
+        now: Time,
+        target: &id::Target,
+        index: usize,
+        change: Change,
+    ) {
         let Some(pool) = self.pools.get_mut(target) else {
             return;
         };
@@ -315,7 +193,6 @@
             worker.backoff_until = Time(0);
             pool.hasten_probes(now);
         }
-        let number = pool.workers[index].number;
         let update = LinkUpdate {
             endpoint: pool.workers[index].endpoint.clone(),
             change,
@@ -325,20 +202,13 @@
         self.link_updates.push(update);
         self.urgent = true;
         if matches!(change, Change::Lost(_)) {
-            self.release_slots_at(target, number);
+            self.release_slots_at(target, index);
         }
     }
 
     /// Releases the slots that other nodes granted for requests that hang on a lost link: they
     /// are no load of the endpoint.
-    fn release_slots_at(&mut self, target: &id::Target, number: u32) {
-        let Some(index) = self
-            .pools
-            .get(target)
-            .and_then(|pool| pool.worker_opt(number))
-        else {
-            return;
-        };
+    fn release_slots_at(&mut self, target: &id::Target, index: usize) {
         let runs = self.runs.values_mut();
         let there = runs.filter(|run| run.job.target == *target && run.worker == index);
         let leases: Vec<_> = there.filter_map(|run| run.lease.take()).collect();
@@ -381,7 +251,7 @@
 
     /// Since when several links are in trouble and nothing arrived from any endpoint of the service,
     /// if that is so.
-    fn deaf_since_opt(&self, now: Time, options: &worker::Options) -> Option<Time> {
+    pub(super) fn deaf_since_opt(&self, now: Time, options: &worker::Options) -> Option<Time> {
         let window = options.link.trouble_window;
         let troubles = self.workers.iter().filter(|worker| worker.is_open());
         let troubles = troubles.filter_map(|worker| worker.link.troubled_since_opt());
@@ -411,21 +281,6 @@
             worker.link.doubt(now, Evidence::OthersSilent);
         }
     }
-
-    fn lost_probe_spacing(&self, now: Time) -> Span {
-        let mut regained = self.workers.iter();
-        match regained.any(|worker| worker.link.was_regained_within(now, REGAIN_PERIOD)) {
-            true => REGAIN_PROBE_SPACING,
-            false => LOST_PROBE_SPACING,
-        }
-    }
-
-    fn hasten_probes(&mut self, now: Time) {
-        self.lost_probe_after = now;
-        for worker in &mut self.workers {
-            worker.link.hasten_probe(now);
-        }
-    }
 }
 
 /// Whether nothing arrived from an endpoint since a time.
