refactor: name a forward's nodes and a link's state in one place each

The text for an optional node was written three times, a link's change was matched twice, and a failed probe was built twice. No change of behaviour.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -177,7 +177,7 @@
             prompt: job.prompt.tokens,
             output: job.prompt.output,
             quota: &self.charged_by.to_string(),
-            forwarded_by: &self.forwarder_name(),
+            forwarded_by: &record::node_name(self.forwarder_opt()),
             configuration: self.admitted.configuration_version,
         });
         self.fingerprint = Some(fingerprint);
@@ -272,10 +272,9 @@
         }
     }
 
-    /// Returns the name of the node that forwarded the request; empty if a caller sent it.
-    pub fn forwarder_name(&self) -> String {
-        let node = self.hop.as_ref().map(|hop| hop.node.to_string());
-        node.unwrap_or_default()
+    /// Returns the node that forwarded the request; `None` if a caller sent it.
+    pub fn forwarder_opt(&self) -> Option<SocketAddrV4> {
+        self.hop.as_ref().map(|hop| hop.node)
     }
 
     /// Returns the process at the other end of the connection in use, and the maximum number of idle
@@ -497,7 +496,7 @@
             arrived: self.admitted.arrived,
             admission: self.admission,
             forwarded_to: self.forwarded_to,
-            forwarded_by: self.hop.as_ref().map(|hop| hop.node),
+            forwarded_by: self.forwarder_opt(),
         };
         record::reply(&self.shell, context, reply);
         self.is_finished = true;
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -76,6 +76,9 @@
     }
 }
 
+/// The maximum number of forwarded requests in progress, each of which takes two connections.
+const MAX_FORWARDED: usize = 512;
+
 /// Serves a request that another node forwarded. It waits and runs like one of this node's own
 /// callers'; the other node has charged the customer's quota.
 pub async fn serve_forwarded(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
@@ -159,9 +162,6 @@
     hop::insert(response.headers_mut(), &stated);
 }
 
-/// The maximum number of forwarded requests in progress, each of which takes two connections.
-const MAX_FORWARDED: usize = 512;
-
 /// Returns the table by which a request is admitted. A node that has just started waits
 /// briefly for it: callers retry only once, and after all nodes were killed together, a
 /// caller refused immediately would retry while they are still starting.
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -86,8 +86,8 @@
         passed_leaving: &join_names(&passed_over.leaving),
         passed_resting: &join_names(&passed_over.resting),
         unusable: unusable.as_deref().unwrap_or_default(),
-        forwarded_to: &to_text(forwarded_to),
-        forwarded_by: &to_text(forwarded_by),
+        forwarded_to: &node_name(forwarded_to),
+        forwarded_by: &node_name(forwarded_by),
     });
 }
 
@@ -188,7 +188,7 @@
 }
 
 /// Formats an optional node for the log.
-fn to_text(node: Option<SocketAddrV4>) -> String {
+pub fn node_name(node: Option<SocketAddrV4>) -> String {
     node.map(|node| node.to_string()).unwrap_or_default()
 }
 
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -21,6 +21,7 @@
 use super::framer;
 use super::framer::Framer;
 use super::outgoing;
+use super::record;
 use crate::event::Event;
 use crate::upstream::Answer;
 use crate::upstream::Body;
@@ -221,11 +222,8 @@
             passed_leaving: "",
             passed_resting: "",
             unusable: "",
-            forwarded_to: &exchange
-                .forwarded_to
-                .map(|node| node.to_string())
-                .unwrap_or_default(),
-            forwarded_by: &exchange.forwarder_name(),
+            forwarded_to: &record::node_name(exchange.forwarded_to),
+            forwarded_by: &record::node_name(exchange.forwarder_opt()),
         });
         remaining
     }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -339,15 +339,11 @@
 
     /// Logs and counts a change of this node's link to an endpoint.
     fn record_link_update(&self, update: &LinkUpdate) {
-        let (state, evidence, after) = match update.change {
-            Change::Lost(evidence) => ("lost", evidence.as_str(), Span::ZERO),
-            Change::Regained(after) => ("regained", "", after),
+        let (state, counted_as, evidence, after) = match update.change {
+            Change::Lost(evidence) => ("lost", "link-lost", evidence.as_str(), Span::ZERO),
+            Change::Regained(after) => ("regained", "link-regained", "", after),
         };
-        let is_lost = matches!(update.change, Change::Lost(_));
-        self.metrics.record_state_change(match is_lost {
-            true => "link-lost",
-            false => "link-regained",
-        });
+        self.metrics.record_state_change(counted_as);
         self.log(&Event::Link {
             endpoint: update.endpoint.name.as_str(),
             service: update.endpoint.service.as_str(),
@@ -357,7 +353,7 @@
             lost: update.lost,
             open: update.open,
         });
-        if is_lost {
+        if matches!(update.change, Change::Lost(_)) {
             let target = Target::Endpoint(update.endpoint.to_instance());
             self.upstream.close_idle_to(&target);
             self.link_losses.send_modify(|losses| *losses += 1);
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -94,13 +94,9 @@
                 is_refused: false,
             }
         }
-        Ok(Err(error)) => Finding {
+        opened => Finding {
             probe: Probe::Failed,
-            is_refused: is_refusal(&error),
-        },
-        Err(_) => Finding {
-            probe: Probe::Failed,
-            is_refused: false,
+            is_refused: matches!(opened, Ok(Err(error)) if is_refusal(&error)),
         },
     }
 }
@@ -112,9 +108,8 @@
 
 /// Sends a health check over a new connection, which is kept if it can be reused. Without a path
 /// for it, the connection itself counts as an answer.
-async fn check(shell: &Rc<Shell>, target: &ProbeTarget, connection: Connection) -> Probe {
+async fn check(shell: &Rc<Shell>, target: &ProbeTarget, mut connection: Connection) -> Probe {
     let Some(path) = &target.health_path else {
-        let mut connection = connection;
         let closed = tokio::time::timeout(CLOSE_TIMEOUT, &mut connection.task).await;
         if closed.is_ok() {
             return Probe::Failed;
