--- a/crates/dispatch/tests/dispatch/fleet/brittle.rs
+++ b/crates/dispatch/tests/dispatch/fleet/brittle.rs
@@ -6,16 +6,11 @@
 use super::world::brittle::Brittle;
 use super::*;
 
-/// A plain service with short calls.
-fn plain_service(nodes: u16, endpoints: u16) -> Shape {
+/// Returns a fleet with a plain service, whose requests take a while to its endpoints.
+fn distant_service(nodes: u16, endpoints: u16) -> Shape {
     Shape {
-        nodes,
-        centres: 1,
-        endpoints,
-        service: SERVICE,
-        call_time: Span::from_millis(60),
         endpoint_latency: Span::from_millis(1),
-        ..small()
+        ..plain_service(nodes, endpoints)
     }
 }
 
@@ -40,8 +35,8 @@
 
 #[rstest]
 #[case::seven_hosts_overloaded(small(), MODEL, 300, 2)]
-#[case::sixteen_hosts_overloaded(plain_service(16, 8), SERVICE, 1_200, 5)]
-#[case::five_hosts_overloaded_and_no_tolerance(plain_service(5, 6), SERVICE, 900, 0)]
+#[case::sixteen_hosts_overloaded(distant_service(16, 8), SERVICE, 1_200, 5)]
+#[case::five_hosts_overloaded_and_no_tolerance(distant_service(5, 6), SERVICE, 900, 0)]
 #[case::cells(middle(), MODEL, 1_500, 5)]
 fn brittle_endpoints_do_not_fall_over(
     #[case] shape: Shape,
@@ -56,7 +51,7 @@
 
 #[rstest]
 #[case::seven_hosts(small(), MODEL, 150, 90.0)]
-#[case::sixteen_hosts(plain_service(16, 8), SERVICE, 600, 95.0)]
+#[case::sixteen_hosts(distant_service(16, 8), SERVICE, 600, 95.0)]
 #[case::cells(middle(), MODEL, 900, 90.0)]
 fn callers_of_brittle_endpoints_are_served_below_capacity(
     #[case] shape: Shape,
@@ -103,7 +98,7 @@
 #[case::kill_half(kill_half)]
 #[case::partition(partition)]
 fn brittle_endpoints_stay_up_while_owners_change(#[case] disrupt: fn(&mut World)) {
-    let mut world = brittle_fleet(plain_service(9, 10), SERVICE, 1_400, 5);
+    let mut world = brittle_fleet(distant_service(9, 10), SERVICE, 1_400, 5);
     disrupt(&mut world);
     assert_few_fell(&world);
 }
@@ -112,7 +107,7 @@
 /// would hand out without bound.
 #[test]
 fn nodes_of_this_build_keep_brittle_endpoints_up_beside_those_before() {
-    let mut world = World::start(plain_service(9, 10));
+    let mut world = World::start(distant_service(9, 10));
     let nodes = all_nodes(&world);
     let (own, before): (Vec<u16>, Vec<u16>) = nodes.iter().partition(|node| **node % 2 == 1);
     world.previous_build = before.into_iter().collect();
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -72,6 +72,18 @@
     }
 }
 
+/// Returns a fleet of so many nodes and so many endpoints of a plain service.
+fn plain_service(nodes: u16, endpoints: u16) -> Shape {
+    Shape {
+        nodes,
+        centres: 1,
+        endpoints,
+        service: SERVICE,
+        call_time: Span::from_millis(60),
+        ..small()
+    }
+}
+
 /// A fleet of three data centres with one cell each.
 fn middle() -> Shape {
     Shape {
--- a/crates/dispatch/tests/dispatch/fleet/resting.rs
+++ b/crates/dispatch/tests/dispatch/fleet/resting.rs
@@ -19,18 +19,6 @@
     Rejecting { rest, one_of: 1 }
 }
 
-/// Returns a fleet of so many nodes and so many endpoints of a plain service.
-fn plain_service(nodes: u16, endpoints: u16) -> Shape {
-    Shape {
-        nodes,
-        centres: 1,
-        endpoints,
-        service: SERVICE,
-        call_time: Span::from_millis(60),
-        ..small()
-    }
-}
-
 #[rstest]
 #[case::seven_hosts(small(), MODEL, 72, 2)]
 #[case::sixteen_hosts(plain_service(16, 8), SERVICE, 200, 4)]
