test: wait until the nodes of a test fleet know each other

`gateway::links` slept for 500 ms after the start, which a busy machine may not keep. It asks each node's metrics instead.

--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -153,8 +153,9 @@
     for node in &nodes {
         wait_until_serving(node).await;
     }
-    // Nodes exchange statuses several times within this time.
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    for node in &nodes {
+        wait_until_known(node, count).await;
+    }
     nodes
 }
 
@@ -228,3 +229,20 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Waits until a node has heard from all nodes of its fleet.
+async fn wait_until_known(node: &Node, count: u8) {
+    let metrics = SocketAddrV4::new(*node.callers.ip(), 7_002);
+    let line = format!("woadstage_nodes {count}\n");
+    loop {
+        if let Some(mut caller) = Caller::try_connect(metrics).await {
+            caller
+                .send("GET /metrics HTTP/1.1\r\nhost: node\r\n\r\n")
+                .await;
+            if caller.answer().await.body.contains(&line) {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
