feat: log what marks the end of an answer's body and how it ended

`attempt` says whether an answer had a length, chunks or neither, and whether its stream ended inside an event. One typed notion (`woadstage_body::ending`) makes it; nothing decides by it yet.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -309,6 +309,14 @@
         next: &'a str,
         /// The status or the connection error.
         detail: &'a str,
+        /// What marks the end of the answer's body: `length`, `chunks` or `connection`; empty if
+        /// none was relayed.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        framing: &'a str,
+        /// How that body ended: `stated`, `closed`, `connection-broke`, `inside-event` or
+        /// `no-event`.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        body: &'a str,
         /// The time in milliseconds since the request was sent.
         after_ms: u64,
     },
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -8,6 +8,8 @@
 use hyper::StatusCode;
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
+use woadstage_body::ending::Ending;
+use woadstage_body::ending::Framing;
 use woadstage_dispatch::dispatcher::Admission;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
@@ -77,9 +79,20 @@
     units: u64,
     charged_by: ChargedBy,
     pub(super) may_have_run: bool,
+    /// How the body of the answer to the present attempt ended, once it has.
+    pub(super) body_end: Option<BodyEnd>,
     is_finished: bool,
 }
 
+/// How the body of an answer ended.
+#[derive(Debug, Clone)]
+pub struct BodyEnd {
+    /// What marks its end.
+    pub framing: Framing,
+    /// How it ended.
+    pub ending: Ending,
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
         let Some(job) = self.job.take() else {
@@ -118,6 +131,7 @@
             decision: None,
             charged_by: ChargedBy::Nobody,
             may_have_run: false,
+            body_end: None,
             is_finished: false,
         }
     }
@@ -439,12 +453,16 @@
         self.shell
             .metrics
             .record_attempt(self.admitted.target.as_str(), end.as_str());
+        let body_end = self.body_end.take();
+        let body_end = body_end.as_ref();
         self.shell.log(&Event::Attempt {
             request: &self.admitted.request_id,
             endpoint,
             end: end.as_str(),
             next: next.as_str(),
             detail,
+            framing: body_end.map_or("", |body_end| body_end.framing.as_str()),
+            body: body_end.map_or("", |body_end| body_end.ending.as_str()),
             after_ms: self.shell.now().since(self.sent_at).0 / 1_000,
         });
         self.finish_step(next)
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -8,15 +8,22 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header;
+use woadstage_body::ending;
+use woadstage_body::ending::Ending;
+use woadstage_body::ending::Framing;
+use woadstage_body::ending::Reception;
 use woadstage_dispatch::configuration::Kind;
 use woadstage_dispatch::job::End;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use super::exchange::BodyEnd;
 use super::exchange::Exchange;
 use super::framer;
 use super::framer::Framer;
@@ -35,6 +42,7 @@
     incoming: Incoming,
     connection: Option<Connection>,
     keep_alive: Duration,
+    reception: Reception,
     framer: Option<Framer>,
     is_stream: bool,
     status: u16,
@@ -54,14 +62,17 @@
     } = answer;
     let (mut head, incoming) = response.into_parts();
     let keep_alive = reuse::keep_alive_duration(&head.headers);
+    let framing = Framing::of(&head.headers, &incoming);
     outgoing::remove_hop_by_hop(&mut head.headers);
     let is_success = head.status.is_success();
     let is_stream = exchange.admitted.route.kind == Kind::Stream && is_success;
     let is_resumable = is_stream && exchange.admitted.route.resumable;
+    let has_events = has_events(&head.headers, is_stream);
     let mut relay = Relay {
         incoming,
         connection: Some(connection),
         keep_alive,
+        reception: Reception::new(framing, has_events),
         framer: is_resumable.then(Framer::default),
         is_stream,
         status: head.status.as_u16(),
@@ -82,6 +93,14 @@
     Response::from_parts(head, Box::pin(StreamBody::new(frames)))
 }
 
+/// Whether an answer is a stream of events: by its content type, or by its route if it states none.
+fn has_events(headers: &HeaderMap, is_stream: bool) -> bool {
+    match headers.contains_key(header::CONTENT_TYPE) {
+        true => ending::is_event_stream(headers),
+        false => is_stream,
+    }
+}
+
 /// The result of waiting for the next bytes from the endpoint.
 enum Received {
     Data(Bytes),
@@ -116,6 +135,7 @@
                 }
                 Received::Late => return Some(Err(self.abort(End::Late, "no time left"))),
                 Received::Broken(detail) => {
+                    self.record_ending(self.reception.break_off(&detail));
                     if !self.resume(&detail).await {
                         return Some(Err(self.abort(End::Lost, &detail)));
                     }
@@ -138,6 +158,7 @@
 
     /// Processes bytes from the endpoint, and returns those to send now.
     fn forward(&mut self, bytes: Bytes) -> BytesMut {
+        self.reception.push(&bytes);
         let (bytes, events) = match &mut self.framer {
             Some(framer) => framer.push(&bytes),
             None if self.is_stream => {
@@ -192,6 +213,7 @@
             _ => End::Whole,
         };
         let detail = self.status.to_string();
+        self.record_ending(self.reception.end());
         self.exchange.end_attempt(end, &detail);
         self.exchange.finish();
         self.keep_connection();
@@ -228,6 +250,13 @@
         remaining
     }
 
+    fn record_ending(&mut self, ending: Ending) {
+        self.exchange.body_end = Some(BodyEnd {
+            framing: self.reception.framing(),
+            ending,
+        });
+    }
+
     fn keep_connection(&mut self) {
         let Some(connection) = self.connection.take() else {
             return;
@@ -264,7 +293,10 @@
         if !answer.response.status().is_success() {
             return false;
         }
-        self.keep_alive = reuse::keep_alive_duration(answer.response.headers());
+        let headers = answer.response.headers();
+        self.keep_alive = reuse::keep_alive_duration(headers);
+        let framing = Framing::of(headers, answer.response.body());
+        self.reception = Reception::new(framing, has_events(headers, self.is_stream));
         self.incoming = answer.response.into_body();
         self.connection = Some(answer.connection);
         true
