test: broken answers that reach callers as complete

Fail on this code, over sockets: a stream without length or chunks that is closed inside an event (resumable, not resumable, and forwarded), before its first event, or with a stated end inside an event; an answer that is aborted for a caller of HTTP/1.0; events with CR LF or CR, which are held back to the end of a resumable stream.

--- /dev/null
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -0,0 +1,144 @@
+//! Answers that end with their connection or break off, as callers get them.
+
+use rstest::rstest;
+
+use crate::support::Action;
+use crate::support::Caller;
+use crate::support::Gateway;
+use crate::support::Worker;
+use crate::support::chunk;
+use crate::support::chunked_head;
+use crate::support::closing_head;
+use crate::support::field;
+use crate::support::run;
+
+const WHOLE: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+const BROKEN: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: pie";
+
+/// Returns whether a caller's answer was complete, and its body, if an endpoint answers so and
+/// closes the connection.
+async fn answered(path: &str, answer: String) -> (bool, String) {
+    let worker = Worker::start("e", vec![Action::AnswerAndClose(answer)]).await;
+    let gateway = Gateway::start(&[&worker]).await;
+    let mut caller = Caller::connect(&gateway).await;
+    caller.request("id-1", path, "").await;
+    let response = caller.answer().await;
+    (response.is_complete, response.body)
+}
+
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_stream_closed_inside_an_event_does_not_look_complete(#[case] path: &str) {
+    run(|| async move {
+        let (is_complete, body) = answered(path, closing_head() + BROKEN).await;
+        assert!(!is_complete, "{body}");
+    });
+}
+
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_stream_with_a_last_chunk_inside_an_event_does_not_look_complete(#[case] path: &str) {
+    run(|| async move {
+        let answer = format!("{}{}0\r\n\r\n", chunked_head(), chunk(BROKEN));
+        let (is_complete, body) = answered(path, answer).await;
+        assert!(!is_complete, "{body}");
+    });
+}
+
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_stream_of_stated_length_inside_an_event_does_not_look_complete(#[case] path: &str) {
+    run(|| async move {
+        let length = format!("content-length: {}\r\n\r\n", BROKEN.len());
+        let head = closing_head().replace("connection: close\r\n\r\n", &length);
+        let (is_complete, body) = answered(path, head + BROKEN).await;
+        assert!(!is_complete, "{body}");
+    });
+}
+
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_stream_closed_before_its_first_event_does_not_look_complete(#[case] path: &str) {
+    run(|| async move {
+        let (is_complete, body) = answered(path, closing_head()).await;
+        assert!(!is_complete, "{body}");
+    });
+}
+
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_stream_closed_after_an_event_is_complete(#[case] path: &str) {
+    run(|| async move {
+        let answered = answered(path, closing_head() + WHOLE).await;
+        assert_eq!(answered, (true, WHOLE.to_owned()));
+    });
+}
+
+#[test]
+fn a_plain_answer_that_ends_with_its_connection_is_complete() {
+    run(|| async {
+        let head = closing_head().replace("text/event-stream", "application/json");
+        let answered = answered("/once/x", head + "{\"fine\": true}").await;
+        assert_eq!(answered, (true, "{\"fine\": true}".to_owned()));
+    });
+}
+
+#[test]
+fn a_stream_closed_inside_an_event_resumes_after_the_last_complete_one() {
+    run(|| async {
+        let rest = "id: 2\ndata: piece 2\n\n".to_owned();
+        let script = vec![
+            Action::AnswerAndClose(closing_head() + BROKEN),
+            Action::AnswerAndClose(closing_head() + &rest),
+        ];
+        let one = Worker::start("e", script.clone()).await;
+        let other = Worker::start("f", script[1..].to_vec()).await;
+        let gateway = Gateway::start(&[&one]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/resumable/x", "").await;
+        caller.head().await.expect("an answer");
+        gateway.set_endpoints(&[&one, &other]);
+        let body = caller.read_until("0\r\n\r\n").await;
+        assert_eq!(body.matches("data: pie").count(), 2, "{body}");
+        let second = other.requests.borrow()[0].clone();
+        assert_eq!(field(&second, "last-event-id"), Some("1"));
+        let line = gateway.wait_for_line(&["\"attempt\"", "\"lost\""]).await;
+        assert!(line.contains("inside-event"), "{line}");
+    });
+}
+
+/// Returns what a caller of HTTP/1.0 receives before its connection ends, and whether that end is
+/// orderly.
+async fn answered_over_http_10(path: &str, answer: String) -> (String, bool) {
+    let worker = Worker::start("e", vec![Action::AnswerAndClose(answer)]).await;
+    let gateway = Gateway::start(&[&worker]).await;
+    let mut caller = Caller::connect(&gateway).await;
+    caller.request_over_http_10("id-1", path).await;
+    caller.read_to_end().await
+}
+
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+#[case::plain("/once/x")]
+fn an_answer_broken_off_over_http_10_ends_in_a_reset(#[case] path: &str) {
+    run(|| async move {
+        let answer = format!("{}{}", chunked_head(), chunk(BROKEN));
+        let (received, is_orderly) = answered_over_http_10(path, answer).await;
+        assert!(!is_orderly, "{received}");
+    });
+}
+
+#[test]
+fn a_whole_answer_over_http_10_ends_in_an_orderly_close() {
+    run(|| async {
+        let answer = format!("{}{}0\r\n\r\n", chunked_head(), chunk(WHOLE));
+        let (received, is_orderly) = answered_over_http_10("/resumable/x", answer).await;
+        assert!(is_orderly && received.ends_with(WHOLE), "{received}");
+    });
+}
--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -14,6 +14,7 @@
 use crate::support::answer;
 use crate::support::chunk;
 use crate::support::chunked_head;
+use crate::support::closing_head;
 use crate::support::configuration;
 use crate::support::field;
 use crate::support::fleet;
@@ -164,6 +165,25 @@
     });
 }
 
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_forwarded_stream_closed_inside_an_event_does_not_look_complete(#[case] path: &'static str) {
+    run(|| async move {
+        let fine = Action::Answer(answer("200 OK", "fine"));
+        let worker = Worker::start("e", vec![fine]).await;
+        let nodes = start_with_cut_node(&[&worker]).await;
+        let broken = closing_head() + "id: 1\ndata: piece 1\n\nid: 2\ndata: pie";
+        worker.set_script(vec![Action::AnswerAndClose(broken)]);
+        let mut caller = Caller::try_connect(nodes[0].callers)
+            .await
+            .expect("connects");
+        caller.request("r", path, "").await;
+        let response = caller.answer().await;
+        assert!(!response.is_complete, "{}", response.body);
+    });
+}
+
 #[test]
 fn a_field_that_only_nodes_set_gives_a_caller_nothing() {
     run(|| async {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod catch_up;
 mod crash;
+mod ending;
 mod explain;
 mod fingerprint;
 mod hop;
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use rstest::rstest;
 use tokio::sync::Notify;
 
 use crate::support::Action;
@@ -44,6 +45,31 @@
     });
 }
 
+#[rstest]
+#[case::line_feeds("\n")]
+#[case::carriage_returns_and_line_feeds("\r\n")]
+#[case::carriage_returns("\r")]
+fn events_of_a_resumable_stream_are_passed_on_as_they_arrive(#[case] line_end: &'static str) {
+    run(|| async move {
+        let proceed = Rc::new(Notify::new());
+        let event = |id| chunk(&event(id).replace('\n', line_end));
+        let steps = vec![
+            format!("{}{}", chunked_head(), event(1)),
+            format!("{}0\r\n\r\n", event(2)),
+        ];
+        let worker = Worker::start("e", vec![Action::AnswerStepwise(steps, proceed.clone())]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/resumable/x", "").await;
+        proceed.notify_one();
+        caller.read_until("piece 1").await;
+        proceed.notify_one();
+        caller.read_until("0\r\n\r\n").await;
+        let line = gateway.wait_for_line(&["\"answered\"", "id-1"]).await;
+        assert!(line.contains("\"events\":2"), "{line}");
+    });
+}
+
 #[test]
 fn a_stream_that_is_not_resumable_breaks_off() {
     run(|| async {
--- a/crates/gateway/tests/gateway/support/caller.rs
+++ b/crates/gateway/tests/gateway/support/caller.rs
@@ -70,6 +70,27 @@
         .await;
     }
 
+    /// Sends a request of HTTP/1.0 with a valid key and an id.
+    pub async fn request_over_http_10(&mut self, id: &str, path: &str) {
+        self.send(&format!(
+            "POST {path} HTTP/1.0\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+             woadstage-request: {id}\r\nwoadstage-timeout-ms: 20000\r\ncontent-length: 0\r\n\r\n"
+        ))
+        .await;
+    }
+
+    /// Reads until the connection ends. Returns what was read, and whether the end was orderly.
+    pub async fn read_to_end(&mut self) -> (String, bool) {
+        let end = loop {
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) => break true,
+                Ok(_) => {}
+                Err(_) => break false,
+            }
+        };
+        (String::from_utf8_lossy(&self.buffer).into_owned(), end)
+    }
+
     /// Reads a head; none if the connection ends first.
     pub async fn head(&mut self) -> Option<String> {
         read_head(&mut self.stream, &mut self.buffer).await
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -157,14 +157,8 @@
         options: log::Options,
     ) -> Gateway {
         let gateway = Gateway::unconfigured(options).await;
+        gateway.set_endpoints(workers);
         let shell = &gateway.shell;
-        let list = Arc::new(List {
-            settled: true,
-            revision: 1,
-            endpoints: workers.iter().map(|worker| to_endpoint(worker)).collect(),
-            ..List::default()
-        });
-        shell.command(|dispatcher, now| dispatcher.set_endpoints(now, list));
         if let Some(configuration) = configuration {
             shell.command(|dispatcher, now| {
                 dispatcher.set_configuration(now, Arc::new(configuration))
@@ -206,6 +200,21 @@
         }
     }
 
+    /// Replaces the list of endpoints.
+    pub fn set_endpoints(&self, workers: &[&Worker]) {
+        let revision = self
+            .shell
+            .query(|dispatcher, _| dispatcher.endpoints().revision);
+        let list = Arc::new(List {
+            settled: true,
+            revision: revision + 1,
+            endpoints: workers.iter().map(|worker| to_endpoint(worker)).collect(),
+            ..List::default()
+        });
+        self.shell
+            .command(|dispatcher, now| dispatcher.set_endpoints(now, list));
+    }
+
     /// Simulates a suspension of the host, which the gateway detects at once.
     pub fn suspend(&self, span: Duration) {
         self.suspended.set(self.suspended.get() + span);
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -24,6 +24,7 @@
 pub use wire::answer;
 pub use wire::chunk;
 pub use wire::chunked_head;
+pub use wire::closing_head;
 pub use wire::field;
 pub use worker::Action;
 pub use worker::Worker;
--- a/crates/gateway/tests/gateway/support/wire.rs
+++ b/crates/gateway/tests/gateway/support/wire.rs
@@ -70,6 +70,13 @@
         .into()
 }
 
+/// Returns the head of a response whose body ends with the connection.
+pub fn closing_head() -> String {
+    "HTTP/1.1 200 OK\r\nwoadstage-request: {id}\r\ncontent-type: text/event-stream\r\n\
+     connection: close\r\n\r\n"
+        .into()
+}
+
 /// Encodes one chunk.
 pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
