fix: find the ends of events with any line end

Callers of a resumable stream whose events end in CR LF or CR got the whole stream at its end: the boundary that was looked for is two LF.

--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -13,7 +13,7 @@
 //! * `classify.rs`: classifies an answer by its head.
 //! * `parse_notice.rs`: parses what an answer's head reports about its endpoint.
 //! * `relay.rs`: forwards an answer to the caller.
-//! * `framer.rs`: splits a stream into events.
+//! * `framer.rs`: buffers incomplete events of a stream.
 //! * `reply.rs`: the answers that this node generates.
 //! * `record.rs`: log lines and metrics about a request.
 
@@ -49,7 +49,7 @@
 mod exchange;
 mod fingerprint;
 mod forward;
-pub mod framer;
+mod framer;
 mod handle;
 pub mod hop;
 mod outgoing;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
@@ -25,7 +24,6 @@
 
 use super::exchange::BodyEnd;
 use super::exchange::Exchange;
-use super::framer;
 use super::framer::Framer;
 use super::outgoing;
 use super::record;
@@ -62,17 +60,16 @@
     } = answer;
     let (mut head, incoming) = response.into_parts();
     let keep_alive = reuse::keep_alive_duration(&head.headers);
-    let framing = Framing::of(&head.headers, &incoming);
-    outgoing::remove_hop_by_hop(&mut head.headers);
     let is_success = head.status.is_success();
     let is_stream = exchange.admitted.route.kind == Kind::Stream && is_success;
+    let reception = follow(&head.headers, &incoming, is_stream);
+    outgoing::remove_hop_by_hop(&mut head.headers);
     let is_resumable = is_stream && exchange.admitted.route.resumable;
-    let has_events = has_events(&head.headers, is_stream);
     let mut relay = Relay {
         incoming,
         connection: Some(connection),
         keep_alive,
-        reception: Reception::new(framing, has_events),
+        reception,
         framer: is_resumable.then(Framer::default),
         is_stream,
         status: head.status.as_u16(),
@@ -93,19 +90,21 @@
     Response::from_parts(head, Box::pin(StreamBody::new(frames)))
 }
 
-/// Whether an answer is a stream of events: by its content type, or by its route if it states none.
-fn has_events(headers: &HeaderMap, is_stream: bool) -> bool {
-    match headers.contains_key(header::CONTENT_TYPE) {
+/// Follows an answer with this head: as a stream of events if its content type says so, or if it
+/// states none and its route is one of streams.
+fn follow(headers: &HeaderMap, body: &Incoming, is_stream: bool) -> Reception {
+    let framing = Framing::of(headers, body);
+    let has_events = match headers.contains_key(header::CONTENT_TYPE) {
         true => ending::is_event_stream(headers),
         false => is_stream,
-    }
+    };
+    Reception::new(framing, has_events)
 }
 
 /// The result of waiting for the next bytes from the endpoint.
 enum Received {
     Data(Bytes),
-    End,
-    Broken(String),
+    Ended(Ending),
     Late,
 }
 
@@ -117,65 +116,62 @@
             if self.is_finished {
                 return None;
             }
-            match self.next_frame().await {
+            match self.receive().await {
                 Received::Data(bytes) => {
-                    let mut bytes = self.forward(bytes);
+                    let bytes = self.forward(bytes);
                     // The server stops polling once it has sent `Content-Length` bytes, so
                     // the answer is finished here.
                     if self.incoming.is_end_stream() {
-                        bytes.extend_from_slice(&self.finish());
+                        let remaining = self.finish();
+                        return Some(Ok([bytes, remaining].concat().into()));
                     }
                     if !bytes.is_empty() {
-                        return Some(Ok(bytes.freeze()));
+                        return Some(Ok(bytes));
                     }
                 }
-                Received::End => {
-                    let remaining = self.finish();
-                    return (!remaining.is_empty()).then_some(Ok(remaining));
-                }
-                Received::Late => return Some(Err(self.abort(End::Late, "no time left"))),
-                Received::Broken(detail) => {
-                    self.record_ending(self.reception.break_off(&detail));
+                Received::Ended(Ending::BrokenOff(cause)) => {
+                    let detail = cause.to_string();
+                    self.record_ending(Ending::BrokenOff(cause));
                     if !self.resume(&detail).await {
                         return Some(Err(self.abort(End::Lost, &detail)));
                     }
                 }
+                Received::Ended(Ending::Stated | Ending::Closed) => {
+                    let remaining = self.finish();
+                    return (!remaining.is_empty()).then_some(Ok(remaining));
+                }
+                Received::Late => return Some(Err(self.abort(End::Late, "no time left"))),
             }
         }
     }
 
-    async fn next_frame(&mut self) -> Received {
+    async fn receive(&mut self) -> Received {
         let exchange = &self.exchange;
         let deadline = exchange.admitted.deadline;
         let frame = self.incoming.frame();
         match exchange.shell.timeout_at(deadline, frame).await {
             Err(_) => Received::Late,
-            Ok(None) => Received::End,
-            Ok(Some(Err(error))) => Received::Broken(error.to_string()),
+            Ok(None) => Received::Ended(Ending::Stated),
+            Ok(Some(Err(error))) => Received::Ended(self.reception.break_off(&error)),
             Ok(Some(Ok(frame))) => Received::Data(frame.into_data().unwrap_or_default()),
         }
     }
 
     /// Processes bytes from the endpoint, and returns those to send now.
-    fn forward(&mut self, bytes: Bytes) -> BytesMut {
-        self.reception.push(&bytes);
-        let (bytes, events) = match &mut self.framer {
-            Some(framer) => framer.push(&bytes),
-            None if self.is_stream => {
-                let events = framer::count_events(&bytes);
-                (bytes, events)
-            }
-            None => (bytes, 0),
-        };
-        self.events += events;
+    fn forward(&mut self, bytes: Bytes) -> Bytes {
+        let progress = self.reception.push(&bytes);
+        self.events += progress.events;
         self.record_progress();
         let exchange = &self.exchange;
         if let Some(job) = exchange.job().filter(|_| self.is_stream) {
             exchange
                 .shell
-                .command(|dispatcher, now| dispatcher.progress(now, job, events));
+                .command(|dispatcher, now| dispatcher.progress(now, job, progress.events));
+        }
+        match &mut self.framer {
+            Some(framer) => framer.push(&bytes, progress.outside_at),
+            None => bytes,
         }
-        BytesMut::from(bytes)
     }
 
     /// Records the time to the first bytes and the longest pause after them.
@@ -213,7 +209,8 @@
             _ => End::Whole,
         };
         let detail = self.status.to_string();
-        self.record_ending(self.reception.end());
+        let ending = self.reception.end();
+        self.record_ending(ending);
         self.exchange.end_attempt(end, &detail);
         self.exchange.finish();
         self.keep_connection();
@@ -282,7 +279,7 @@
         let Some(framer) = &mut self.framer else {
             return false;
         };
-        framer.drop_partial();
+        framer.resume();
         let last_event = framer.last_id().map(str::to_owned);
         if !self.exchange.end_attempt(End::Lost, detail) {
             return false;
@@ -295,8 +292,7 @@
         }
         let headers = answer.response.headers();
         self.keep_alive = reuse::keep_alive_duration(headers);
-        let framing = Framing::of(headers, answer.response.body());
-        self.reception = Reception::new(framing, has_events(headers, self.is_stream));
+        self.reception = follow(headers, answer.response.body(), self.is_stream);
         self.incoming = answer.response.into_body();
         self.connection = Some(answer.connection);
         true
