fix: tell an answer that ended from one that broke off

An answer without length or chunks ends with its connection, and the end of the bytes was taken for the end of the answer; the last chunk that this node then sent stated what the endpoint never had. Nothing looked at what had arrived, and streams that may not resume had no framer at all.

What arrived before is sent before the abort. A resumable answer states no length of its own, since another one may follow.

--- a/crates/gateway/src/serve/framer.rs
+++ b/crates/gateway/src/serve/framer.rs
@@ -39,11 +39,6 @@
         }
     }
 
-    /// Returns the remaining bytes after a stream has ended regularly.
-    pub fn finish(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
     /// Discards the incomplete event of a broken stream; what follows comes from another endpoint.
     pub fn resume(&mut self) {
         self.partial.clear();
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -65,6 +65,10 @@
     let reception = follow(&head.headers, &incoming, is_stream);
     outgoing::remove_hop_by_hop(&mut head.headers);
     let is_resumable = is_stream && exchange.admitted.route.resumable;
+    if is_resumable {
+        // It may be resumed by an answer of another length.
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
     let mut relay = Relay {
         incoming,
         connection: Some(connection),
@@ -121,9 +125,8 @@
                     let bytes = self.forward(bytes);
                     // The server stops polling once it has sent `Content-Length` bytes, so
                     // the answer is finished here.
-                    if self.incoming.is_end_stream() {
-                        let remaining = self.finish();
-                        return Some(Ok([bytes, remaining].concat().into()));
+                    if self.incoming.is_end_stream() && self.reception.end().is_whole() {
+                        self.finish();
                     }
                     if !bytes.is_empty() {
                         return Some(Ok(bytes));
@@ -133,12 +136,14 @@
                     let detail = cause.to_string();
                     self.record_ending(Ending::BrokenOff(cause));
                     if !self.resume(&detail).await {
+                        // Lets the server send what arrived before.
+                        tokio::task::yield_now().await;
                         return Some(Err(self.abort(End::Lost, &detail)));
                     }
                 }
                 Received::Ended(Ending::Stated | Ending::Closed) => {
-                    let remaining = self.finish();
-                    return (!remaining.is_empty()).then_some(Ok(remaining));
+                    self.finish();
+                    return None;
                 }
                 Received::Late => return Some(Err(self.abort(End::Late, "no time left"))),
             }
@@ -151,7 +156,7 @@
         let frame = self.incoming.frame();
         match exchange.shell.timeout_at(deadline, frame).await {
             Err(_) => Received::Late,
-            Ok(None) => Received::Ended(Ending::Stated),
+            Ok(None) => Received::Ended(self.reception.end()),
             Ok(Some(Err(error))) => Received::Ended(self.reception.break_off(&error)),
             Ok(Some(Ok(frame))) => Received::Data(frame.into_data().unwrap_or_default()),
         }
@@ -170,6 +175,10 @@
         }
         match &mut self.framer {
             Some(framer) => framer.push(&bytes, progress.outside_at),
+            // Sent, they would complete the length that the answer states.
+            None if self.incoming.is_end_stream() && !self.reception.end().is_whole() => {
+                Bytes::new()
+            }
             None => bytes,
         }
     }
@@ -198,11 +207,9 @@
             .map_or(0, |at| at.since(arrived).0 / 1_000)
     }
 
-    /// Ends the exchange after the endpoint's answer is complete. Returns the bytes still
-    /// buffered.
-    fn finish(&mut self) -> Bytes {
+    /// Ends the exchange after the endpoint's answer is complete.
+    fn finish(&mut self) {
         self.is_finished = true;
-        let remaining = self.framer.as_mut().map(Framer::finish).unwrap_or_default();
         let end = match self.status {
             500.. => End::Fault,
             400..500 => End::Rejected,
@@ -210,10 +217,13 @@
         };
         let detail = self.status.to_string();
         let ending = self.reception.end();
+        let may_reuse_connection = ending.may_reuse_connection();
         self.record_ending(ending);
         self.exchange.end_attempt(end, &detail);
         self.exchange.finish();
-        self.keep_connection();
+        if may_reuse_connection {
+            self.keep_connection();
+        }
         let exchange = &self.exchange;
         let elapsed = exchange.shell.now().since(exchange.admitted.arrived);
         exchange.shell.metrics.record_answer(
@@ -244,7 +254,6 @@
             forwarded_to: &record::node_name(exchange.forwarded_to),
             forwarded_by: &record::node_name(exchange.forwarder_opt()),
         });
-        remaining
     }
 
     fn record_ending(&mut self, ending: Ending) {
