fix: reset callers of HTTP/1.0 whose answer breaks off

An answer in HTTP/1.0 ends with its connection, so a caller took the orderly close of an aborted one for its end: a broken stream looked complete.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -43,6 +43,7 @@
 use super::record;
 use super::record::Context;
 use super::reply::Reply;
+use super::reset;
 use crate::event::Event;
 use crate::headers::text;
 use crate::shell::Shell;
@@ -70,6 +71,8 @@
     pub hop: Option<hop::Request>,
     /// Counts the request among those that other nodes forwarded to this one.
     pub in_progress: Option<hop::InProgress>,
+    /// Resets the caller's connection, if a caller sent the request to this node.
+    pub(super) reset: Option<reset::Switch>,
     pub(super) head: Parts,
     pub(super) payload: Option<Payload>,
     fingerprint: Option<Fingerprint>,
@@ -124,6 +127,7 @@
             forwarded_to: None,
             hop: None,
             in_progress: None,
+            reset: None,
             payload: None,
             fingerprint: None,
             since_first_try: Span::ZERO,
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -25,6 +25,7 @@
 use super::record::Context;
 use super::relay;
 use super::reply::Reply;
+use super::reset;
 use crate::headers::text;
 use crate::shell::Shell;
 use crate::upstream::Answer;
@@ -46,8 +47,12 @@
 /// The interval at which a waiting request checks for the first configuration.
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Serves one request.
-pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
+/// Serves one request. `reset` decides how its connection ends.
+pub async fn serve(
+    shell: Rc<Shell>,
+    request: Request<Incoming>,
+    reset: reset::Switch,
+) -> Response<Body> {
     let arrived = shell.now();
     let (head, body) = request.into_parts();
     let table = admission_table(&shell, &head, arrived).await;
@@ -58,6 +63,7 @@
     };
     let payload = Payload::read(body, admitted.max_body, &shell.body_budget).await;
     let mut exchange = Exchange::new(shell, admitted, head);
+    exchange.reset = Some(reset);
     match payload {
         Ok(payload) => exchange.set_payload(payload),
         Err(code) => return exchange.refuse(code.into()),
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -14,6 +14,7 @@
 //! * `parse_notice.rs`: parses what an answer's head reports about its endpoint.
 //! * `relay.rs`: forwards an answer to the caller.
 //! * `framer.rs`: buffers incomplete events of a stream.
+//! * `reset.rs`: resets callers' connections.
 //! * `reply.rs`: the answers that this node generates.
 //! * `record.rs`: log lines and metrics about a request.
 
@@ -58,6 +59,7 @@
 mod record;
 mod relay;
 mod reply;
+mod reset;
 
 /// The minimum size of the buffer for a request's head that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
@@ -87,7 +89,9 @@
 async fn serve_caller(shell: Rc<Shell>, stream: TcpStream) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
-    serve_connection(shell, stream, Peer::Caller).await;
+    let reset = reset::Switch::default();
+    let stream = reset::Stream::new(stream, reset.clone());
+    serve_connection(shell, stream, Peer::Caller(reset)).await;
 }
 
 /// Serves the requests that another node forwards over a connection, the first bytes of which were
@@ -101,9 +105,11 @@
 }
 
 /// Who sends requests over a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 enum Peer {
-    Caller,
+    /// A caller, whose connection the switch resets.
+    Caller(reset::Switch),
+    /// Another node.
     Node,
 }
 
@@ -131,7 +137,7 @@
         .max_buf_size((limits.head.0 as usize).max(MIN_HEAD_BUFFER_BYTES))
         .auto_date_header(false);
     let server = shell.clone();
-    let service = service_fn(move |request| respond(server.clone(), request, peer));
+    let service = service_fn(move |request| respond(server.clone(), request, peer.clone()));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let open_connections = if is_closing {
@@ -156,7 +162,7 @@
     peer: Peer,
 ) -> Result<Response<Body>, Infallible> {
     let mut response = match peer {
-        Peer::Caller => handle::serve(shell.clone(), request).await,
+        Peer::Caller(reset) => handle::serve(shell.clone(), request, reset).await,
         Peer::Node => handle::serve_forwarded(shell.clone(), request).await,
     };
     if shell.phase() >= Phase::Leaving {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -9,6 +9,7 @@
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -314,6 +315,11 @@
         self.exchange.end_attempt(end, detail);
         self.exchange.finish();
         let exchange = &self.exchange;
+        if exchange.head.version <= Version::HTTP_10
+            && let Some(reset) = &exchange.reset
+        {
+            reset.set();
+        }
         exchange.shell.log(&Event::Cut {
             request: &exchange.admitted.request_id,
             detail,
--- a/crates/gateway/tests/gateway/ending.rs
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -134,6 +134,24 @@
     });
 }
 
+#[test]
+fn an_answer_broken_off_for_a_caller_that_asked_to_close_does_not_look_complete() {
+    run(|| async {
+        let answer = format!("{}{}", chunked_head(), chunk(BROKEN));
+        let worker = Worker::start("e", vec![Action::AnswerAndClose(answer)]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(
+                "POST /stream/x HTTP/1.1\r\nhost: host.example\r\nconnection: close\r\n\
+                 authorization: Bearer a-secret-key\r\nwoadstage-request: id-1\r\n\
+                 woadstage-timeout-ms: 20000\r\ncontent-length: 0\r\n\r\n",
+            )
+            .await;
+        assert!(!caller.answer().await.is_complete);
+    });
+}
+
 #[test]
 fn a_whole_answer_over_http_10_ends_in_an_orderly_close() {
     run(|| async {
