fix: tell answers of the product's own endpoints that broke off from whole ones

The relay goes by `woadstage_body::ending` as the gateway does; where only the connection ends a model's plain answer, it is whole if it can be parsed. What is read from platforms, reports and nodes is parsed whole or has lengths, and needed no change.

--- a/crates/node/src/endpoints/call.rs
+++ b/crates/node/src/endpoints/call.rs
@@ -13,6 +13,9 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
+use woadstage_body::ending;
+use woadstage_body::ending::Framing;
+use woadstage_body::ending::Reception;
 use woadstage_core::node;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Size;
@@ -176,10 +179,9 @@
     response: Response<Incoming>,
 ) -> Result<(node::Call, Option<Answer>), Failure> {
     let head = to_head(&response);
-    let is_stream = head
-        .content_type
-        .as_deref()
-        .is_some_and(|t| t.starts_with("text/event-stream"));
+    let is_stream = ending::is_event_stream(response.headers());
+    let framing = Framing::of(response.headers(), response.body());
+    let mut reception = Reception::new(framing, is_stream);
     let mut reader = Reader::new(is_stream);
     let mut body = response.into_body();
     let mut record = Record::new(call.record);
@@ -201,6 +203,7 @@
             let _ = call.reply.send(Reply::Head(head.clone())).await;
             report(call, node::Call::FirstByte, None);
         }
+        reception.push(&part);
         unreported += reader.read(&part);
         record.add(&part);
         // A failed send is ignored: the core handles a disconnected caller.
@@ -217,9 +220,10 @@
     if unreported > 0 {
         report(call, node::Call::Tokens(unreported), None);
     }
-    reader.finish();
-    if call.work.is_model && !reader.done {
-        // The connection ended cleanly, but the stream had no end marker.
+    let ending = reception.end();
+    reader.finish(&ending);
+    // An engine's stream also has an end marker.
+    if !ending.is_whole() || (call.work.is_model && !reader.done) {
         return Err(if started {
             Failure::BROKEN
         } else {
--- a/crates/node/src/endpoints/usage.rs
+++ b/crates/node/src/endpoints/usage.rs
@@ -1,6 +1,7 @@
 //! Extracts token events, usage and the end marker from an engine's answer.
 
 use serde::Deserialize;
+use woadstage_body::ending::Ending;
 
 /// The maximum size in bytes of a plain answer that is read for usage.
 const MAX_PLAIN_BYTES: usize = 1 << 20;
@@ -97,14 +98,17 @@
         }
     }
 
-    /// Parses the usage of a plain answer at its end.
-    pub fn finish(&mut self) {
+    /// Parses the usage of a plain answer at its end. Only the content tells whether one that ended
+    /// with its connection is whole.
+    pub fn finish(&mut self, ending: &Ending) {
         if self.is_stream {
             return;
         }
-        if let Ok(Envelope { usage: Some(usage) }) = serde_json::from_slice(&self.buffer) {
+        let parsed = serde_json::from_slice(&self.buffer);
+        let is_read_in_part = self.buffer.len() >= MAX_PLAIN_BYTES;
+        self.done = *ending == Ending::Stated || parsed.is_ok() || is_read_in_part;
+        if let Ok(Envelope { usage: Some(usage) }) = parsed {
             self.usage = usage;
         }
-        self.done = true;
     }
 }
--- a/crates/node/tests/node/answers.rs
+++ b/crates/node/tests/node/answers.rs
@@ -98,15 +98,13 @@
 
 /// The answer one caller received, whether it ended as complete, and whether the
 /// core was told so.
-struct Received {
+pub struct Received {
     bytes: Vec<u8>,
-    is_complete: bool,
-    reported_complete: bool,
+    pub is_complete: bool,
+    pub reported_complete: bool,
 }
 
 async fn call(client: endpoints::Client, address: Arc<str>, index: usize) -> Received {
-    let (handle, mut inputs) = driver::channel();
-    let (reply, mut replies) = mpsc::channel(driver::REPLY_WINDOW);
     let work = Work {
         method: "POST".into(),
         path: "/v1/chat/completions".into(),
@@ -115,6 +113,18 @@
         is_model: true,
         is_stream: true,
     };
+    call_with(client, address, index, work).await
+}
+
+/// Runs one call, and collects what its caller gets and what the core is told.
+pub async fn call_with(
+    client: endpoints::Client,
+    address: Arc<str>,
+    index: usize,
+    work: Work,
+) -> Received {
+    let (handle, mut inputs) = driver::channel();
+    let (reply, mut replies) = mpsc::channel(driver::REPLY_WINDOW);
     let call = endpoints::Call {
         request: id::Request(index as u128),
         attempt: 1,
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the frames between nodes, of reading usage and of relaying answers.
 
 mod answers;
+mod ending;
 
 use proptest::prelude::*;
+use woadstage_body::ending::Ending;
 use woadstage_core::message::Heartbeat;
 use woadstage_core::message::Message;
 use woadstage_node::endpoints::usage::Reader;
@@ -44,7 +46,7 @@
         let mut reader = Reader::new(false);
         reader.read(b"{\"choices\":[],\"usage\":{\"prompt_tokens\":3,");
         reader.read(b"\"completion_tokens\":4}}");
-        reader.finish();
+        reader.finish(&Ending::Stated);
         assert_eq!((reader.usage.prompt_tokens, reader.usage.completion_tokens), (3, 4));
         assert!(reader.done);
     };
@@ -52,7 +54,7 @@
     a_stream_cut_before_its_end_is_not_done => {
         let mut reader = Reader::new(true);
         reader.read(&STREAM.as_bytes()[..STREAM.len() - 10]);
-        reader.finish();
+        reader.finish(&Ending::Stated);
         assert!(!reader.done);
     };
 
