fix: don't resume a stream inside an event that was forwarded in part

An event of more than 256 KiB is forwarded in pieces. If its endpoint broke off then, the stream went on with another event behind the torn one; it is aborted now. Found by reading; the test fails without the change.

--- a/crates/gateway/src/serve/framer.rs
+++ b/crates/gateway/src/serve/framer.rs
@@ -15,6 +15,8 @@
     partial: BytesMut,
     last_event_id: Option<String>,
     is_resuming: bool,
+    /// Whether the beginning of the current event was forwarded.
+    is_torn: bool,
 }
 
 impl Framer {
@@ -24,11 +26,13 @@
         let buffered = self.partial.len();
         self.partial.extend_from_slice(part);
         let Some(length) = outside_at else {
-            return match self.partial.len() > MAX_EVENT_BYTES {
-                true => self.partial.split().freeze(),
-                false => Bytes::new(),
-            };
+            if self.partial.len() <= MAX_EVENT_BYTES {
+                return Bytes::new();
+            }
+            self.is_torn = true;
+            return self.partial.split().freeze();
         };
+        self.is_torn = false;
         let complete = self.partial.split_to(buffered + length).freeze();
         if let Some(id) = events::last_id(&complete) {
             self.last_event_id = Some(id);
@@ -40,9 +44,11 @@
     }
 
     /// Discards the incomplete event of a broken stream; what follows comes from another endpoint.
-    pub fn resume(&mut self) {
+    /// Returns whether the stream can be resumed.
+    pub fn try_resume(&mut self) -> bool {
         self.partial.clear();
         self.is_resuming = true;
+        !self.is_torn
     }
 
     /// The id of the last complete event that had one.
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -289,7 +289,9 @@
         let Some(framer) = &mut self.framer else {
             return false;
         };
-        framer.resume();
+        if !framer.try_resume() {
+            return false;
+        }
         let last_event = framer.last_id().map(str::to_owned);
         if !self.exchange.end_attempt(End::Lost, detail) {
             return false;
--- a/crates/gateway/tests/gateway/ending.rs
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -112,6 +112,27 @@
     });
 }
 
+#[test]
+fn a_stream_is_not_resumed_inside_an_event_that_was_forwarded_in_part() {
+    run(|| async {
+        let long = format!("id: 1\ndata: {}", "x".repeat(300 << 10));
+        let rest = chunked_head() + &chunk("id: 1\ndata: piece 1\n\n") + "0\r\n\r\n";
+        let broken = Action::AnswerAndClose(chunked_head() + &chunk(&long));
+        let worker = Worker::start("e", vec![broken, Action::Answer(rest.clone())]).await;
+        let other = Worker::start("f", vec![Action::Answer(rest)]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/resumable/x", "").await;
+        caller.head().await.expect("an answer");
+        gateway.set_endpoints(&[&worker, &other]);
+        let (received, _) = caller.read_to_end().await;
+        assert!(
+            !received.contains("piece"),
+            "another event follows a torn one"
+        );
+    });
+}
+
 /// Returns what a caller of HTTP/1.0 receives before its connection ends, and whether that end is
 /// orderly.
 async fn answered_over_http_10(path: &str, answer: String) -> (String, bool) {
