feat: log and count the software versions of endpoints, and what callers take up

`sent` and `attempt` name the version of the endpoint's software as the platform lists it, `accepted` the stream that a caller takes up (`Resumes`, `Last-Event-Id`), and woadstage_endpoints counts listed endpoints by version. Nothing decides by them yet. Nodes that get their list from others learn no versions yet.

--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -10,6 +10,7 @@
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
+use super::Pool;
 use crate::booking;
 use crate::configuration::Configuration;
 use crate::configuration::Priority;
@@ -129,6 +130,20 @@
     pub refused: u64,
     /// Late requests that were refused once they could no longer be answered in time.
     pub dropped: u64,
+    /// The listed endpoints by the version of their software, where that is known.
+    pub software: BTreeMap<id::Software, usize>,
+}
+
+impl Pool {
+    /// Counts the listed endpoints by the version of their software, where that is known.
+    fn count_by_software(&self) -> BTreeMap<id::Software, usize> {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        let mut counts = BTreeMap::new();
+        for software in listed.filter_map(|worker| worker.endpoint.software.as_ref()) {
+            *counts.entry(software.clone()).or_default() += 1;
+        }
+        counts
+    }
 }
 
 impl Dispatcher {
@@ -356,6 +371,7 @@
             held: pool.flow.held,
             refused: pool.flow.refused,
             dropped: pool.flow.dropped,
+            software: pool.count_by_software(),
         });
         pools.collect()
     }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -33,6 +33,10 @@
     pub leaving: bool,
     /// The remaining time for which it is cold, as of its last record; zero if it is not.
     pub cold_for: Span,
+    /// The version of its software; `None` if not known. Not part of the serialised layout of
+    /// endpoints; [`crate::section::Difference`] carries it.
+    #[serde(skip)]
+    pub software: Option<id::Software>,
 }
 
 impl Endpoint {
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -167,6 +167,7 @@
         slots,
         leaving: false,
         cold_for: Span::ZERO,
+        software: Some(id::Software::new("1")),
     }
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -171,6 +171,12 @@
         prompt: u64,
         /// The maximum number of output tokens, as given by the caller.
         output: u64,
+        /// The request whose stream the caller takes up, as it names it; empty if it does not.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        resumes: &'a str,
+        /// The last event that the caller has of that stream; empty if it takes none up.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        last_event: &'a str,
         /// Who charged the customer's quota: `none`, `here`, the owner's address, or `forwarder` for
         /// the node that forwarded the request.
         quota: &'a str,
@@ -237,6 +243,9 @@
         request: &'a str,
         /// The endpoint.
         endpoint: &'a str,
+        /// The version of its software; empty if not known.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        software: &'a str,
         /// The time in milliseconds that the request had waited.
         waited_ms: u64,
         /// The number of requests of this node in progress at the endpoint.
@@ -302,6 +311,9 @@
         request: &'a str,
         /// The endpoint.
         endpoint: &'a str,
+        /// The version of its software; empty if not known.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        software: &'a str,
         /// How the attempt ended.
         end: &'a str,
         /// The next step: `again` if the request is retried, `over` if it has ended, or why it
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -29,8 +29,12 @@
     pub parts: HeaderName,
     /// The caller's estimate of the number of tokens of the answer.
     pub output_hint: HeaderName,
-    /// The last event of a stream that was received, as sent to the endpoint that resumes it.
+    /// The last event of a stream that was received: as stated by a caller who takes the stream up,
+    /// and as sent to the endpoint that resumes it.
     pub last_event: HeaderName,
+    /// The id of the caller's attempt that received the first event of the stream that the caller
+    /// takes up.
+    pub resumes: HeaderName,
     /// The time for which an endpoint states that it stays cold, in milliseconds.
     pub cold: HeaderName,
     /// The rate limit that an endpoint states, in requests a second from all nodes together.
@@ -62,6 +66,7 @@
             parts: HeaderName::from_static("woadstage-prompt-parts"),
             output_hint: HeaderName::from_static("woadstage-output-hint"),
             last_event: HeaderName::from_static("last-event-id"),
+            resumes: HeaderName::from_static("woadstage-resumes"),
             cold: HeaderName::from_static("woadstage-cold-ms"),
             rate_limit: HeaderName::from_static("woadstage-rate-limit"),
             tolerance: HeaderName::from_static("woadstage-tolerance"),
@@ -77,7 +82,7 @@
     /// Reads the names from the settings. Those that the settings omit keep their defaults.
     pub fn read(reader: &mut Reader) -> Headers {
         let mut headers = Headers::default();
-        let fields: [(&str, &mut HeaderName); 15] = [
+        let fields: [(&str, &mut HeaderName); 16] = [
             ("request", &mut headers.request),
             ("deadline", &mut headers.deadline),
             ("customer", &mut headers.customer),
@@ -87,6 +92,7 @@
             ("parts", &mut headers.parts),
             ("output_hint", &mut headers.output_hint),
             ("last_event", &mut headers.last_event),
+            ("resumes", &mut headers.resumes),
             ("cold", &mut headers.cold),
             ("rate_limit", &mut headers.rate_limit),
             ("tolerance", &mut headers.tolerance),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,6 +86,8 @@
     /// The counts of each service, such as waiting and running requests, usable endpoints and
     /// remaining retries, by kind.
     pub services: IntGaugeVec,
+    /// The listed endpoints of each service by the version of their software.
+    pub endpoints_by_software: IntGaugeVec,
 }
 
 impl Metrics {
@@ -121,6 +123,13 @@
         let services = Opts::new("woadstage_service", "What each service has, by kind.");
         let services = IntGaugeVec::new(services, &["service", "kind"])?;
         registry.register(Box::new(services.clone()))?;
+        let endpoints_by_software = Opts::new(
+            "woadstage_endpoints",
+            "Listed endpoints by the version of their software.",
+        );
+        let endpoints_by_software =
+            IntGaugeVec::new(endpoints_by_software, &["service", "software"])?;
+        registry.register(Box::new(endpoints_by_software.clone()))?;
         let by_kind = |name: &str, help: &str| {
             let metric = IntGaugeVec::new(Opts::new(name, help), &["kind"])?;
             registry.register(Box::new(metric.clone()))?;
@@ -233,6 +242,7 @@
             dropped_log_lines: gauge("woadstage_log_lines_left_out", "Log lines left out.")?,
             booking_error,
             services,
+            endpoints_by_software,
             peers_by_protocol,
             sent_messages,
             sent_bytes,
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -111,7 +111,13 @@
     metrics
         .dropped_log_lines
         .set(shell.log.dropped_lines() as i64);
+    metrics.endpoints_by_software.reset();
     for service in services {
+        for (software, count) in &service.software {
+            let labels = [service.target.as_str(), software.as_str()];
+            let endpoints = metrics.endpoints_by_software.with_label_values(&labels);
+            endpoints.set(*count as i64);
+        }
         let set = |kind, value: i64| {
             let labels = [service.target.as_str(), kind];
             metrics.services.with_label_values(&labels).set(value);
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -194,6 +194,8 @@
             returning: job.is_caller_retry(),
             prompt: job.prompt.tokens,
             output: job.prompt.output,
+            resumes: text(&self.head.headers, &shell.headers.resumes).unwrap_or_default(),
+            last_event: text(&self.head.headers, &shell.headers.last_event).unwrap_or_default(),
             quota: &self.charged_by.to_string(),
             forwarded_by: &record::node_name(self.forwarder_opt()),
             configuration: self.admitted.configuration_version,
@@ -450,10 +452,7 @@
         if let Some(endpoint) = self.endpoint.as_ref().filter(|_| end == End::Lost) {
             probe::start_after_loss(&self.shell, endpoint);
         }
-        let endpoint = self
-            .endpoint
-            .as_ref()
-            .map_or("", |endpoint| endpoint.name.as_str());
+        let endpoint = self.endpoint.as_deref();
         self.shell
             .metrics
             .record_attempt(self.admitted.target.as_str(), end.as_str());
@@ -461,7 +460,8 @@
         let body_end = body_end.as_ref();
         self.shell.log(&Event::Attempt {
             request: &self.admitted.request_id,
-            endpoint,
+            endpoint: endpoint.map_or("", |endpoint| endpoint.name.as_str()),
+            software: endpoint.map_or("", record::software_name),
             end: end.as_str(),
             next: next.as_str(),
             detail,
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -159,6 +159,7 @@
     shell.log(&Event::Sent {
         request: &admitted.request_id,
         endpoint: endpoint.name.as_str(),
+        software: software_name(endpoint),
         waited_ms: reason.waited.0 / 1_000,
         running: reason.running,
         others: reason.others,
@@ -192,6 +193,12 @@
     node.map(|node| node.to_string()).unwrap_or_default()
 }
 
+/// Formats the version of an endpoint's software for the log.
+pub fn software_name(endpoint: &Endpoint) -> &str {
+    let software = endpoint.software.as_ref();
+    software.map_or("", id::Software::as_str)
+}
+
 /// Formats the deciding node for the log: the address of another node, or `here`.
 fn to_owner_name(owner: Option<SocketAddrV4>) -> String {
     owner.map_or_else(|| "here".to_owned(), |owner| owner.to_string())
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -169,6 +169,7 @@
     Event::Sent {
         request: "routine",
         endpoint: "e",
+        software: "1",
         waited_ms: 0,
         running: 0,
         others: 0,
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -62,6 +62,8 @@
     Region;
     /// The name of an endpoint: an engine's worker or a plain service.
     Endpoint;
+    /// The version of the software that an endpoint runs. Only equal ones are compatible.
+    Software;
     /// The name of a customer.
     Customer;
     /// The name of a class of work.
