--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod requests;
 mod reserved;
 mod settings;
+mod software;
 mod stop;
 mod streams;
 mod support;
--- a/crates/gateway/tests/gateway/support/caller.rs
+++ b/crates/gateway/tests/gateway/support/caller.rs
@@ -70,6 +70,18 @@
         .await;
     }
 
+    /// Takes up the stream that another request began, after an event.
+    pub async fn take_up(&mut self, id: &str, resumes: Option<&str>, last_event: &str) {
+        let length = id.len();
+        let resumes = resumes.map_or_else(String::new, |id| format!("woadstage-resumes: {id}\r\n"));
+        self.send(&format!(
+            "POST /resumable/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+             woadstage-request: {id}\r\nwoadstage-timeout-ms: 5000\r\n{resumes}\
+             last-event-id: {last_event}\r\ncontent-length: {length}\r\n\r\n{id}"
+        ))
+        .await;
+    }
+
     /// Sends a request of HTTP/1.0 with a valid key and an id.
     pub async fn request_over_http_10(&mut self, id: &str, path: &str) {
         self.send(&format!(
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -276,6 +276,6 @@
         slots: 4,
         leaving: false,
         cold_for: Span::ZERO,
-        software: Some(id::Software::new("1")),
+        software: Some(id::Software::new(worker.software)),
     }
 }
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -17,6 +17,9 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
+use super::wire::chunk;
+use super::wire::chunked_head;
+use super::wire::field;
 use super::wire::insert_request_id;
 use super::wire::read_body;
 use super::wire::read_head;
@@ -36,6 +39,9 @@
     AnswerEarly(String, Rc<Notify>),
     /// Writes nothing until the gateway closes the connection.
     NoAnswer,
+    /// Answers with a stream of four events, and closes the connection after the second unless the
+    /// request takes a stream up.
+    BreakStream,
     /// Stops the stand-in and all its connections if the body is the first text; otherwise
     /// writes the second and keeps the connection open.
     CrashOn(&'static str, String),
@@ -46,6 +52,8 @@
 pub struct Worker {
     /// The name of the endpoint.
     pub name: &'static str,
+    /// The version of its software.
+    pub software: &'static str,
     /// The address it listens on.
     pub address: SocketAddrV4,
     /// The requests received, each with its head and body.
@@ -63,6 +71,15 @@
     /// Starts a stand-in that takes one action of `script` for each request; the last is
     /// repeated.
     pub async fn start(name: &'static str, script: Vec<Action>) -> Worker {
+        Worker::start_version(name, "1", script).await
+    }
+
+    /// Like [`Worker::start`], with another version of its software.
+    pub async fn start_version(
+        name: &'static str,
+        software: &'static str,
+        script: Vec<Action>,
+    ) -> Worker {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a free port");
@@ -71,6 +88,7 @@
         };
         let worker = Worker {
             name,
+            software,
             address,
             requests: Rc::default(),
             connections: Rc::default(),
@@ -155,6 +173,14 @@
                 .write_all(insert_request_id(&text, head).as_bytes())
                 .await
                 .is_ok(),
+            Action::BreakStream => {
+                let last = field(head, "last-event-id").and_then(|id| id.parse().ok());
+                let answer = stream_from(last.unwrap_or(0));
+                let _ = stream
+                    .write_all(insert_request_id(&answer, head).as_bytes())
+                    .await;
+                last.is_some()
+            }
             Action::AnswerEarly(..) => true,
             Action::AnswerAndClose(text) => {
                 let _ = stream
@@ -195,3 +221,15 @@
         }
     }
 }
+
+/// Returns what [`Action::BreakStream`] answers after an event; 0 for a new stream.
+fn stream_from(last: u32) -> String {
+    let event = |id: u32| chunk(&format!("id: {id}\ndata: piece {id}\n\n"));
+    match last {
+        0 => chunked_head() + &event(1) + &event(2),
+        last => {
+            let events: String = (last + 1..=4).map(event).collect();
+            chunked_head() + &events + "0\r\n\r\n"
+        }
+    }
+}
