--- /dev/null
+++ b/crates/dispatch/src/binding.rs
@@ -0,0 +1,366 @@
+//! Streams bound to the version of the software that began them.
+//!
+//! What two versions write into one stream doesn't fit together, so a stream whose first event was
+//! passed on goes on only at endpoints of the version that wrote it. A caller may take a stream up
+//! at any node. The node that passed on its first event therefore tells a few others, its keepers,
+//! which a hash of the stream's key selects, so that a node without a record knows whom to ask.
+//!
+//! Records are lost with the nodes that hold them. A stream of which nobody holds a record is not
+//! resumed, unless one version alone has served for longer than any stream lasts.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use serde::Deserialize;
+use serde::Serialize;
+use woadstage_types::hash;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+/// Identifies a stream on all nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key(pub u64);
+
+impl Key {
+    /// Returns the key of the stream that a caller's request began. A customer can't name streams of
+    /// another one.
+    pub fn new(customer: Option<u64>, request: &str) -> Key {
+        let customer = customer.unwrap_or(0).to_le_bytes();
+        Key(hash::chain(hash::of(request.as_bytes()), &customer))
+    }
+}
+
+/// A stream that its caller may take up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stream {
+    /// Its key.
+    pub key: Key,
+    /// When its caller gives up.
+    pub until: Time,
+}
+
+/// Where a request may run.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Binding {
+    /// At any endpoint: no event of its stream has been passed on.
+    #[default]
+    Free,
+    /// It takes a stream up, which has this key if the caller names it. The node has yet to learn
+    /// which version began it.
+    TakesUp(Option<Key>),
+    /// Only at endpoints of this version.
+    Software(id::Software),
+    /// Nowhere: the version that began its stream is not known.
+    Unknown,
+}
+
+impl Binding {
+    /// Returns the binding to an endpoint that may or may not state its version.
+    pub fn to(software: Option<&id::Software>) -> Binding {
+        software.map_or(Binding::Unknown, |software| {
+            Binding::Software(software.clone())
+        })
+    }
+
+    /// Whether the request may run at an endpoint of this version.
+    pub fn allows(&self, software: Option<&id::Software>) -> bool {
+        match self {
+            Binding::Free => true,
+            Binding::Software(bound) => software == Some(bound),
+            Binding::TakesUp(_) | Binding::Unknown => false,
+        }
+    }
+
+    /// Whether the choice of endpoints is restricted.
+    pub fn is_bound(&self) -> bool {
+        *self != Binding::Free
+    }
+
+    /// The version that the request is bound to.
+    pub fn software_opt(&self) -> Option<&id::Software> {
+        match self {
+            Binding::Software(software) => Some(software),
+            Binding::Free | Binding::TakesUp(_) | Binding::Unknown => None,
+        }
+    }
+}
+
+/// States which version began a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    /// The stream.
+    pub key: Key,
+    /// The number of its service.
+    pub service: u32,
+    /// The version.
+    pub software: id::Software,
+    /// How long the stream may still be taken up.
+    pub valid_for: Span,
+}
+
+/// Asks a node which version began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Identifies the question on the node that asks.
+    pub number: u64,
+    /// The stream.
+    pub key: Key,
+    /// The number of its service.
+    pub service: u32,
+    /// The longest time ago at which it may have begun.
+    pub lifetime: Span,
+}
+
+/// Replies to a [`Question`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The number of the question.
+    pub number: u64,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// What a node knows of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It holds a record.
+    Known {
+        /// The version that began the stream.
+        software: id::Software,
+        /// The age of the record.
+        age: Span,
+    },
+    /// It holds no record, and this version alone served during the stream's lifetime.
+    Sole(id::Software),
+    /// Nothing.
+    Unknown,
+}
+
+/// The maximum number of records. Beyond it those that expire first are dropped, and their streams
+/// can't be taken up.
+const MAX_RECORDS: usize = 65_536;
+
+/// How long a record is kept after its caller gives up.
+const EXPIRY_MARGIN: Span = Span::from_secs(2);
+
+/// The longest time for which a record is kept.
+const MAX_VALIDITY: Span = Span::from_secs(120);
+
+/// The interval at which a record is sent to keepers that have not confirmed it.
+const RESEND_INTERVAL: Span = Span::from_millis(100);
+
+/// The interval at which a record that all keepers confirmed is checked for keepers that are gone.
+const CHECK_INTERVAL: Span = Span::from_millis(500);
+
+/// One start of a node that keeps a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Keeper {
+    /// Its address.
+    pub node: SocketAddrV4,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+/// Which version began a stream, and who else knows it.
+#[derive(Debug, Clone)]
+struct Record {
+    service: u32,
+    software: id::Software,
+    recorded: Time,
+    expires: Time,
+    /// Whether another node stated another version.
+    is_disputed: bool,
+    /// Whether this node passed on events of the stream, and so tells keepers.
+    is_own: bool,
+    /// The keepers that confirmed it.
+    confirmed: Vec<Keeper>,
+    /// When the keepers are to be checked.
+    due: Time,
+}
+
+/// The records of one node.
+#[derive(Debug, Default)]
+pub struct Registry {
+    records: HashMap<Key, Record>,
+    expiries: BTreeSet<(Time, Key)>,
+    due: BTreeSet<(Time, Key)>,
+}
+
+/// What a record states.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Found {
+    /// The version that began the stream; `None` if two nodes stated different ones.
+    pub software: Option<id::Software>,
+    /// The number of its service.
+    pub service: u32,
+    /// The age of the record.
+    pub age: Span,
+}
+
+impl Registry {
+    /// Records the version of a stream of which this node passes on events.
+    pub fn record_own(&mut self, now: Time, stream: Stream, service: u32, software: &id::Software) {
+        let expires = (stream.until + EXPIRY_MARGIN).min(now + MAX_VALIDITY);
+        self.record(now, stream.key, service, software, expires);
+        if let Some(record) = self.records.get_mut(&stream.key) {
+            record.is_own = true;
+        }
+        self.set_due(stream.key, now);
+    }
+
+    /// Records what another node states.
+    pub fn record_stated(&mut self, now: Time, statement: &Statement) {
+        let expires = now + statement.valid_for.min(MAX_VALIDITY);
+        let Statement { key, service, .. } = *statement;
+        self.record(now, key, service, &statement.software, expires);
+    }
+
+    fn record(
+        &mut self,
+        now: Time,
+        key: Key,
+        service: u32,
+        software: &id::Software,
+        expires: Time,
+    ) {
+        let record = self.records.entry(key).or_insert_with(|| Record {
+            service,
+            software: software.clone(),
+            recorded: now,
+            expires,
+            is_disputed: false,
+            is_own: false,
+            confirmed: Vec::new(),
+            due: Time(0),
+        });
+        record.is_disputed |= record.software != *software || record.service != service;
+        self.expiries.remove(&(record.expires, key));
+        record.expires = record.expires.max(expires);
+        self.expiries.insert((record.expires, key));
+        while self.records.len() > MAX_RECORDS {
+            self.remove_first_to_expire();
+        }
+    }
+
+    fn remove_first_to_expire(&mut self) {
+        let Some((_, key)) = self.expiries.pop_first() else {
+            return;
+        };
+        if let Some(record) = self.records.remove(&key) {
+            self.due.remove(&(record.due, key));
+        }
+    }
+
+    /// Removes the records that have expired.
+    pub fn expire(&mut self, now: Time) {
+        while self.expiries.first().is_some_and(|(at, _)| *at <= now) {
+            self.remove_first_to_expire();
+        }
+    }
+
+    /// Returns what is recorded of a stream.
+    pub fn find_opt(&self, now: Time, key: Key) -> Option<Found> {
+        let record = self.records.get(&key)?;
+        Some(Found {
+            software: (!record.is_disputed).then(|| record.software.clone()),
+            service: record.service,
+            age: now.since(record.recorded),
+        })
+    }
+
+    /// The number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Has the keepers of this node's own records of a service checked at once.
+    pub fn check_service(&mut self, now: Time, service: u32) {
+        self.check_all(now, |record| record.is_own && record.service == service);
+    }
+
+    /// Has the keepers of all records checked at once, as this node is leaving.
+    pub fn hand_over(&mut self, now: Time) {
+        for record in self.records.values_mut() {
+            record.is_own = true;
+        }
+        self.check_all(now, |_| true);
+    }
+
+    fn check_all(&mut self, now: Time, is_meant: impl Fn(&Record) -> bool) {
+        let records = self.records.iter();
+        let keys = records.filter(|(_, record)| is_meant(record));
+        let keys: Vec<Key> = keys.map(|(key, _)| *key).collect();
+        for key in keys {
+            self.set_due(key, now);
+        }
+    }
+
+    fn set_due(&mut self, key: Key, at: Time) {
+        if let Some(record) = self.records.get_mut(&key) {
+            self.due.remove(&(record.due, key));
+            record.due = at;
+            self.due.insert((at, key));
+        }
+    }
+
+    /// Takes the keys of this node's own records whose keepers are to be checked, with the numbers
+    /// of their services.
+    pub fn take_due(&mut self, now: Time) -> Vec<(Key, u32)> {
+        let mut taken = Vec::new();
+        while let Some((at, key)) = self.due.first().copied()
+            && at <= now
+        {
+            self.due.pop_first();
+            if let Some(record) = self.records.get(&key) {
+                taken.push((key, record.service));
+            }
+        }
+        taken
+    }
+
+    /// Returns what to state of a stream, and to which of these keepers, which have not confirmed it.
+    /// Has them checked again later.
+    pub fn state(
+        &mut self,
+        now: Time,
+        key: Key,
+        keepers: &[Keeper],
+    ) -> Option<(Statement, Vec<SocketAddrV4>)> {
+        let record = self.records.get(&key)?;
+        let missing = keepers
+            .iter()
+            .filter(|keeper| !record.confirmed.contains(keeper));
+        let missing: Vec<SocketAddrV4> = missing.map(|keeper| keeper.node).collect();
+        let statement = Statement {
+            key,
+            service: record.service,
+            software: record.software.clone(),
+            valid_for: record.expires.since(now),
+        };
+        let is_stated = !missing.is_empty() && !record.is_disputed;
+        let interval = match is_stated {
+            true => RESEND_INTERVAL,
+            false => CHECK_INTERVAL,
+        };
+        self.set_due(key, now + interval);
+        is_stated.then_some((statement, missing))
+    }
+
+    /// Records that a keeper confirmed records.
+    pub fn confirm(&mut self, keeper: Keeper, keys: &[Key]) {
+        for key in keys {
+            if let Some(record) = self.records.get_mut(key)
+                && !record.confirmed.contains(&keeper)
+            {
+                record.confirmed.push(keeper);
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -89,6 +89,10 @@
             self.refuse(now, id, &job, refusal);
             return;
         }
+        if let Some(refusal) = self.check_bound(now, &job) {
+            self.refuse(now, id, &job, refusal);
+            return;
+        }
         if let Some(node) = self.forward_target_opt(now, id, &job) {
             self.forward(id, job, node);
             return;
@@ -128,6 +132,12 @@
             Owner::Local => Arbiter::Local {
                 only: endpoint.filter(|_| pool.shared),
             },
+            // An owner that knows nothing of versions would grant any endpoint.
+            Owner::Remote(owner)
+                if job.binding.is_bound() && !self.members.supports_software(owner) =>
+            {
+                local
+            }
             Owner::Remote(owner) => Arbiter::Remote(LeaseTarget { owner, endpoint }),
         }
     }
@@ -270,6 +280,7 @@
             tried: job.history.tried.clone(),
             avoided: self.avoided(now, pool, job),
             details: self.lease_details(pool, job),
+            software: job.binding.software_opt().cloned(),
         };
         let message = Message::Lease(Box::new(request));
         self.outbox.push((open_request.owner, message));
--- a/crates/dispatch/src/dispatcher/decision.rs
+++ b/crates/dispatch/src/dispatcher/decision.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 
 use super::Refusal;
@@ -81,6 +82,8 @@
         sent: u32,
         /// The numbers of endpoints that it was offered to already.
         tried: Vec<u32>,
+        /// The version of the endpoints' software that it is bound to, if it is.
+        software: Option<id::Software>,
     },
     /// Refuse the request; the caller gets the refusal at once.
     Refuse {
--- a/crates/dispatch/src/dispatcher/displace.rs
+++ b/crates/dispatch/src/dispatcher/displace.rs
@@ -47,16 +47,32 @@
         self.list.is_evacuated(own)
             || !self.options.regions.allows(&job.constraint, own)
             || pool.is_cell_leaving()
+            || self.is_bound_elsewhere(pool, job)
     }
 
-    /// Whether an endpoint is in a region in which a request may run.
+    /// Whether a request is bound to a version that no open endpoint of this cell runs.
+    fn is_bound_elsewhere(&self, pool: &Pool, job: &Job) -> bool {
+        let mut own = pool.workers.iter().filter(|worker| worker.own_cell);
+        job.binding.is_bound()
+            && !own.any(|worker| worker.is_open() && self.may_run_at(job, worker))
+    }
+
+    /// Whether an endpoint is in a region in which a request may run, and of a version that may run
+    /// it.
     pub(super) fn may_run_at(&self, job: &Job, worker: &Worker) -> bool {
-        let centre = &worker.endpoint.data_centre;
-        self.options.regions.allows(&job.constraint, centre)
+        let endpoint = &worker.endpoint;
+        job.binding.allows(endpoint.software.as_ref())
+            && self
+                .options
+                .regions
+                .allows(&job.constraint, &endpoint.data_centre)
     }
 
-    /// Whether another node is in a region in which a request may run.
+    /// Whether another node is in a region in which a request may run, and heeds its binding.
     pub(super) fn may_run_on(&self, job: &Job, node: SocketAddrV4) -> bool {
+        if job.binding.is_bound() && !self.members.supports_software(node) {
+            return false;
+        }
         let centre = self.members.data_centre_opt(node);
         let allows = |centre| self.options.regions.allows_number(&job.constraint, centre);
         job.constraint.is_unrestricted() || centre.is_some_and(allows)
@@ -117,12 +133,14 @@
         let centres = owners.into_iter().filter_map(|owner| {
             let centre = self.members.data_centre_opt(owner)?;
             let allowed = self.options.regions.allows_number(&job.constraint, centre);
-            allowed.then_some((owner, centre))
+            let heeds = !job.binding.is_bound() || self.members.supports_software(owner);
+            (allowed && heeds).then_some((owner, centre))
         });
         let weighted_owners = centres.map(|(owner, centre)| {
             let workers = pool.workers.iter();
             let in_centre = workers.filter(|worker| {
                 worker.is_open()
+                    && job.binding.allows(worker.endpoint.software.as_ref())
                     && endpoint::number_of(worker.endpoint.data_centre.as_str()) == centre
             });
             let slots: u32 = in_centre.map(|worker| worker.endpoint.slots).sum();
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -55,7 +55,7 @@
             self.budget.record_request(now, &job.target);
         }
         pool_mut(&mut self.pools, &self.options.prefix_cache, &job.target);
-        self.submit(now, id, job);
+        self.submit_bound(now, id, job);
         id
     }
 
@@ -63,7 +63,9 @@
     pub(super) fn enqueue(&mut self, now: Time, id: job::Id, mut job: Job) {
         let refusal = match job.is_untried() {
             true => {
-                self.claim_booking(now, id, &mut job);
+                if !job.binding.is_bound() {
+                    self.claim_booking(now, id, &mut job);
+                }
                 self.record_arrival(now, &job);
                 self.admission_refusal(now, &job)
             }
@@ -86,7 +88,11 @@
 
     /// Refuses a request, and books a place for its caller if there is one.
     pub(super) fn refuse_and_book(&mut self, now: Time, id: job::Id, job: &Job, refusal: Refusal) {
-        let booking = self.book(now, job, refusal);
+        // A place that is booked may be at any endpoint.
+        let booking = match job.binding.is_bound() {
+            true => None,
+            false => self.book(now, job, refusal),
+        };
         let refusal = Refusal {
             retry_after: booking.or(refusal.retry_after),
             ..refusal
--- a/crates/dispatch/src/dispatcher/forward.rs
+++ b/crates/dispatch/src/dispatcher/forward.rs
@@ -29,7 +29,7 @@
 /// A request that another node runs.
 #[derive(Debug)]
 pub(super) struct Forward {
-    job: Job,
+    pub job: Job,
     node: SocketAddrV4,
 }
 
@@ -131,8 +131,13 @@
         let own_centre = endpoint::number_of(self.options.data_centre.as_str());
         let own_percent = pool.lost_percent();
         let nodes = self.members.forwarding_nodes(now, pool.number, own_percent);
-        let nodes = nodes
-            .filter(|(node, _)| !job.declined_by.contains(node) && self.may_run_on(job, *node));
+        // A node that knows nothing of versions would resume the stream at any endpoint.
+        let is_resumable = job.stream.is_some();
+        let nodes = nodes.filter(|(node, member)| {
+            !job.declined_by.contains(node)
+                && self.may_run_on(job, *node)
+                && (!is_resumable || member.status.protocol.supports_software())
+        });
         let chosen = nodes.min_by_key(|(node, member)| {
             let forwarded = self.forwards.values();
             let in_progress = forwarded.filter(|forward| forward.node == *node).count();
@@ -153,6 +158,7 @@
             node,
             sent: job.history.sent,
             tried: job.history.tried.clone(),
+            software: job.binding.software_opt().cloned(),
         });
         self.forwards.insert(id, Forward { job, node });
     }
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -9,6 +9,7 @@
 
 use super::Dispatcher;
 use super::Reason;
+use crate::binding::Binding;
 use crate::job;
 use crate::job::History;
 use crate::job::Job;
@@ -84,6 +85,10 @@
             return;
         }
         let job = self.to_job(now, origin, &target, &request);
+        if job.binding.is_bound() && !self.has_bound_endpoint(&job) {
+            self.send_lease_reply(origin, Answer::Denied);
+            return;
+        }
         self.next_job += 1;
         let id = job::Id(self.next_job);
         let remote = RemoteRequest {
@@ -115,6 +120,13 @@
         })
     }
 
+    /// Whether this node may grant slots of an endpoint that a request is bound to.
+    fn has_bound_endpoint(&self, job: &Job) -> bool {
+        let pool = self.pools.get(&job.target);
+        let mut workers = pool.into_iter().flat_map(|pool| &pool.workers);
+        workers.any(|worker| worker.own_cell && worker.is_open() && self.may_run_at(job, worker))
+    }
+
     fn repeat_answer(&mut self, now: Time, origin: Origin) {
         let Some(remote) = self.remote_requests.get_mut(&origin) else {
             return;
@@ -176,6 +188,11 @@
             is_redirected: request.details.redirected,
             is_forwarded: false,
             declined_by: Vec::new(),
+            stream: None,
+            binding: request
+                .software
+                .as_ref()
+                .map_or(Binding::Free, |software| Binding::to(Some(software))),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 //! * `flow.rs`: counts recent arrivals and starts.
 //! * [`forecast`]: predicts the wait of a request from those that precede it in the queue.
 //! * `share_fairly.rs`: orders the requests of one rank by their customers' fair shares.
+//! * `bind.rs`: binds streams to the version of the software that began them.
 //! * `book.rs`: books places for callers that are refused, and recognises them when they return.
 //! * `redirect.rs`: redirects requests to owners at which they wait less.
 //! * `report_queue.rs`: exchanges reports on waiting requests with those owners.
@@ -43,8 +44,10 @@
 use std::sync::Arc;
 
 use woadstage_types::id;
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::binding;
 use crate::booking;
 use crate::booking::Calendar;
 use crate::budget;
@@ -87,6 +90,7 @@
 
 mod answer;
 mod apply_notice;
+mod bind;
 mod book;
 mod borrow;
 mod decision;
@@ -122,6 +126,10 @@
 mod tick;
 mod track_links;
 
+use bind::Inquiry;
+pub use bind::Source;
+pub use bind::TakeUp;
+use bind::Versions;
 use borrow::OpenRequest;
 pub use decision::Admission;
 pub use decision::Cause;
@@ -261,6 +269,10 @@
     /// The number of requests that arrived when others of their customer already waited beyond its
     /// share.
     share_excesses: u64,
+    /// The versions of its endpoints' software.
+    versions: Versions,
+    /// The longest timeout of the routes of resumable streams to it.
+    stream_timeout: Span,
 }
 
 /// The scheduler of one node.
@@ -310,6 +322,13 @@
     received_rests: HashMap<u32, Time>,
     /// When the owners in other cells last denied a spare slot.
     spare_denied_at: HashMap<SocketAddrV4, Time>,
+    /// Which version began each stream, as far as this node keeps it.
+    bindings: binding::Registry,
+    /// Requests that take a stream up while others are asked which version began it.
+    inquiries: HashMap<job::Id, Inquiry>,
+    /// What came of finding that out, until the node that holds the request takes it.
+    take_ups: HashMap<job::Id, TakeUp>,
+    next_inquiry: u64,
     /// Messages to be sent.
     outbox: Vec<(SocketAddrV4, Message)>,
     /// The starts of requests with a booking since they were last taken.
@@ -364,6 +383,10 @@
             received_rate_limits: HashMap::new(),
             received_rests: HashMap::new(),
             spare_denied_at: HashMap::new(),
+            bindings: binding::Registry::default(),
+            inquiries: HashMap::new(),
+            take_ups: HashMap::new(),
+            next_inquiry: 0,
             outbox: Vec::new(),
             booking_starts: Vec::new(),
             next_job: 0,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -161,6 +161,7 @@
 
     /// Records that a caller left or that the request's time ran out.
     pub fn abandon(&mut self, now: Time, id: job::Id) {
+        self.abandon_inquiry(id);
         if self.runs.contains_key(&id) {
             self.end(now, id, End::Abandoned);
             return;
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -111,7 +111,13 @@
         let free: u32 = self.free_slots(now, pool);
         let one_cell = self.members.cell().covers_fleet;
         let owned = one_cell && pool.workers.iter().any(Worker::needs_owner);
-        for (id, job) in pool.queue.iter().take(self.options.policy.look_ahead) {
+        let mut considered = 0;
+        for (id, job) in pool.queue.iter() {
+            // Requests that wait for one version don't hold up those behind them.
+            considered += usize::from(!job.binding.is_bound());
+            if considered > self.options.policy.look_ahead {
+                break;
+            }
             // The free slots are reserved for more protected requests that wait on other nodes,
             // except for slots that only this node hands out.
             let higher_ranked = elsewhere.range(..job.rank).map(|(_, count)| count);
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 
 use woadstage_types::id;
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
 use super::Pool;
+use super::Versions;
 use super::flow::Flow;
 use super::redirect;
 use crate::booking::Calendar;
@@ -65,11 +67,15 @@
         }
         for pool in self.pools.values_mut() {
             pool.least_protected = 0;
+            pool.stream_timeout = Span::ZERO;
         }
         for route in &table.configuration().routes {
             for (target, _) in &route.targets {
                 let pool = pool_mut(&mut self.pools, &self.options.prefix_cache, target);
                 pool.least_protected = pool.least_protected.max(route.priority);
+                if route.resumable {
+                    pool.stream_timeout = pool.stream_timeout.max(route.timeout);
+                }
             }
         }
         self.table = Some(Arc::new(table));
@@ -80,12 +86,16 @@
         true
     }
 
-    /// Applies a list of endpoints. Returns false if one at least as new is in force.
+    /// Applies a list of endpoints. Returns false if one at least as new is in force, unless that
+    /// one lacks versions of the endpoints' software.
     /// Endpoints that an unsettled list lacks are kept. If the platform came back with an
     /// older copy of its data, the entries that contradict what was known before are
     /// corrected for a while.
     pub fn set_endpoints(&mut self, now: Time, list: Arc<List>) -> bool {
-        if list.edition() <= self.list.edition() {
+        let adds_software = list.edition() == self.list.edition()
+            && self.list.lacks_software()
+            && !list.lacks_software();
+        if list.edition() <= self.list.edition() && !adds_software {
             return false;
         }
         if self.list.era > Era::default() && list.era > self.list.era {
@@ -114,6 +124,8 @@
             false => Arc::new(list.merge(&self.list)),
         };
         self.corrections.record_list(now, &self.list, &list);
+        let replaced = self.list.clone();
+        self.record_versions(now, &replaced);
         self.sections = section::Index::new(&list);
         self.list = list;
         self.has_news = true;
@@ -145,6 +157,8 @@
         self.mark_evacuated(now, &list);
         self.remove_unlisted_workers();
         self.assign_cell_workers();
+        self.record_versions(now, &list);
+        self.check_bindings(now);
         self.sum_remote_loads(now);
         self.place_all(now);
     }
@@ -344,5 +358,7 @@
         shares: HashMap::new(),
         share_refunds: 0,
         share_excesses: 0,
+        versions: Versions::default(),
+        stream_timeout: Span::ZERO,
     })
 }
--- a/crates/dispatch/src/dispatcher/redirect.rs
+++ b/crates/dispatch/src/dispatcher/redirect.rs
@@ -97,7 +97,9 @@
     /// Returns the state of a request's service if owners redirect its requests.
     fn redirecting_pool_opt(&self, job: &Job) -> Option<&Pool> {
         let pool = self.pools.get(&job.target)?;
-        self.applies_redirects(pool).then_some(pool)
+        // Other owners report their waits for all versions together.
+        let is_free = !job.binding.is_bound();
+        (is_free && self.applies_redirects(pool)).then_some(pool)
     }
 
     pub(super) fn applies_redirects(&self, pool: &Pool) -> bool {
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -324,7 +324,7 @@
             } else {
                 Vec::new()
             },
-            sections: self.sections.clone(),
+            sections: self.sections.without_unknown_software(&self.list),
             protocol: Protocol::CURRENT,
         }
     }
@@ -374,6 +374,7 @@
     pub fn leave(&mut self) {
         self.leaving = true;
         self.members.leaving = true;
+        self.bindings.hand_over(self.ticked_at);
         self.urgent = true;
     }
 }
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -8,6 +8,7 @@
 use super::Dispatcher;
 use super::Pool;
 use super::Refusal;
+use crate::binding::Binding;
 use crate::job;
 use crate::job::Job;
 use crate::worker::Worker;
@@ -38,6 +39,7 @@
         if paused {
             self.members.clear_loads();
             self.forget_silence(now);
+            self.forget_versions(now);
         }
         self.ticked_at = now;
         self.accounts.record_start(now);
@@ -63,6 +65,8 @@
             self.report_queue(now, &target);
         }
         self.renew_open_requests(now);
+        self.renew_inquiries(now);
+        self.state_bindings(now);
         self.announce_bookings(now);
         paused
     }
@@ -121,7 +125,7 @@
             match self.availability(pool, job) {
                 Availability::Live => false,
                 Availability::Leaving => true,
-                Availability::Unavailable => waited,
+                Availability::Unavailable => waited || job.binding.is_bound(),
             }
         });
         let unservable: Vec<job::Id> = unservable.map(|(id, _)| id).collect();
@@ -142,9 +146,11 @@
         let outage = now.since(job.arrived).max(closed_for);
         let retry_after = self.retry_after_estimate(now, outage, job.deadline.since(now));
         Refusal {
-            code: match job.constraint.is_unrestricted() {
-                true => Code::NoEndpoint,
-                false => Code::RegionClosed,
+            code: match &job.binding {
+                Binding::Software(_) => Code::SoftwareGone,
+                Binding::TakesUp(_) | Binding::Unknown => Code::StreamUnknown,
+                Binding::Free if job.constraint.is_unrestricted() => Code::NoEndpoint,
+                Binding::Free => Code::RegionClosed,
             },
             retry_after: Some(retry_after),
             wait: None,
@@ -152,10 +158,23 @@
         }
     }
 
-    /// Determines the state of the endpoints that may run a request.
+    /// Returns the refusal of a request that is bound to a version which no endpoint runs that stays
+    /// and that it was not offered to.
+    pub(super) fn check_bound(&self, now: Time, job: &Job) -> Option<Refusal> {
+        let pool = self.pools.get(&job.target)?;
+        let is_unservable =
+            job.binding.is_bound() && self.availability(pool, job) != Availability::Live;
+        is_unservable.then(|| self.unservable_refusal(now, job, Span::ZERO))
+    }
+
+    /// Determines the state of the endpoints that may run a request. Those that a bound request was
+    /// offered to don't count, since others of its version may never come.
     fn availability(&self, pool: &Pool, job: &Job) -> Availability {
+        let is_tried =
+            |worker: &Worker| job.binding.is_bound() && job.history.tried.contains(&worker.number);
         let workers = pool.workers.iter();
-        let mut eligible = workers.filter(|worker| worker.listed && self.may_run_at(job, worker));
+        let mut eligible = workers
+            .filter(|worker| worker.listed && self.may_run_at(job, worker) && !is_tried(worker));
         let mut availability = Availability::Unavailable;
         let live = eligible.any(|worker| {
             if worker.is_leaving() {
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Whether the version of an endpoint's software is not known.
+    pub fn lacks_software(&self) -> bool {
+        let mut endpoints = self.endpoints.iter();
+        endpoints.any(|endpoint| endpoint.software.is_none())
+    }
+
     /// Whether a data centre is evacuated.
     pub fn is_evacuated(&self, data_centre: &id::DataCentre) -> bool {
         self.evacuated.contains(data_centre)
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -9,6 +9,8 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::binding::Binding;
+use crate::binding::Stream;
 use crate::configuration::Rank;
 use crate::lease::Origin;
 use crate::region::Constraint;
@@ -107,6 +109,10 @@
     pub is_forwarded: bool,
     /// The nodes that this node forwarded it to and that did not run it.
     pub declined_by: Vec<SocketAddrV4>,
+    /// The stream that it begins or takes up, if that can be resumed.
+    pub stream: Option<Stream>,
+    /// Which versions of the endpoints' software may run it.
+    pub binding: Binding,
 }
 
 impl Job {
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -17,6 +17,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 
 use crate::configuration::Rank;
@@ -68,6 +69,10 @@
     /// What the owner needs for shared admission.
     #[serde(skip)]
     pub details: Details,
+    /// The version of the endpoints' software that the request is bound to, if it is. Only sent to
+    /// nodes that heed it.
+    #[serde(skip)]
+    pub software: Option<id::Software>,
 }
 
 /// What an owner needs for shared admission. Only sent if a part of the policy that uses it applies
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! create from their [`message::Status`].
 //!
 //! * [`activation`]: the services that a part of the scheduling policy applies to.
+//! * [`binding`]: streams bound to the version of the software that began them.
 //! * [`booking`]: places in the queue kept for callers that were refused.
 //! * [`configuration`]: routes, services, customers and limits in force.
 //! * [`table`]: indexes of the configuration for look-ups.
@@ -48,6 +49,7 @@
 //! * [`dispatcher`]: the state of one node, with its commands and queries.
 
 pub mod activation;
+pub mod binding;
 pub mod booking;
 pub mod budget;
 pub mod cold;
--- a/crates/dispatch/src/member/catch_up.rs
+++ b/crates/dispatch/src/member/catch_up.rs
@@ -23,6 +23,8 @@
     configuration: Option<u64>,
     /// The edition of its list of endpoints, if newer.
     endpoints: Option<Edition>,
+    /// Whether that list states the versions of their software.
+    states_software: bool,
     in_cell: bool,
     /// Whether it is in this node's data centre.
     same_data_centre: bool,
@@ -36,7 +38,8 @@
     ///
     /// Nodes that do not support eras cannot tell whether their list predates a restore of the
     /// platform from an older copy, so their list counts as newer only than one without an era.
-    /// Their configuration is never used, as it lacks the region restrictions.
+    /// Their configuration is never used, as it lacks the region restrictions. Lists with the
+    /// versions of the endpoints' software are preferred.
     pub fn newer_peer_opt(&self, now: Time, known: Versions, attempt: u64) -> Option<SocketAddrV4> {
         let candidates = self.live(now).map(|(address, member)| {
             let status = &member.status;
@@ -44,6 +47,7 @@
                 configuration: Some(status.configuration)
                     .filter(|new| *new > known.configuration && status.protocol.supports_eras()),
                 endpoints: (status.endpoints > known.endpoints).then_some(status.endpoints),
+                states_software: status.protocol.supports_software(),
                 in_cell: member.in_cell,
                 same_data_centre: status.data_centre == self.data_centre,
                 address: *address,
@@ -52,6 +56,10 @@
         let mut ahead: Vec<_> = candidates
             .filter(|node| node.configuration.is_some() || node.endpoints.is_some())
             .collect();
+        let is_list_wanted = ahead.iter().any(|node| node.endpoints.is_some());
+        if is_list_wanted && ahead.iter().any(|node| node.states_software) {
+            ahead.retain(|node| node.states_software);
+        }
         if attempt.is_multiple_of(2) && ahead.iter().any(|node| node.in_cell) {
             ahead.retain(|node| node.in_cell);
         }
--- a/crates/dispatch/src/member/cell.rs
+++ b/crates/dispatch/src/member/cell.rs
@@ -122,8 +122,9 @@
         self.cell
     }
 
-    /// Returns this node's role in reading the platform. Only nodes that support eras count as
-    /// readers, because this node cannot use documents read by older builds. Older builds count
+    /// Returns this node's role in reading the platform. Only nodes whose lists carry
+    /// versions of software count as readers, because this node cannot use documents read by older
+    /// builds. Older builds count
     /// every node, so a fleet of mixed builds has more readers than needed rather than too few.
     pub fn role(&self, now: Time) -> Role {
         if self.cell.covers_fleet {
@@ -133,7 +134,7 @@
         let preceding = self.live(now).filter(|(address, member)| {
             let status = &member.status;
             status.data_centre == self.data_centre
-                && status.protocol.supports_eras()
+                && status.protocol.supports_software()
                 && !status.leaving
                 && score(address) < own_score
         });
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -1,6 +1,8 @@
 //! Ownership of a customer's quota and of the slots of endpoints, by rendezvous hashing: when a
 //! node leaves, only what it owned gets new owners.
 
+use std::cmp::Reverse;
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
 
 use woadstage_types::hash;
@@ -9,6 +11,8 @@
 
 use super::Member;
 use super::Members;
+use crate::binding::Keeper;
+use crate::edition::Edition;
 use crate::protocol::Protocol;
 
 /// How long a node that failed to answer is skipped as an owner.
@@ -115,6 +119,40 @@
         protocol.is_some_and(Protocol::supports_shared_admission)
     }
 
+    /// Whether a node's build binds streams to the version of the software that began them.
+    pub fn supports_software(&self, address: SocketAddrV4) -> bool {
+        let protocol = self.protocol_opt(address);
+        protocol.is_some_and(Protocol::supports_software)
+    }
+
+    /// Returns the nodes that keep which version began a stream with this key: those that a hash
+    /// prefers, from as many data centres as there are. Fewer are the first of more.
+    pub fn keepers(&self, now: Time, key: u64, count: usize) -> Vec<Keeper> {
+        let live = self.live(now).filter(|(_, member)| {
+            is_eligible(member) && member.status.protocol.supports_software()
+        });
+        let mut ranked: Vec<(u64, SocketAddrV4, &Member)> = live
+            .map(|(address, member)| (score(key, address), *address, member))
+            .collect();
+        ranked.sort_unstable_by_key(|(score, address, _)| Reverse((*score, *address)));
+        let mut centres = HashSet::new();
+        let (first, others): (Vec<_>, Vec<_>) = ranked
+            .into_iter()
+            .partition(|(_, _, member)| centres.insert(member.status.data_centre));
+        let chosen = first.into_iter().chain(others).take(count);
+        let keepers = chosen.map(|(_, node, member)| Keeper {
+            node,
+            incarnation: member.status.incarnation,
+        });
+        keepers.collect()
+    }
+
+    /// Whether a live node has a newer list of endpoints.
+    pub fn has_newer_list(&self, now: Time, edition: Edition) -> bool {
+        let mut live = self.live(now);
+        live.any(|(_, member)| member.status.endpoints > edition)
+    }
+
     /// Whether a node states that it doesn't reach most of the endpoints of a service.
     pub fn has_lost_links(&self, address: SocketAddrV4, service: u32) -> bool {
         let member = self.peers.get(&address);
--- a/crates/dispatch/src/member/startup.rs
+++ b/crates/dispatch/src/member/startup.rs
@@ -47,7 +47,7 @@
         let preceding = self.live(now).filter(|(address, member)| {
             let status = &member.status;
             status.data_centre == self.data_centre
-                && status.protocol.supports_eras()
+                && status.protocol.supports_software()
                 && !status.leaving
                 && !status.platform_unreachable
                 && cell::score(address) < own_score
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use woadstage_types::unit::Span;
 
+use crate::binding;
 use crate::booking;
 use crate::configuration::Rank;
 use crate::edition::Edition;
@@ -201,6 +202,15 @@
     /// Bookings made and claimed at an owner of slots, to the other owners of the same service. Only
     /// sent to nodes that support shared admission.
     Bookings(booking::Announcement),
+    /// Which versions began streams, to their keepers. This and the following are only sent to nodes
+    /// that bind streams to versions.
+    Bindings(Vec<binding::Statement>),
+    /// Confirms that these streams' versions are kept.
+    BindingsKept(Vec<binding::Key>),
+    /// Asks which version began a stream.
+    BindingQuestion(binding::Question),
+    /// The answer.
+    BindingReply(binding::Reply),
 }
 
 /// A document that the platform publishes.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -43,8 +43,12 @@
     /// announces those in statuses.
     pub const TOLERANCES: Protocol = Protocol(14);
 
+    /// The first version whose lists of endpoints carry the version of their software, and that
+    /// resumes a stream only at endpoints of the version that began it.
+    pub const SOFTWARE: Protocol = Protocol(15);
+
     /// The version of this build.
-    pub const CURRENT: Protocol = Protocol::TOLERANCES;
+    pub const CURRENT: Protocol = Protocol::SOFTWARE;
 
     /// Returns the version assumed for messages that do not contain one.
     pub(crate) fn first() -> Protocol {
@@ -71,6 +75,11 @@
         self >= Protocol::FORWARDING
     }
 
+    /// Whether a node binds streams to the version of the software that began them.
+    pub fn supports_software(self) -> bool {
+        self >= Protocol::SOFTWARE
+    }
+
     /// Whether a node reads queue reports, bookings and redirections of slot owners.
     pub fn supports_shared_admission(self) -> bool {
         self >= Protocol::SHARED_ADMISSION
--- a/crates/dispatch/src/section.rs
+++ b/crates/dispatch/src/section.rs
@@ -55,6 +55,42 @@
     pub sections: Vec<Section>,
 }
 
+/// The versions of the software of a list's endpoints, in the order of the endpoints.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct SoftwareTable {
+    versions: Vec<id::Software>,
+    /// For each endpoint, the index of its version and 1; 0 if its version is not known.
+    indices: Vec<u16>,
+}
+
+impl SoftwareTable {
+    fn new<'a>(endpoints: impl Iterator<Item = &'a Endpoint>) -> SoftwareTable {
+        let mut table = SoftwareTable::default();
+        for endpoint in endpoints {
+            let index = table.index(endpoint.software.as_ref());
+            table.indices.push(index);
+        }
+        table
+    }
+
+    fn index(&mut self, software: Option<&id::Software>) -> u16 {
+        let Some(software) = software else {
+            return 0;
+        };
+        let known = self.versions.iter().position(|known| known == software);
+        let position = known.unwrap_or_else(|| {
+            self.versions.push(software.clone());
+            self.versions.len() - 1
+        });
+        u16::try_from(position + 1).unwrap_or(0)
+    }
+
+    fn software_opt(&self, position: usize) -> Option<&id::Software> {
+        let index = self.indices.get(position)?.checked_sub(1)?;
+        self.versions.get(usize::from(index))
+    }
+}
+
 impl Index {
     /// Computes the digests of all sections of a list.
     pub fn new(list: &List) -> Index {
@@ -66,6 +102,21 @@
         Index { digests }
     }
 
+    /// Returns the digests without those of sections in which the version of an endpoint's software
+    /// is not known, so that they are sent again.
+    pub fn without_unknown_software(&self, list: &List) -> Index {
+        let mut index = self.clone();
+        let unknown = list.endpoints.iter();
+        let unknown = unknown.filter(|endpoint| endpoint.software.is_none());
+        for endpoint in unknown {
+            let number = usize::from(section_number(endpoint));
+            if let Some(digest) = index.digests.get_mut(number) {
+                *digest = Digest::default();
+            }
+        }
+        index
+    }
+
     fn digest(&self, number: u8) -> Digest {
         let digest = self.digests.get(usize::from(number));
         digest.copied().unwrap_or_default()
@@ -98,6 +149,21 @@
         }
     }
 
+    /// Returns the versions of the software of its endpoints.
+    pub fn to_software(&self) -> SoftwareTable {
+        let sections = self.sections.iter();
+        SoftwareTable::new(sections.flat_map(|section| &section.endpoints))
+    }
+
+    /// Sets the versions of the software of its endpoints.
+    pub fn set_software(&mut self, table: &SoftwareTable) {
+        let sections = self.sections.iter_mut();
+        let endpoints = sections.flat_map(|section| &mut section.endpoints);
+        for (position, endpoint) in endpoints.enumerate() {
+            endpoint.software = table.software_opt(position).cloned();
+        }
+    }
+
     /// Returns the whole list, given the `base` from whose sections the difference was
     /// computed.
     pub fn into_list(self, base: &List) -> List {
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -45,9 +45,13 @@
         Message::Status(status) => status,
         Message::Lease(request) => {
             let bytes = postcard::to_extend(&request.avoided, bytes)?;
-            return match request.details.is_empty() {
-                true => Ok(bytes),
-                false => postcard::to_extend(&request.details, bytes),
+            if request.details.is_empty() && request.software.is_none() {
+                return Ok(bytes);
+            }
+            let bytes = postcard::to_extend(&request.details, bytes)?;
+            return match &request.software {
+                Some(software) => postcard::to_extend(software, bytes),
+                None => Ok(bytes),
             };
         }
         Message::Report(report) => {
@@ -88,7 +92,11 @@
             let (avoided, rest) = take_list(rest).ok()?;
             request.avoided = avoided;
             if !rest.is_empty() {
-                request.details = postcard::take_from_bytes(rest).ok()?.0;
+                let (details, rest) = postcard::take_from_bytes(rest).ok()?;
+                request.details = details;
+                if !rest.is_empty() {
+                    request.software = Some(postcard::take_from_bytes(rest).ok()?.0);
+                }
             }
         }
         Message::Report(report) if !rest.is_empty() => {
@@ -149,7 +157,8 @@
                 protocol: Protocol::CURRENT,
                 era: difference.era,
             };
-            postcard::to_extend(&extension, bytes)
+            let bytes = postcard::to_extend(&extension, bytes)?;
+            postcard::to_extend(&difference.to_software(), bytes)
         }
         Frame::Manifest(manifest) => {
             let bytes = postcard::to_extend(&manifest.restrictions, bytes)?;
@@ -169,7 +178,13 @@
 pub fn frame_from_bytes(bytes: &[u8]) -> postcard::Result<Frame> {
     let (mut frame, rest) = postcard::take_from_bytes(bytes)?;
     match &mut frame {
-        Frame::Endpoints(difference) => difference.era = take_extension(rest)?.0.era,
+        Frame::Endpoints(difference) => {
+            let (extension, rest) = take_extension(rest)?;
+            difference.era = extension.era;
+            if !rest.is_empty() {
+                difference.set_software(&postcard::take_from_bytes(rest)?.0);
+            }
+        }
         Frame::Manifest(manifest) if !rest.is_empty() => {
             let (restrictions, rest) = postcard::take_from_bytes(rest)?;
             manifest.restrictions = restrictions;
--- a/crates/dispatch/tests/dispatch/booking/owner.rs
+++ b/crates/dispatch/tests/dispatch/booking/owner.rs
@@ -255,6 +255,7 @@
         tried: Vec::new(),
         avoided: Vec::new(),
         details: lease::Details::default(),
+        software: None,
     };
     owner
         .dispatcher
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -569,6 +569,10 @@
             Message::Bookings(announcement) => {
                 dispatcher.receive_bookings(now, from, announcement);
             }
+            Message::Bindings(statements) => dispatcher.receive_bindings(now, from, &statements),
+            Message::BindingsKept(keys) => dispatcher.confirm_bindings(now, from, &keys),
+            Message::BindingQuestion(question) => dispatcher.answer_binding(now, from, question),
+            Message::BindingReply(reply) => dispatcher.receive_binding_reply(now, from, reply),
             Message::Reserve(_) | Message::Reserved(_) | Message::Release(_) => {}
         }
         self.apply_decisions(to);
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
+use woadstage_dispatch::binding::Binding;
 use woadstage_dispatch::budget;
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::configuration::Kind;
@@ -219,6 +220,8 @@
         is_redirected: false,
         is_forwarded: false,
         declined_by: Vec::new(),
+        stream: None,
+        binding: Binding::Free,
     }
 }
 
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -12,6 +12,7 @@
 use woadstage_dispatch::message::Status;
 use woadstage_dispatch::protocol::Protocol;
 use woadstage_dispatch::region::Restrictions;
+use woadstage_dispatch::section::SoftwareTable;
 use woadstage_dispatch::wire;
 
 mod samples;
@@ -34,8 +35,11 @@
 /// Messages as encoded by builds of the version that added forwarding.
 const FORWARDING: &str = include_str!("13.hex");
 
+/// Messages as encoded by builds of the version that added tolerances.
+const TOLERANCES: &str = include_str!("14.hex");
+
 /// Messages as encoded by this build.
-const CURRENT: &str = include_str!("14.hex");
+const CURRENT: &str = include_str!("15.hex");
 
 /// Returns the messages in a file, by name.
 fn samples_of(file: &str) -> HashMap<&str, Vec<u8>> {
@@ -124,7 +128,7 @@
         assert_eq!(
             extension,
             EraExtension {
-                protocol: 14,
+                protocol: 15,
                 era: 3
             }
         );
@@ -158,9 +162,17 @@
     message
 }
 
+/// Returns the message without what the version with tolerances lacks.
+fn without_software(mut message: Message) -> Message {
+    if let Message::Lease(request) = &mut message {
+        request.software = None;
+    }
+    with_status(message, |status| status.protocol = Protocol::TOLERANCES)
+}
+
 /// Returns the message without what the version with forwarding lacks.
 fn without_tolerances(message: Message) -> Message {
-    with_status(message, |status| {
+    with_status(without_software(message), |status| {
         status.protocol = Protocol::FORWARDING;
         status.tolerances.clear();
     })
@@ -221,6 +233,7 @@
 #[case::of_the_protocol_with_notices(NOTICES, without_shared_admission)]
 #[case::of_the_protocol_with_shared_admission(SHARED_ADMISSION, without_forwarding)]
 #[case::of_the_protocol_with_forwarding(FORWARDING, without_tolerances)]
+#[case::of_the_protocol_with_tolerances(TOLERANCES, without_software)]
 #[case::of_this_build(CURRENT, |message| message)]
 fn datagrams_are_decoded(#[case] file: &str, #[case] expected: fn(Message) -> Message) {
     let stored = samples_of(file);
@@ -236,6 +249,7 @@
                 "report-load",
                 "queue-report",
                 "bookings",
+                "binding",
             ];
             assert!(later.iter().any(|one| name.starts_with(one)), "{name}");
             continue;
@@ -255,7 +269,10 @@
     }
     for (name, mut frame) in samples::frames() {
         match &mut frame {
-            Frame::Endpoints(difference) => difference.era = Era::default(),
+            Frame::Endpoints(difference) => {
+                difference.era = Era::default();
+                difference.set_software(&SoftwareTable::default());
+            }
             Frame::Manifest(manifest) => {
                 manifest.restrictions = Restrictions::default();
                 manifest.health_paths.clear();
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
+use woadstage_dispatch::binding;
 use woadstage_dispatch::booking;
 use woadstage_dispatch::cold;
 use woadstage_dispatch::configuration::Configuration;
@@ -203,9 +204,39 @@
             customer: Some(77),
             redirected: true,
         },
+        software: Some(id::Software::new("1.1")),
     }
 }
 
+fn statement() -> binding::Statement {
+    binding::Statement {
+        key: binding::Key(0x1234_5678_9abc),
+        service: 8,
+        software: id::Software::new("1.1"),
+        valid_for: Span::from_millis(14_000),
+    }
+}
+
+fn question() -> binding::Question {
+    binding::Question {
+        number: 6,
+        key: statement().key,
+        service: 8,
+        lifetime: Span::from_secs(30),
+    }
+}
+
+fn known() -> binding::Answer {
+    binding::Answer::Known {
+        software: statement().software,
+        age: Span::from_millis(250),
+    }
+}
+
+fn binding_reply(answer: binding::Answer) -> Message {
+    Message::BindingReply(binding::Reply { number: 6, answer })
+}
+
 fn queue_report() -> queue_report::Report {
     queue_report::Report {
         service: 8,
@@ -340,6 +371,21 @@
         ("report-load", with_load),
         ("queue-report", Message::QueueReport(queue_report())),
         ("bookings", Message::Bookings(bookings())),
+        ("bindings", Message::Bindings(vec![statement()])),
+        (
+            "bindings-kept",
+            Message::BindingsKept(vec![statement().key]),
+        ),
+        ("binding-question", Message::BindingQuestion(question())),
+        ("binding-reply-known", binding_reply(known())),
+        (
+            "binding-reply-sole",
+            binding_reply(binding::Answer::Sole(statement().software)),
+        ),
+        (
+            "binding-reply-unknown",
+            binding_reply(binding::Answer::Unknown),
+        ),
     ]
 }
 
@@ -363,6 +409,7 @@
         slots: 6,
         leaving,
         cold_for: Span::from_millis(1_500),
+        software: Some(id::Software::new(if leaving { "1.1" } else { "1" })),
     };
     List {
         era: Era(3),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -186,6 +186,31 @@
         /// The version of the configuration used for the decision.
         configuration: u64,
     },
+    /// It was found out which software began the stream that a request takes up, or that nobody
+    /// knows.
+    TakenUp {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The request that began the stream, as the caller names it; empty if it does not.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        resumes: &'a str,
+        /// The last event that the caller has.
+        last_event: &'a str,
+        /// The version of the software; empty if nobody knows.
+        software: &'a str,
+        /// How this node learnt it: `own` (its own record), `node` (the record of another), `sole`
+        /// (no other version has served), `sole-at-node` (as seen by another); otherwise `nobody`
+        /// or, if some did not answer, `unanswered`.
+        source: &'a str,
+        /// That other node; empty if there is none.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        node: &'a str,
+        /// The age of the record in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+        /// How long it took in milliseconds.
+        after_ms: u64,
+    },
     /// A request matched no route, or its key belongs to no customer.
     Unmatched {
         /// The caller's id of the request.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,7 @@
     answers: IntCounterVec,
     attempts: IntCounterVec,
     forwards: IntCounterVec,
+    take_ups: IntCounterVec,
     invalid_fields: IntCounterVec,
     state_changes: IntCounterVec,
     reservations: IntCounterVec,
@@ -177,6 +178,11 @@
                 "Requests forwarded to other nodes, by how they ended.",
                 &["service", "end"],
             )?,
+            take_ups: counter(
+                "woadstage_take_ups_total",
+                "Requests that take a stream up, by how the software that began it was found out.",
+                &["service", "source"],
+            )?,
             invalid_fields: counter(
                 "woadstage_invalid_fields_total",
                 "Header fields of answers that could not be parsed and were ignored.",
@@ -333,6 +339,11 @@
         self.forwards.with_label_values(&[service, end]).inc();
     }
 
+    /// Counts a request that takes a stream up, by how the software that began it was found out.
+    pub fn record_take_up(&self, service: &str, source: &str) {
+        self.take_ups.with_label_values(&[service, source]).inc();
+    }
+
     /// Counts a header field of an answer that could not be parsed.
     pub fn record_invalid_field(&self, field: &str) {
         self.invalid_fields.with_label_values(&[field]).inc();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -115,6 +115,19 @@
                     dispatcher.receive_bookings(now, from, announcement)
                 });
             }
+            Some(Message::Bindings(statements)) => {
+                shell
+                    .command(|dispatcher, now| dispatcher.receive_bindings(now, from, &statements));
+            }
+            Some(Message::BindingsKept(keys)) => {
+                shell.command(|dispatcher, now| dispatcher.confirm_bindings(now, from, &keys));
+            }
+            Some(Message::BindingQuestion(question)) => {
+                shell.command(|dispatcher, now| dispatcher.answer_binding(now, from, question));
+            }
+            Some(Message::BindingReply(reply)) => {
+                shell.command(|dispatcher, now| dispatcher.receive_binding_reply(now, from, reply));
+            }
             None => {}
         }
     }
--- a/crates/gateway/src/peers/traffic.rs
+++ b/crates/gateway/src/peers/traffic.rs
@@ -20,6 +20,8 @@
     Findings,
     /// Queue reports and bookings, between owners of slots.
     SharedAdmission,
+    /// Which software began streams: statements, questions and answers.
+    Bindings,
     /// Configurations and parts of them.
     Configuration,
     /// Sections of endpoint lists.
@@ -28,13 +30,14 @@
 
 impl Kind {
     /// All kinds, in the order of their declaration.
-    pub const ALL: [Kind; 8] = [
+    pub const ALL: [Kind; 9] = [
         Kind::StatusInCell,
         Kind::StatusOutsideCell,
         Kind::Lease,
         Kind::Quota,
         Kind::Findings,
         Kind::SharedAdmission,
+        Kind::Bindings,
         Kind::Configuration,
         Kind::Endpoints,
     ];
@@ -48,6 +51,7 @@
             Kind::Quota => "quota",
             Kind::Findings => "findings",
             Kind::SharedAdmission => "shared-admission",
+            Kind::Bindings => "bindings",
             Kind::Configuration => "configuration",
             Kind::Endpoints => "endpoints",
         }
@@ -64,6 +68,10 @@
             }
             Message::Findings(_) => Kind::Findings,
             Message::QueueReport(_) | Message::Bookings(_) => Kind::SharedAdmission,
+            Message::Bindings(_)
+            | Message::BindingsKept(_)
+            | Message::BindingQuestion(_)
+            | Message::BindingReply(_) => Kind::Bindings,
         }
     }
 
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -2,6 +2,9 @@
 
 use hyper::header;
 use hyper::http::request::Parts;
+use woadstage_dispatch::binding;
+use woadstage_dispatch::binding::Binding;
+use woadstage_dispatch::binding::Stream;
 use woadstage_dispatch::configuration::Customer;
 use woadstage_dispatch::configuration::Key;
 use woadstage_dispatch::configuration::Kind;
@@ -71,7 +74,10 @@
     let key = text(&head.headers, &header::AUTHORIZATION).and_then(to_key);
     let matched = table.find(host, head.uri.path(), key)?;
     let request_id = text(&head.headers, &headers.request).unwrap_or_default();
-    let seed = hash::of(request_id.as_bytes());
+    // A stream that is taken up goes on at the service that began it.
+    let resumes = text(&head.headers, &headers.resumes);
+    let begun_by = resumes.filter(|_| head.headers.contains_key(&headers.last_event));
+    let seed = hash::of(begun_by.unwrap_or(request_id).as_bytes());
     let target = matched.route.target(seed).ok_or(Code::NoEndpoint)?;
     let given_ms = headers.to_deadline_ms(&head.headers);
     let caller_timeout = given_ms.map_or(DEFAULT_CALLER_TIMEOUT, Span::from_millis);
@@ -155,9 +161,40 @@
             is_redirected: false,
             is_forwarded: false,
             declined_by: Vec::new(),
+            stream: self.to_stream_opt(headers, head),
+            binding: self.to_binding(headers, head),
         }
     }
 
+    /// Returns the stream that the request begins or takes up, if it can be resumed.
+    fn to_stream_opt(&self, headers: &Headers, head: &Parts) -> Option<Stream> {
+        let is_resumable = self.route.kind == Kind::Stream && self.route.resumable;
+        let resumes = text(&head.headers, &headers.resumes);
+        let begun_by = resumes.filter(|_| head.headers.contains_key(&headers.last_event));
+        is_resumable.then(|| Stream {
+            key: self.to_stream_key(begun_by.unwrap_or(&self.request_id)),
+            until: self.caller_deadline,
+        })
+    }
+
+    /// Returns the binding of a request whose caller takes a stream up, as far as its head tells.
+    fn to_binding(&self, headers: &Headers, head: &Parts) -> Binding {
+        let is_resumable = self.route.kind == Kind::Stream && self.route.resumable;
+        if !is_resumable || !head.headers.contains_key(&headers.last_event) {
+            return Binding::Free;
+        }
+        let resumes = text(&head.headers, &headers.resumes);
+        Binding::TakesUp(resumes.map(|id| self.to_stream_key(id)))
+    }
+
+    fn to_stream_key(&self, request_id: &str) -> binding::Key {
+        let customer = self.customer.as_ref();
+        binding::Key::new(
+            customer.map(|customer| customer.name.to_number()),
+            request_id,
+        )
+    }
+
     /// Returns the customer's name, or an empty string if there is none.
     pub fn customer_name(&self) -> &str {
         self.customer
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 use woadstage_body::ending::Ending;
 use woadstage_body::ending::Framing;
+use woadstage_dispatch::binding::Binding;
 use woadstage_dispatch::dispatcher::Admission;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
@@ -24,6 +25,7 @@
 use woadstage_dispatch::job::Job;
 use woadstage_types::code::Code;
 use woadstage_types::code::Outcome;
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
@@ -67,6 +69,8 @@
     pub admission: Admission,
     /// The node that the request was last forwarded to, if it was.
     pub forwarded_to: Option<SocketAddrV4>,
+    /// The version of the software that answers, as that node stated it.
+    pub(super) stated_software: Option<id::Software>,
     /// What the node that forwarded the request states about it, if one did.
     pub hop: Option<hop::Request>,
     /// Counts the request among those that other nodes forwarded to this one.
@@ -125,6 +129,7 @@
             endpoint: None,
             admission: Admission::default(),
             forwarded_to: None,
+            stated_software: None,
             hop: None,
             in_progress: None,
             reset: None,
@@ -171,6 +176,10 @@
         let job = match &self.hop {
             Some(hop) => Job {
                 is_forwarded: true,
+                binding: match &hop.software {
+                    Some(software) => Binding::Software(software.clone()),
+                    None => job.binding,
+                },
                 history: History {
                     sent: hop.sent,
                     tried: hop.tried.clone(),
@@ -264,21 +273,33 @@
                 ..
             })) => {
                 self.admission = admission;
+                self.record_take_up();
                 self.record_sent(&endpoint, reason, owner);
                 Ok(Destination::Endpoint(endpoint))
             }
             Ok(Ok(Decision::Forward {
-                node, sent, tried, ..
+                node,
+                sent,
+                tried,
+                software,
+                ..
             })) => {
+                self.record_take_up();
                 self.sent_at = self.shell.now();
                 self.endpoint = None;
                 self.forwarded_to = Some(node);
-                Ok(Destination::Node(Forward { node, sent, tried }))
+                Ok(Destination::Node(Forward {
+                    node,
+                    sent,
+                    tried,
+                    software,
+                }))
             }
             Ok(Ok(Decision::Refuse {
                 refusal, admission, ..
             })) => {
                 self.admission = admission;
+                self.record_take_up();
                 Err(self.to_refusal(refusal.into()))
             }
             Ok(Err(_)) | Err(_) => {
@@ -322,6 +343,36 @@
         reply
     }
 
+    /// Logs and counts what came of finding out which software began the stream that the request
+    /// takes up, if it takes one up and this is known now.
+    fn record_take_up(&self) {
+        let take_up = self.job.and_then(|job| {
+            self.shell
+                .command(|dispatcher, _| dispatcher.take_up_opt(job))
+        });
+        let Some(take_up) = take_up else {
+            return;
+        };
+        let names = &self.shell.headers;
+        let field = |name| text(&self.head.headers, name).unwrap_or_default();
+        record::take_up(
+            &self.shell,
+            &self.admitted,
+            field(&names.resumes),
+            field(&names.last_event),
+            &take_up,
+        );
+    }
+
+    /// Binds the request's stream to the software that writes it, as its first event is passed on.
+    pub fn bind(&self) {
+        if let Some(job) = self.job.filter(|_| self.admitted.route.resumable) {
+            let stated = self.stated_software.as_ref();
+            self.shell
+                .command(|dispatcher, now| dispatcher.bind(now, job, stated));
+        }
+    }
+
     fn record_sent(
         &mut self,
         endpoint: &Arc<Endpoint>,
--- a/crates/gateway/src/serve/forward.rs
+++ b/crates/gateway/src/serve/forward.rs
@@ -4,6 +4,7 @@
 
 use woadstage_dispatch::dispatcher::ForwardEnd;
 use woadstage_dispatch::job::End;
+use woadstage_types::id;
 
 use super::exchange::Exchange;
 use super::hop;
@@ -22,6 +23,8 @@
     pub sent: u32,
     /// The numbers of endpoints that it was offered to.
     pub tried: Vec<u32>,
+    /// The version of the endpoints' software that it is bound to, if it is.
+    pub software: Option<id::Software>,
 }
 
 impl Exchange {
@@ -58,6 +61,9 @@
         };
         let head = answer.response.headers_mut();
         let stated: Option<hop::Answer> = hop::take(head);
+        let software = head.remove(hop::SOFTWARE_FIELD);
+        let software = software.as_ref().and_then(|value| value.to_str().ok());
+        self.stated_software = software.map(id::Software::new);
         let Some(stated) = stated else {
             let detail = "the node did not state who answers";
             return match self.end_forward(node, ForwardEnd::Lost, End::Lost, detail) {
@@ -91,6 +97,8 @@
             since_first_try_us: self.since_first_try.0,
             sent: forward.sent,
             tried: forward.tried.clone(),
+            software: forward.software.clone(),
+            reads_software: true,
         };
         let names = &self.shell.headers;
         let payload = self.payload.as_mut();
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -7,6 +7,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use woadstage_dispatch::configuration::Limits;
 use woadstage_dispatch::dispatcher::Admission;
@@ -156,8 +157,17 @@
     let endpoint = exchange.endpoint.as_ref();
     let name = endpoint.map_or("", |endpoint| endpoint.name.as_str());
     let stated = hop::Answer::Endpoint(name.to_owned());
+    let software = endpoint.and_then(|endpoint| endpoint.software.as_ref());
+    let software = software.and_then(|software| HeaderValue::from_str(software.as_str()).ok());
+    let reads_software = exchange.hop.as_ref().is_some_and(|hop| hop.reads_software);
+    // The forwarding node goes by what it is told here, so the stream must not change any more.
+    exchange.bind();
     let mut response = relay::relay(exchange, answer);
     hop::insert(response.headers_mut(), &stated);
+    response.headers_mut().remove(hop::SOFTWARE_FIELD);
+    if let Some(software) = software.filter(|_| reads_software) {
+        response.headers_mut().insert(hop::SOFTWARE_FIELD, software);
+    }
     response
 }
 
--- a/crates/gateway/src/serve/hop.rs
+++ b/crates/gateway/src/serve/hop.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use woadstage_types::code::Code;
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 
 use super::reply::Reply;
@@ -20,6 +21,10 @@
 /// this name are dropped.
 pub const FIELD: HeaderName = HeaderName::from_static("woadstage-hop");
 
+/// The field of the answer to a forwarded request that names the version of the software which
+/// writes it. Only sent to nodes that read it.
+pub const SOFTWARE_FIELD: HeaderName = HeaderName::from_static("woadstage-hop-software");
+
 /// The time by which the other node's deadline is earlier than this node's, so that its reply
 /// arrives before this node gives up.
 pub const MARGIN: Span = Span::from_millis(15);
@@ -37,6 +42,12 @@
     pub sent: u32,
     /// The numbers of endpoints that it was offered to already.
     pub tried: Vec<u32>,
+    /// The version of the endpoints' software that it is bound to, if it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<id::Software>,
+    /// Whether the forwarding node reads [`SOFTWARE_FIELD`] in the answer.
+    #[serde(default)]
+    pub reads_software: bool,
 }
 
 /// Where the answer to a forwarded request comes from.
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -52,6 +52,7 @@
     headers.remove(header::AUTHORIZATION);
     headers.remove(&names.customer);
     headers.remove(hop::FIELD);
+    headers.remove(hop::SOFTWARE_FIELD);
     for name in &names.reserved {
         headers.remove(name);
     }
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -6,6 +6,7 @@
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::PassedOver;
 use woadstage_dispatch::dispatcher::Reason;
+use woadstage_dispatch::dispatcher::TakeUp;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::Fingerprint;
 use woadstage_types::id;
@@ -119,6 +120,30 @@
     });
 }
 
+/// Logs and counts what came of finding out which software began a stream.
+pub fn take_up(
+    shell: &Shell,
+    admitted: &Admitted,
+    resumes: &str,
+    last_event: &str,
+    take_up: &TakeUp,
+) {
+    let software = take_up.software.as_ref();
+    shell
+        .metrics
+        .record_take_up(admitted.target.as_str(), take_up.source.as_str());
+    shell.log(&Event::TakenUp {
+        request: &admitted.request_id,
+        resumes,
+        last_event,
+        software: software.map_or("", id::Software::as_str),
+        source: take_up.source.as_str(),
+        node: &node_name(take_up.source.node_opt()),
+        age_ms: take_up.age.map(|age| age.0 / 1_000),
+        after_ms: take_up.took.0 / 1_000,
+    });
+}
+
 /// Logs a request that is refused because endpoints crashed while running it.
 pub fn barred(shell: &Shell, admitted: &Admitted, fingerprint: Fingerprint) {
     let (ends, trials) = shell.query(|dispatcher, _| {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -49,6 +49,8 @@
     last_data_at: Time,
     max_pause: Span,
     events: u32,
+    /// Whether part of the stream was passed on, so that it is bound to what began it.
+    is_bound: bool,
     is_finished: bool,
     exchange: Exchange,
 }
@@ -82,6 +84,7 @@
         last_data_at: Time(0),
         max_pause: Span::ZERO,
         events: 0,
+        is_bound: false,
         is_finished: false,
         exchange,
     };
@@ -175,7 +178,14 @@
                 .command(|dispatcher, now| dispatcher.progress(now, job, progress.events));
         }
         match &mut self.framer {
-            Some(framer) => framer.push(&bytes, progress.outside_at),
+            Some(framer) => {
+                let complete = framer.push(&bytes, progress.outside_at);
+                if !complete.is_empty() && !self.is_bound {
+                    self.is_bound = true;
+                    self.exchange.bind();
+                }
+                complete
+            }
             // Sent, they would complete the length that the answer states.
             None if self.incoming.is_end_stream() && !self.reception.end().is_whole() => {
                 Bytes::new()
--- a/crates/gateway/tests/gateway/ending.rs
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -1,6 +1,9 @@
 //! Answers that end with their connection or break off, as callers get them.
 
+use std::rc::Rc;
+
 use rstest::rstest;
+use tokio::sync::Notify;
 
 use crate::support::Action;
 use crate::support::Caller;
@@ -91,18 +94,20 @@
 #[test]
 fn a_stream_closed_inside_an_event_resumes_after_the_last_complete_one() {
     run(|| async {
+        let proceed = Rc::new(Notify::new());
         let rest = "id: 2\ndata: piece 2\n\n".to_owned();
-        let script = vec![
-            Action::AnswerAndClose(closing_head() + BROKEN),
-            Action::AnswerAndClose(closing_head() + &rest),
-        ];
-        let one = Worker::start("e", script.clone()).await;
-        let other = Worker::start("f", script[1..].to_vec()).await;
+        let steps = vec![closing_head(), BROKEN.to_owned()];
+        let broken = Action::AnswerStepwiseAndClose(steps, proceed.clone());
+        let one = Worker::start("e", vec![broken]).await;
+        let whole = Action::AnswerAndClose(closing_head() + &rest);
+        let other = Worker::start("f", vec![whole]).await;
         let gateway = Gateway::start(&[&one]).await;
         let mut caller = Caller::connect(&gateway).await;
         caller.request("id-1", "/resumable/x", "").await;
+        proceed.notify_one();
         caller.head().await.expect("an answer");
         gateway.set_endpoints(&[&one, &other]);
+        proceed.notify_one();
         let body = caller.read_until("0\r\n\r\n").await;
         assert_eq!(body.matches("data: pie").count(), 2, "{body}");
         let second = other.requests.borrow()[0].clone();
@@ -115,16 +120,20 @@
 #[test]
 fn a_stream_is_not_resumed_inside_an_event_that_was_forwarded_in_part() {
     run(|| async {
+        let proceed = Rc::new(Notify::new());
         let long = format!("id: 1\ndata: {}", "x".repeat(300 << 10));
+        let steps = vec![chunked_head() + &chunk(&long), String::new()];
+        let broken = Action::AnswerStepwiseAndClose(steps, proceed.clone());
+        let worker = Worker::start("e", vec![broken]).await;
         let rest = chunked_head() + &chunk("id: 1\ndata: piece 1\n\n") + "0\r\n\r\n";
-        let broken = Action::AnswerAndClose(chunked_head() + &chunk(&long));
-        let worker = Worker::start("e", vec![broken, Action::Answer(rest.clone())]).await;
         let other = Worker::start("f", vec![Action::Answer(rest)]).await;
         let gateway = Gateway::start(&[&worker]).await;
         let mut caller = Caller::connect(&gateway).await;
         caller.request("id-1", "/resumable/x", "").await;
-        caller.head().await.expect("an answer");
+        proceed.notify_one();
+        caller.read_until("xxx").await;
         gateway.set_endpoints(&[&worker, &other]);
+        proceed.notify_one();
         let (received, _) = caller.read_to_end().await;
         assert!(
             !received.contains("piece"),
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -394,6 +394,7 @@
             tried: Vec::new(),
             avoided: Vec::new(),
             details: lease::Details::default(),
+            software: None,
         };
         let (requester, _) = other_node().await;
         let datagram = wire::to_datagram(&Message::Lease(Box::new(request)));
--- a/crates/gateway/tests/gateway/software.rs
+++ b/crates/gateway/tests/gateway/software.rs
@@ -1,10 +1,16 @@
 //! Streams while endpoints of several software versions serve side by side.
 
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
 use crate::support::Action;
 use crate::support::Caller;
 use crate::support::Gateway;
 use crate::support::Response;
 use crate::support::Worker;
+use crate::support::chunk;
+use crate::support::chunked_head;
 use crate::support::field;
 use crate::support::fleet;
 use crate::support::run;
@@ -37,12 +43,20 @@
         let other = Worker::start_version("g", "2", vec![Action::BreakStream]).await;
         let gateway = Gateway::start(&[]).await;
         for stream in STREAMS {
-            let first = Worker::start_version(stream, "1", vec![Action::BreakStream]).await;
+            let proceed = Rc::new(Notify::new());
+            let steps = vec![
+                format!("{}{}", chunked_head(), chunk("id: 2\ndata: piece 2\n\n")),
+                "no chunk\r\n".to_owned(),
+            ];
+            let script = vec![Action::AnswerStepwise(steps, proceed.clone())];
+            let first = Worker::start_version(stream, "1", script).await;
             gateway.set_endpoints(&[&first]);
             let mut caller = Caller::connect(&gateway).await;
             caller.request(stream, "/resumable/x", stream).await;
-            caller.head().await.expect("an answer");
+            proceed.notify_one();
+            caller.read_until("piece 2").await;
             gateway.set_endpoints(&[&first, &same, &other]);
+            proceed.notify_one();
             caller.read_until("0\r\n\r\n").await;
         }
         assert_eq!((taken_up(&same), taken_up(&other)), (STREAMS.len(), 0));
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -93,45 +93,26 @@
     run(|| async {
         // The endpoint breaks off within the third event. Further requests continue after
         // the second.
-        let broken = format!("{}{}{}", chunked_head(), chunk(&event(1)), chunk(&event(2)));
-        let broken = format!("{broken}{}", chunk("id: 3\ndata: pie"));
-        let broken = broken.replace(
+        let proceed = Rc::new(Notify::new());
+        let begun = format!("{}{}{}", chunked_head(), chunk(&event(1)), chunk(&event(2)));
+        let begun = format!("{begun}{}", chunk("id: 3\ndata: pie"));
+        let begun = begun.replace(
             "\r\nwoadstage-request",
             "\r\nx-seal: first\r\nwoadstage-request",
         );
-        let script = vec![
-            Action::AnswerAndClose(broken),
-            Action::Answer(complete_stream(3..5)),
-        ];
-        let one = Worker::start("e", script.clone()).await;
-        let gateway = Gateway::start(&[&one]).await;
+        let steps = vec![begun, "no chunk\r\n".to_owned()];
+        let script = vec![Action::AnswerStepwise(steps, proceed.clone())];
+        let one = Worker::start("e", script).await;
         let other = Worker::start("f", vec![Action::Answer(complete_stream(3..5))]).await;
+        let gateway = Gateway::start(&[&one]).await;
         let mut caller = Caller::connect(&gateway).await;
-        let list = woadstage_dispatch::endpoint::List {
-            settled: true,
-            revision: 2,
-            endpoints: vec![crate::support::to_endpoint(&one)],
-            ..Default::default()
-        };
-        gateway
-            .shell
-            .command(|dispatcher, now| dispatcher.set_endpoints(now, std::sync::Arc::new(list)));
         caller.request("id-1", "/resumable/x", "prompt").await;
+        proceed.notify_one();
         let head = caller.head().await.expect("an answer");
         assert_eq!(field(&head, "x-seal"), Some("first"));
         // The second endpoint is added after the first has started its answer.
-        let list = woadstage_dispatch::endpoint::List {
-            settled: true,
-            revision: 3,
-            endpoints: vec![
-                crate::support::to_endpoint(&one),
-                crate::support::to_endpoint(&other),
-            ],
-            ..Default::default()
-        };
-        gateway
-            .shell
-            .command(|dispatcher, now| dispatcher.set_endpoints(now, std::sync::Arc::new(list)));
+        gateway.set_endpoints(&[&one, &other]);
+        proceed.notify_one();
         let rest = caller.read_until("0\r\n\r\n").await;
         for id in 1..5 {
             assert_eq!(
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -35,6 +35,8 @@
     AnswerAndReset(String),
     /// Writes the texts one by one, waiting for a notification before each.
     AnswerStepwise(Vec<String>, Rc<Notify>),
+    /// Like [`Action::AnswerStepwise`], and closes the connection afterwards.
+    AnswerStepwiseAndClose(Vec<String>, Rc<Notify>),
     /// Writes the text once the head has arrived, and reads the body after a notification.
     AnswerEarly(String, Rc<Notify>),
     /// Writes nothing until the gateway closes the connection.
@@ -198,20 +200,11 @@
                 false
             }
             Action::AnswerStepwise(texts, proceed) => {
-                for text in texts {
-                    tokio::select! {
-                        () = proceed.notified() => {}
-                        _ = stream.readable() => return false,
-                    }
-                    if stream
-                        .write_all(insert_request_id(&text, head).as_bytes())
-                        .await
-                        .is_err()
-                    {
-                        return false;
-                    }
-                }
-                true
+                write_stepwise(stream, texts, &proceed, head).await
+            }
+            Action::AnswerStepwiseAndClose(texts, proceed) => {
+                write_stepwise(stream, texts, &proceed, head).await;
+                false
             }
             Action::NoAnswer => {
                 let mut byte = [0];
@@ -233,3 +226,23 @@
         }
     }
 }
+
+/// Writes texts one by one, each after a notification. Returns whether the connection stays open.
+async fn write_stepwise(
+    stream: &mut TcpStream,
+    texts: Vec<String>,
+    proceed: &Notify,
+    head: &str,
+) -> bool {
+    for text in texts {
+        tokio::select! {
+            () = proceed.notified() => {}
+            _ = stream.readable() => return false,
+        }
+        let text = insert_request_id(&text, head);
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -119,6 +119,8 @@
 
     // Nodes exchange codes by their index in this list, so new codes are appended here.
     RegionClosed = 2012, 503, NotRun, "No endpoint is live in the regions where this request may run.";
+    StreamUnknown = 2013, 503, NotRun, "No node knows which software version began the stream that this request takes up.";
+    SoftwareGone = 2014, 503, NotRun, "No endpoint of the software version that began this stream is live.";
 }
 
 impl Code {
@@ -129,7 +131,7 @@
 
     /// Whether a later attempt may succeed, so that the response carries `Retry-After`.
     pub fn is_transient(self) -> bool {
-        matches!(self.number(), 2001..=2008 | 2010 | 2011 | 2012)
+        matches!(self.number(), 2001..=2008 | 2010 | 2011 | 2012 | 2014)
     }
 }
 
