fix: frame answers by the caller's version of HTTP, not the endpoint's

The head of an endpoint's answer was passed on with its version, so an endpoint of HTTP/1.0 made the answer to a caller of HTTP/1.1 end with its connection: one that broke off inside an event, and was aborted for that, ended in an orderly close and looked complete.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -67,6 +67,8 @@
     let is_stream = exchange.admitted.route.kind == Kind::Stream && is_success;
     let reception = follow(&head.headers, &incoming, is_stream);
     outgoing::remove_hop_by_hop(&mut head.headers);
+    // The endpoint's version must not choose the framing on the caller's connection.
+    head.version = Version::HTTP_11;
     let is_resumable = is_stream && exchange.admitted.route.resumable;
     if is_resumable {
         // It may be resumed by an answer of another length.
--- a/crates/gateway/tests/gateway/ending.rs
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -82,6 +82,24 @@
     });
 }
 
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_stream_of_an_endpoint_of_http_10_closed_inside_an_event_does_not_look_complete(
+    #[case] path: &str,
+) {
+    run(|| async move {
+        let answer = (closing_head() + BROKEN).replace("HTTP/1.1", "HTTP/1.0");
+        let worker = Worker::start("e", vec![Action::AnswerAndClose(answer)]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", path, "").await;
+        let (received, _) = caller.read_to_end().await;
+        let is_chunked = received.contains("transfer-encoding: chunked");
+        assert!(is_chunked && !received.ends_with("0\r\n\r\n"), "{received}");
+    });
+}
+
 #[test]
 fn a_plain_answer_that_ends_with_its_connection_is_complete() {
     run(|| async {
