fix: remember versions of software that are no longer listed

A node forgot a version that had left after twice the longest timeout of the routes it knew, zero where no route is resumable at present, and could then take another for the only one that had served. It remembers them for an hour now. Tests of records, keepers, questions and take-ups among 5, 24 and 72 nodes whose first node dies, and of a rolling stop of all but one; the one of a version that must have served alone fails without the change.

--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -52,6 +52,9 @@
 /// caller.
 const TIMEOUTS_PER_STREAM: u64 = 2;
 
+/// How long a version is remembered after it was last listed, longer than any stream lasts.
+const VERSION_MEMORY: Span = Span::from_secs(3_600);
+
 /// The versions of the software of a service's endpoints, as far as this node saw them.
 #[derive(Debug, Default)]
 pub(super) struct Versions {
@@ -471,16 +474,9 @@
                 pool.versions.listed.insert(software, now);
             }
         }
-        let lifetimes: Vec<(id::Target, Span)> = self
-            .pools
-            .iter()
-            .map(|(target, pool)| (target.clone(), self.lifetime(pool, Span::ZERO)))
-            .collect();
-        for (target, lifetime) in lifetimes {
-            if let Some(pool) = self.pools.get_mut(&target) {
-                let versions = &mut pool.versions.listed;
-                versions.retain(|_, at| now.since(*at).0 <= lifetime.0 * TIMEOUTS_PER_STREAM);
-            }
+        for pool in self.pools.values_mut() {
+            let versions = &mut pool.versions.listed;
+            versions.retain(|_, at| now.since(*at) <= VERSION_MEMORY);
         }
     }
 
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/binding.rs
@@ -0,0 +1,476 @@
+//! Streams bound to the version of the software that began them, among several nodes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use rstest::rstest;
+use woadstage_dispatch::binding::Answer;
+use woadstage_dispatch::binding::Binding;
+use woadstage_dispatch::binding::Keeper;
+use woadstage_dispatch::binding::Key;
+use woadstage_dispatch::binding::Registry;
+use woadstage_dispatch::binding::Reply;
+use woadstage_dispatch::binding::Statement;
+use woadstage_dispatch::binding::Stream;
+use woadstage_dispatch::dispatcher::Decision;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::message::Message;
+use woadstage_dispatch::message::Status;
+use woadstage_dispatch::protocol::Protocol;
+use woadstage_types::code::Code;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::support::MODEL;
+use crate::support::at;
+use crate::support::configuration;
+use crate::support::dispatcher;
+use crate::support::endpoint;
+use crate::support::job;
+use crate::support::list;
+use crate::support::node;
+use crate::support::options;
+use crate::support::refusals;
+use crate::support::starts;
+
+const KEY: Key = Key(77);
+
+fn engine(name: &str, software: &str, centre: &str) -> Endpoint {
+    Endpoint {
+        software: Some(id::Software::new(software)),
+        data_centre: id::DataCentre::new(centre),
+        ..endpoint(name, MODEL, 4)
+    }
+}
+
+fn two_versions() -> Vec<Endpoint> {
+    vec![engine("one", "1", "a"), engine("two", "2", "a")]
+}
+
+/// A request for a stream that its caller may take up.
+fn stream(key: Key, arrived: Time) -> Job {
+    Job {
+        repeatable: true,
+        stream: Some(Stream {
+            key,
+            until: arrived + Span::from_secs(8),
+        }),
+        ..job(MODEL, 0, arrived)
+    }
+}
+
+fn take_up(key: Option<Key>, arrived: Time) -> Job {
+    Job {
+        binding: Binding::TakesUp(key),
+        ..stream(key.unwrap_or(KEY), arrived)
+    }
+}
+
+/// Several nodes that exchange messages without loss.
+struct Fleet {
+    nodes: BTreeMap<SocketAddrV4, Dispatcher>,
+    now: Time,
+}
+
+impl Fleet {
+    /// Starts nodes in three data centres before engines of two versions, and waits until they know
+    /// each other.
+    fn start(count: u8) -> Fleet {
+        let centres = ["a", "b", "c"];
+        let centre = |number: usize| centres[number % centres.len()];
+        let engines: Vec<Endpoint> = (0..usize::from(count) * 2)
+            .map(|number| {
+                let software = ["1", "2"][number / 3 % 2];
+                engine(&format!("e-{number}"), software, centre(number))
+            })
+            .collect();
+        let nodes = (1..=count).map(|number| {
+            let options = Options {
+                data_centre: id::DataCentre::new(centre(usize::from(number))),
+                seeds: vec![node(1)],
+                ..options(number)
+            };
+            let mut dispatcher = Dispatcher::new(options);
+            dispatcher.set_configuration(at(0), configuration(1));
+            dispatcher.set_endpoints(at(0), list(1, &engines));
+            (node(number), dispatcher)
+        });
+        let mut fleet = Fleet {
+            nodes: nodes.collect(),
+            now: at(0),
+        };
+        fleet.run_for(Span::from_secs(3));
+        fleet
+    }
+
+    fn run_for(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Span::from_millis(20);
+            let now = self.now;
+            let mut sent = Vec::new();
+            for (from, dispatcher) in &mut self.nodes {
+                dispatcher.tick(now);
+                for (status, to) in dispatcher.statuses(now) {
+                    let message = Message::Status(Box::new(status));
+                    sent.extend(to.into_iter().map(|to| (*from, to, message.clone())));
+                }
+                let messages = dispatcher.take_messages().into_iter();
+                sent.extend(messages.map(|(to, message)| (*from, to, message)));
+            }
+            self.deliver(sent);
+        }
+    }
+
+    fn deliver(&mut self, sent: Vec<(SocketAddrV4, SocketAddrV4, Message)>) {
+        let now = self.now;
+        for (from, to, message) in sent {
+            let Some(node) = self.nodes.get_mut(&to) else {
+                continue;
+            };
+            match message {
+                Message::Status(status) => {
+                    node.receive_status(now, from, *status);
+                }
+                Message::Lease(request) => node.receive_lease_request(now, from, *request),
+                Message::Leased(reply) => node.receive_lease_reply(now, from, reply),
+                Message::Report(report) => node.receive_lease_report(now, from, report),
+                Message::Check(check) => node.answer_lease_check(from, check),
+                Message::Bindings(statements) => node.receive_bindings(now, from, &statements),
+                Message::BindingsKept(keys) => node.confirm_bindings(now, from, &keys),
+                Message::BindingQuestion(question) => node.answer_binding(now, from, question),
+                Message::BindingReply(reply) => node.receive_binding_reply(now, from, reply),
+                _ => {}
+            }
+        }
+    }
+
+    /// Submits a request and returns the software of the endpoint that it is sent to.
+    fn submit(&mut self, number: u8, request: Job) -> Result<(job::Id, id::Software), Code> {
+        let address = node(number);
+        let now = self.now;
+        let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
+        let id = dispatcher.enter(now, request);
+        for _ in 0..30 {
+            let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
+            for decision in dispatcher.take_decisions() {
+                match decision {
+                    Decision::Start { job, endpoint, .. } if job == id => {
+                        return Ok((id, endpoint.software.clone().expect("a version")));
+                    }
+                    Decision::Refuse { job, refusal, .. } if job == id => return Err(refusal.code),
+                    _ => {}
+                }
+            }
+            self.run_for(Span::from_millis(20));
+        }
+        panic!("no decision about the request");
+    }
+
+    /// Begins a stream and passes its first event on.
+    fn begin(&mut self, number: u8, key: Key) -> (job::Id, id::Software) {
+        let request = stream(key, self.now);
+        let (id, software) = self.submit(number, request).expect("the stream begins");
+        let now = self.now;
+        let dispatcher = self.nodes.get_mut(&node(number)).expect("the node lives");
+        dispatcher.bind(now, id, None);
+        (id, software)
+    }
+
+    /// Ends a request at its endpoint.
+    fn end(&mut self, number: u8, id: job::Id) {
+        let now = self.now;
+        let dispatcher = self.nodes.get_mut(&node(number)).expect("the node lives");
+        dispatcher.end(now, id, job::End::Whole);
+    }
+}
+
+#[rstest]
+#[case::small(5)]
+#[case::cells(24)]
+#[case::many_cells(72)]
+fn a_stream_is_taken_up_elsewhere_after_its_node_died(#[case] nodes: u8) {
+    let mut fleet = Fleet::start(nodes);
+    for round in 0..6 {
+        let key = Key(u64::from(round) * 1_000_003);
+        let (begins, takes_up) = (1 + round % 2, nodes - round % 3);
+        let (begun, software) = fleet.begin(begins, key);
+        fleet.run_for(Span::from_millis(40));
+        let died = fleet.nodes.remove(&node(begins));
+        let request = take_up(Some(key), fleet.now);
+        let taken_up = fleet.submit(takes_up, request);
+        let (id, taken_up) = taken_up.expect("the stream goes on");
+        assert_eq!(taken_up, software, "round {round}");
+        fleet.end(takes_up, id);
+        fleet.nodes.insert(node(begins), died.expect("it lived"));
+        fleet.end(begins, begun);
+        fleet.run_for(Span::from_secs(2));
+    }
+}
+
+#[test]
+fn a_stopping_node_hands_over_what_it_keeps() {
+    let mut fleet = Fleet::start(7);
+    let (_, software) = fleet.begin(2, KEY);
+    fleet.run_for(Span::from_millis(40));
+    // One after the other, all nodes but one stop.
+    for number in 1..=6 {
+        fleet
+            .nodes
+            .get_mut(&node(number))
+            .expect("it lives")
+            .leave();
+        fleet.run_for(Span::from_millis(300));
+        fleet.nodes.remove(&node(number));
+    }
+    let request = take_up(Some(KEY), fleet.now);
+    let taken_up = fleet.submit(7, request).map(|(_, software)| software);
+    assert_eq!(taken_up, Ok(software));
+}
+
+#[test]
+fn a_stream_that_no_node_recorded_is_not_run() {
+    let mut fleet = Fleet::start(5);
+    for key in [Some(KEY), None] {
+        let request = take_up(key, fleet.now);
+        assert_eq!(fleet.submit(3, request).err(), Some(Code::StreamUnknown));
+    }
+}
+
+#[test]
+fn the_records_of_another_customer_are_not_found() {
+    assert_ne!(Key::new(Some(1), "id"), Key::new(Some(2), "id"));
+    assert_ne!(Key::new(Some(1), "id"), Key::new(None, "id"));
+}
+
+/// Enters a request that takes a stream up at this time. Returns whether it is not refused.
+fn runs(dispatcher: &mut Dispatcher, when: Time) -> bool {
+    dispatcher.enter(when, take_up(Some(KEY), when));
+    refusals(dispatcher).is_empty()
+}
+
+/// The routes of the tests have a timeout of 8 s, so that a stream lasts for at most 16 s.
+#[test]
+fn one_version_must_have_served_alone_for_longer_than_a_stream_lasts() {
+    let one = [engine("one", "1", "a")];
+    let mut dispatcher = dispatcher(&one);
+    assert!(!runs(&mut dispatcher, at(15_000)));
+    assert!(runs(&mut dispatcher, at(16_000)));
+    dispatcher.set_endpoints(at(17_000), list(2, &two_versions()));
+    assert!(!runs(&mut dispatcher, at(17_001)));
+    dispatcher.set_endpoints(at(20_000), list(3, &one));
+    assert!(!runs(&mut dispatcher, at(35_000)));
+    assert!(runs(&mut dispatcher, at(36_001)));
+    dispatcher.set_platform_unreachable(true);
+    assert!(!runs(&mut dispatcher, at(36_002)));
+}
+
+#[test]
+fn a_version_that_is_not_listed_counts_as_another() {
+    let unknown = Endpoint {
+        software: None,
+        ..engine("two", "", "a")
+    };
+    let mut dispatcher = dispatcher(&[engine("one", "1", "a"), unknown]);
+    assert!(!runs(&mut dispatcher, at(60_000)));
+}
+
+#[test]
+fn a_stream_begun_at_an_unknown_version_is_not_resumed() {
+    let unknown = |name: &str| Endpoint {
+        software: None,
+        ..engine(name, "", "a")
+    };
+    let mut dispatcher = dispatcher(&[unknown("one"), unknown("two")]);
+    let id = dispatcher.enter(at(1), stream(KEY, at(1)));
+    dispatcher.bind(at(2), id, None);
+    dispatcher.take_decisions();
+    dispatcher.end(at(3), id, job::End::Lost);
+    let refused = refusals(&mut dispatcher);
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1, Code::StreamUnknown);
+}
+
+#[test]
+fn a_stream_that_brought_no_event_may_begin_anew_anywhere() {
+    let mut dispatcher = dispatcher(&two_versions());
+    let id = dispatcher.enter(at(1), stream(KEY, at(1)));
+    let first = starts(&mut dispatcher);
+    dispatcher.end(at(2), id, job::End::Lost);
+    let second = starts(&mut dispatcher);
+    assert_ne!(first[0].1, second[0].1);
+}
+
+#[test]
+fn a_request_that_waits_for_its_version_holds_up_no_others() {
+    let mut dispatcher = dispatcher(&two_versions());
+    let bound = |when| Job {
+        binding: Binding::Software(id::Software::new("1")),
+        ..stream(KEY, when)
+    };
+    for millis in 1..=40 {
+        dispatcher.enter(at(millis), bound(at(millis)));
+    }
+    let at_one = starts(&mut dispatcher);
+    assert!(at_one.len() < 40 && at_one.iter().all(|(_, name)| name == "one"));
+    dispatcher.enter(at(50), stream(Key(1), at(50)));
+    let others = starts(&mut dispatcher);
+    assert_eq!(others.len(), 1);
+    assert_eq!(others[0].1, "two");
+}
+
+/// Returns a dispatcher that hears of this many other nodes, of this protocol.
+fn with_peers(count: u8, protocol: Protocol) -> Dispatcher {
+    let mut dispatcher = dispatcher(&two_versions());
+    for number in 2..2 + count {
+        let status = Status {
+            incarnation: u64::from(number),
+            sequence: 1,
+            protocol,
+            ..Status::default()
+        };
+        dispatcher.receive_status(at(0), node(number), status);
+    }
+    dispatcher
+}
+
+fn questions(dispatcher: &mut Dispatcher) -> Vec<(SocketAddrV4, u64)> {
+    let messages = dispatcher.take_messages().into_iter();
+    let questions = messages.filter_map(|(to, message)| match message {
+        Message::BindingQuestion(question) => Some((to, question.number)),
+        _ => None,
+    });
+    questions.collect()
+}
+
+#[test]
+fn nodes_of_an_older_build_are_not_asked() {
+    let mut dispatcher = with_peers(3, Protocol::TOLERANCES);
+    dispatcher.enter(at(1), take_up(Some(KEY), at(1)));
+    assert!(questions(&mut dispatcher).is_empty());
+    let refused = refusals(&mut dispatcher);
+    assert_eq!((refused[0].1, refused[0].2), (Code::StreamUnknown, None));
+}
+
+#[test]
+fn a_record_outweighs_the_word_of_a_node_that_saw_one_version_alone() {
+    let mut dispatcher = with_peers(2, Protocol::CURRENT);
+    dispatcher.enter(at(1), take_up(Some(KEY), at(1)));
+    let asked = questions(&mut dispatcher);
+    assert_eq!(asked.len(), 2);
+    let reply = |answer| Reply {
+        number: asked[0].1,
+        answer,
+    };
+    let sole = Answer::Sole(id::Software::new("2"));
+    dispatcher.receive_binding_reply(at(2), asked[0].0, reply(sole));
+    assert!(starts(&mut dispatcher).is_empty());
+    let known = Answer::Known {
+        software: id::Software::new("1"),
+        age: Span::from_millis(9),
+    };
+    dispatcher.receive_binding_reply(at(3), asked[1].0, reply(known));
+    let started = starts(&mut dispatcher);
+    assert_eq!(started[0].1, "one");
+    let found = dispatcher.take_up_opt(started[0].0).expect("a take-up");
+    assert_eq!(found.source.node_opt(), Some(asked[1].0));
+}
+
+#[test]
+fn a_caller_may_retry_if_a_node_that_was_asked_stays_silent() {
+    let mut dispatcher = with_peers(2, Protocol::CURRENT);
+    dispatcher.enter(at(1), take_up(Some(KEY), at(1)));
+    let asked = questions(&mut dispatcher);
+    let reply = Reply {
+        number: asked[0].1,
+        answer: Answer::Unknown,
+    };
+    dispatcher.receive_binding_reply(at(2), asked[0].0, reply);
+    dispatcher.tick(at(70));
+    assert_eq!(questions(&mut dispatcher).len(), 1);
+    assert!(refusals(&mut dispatcher).is_empty());
+    dispatcher.tick(at(140));
+    let refused = refusals(&mut dispatcher);
+    assert_eq!(refused[0].1, Code::StreamUnknown);
+    assert!(refused[0].2.is_some());
+}
+
+#[test]
+fn a_caller_that_leaves_during_an_inquiry_leaves_nothing_behind() {
+    let mut dispatcher = with_peers(2, Protocol::CURRENT);
+    let id = dispatcher.enter(at(1), take_up(Some(KEY), at(1)));
+    assert_eq!(dispatcher.held(), 1);
+    dispatcher.abandon(at(2), id);
+    assert_eq!(dispatcher.held(), 0);
+    dispatcher.tick(at(200));
+    assert!(refusals(&mut dispatcher).is_empty());
+}
+
+fn statement(key: u64, software: &str) -> Statement {
+    Statement {
+        key: Key(key),
+        service: 1,
+        software: id::Software::new(software),
+        valid_for: Span::from_secs(9),
+    }
+}
+
+#[test]
+fn a_stream_of_which_two_versions_are_stated_is_not_resumed() {
+    let mut registry = Registry::default();
+    registry.record_stated(at(0), &statement(1, "1"));
+    let found = registry.find_opt(at(5), Key(1)).expect("a record");
+    assert_eq!(found.software, Some(id::Software::new("1")));
+    registry.record_stated(at(6), &statement(1, "2"));
+    let found = registry.find_opt(at(7), Key(1)).expect("a record");
+    assert_eq!(found.software, None);
+}
+
+#[test]
+fn records_expire_and_are_bounded() {
+    let mut registry = Registry::default();
+    for key in 0..70_000 {
+        let kept_longer = Statement {
+            valid_for: Span::from_secs(10 + key % 2),
+            ..statement(key, "1")
+        };
+        registry.record_stated(at(0), &kept_longer);
+    }
+    assert_eq!(registry.len(), 65_536);
+    registry.expire(at(10_000));
+    assert_eq!(registry.len(), 35_000);
+    registry.expire(at(11_000));
+    assert!(registry.is_empty());
+}
+
+#[test]
+fn a_keeper_is_told_until_it_confirms_and_again_after_it_restarted() {
+    let mut registry = Registry::default();
+    let stream = Stream {
+        key: KEY,
+        until: at(20_000),
+    };
+    registry.record_own(at(0), stream, 1, &id::Software::new("1"));
+    let keeper = |incarnation| Keeper {
+        node: node(2),
+        incarnation,
+    };
+    let told = |registry: &mut Registry, millis, incarnation| {
+        let due = registry.take_due(at(millis));
+        let stated = due
+            .iter()
+            .filter_map(|(key, _)| registry.state(at(millis), *key, &[keeper(incarnation)]));
+        stated.count()
+    };
+    assert_eq!(told(&mut registry, 0, 1), 1);
+    assert_eq!(told(&mut registry, 50, 1), 0);
+    assert_eq!(told(&mut registry, 100, 1), 1);
+    registry.confirm(keeper(1), &[KEY]);
+    assert_eq!(told(&mut registry, 200, 1), 0);
+    assert_eq!(told(&mut registry, 700, 2), 1);
+}
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatch crate, without sockets or real clocks.
 
+mod binding;
 mod booking;
 mod budget;
 mod cold;
