fix: let streams of a sole version go on while the platform is away

A node that can't read the platform refused to resume streams of which nobody holds a record, also where one version alone serves. No request runs at an endpoint that the node which sends it doesn't list, and that node's status names its list: it is enough that every node is heard and none has a newer one.

--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -452,8 +452,7 @@
         let is_known = versions
             .known_since
             .is_some_and(|at| now.since(at) >= lifetime);
-        let is_current = self.list.settled && !self.platform_unreachable;
-        if !is_known || !is_current || self.members.has_newer_list(now, self.list.edition()) {
+        if !is_known || !self.is_list_current(now) {
             return None;
         }
         let listed = pool.workers.iter().filter(|worker| worker.listed);
@@ -465,6 +464,16 @@
         is_alone.then_some(sole)
     }
 
+    /// Whether this node would know if another one sent requests to endpoints that this one does not
+    /// list: it reads the platform, or hears every node, and none has a newer list.
+    fn is_list_current(&self, now: Time) -> bool {
+        let reach = self.members.reach(now);
+        let hears_all = !reach.isolated && reach.silent == 0;
+        self.list.settled
+            && (!self.platform_unreachable || hears_all)
+            && !self.members.has_newer_list(now, self.list.edition())
+    }
+
     /// Records the versions of the list in force, which another list replaces or has replaced.
     pub(super) fn record_versions(&mut self, now: Time, list: &List) {
         for endpoint in &list.endpoints {
--- a/crates/dispatch/tests/dispatch/binding.rs
+++ b/crates/dispatch/tests/dispatch/binding.rs
@@ -270,6 +270,26 @@
     assert!(!runs(&mut dispatcher, at(36_002)));
 }
 
+#[test]
+fn one_version_counts_as_alone_while_the_platform_is_away_if_all_nodes_are_heard() {
+    let mut dispatcher = dispatcher(&[engine("one", "1", "a")]);
+    dispatcher.set_platform_unreachable(true);
+    let hear = |dispatcher: &mut Dispatcher, millis, revision| {
+        let status = Status {
+            incarnation: 2,
+            sequence: millis,
+            endpoints: list(revision, &[]).edition(),
+            ..Status::default()
+        };
+        dispatcher.receive_status(at(millis), node(2), status);
+    };
+    hear(&mut dispatcher, 20_000, 1);
+    assert!(runs(&mut dispatcher, at(20_100)));
+    hear(&mut dispatcher, 20_200, 2);
+    let id = dispatcher.enter(at(20_300), take_up(Some(KEY), at(20_300)));
+    assert_eq!(dispatcher.take_up_opt(id), None);
+}
+
 #[test]
 fn a_version_that_is_not_listed_counts_as_another() {
     let unknown = Endpoint {
