fix: tell a stream that its endpoint's end closed from a whole one

A stream without length or chunks whose endpoint ended between two events was closed in order after an event, and reached its caller as complete: its bytes don't tell it from a whole one. Before such an end is stated, a new connection asks whether the endpoint still listens; where it is refused the stream resumes, or is aborted. The regression test fails without the change.

--- a/crates/body/src/ending.rs
+++ b/crates/body/src/ending.rs
@@ -77,6 +77,7 @@
             Ending::BrokenOff(Cause::Connection(_)) => "connection-broke",
             Ending::BrokenOff(Cause::InsideEvent) => "inside-event",
             Ending::BrokenOff(Cause::NoEvent) => "no-event",
+            Ending::BrokenOff(Cause::SenderEnded) => "sender-ended",
         }
     }
 }
@@ -90,6 +91,8 @@
     InsideEvent,
     /// The connection was closed before the first event of a stream, where only that ends it.
     NoEvent,
+    /// The connection was closed, where only that ends a stream, because its sender ended.
+    SenderEnded,
 }
 
 impl fmt::Display for Cause {
@@ -98,6 +101,7 @@
             Cause::Connection(error) => f.write_str(error),
             Cause::InsideEvent => f.write_str("stream ended inside an event"),
             Cause::NoEvent => f.write_str("connection closed before the first event"),
+            Cause::SenderEnded => f.write_str("connection closed as its sender ended"),
         }
     }
 }
@@ -125,6 +129,11 @@
         self.framing
     }
 
+    /// Whether the body is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        self.scanner.is_some()
+    }
+
     /// Follows the next part of the body.
     pub fn push(&mut self, part: &[u8]) -> Progress {
         let Some(scanner) = &mut self.scanner else {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -350,8 +350,8 @@
         /// none was relayed.
         #[serde(skip_serializing_if = "str::is_empty")]
         framing: &'a str,
-        /// How that body ended: `stated`, `closed`, `connection-broke`, `inside-event` or
-        /// `no-event`.
+        /// How that body ended: `stated`, `closed`, `connection-broke`, `inside-event`,
+        /// `no-event` or `sender-ended`.
         #[serde(skip_serializing_if = "str::is_empty")]
         body: &'a str,
         /// The time in milliseconds since the request was sent.
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use woadstage_body::ending;
+use woadstage_body::ending::Cause;
 use woadstage_body::ending::Ending;
 use woadstage_body::ending::Framing;
 use woadstage_body::ending::Reception;
@@ -32,6 +33,7 @@
 use crate::upstream::Answer;
 use crate::upstream::Body;
 use crate::upstream::Connection;
+use crate::upstream::probe;
 use crate::upstream::reuse;
 
 /// An answer in transit.
@@ -162,12 +164,27 @@
         let frame = self.incoming.frame();
         match exchange.shell.timeout_at(deadline, frame).await {
             Err(_) => Received::Late,
-            Ok(None) => Received::Ended(self.reception.end()),
+            Ok(None) => Received::Ended(self.end().await),
             Ok(Some(Err(error))) => Received::Ended(self.reception.break_off(&error)),
             Ok(Some(Ok(frame))) => Received::Data(frame.into_data().unwrap_or_default()),
         }
     }
 
+    /// Returns how the body ended. A close at an event's boundary is the end of a stream, unless the
+    /// endpoint itself ended with the connection.
+    async fn end(&self) -> Ending {
+        let ending = self.reception.end();
+        let endpoint = self.exchange.endpoint.as_ref();
+        let endpoint =
+            endpoint.filter(|_| ending == Ending::Closed && self.reception.is_event_stream());
+        match endpoint {
+            Some(endpoint) if probe::is_refused(endpoint).await => {
+                Ending::BrokenOff(Cause::SenderEnded)
+            }
+            _ => ending,
+        }
+    }
+
     /// Processes bytes from the endpoint, and returns those to send now.
     fn forward(&mut self, bytes: Bytes) -> Bytes {
         let progress = self.reception.push(&bytes);
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -101,6 +101,15 @@
     }
 }
 
+/// Whether nothing listens at an endpoint's address any more.
+pub async fn is_refused(endpoint: &Endpoint) -> bool {
+    let opening = connect::open(endpoint.address);
+    match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+        Ok(Err(error)) => is_refusal(&error),
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 fn is_refusal(error: &anyhow::Error) -> bool {
     let error = error.downcast_ref::<std::io::Error>();
     error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
--- a/crates/gateway/tests/gateway/ending.rs
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -100,6 +100,26 @@
     });
 }
 
+#[rstest]
+#[case::resumable("/resumable/x")]
+#[case::not_resumable("/stream/x")]
+fn a_stream_closed_after_an_event_as_its_endpoint_ends_does_not_look_complete(#[case] path: &str) {
+    run(|| async move {
+        let proceed = Rc::new(Notify::new());
+        let steps = vec![closing_head() + WHOLE];
+        let script = vec![Action::AnswerStepwise(steps, proceed.clone())];
+        let worker = Worker::start("e", script).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", path, "").await;
+        proceed.notify_one();
+        caller.head().await.expect("an answer");
+        worker.crash();
+        let (received, _) = caller.read_to_end().await;
+        assert!(!received.ends_with("0\r\n\r\n"), "{received}");
+    });
+}
+
 #[test]
 fn a_plain_answer_that_ends_with_its_connection_is_complete() {
     run(|| async {
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -127,6 +127,11 @@
         *self.script.borrow_mut() = script.into();
     }
 
+    /// Stops the stand-in and closes all its connections.
+    pub fn crash(&self) {
+        self.crashed.send_replace(true);
+    }
+
     /// Waits until the stand-in crashes.
     async fn wait_until_crashed(&self) {
         let mut crashed = self.crashed.subscribe();
