--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -75,9 +75,7 @@
     let matched = table.find(host, head.uri.path(), key)?;
     let request_id = text(&head.headers, &headers.request).unwrap_or_default();
     // A stream that is taken up goes on at the service that began it.
-    let resumes = text(&head.headers, &headers.resumes);
-    let begun_by = resumes.filter(|_| head.headers.contains_key(&headers.last_event));
-    let seed = hash::of(begun_by.unwrap_or(request_id).as_bytes());
+    let seed = hash::of(begun_by(headers, head).unwrap_or(request_id).as_bytes());
     let target = matched.route.target(seed).ok_or(Code::NoEndpoint)?;
     let given_ms = headers.to_deadline_ms(&head.headers);
     let caller_timeout = given_ms.map_or(DEFAULT_CALLER_TIMEOUT, Span::from_millis);
@@ -96,6 +94,12 @@
     })
 }
 
+/// Returns the id of the request that began the stream which this one takes up, if it names it.
+fn begun_by<'a>(headers: &Headers, head: &'a Parts) -> Option<&'a str> {
+    let resumes = text(&head.headers, &headers.resumes);
+    resumes.filter(|_| head.headers.contains_key(&headers.last_event))
+}
+
 fn to_key(authorization: &str) -> Option<Key> {
     let (scheme, key) = authorization.split_once(' ')?;
     scheme
@@ -168,23 +172,22 @@
 
     /// Returns the stream that the request begins or takes up, if it can be resumed.
     fn to_stream_opt(&self, headers: &Headers, head: &Parts) -> Option<Stream> {
-        let is_resumable = self.route.kind == Kind::Stream && self.route.resumable;
-        let resumes = text(&head.headers, &headers.resumes);
-        let begun_by = resumes.filter(|_| head.headers.contains_key(&headers.last_event));
-        is_resumable.then(|| Stream {
-            key: self.to_stream_key(begun_by.unwrap_or(&self.request_id)),
+        self.is_resumable().then(|| Stream {
+            key: self.to_stream_key(begun_by(headers, head).unwrap_or(&self.request_id)),
             until: self.caller_deadline,
         })
     }
 
     /// Returns the binding of a request whose caller takes a stream up, as far as its head tells.
     fn to_binding(&self, headers: &Headers, head: &Parts) -> Binding {
-        let is_resumable = self.route.kind == Kind::Stream && self.route.resumable;
-        if !is_resumable || !head.headers.contains_key(&headers.last_event) {
+        if !self.is_resumable() || !head.headers.contains_key(&headers.last_event) {
             return Binding::Free;
         }
-        let resumes = text(&head.headers, &headers.resumes);
-        Binding::TakesUp(resumes.map(|id| self.to_stream_key(id)))
+        Binding::TakesUp(begun_by(headers, head).map(|id| self.to_stream_key(id)))
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.route.kind == Kind::Stream && self.route.resumable
     }
 
     fn to_stream_key(&self, request_id: &str) -> binding::Key {
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -101,15 +101,23 @@
     }
 }
 
-/// Whether nothing listens at an endpoint's address any more.
-pub async fn is_refused(endpoint: &Endpoint) -> bool {
+/// Whether an endpoint has ended: it refuses a new connection, or closes it at once, as one does that
+/// accepted it in its last moment.
+pub async fn has_ended(endpoint: &Endpoint) -> bool {
     let opening = connect::open(endpoint.address);
     match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+        Ok(Ok(mut connection)) => is_closed(&mut connection).await,
         Ok(Err(error)) => is_refusal(&error),
-        Ok(Ok(_)) | Err(_) => false,
+        Err(_) => false,
     }
 }
 
+/// Waits a moment for the other side to close a connection. Returns whether it did.
+async fn is_closed(connection: &mut Connection) -> bool {
+    let closed = tokio::time::timeout(CLOSE_TIMEOUT, &mut connection.task).await;
+    closed.is_ok()
+}
+
 fn is_refusal(error: &anyhow::Error) -> bool {
     let error = error.downcast_ref::<std::io::Error>();
     error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
@@ -119,8 +127,7 @@
 /// for it, the connection itself counts as an answer.
 async fn check(shell: &Rc<Shell>, target: &ProbeTarget, mut connection: Connection) -> Probe {
     let Some(path) = &target.health_path else {
-        let closed = tokio::time::timeout(CLOSE_TIMEOUT, &mut connection.task).await;
-        if closed.is_ok() {
+        if is_closed(&mut connection).await {
             return Probe::Failed;
         }
         keep(
