fix: answer a node that joins at once, so that it does not take a few nodes for the fleet

All seeds are down while node 5 restarts.

Cause: a node that heard the first status of a restarted one answered with its next routine status, up to 400 ms later if it had nothing urgent. A node counts those that it has heard and ends its discovery after 300 ms; node 5 then took the two nodes that happened to probe it for the whole fleet, while node 4 knew nothing of it, and both granted the whole rate for 400 ms. The same again as nodes 0 to 3 restarted. In the trace node 5 has three nodes up to 9,100 ms, nodes 6 and 7 eight.

Change: a node of the same cell whose first status arrives is due a status at once.

Ruled out: the initial credit (none was used twice), usage that is lost with a killed node (at most two requests a node).

--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -212,6 +212,10 @@
         let known = same_incarnation && was_heard;
         if !known {
             member.joined = Some(now);
+            // It may know few other nodes, so that it is answered at once.
+            if member.in_cell {
+                member.last_sent = Time(0);
+            }
         }
         member.last_heard = Some(now);
         member.status = status;
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -59,6 +59,17 @@
     assert!(!members.reach(at(12)).isolated);
 }
 
+#[test]
+fn a_restarted_node_is_answered_before_the_next_routine_status() {
+    let mut members = members(1, &[]);
+    members.record_status(at(0), node(2), status(5, 1, &[]));
+    assert_eq!(members.take_due(at(10), ROUTINE), [node(2)]);
+    members.record_status(at(20), node(2), status(6, 1, &[]));
+    assert_eq!(members.take_due(at(30), ROUTINE), [node(2)]);
+    members.record_status(at(40), node(2), status(6, 2, &[]));
+    assert!(members.take_due(at(50), ROUTINE).is_empty());
+}
+
 #[test]
 fn a_node_that_has_heard_none_is_alone() {
     let members = members(1, &[2]);
--- a/crates/dispatch/tests/dispatch/quota_fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/quota_fleet/mod.rs
@@ -243,6 +243,13 @@
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
+#[test]
+fn a_node_that_restarts_while_its_seeds_are_down_does_not_take_a_few_nodes_for_all() {
+    let outages = [kill(5..6, 6_849, 8_681), kill(0..4, 8_116, 9_121)];
+    let (most, allowed) = max_admitted_under(8, 108_071.9, &outages);
+    assert!(most <= allowed, "{most} of {allowed}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
