fix: only the node that serves the caller records which software began a stream

Found by reading: a node that runs a forwarded request recorded the version of its endpoint's software with the head of the answer, before any event.

Cause: one call both kept the forwarded request to the version that the other node is told and made the record. Only the node that serves the caller knows whether an event was passed on.

Change: the node that runs a forwarded request binds it and records nothing. A keeper of a disputed record says so, and the stream is refused (source `disputed`) rather than resumed by another's record.

Ruled out: a record by the running node at its first event, since that event may be lost between the two nodes.

Measured: gateway::software::a_forwarded_stream_without_an_event_is_bound_to_no_software fails before (the take-up goes on at version 2 by the running node's record) and passes since, with the other tests of software versions, links, bindings and encoding.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -136,6 +136,8 @@
     Sole(id::Software),
     /// Nothing.
     Unknown,
+    /// Nodes stated different versions.
+    Disputed,
 }
 
 /// The maximum number of records. Beyond it those that expire first are dropped, and their streams
--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -95,6 +95,8 @@
     Nobody,
     /// Not at all: some nodes did not answer.
     Unanswered,
+    /// Not at all: by a record, different versions were stated.
+    Disputed,
 }
 
 impl Source {
@@ -107,6 +109,7 @@
             Source::SoleAt(_) => "sole-at-node",
             Source::Nobody => "nobody",
             Source::Unanswered => "unanswered",
+            Source::Disputed => "disputed",
         }
     }
 
@@ -114,7 +117,9 @@
     pub fn node_opt(self) -> Option<SocketAddrV4> {
         match self {
             Source::Node(node) | Source::SoleAt(node) => Some(node),
-            Source::Own | Source::Sole | Source::Nobody | Source::Unanswered => None,
+            Source::Own | Source::Sole | Source::Nobody | Source::Unanswered | Source::Disputed => {
+                None
+            }
         }
     }
 }
@@ -133,31 +138,40 @@
 }
 
 impl Dispatcher {
-    /// Records that the first event of a request's stream is passed on. From now on the stream is
-    /// bound to the version of the endpoint that wrote it, or to `stated` if another node runs it.
+    /// Binds a request to the version of the endpoint that runs it, since the node that forwarded
+    /// it is told that version.
+    pub fn bind_forwarded(&mut self, id: job::Id) {
+        self.bind_to_running(id, None);
+    }
+
+    /// Records that the first event of a request's stream is passed on to its caller. From now on
+    /// the stream is bound to the version of the endpoint that wrote it, or to `stated` if another
+    /// node runs it.
     pub fn bind(&mut self, now: Time, id: job::Id, stated: Option<&id::Software>) {
+        let Some(job) = self.bind_to_running(id, stated) else {
+            return;
+        };
+        let (stream, target) = (job.stream, job.target.clone());
+        let software = job.binding.software_opt().cloned();
+        if let (Some(stream), Some(software)) = (stream, software) {
+            self.record_stream(now, stream, &target, &software);
+        }
+    }
+
+    /// Binds a request that runs here, or at another node that stated this version, unless it is
+    /// bound. Returns the request.
+    fn bind_to_running(&mut self, id: job::Id, stated: Option<&id::Software>) -> Option<&Job> {
         let (job, software) = if let Some(run) = self.runs.get_mut(&id) {
-            let Some(pool) = self.pools.get(&run.job.target) else {
-                return;
-            };
-            let software = pool.workers[run.worker].endpoint.software.clone();
+            let pool = self.pools.get(&run.job.target)?;
+            let software = pool.workers[run.worker].endpoint.software.as_ref();
             (&mut run.job, software)
-        } else if let Some(forward) = self.forwards.get_mut(&id) {
-            (&mut forward.job, stated.cloned())
         } else {
-            return;
-        };
-        let Some(stream) = job.stream else {
-            return;
+            (&mut self.forwards.get_mut(&id)?.job, stated)
         };
-        if !job.binding.is_bound() {
-            job.binding = Binding::to(software.as_ref());
+        if job.stream.is_some() && !job.binding.is_bound() {
+            job.binding = Binding::to(software);
         }
-        let target = job.target.clone();
-        let Binding::Software(software) = job.binding.clone() else {
-            return;
-        };
-        self.record_stream(now, stream, &target, &software);
+        Some(job)
     }
 
     fn record_stream(
@@ -188,8 +202,9 @@
         let found = key.and_then(|key| self.bindings.find_opt(now, key));
         if let Some(found) = found {
             let software = found.software.filter(|_| found.service == service);
+            let source = software.as_ref().map_or(Source::Disputed, |_| Source::Own);
             job.binding = Binding::to(software.as_ref());
-            self.finish_take_up(now, id, job, Source::Own, Some(found.age), Span::ZERO);
+            self.finish_take_up(now, id, job, source, Some(found.age), Span::ZERO);
             return;
         }
         let lifetime = self.lifetime(pool, job.deadline.since(now));
@@ -308,6 +323,7 @@
                 self.end_answered_inquiry(now, id);
             }
             Answer::Unknown => self.end_answered_inquiry(now, id),
+            Answer::Disputed => self.end_inquiry(now, id, Source::Disputed, None, None),
         }
     }
 
@@ -371,7 +387,7 @@
                     software,
                     age: found.age,
                 },
-                None => Answer::Unknown,
+                None => Answer::Disputed,
             },
             None => pool
                 .and_then(|pool| self.sole_software_opt(now, pool, question.lifetime))
--- a/crates/dispatch/tests/dispatch/binding.rs
+++ b/crates/dispatch/tests/dispatch/binding.rs
@@ -8,6 +8,7 @@
 use woadstage_dispatch::binding::Binding;
 use woadstage_dispatch::binding::Keeper;
 use woadstage_dispatch::binding::Key;
+use woadstage_dispatch::binding::Question;
 use woadstage_dispatch::binding::Registry;
 use woadstage_dispatch::binding::Reply;
 use woadstage_dispatch::binding::Statement;
@@ -401,6 +402,35 @@
     assert_eq!(found.source.node_opt(), Some(asked[1].0));
 }
 
+#[test]
+fn a_stream_is_not_resumed_by_another_record_if_one_is_disputed() {
+    let mut keeper = with_peers(1, Protocol::CURRENT);
+    keeper.receive_bindings(at(1), node(2), &[statement(KEY.0, "1")]);
+    keeper.receive_bindings(at(1), node(2), &[statement(KEY.0, "2")]);
+    keeper.take_messages();
+    let question = Question {
+        number: 1,
+        key: KEY,
+        service: 1,
+        lifetime: Span::from_secs(16),
+    };
+    keeper.answer_binding(at(2), node(2), question);
+    let replies = keeper.take_messages();
+    let [(_, Message::BindingReply(reply))] = &replies[..] else {
+        panic!("one reply: {replies:?}");
+    };
+    assert_eq!(reply.answer, Answer::Disputed);
+    let mut dispatcher = with_peers(2, Protocol::CURRENT);
+    dispatcher.enter(at(1), take_up(Some(KEY), at(1)));
+    let asked = questions(&mut dispatcher);
+    let disputed = Reply {
+        number: asked[0].1,
+        answer: Answer::Disputed,
+    };
+    dispatcher.receive_binding_reply(at(2), asked[0].0, disputed);
+    assert_eq!(refusals(&mut dispatcher)[0].1, Code::StreamUnknown);
+}
+
 #[test]
 fn a_caller_may_retry_if_a_node_that_was_asked_stays_silent() {
     let mut dispatcher = with_peers(2, Protocol::CURRENT);
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -386,6 +386,10 @@
             "binding-reply-unknown",
             binding_reply(binding::Answer::Unknown),
         ),
+        (
+            "binding-reply-disputed",
+            binding_reply(binding::Answer::Disputed),
+        ),
     ]
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -200,7 +200,8 @@
         software: &'a str,
         /// How this node learnt it: `own` (its own record), `node` (the record of another), `sole`
         /// (no other version has served), `sole-at-node` (as seen by another); otherwise `nobody`
-        /// or, if some did not answer, `unanswered`.
+        /// or, if some did not answer, `unanswered`, or, if different versions were stated,
+        /// `disputed`.
         source: &'a str,
         /// That other node; empty if there is none.
         #[serde(skip_serializing_if = "str::is_empty")]
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -375,15 +375,29 @@
         }
     }
 
+    /// Binds a forwarded request to the software that answers it, which the node that forwarded it is
+    /// told.
+    pub fn bind_forwarded(&self) {
+        if let Some(job) = self.resumable_job_opt() {
+            self.shell
+                .command(|dispatcher, _| dispatcher.bind_forwarded(job));
+        }
+    }
+
     /// Binds the request's stream to the software that writes it, as its first event is passed on.
+    /// Only the node that serves the caller knows whether an event was, and so records it.
     pub fn bind(&self) {
-        if let Some(job) = self.job.filter(|_| self.admitted.route.resumable) {
+        if let Some(job) = self.resumable_job_opt().filter(|_| self.hop.is_none()) {
             let stated = self.stated_software.as_ref();
             self.shell
                 .command(|dispatcher, now| dispatcher.bind(now, job, stated));
         }
     }
 
+    fn resumable_job_opt(&self) -> Option<job::Id> {
+        self.job.filter(|_| self.admitted.route.resumable)
+    }
+
     fn record_sent(
         &mut self,
         endpoint: &Arc<Endpoint>,
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -160,8 +160,7 @@
     let software = endpoint.and_then(|endpoint| endpoint.software.as_ref());
     let software = software.and_then(|software| HeaderValue::from_str(software.as_str()).ok());
     let reads_software = exchange.hop.as_ref().is_some_and(|hop| hop.reads_software);
-    // The forwarding node goes by what it is told here, so the stream must not change any more.
-    exchange.bind();
+    exchange.bind_forwarded();
     let mut response = relay::relay(exchange, answer);
     hop::insert(response.headers_mut(), &stated);
     response.headers_mut().remove(hop::SOFTWARE_FIELD);
--- a/crates/gateway/tests/gateway/software.rs
+++ b/crates/gateway/tests/gateway/software.rs
@@ -1,6 +1,7 @@
 //! Streams while endpoints of several software versions serve side by side.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -13,6 +14,7 @@
 use crate::support::chunked_head;
 use crate::support::field;
 use crate::support::fleet;
+use crate::support::fleet::Cut;
 use crate::support::run;
 
 /// The streams of a test by name, enough for a free choice among versions to show.
@@ -108,6 +110,12 @@
     ids.next_back().expect("an event").to_owned()
 }
 
+async fn request(node: &fleet::Node, id: &str, path: &str) -> Response {
+    let mut caller = connect(node).await;
+    caller.request(id, path, "").await;
+    caller.answer().await
+}
+
 async fn take_up(node: &fleet::Node, id: &str, resumes: Option<&str>, last: &str) -> Response {
     let mut caller = connect(node).await;
     caller.take_up(id, resumes, last).await;
@@ -145,6 +153,31 @@
     });
 }
 
+/// The forwarding node may go on at other software before its caller gets an event.
+#[test]
+fn a_forwarded_stream_without_an_event_is_bound_to_no_software() {
+    run(|| async {
+        let (one, two, nodes) = start(3).await;
+        nodes[0].cut(Cut::Reset);
+        while request(&nodes[0], "noticing", "/repeatable/x").await.status != 200 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        for worker in [&one, &two] {
+            worker.set_script(vec![Action::Answer(chunked_head())]);
+        }
+        let mut caller = connect(&nodes[0]).await;
+        caller.request("first", "/resumable/x", "").await;
+        caller.head().await.expect("a head");
+        for worker in [&one, &two] {
+            worker.set_script(vec![Action::BreakStream]);
+        }
+        drop(caller);
+        let response = take_up(&nodes[1], "again", Some("first"), "1").await;
+        assert_eq!(response.status, 503, "{}", response.body);
+        assert!(response.body.contains("not-run"), "{}", response.body);
+    });
+}
+
 #[test]
 fn a_stream_whose_software_has_left_is_refused_at_once() {
     run(|| async {
