fix: probe seeds often until a node that starts has found the others

Cause: nodes 3 and 4 start while all seeds are down, and hear node 5 after 400 ms. From then on they probe the seeds each 400 ms instead of each 60 ms. The seeds, which start right then, know nobody but each other. For 360 ms each half takes itself for a fleet of three.

Change: a node goes on probing what it never heard in its cell each 60 ms for a second after it first heard another node.

--- a/crates/dispatch/src/member/gossip.rs
+++ b/crates/dispatch/src/member/gossip.rs
@@ -8,10 +8,13 @@
 
 use super::Members;
 
-/// The interval at which seeds are probed before any status is received. It is short because, of
-/// nodes that start together, the seeds may start a little later.
+/// The interval at which a node that has just started probes nodes that it has never heard. It is
+/// short because, of nodes that start together, the seeds may start a little later.
 const STARTUP_PROBE_INTERVAL: Span = Span::from_millis(60);
 
+/// How long after it first heard another node a node still probes the others so often.
+const DISCOVERY_TIME: Span = Span::from_secs(1);
+
 /// What statuses that are due have to convey, which determines how soon they are sent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Trigger {
@@ -64,6 +67,12 @@
         &addresses[..addresses.len().min(self.options.members_to_established)]
     }
 
+    /// Whether this node has just started and may not have heard all nodes of its cell yet.
+    fn is_discovering(&self, now: Time) -> bool {
+        self.first_heard
+            .is_none_or(|heard| now.since(heard) < DISCOVERY_TIME)
+    }
+
     /// Returns the nodes that are due a status now, and records that they are sent one.
     pub fn take_due(&mut self, now: Time, trigger: Trigger) -> Vec<SocketAddrV4> {
         let Trigger {
@@ -76,10 +85,8 @@
         }
         let (in_cell, beyond) = (self.cell_interval(urgent), self.remote_interval(usage_high));
         let silent: (Span, Span) = (self.silent_after(true), self.silent_after(false));
-        let probe = match self.first_heard {
-            Some(_) => self.options.probe_interval.max(self.remote_interval(false)),
-            None => STARTUP_PROBE_INTERVAL,
-        };
+        let probe = self.options.probe_interval.max(self.remote_interval(false));
+        let is_discovering = self.is_discovering(now);
         let mut due = Vec::new();
         for (address, member) in &mut self.peers {
             let silent_after = if member.in_cell { silent.0 } else { silent.1 };
@@ -89,6 +96,9 @@
             let interval = match (live, member.in_cell) {
                 (true, true) => in_cell,
                 (true, false) => beyond,
+                (false, true) if is_discovering && member.last_heard.is_none() => {
+                    STARTUP_PROBE_INTERVAL
+                }
                 (false, _) => probe,
             };
             if member.last_sent == Time(0) || now.since(member.last_sent) >= interval {
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -70,6 +70,18 @@
     assert!(members.take_due(at(50), ROUTINE).is_empty());
 }
 
+/// Guards against nodes that start while their seeds are down and find only each other.
+#[test]
+fn seeds_that_were_never_heard_are_probed_often_after_the_start() {
+    let mut members = members(1, &[9]);
+    members.take_due(at(1), ROUTINE);
+    members.record_status(at(10), node(2), status(5, 1, &[]));
+    assert!(members.take_due(at(100), ROUTINE).contains(&node(9)));
+    assert!(members.take_due(at(200), ROUTINE).contains(&node(9)));
+    members.take_due(at(1_100), ROUTINE);
+    assert!(!members.take_due(at(1_200), ROUTINE).contains(&node(9)));
+}
+
 #[test]
 fn a_node_that_has_heard_none_is_alone() {
     let members = members(1, &[2]);
--- a/crates/dispatch/tests/dispatch/quota_fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/quota_fleet/mod.rs
@@ -243,10 +243,15 @@
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
-#[test]
-fn a_node_that_restarts_while_its_seeds_are_down_does_not_take_a_few_nodes_for_all() {
-    let outages = [kill(5..6, 6_849, 8_681), kill(0..4, 8_116, 9_121)];
-    let (most, allowed) = max_admitted_under(8, 108_071.9, &outages);
+#[rstest]
+#[case::answered_late(8, 108_071.9, &[kill(5..6, 6_849, 8_681), kill(0..4, 8_116, 9_121)])]
+#[case::seeds_probed_late(6, 165_715.1, &[kill(3..5, 7_863, 8_961), kill(0..3, 8_941, 9_361)])]
+fn nodes_that_restart_while_their_seeds_are_down_do_not_take_a_few_nodes_for_all(
+    #[case] nodes: u8,
+    #[case] rate: f64,
+    #[case] outages: &[Outage],
+) {
+    let (most, allowed) = max_admitted_under(nodes, rate, outages);
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
