fix: an isolated node's share of the initial credit grows once it hears others

Cause: the share grows from a 64th to an even one over the 300 ms after the start, in which the node should have discovered the others. One that hears nobody in that time has discovered nobody.

Change: the time counts from the first status that it received.

The test fails before and passes since, as do the other tests of quotas.

--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -84,6 +84,7 @@
         if reception == Reception::Stale {
             return reception;
         }
+        self.accounts.record_heard(now);
         let reporter = Reporter {
             address: from,
             incarnation,
--- a/crates/dispatch/src/quota/initial.rs
+++ b/crates/dispatch/src/quota/initial.rs
@@ -14,8 +14,8 @@
 //!
 //! Each node has an even share of the credit, which it uses once. Nodes that start later in the
 //! same window than others get none: if all are killed one after the other, nobody is left who
-//! knows what was used. The share grows
-//! with the time since the start, as the node discovers the others.
+//! knows what was used. The share grows with the time since the node first heard another one, as
+//! it discovers the others.
 
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -75,8 +75,8 @@
             return min_share;
         }
         let even_share = 1.0 / reach.nodes.max(1) as f64;
-        let elapsed = now.since(self.started).as_secs_f64();
-        let discovered = elapsed / self.options.discovery_time.as_secs_f64();
+        let elapsed = now.since(self.first_heard.unwrap_or(self.started));
+        let discovered = elapsed.as_secs_f64() / self.options.discovery_time.as_secs_f64();
         (even_share * discovered.min(1.0)).max(min_share.min(even_share))
     }
 }
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -202,6 +202,8 @@
 pub struct Accounts {
     options: Options,
     started: Time,
+    /// When the first status of another node was received.
+    first_heard: Option<Time>,
     /// Whether other nodes have used the initial credit of this window.
     is_initial_credit_used: bool,
     accounts: HashMap<u64, Account>,
@@ -216,6 +218,7 @@
         Accounts {
             options,
             started: Time(0),
+            first_heard: None,
             is_initial_credit_used: false,
             accounts: HashMap::new(),
         }
@@ -230,6 +233,11 @@
         }
     }
 
+    /// Records that a status of another node was received; only the first call has an effect.
+    pub fn record_heard(&mut self, now: Time) {
+        self.first_heard.get_or_insert(now);
+    }
+
     /// Returns when this node started.
     pub fn started(&self) -> Time {
         self.started
--- a/crates/dispatch/tests/dispatch/quota/mod.rs
+++ b/crates/dispatch/tests/dispatch/quota/mod.rs
@@ -282,6 +282,24 @@
     assert!(!admit(1));
 }
 
+/// Guards against a node that takes the first other one that it hears for the rest of the fleet.
+#[rstest]
+#[case::heard_just_now(at(500), 15)]
+#[case::half_of_the_discovery_time(at(650), 125)]
+#[case::all_are_discovered(at(800), 250)]
+fn the_initial_credit_of_a_node_that_was_isolated_grows_once_it_hears_others(
+    #[case] now: Time,
+    #[case] share: u64,
+) {
+    let mut accounts = accounts_with_credit();
+    accounts.record_heard(at(500));
+    accounts.record_heard(at(600));
+    let mut admit =
+        |units| accounts.try_admit_initial(now, CUSTOMER, &QUOTA, urgent(units), reach(4, 0));
+    assert!(!admit(share + 1));
+    assert!(admit(share));
+}
+
 #[test]
 fn initial_credit_is_reported_as_usage() {
     let mut accounts = accounts_with_credit();
