refactor: divide the binding of streams into records, take-ups and versions

bind.rs held all three in 530 lines. The check that no open endpoint of the cell runs a bound request's version stood twice, in displace.rs and lend.rs; it is one function now.

--- a/crates/dispatch/src/dispatcher/displace.rs
+++ b/crates/dispatch/src/dispatcher/displace.rs
@@ -51,7 +51,7 @@
     }
 
     /// Whether a request is bound to a version that no open endpoint of this cell runs.
-    fn is_bound_elsewhere(&self, pool: &Pool, job: &Job) -> bool {
+    pub(super) fn is_bound_elsewhere(&self, pool: &Pool, job: &Job) -> bool {
         let mut own = pool.workers.iter().filter(|worker| worker.own_cell);
         job.binding.is_bound()
             && !own.any(|worker| worker.is_open() && self.may_run_at(job, worker))
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -85,7 +85,8 @@
             return;
         }
         let job = self.to_job(now, origin, &target, &request);
-        if job.binding.is_bound() && !self.has_bound_endpoint(&job) {
+        let pool = self.pools.get(&target);
+        if pool.is_some_and(|pool| self.is_bound_elsewhere(pool, &job)) {
             self.send_lease_reply(origin, Answer::Denied);
             return;
         }
@@ -120,13 +121,6 @@
         })
     }
 
-    /// Whether this node may grant slots of an endpoint that a request is bound to.
-    fn has_bound_endpoint(&self, job: &Job) -> bool {
-        let pool = self.pools.get(&job.target);
-        let mut workers = pool.into_iter().flat_map(|pool| &pool.workers);
-        workers.any(|worker| worker.own_cell && worker.is_open() && self.may_run_at(job, worker))
-    }
-
     fn repeat_answer(&mut self, now: Time, origin: Origin) {
         let Some(remote) = self.remote_requests.get_mut(&origin) else {
             return;
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -7,7 +7,9 @@
 //! * `flow.rs`: counts recent arrivals and starts.
 //! * [`forecast`]: predicts the wait of a request from those that precede it in the queue.
 //! * `share_fairly.rs`: orders the requests of one rank by their customers' fair shares.
-//! * `bind.rs`: binds streams to the version of the software that began them.
+//! * `track_versions.rs`: tracks the versions of the software that endpoints run.
+//! * `bind.rs`: binds streams to the version that began them, and keeps records of that.
+//! * `take_up.rs`: finds out which version began a stream that a caller takes up.
 //! * `book.rs`: books places for callers that are refused, and recognises them when they return.
 //! * `redirect.rs`: redirects requests to owners at which they wait less.
 //! * `report_queue.rs`: exchanges reports on waiting requests with those owners.
@@ -123,13 +125,11 @@
 mod start;
 mod start_cold;
 mod suspect;
+mod take_up;
 mod tick;
 mod track_links;
+mod track_versions;
 
-use bind::Inquiry;
-pub use bind::Source;
-pub use bind::TakeUp;
-use bind::Versions;
 use borrow::OpenRequest;
 pub use decision::Admission;
 pub use decision::Cause;
@@ -150,7 +150,11 @@
 pub use reserve::Charge;
 pub use suspect::Change;
 pub use suspect::Evidence;
+use take_up::Inquiry;
+pub use take_up::Source;
+pub use take_up::TakeUp;
 pub use track_links::LinkUpdate;
+use track_versions::Versions;
 
 /// The settings of a dispatcher.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -0,0 +1,99 @@
+//! Tracks which versions of the software each service's endpoints have been listed with.
+
+use std::collections::HashMap;
+
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::Dispatcher;
+use super::Pool;
+use crate::endpoint::List;
+
+/// A stream lasts no longer than this many times the timeout of its route, over all tries of its
+/// caller.
+const TIMEOUTS_PER_STREAM: u64 = 2;
+
+/// How long a version is remembered after it was last listed, longer than any stream lasts.
+const VERSION_MEMORY: Span = Span::from_secs(3_600);
+
+/// The versions of the software of a service's endpoints, as far as this node saw them.
+#[derive(Debug, Default)]
+pub(super) struct Versions {
+    /// When this node first had a list.
+    known_since: Option<Time>,
+    /// When each version was last listed.
+    listed: HashMap<Option<id::Software>, Time>,
+}
+
+impl Dispatcher {
+    /// Records the versions of the list in force, which another list replaces or has replaced.
+    pub(super) fn record_versions(&mut self, now: Time, list: &List) {
+        for endpoint in &list.endpoints {
+            if let Some(pool) = self.pools.get_mut(&endpoint.service) {
+                pool.versions.known_since.get_or_insert(now);
+                let software = endpoint.software.clone();
+                pool.versions.listed.insert(software, now);
+            }
+        }
+        for pool in self.pools.values_mut() {
+            let versions = &mut pool.versions.listed;
+            versions.retain(|_, at| now.since(*at) <= VERSION_MEMORY);
+        }
+    }
+
+    /// Forgets the versions of earlier lists, since this process missed some while it was suspended.
+    pub(super) fn forget_versions(&mut self, now: Time) {
+        for pool in self.pools.values_mut() {
+            pool.versions.known_since = Some(now);
+        }
+    }
+
+    /// Whether streams of a service that still run may have begun at different versions.
+    pub(super) fn is_mixed(&self, now: Time, service: u32) -> bool {
+        let mut pools = self.pools.values();
+        let pool = pools.find(|pool| pool.number == service);
+        let sole = |pool| self.sole_software_opt(now, pool, self.lifetime(pool, Span::ZERO));
+        pool.is_none_or(|pool| sole(pool).is_none())
+    }
+
+    /// Returns the longest time ago at which a stream may have begun whose caller still waits for
+    /// `remaining`.
+    pub(super) fn lifetime(&self, pool: &Pool, remaining: Span) -> Span {
+        Span(pool.stream_timeout.max(remaining).0 * TIMEOUTS_PER_STREAM)
+    }
+
+    /// Returns the version that alone has served for this long, if this node has seen the lists of
+    /// all that time and knows of no newer one.
+    pub(super) fn sole_software_opt(
+        &self,
+        now: Time,
+        pool: &Pool,
+        lifetime: Span,
+    ) -> Option<id::Software> {
+        let versions = &pool.versions;
+        let is_known = versions
+            .known_since
+            .is_some_and(|at| now.since(at) >= lifetime);
+        if !is_known || !self.is_list_current(now) {
+            return None;
+        }
+        let listed = pool.workers.iter().filter(|worker| worker.listed);
+        let mut listed = listed.map(|worker| &worker.endpoint.software);
+        let sole = listed.next()?.clone()?;
+        let mut past = versions.listed.iter();
+        let is_alone = listed.all(|other| other.as_ref() == Some(&sole))
+            && past.all(|(other, at)| other.as_ref() == Some(&sole) || now.since(*at) > lifetime);
+        is_alone.then_some(sole)
+    }
+
+    /// Whether this node would know if another one sent requests to endpoints that this one does not
+    /// list: it reads the platform, or hears every node, and none has a newer list.
+    fn is_list_current(&self, now: Time) -> bool {
+        let reach = self.members.reach(now);
+        let hears_all = !reach.isolated && reach.silent == 0;
+        self.list.settled
+            && (!self.platform_unreachable || hears_all)
+            && !self.members.has_newer_list(now, self.list.edition())
+    }
+}
