test: requests that are admitted right before their nodes are killed

Traced: at 9,120 ms all eight nodes admit one request of 3,000 units each, from a bucket that holds one. Five of them are killed before their next status, so that 15,000 units are forgotten, and again all admit at once later. The reserve for messages in flight is 15 % of the allowance, 15,300 units here.

--- a/crates/dispatch/tests/dispatch/quota_fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/quota_fleet/mod.rs
@@ -255,6 +255,13 @@
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
+/// Guards against usage that is lost with killed nodes, beside a limit of a few requests a second.
+#[test]
+fn requests_admitted_right_before_their_nodes_are_killed_count() {
+    let (most, allowed) = max_admitted_under(8, 12_125.9, &[kill(0..5, 9_121, 9_381)]);
+    assert!(most <= allowed, "{most} of {allowed}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
