feat: explain follows a stream over its caller's requests

It now reads the logs a second time for the requests that took the same stream up, or began it, and explains each below. An answer's sentence also tells how the version that began the stream was found out.

--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -3,6 +3,9 @@
 //! The clocks of hosts may disagree, so times of different nodes are not compared: lines
 //! keep the order of their file, and files are ordered by the time of their first line
 //! about the request.
+//!
+//! A caller asks for one stream with several requests if it breaks off: the first begins it, and the
+//! others take it up. Each of them is explained.
 
 use std::io;
 use std::io::BufRead;
@@ -19,6 +22,44 @@
     pub event: Value,
 }
 
+/// One of the requests with which a caller asked for a stream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Attempt {
+    /// The request's id.
+    pub request: String,
+    /// The lines about it.
+    pub lines: Vec<Line>,
+}
+
+/// Returns the ids of the requests for the stream that a request began or takes up, by the time at
+/// which they were accepted: the one that began it first. Empty if it wasn't taken up.
+///
+/// # Errors
+/// Fails if a file cannot be read.
+pub fn find_attempts(files: &mut [Box<dyn BufRead>], request: &str) -> io::Result<Vec<String>> {
+    let mut take_ups = Vec::new();
+    for text in files.iter_mut().flat_map(|reader| reader.lines()) {
+        let event = parse(&text?).filter(|event| event["event"] == "accepted");
+        let Some(event) = event.filter(|event| !str_field(event, "resumes").is_empty()) else {
+            continue;
+        };
+        let [request, began] =
+            ["request", "resumes"].map(|name| str_field(&event, name).to_owned());
+        take_ups.push((event["time_ms"].as_u64(), request, began));
+    }
+    let mut own = take_ups.iter().filter(|(_, taking, _)| taking == request);
+    let began = own.next().map_or(request, |(_, _, began)| began).to_owned();
+    take_ups.retain(|(_, _, other)| *other == began);
+    take_ups.sort();
+    let mut attempts: Vec<String> = take_ups.into_iter().map(|(_, taking, _)| taking).collect();
+    // A forwarded request is accepted at both nodes.
+    attempts.dedup();
+    if !attempts.is_empty() {
+        attempts.insert(0, began);
+    }
+    Ok(attempts)
+}
+
 /// Returns the lines about a request. Text before the first brace of a line is ignored,
 /// since log collectors add prefixes of their own.
 ///
@@ -91,12 +132,32 @@
     let forwards = events.iter();
     let forwards = forwards.filter(|event| event["event"] == "forward-ended");
     let forwards: String = forwards.map(|event| forward_cause(event)).collect();
+    let taken_up = last("taken-up").map_or(String::new(), |event| take_up_cause(event));
     match last("answered") {
-        Some(answered) => answer_cause(answered, &attempts) + &forwards,
+        Some(answered) => answer_cause(answered, &attempts) + &taken_up + &forwards,
         None => String::new(),
     }
 }
 
+/// Returns a sentence that describes how the version that began a stream was found out.
+fn take_up_cause(event: &Value) -> String {
+    let [began, last, software, source] =
+        ["resumes", "last_event", "software", "source"].map(|field| str_field(event, field));
+    let began = match began {
+        "" => "a stream that it doesn't name".to_owned(),
+        began => format!("the stream of {began}"),
+    };
+    let known = match (software, source) {
+        ("", "unanswered") => "some nodes didn't say which software began it".to_owned(),
+        ("", "disputed") => "nodes stated different software".to_owned(),
+        ("", _) => "no node knew which software began it".to_owned(),
+        (software, "own") => format!("software {software} began it, by this node's record"),
+        (software, "node") => format!("software {software} began it, by another node's record"),
+        (software, _) => format!("only software {software} had served"),
+    };
+    format!(" It took up {began} after event {last}: {known}.")
+}
+
 /// Returns a sentence that describes a forward to another node.
 fn forward_cause(event: &Value) -> String {
     let [node, end, detail] = ["node", "end", "detail"].map(|field| str_field(event, field));
@@ -238,14 +299,28 @@
     event[field].as_str().unwrap_or_default()
 }
 
-/// Writes the lines about a request and a sentence that describes what happened to it.
+/// Writes the lines about a request and a sentence that describes what happened to it, and such a
+/// sentence for each of the `attempts` at the same stream.
 ///
 /// # Errors
 /// Fails if `out` cannot be written to.
-pub fn write(lines: &[Line], names: &[String], json: bool, out: &mut impl Write) -> io::Result<()> {
+pub fn write(
+    lines: &[Line],
+    attempts: &[Attempt],
+    names: &[String],
+    json: bool,
+    out: &mut impl Write,
+) -> io::Result<()> {
     if json {
         let events: Vec<&Value> = lines.iter().map(|line| &line.event).collect();
-        let report = serde_json::json!({ "lines": events, "cause": cause(lines) });
+        let attempts: Vec<Value> = attempts
+            .iter()
+            .map(|attempt| {
+                serde_json::json!({ "request": attempt.request, "cause": cause(&attempt.lines) })
+            })
+            .collect();
+        let report =
+            serde_json::json!({ "lines": events, "cause": cause(lines), "attempts": attempts });
         return writeln!(out, "{report}");
     }
     for line in lines {
@@ -266,5 +341,12 @@
             other_fields.join(" ")
         )?;
     }
-    writeln!(out, "{}", cause(lines))
+    writeln!(out, "{}", cause(lines))?;
+    if !attempts.is_empty() {
+        writeln!(out, "The requests of its caller for the same stream:")?;
+    }
+    for attempt in attempts {
+        writeln!(out, "{}: {}", attempt.request, cause(&attempt.lines))?;
+    }
+    Ok(())
 }
--- a/crates/gateway/tests/gateway/explain.rs
+++ b/crates/gateway/tests/gateway/explain.rs
@@ -172,7 +172,8 @@
     let sent = r#"{"time_ms":2,"event":"sent","request":"r","endpoint":"e","redirected":true,"booked":false}"#;
     let lines = explain::find(&mut files(&[sent]), "r").expect("the log is readable");
     let mut text = Vec::new();
-    explain::write(&lines, &["node-1".to_owned()], false, &mut text).expect("memory is writable");
+    explain::write(&lines, &[], &["node-1".to_owned()], false, &mut text)
+        .expect("memory is writable");
     let text = String::from_utf8(text).expect("the text is UTF-8");
     assert!(text.contains("booked=false"), "{text}");
     assert!(text.contains("redirected=true"), "{text}");
@@ -194,3 +195,50 @@
         "{explanation}"
     );
 }
+
+/// The lines of a stream that breaks off at one node and is taken up at another, over a forward.
+fn stream_logs() -> [String; 2] {
+    let lines = [
+        r#"{"time_ms":1,"event":"accepted","request":"r"}"#,
+        r#"{"time_ms":4,"event":"cut","request":"r","detail":"connection reset"}"#,
+        r#"{"time_ms":7,"event":"accepted","request":"again","resumes":"r","last_event":"3","forwarded_by":"10.0.0.2:7600"}"#,
+    ];
+    let other = [
+        r#"{"time_ms":6,"event":"accepted","request":"again","resumes":"r","last_event":"3"}"#,
+        r#"{"time_ms":6,"event":"taken-up","request":"again","resumes":"r","last_event":"3","software":"v2","source":"node"}"#,
+        r#"{"time_ms":8,"event":"answered","request":"again","status":200,"code":"","after_ms":2}"#,
+        r#"{"time_ms":9,"event":"accepted","request":"other","resumes":"x","last_event":"3"}"#,
+    ];
+    [lines.join("\n"), other.join("\n")]
+}
+
+#[rstest]
+#[case::of_the_first_request("r", &["r", "again"])]
+#[case::of_a_take_up("again", &["r", "again"])]
+#[case::of_another_stream("other", &["x", "other"])]
+#[case::of_a_request_that_is_not_taken_up("y", &[])]
+fn the_requests_for_one_stream_are_found(#[case] request: &str, #[case] expected: &[&str]) {
+    let [one, other] = stream_logs();
+    let attempts = explain::find_attempts(&mut files(&[&one, &other]), request);
+    assert_eq!(attempts.expect("the log is readable"), expected);
+}
+
+#[test]
+fn each_request_for_a_stream_is_explained() {
+    let [one, other] = stream_logs();
+    let attempts = ["r", "again"].map(|request| explain::Attempt {
+        request: request.to_owned(),
+        lines: explain::find(&mut files(&[&one, &other]), request).expect("the log is readable"),
+    });
+    let mut text = Vec::new();
+    explain::write(&attempts[0].lines, &attempts, &[], false, &mut text).expect("memory");
+    let text = String::from_utf8(text).expect("the text is UTF-8");
+    assert!(
+        text.ends_with(
+            "The requests of its caller for the same stream:\n\
+             r: The answer broke off after it had begun: connection reset.\n\
+             again: An endpoint answered 200; the answer was whole after 2 ms. It took up the stream of r after event 3: software v2 began it, by another node's record.\n"
+        ),
+        "{text}"
+    );
+}
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -6,10 +6,12 @@
 use std::io::BufReader;
 use std::io::Write;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use anyhow::Context;
 use woadstage_gateway::clock::to_duration;
+use woadstage_gateway::explain;
 use woadstage_gateway::settings::Settings;
 use woadstage_losses::line;
 use woadstage_losses::report;
@@ -115,28 +117,32 @@
 }
 
 /// Explains a request, using a running node or log files.
-async fn run_explain(explain: &flags::Explain, out: &mut impl Write) -> anyhow::Result<()> {
-    match explain.node {
-        Some(node) if explain.logs.is_empty() => {
-            let request = explain
+async fn run_explain(flags: &flags::Explain, out: &mut impl Write) -> anyhow::Result<()> {
+    match flags.node {
+        Some(node) if flags.logs.is_empty() => {
+            let request = flags
                 .request
                 .parse()
                 .map_err(|_| UsageError("the request id is not a valid id"))?;
-            commands::explain::run(node, request, explain.json, out).await
+            commands::explain::run(node, request, flags.json, out).await
         }
-        None if !explain.logs.is_empty() => {
-            let mut files: Vec<Box<dyn BufRead>> = Vec::new();
-            for path in &explain.logs {
-                let file = File::open(path).with_context(|| format!("read {}", path.display()))?;
-                files.push(Box::new(BufReader::new(file)));
-            }
-            let names: Vec<String> = explain
+        None if !flags.logs.is_empty() => {
+            let names: Vec<String> = flags
                 .logs
                 .iter()
                 .map(|path| path.display().to_string())
                 .collect();
-            let lines = woadstage_gateway::explain::find(&mut files, &explain.request)?;
-            woadstage_gateway::explain::write(&lines, &names, explain.json, out)?;
+            let find = |request: &str| -> anyhow::Result<Vec<explain::Line>> {
+                Ok(explain::find(&mut open_logs(&flags.logs)?, request)?)
+            };
+            let lines = find(&flags.request)?;
+            let requests = explain::find_attempts(&mut open_logs(&flags.logs)?, &flags.request)?;
+            let attempts = requests.into_iter().map(|request| {
+                let lines = find(&request)?;
+                Ok(explain::Attempt { request, lines })
+            });
+            let attempts: Vec<explain::Attempt> = attempts.collect::<anyhow::Result<_>>()?;
+            explain::write(&lines, &attempts, &names, flags.json, out)?;
             if lines.is_empty() {
                 Err(Refused.into())
             } else {
@@ -147,6 +153,15 @@
     }
 }
 
+fn open_logs(paths: &[PathBuf]) -> anyhow::Result<Vec<Box<dyn BufRead>>> {
+    let mut files: Vec<Box<dyn BufRead>> = Vec::new();
+    for path in paths {
+        let file = File::open(path).with_context(|| format!("read {}", path.display()))?;
+        files.push(Box::new(BufReader::new(file)));
+    }
+    Ok(files)
+}
+
 /// Reports the losses in the logs of gateways.
 fn run_losses(losses: &flags::Losses, out: &mut impl Write) -> anyhow::Result<()> {
     if losses.logs.is_empty() {
