fix: ask other nodes before one software version is taken for the only one

Found by reasoning about nodes that learn of a list at different times, and reproduced in virtual time: a node that learns of a new version later than another takes the old one for sole. A stream that the other began at the new version, broken off and taken up at the late node within that time, went on at the old one (ORDER).

Cause: a node asked for records only if it could not tell by its own lists. The nodes of a fleet get a list up to a second apart, and hear of its edition with the next status, up to 400 ms later.

Change: a node without a record of its own always asks. One that saw several versions says so (`Several`), and then no version is taken for the only one, by whomever.

Ruled out: to hold streams back from a new version until all nodes know it, which needs a bound on how late they learn.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -138,6 +138,8 @@
     Unknown,
     /// Nodes stated different versions.
     Disputed,
+    /// It holds no record, and several versions served during the stream's lifetime.
+    Several,
 }
 
 /// The maximum number of records. Beyond it those that expire first are dropped, and their streams
--- a/crates/dispatch/src/dispatcher/take_up.rs
+++ b/crates/dispatch/src/dispatcher/take_up.rs
@@ -10,6 +10,7 @@
 use super::Dispatcher;
 use super::Refusal;
 use super::bind::KEEPERS;
+use super::track_versions::Served;
 use crate::binding::Answer;
 use crate::binding::Binding;
 use crate::binding::Key;
@@ -48,8 +49,10 @@
     rounds: u32,
     /// The nodes that have not answered.
     silent: Vec<SocketAddrV4>,
-    /// The version that served alone, by the answer of a node without a record.
-    sole: Option<(SocketAddrV4, id::Software)>,
+    /// How the version that served alone was learnt from a node without a record, this one or another.
+    sole: Option<(Source, id::Software)>,
+    /// Whether a node saw several versions, so that none may be taken for the only one.
+    is_mixed: bool,
 }
 
 /// How a node learnt which version began a stream.
@@ -59,7 +62,7 @@
     Own,
     /// By another node's record.
     Node(SocketAddrV4),
-    /// One version alone has served, as seen by this node.
+    /// One version alone has served, as seen by this node, and no other knows better.
     Sole,
     /// One version alone has served, as seen by another node.
     SoleAt(SocketAddrV4),
@@ -130,11 +133,7 @@
             return;
         }
         let lifetime = self.lifetime(pool, job.deadline.since(now));
-        if let Some(software) = self.sole_software_opt(now, pool, lifetime) {
-            job.binding = Binding::Software(software);
-            self.finish_take_up(now, id, job, Source::Sole, None, Span::ZERO);
-            return;
-        }
+        let served = self.served(now, pool, lifetime);
         // Without a key nodes can still tell that one version alone has served.
         let key = key.unwrap_or(Key(0));
         let asked = match self.members.live(now).count() <= MAX_ALL_ASKED {
@@ -143,11 +142,6 @@
         };
         let silent = self.members.keepers(now, key.0, asked);
         let silent: Vec<SocketAddrV4> = silent.into_iter().map(|keeper| keeper.node).collect();
-        if silent.is_empty() {
-            job.binding = Binding::Unknown;
-            self.finish_take_up(now, id, job, Source::Nobody, None, Span::ZERO);
-            return;
-        }
         self.next_inquiry += 1;
         self.targets.insert(id, job.target.clone());
         let inquiry = Inquiry {
@@ -159,10 +153,15 @@
             sent: now,
             rounds: 0,
             silent,
-            sole: None,
+            is_mixed: served == Served::Several,
+            sole: match served {
+                Served::Sole(software) => Some((Source::Sole, software)),
+                Served::Several | Served::Unknown => None,
+            },
         };
         self.inquiries.insert(id, inquiry);
         self.ask(now, id);
+        self.end_answered_inquiry(now, id);
     }
 
     fn ask(&mut self, now: Time, id: job::Id) {
@@ -240,12 +239,18 @@
             Answer::Known { software, age } => {
                 self.end_inquiry(now, id, Source::Node(from), Some(software), Some(age));
             }
+            Answer::Disputed => self.end_inquiry(now, id, Source::Disputed, None, None),
             Answer::Sole(software) => {
-                inquiry.sole.get_or_insert((from, software));
+                let sole = (Source::SoleAt(from), software);
+                let (_, first) = inquiry.sole.get_or_insert(sole.clone());
+                inquiry.is_mixed |= *first != sole.1;
+                self.end_answered_inquiry(now, id);
+            }
+            Answer::Several => {
+                inquiry.is_mixed = true;
                 self.end_answered_inquiry(now, id);
             }
             Answer::Unknown => self.end_answered_inquiry(now, id),
-            Answer::Disputed => self.end_inquiry(now, id, Source::Disputed, None, None),
         }
     }
 
@@ -259,12 +264,9 @@
     }
 
     fn end_inquiry_without_record(&mut self, now: Time, id: job::Id, otherwise: Source) {
-        let sole = self.inquiries.get_mut(&id);
-        let sole = sole.and_then(|inquiry| inquiry.sole.take());
-        match sole {
-            Some((node, software)) => {
-                self.end_inquiry(now, id, Source::SoleAt(node), Some(software), None);
-            }
+        let inquiry = self.inquiries.get_mut(&id).filter(|one| !one.is_mixed);
+        match inquiry.and_then(|inquiry| inquiry.sole.take()) {
+            Some((source, software)) => self.end_inquiry(now, id, source, Some(software), None),
             None => self.end_inquiry(now, id, otherwise, None, None),
         }
     }
@@ -311,9 +313,11 @@
                 },
                 None => Answer::Disputed,
             },
-            None => pool
-                .and_then(|pool| self.sole_software_opt(now, pool, question.lifetime))
-                .map_or(Answer::Unknown, Answer::Sole),
+            None => match pool.map(|pool| self.served(now, pool, question.lifetime)) {
+                Some(Served::Sole(software)) => Answer::Sole(software),
+                Some(Served::Several) => Answer::Several,
+                Some(Served::Unknown) | None => Answer::Unknown,
+            },
         };
         let reply = Reply {
             number: question.number,
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -26,6 +26,17 @@
     listed: HashMap<Option<id::Software>, Time>,
 }
 
+/// The versions that served in a span of time, as far as this node knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Served {
+    /// This one alone.
+    Sole(id::Software),
+    /// More than one.
+    Several,
+    /// This node may have missed some.
+    Unknown,
+}
+
 impl Dispatcher {
     /// Records the versions of the list in force, which another list replaces or has replaced.
     pub(super) fn record_versions(&mut self, now: Time, list: &List) {
@@ -53,8 +64,8 @@
     pub(super) fn is_mixed(&self, now: Time, service: u32) -> bool {
         let mut pools = self.pools.values();
         let pool = pools.find(|pool| pool.number == service);
-        let sole = |pool| self.sole_software_opt(now, pool, self.lifetime(pool, Span::ZERO));
-        pool.is_none_or(|pool| sole(pool).is_none())
+        let served = pool.map(|pool| self.served(now, pool, self.lifetime(pool, Span::ZERO)));
+        !matches!(served, Some(Served::Sole(_)))
     }
 
     /// Returns the longest time ago at which a stream may have begun whose caller still waits for
@@ -63,28 +74,25 @@
         Span(pool.stream_timeout.max(remaining).0 * TIMEOUTS_PER_STREAM)
     }
 
-    /// Returns the version that alone has served for this long, if this node has seen the lists of
-    /// all that time and knows of no newer one.
-    pub(super) fn sole_software_opt(
-        &self,
-        now: Time,
-        pool: &Pool,
-        lifetime: Span,
-    ) -> Option<id::Software> {
+    /// Returns the versions that served in this span. That one alone did is known only to a node that
+    /// saw the lists of all that time and knows of no newer one.
+    pub(super) fn served(&self, now: Time, pool: &Pool, lifetime: Span) -> Served {
         let versions = &pool.versions;
+        let listed = pool.workers.iter().filter(|worker| worker.listed);
+        let listed = listed.map(|worker| &worker.endpoint.software);
+        let past = versions.listed.iter();
+        let past = past.filter(|(_, at)| now.since(**at) <= lifetime);
+        let mut all = listed.clone().chain(past.map(|(version, _)| version));
         let is_known = versions
             .known_since
             .is_some_and(|at| now.since(at) >= lifetime);
-        if !is_known || !self.is_list_current(now) {
-            return None;
+        match all.next() {
+            Some(first) if all.any(|other| other != first) => Served::Several,
+            Some(Some(sole)) if is_known && listed.count() > 0 && self.is_list_current(now) => {
+                Served::Sole(sole.clone())
+            }
+            Some(_) | None => Served::Unknown,
         }
-        let listed = pool.workers.iter().filter(|worker| worker.listed);
-        let mut listed = listed.map(|worker| &worker.endpoint.software);
-        let sole = listed.next()?.clone()?;
-        let mut past = versions.listed.iter();
-        let is_alone = listed.all(|other| other.as_ref() == Some(&sole))
-            && past.all(|(other, at)| other.as_ref() == Some(&sole) || now.since(*at) > lifetime);
-        is_alone.then_some(sole)
     }
 
     /// Whether this node would know if another one sent requests to endpoints that this one does not
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/binding/fleet.rs
@@ -0,0 +1,170 @@
+//! Several nodes before engines of several versions.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use woadstage_dispatch::binding::Key;
+use woadstage_dispatch::dispatcher::Decision;
+use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::job;
+use woadstage_dispatch::job::Job;
+use woadstage_dispatch::message::Message;
+use woadstage_types::code::Code;
+use woadstage_types::id;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use super::engine;
+use super::stream;
+use crate::support::at;
+use crate::support::configuration;
+use crate::support::list;
+use crate::support::node;
+use crate::support::options;
+
+/// The data centre of a node or an engine.
+pub(super) fn centre(number: usize) -> &'static str {
+    ["a", "b", "c"][number % 3]
+}
+
+/// Several nodes that exchange messages. Only those to and from nodes that are cut off are lost.
+pub(super) struct Fleet {
+    pub nodes: BTreeMap<SocketAddrV4, Dispatcher>,
+    pub now: Time,
+    pub cut: BTreeSet<SocketAddrV4>,
+}
+
+impl Fleet {
+    /// Starts nodes in three data centres before engines of two versions, and waits until they know
+    /// each other.
+    pub(super) fn start(count: u8) -> Fleet {
+        let engines: Vec<Endpoint> = (0..usize::from(count) * 2)
+            .map(|number| {
+                let software = ["1", "2"][number / 3 % 2];
+                engine(&format!("e-{number}"), software, centre(number))
+            })
+            .collect();
+        let mut fleet = Fleet::with_list(count, &list(1, &engines));
+        fleet.run_for(Span::from_secs(3));
+        fleet
+    }
+
+    /// Starts nodes in three data centres that have this list.
+    pub(super) fn with_list(count: u8, list: &Arc<List>) -> Fleet {
+        let mut fleet = Fleet {
+            nodes: BTreeMap::new(),
+            now: at(0),
+            cut: BTreeSet::new(),
+        };
+        for number in 1..=count {
+            fleet.start_node(number, u64::from(number), list);
+        }
+        fleet
+    }
+
+    pub(super) fn start_node(&mut self, number: u8, incarnation: u64, list: &Arc<List>) {
+        let options = Options {
+            incarnation,
+            data_centre: id::DataCentre::new(centre(usize::from(number))),
+            seeds: vec![node(1), node(2)],
+            ..options(number)
+        };
+        let mut dispatcher = Dispatcher::new(options);
+        dispatcher.set_configuration(self.now, configuration(1));
+        dispatcher.set_endpoints(self.now, list.clone());
+        self.nodes.insert(node(number), dispatcher);
+    }
+
+    pub(super) fn run_for(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Span::from_millis(20);
+            let now = self.now;
+            let mut sent = Vec::new();
+            for (from, dispatcher) in &mut self.nodes {
+                dispatcher.tick(now);
+                for (status, to) in dispatcher.statuses(now) {
+                    let message = Message::Status(Box::new(status));
+                    sent.extend(to.into_iter().map(|to| (*from, to, message.clone())));
+                }
+                let messages = dispatcher.take_messages().into_iter();
+                sent.extend(messages.map(|(to, message)| (*from, to, message)));
+            }
+            self.deliver(sent);
+        }
+    }
+
+    fn deliver(&mut self, sent: Vec<(SocketAddrV4, SocketAddrV4, Message)>) {
+        let now = self.now;
+        for (from, to, message) in sent {
+            if self.cut.contains(&from) || self.cut.contains(&to) {
+                continue;
+            }
+            let Some(node) = self.nodes.get_mut(&to) else {
+                continue;
+            };
+            match message {
+                Message::Status(status) => {
+                    node.receive_status(now, from, *status);
+                }
+                Message::Lease(request) => node.receive_lease_request(now, from, *request),
+                Message::Leased(reply) => node.receive_lease_reply(now, from, reply),
+                Message::Report(report) => node.receive_lease_report(now, from, report),
+                Message::Check(check) => node.answer_lease_check(from, check),
+                Message::Bindings(statements) => node.receive_bindings(now, from, &statements),
+                Message::BindingsKept(keys) => node.confirm_bindings(now, from, &keys),
+                Message::BindingQuestion(question) => node.answer_binding(now, from, question),
+                Message::BindingReply(reply) => node.receive_binding_reply(now, from, reply),
+                _ => {}
+            }
+        }
+    }
+
+    /// Submits a request and returns the software of the endpoint that it is sent to.
+    pub(super) fn submit(
+        &mut self,
+        number: u8,
+        request: Job,
+    ) -> Result<(job::Id, id::Software), Code> {
+        let address = node(number);
+        let now = self.now;
+        let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
+        let id = dispatcher.enter(now, request);
+        for _ in 0..30 {
+            let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
+            for decision in dispatcher.take_decisions() {
+                match decision {
+                    Decision::Start { job, endpoint, .. } if job == id => {
+                        return Ok((id, endpoint.software.clone().expect("a version")));
+                    }
+                    Decision::Refuse { job, refusal, .. } if job == id => return Err(refusal.code),
+                    _ => {}
+                }
+            }
+            self.run_for(Span::from_millis(20));
+        }
+        panic!("no decision about the request");
+    }
+
+    /// Begins a stream and passes its first event on.
+    pub(super) fn begin(&mut self, number: u8, key: Key) -> (job::Id, id::Software) {
+        let request = stream(key, self.now);
+        let (id, software) = self.submit(number, request).expect("the stream begins");
+        let now = self.now;
+        let dispatcher = self.nodes.get_mut(&node(number)).expect("the node lives");
+        dispatcher.bind(now, id, None);
+        (id, software)
+    }
+
+    /// Ends a request at its endpoint.
+    pub(super) fn end(&mut self, number: u8, id: job::Id) {
+        let now = self.now;
+        let dispatcher = self.nodes.get_mut(&node(number)).expect("the node lives");
+        dispatcher.end(now, id, job::End::Whole);
+    }
+}
--- a/crates/dispatch/tests/dispatch/binding.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -1,6 +1,5 @@
 //! Streams bound to the version of the software that began them, among several nodes.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 use rstest::rstest;
@@ -13,9 +12,7 @@
 use woadstage_dispatch::binding::Reply;
 use woadstage_dispatch::binding::Statement;
 use woadstage_dispatch::binding::Stream;
-use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
-use woadstage_dispatch::dispatcher::Options;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::Job;
@@ -29,16 +26,19 @@
 
 use crate::support::MODEL;
 use crate::support::at;
-use crate::support::configuration;
 use crate::support::dispatcher;
 use crate::support::endpoint;
 use crate::support::job;
 use crate::support::list;
 use crate::support::node;
-use crate::support::options;
 use crate::support::refusals;
 use crate::support::starts;
 
+mod fleet;
+mod random;
+
+use fleet::Fleet;
+
 const KEY: Key = Key(77);
 
 fn engine(name: &str, software: &str, centre: &str) -> Endpoint {
@@ -72,125 +72,6 @@
     }
 }
 
-/// Several nodes that exchange messages without loss.
-struct Fleet {
-    nodes: BTreeMap<SocketAddrV4, Dispatcher>,
-    now: Time,
-}
-
-impl Fleet {
-    /// Starts nodes in three data centres before engines of two versions, and waits until they know
-    /// each other.
-    fn start(count: u8) -> Fleet {
-        let centres = ["a", "b", "c"];
-        let centre = |number: usize| centres[number % centres.len()];
-        let engines: Vec<Endpoint> = (0..usize::from(count) * 2)
-            .map(|number| {
-                let software = ["1", "2"][number / 3 % 2];
-                engine(&format!("e-{number}"), software, centre(number))
-            })
-            .collect();
-        let nodes = (1..=count).map(|number| {
-            let options = Options {
-                data_centre: id::DataCentre::new(centre(usize::from(number))),
-                seeds: vec![node(1)],
-                ..options(number)
-            };
-            let mut dispatcher = Dispatcher::new(options);
-            dispatcher.set_configuration(at(0), configuration(1));
-            dispatcher.set_endpoints(at(0), list(1, &engines));
-            (node(number), dispatcher)
-        });
-        let mut fleet = Fleet {
-            nodes: nodes.collect(),
-            now: at(0),
-        };
-        fleet.run_for(Span::from_secs(3));
-        fleet
-    }
-
-    fn run_for(&mut self, span: Span) {
-        let until = self.now + span;
-        while self.now < until {
-            self.now = self.now + Span::from_millis(20);
-            let now = self.now;
-            let mut sent = Vec::new();
-            for (from, dispatcher) in &mut self.nodes {
-                dispatcher.tick(now);
-                for (status, to) in dispatcher.statuses(now) {
-                    let message = Message::Status(Box::new(status));
-                    sent.extend(to.into_iter().map(|to| (*from, to, message.clone())));
-                }
-                let messages = dispatcher.take_messages().into_iter();
-                sent.extend(messages.map(|(to, message)| (*from, to, message)));
-            }
-            self.deliver(sent);
-        }
-    }
-
-    fn deliver(&mut self, sent: Vec<(SocketAddrV4, SocketAddrV4, Message)>) {
-        let now = self.now;
-        for (from, to, message) in sent {
-            let Some(node) = self.nodes.get_mut(&to) else {
-                continue;
-            };
-            match message {
-                Message::Status(status) => {
-                    node.receive_status(now, from, *status);
-                }
-                Message::Lease(request) => node.receive_lease_request(now, from, *request),
-                Message::Leased(reply) => node.receive_lease_reply(now, from, reply),
-                Message::Report(report) => node.receive_lease_report(now, from, report),
-                Message::Check(check) => node.answer_lease_check(from, check),
-                Message::Bindings(statements) => node.receive_bindings(now, from, &statements),
-                Message::BindingsKept(keys) => node.confirm_bindings(now, from, &keys),
-                Message::BindingQuestion(question) => node.answer_binding(now, from, question),
-                Message::BindingReply(reply) => node.receive_binding_reply(now, from, reply),
-                _ => {}
-            }
-        }
-    }
-
-    /// Submits a request and returns the software of the endpoint that it is sent to.
-    fn submit(&mut self, number: u8, request: Job) -> Result<(job::Id, id::Software), Code> {
-        let address = node(number);
-        let now = self.now;
-        let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
-        let id = dispatcher.enter(now, request);
-        for _ in 0..30 {
-            let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
-            for decision in dispatcher.take_decisions() {
-                match decision {
-                    Decision::Start { job, endpoint, .. } if job == id => {
-                        return Ok((id, endpoint.software.clone().expect("a version")));
-                    }
-                    Decision::Refuse { job, refusal, .. } if job == id => return Err(refusal.code),
-                    _ => {}
-                }
-            }
-            self.run_for(Span::from_millis(20));
-        }
-        panic!("no decision about the request");
-    }
-
-    /// Begins a stream and passes its first event on.
-    fn begin(&mut self, number: u8, key: Key) -> (job::Id, id::Software) {
-        let request = stream(key, self.now);
-        let (id, software) = self.submit(number, request).expect("the stream begins");
-        let now = self.now;
-        let dispatcher = self.nodes.get_mut(&node(number)).expect("the node lives");
-        dispatcher.bind(now, id, None);
-        (id, software)
-    }
-
-    /// Ends a request at its endpoint.
-    fn end(&mut self, number: u8, id: job::Id) {
-        let now = self.now;
-        let dispatcher = self.nodes.get_mut(&node(number)).expect("the node lives");
-        dispatcher.end(now, id, job::End::Whole);
-    }
-}
-
 #[rstest]
 #[case::small(5)]
 #[case::cells(24)]
@@ -402,6 +283,18 @@
     assert_eq!(found.source.node_opt(), Some(asked[1].0));
 }
 
+#[test]
+fn a_version_does_not_count_as_alone_if_another_node_saw_several() {
+    let mut dispatcher = with_peers(2, Protocol::CURRENT);
+    dispatcher.enter(at(1), take_up(Some(KEY), at(1)));
+    let asked = questions(&mut dispatcher);
+    let answers = [Answer::Sole(id::Software::new("1")), Answer::Several];
+    for ((node, number), answer) in asked.into_iter().zip(answers) {
+        dispatcher.receive_binding_reply(at(2), node, Reply { number, answer });
+    }
+    assert_eq!(refusals(&mut dispatcher)[0].1, Code::StreamUnknown);
+}
+
 #[test]
 fn a_stream_is_not_resumed_by_another_record_if_one_is_disputed() {
     let mut keeper = with_peers(1, Protocol::CURRENT);
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -390,6 +390,10 @@
             "binding-reply-disputed",
             binding_reply(binding::Answer::Disputed),
         ),
+        (
+            "binding-reply-several",
+            binding_reply(binding::Answer::Several),
+        ),
     ]
 }
 
