--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -9,6 +9,7 @@
 //! * `forward.rs`: forwards requests to other nodes.
 //! * `hop.rs`: what nodes tell each other about a forwarded request.
 //! * `exchange.rs`: makes attempts at endpoints until there is an answer.
+//! * `bind.rs`: binds streams to the version of the software that writes them.
 //! * `outgoing.rs`: builds the requests to endpoints.
 //! * `classify.rs`: classifies an answer by its head.
 //! * `parse_notice.rs`: parses what an answer's head reports about its endpoint.
@@ -44,6 +45,7 @@
 use crate::upstream::Body;
 
 mod admit;
+mod bind;
 mod charge;
 mod classify;
 mod closing;
