--- a/crates/dispatch/src/quota/admit.rs
+++ b/crates/dispatch/src/quota/admit.rs
@@ -36,7 +36,7 @@
         // those so small that refusing them saves nothing. The part is taken from what
         // can have flowed in since the start: that of a full bucket takes half a second
         // to flow in, during which all other requests would be refused.
-        let filled = self.fill_rate(customer, quota, reach) * now.since(self.started).as_secs_f64();
+        let filled = self.fill_rate(quota, reach) * now.since(self.started).as_secs_f64();
         let small = units as f64 <= capacity * self.options.small_fraction;
         let reserved = if small {
             0.0
@@ -60,7 +60,6 @@
             });
         }
         account.take(units as f64);
-        account.largest = account.largest.max(units);
         account.used += units;
         account.used_at = now;
         Ok(())
@@ -81,7 +80,7 @@
         demand: Demand,
         reach: Reach,
     ) -> Result<(), Denied> {
-        let cost = self.share_time(now, customer, quota, demand.units, reach);
+        let cost = self.share_time(now, quota, demand.units, reach);
         let accrued_since = now - self.options.accrual_time;
         let account = self.account(now, customer, quota, reach);
         let paid_until = account.share_paid_until.max(accrued_since) + cost;
@@ -108,27 +107,20 @@
         units: u64,
         reach: Reach,
     ) {
-        let cost = self.share_time(now, customer, quota, units, reach);
+        let cost = self.share_time(now, quota, units, reach);
         let accrued_since = now - self.options.accrual_time;
         let account = self.account(now, customer, quota, reach);
         account.share_paid_until = account.share_paid_until.max(accrued_since) + cost;
     }
 
     /// The time in which this node's share without an owner grows by `units`.
-    fn share_time(
-        &self,
-        now: Time,
-        customer: u64,
-        quota: &Quota,
-        units: u64,
-        reach: Reach,
-    ) -> Span {
+    fn share_time(&self, now: Time, quota: &Quota, units: u64, reach: Reach) -> Span {
         let nodes = match self.is_discovering(now) {
             true => reach.nodes.max(ASSUMED_NODES),
             false => reach.nodes,
         };
-        let node_rate = self.fill_rate(customer, quota, reach) * self.options.isolated_share
-            / nodes.max(1) as f64;
+        let node_rate =
+            self.fill_rate(quota, reach) * self.options.isolated_share / nodes.max(1) as f64;
         to_wait(units as f64 / node_rate.max(1e-9))
     }
 
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -36,7 +36,7 @@
     pub overrun: f64,
     /// Further units by which the limit may be exceeded in a window.
     pub slack: f64,
-    /// The fraction of both allowances that buckets use at most; the rest covers usage that
+    /// The fraction of both allowances that buckets use; the rest covers usage that
     /// other nodes have not been sent yet.
     pub part: f64,
     /// The fraction in a fleet of several cells, where owners of a quota learn of each
@@ -165,8 +165,6 @@
     /// The units of this node's initial credit that are used up.
     initial_used: u64,
     used_at: Time,
-    /// The units of the largest request that this node admitted.
-    largest: u64,
     /// When this node's share of the rate has covered all units admitted through it,
     /// whichever node granted them.
     share_paid_until: Time,
@@ -193,7 +191,6 @@
             used: 0,
             initial_used: 0,
             used_at: Time(0),
-            largest: 0,
             share_paid_until: Time(0),
             peer_usage: HashMap::new(),
         }
@@ -212,10 +209,6 @@
     accounts: HashMap<u64, Account>,
 }
 
-/// How many requests of a node the others may not know of: one that it has just admitted, and one
-/// that it had admitted when it was killed.
-const REQUESTS_IN_FLIGHT: f64 = 2.0;
-
 /// The number of accounts from which on those without recent requests are dropped.
 const MAX_ACCOUNTS: usize = 8_192;
 
@@ -290,27 +283,10 @@
         quota.burst * self.visible_share(reach)
     }
 
-    /// The units of the allowance that buckets use. In a fleet of one cell, each node may admit requests
-    /// that the others have not been told of, and that are forgotten if it is killed. What these
-    /// exceed the remainder of the allowance by is not used.
-    fn usable_allowance(&self, customer: u64, quota: &Quota, reach: Reach) -> f64 {
-        let allowance = self.allowance(quota);
-        let part = self.usable_part(reach);
-        if !reach.one_cell {
-            return allowance * part;
-        }
-        let account = self.accounts.get(&customer);
-        let largest = account.map_or(0, |account| account.largest);
-        let in_flight = REQUESTS_IN_FLIGHT * reach.nodes as f64 * largest as f64;
-        let remainder = allowance * (1.0 - part - self.options.initial).max(0.0);
-        let excess = (in_flight - remainder).max(0.0);
-        (allowance * part - excess).max(0.0)
-    }
-
     /// The units that a bucket gains in a second. The usable part of the allowance
     /// raises the rate and not the capacity, which would help for a single burst only.
-    fn fill_rate(&self, customer: u64, quota: &Quota, reach: Reach) -> f64 {
-        let allowed = self.usable_allowance(customer, quota, reach);
+    fn fill_rate(&self, quota: &Quota, reach: Reach) -> f64 {
+        let allowed = self.allowance(quota) * self.usable_part(reach);
         let gained = allowed / self.options.window.as_secs_f64().max(1e-3);
         (quota.per_second + gained) * self.visible_share(reach)
     }
@@ -318,7 +294,7 @@
     /// Returns a customer's account, refilled up to now.
     fn account(&mut self, now: Time, customer: u64, quota: &Quota, reach: Reach) -> &mut Account {
         let capacity = self.capacity(quota, reach);
-        let rate = self.fill_rate(customer, quota, reach);
+        let rate = self.fill_rate(quota, reach);
         let base_rate = quota.per_second * self.visible_share(reach);
         if self.accounts.len() >= MAX_ACCOUNTS && !self.accounts.contains_key(&customer) {
             let since = now - self.options.report_for;
