docs: correct how far apart the random test's nodes learn of a roll

The comment of the step said that the node itself learns late; it learns at once and the others later.

--- a/crates/dispatch/tests/dispatch/binding/random.rs
+++ b/crates/dispatch/tests/dispatch/binding/random.rs
@@ -36,7 +36,8 @@
     Kill(Span),
     /// It reaches no other node for this time.
     Cut(Span),
-    /// The platform lists other versions; it learns of them after this time.
+    /// The platform lists other versions. It learns of them at once, and the others by their distance
+    /// from it, up to four fifths of this time later.
     Roll(Span),
 }
 
