feat: accepted log lines name the parts of a prompt

The logs name the sizes of prompts, not their parts, so that they can't show whether the requests have a part in common.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -171,6 +171,9 @@
         prompt: u64,
         /// The maximum number of output tokens, as given by the caller.
         output: u64,
+        /// The ids of the prompt's parts in order, in hexadecimal, separated by commas.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        parts: &'a str,
         /// The request whose stream the caller takes up, as it names it; empty if it does not.
         #[serde(skip_serializing_if = "str::is_empty")]
         resumes: &'a str,
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -9,6 +9,7 @@
 use woadstage_dispatch::dispatcher::TakeUp;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::job::Part;
 use woadstage_types::id;
 use woadstage_types::unit::Time;
 
@@ -214,6 +215,12 @@
     names.join(", ")
 }
 
+/// Formats the parts of a prompt for the log, as their ids in hexadecimal.
+pub fn part_names(parts: &[Part]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    names.join(",")
+}
+
 /// Formats an optional node for the log.
 pub fn node_name(node: Option<SocketAddrV4>) -> String {
     node.map(|node| node.to_string()).unwrap_or_default()
