test: requests that share a part of their prompts which crashes endpoints

Endpoints end for as long as such requests come, since nodes know a request only by all that it asks for, and no two are alike.

--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod builds;
 mod cold;
 mod crash;
+mod crash_part;
 mod drill;
 mod evacuate;
 mod fair;
--- /dev/null
+++ b/crates/gateway/tests/gateway/crash_part.rs
@@ -0,0 +1,90 @@
+//! Prompts of which one part crashes the endpoints that begin to answer them, over sockets. The
+//! module docs of `fleet/crash_part.rs` in the tests of `woadstage-dispatch` describe the failure.
+
+use rstest::rstest;
+
+use crate::support::Action;
+use crate::support::Caller;
+use crate::support::Gateway;
+use crate::support::Response;
+use crate::support::Worker;
+use crate::support::chunk;
+use crate::support::chunked_head;
+use crate::support::closing_head;
+use crate::support::field;
+use crate::support::run;
+
+/// A part that crashes endpoints.
+const CRASHING: &str = "bad0";
+
+/// The maximum number of requests with it that may reach endpoints one after the other.
+const MAX_ARRIVALS: usize = 5;
+
+/// The names of the endpoints.
+const NAMES: [&str; 10] = ["e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"];
+
+fn event(number: u32) -> String {
+    format!("id: {number}\ndata: piece\n\n")
+}
+
+/// The start of a stream that breaks off: in chunks, or where the connection alone ends it.
+fn begun(is_chunked: bool) -> String {
+    match is_chunked {
+        true => chunked_head() + &chunk(&event(1)),
+        false => closing_head() + &event(1),
+    }
+}
+
+async fn start(begun: String) -> (Gateway, Vec<Worker>) {
+    let whole = chunked_head() + &chunk(&event(1)) + "0\r\n\r\n";
+    let mut workers = Vec::new();
+    for name in NAMES {
+        let act = Action::CrashOnPart(CRASHING, begun.clone(), whole.clone());
+        workers.push(Worker::start(name, vec![act]).await);
+    }
+    let all: Vec<&Worker> = workers.iter().collect();
+    (Gateway::start(&all).await, workers)
+}
+
+/// Sends a prompt on a new connection.
+async fn send(gateway: &Gateway, id: &str, path: &str, parts: &str) -> Response {
+    let mut caller = Caller::connect(gateway).await;
+    caller.prompt(id, path, parts).await;
+    caller.answer().await
+}
+
+/// Returns the number of requests with the part that reached endpoints.
+fn count_arrivals(workers: &[Worker]) -> usize {
+    let requests = workers
+        .iter()
+        .flat_map(|worker| worker.requests.borrow().clone());
+    let of_part = requests.filter(|request| request.contains(&format!("{CRASHING}:")));
+    of_part.count()
+}
+
+#[rstest]
+#[case::chunks(true)]
+#[case::end_of_connection(false)]
+fn requests_with_a_part_that_crashes_endpoints_are_refused_and_others_are_served(
+    #[case] is_chunked: bool,
+) {
+    run(move || async move {
+        let (gateway, workers) = start(begun(is_chunked)).await;
+        let mut last = None;
+        for number in 0..9 {
+            let sound = format!("a1:50,50{number}:50");
+            let sound = send(&gateway, &format!("sound-{number}"), "/stream/x", &sound).await;
+            assert_eq!(sound.status, 200);
+            let parts = format!("a1:50,{CRASHING}:50,60{number}:50");
+            let path = format!("/stream/{number}");
+            last = Some(send(&gateway, &format!("id-{number}"), &path, &parts).await);
+        }
+        assert!(count_arrivals(&workers) <= MAX_ARRIVALS);
+        let last = last.expect("an answer");
+        assert_eq!(last.status, 503);
+        assert!(last.body.contains("not-run"), "{}", last.body);
+        assert!(field(&last.head, "retry-after").is_some(), "{}", last.head);
+        let sound = send(&gateway, "id-sound", "/stream/x", "a1:50,700:50").await;
+        assert_eq!((sound.status, sound.is_complete), (200, true));
+    });
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod catch_up;
 mod crash;
+mod crash_part;
 mod ending;
 mod explain;
 mod fingerprint;
--- a/crates/gateway/tests/gateway/support/caller.rs
+++ b/crates/gateway/tests/gateway/support/caller.rs
@@ -70,6 +70,16 @@
         .await;
     }
 
+    /// Sends a request of a stream, with a valid key, an id and the parts of its prompt.
+    pub async fn prompt(&mut self, id: &str, path: &str, parts: &str) {
+        self.send(&format!(
+            "POST {path} HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+             woadstage-request: {id}\r\nwoadstage-timeout-ms: 20000\r\nwoadstage-tokens: 100,10\r\n\
+             woadstage-prompt-parts: {parts}\r\ncontent-length: 0\r\n\r\n"
+        ))
+        .await;
+    }
+
     /// Takes up the stream that another request began, after an event.
     pub async fn take_up(&mut self, id: &str, resumes: Option<&str>, last_event: &str) {
         let length = id.len();
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -47,6 +47,9 @@
     /// Stops the stand-in and all its connections if the body is the first text; otherwise
     /// writes the second and keeps the connection open.
     CrashOn(&'static str, String),
+    /// Writes the second text and stops the stand-in and all its connections if a part of the
+    /// prompt has the first as its id; otherwise writes the third and keeps the connection open.
+    CrashOnPart(&'static str, String, String),
 }
 
 /// A stand-in for an endpoint.
@@ -180,6 +183,17 @@
                 .write_all(insert_request_id(&text, head).as_bytes())
                 .await
                 .is_ok(),
+            Action::CrashOnPart(part, begun, _) if has_part(head, part) => {
+                let _ = stream
+                    .write_all(insert_request_id(&begun, head).as_bytes())
+                    .await;
+                self.crashed.send_replace(true);
+                false
+            }
+            Action::CrashOnPart(_, _, text) => stream
+                .write_all(insert_request_id(&text, head).as_bytes())
+                .await
+                .is_ok(),
             Action::BreakStream => {
                 let last = field(head, "last-event-id").and_then(|id| id.parse().ok());
                 let answer = stream_from(last.unwrap_or(0));
@@ -220,6 +234,13 @@
     }
 }
 
+/// Whether a part of a request's prompt has this id.
+fn has_part(head: &str, part: &str) -> bool {
+    let parts = field(head, "woadstage-prompt-parts").unwrap_or_default();
+    let mut ids = parts.split(',').filter_map(|part| part.split_once(':'));
+    ids.any(|(id, _)| id == part)
+}
+
 /// Returns what [`Action::BreakStream`] answers after an event; 0 for a new stream.
 fn stream_from(last: u32) -> String {
     let event = |id: u32| chunk(&format!("id: {id}\ndata: piece {id}\n\n"));
