--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -148,6 +148,7 @@
 pub use query::Summary;
 pub use query::Unusable;
 pub use reserve::Charge;
+pub use suspect::Bar;
 pub use suspect::Change;
 pub use suspect::Evidence;
 use take_up::Inquiry;
@@ -213,6 +214,10 @@
     /// The load that the endpoint stated in its answer and that was not reported to the granting
     /// node yet, and when this node read it.
     stated_load: Option<(Time, stated_load::Load)>,
+    /// Whether it was recorded that the answer has gone on for long.
+    is_recorded_gone_on: bool,
+    /// Whether the end of the answer may be that of its endpoint.
+    is_end_in_doubt: bool,
 }
 
 /// The state that this node keeps for one service.
@@ -306,7 +311,7 @@
     members: Members,
     accounts: Accounts,
     budget: Budget,
-    /// Requests suspected of crashing endpoints.
+    /// Features of requests suspected of crashing endpoints.
     quarantine: Registry,
     /// Changes to the quarantine since they were last taken.
     quarantine_changes: Vec<Change>,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -45,6 +45,7 @@
     /// Records events of a stream.
     pub fn progress(&mut self, now: Time, id: job::Id, events: u32) {
         self.record_answering(now, id);
+        self.record_gone_on(now, id);
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
@@ -134,11 +135,24 @@
         next
     }
 
+    /// Records that the answer to a request ends with its connection, and that its endpoint may have
+    /// ended with it: such an end is no evidence that the request is harmless.
+    pub fn doubt_end(&mut self, id: job::Id) {
+        if let Some(run) = self.runs.get_mut(&id) {
+            run.is_end_in_doubt = true;
+        }
+    }
+
     /// Updates the quarantine from the end of an attempt.
     fn update_quarantine(&mut self, now: Time, run: &Run, end: End) {
-        let fingerprint = run.job.fingerprint;
         match end {
-            End::Whole => self.record_whole(now, fingerprint),
+            End::Whole if run.is_end_in_doubt => {
+                let pool = self.pools.get(&run.job.target);
+                if let Some(number) = pool.map(|pool| pool.workers[run.worker].number) {
+                    self.record_broken(now, run, number);
+                }
+            }
+            End::Whole => self.record_whole(now, &run.job),
             // A timeout may mean that a whole host failed and no longer answers; only the
             // platform's list can tell.
             //
@@ -152,7 +166,7 @@
                 // A call that hangs on a lost link says nothing of its endpoint.
                 if let Some(worker) = worker.filter(|worker| !worker.link.is_lost()) {
                     let number = worker.number;
-                    self.quarantine.record_broken(now, fingerprint, number);
+                    self.record_broken(now, run, number);
                 }
             }
             _ => {}
@@ -265,7 +279,7 @@
         if job.history.may_have_run && !job.repeatable {
             return Next::Final(Cause::MayHaveRun);
         }
-        if end == End::Lost && self.quarantine.is_suspect(job.fingerprint) {
+        if end == End::Lost && self.is_suspect(job) {
             return Next::Final(Cause::Suspect);
         }
         let unsent = job.history.connect_failures >= self.options.policy.connects;
--- a/crates/dispatch/src/dispatcher/start.rs
+++ b/crates/dispatch/src/dispatcher/start.rs
@@ -107,6 +107,8 @@
             lease,
             reported: now,
             stated_load: None,
+            is_recorded_gone_on: false,
+            is_end_in_doubt: false,
             job,
         };
         self.runs.insert(id, run);
--- a/crates/dispatch/src/dispatcher/suspect.rs
+++ b/crates/dispatch/src/dispatcher/suspect.rs
@@ -1,5 +1,6 @@
-//! Requests during which endpoints crashed: charging, barring and trials.
+//! Features of requests during which endpoints crashed: charging, barring and trials.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
 
@@ -11,12 +12,15 @@
 
 use super::Dispatcher;
 use super::Refusal;
+use super::Run;
+use super::bind::KEEPERS;
 use crate::job;
-use crate::job::Fingerprint;
 use crate::job::Job;
 use crate::message::Message;
+use crate::quarantine::Attempt;
+use crate::quarantine::Feature;
+use crate::quarantine::Features;
 use crate::quarantine::Finding;
-use crate::quarantine::Record;
 use crate::quarantine::Registry;
 
 /// The assumed cost in microseconds of placing a suspect beside one running request,
@@ -27,8 +31,9 @@
 /// crashed, it would be unknown which one was the cause.
 const SUSPECT_NEIGHBOUR_COST_US: f64 = 300_000.0;
 
-/// How long after its start a request may still crash its endpoint. In the logs of
-/// fourteen crashes it took at most 0.75 s.
+/// How long after its start a request may still crash its endpoint, and how long after its first
+/// event its answer shows that the parts of its prompt are harmless. In the logs of fourteen crashes
+/// it took at most 0.75 s.
 const CRASH_WINDOW: Span = Span::from_secs(1);
 
 /// The retry delay for a request that gets no further trial: by then the endpoints may be
@@ -44,29 +49,48 @@
 /// doubled.
 const MAX_TURN_DOUBLINGS: u64 = 16;
 
-/// A change in what is known of a request, for logs and metrics.
+/// A change in what is known of a feature, for logs and metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
-    /// The request.
-    pub fingerprint: Fingerprint,
+    /// The feature.
+    pub feature: Feature,
     /// What caused the change.
     pub what: Evidence,
-    /// The number of endpoints that crashed while running it since it was last cleared.
+    /// The number of endpoints that crashed while running requests with it since it was last
+    /// cleared.
     pub ends: usize,
-    /// Whether the request is no longer run.
+    /// Whether requests with it are no longer run.
     pub barred: bool,
 }
 
-/// What changed the knowledge of a request.
+/// Why a request is barred.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bar {
+    /// The features for which it is: what it asks for, or parts that only together are.
+    pub features: Vec<Feature>,
+    /// The ids of these parts.
+    pub part_ids: Vec<u64>,
+    /// The number of endpoints that crashed while running requests with them since they were last
+    /// cleared.
+    pub ends: usize,
+    /// The number of trials since then.
+    pub trials: u8,
+    /// The time of the last crash or trial.
+    last: Time,
+    /// The time from then on until the next trial, if there is one.
+    trial_delay: Option<Span>,
+}
+
+/// What changed the knowledge of a feature.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
-    /// An endpoint crashed while it ran the request for this node.
+    /// An endpoint crashed while it ran a request with it for this node.
     Charged,
     /// Another node had further findings.
     Heard,
-    /// The request was answered completely.
+    /// A request with it was answered completely, or a prompt's answer went on for long.
     Cleared,
-    /// The request is barred and gets a trial.
+    /// It is barred, and a request with it gets a trial.
     Trial,
 }
 
@@ -104,7 +128,7 @@
 }
 
 impl Dispatcher {
-    /// Returns the records of all requests during which endpoints crashed.
+    /// Returns the records of all features of requests during which endpoints crashed.
     pub fn quarantine(&self) -> &Registry {
         &self.quarantine
     }
@@ -114,31 +138,65 @@
         std::mem::take(&mut self.quarantine_changes)
     }
 
-    /// Whether a request is no longer run.
-    pub fn is_barred(&self, now: Time, fingerprint: Fingerprint) -> bool {
-        let record = self.quarantine.get(fingerprint);
-        record.is_some_and(|record| record.ends.len() >= self.bar_threshold(now, record))
+    /// Whether requests with a feature are no longer run.
+    pub fn is_barred(&self, now: Time, feature: impl Into<Feature>) -> bool {
+        let attribution = self.quarantine.attribution(self.is_partitioned(now));
+        attribution.contains(feature.into())
     }
 
-    /// Returns the number of endpoint crashes that bars a request. A node that reaches less
-    /// than half of the fleet may be in one of several partitions, each of which would
-    /// lose as many endpoints as an undivided fleet.
-    fn bar_threshold(&self, now: Time, record: &Record) -> usize {
-        let options = self.quarantine.options();
+    /// Returns why a request is no longer run, if it isn't.
+    pub fn bar_opt(&self, now: Time, features: &Features) -> Option<Bar> {
+        let attribution = self.quarantine.attribution(self.is_partitioned(now));
+        let barred = attribution.bar_opt(features)?;
+        let records = barred
+            .iter()
+            .filter_map(|feature| self.quarantine.get(*feature));
+        let latest = records.max_by_key(|record| (record.trials, record.last))?;
+        let part_ids = barred.iter();
+        let part_ids = part_ids.filter_map(|feature| features.part_id_opt(*feature));
+        Some(Bar {
+            part_ids: part_ids.collect(),
+            ends: latest.ends.len(),
+            trials: latest.trials,
+            last: latest.last,
+            trial_delay: self.quarantine.trial_delay_opt(latest),
+            features: barred,
+        })
+    }
+
+    /// Whether this node reaches less than half of the fleet. It may be in one of several
+    /// partitions, each of which would lose as many endpoints as an undivided fleet.
+    fn is_partitioned(&self, now: Time) -> bool {
         let reach = self.members.reach(now);
-        let reachable = reach.nodes - reach.silent;
-        match record.was_cleared() {
-            _ if reachable * 2 < reach.nodes => options.partitioned_bar_threshold,
-            true => options.cleared_bar_threshold,
-            false => options.bar_threshold,
-        }
+        (reach.nodes - reach.silent) * 2 < reach.nodes
     }
 
     /// Records that an endpoint crashed: nothing listens at its address, or the platform
     /// no longer lists it although it was not leaving.
     pub fn record_endpoint_ended(&mut self, now: Time, endpoint: u32) {
-        for fingerprint in self.quarantine.record_ended(now, endpoint) {
-            self.record_change(now, fingerprint, Evidence::Charged);
+        let charged = self.quarantine.record_ended(now, endpoint);
+        self.tell_keepers(now, &charged);
+        self.record_changes(now, charged, Evidence::Charged);
+    }
+
+    /// Tells the keepers of charged features, at which the charges of all nodes meet. Statuses would
+    /// take too long to tell everybody, as most of the features are harmless.
+    fn tell_keepers(&mut self, now: Time, charged: &[Feature]) {
+        let mut findings: HashMap<SocketAddrV4, Vec<Finding>> = HashMap::new();
+        for feature in charged {
+            let Some(record) = self.quarantine.get(*feature) else {
+                continue;
+            };
+            for keeper in self.members.keepers(now, feature.number(), KEEPERS) {
+                let finding = record.to_finding(now, *feature);
+                findings.entry(keeper.node).or_default().push(finding);
+            }
+        }
+        let max_findings = self.quarantine.options().max_findings_per_message;
+        for (node, findings) in findings {
+            for part in findings.chunks(max_findings) {
+                self.outbox.push((node, Message::Findings(part.to_vec())));
+            }
         }
     }
 
@@ -147,49 +205,82 @@
         self.quarantine.record_alive(endpoint);
     }
 
+    /// Records that an attempt at an endpoint broke.
+    pub(super) fn record_broken(&mut self, now: Time, run: &Run, endpoint: u32) {
+        let attempt = Attempt {
+            features: Features::of(&run.job),
+            endpoint,
+            has_gone_on: run.has_gone_on(now),
+        };
+        self.quarantine.record_broken(now, attempt);
+    }
+
     /// Records that a request was answered completely.
-    pub(super) fn record_whole(&mut self, now: Time, fingerprint: Fingerprint) {
-        if self.quarantine.record_whole(now, fingerprint) {
-            self.record_change(now, fingerprint, Evidence::Cleared);
+    pub(super) fn record_whole(&mut self, now: Time, job: &Job) {
+        let features = Features::of(job);
+        let cleared = self.quarantine.record_whole(now, features.iter());
+        self.record_changes(now, cleared, Evidence::Cleared);
+    }
+
+    /// Records that the answer to a prompt has gone on for longer than its parts take to crash an
+    /// endpoint.
+    pub(super) fn record_gone_on(&mut self, now: Time, id: job::Id) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if run.is_recorded_gone_on || !run.has_gone_on(now) {
+            return;
         }
+        run.is_recorded_gone_on = true;
+        let features = Features::of(&run.job);
+        let parts = features.parts.iter().map(|(part, _)| *part);
+        let cleared = self.quarantine.record_whole(now, parts);
+        self.record_changes(now, cleared, Evidence::Cleared);
     }
 
     /// Merges the findings of another node.
     pub fn take_findings(&mut self, now: Time, findings: &[Finding]) {
-        for finding in findings {
-            if self.quarantine.merge(now, finding) {
-                self.record_change(now, finding.fingerprint, Evidence::Heard);
-            }
-        }
+        let changed = findings
+            .iter()
+            .filter(|finding| self.quarantine.merge(now, finding));
+        let changed: Vec<Feature> = changed.map(|finding| finding.feature).collect();
+        self.record_changes(now, changed, Evidence::Heard);
     }
 
-    fn record_change(&mut self, now: Time, fingerprint: Fingerprint, what: Evidence) {
-        let barred = self.is_barred(now, fingerprint);
-        let record = self.quarantine.get(fingerprint);
-        self.quarantine_changes.push(Change {
-            fingerprint,
-            what,
-            ends: record.map_or(0, |record| record.ends.len()),
-            barred,
-        });
-        // Other nodes should receive the findings before the request reaches them.
-        self.urgent = true;
-        self.has_news = true;
-        if barred {
-            self.refuse_barred(now, fingerprint);
+    fn record_changes(&mut self, now: Time, features: Vec<Feature>, what: Evidence) {
+        if features.is_empty() {
+            return;
+        }
+        self.quarantine.refresh(now);
+        for feature in features {
+            let record = self.quarantine.get(feature);
+            self.quarantine_changes.push(Change {
+                feature,
+                what,
+                ends: record.map_or(0, |record| record.ends.len()),
+                barred: self.is_barred(now, feature),
+            });
         }
+        // Other nodes should receive the findings before a request with them reaches them.
+        self.urgent = true;
+        self.has_news |= self.quarantine.take_significant_change();
+        self.refuse_barred(now);
     }
 
     /// Refuses the waiting requests that are barred from now on. Requests of other nodes
     /// that wait here are cancelled by those nodes.
-    fn refuse_barred(&mut self, now: Time, fingerprint: Fingerprint) {
-        let matches = |job: &Job| job.fingerprint == fingerprint && !job.trial;
+    fn refuse_barred(&mut self, now: Time) {
+        let attribution = self.quarantine.attribution(self.is_partitioned(now));
+        if attribution.is_empty() {
+            return;
+        }
+        let is_barred = |job: &Job| !job.trial && attribution.bar_opt(&Features::of(job)).is_some();
         let queues = self.pools.values().map(|pool| &pool.queue);
         let waiting = queues.flat_map(|queue| queue.iter());
-        let waiting = waiting.filter(|(_, job)| job.origin.is_none() && matches(job));
+        let waiting = waiting.filter(|(_, job)| job.origin.is_none() && is_barred(job));
         let requested = self.open_requests.iter();
         let requested =
-            requested.filter(|(_, open_request)| open_request.job.as_ref().is_some_and(matches));
+            requested.filter(|(_, open_request)| open_request.job.as_ref().is_some_and(is_barred));
         let ids: Vec<job::Id> = waiting
             .map(|(id, _)| id)
             .chain(requested.map(|(id, _)| *id))
@@ -199,8 +290,10 @@
             let pool = target.and_then(|target| self.pools.get_mut(&target));
             let waiting = pool.and_then(|pool| pool.queue.remove(id));
             let requested = || self.open_requests.get(&id)?.job.clone();
-            if let Some(job) = waiting.or_else(requested) {
-                let refusal = self.barred_refusal(now, fingerprint);
+            if let Some(job) = waiting.or_else(requested)
+                && let Some(bar) = self.bar_opt(now, &Features::of(&job))
+            {
+                let refusal = self.barred_refusal(now, &bar);
                 self.refuse(now, id, &job, refusal);
             }
             self.cancel_open_request(id);
@@ -210,39 +303,36 @@
     /// Returns the refusal if a request of this node's callers is barred. If a trial is
     /// allowed, starts it instead.
     pub(super) fn check_barred(&mut self, now: Time, job: &mut Job) -> Option<Refusal> {
-        if job.trial || !self.is_barred(now, job.fingerprint) {
+        let attribution = self.quarantine.attribution(self.is_partitioned(now));
+        if job.trial || attribution.is_empty() {
             return None;
         }
-        if !job.is_untried() || !self.may_start_trial(now, job.fingerprint) {
-            return Some(self.barred_refusal(now, job.fingerprint));
+        let bar = self.bar_opt(now, &Features::of(job))?;
+        if !job.is_untried() || !self.may_start_trial(now, &bar) {
+            return Some(self.barred_refusal(now, &bar));
         }
         job.trial = true;
-        self.quarantine.record_trial(now, job.fingerprint);
-        let record = self.quarantine.get(job.fingerprint);
-        self.quarantine_changes.push(Change {
-            fingerprint: job.fingerprint,
-            what: Evidence::Trial,
-            ends: record.map_or(0, |record| record.ends.len()),
-            barred: true,
-        });
-        self.urgent = true;
-        self.has_news = true;
+        for feature in &bar.features {
+            self.quarantine.record_trial(now, *feature);
+        }
+        self.record_changes(now, bar.features, Evidence::Trial);
         None
     }
 
     /// Returns the refusal of a barred request. The caller may retry when a trial is due,
     /// but not immediately, since many callers may retry; if no trial remains, after
     /// [`FINAL_RETRY_AFTER`].
-    fn barred_refusal(&self, now: Time, fingerprint: Fingerprint) -> Refusal {
+    fn barred_refusal(&self, now: Time, bar: &Bar) -> Refusal {
         let options = self.quarantine.options();
-        let record = self.quarantine.get(fingerprint);
-        let after = record.and_then(|record| {
-            let after = self.quarantine.trial_delay_opt(record)?;
-            let remaining = after.0.saturating_sub(now.since(record.last).0);
-            Some(Span(remaining).max(after.min(options.trial_delay)))
+        let after = bar.trial_delay.map(|after| {
+            let remaining = after.0.saturating_sub(now.since(bar.last).0);
+            Span(remaining).max(after.min(options.trial_delay))
         });
         Refusal {
-            code: Code::Barred,
+            code: match bar.part_ids.is_empty() {
+                true => Code::Barred,
+                false => Code::PartBarred,
+            },
             retry_after: Some(after.unwrap_or(FINAL_RETRY_AFTER)),
             wait: None,
             owner: None,
@@ -251,27 +341,29 @@
 
     /// Whether this node may start a trial of a barred request: the trial is due, no node
     /// is silent that might start one as well, and it is this node's turn. Nodes are
-    /// ordered by a hash of the request and their address. The first one starts, and as
+    /// ordered by a hash of the feature and their address. The first one starts, and as
     /// long as no other node announces a trial, the number of nodes allowed doubles with each turn.
-    fn may_start_trial(&self, now: Time, fingerprint: Fingerprint) -> bool {
-        let Some(record) = self.quarantine.get(fingerprint) else {
+    fn may_start_trial(&self, now: Time, bar: &Bar) -> bool {
+        let Some((after, first)) = bar.trial_delay.zip(bar.features.iter().min()) else {
             return false;
         };
-        let Some(after) = self.quarantine.trial_delay_opt(record) else {
-            return false;
-        };
-        let since = now.since(record.last);
+        let since = now.since(bar.last);
         if since < after || self.members.reach(now).silent > 0 {
             return false;
         }
         let turn = (since.0 - after.0) / self.quarantine.options().trial_turn_duration.0.max(1);
-        let score = |node: &SocketAddrV4| hash::chain(fingerprint.0, &node.ip().octets());
+        let score = |node: &SocketAddrV4| hash::chain(first.number(), &node.ip().octets());
         let own = score(&self.options.own);
         let live = self.members.live(now);
         let preceding = live.filter(|(node, _)| score(node) > own).count() as u64;
         preceding < 1 << turn.min(MAX_TURN_DOUBLINGS)
     }
 
+    /// Whether a request has a feature that may have crashed an endpoint.
+    pub(super) fn is_suspect(&self, job: &Job) -> bool {
+        self.quarantine.has_unexplained_suspect(&Features::of(job))
+    }
+
     /// Returns the constraints on placing a request, if it is a suspect. One that was
     /// cleared before need not wait for other copies of itself.
     pub(super) fn isolation_opt(
@@ -280,23 +372,24 @@
         target: &id::Target,
         job: &Job,
     ) -> Option<Isolation> {
-        let record = self.quarantine.get(job.fingerprint)?;
-        if record.ends.is_empty() {
+        if !self.is_suspect(job) {
             return None;
         }
+        let record = self.quarantine.get(job.fingerprint);
+        let is_one_enough =
+            record.is_some_and(|record| !record.ends.is_empty() && !record.was_cleared());
         let runs = self.runs.values();
         let begun = runs.filter(|run| {
             run.job.target == *target
                 && now.since(run.started) < CRASH_WINDOW
-                && self.quarantine.is_suspect(run.job.fingerprint)
+                && self.is_suspect(&run.job)
         });
         let mut isolation = Isolation {
             is_starting: false,
             suspect_starts: HashSet::new(),
         };
         for run in begun {
-            isolation.is_starting |=
-                run.job.fingerprint == job.fingerprint && !record.was_cleared();
+            isolation.is_starting |= run.job.fingerprint == job.fingerprint && is_one_enough;
             isolation.suspect_starts.insert(run.worker);
         }
         Some(isolation)
@@ -330,3 +423,11 @@
         mixed % (self.members.len() as u64).max(1) < REMOTE_RESPONDERS
     }
 }
+
+impl Run {
+    /// Whether the answer has gone on for longer than a request takes to crash its endpoint.
+    fn has_gone_on(&self, now: Time) -> bool {
+        let first = self.first;
+        first.is_some_and(|first| now.since(first) >= CRASH_WINDOW)
+    }
+}
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -54,8 +54,11 @@
     pub output: u64,
     /// The caller's estimate of the number of tokens in the answer.
     pub output_hint: Option<u64>,
-    /// The prompt's parts, in order.
+    /// The prompt's first parts, in order.
     pub parts: Vec<Part>,
+    /// The ids of the parts after those. Only the node that holds the request knows them.
+    #[serde(skip)]
+    pub further_parts: Vec<u64>,
 }
 
 /// A request to be run.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -47,8 +47,11 @@
     /// resumes a stream only at endpoints of the version that began it.
     pub const SOFTWARE: Protocol = Protocol(15);
 
+    /// The first version that bars parts of prompts, and whose findings are also about those.
+    pub const PARTS: Protocol = Protocol(16);
+
     /// The version of this build.
-    pub const CURRENT: Protocol = Protocol::SOFTWARE;
+    pub const CURRENT: Protocol = Protocol::PARTS;
 
     /// Returns the version assumed for messages that do not contain one.
     pub(crate) fn first() -> Protocol {
--- a/crates/dispatch/src/quarantine/record.rs
+++ b/crates/dispatch/src/quarantine/record.rs
@@ -1,4 +1,4 @@
-//! The knowledge of one request, and how the knowledge of two nodes is joined.
+//! The knowledge of one feature, and how the knowledge of two nodes is joined.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -6,19 +6,19 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
-use crate::job::Fingerprint;
+use super::Feature;
 
-/// The maximum number of crashes kept of one request: above every threshold that bars it.
+/// The maximum number of crashes kept of one feature: above every threshold that bars it.
 pub const MAX_ENDS: usize = 8;
 
-/// The knowledge of one request.
+/// The knowledge of one feature.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Record {
-    /// How often the request was cleared by a complete answer, which shows that the charges
+    /// How often the feature was cleared by a complete answer, which shows that the charges
     /// were wrong. At least 1 if a complete answer preceded the first charge.
     pub cleared: u32,
-    /// The numbers of the endpoints that crashed while running it since it was last
-    /// cleared, sorted.
+    /// The numbers of the endpoints that crashed while running a request with it since it was
+    /// last cleared, sorted.
     pub ends: Vec<u32>,
     /// The number of trials since it was barred.
     pub trials: u8,
@@ -26,11 +26,11 @@
     pub last: Time,
 }
 
-/// The knowledge of one request as sent to another node.
+/// The knowledge of one feature as sent to another node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
-    /// The request.
-    pub fingerprint: Fingerprint,
+    /// The feature.
+    pub feature: Feature,
     /// As in [`Record::cleared`].
     pub cleared: u32,
     /// As in [`Record::ends`].
@@ -43,7 +43,7 @@
 }
 
 impl Record {
-    /// Charges the request with the crash of an endpoint.
+    /// Charges the feature with the crash of an endpoint.
     pub fn charge(&mut self, now: Time, endpoint: u32) {
         self.last = now;
         if let Err(position) = self.ends.binary_search(&endpoint) {
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Clears the request of all charges.
+    /// Clears the feature of all charges.
     pub fn clear(&mut self, now: Time) {
         *self = Record {
             cleared: self.cleared.saturating_add(1),
@@ -61,12 +61,12 @@
         };
     }
 
-    /// Whether a complete answer to the request is known of, also before its last charge.
+    /// Whether a complete answer to a request with it is known of, also before its last charge.
     pub fn was_cleared(&self) -> bool {
         self.cleared > 0
     }
 
-    /// Joins the knowledge of another node. The side that has seen the request cleared
+    /// Joins the knowledge of another node. The side that has seen the feature cleared
     /// more often replaces the other; otherwise the two are combined.
     pub fn join(&mut self, other: &Record) {
         if other.cleared < self.cleared {
@@ -87,10 +87,10 @@
     }
 
     /// Returns the finding to send to other nodes.
-    pub fn to_finding(&self, now: Time, fingerprint: Fingerprint) -> Finding {
+    pub fn to_finding(&self, now: Time, feature: Feature) -> Finding {
         let age = now.since(self.last).0 / Span::from_secs(1).0;
         Finding {
-            fingerprint,
+            feature,
             cleared: self.cleared,
             ends: self.ends.clone(),
             trials: self.trials,
@@ -98,9 +98,15 @@
         }
     }
 
+    /// Whether all nodes should know the record, even those that missed its announcement. Most
+    /// features are charged with one crash, beside which they ran.
+    pub fn is_significant(&self) -> bool {
+        self.ends.len() > 1 || self.trials > 0
+    }
+
     /// Returns a hash of everything but the time, on which nodes need not agree.
-    pub fn digest(&self, fingerprint: Fingerprint) -> u32 {
-        let seed = hash::chain(fingerprint.0, &self.cleared.to_le_bytes());
+    pub fn digest(&self, feature: Feature) -> u32 {
+        let seed = hash::chain(feature.number(), &self.cleared.to_le_bytes());
         let seed = hash::chain(seed, &[self.trials]);
         let ends = self.ends.iter();
         ends.fold(seed, |seed, end| hash::chain(seed, &end.to_le_bytes())) as u32
--- a/crates/dispatch/src/quarantine/registry.rs
+++ b/crates/dispatch/src/quarantine/registry.rs
@@ -1,4 +1,4 @@
-//! All requests during which endpoints crashed, in bounded memory.
+//! The features of all requests during which endpoints crashed, in bounded memory.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -6,35 +6,61 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use super::Attribution;
+use super::Feature;
+use super::Features;
 use super::Finding;
 use super::Options;
 use super::Record;
-use crate::job::Fingerprint;
+use super::attribution::Settling;
 
-/// A broken attempt whose endpoint may have crashed.
+/// An attempt that broke.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    /// The features of its request.
+    pub features: Features,
+    /// The number of its endpoint, which may have crashed.
+    pub endpoint: u32,
+    /// Whether its answer had gone on for so long that it is unlikely to be the cause.
+    pub has_gone_on: bool,
+}
+
+/// A change to announce in statuses.
 #[derive(Debug)]
-struct BrokenAttempt {
-    fingerprint: Fingerprint,
-    endpoint: u32,
+struct RecentChange {
     at: Time,
+    feature: Feature,
+    /// Whether the record is significant or was before the change.
+    is_significant: bool,
 }
 
 /// The quarantine knowledge of one node.
 #[derive(Debug)]
 pub struct Registry {
     options: Options,
-    records: HashMap<Fingerprint, Record>,
-    /// The digests of all records, combined by XOR.
+    records: HashMap<Feature, Record>,
+    /// The digests of all significant records, combined by XOR.
     digest: u32,
     /// Recent changes, oldest first.
-    recent_changes: VecDeque<(Time, Fingerprint)>,
-    broken_attempts: VecDeque<BrokenAttempt>,
-    /// Requests that were answered completely, in a table indexed by hash. A later
-    /// request replaces an earlier one in the same slot.
-    known_good: Vec<Option<Fingerprint>>,
+    recent_changes: VecDeque<RecentChange>,
+    /// Whether a significant record has changed since this was last asked for.
+    has_significant_change: bool,
+    /// Attempts that broke, and when.
+    broken_attempts: VecDeque<(Time, Attempt)>,
+    /// Features of requests that were answered completely, and when, in a table indexed by
+    /// hash. A later one replaces an earlier one in the same slot.
+    known_good: Vec<Option<(Feature, Time)>>,
     /// The offset of the next message's findings, so that all of them are sent
     /// eventually.
     rotation: usize,
+    /// The same for statuses.
+    status_rotation: usize,
+    /// What is barred while this node hears at least half of the fleet, and while it doesn't.
+    attributions: [Attribution; 2],
+    settling: Settling,
+    /// Whether records changed since the attributions were computed.
+    is_outdated: bool,
+    refreshed_at: Time,
 }
 
 impl Registry {
@@ -46,8 +72,14 @@
             records: HashMap::new(),
             digest: 0,
             recent_changes: VecDeque::new(),
+            has_significant_change: false,
             broken_attempts: VecDeque::new(),
             rotation: 0,
+            status_rotation: 0,
+            attributions: Default::default(),
+            settling: Settling::new(),
+            is_outdated: false,
+            refreshed_at: Time(0),
         }
     }
 
@@ -56,69 +88,144 @@
         &self.options
     }
 
-    /// Returns the record of a request, if endpoints crashed while running it.
-    pub fn get(&self, fingerprint: Fingerprint) -> Option<&Record> {
-        self.records.get(&fingerprint)
+    /// Returns the record of a feature, if endpoints crashed while running requests with it.
+    pub fn get(&self, feature: impl Into<Feature>) -> Option<&Record> {
+        self.records.get(&feature.into())
     }
 
-    /// Whether an endpoint crashed while running a request since it was last cleared.
-    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
-        let record = self.records.get(&fingerprint);
+    /// Whether an endpoint crashed while running a request with a feature since it was last
+    /// cleared.
+    pub fn is_suspect(&self, feature: impl Into<Feature>) -> bool {
+        let record = self.records.get(&feature.into());
         record.is_some_and(|record| !record.ends.is_empty())
     }
 
-    /// Returns a digest that is equal on nodes with the same knowledge.
+    /// Whether a feature is charged with a crash that no other barred feature explains. A part
+    /// that was cleared before doesn't count: it is charged with most crashes if it is common.
+    pub fn is_unexplained_suspect(&self, feature: Feature) -> bool {
+        let Some(record) = self.records.get(&feature) else {
+            return false;
+        };
+        if feature.is_part() && record.was_cleared() {
+            return false;
+        }
+        let [attribution, _] = &self.attributions;
+        let mut ends = record.ends.iter();
+        attribution.contains(feature) || ends.any(|end| !attribution.explains(*end))
+    }
+
+    /// Whether any feature of a request is such a suspect.
+    pub fn has_unexplained_suspect(&self, features: &Features) -> bool {
+        !self.records.is_empty()
+            && features
+                .iter()
+                .any(|feature| self.is_unexplained_suspect(feature))
+    }
+
+    /// Returns what is barred, as of the last [`Registry::refresh`]. `is_partitioned` tells whether
+    /// this node hears less than half of the fleet.
+    pub fn attribution(&self, is_partitioned: bool) -> &Attribution {
+        let [whole, partitioned] = &self.attributions;
+        match is_partitioned {
+            true => partitioned,
+            false => whole,
+        }
+    }
+
+    /// Computes what is barred, if that may have changed.
+    pub fn refresh(&mut self, now: Time) {
+        let settle_time = self.options.settle_time;
+        let last = std::mem::replace(&mut self.refreshed_at, now);
+        let mut settling = self.settling.values();
+        let has_settled =
+            settling.any(|since| *since + settle_time > last && *since + settle_time <= now);
+        if !self.is_outdated && !has_settled {
+            return;
+        }
+        self.is_outdated = false;
+        let threshold = self.options.cleared_bar_threshold;
+        self.settling.retain(|feature, _| {
+            let record = self.records.get(feature);
+            record.is_some_and(|record| record.was_cleared() && record.ends.len() >= threshold)
+        });
+        for (attribution, is_partitioned) in self.attributions.iter_mut().zip([false, true]) {
+            let records = self.records.iter();
+            let records = records.map(|(feature, record)| (*feature, record));
+            *attribution = Attribution::new(
+                now,
+                &self.options,
+                is_partitioned,
+                records,
+                &mut self.settling,
+            );
+        }
+    }
+
+    /// Returns a digest that is equal on nodes with the same significant records.
     pub fn digest(&self) -> u32 {
         self.digest
     }
 
     /// Iterates over all records.
-    pub fn iter(&self) -> impl Iterator<Item = (Fingerprint, &Record)> + '_ {
+    pub fn iter(&self) -> impl Iterator<Item = (Feature, &Record)> + '_ {
         let records = self.records.iter();
-        records.map(|(fingerprint, record)| (*fingerprint, record))
+        records.map(|(feature, record)| (*feature, record))
     }
 
-    /// Records a complete answer. Returns true if the request had been charged.
-    pub fn record_whole(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
-        let slot = self.known_good_slot(fingerprint);
-        self.known_good[slot] = Some(fingerprint);
-        if !self.is_suspect(fingerprint) {
-            return false;
+    /// Records that a request with these features was answered completely. Returns those that
+    /// had been charged.
+    pub fn record_whole(
+        &mut self,
+        now: Time,
+        features: impl Iterator<Item = Feature>,
+    ) -> Vec<Feature> {
+        let mut cleared = Vec::new();
+        for feature in features {
+            let slot = self.known_good_slot(feature);
+            self.known_good[slot] = Some((feature, now));
+            if self.is_suspect(feature) {
+                self.change(now, feature, |record| record.clear(now));
+                cleared.push(feature);
+            }
         }
-        self.change(now, fingerprint, |record| record.clear(now));
-        true
+        cleared
     }
 
     /// Records that an attempt broke and its endpoint may have crashed.
-    pub fn record_broken(&mut self, now: Time, fingerprint: Fingerprint, endpoint: u32) {
+    pub fn record_broken(&mut self, now: Time, attempt: Attempt) {
         if self.broken_attempts.len() >= self.options.max_unconfirmed {
             self.broken_attempts.pop_front();
         }
-        self.broken_attempts.push_back(BrokenAttempt {
-            fingerprint,
-            endpoint,
-            at: now,
-        });
+        self.broken_attempts.push_back((now, attempt));
     }
 
     /// Records that an endpoint is alive, so that its broken attempts are not charged.
     pub fn record_alive(&mut self, endpoint: u32) {
         self.broken_attempts
-            .retain(|attempt| attempt.endpoint != endpoint);
+            .retain(|(_, attempt)| attempt.endpoint != endpoint);
     }
 
-    /// Records that an endpoint crashed. Charges the requests whose attempts broke at the
-    /// endpoint and returns their fingerprints.
-    pub fn record_ended(&mut self, now: Time, endpoint: u32) -> Vec<Fingerprint> {
+    /// Records that an endpoint crashed. Charges the features of the requests whose attempts
+    /// broke there and returns them. A request whose answer had gone on for long is charged only
+    /// if there is no other.
+    pub fn record_ended(&mut self, now: Time, endpoint: u32) -> Vec<Feature> {
         let broken = self.broken_attempts.iter();
-        let broken = broken.filter(|attempt| attempt.endpoint == endpoint);
-        let mut charged: Vec<Fingerprint> = broken.map(|attempt| attempt.fingerprint).collect();
+        let broken = broken.filter(|(_, attempt)| attempt.endpoint == endpoint);
+        let (gone_on, likely): (Vec<_>, Vec<_>) =
+            broken.partition(|(_, attempt)| attempt.has_gone_on);
+        let attempts = if likely.is_empty() { gone_on } else { likely };
+        let features = attempts
+            .iter()
+            .flat_map(|(_, attempt)| attempt.features.iter());
+        let mut charged: Vec<Feature> = features
+            .filter(|feature| !feature.is_part() || !self.was_good_recently(now, *feature))
+            .collect();
         charged.sort_unstable();
         charged.dedup();
         self.record_alive(endpoint);
-        for fingerprint in &charged {
-            let known_good = self.is_known_good(*fingerprint);
-            self.change(now, *fingerprint, |record| {
+        for feature in &charged {
+            let known_good = self.is_known_good(*feature);
+            self.change(now, *feature, |record| {
                 record.cleared = record.cleared.max(u32::from(known_good));
                 record.charge(now, endpoint);
             });
@@ -127,8 +234,8 @@
     }
 
     /// Records the trial of a barred request.
-    pub fn record_trial(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.change(now, fingerprint, |record| {
+    pub fn record_trial(&mut self, now: Time, feature: Feature) {
+        self.change(now, feature, |record| {
             record.trials = record.trials.saturating_add(1);
             record.last = now;
         });
@@ -141,64 +248,74 @@
         if old && record.ends.len() < self.options.bar_threshold {
             return false;
         }
-        if self.is_known_good(finding.fingerprint) {
+        if self.is_known_good(finding.feature) {
             record.cleared = record.cleared.max(1);
         }
-        self.change(now, finding.fingerprint, |known| known.join(&record))
+        let known = self.records.get(&finding.feature);
+        let is_outdated = known.is_some_and(|known| record.cleared < known.cleared);
+        if is_outdated {
+            self.announce(now, finding.feature, record.is_significant());
+            return false;
+        }
+        self.change(now, finding.feature, |known| known.join(&record))
     }
 
-    /// Returns the findings to include in a status: recent changes, newest first.
-    pub fn recent_findings(&self, now: Time) -> Vec<Finding> {
-        let mut findings: Vec<Finding> = Vec::new();
-        for (at, fingerprint) in self.recent_changes.iter().rev() {
-            if findings.len() >= self.options.max_findings_per_status
-                || now.since(*at) > self.options.announce_for
-            {
-                break;
-            }
-            let included = findings
-                .iter()
-                .any(|finding| finding.fingerprint == *fingerprint);
-            if let Some(record) = self.records.get(fingerprint).filter(|_| !included) {
-                findings.push(record.to_finding(now, *fingerprint));
-            }
+    /// Returns the findings to include in a status: recent changes, few of them insignificant. They
+    /// rotate over successive calls.
+    pub fn recent_findings(&mut self, now: Time) -> Vec<Finding> {
+        let recent = self.recent_changes.iter().rev();
+        let recent = recent.take_while(|change| now.since(change.at) <= self.options.announce_for);
+        let mut is_significant: HashMap<Feature, bool> = HashMap::new();
+        for change in recent {
+            *is_significant.entry(change.feature).or_default() |= change.is_significant;
         }
-        findings
+        let features = is_significant.keys().copied();
+        let records = features.filter_map(|feature| Some((feature, self.records.get(&feature)?)));
+        let (significant, others): (Vec<_>, Vec<_>) =
+            records.partition(|(feature, _)| is_significant[feature]);
+        let options = &self.options;
+        let rotation = &mut self.status_rotation;
+        let mut selected = select(significant, options.max_findings_per_status, rotation);
+        let left = options.max_findings_per_status - selected.len();
+        let max_others = left.min(options.max_insignificant_per_status);
+        selected.extend(select(others, max_others, rotation));
+        let findings = selected.into_iter();
+        let findings = findings.map(|(feature, record)| record.to_finding(now, feature));
+        findings.collect()
     }
 
-    /// Returns the findings to send to a node with a different digest. If they do not fit
-    /// in one message, half of it holds the requests with the most crashes, and the other
+    /// Returns whether a significant record has changed since the last call, so that other nodes
+    /// should hear of it at once.
+    pub fn take_significant_change(&mut self) -> bool {
+        std::mem::take(&mut self.has_significant_change)
+    }
+
+    /// Returns the findings, without the insignificant ones, for a node with a different digest. If they do not fit
+    /// in one message, half of it holds the features with the most crashes, and the other
     /// half rotates through the rest over successive calls.
     pub fn findings(&mut self, now: Time) -> Vec<Finding> {
         let max_findings = self.options.max_findings_per_message;
-        let mut all: Vec<(Fingerprint, &Record)> = self.iter().collect();
-        all.sort_unstable_by_key(|(fingerprint, record)| {
-            (std::cmp::Reverse(record.ends.len()), *fingerprint)
-        });
-        if all.len() > max_findings {
-            let rest = &mut all[max_findings / 2..];
-            let turns = self.rotation % rest.len();
-            rest.rotate_left(turns);
-        }
-        let selected = all.iter().take(max_findings);
-        let findings = selected.map(|(fingerprint, record)| record.to_finding(now, *fingerprint));
-        let findings = findings.collect();
-        self.rotation = self.rotation.wrapping_add(max_findings / 2);
-        findings
+        let records = self.records.iter();
+        let records = records.map(|(feature, record)| (*feature, record));
+        let told = records.filter(|(_, record)| record.is_significant() || record.was_cleared());
+        let selected = select(told.collect(), max_findings, &mut self.rotation);
+        let findings = selected.into_iter();
+        let findings = findings.map(|(feature, record)| record.to_finding(now, feature));
+        findings.collect()
     }
 
     /// Removes broken attempts that were not confirmed in time, and old records with
     /// fewer crashes than [`Options::bar_threshold`].
     pub fn expire(&mut self, now: Time) {
         let timeout = self.options.unconfirmed_timeout;
-        while let Some(attempt) = self.broken_attempts.front() {
-            if now.since(attempt.at) <= timeout {
+        while let Some((at, _)) = self.broken_attempts.front() {
+            if now.since(*at) <= timeout {
                 break;
             }
             self.broken_attempts.pop_front();
         }
-        while let Some((at, _)) = self.recent_changes.front() {
-            if now.since(*at) <= self.options.announce_for {
+        while let Some(change) = self.recent_changes.front() {
+            if now.since(change.at) <= self.options.announce_for {
                 break;
             }
             self.recent_changes.pop_front();
@@ -207,10 +324,11 @@
             record.ends.len() < self.options.bar_threshold
                 && now.since(record.last) > self.options.forget_after
         });
-        let expired: Vec<Fingerprint> = expired.map(|(fingerprint, _)| fingerprint).collect();
-        for fingerprint in expired {
-            self.remove(fingerprint);
+        let expired: Vec<Feature> = expired.map(|(feature, _)| feature).collect();
+        for feature in expired {
+            self.remove(feature);
         }
+        self.refresh(now);
     }
 
     /// Returns the time after which a barred request may get a trial; `None` if it may
@@ -225,32 +343,42 @@
     }
 
     /// Changes a record. Returns true if the result differs.
-    fn change(
-        &mut self,
-        now: Time,
-        fingerprint: Fingerprint,
-        change: impl FnOnce(&mut Record),
-    ) -> bool {
-        let before = self.records.get(&fingerprint).cloned().unwrap_or_default();
+    fn change(&mut self, now: Time, feature: Feature, change: impl FnOnce(&mut Record)) -> bool {
+        let before = self.records.get(&feature).cloned().unwrap_or_default();
         let mut after = before.clone();
         change(&mut after);
-        if after.digest(fingerprint) == before.digest(fingerprint) {
+        if after.digest(feature) == before.digest(feature) {
             return false;
         }
-        self.remove(fingerprint);
+        self.remove(feature);
         self.evict_if_full();
-        self.digest ^= after.digest(fingerprint);
-        self.records.insert(fingerprint, after);
-        self.recent_changes.push_back((now, fingerprint));
+        if after.is_significant() {
+            self.digest ^= after.digest(feature);
+        }
+        let is_significant = before.is_significant() || after.is_significant();
+        self.records.insert(feature, after);
+        self.announce(now, feature, is_significant);
+        true
+    }
+
+    /// Includes a feature in the statuses from now on for a while.
+    fn announce(&mut self, now: Time, feature: Feature, is_significant: bool) {
+        self.has_significant_change |= is_significant;
+        self.recent_changes.push_back(RecentChange {
+            at: now,
+            feature,
+            is_significant,
+        });
         if self.recent_changes.len() > self.options.max_records {
             self.recent_changes.pop_front();
         }
-        true
     }
 
-    fn remove(&mut self, fingerprint: Fingerprint) {
-        if let Some(record) = self.records.remove(&fingerprint) {
-            self.digest ^= record.digest(fingerprint);
+    fn remove(&mut self, feature: Feature) {
+        self.is_outdated = true;
+        let removed = self.records.remove(&feature);
+        if let Some(record) = removed.filter(Record::is_significant) {
+            self.digest ^= record.digest(feature);
         }
     }
 
@@ -261,25 +389,48 @@
             return;
         }
         let bar_threshold = self.options.bar_threshold;
-        let oldest = self.iter().min_by_key(|(fingerprint, record)| {
-            (
-                record.ends.len() >= bar_threshold,
-                record.last,
-                *fingerprint,
-            )
+        let oldest = self.iter().min_by_key(|(feature, record)| {
+            (record.ends.len() >= bar_threshold, record.last, *feature)
         });
-        if let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint) {
+        if let Some(oldest) = oldest.map(|(feature, _)| feature) {
             self.remove(oldest);
         }
     }
 
-    fn is_known_good(&self, fingerprint: Fingerprint) -> bool {
-        self.known_good[self.known_good_slot(fingerprint)] == Some(fingerprint)
+    fn is_known_good(&self, feature: Feature) -> bool {
+        let slot = self.known_good[self.known_good_slot(feature)];
+        slot.is_some_and(|(known, _)| known == feature)
+    }
+
+    fn was_good_recently(&self, now: Time, feature: Feature) -> bool {
+        let slot = self.known_good[self.known_good_slot(feature)];
+        slot.is_some_and(|(known, at)| {
+            known == feature && now.since(at) < self.options.known_good_time
+        })
     }
 
-    fn known_good_slot(&self, fingerprint: Fingerprint) -> usize {
-        (fingerprint.0 % self.known_good.len() as u64) as usize
+    fn known_good_slot(&self, feature: Feature) -> usize {
+        (feature.number() % self.known_good.len() as u64) as usize
+    }
+}
+
+/// Selects `max` records: half of them with the most crashes, the other half by `rotation`, which
+/// moves on.
+fn select<'a>(
+    mut records: Vec<(Feature, &'a Record)>,
+    max: usize,
+    rotation: &mut usize,
+) -> Vec<(Feature, &'a Record)> {
+    records
+        .sort_unstable_by_key(|(feature, record)| (std::cmp::Reverse(record.ends.len()), *feature));
+    if records.len() > max {
+        let rest = &mut records[max / 2..];
+        let turns = *rotation % rest.len();
+        rest.rotate_left(turns);
     }
+    records.truncate(max);
+    *rotation = rotation.wrapping_add(max.div_ceil(2));
+    records
 }
 
 /// The maximum number of times that the delay of a trial doubles: from a second up to 17
--- a/crates/dispatch/tests/dispatch/fleet/crash_part.rs
+++ b/crates/dispatch/tests/dispatch/fleet/crash_part.rs
@@ -52,6 +52,7 @@
         output: 100,
         output_hint: None,
         parts: parts.collect(),
+        ..Prompt::default()
     };
     move |when| Job {
         fingerprint,
@@ -159,3 +160,184 @@
         assert!(served >= 0.95, "customer {customer}: {served}");
     }
 }
+
+/// Guilty and sound requests of the same customer, and when a fleet must know the guilty ones.
+struct Figures {
+    /// The most times that one of the parts reached endpoints too late.
+    late: usize,
+    /// Endpoints crashed by the parts.
+    ends: usize,
+    /// The least share of a customer's requests that were served from six seconds after the start
+    /// of the requests that crash endpoints.
+    served: f64,
+}
+
+/// Runs seven hosts for 14 s, on which requests with `parts` parts crash endpoints.
+fn run_with_crashing(world: &mut World, parts: u64) -> Figures {
+    let nodes = all_nodes(world);
+    let span = Span::from_secs(14);
+    load_sound(world, 60, span, &nodes);
+    let begun = world.now;
+    for part in CRASHING_PART..CRASHING_PART + parts {
+        let every = Span(SECOND.0 * parts / 3);
+        load_crashing(world, part, every, Span::from_secs(13), &nodes);
+    }
+    world.run_for(span);
+    let from = begun + Span::from_secs(6);
+    let served =
+        (0..CUSTOMERS).map(|customer| share_served(world, customer, from, world.now - SECOND));
+    let late = (CRASHING_PART..CRASHING_PART + parts).map(|part| reached_too_late(world, part));
+    Figures {
+        late: late.max().unwrap_or(0),
+        ends: world.crashes.len(),
+        served: served.fold(1.0, f64::min),
+    }
+}
+
+/// No part is in all requests that crash endpoints, and the first part of their customer is in more
+/// of them than any that does.
+#[rstest]
+#[case::two(2, 12)]
+#[case::six(6, 36)]
+fn several_parts_that_crash_endpoints_are_told_from_the_one_that_they_share(
+    #[case] parts: u64,
+    #[case] max_ends: usize,
+) {
+    let mut world = World::start(small());
+    let figures = run_with_crashing(&mut world, parts);
+    assert!(figures.late <= MAX_LATE_ARRIVALS);
+    assert!(figures.ends <= max_ends, "{}", figures.ends);
+    assert!(figures.served >= 0.95, "{}", figures.served);
+}
+
+#[rstest]
+#[case::halves(|node| node % 2, 0.95)]
+#[case::single_nodes(|node| node, 0.5)]
+fn partitions_learn_a_part_and_lose_no_customer(#[case] part: fn(u16) -> u16, #[case] served: f64) {
+    let mut world = World::start(small());
+    world.partition_of = Some(part);
+    let figures = run_with_crashing(&mut world, 1);
+    assert!(figures.late <= MAX_LATE_ARRIVALS, "{}", figures.late);
+    assert!(figures.served >= served, "{}", figures.served);
+}
+
+/// The customer's first part is only ever seen with the part that crashes endpoints until a request
+/// without that part comes.
+#[test]
+fn a_part_that_came_only_with_a_crashing_one_is_not_barred_with_it() {
+    let mut world = World::start(small());
+    let nodes = all_nodes(&world);
+    load_crashing(
+        &mut world,
+        CRASHING_PART,
+        SECOND,
+        Span::from_secs(5),
+        &nodes,
+    );
+    world.run_for(Span::from_secs(6));
+    let ids = [first_part(AFFECTED), 0x777];
+    let what = Fingerprint(0x5_0000 + AFFECTED);
+    world.arrive(Span::ZERO, nodes[0], with_parts(what, &ids));
+    world.run_for(SECOND);
+    let mut outcomes = world.outcomes.values();
+    let outcome = outcomes.find(|one| one.fingerprint == what);
+    assert!(outcome.is_some_and(|one| one.whole));
+    assert!(world.crashes.len() <= CRASHES_TO_LEARN);
+}
+
+/// Two thirds of the endpoints end at once, four times, without any such part.
+#[test]
+fn no_customer_is_refused_because_many_endpoints_end_at_once() {
+    let mut world = World::start(small());
+    let nodes = all_nodes(&world);
+    load_sound(&mut world, 60, Span::from_secs(16), &nodes);
+    for turn in 0..4_u64 {
+        let endpoints = world.endpoints();
+        let ending = endpoints
+            .iter()
+            .enumerate()
+            .filter(|(number, _)| number % 3 != 0);
+        for (_, endpoint) in ending {
+            let name = format!("{}{}", endpoint.name, "-again".repeat(turn as usize));
+            let after = Span::from_millis(1_000 + 3_500 * turn);
+            world.end_endpoint(after, &woadstage_types::id::Endpoint::new(&name));
+        }
+    }
+    let begun = world.now;
+    world.run_for(Span::from_secs(16));
+    for customer in 0..CUSTOMERS {
+        let served = share_served(&world, customer, begun, world.now - SECOND);
+        assert!(served >= 0.95, "customer {customer}: {served}");
+    }
+    let barred = world.outcomes.values().filter(|one| one.barred).count();
+    assert!(barred <= 9, "{barred} of 960");
+}
+
+/// All nodes restart in two halves, so that no node that saw an end is left; then all at once.
+#[test]
+fn a_part_stays_barred_while_nodes_restart_in_turn_and_is_learnt_again_after_all_did() {
+    let mut world = World::start(small());
+    let nodes = all_nodes(&world);
+    let span = Span::from_secs(20);
+    load_sound(&mut world, 60, span, &nodes);
+    load_crashing(
+        &mut world,
+        CRASHING_PART,
+        Span::from_millis(333),
+        span,
+        &nodes,
+    );
+    world.run_for(Span::from_secs(4));
+    let learnt = world.crashes.len();
+    let (even, odd): (Vec<u16>, Vec<u16>) = nodes.iter().partition(|node| **node % 2 == 0);
+    for half in [&even, &odd] {
+        kill_for(&mut world, half, SECOND);
+        world.run_for(Span::from_secs(3));
+    }
+    let kept = world.crashes.len();
+    kill_for(&mut world, &nodes, SECOND);
+    world.run_for(Span::from_secs(6));
+    assert!(learnt <= CRASHES_TO_LEARN, "{learnt}");
+    assert!(kept <= learnt + MAX_LATE_ARRIVALS, "{kept}");
+    assert!(
+        world.crashes.len() <= kept + CRASHES_TO_LEARN,
+        "{}",
+        world.crashes.len()
+    );
+}
+
+/// Requests with 30 parts each, of which few were seen before: the nodes of a fleet of 414 tell
+/// each other of hundreds of features for each end.
+#[test]
+fn findings_on_many_parts_cost_a_large_fleet_little() {
+    let mut world = World::start(large());
+    let nodes = all_nodes(&world);
+    let span = Span::from_secs(3);
+    let mut send = |number: u64, base: u64, after: Span| {
+        let what = Fingerprint(base + number);
+        let mut ids: Vec<u64> = (0..30).map(|part| hash::chain(what.0, &[part])).collect();
+        if base == CRASHING_BASE {
+            world.crashing.insert(what);
+            ids[1] = CRASHING_PART;
+        }
+        let node = nodes[hash::chain(what.0, &[99]) as usize % nodes.len()];
+        world.arrive(after, node, with_parts(what, &ids));
+    };
+    for number in 0..1_200 {
+        send(number, 0, Span(span.0 * number / 1_200));
+    }
+    for number in 0..9 {
+        send(number, CRASHING_BASE, Span(span.0 * number / 9));
+    }
+    let before = world.findings_bytes;
+    world.run_for(span);
+    let part = quarantine::Feature::of_part(
+        woadstage_dispatch::endpoint::number_of(MODEL),
+        CRASHING_PART,
+    );
+    let knowing = world.nodes.values();
+    let knowing = knowing.filter(|node| node.is_barred(world.now, part));
+    assert_eq!(knowing.count(), nodes.len());
+    let each = (world.findings_bytes - before) as f64 / nodes.len() as f64 / span.as_secs_f64();
+    assert!(each <= 12_000.0, "{each}");
+}
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -625,7 +625,7 @@
                         .get_mut(&(node, job))
                         .expect("the request arrived");
                     outcome.refused = true;
-                    outcome.barred = refusal.code == Code::Barred;
+                    outcome.barred = matches!(refusal.code, Code::Barred | Code::PartBarred);
                     outcome.decided += 1;
                     if !self.return_forwarded(node, job) {
                         self.retry_refused(node, job, refusal);
--- a/crates/dispatch/tests/dispatch/quarantine.rs
+++ b/crates/dispatch/tests/dispatch/quarantine.rs
@@ -6,6 +6,8 @@
 use proptest::strategy::Strategy;
 use rstest::rstest;
 use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::quarantine::Attempt;
+use woadstage_dispatch::quarantine::Features;
 use woadstage_dispatch::quarantine::Finding;
 use woadstage_dispatch::quarantine::Options;
 use woadstage_dispatch::quarantine::Record;
@@ -55,10 +57,25 @@
     }
 }
 
+/// An attempt at a request that broke right after its start.
+fn attempt(what: Fingerprint, endpoint: u32) -> Attempt {
+    Attempt {
+        features: what.into(),
+        endpoint,
+        has_gone_on: false,
+    }
+}
+
+/// Records that a request was answered completely. Returns whether it had been charged.
+fn record_whole(registry: &mut Registry, now: Time, what: Fingerprint) -> bool {
+    let features = Features::from(what);
+    !registry.record_whole(now, features.iter()).is_empty()
+}
+
 /// Charges a request with the crashes of endpoints.
 fn charge(registry: &mut Registry, now: Time, what: Fingerprint, endpoints: &[u32]) {
     for endpoint in endpoints {
-        registry.record_broken(now, what, *endpoint);
+        registry.record_broken(now, attempt(what, *endpoint));
         registry.record_ended(now, *endpoint);
     }
 }
@@ -70,7 +87,7 @@
 #[test]
 fn attempts_broken_at_a_live_endpoint_are_not_charged() {
     let mut registry = Registry::new(Options::default());
-    registry.record_broken(at(0), ONE, 7);
+    registry.record_broken(at(0), attempt(ONE, 7));
     registry.record_alive(7);
     assert_eq!(registry.record_ended(at(1), 7), []);
     assert!(!registry.is_suspect(ONE));
@@ -79,10 +96,10 @@
 #[test]
 fn each_request_that_broke_at_a_crashed_endpoint_is_charged_once() {
     let mut registry = Registry::new(Options::default());
-    registry.record_broken(at(0), ONE, 7);
-    registry.record_broken(at(0), OTHER, 7);
-    registry.record_broken(at(1), ONE, 7);
-    assert_eq!(registry.record_ended(at(2), 7), [ONE, OTHER]);
+    registry.record_broken(at(0), attempt(ONE, 7));
+    registry.record_broken(at(0), attempt(OTHER, 7));
+    registry.record_broken(at(1), attempt(ONE, 7));
+    assert_eq!(registry.record_ended(at(2), 7), [ONE.into(), OTHER.into()]);
     assert_eq!(registry.record_ended(at(3), 7), []);
     assert_eq!((ends(&registry, ONE), ends(&registry, OTHER)), (1, 1));
 }
@@ -90,7 +107,7 @@
 #[test]
 fn a_broken_attempt_is_not_charged_with_a_much_later_crash() {
     let mut registry = Registry::new(Options::default());
-    registry.record_broken(at(0), ONE, 7);
+    registry.record_broken(at(0), attempt(ONE, 7));
     registry.expire(at(10_001));
     assert_eq!(registry.record_ended(at(10_002), 7), []);
 }
@@ -103,7 +120,7 @@
     for finding in one.findings(at(1)) {
         assert!(other.merge(at(1), &finding));
     }
-    assert!(other.record_whole(at(2), ONE));
+    assert!(record_whole(&mut other, at(2), ONE));
     for finding in other.findings(at(3)) {
         assert!(one.merge(at(3), &finding));
     }
@@ -111,7 +128,7 @@
     assert_eq!(one.digest(), other.digest());
     // A finding that arrives late restores nothing.
     let late = Finding {
-        fingerprint: ONE,
+        feature: ONE.into(),
         cleared: 0,
         ends: vec![1, 2, 3],
         trials: 0,
@@ -124,7 +141,7 @@
 #[test]
 fn a_request_answered_recently_counts_as_cleared() {
     let mut registry = Registry::new(Options::default());
-    registry.record_whole(at(0), ONE);
+    record_whole(&mut registry, at(0), ONE);
     charge(&mut registry, at(1), ONE, &[1]);
     assert!(
         registry
@@ -184,7 +201,7 @@
         assert_eq!(registry.digest(), 0);
         // Another node that forgets a moment later does not restore the record.
         let finding = Finding {
-            fingerprint: ONE,
+            feature: ONE.into(),
             cleared: 0,
             ends: vec![1],
             trials: 0,
@@ -200,7 +217,7 @@
     let mut one = Registry::new(Options::default());
     for number in 0..300_u32 {
         let what = Fingerprint(u64::from(number) + 10);
-        charge(&mut one, at(0), what, &[number]);
+        charge(&mut one, at(0), what, &[number, number + 1_000]);
     }
     let mut other = Registry::new(Options::default());
     let mut turns = 0;
--- a/crates/dispatch/tests/dispatch/suspect.rs
+++ b/crates/dispatch/tests/dispatch/suspect.rs
@@ -66,7 +66,7 @@
         crash_during(&mut dispatcher, at(millis + 100), id, &name);
     }
     let change = |ends, barred| Change {
-        fingerprint: SUSPECT,
+        feature: SUSPECT.into(),
         what: Evidence::Charged,
         ends,
         barred,
@@ -137,7 +137,7 @@
     dispatcher.enter(at(2), request(SUSPECT, at(2)));
     assert_eq!(starts(&mut dispatcher), []);
     let finding = woadstage_dispatch::quarantine::Finding {
-        fingerprint: SUSPECT,
+        feature: SUSPECT.into(),
         cleared: 0,
         ends: vec![1, 2],
         trials: 0,
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -38,8 +38,11 @@
 /// Messages as encoded by builds of the version that added tolerances.
 const TOLERANCES: &str = include_str!("14.hex");
 
+/// Messages as encoded by builds of the version that added software versions.
+const SOFTWARE: &str = include_str!("15.hex");
+
 /// Messages as encoded by this build.
-const CURRENT: &str = include_str!("15.hex");
+const CURRENT: &str = include_str!("16.hex");
 
 /// Returns the messages in a file, by name.
 fn samples_of(file: &str) -> HashMap<&str, Vec<u8>> {
@@ -128,7 +131,7 @@
         assert_eq!(
             extension,
             EraExtension {
-                protocol: 15,
+                protocol: 16,
                 era: 3
             }
         );
@@ -162,6 +165,11 @@
     message
 }
 
+/// Returns the message as the version with software versions wrote it.
+fn without_parts(message: Message) -> Message {
+    with_status(message, |status| status.protocol = Protocol::SOFTWARE)
+}
+
 /// Returns the message without what the version with tolerances lacks.
 fn without_software(mut message: Message) -> Message {
     if let Message::Lease(request) = &mut message {
@@ -234,6 +242,7 @@
 #[case::of_the_protocol_with_shared_admission(SHARED_ADMISSION, without_forwarding)]
 #[case::of_the_protocol_with_forwarding(FORWARDING, without_tolerances)]
 #[case::of_the_protocol_with_tolerances(TOLERANCES, without_software)]
+#[case::of_the_protocol_with_software_versions(SOFTWARE, without_parts)]
 #[case::of_this_build(CURRENT, |message| message)]
 fn datagrams_are_decoded(#[case] file: &str, #[case] expected: fn(Message) -> Message) {
     let stored = samples_of(file);
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -78,7 +78,7 @@
 
 fn finding() -> Finding {
     Finding {
-        fingerprint: Fingerprint(0xfeed_beef),
+        feature: Fingerprint(0xfeed_beef).into(),
         cleared: 1,
         ends: vec![7, 9],
         trials: 2,
@@ -197,6 +197,7 @@
                 id: 0x5c1e_07a2,
                 tokens: 800,
             }],
+            further_parts: Vec::new(),
         },
         tried: vec![1, 2],
         avoided: vec![3, 300],
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -310,28 +310,34 @@
         #[serde(skip_serializing_if = "str::is_empty")]
         passed_resting: &'a str,
     },
-    /// The record of a request during which endpoints crashed has changed.
+    /// The record of a feature of requests during which endpoints crashed has changed.
     Suspect {
-        /// The fingerprint of the request.
-        fingerprint: &'a str,
+        /// The feature: the fingerprint of a request, or a number for a part of prompts.
+        feature: &'a str,
+        /// Whether the feature is a `request` or a `part`.
+        kind: &'a str,
         /// What changed the record: `charged`, `heard`, `cleared` or `trial`.
         what: &'a str,
-        /// The number of endpoints that crashed while running the request since it was last
-        /// cleared.
+        /// The number of endpoints that crashed while running requests with the feature since it
+        /// was last cleared.
         ends: usize,
-        /// Whether the request is no longer run.
+        /// Whether requests with the feature are no longer run.
         barred: bool,
     },
-    /// A request was refused because endpoints crashed while running the same request.
+    /// A request was refused because endpoints crashed while running the same request, or others
+    /// with a part of its prompt.
     Barred {
         /// The caller's id of the request.
         request: &'a str,
-        /// The fingerprint of the request.
-        fingerprint: &'a str,
-        /// The number of endpoints that crashed while running the request since it was last
-        /// cleared.
+        /// The features for which it was refused, separated by commas.
+        features: &'a str,
+        /// The ids of the parts that these stand for, in hexadecimal, separated by commas.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        parts: &'a str,
+        /// The number of endpoints that crashed while running requests with these features since
+        /// they were last cleared.
         ends: usize,
-        /// The number of trials of the request since it was last cleared.
+        /// The number of trials since then.
         trials: u8,
     },
     /// An attempt ended.
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -206,11 +206,18 @@
 }
 
 fn barred_cause(barred: &Value) -> String {
+    let feature = match str_field(barred, "features") {
+        // In logs of earlier releases.
+        "" => str_field(barred, "fingerprint"),
+        features => features,
+    };
+    let what = match str_field(barred, "parts") {
+        "" => format!("what it asks for (fingerprint {feature})"),
+        parts => format!("prompts with part {parts} (feature {feature})"),
+    };
     format!(
-        "Refused: {} endpoints ended while they ran what it asks for (fingerprint {}), and it was tried {} times since.",
-        barred["ends"],
-        str_field(barred, "fingerprint"),
-        barred["trials"],
+        "Refused: {} endpoints ended while they ran {what}, and it was tried {} times since.",
+        barred["ends"], barred["trials"],
     )
 }
 
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -119,11 +119,14 @@
     pub fn to_prompt(&self, headers: &HeaderMap) -> Prompt {
         let (tokens, output) = self.to_tokens(headers).unwrap_or_default();
         let hint = text(headers, &self.output_hint);
+        let mut parts = text(headers, &self.parts).map_or_else(Vec::new, parse_parts);
+        let further_parts = parts.split_off(parts.len().min(MAX_CACHED_PARTS));
         Prompt {
             tokens,
             output,
             output_hint: hint.and_then(|hint| hint.trim().parse().ok()),
-            parts: text(headers, &self.parts).map_or_else(Vec::new, parse_parts),
+            parts,
+            further_parts: further_parts.into_iter().map(|part| part.id).collect(),
         }
     }
 
@@ -154,9 +157,11 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// The maximum number of parts of a prompt that are read. Later parts are never matched against
-/// cached prefixes.
-const MAX_PARTS: usize = 32;
+/// The maximum number of parts of a prompt that are read.
+const MAX_PARTS: usize = 512;
+
+/// The maximum number of parts that are matched against cached prefixes.
+const MAX_CACHED_PARTS: usize = 32;
 
 fn parse_parts(text: &str) -> Vec<Part> {
     let parts = text.split(',').take(MAX_PARTS).map_while(|part| {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -79,11 +79,13 @@
     pub sent_bytes: IntGaugeVec,
     /// The number of log lines dropped.
     pub dropped_log_lines: IntGauge,
-    /// The number of requests, by fingerprint, during which endpoints crashed since they were
-    /// last cleared.
-    pub suspect_fingerprints: IntGauge,
-    /// The number of these requests that are barred.
-    pub barred_fingerprints: IntGauge,
+    /// The number of features of requests during which endpoints crashed since they were last
+    /// cleared.
+    pub suspects: IntGauge,
+    /// The number of whole requests, by fingerprint, that are barred.
+    pub barred_requests: IntGauge,
+    /// The number of parts of prompts that are barred.
+    pub barred_parts: IntGauge,
     /// The counts of each service, such as waiting and running requests, usable endpoints and
     /// remaining retries, by kind.
     pub services: IntGaugeVec,
@@ -213,14 +215,18 @@
                 "What became known of requests that endpoints ended under, by kind.",
                 &["what"],
             )?,
-            suspect_fingerprints: gauge(
+            suspects: gauge(
                 "woadstage_suspects",
-                "Fingerprints of requests that endpoints ended under.",
+                "Fingerprints of requests, and parts of prompts, that endpoints ended under.",
             )?,
-            barred_fingerprints: gauge(
+            barred_requests: gauge(
                 "woadstage_barred",
                 "Fingerprints of requests that are not run any more.",
             )?,
+            barred_parts: gauge(
+                "woadstage_barred_parts",
+                "Parts of prompts that are not run any more.",
+            )?,
             held_requests: gauge("woadstage_held", "Requests held.")?,
             forwarded_requests: gauge(
                 "woadstage_forwarded_here",
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::quarantine::Feature;
 use woadstage_types::unit::Time;
 
 use crate::shell::Shell;
@@ -96,18 +96,21 @@
             .with_label_values(&labels)
             .set(nodes);
     }
-    let (suspects, barred) = shell.query(|dispatcher, now| {
+    let (suspects, barred, barred_parts) = shell.query(|dispatcher, now| {
         let suspects = dispatcher.quarantine().iter();
-        let suspects: Vec<Fingerprint> = suspects
+        let suspects: Vec<Feature> = suspects
             .filter(|(_, record)| !record.ends.is_empty())
-            .map(|(fingerprint, _)| fingerprint)
+            .map(|(feature, _)| feature)
             .collect();
         let barred = suspects.iter();
-        let barred = barred.filter(|fingerprint| dispatcher.is_barred(now, **fingerprint));
-        (suspects.len(), barred.count())
+        let barred = barred.filter(|feature| dispatcher.is_barred(now, **feature));
+        let (parts, whole): (Vec<&Feature>, Vec<&Feature>) =
+            barred.partition(|feature| feature.is_part());
+        (suspects.len(), whole.len(), parts.len())
     });
-    metrics.suspect_fingerprints.set(suspects as i64);
-    metrics.barred_fingerprints.set(barred as i64);
+    metrics.suspects.set(suspects as i64);
+    metrics.barred_requests.set(barred as i64);
+    metrics.barred_parts.set(barred_parts as i64);
     metrics
         .dropped_log_lines
         .set(shell.log.dropped_lines() as i64);
--- a/crates/gateway/src/serve/closing.rs
+++ b/crates/gateway/src/serve/closing.rs
@@ -66,5 +66,6 @@
         retry_after: Some(retry_after),
         wait: None,
         owner: None,
+        part: None,
     }
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -20,9 +20,9 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
-use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::History;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::quarantine::Features;
 use woadstage_types::code::Code;
 use woadstage_types::code::Outcome;
 use woadstage_types::id;
@@ -79,7 +79,8 @@
     pub(super) reset: Option<reset::Switch>,
     pub(super) head: Parts,
     pub(super) payload: Option<Payload>,
-    fingerprint: Option<Fingerprint>,
+    /// What the request has in common with others, once it is submitted.
+    features: Option<Features>,
     pub(super) since_first_try: Span,
     pub(super) job: Option<job::Id>,
     pub(super) decision: Option<oneshot::Receiver<Decision>>,
@@ -134,7 +135,7 @@
             in_progress: None,
             reset: None,
             payload: None,
-            fingerprint: None,
+            features: None,
             since_first_try: Span::ZERO,
             job: None,
             decision: None,
@@ -210,7 +211,7 @@
             forwarded_by: &record::node_name(self.forwarder_opt()),
             configuration: self.admitted.configuration_version,
         });
-        self.fingerprint = Some(fingerprint);
+        self.features = Some(Features::of(&job));
         let (job, decision) = shell.enter(job);
         self.job = Some(job);
         self.decision = Some(decision);
@@ -338,10 +339,21 @@
         if self.may_have_run {
             return Code::EndpointLost.into();
         }
-        if let Some(fingerprint) = self.fingerprint.filter(|_| reply.code == Code::Barred) {
-            record::barred(&self.shell, &self.admitted, fingerprint);
+        if !matches!(reply.code, Code::Barred | Code::PartBarred) {
+            return reply;
+        }
+        let bar = self.features.as_ref().and_then(|features| {
+            self.shell
+                .query(|dispatcher, now| dispatcher.bar_opt(now, features))
+        });
+        let Some(bar) = bar else {
+            return reply;
+        };
+        record::barred(&self.shell, &self.admitted, &bar);
+        Reply {
+            part: bar.part_ids.first().copied(),
+            ..reply
         }
-        reply
     }
 
     fn record_sent(
@@ -516,6 +528,7 @@
                 retry_after: Some(retry_after),
                 wait: None,
                 owner: None,
+                part: None,
             };
         }
         let is_late = self.shell.now() >= self.admitted.deadline;
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -212,6 +212,7 @@
         retry_after: code.is_transient().then(retry_after),
         wait: None,
         owner: None,
+        part: None,
     };
     let context = Context {
         request_id,
--- a/crates/gateway/src/serve/hop.rs
+++ b/crates/gateway/src/serve/hop.rs
@@ -98,6 +98,7 @@
             retry_after: retry_after_us.map(Span),
             wait: wait_us.map(Span),
             owner: Some(node),
+            part: None,
         })
     }
 
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddrV4;
 
 use woadstage_dispatch::dispatcher::Admission;
+use woadstage_dispatch::dispatcher::Bar;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::PassedOver;
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::dispatcher::TakeUp;
 use woadstage_dispatch::endpoint::Endpoint;
-use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::Part;
+use woadstage_dispatch::quarantine::Feature;
 use woadstage_types::id;
 use woadstage_types::unit::Time;
 
@@ -146,17 +147,17 @@
     });
 }
 
-/// Logs a request that is refused because endpoints crashed while running it.
-pub fn barred(shell: &Shell, admitted: &Admitted, fingerprint: Fingerprint) {
-    let (ends, trials) = shell.query(|dispatcher, _| {
-        let record = dispatcher.quarantine().get(fingerprint);
-        record.map_or((0, 0), |record| (record.ends.len(), record.trials))
-    });
+/// Logs a request that is refused because endpoints crashed while running the same request, or
+/// others with a part of its prompt.
+pub fn barred(shell: &Shell, admitted: &Admitted, bar: &Bar) {
+    let features: Vec<String> = bar.features.iter().map(Feature::to_string).collect();
+    let parts: Vec<String> = bar.part_ids.iter().map(|id| format!("{id:x}")).collect();
     shell.log(&Event::Barred {
         request: &admitted.request_id,
-        fingerprint: &fingerprint.to_string(),
-        ends,
-        trials,
+        features: &features.join(","),
+        parts: &parts.join(","),
+        ends: bar.ends,
+        trials: bar.trials,
     });
 }
 
--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -27,6 +27,8 @@
     pub wait: Option<Span>,
     /// The node that made the decision, if it was not this one.
     pub owner: Option<SocketAddrV4>,
+    /// The id of the part of the prompt for which the request was refused, if there is one.
+    pub part: Option<u64>,
 }
 
 impl From<Code> for Reply {
@@ -36,6 +38,7 @@
             retry_after: None,
             wait: None,
             owner: None,
+            part: None,
         }
     }
 }
@@ -47,6 +50,7 @@
             retry_after: refusal.retry_after,
             wait: refusal.wait,
             owner: refusal.owner,
+            part: None,
         }
     }
 }
@@ -57,11 +61,15 @@
         let Reply {
             code, retry_after, ..
         } = self;
-        let body = json!({ "error": {
+        let mut error = json!({
             "code": code.to_string(),
             "message": code.text(),
             "outcome": code.outcome().to_string(),
-        }});
+        });
+        if let Some(part) = self.part {
+            error["part"] = format!("{part:x}").into();
+        }
+        let body = json!({ "error": error });
         let body = Full::new(Bytes::from(body.to_string()));
         let body: Body = Box::pin(body.map_err(|never| match never {}));
         let mut response = Response::new(body);
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -284,7 +284,11 @@
         for change in changes {
             self.metrics.record_suspect_change(change.what);
             self.log(&Event::Suspect {
-                fingerprint: &change.fingerprint.to_string(),
+                feature: &change.feature.to_string(),
+                kind: match change.feature.is_part() {
+                    true => "part",
+                    false => "request",
+                },
                 what: change.what.as_str(),
                 ends: change.ends,
                 barred: change.barred,
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -121,6 +121,7 @@
     RegionClosed = 2012, 503, NotRun, "No endpoint is live in the regions where this request may run.";
     StreamUnknown = 2013, 503, NotRun, "No node knows which software version began the stream that this request takes up.";
     SoftwareGone = 2014, 503, NotRun, "No endpoint of the software version that began this stream is live.";
+    PartBarred = 2015, 503, NotRun, "Endpoints ended while they ran requests with a part of this prompt: it is not run again.";
 }
 
 impl Code {
@@ -131,7 +132,10 @@
 
     /// Whether a later attempt may succeed, so that the response carries `Retry-After`.
     pub fn is_transient(self) -> bool {
-        matches!(self.number(), 2001..=2008 | 2010 | 2011 | 2012 | 2014)
+        matches!(
+            self.number(),
+            2001..=2008 | 2010 | 2011 | 2012 | 2014 | 2015
+        )
     }
 }
 
