fix: an endpoint that resets a new connection while it opens has ended

Cause: whether the worker has ended is found out by a new connection, which is refused, or closed soon after it opened. A worker that ends has the kernel reset connections that it had not accepted; where the reset arrives before the connection counts as open, connecting fails with a reset, which was taken for no answer.

A reset now counts as well.

--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -107,7 +107,8 @@
     let opening = connect::open(endpoint.address);
     match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
         Ok(Ok(mut connection)) => is_closed(&mut connection).await,
-        Ok(Err(error)) => is_refusal(&error),
+        // A reset may arrive before the connection counts as open here.
+        Ok(Err(error)) => is_refusal(&error) || has_kind(&error, ErrorKind::ConnectionReset),
         Err(_) => false,
     }
 }
@@ -119,8 +120,12 @@
 }
 
 fn is_refusal(error: &anyhow::Error) -> bool {
+    has_kind(error, ErrorKind::ConnectionRefused)
+}
+
+fn has_kind(error: &anyhow::Error, kind: ErrorKind) -> bool {
     let error = error.downcast_ref::<std::io::Error>();
-    error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+    error.is_some_and(|error| error.kind() == kind)
 }
 
 /// Sends a health check over a new connection, which is kept if it can be reused. Without a path
--- a/crates/gateway/tests/gateway/ending.rs
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -1,9 +1,14 @@
 //! Answers that end with their connection or break off, as callers get them.
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rstest::rstest;
 use tokio::sync::Notify;
+use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_gateway::upstream::probe;
 
 use crate::support::Action;
 use crate::support::Caller;
@@ -14,6 +19,7 @@
 use crate::support::closing_head;
 use crate::support::field;
 use crate::support::run;
+use crate::support::to_endpoint;
 
 const WHOLE: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
 const BROKEN: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: pie";
@@ -228,3 +234,34 @@
         assert!(is_orderly && received.ends_with(WHOLE), "{received}");
     });
 }
+
+/// A new connection that reached an endpoint in its last moment is reset, before or after it counts
+/// as open here.
+#[test]
+fn an_endpoint_that_resets_new_connections_has_ended() {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let SocketAddr::V4(address) = listener.local_addr().expect("an address") else {
+        unreachable!("bound to IPv4");
+    };
+    let resetting = std::thread::spawn(move || {
+        for _ in 0..MAX_RESETS {
+            let (stream, _) = listener.accept().expect("a connection");
+            let linger = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            linger.expect("the socket is open");
+        }
+    });
+    run(move || async move {
+        let worker = Worker::start("e", vec![Action::NoAnswer]).await;
+        let endpoint = Endpoint {
+            address,
+            ..to_endpoint(&worker)
+        };
+        for number in 0..MAX_RESETS {
+            assert!(probe::has_ended(&endpoint).await, "{number}");
+        }
+    });
+    resetting.join().expect("the thread ends");
+}
+
+/// Enough connections that some are reset before they count as open.
+const MAX_RESETS: usize = 2_000;
