fix: requests bound to a version that is out of reach wait for 200 ms at most

Cause: a bound request is refused at once only if no endpoint of its version is listed. While it waits, the forecast takes it for one that others wait behind, and grows with its age. Evidence: the failing test, in which a request bound to a version whose only link is lost is still queued after half a second.

It is now refused as not run after 200 ms without a reachable endpoint of its version, with the usual time to come back; nodes that reach one are asked before that, as ever. Result: the test passes.

--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -11,6 +11,7 @@
 use crate::binding::Binding;
 use crate::job;
 use crate::job::Job;
+use crate::worker::Failure;
 use crate::worker::Worker;
 
 /// The interval between two rearrangements of cells.
@@ -20,6 +21,10 @@
 /// statuses of other nodes are no longer valid.
 const MIN_PROCESS_PAUSE: Span = Span::from_millis(1_500);
 
+/// How long a bound request waits while this node reaches no endpoint of its version. Longer waits
+/// would count in the forecasts of other requests, which those endpoints don't hold up.
+const MAX_UNREACHABLE_WAIT: Span = Span::from_millis(200);
+
 /// The state of the endpoints that may run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Availability {
@@ -114,7 +119,7 @@
     }
 
     /// Refuses requests that no endpoint can run: at once if endpoints are leaving and none is
-    /// live, otherwise after their objective.
+    /// live, otherwise after their objective. A bound request does not wait for as long.
     fn refuse_unservable(&mut self, now: Time, target: &id::Target) {
         let Some(pool) = self.pools.get(target) else {
             return;
@@ -123,7 +128,11 @@
         let unservable = pool.queue.iter().filter(|(_, job)| {
             let waited = now.since(job.arrived) > job.objective;
             match self.availability(pool, job) {
-                Availability::Live => false,
+                Availability::Live => {
+                    job.binding.is_bound()
+                        && now.since(job.arrived) > MAX_UNREACHABLE_WAIT
+                        && !self.reaches_any(now, pool, job)
+                }
                 Availability::Leaving => true,
                 Availability::Unavailable => waited || job.binding.is_bound(),
             }
@@ -167,6 +176,17 @@
         is_unservable.then(|| self.unservable_refusal(now, job, Span::ZERO))
     }
 
+    /// Whether this node reaches an endpoint that may run a request.
+    fn reaches_any(&self, now: Time, pool: &Pool, job: &Job) -> bool {
+        let mut workers = pool.workers.iter();
+        workers.any(|worker| {
+            let failure = worker.failure_opt(now, &self.options.worker);
+            worker.is_open()
+                && self.may_run_at(job, worker)
+                && failure != Some(Failure::Unreachable)
+        })
+    }
+
     /// Determines the state of the endpoints that may run a request. Those that a bound request was
     /// offered to don't count, since others of its version may never come.
     fn availability(&self, pool: &Pool, job: &Job) -> Availability {
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -16,6 +16,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::link::Probe;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Status;
 use woadstage_dispatch::protocol::Protocol;
@@ -226,6 +227,28 @@
     assert_eq!(others[0].1, "two");
 }
 
+/// Take-ups that waited for seconds made the forecast refuse new streams beside idle endpoints.
+#[test]
+fn a_request_whose_version_is_out_of_reach_does_not_wait_for_long() {
+    let mut dispatcher = dispatcher(&two_versions());
+    let one = engine("one", "1", "a");
+    assert!(dispatcher.probe_target_opt(at(0), &one).is_some());
+    dispatcher.record_probe(at(0), &one, Probe::Failed);
+    let bound = Job {
+        binding: Binding::Software(id::Software::new("1")),
+        ..stream(KEY, at(10))
+    };
+    dispatcher.enter(at(10), bound);
+    for millis in (20..=500).step_by(20) {
+        dispatcher.tick(at(millis));
+    }
+    let refused = refusals(&mut dispatcher);
+    assert_eq!(refused.len(), 1);
+    let (_, code, retry_after) = refused[0];
+    assert_eq!(code, Code::SoftwareGone);
+    assert!(retry_after.is_some());
+}
+
 /// Returns a dispatcher that hears of this many other nodes, of this protocol.
 fn with_peers(count: u8, protocol: Protocol) -> Dispatcher {
     let mut dispatcher = dispatcher(&two_versions());
