--- a/crates/dispatch/tests/dispatch/suspect.rs
+++ b/crates/dispatch/tests/dispatch/suspect.rs
@@ -7,10 +7,15 @@
 use woadstage_dispatch::dispatcher::Evidence;
 use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::endpoint::Endpoint;
+use woadstage_dispatch::endpoint::number_of;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::job::Part;
+use woadstage_dispatch::job::Prompt;
+use woadstage_dispatch::quarantine::Feature;
+use woadstage_dispatch::quarantine::Finding;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -136,7 +141,7 @@
     }
     dispatcher.enter(at(2), request(SUSPECT, at(2)));
     assert_eq!(starts(&mut dispatcher), []);
-    let finding = woadstage_dispatch::quarantine::Finding {
+    let finding = Finding {
         feature: SUSPECT.into(),
         cleared: 0,
         ends: vec![1, 2],
@@ -187,3 +192,60 @@
     dispatcher.set_endpoints(at(4_000), list(2, &left));
     assert!(dispatcher.quarantine().is_suspect(SUSPECT));
 }
+
+const PART: u64 = 0xbad;
+const COMPANION: u64 = 0x1;
+
+fn prompt(what: Fingerprint, arrived: Time, ids: &[u64]) -> Job {
+    let parts = ids.iter().map(|id| Part { id: *id, tokens: 1 });
+    Job {
+        prompt: Prompt {
+            parts: parts.collect(),
+            ..Prompt::default()
+        },
+        ..request(what, arrived)
+    }
+}
+
+fn finding(part: u64, ends: &[u32]) -> Finding {
+    Finding {
+        feature: Feature::of_part(number_of(MODEL), part),
+        cleared: 0,
+        ends: ends.to_vec(),
+        trials: 0,
+        age_s: 0,
+    }
+}
+
+#[test]
+fn a_waiting_prompt_is_refused_as_soon_as_one_of_its_parts_is_barred() {
+    let mut dispatcher = dispatcher(&[endpoint("e1", MODEL, 1)]);
+    send(&mut dispatcher, at(0), Fingerprint(20));
+    dispatcher.enter(at(2), prompt(SUSPECT, at(2), &[COMPANION, PART]));
+    dispatcher.enter(at(2), prompt(Fingerprint(8), at(2), &[COMPANION]));
+    dispatcher.take_findings(at(3), &[finding(PART, &[1, 2])]);
+    let refused = refusals(&mut dispatcher);
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1, Code::PartBarred);
+    assert_eq!(dispatcher.held(), 2);
+}
+
+/// Of two parts that are charged with the same crashes each may be the cause.
+#[test]
+fn parts_with_the_same_crashes_are_barred_only_together() {
+    let mut dispatcher = dispatcher(&endpoints());
+    let both = [finding(PART, &[1, 2]), finding(COMPANION, &[1, 2])];
+    dispatcher.take_findings(at(0), &both);
+    dispatcher.enter(at(1), prompt(SUSPECT, at(1), &[COMPANION, PART, 7]));
+    assert_eq!(refusals(&mut dispatcher)[0].1, Code::PartBarred);
+    for part in [COMPANION, PART] {
+        dispatcher.enter(at(2), prompt(Fingerprint(part), at(2), &[part]));
+        assert_eq!(starts(&mut dispatcher).len(), 1);
+    }
+    // Another crash tells them apart.
+    dispatcher.take_findings(at(3), &[finding(PART, &[1, 2, 3])]);
+    dispatcher.enter(at(4), prompt(Fingerprint(9), at(4), &[PART, 8]));
+    assert_eq!(refusals(&mut dispatcher)[0].1, Code::PartBarred);
+    dispatcher.enter(at(5), prompt(Fingerprint(10), at(5), &[COMPANION]));
+    assert_eq!(starts(&mut dispatcher).len(), 1);
+}
--- a/crates/gateway/tests/gateway/crash_part.rs
+++ b/crates/gateway/tests/gateway/crash_part.rs
@@ -1,9 +1,12 @@
 //! Prompts of which one part crashes the endpoints that begin to answer them, over sockets. The
 //! module docs of `fleet/crash_part.rs` in the tests of `woadstage-dispatch` describe the failure.
 
+use std::io::Cursor;
 use std::time::Duration;
 
 use rstest::rstest;
+use woadstage_gateway::explain;
+use woadstage_gateway::operators;
 
 use crate::support::Action;
 use crate::support::Caller;
@@ -111,3 +114,35 @@
         assert!(count_arrivals(&workers) <= MAX_ARRIVALS);
     });
 }
+
+#[test]
+fn logs_metrics_and_explanations_name_a_barred_part() {
+    run(|| async {
+        let (gateway, _workers) = start(Action::CrashOnPart, begun(true)).await;
+        for number in 0..2 {
+            let parts = format!("{CRASHING}:50,60{number}:50");
+            send(&gateway, &format!("id-{number}"), "/stream/x", &parts).await;
+            let ends = format!("\"ends\":{}", number + 1);
+            gateway
+                .wait_for_line(&["\"charged\"", "\"part\"", &ends])
+                .await;
+        }
+        let parts = format!("{CRASHING}:50,700:50");
+        let refused = send(&gateway, "id-last", "/stream/x", &parts).await;
+        assert!(refused.body.contains(CRASHING), "{}", refused.body);
+        gateway.wait_for_line(&["\"answered\"", "id-last"]).await;
+        let log = Cursor::new(gateway.lines.text());
+        let lines = explain::find(&mut [Box::new(log)], "id-last").expect("the log is readable");
+        let explanation = explain::cause(&lines);
+        let cause = format!("2 endpoints ended while they ran prompts with part {CRASHING}");
+        assert!(explanation.contains(&cause), "{explanation}");
+        let (_, text) = operators::metrics(&gateway.shell);
+        let text = String::from_utf8(text).expect("valid UTF-8");
+        for line in [
+            "woadstage_barred_parts 1",
+            "woadstage_answers_total{code=\"W2015\",route=\"stream\",status=\"503\"} 1",
+        ] {
+            assert!(text.contains(line), "{line}: {text}");
+        }
+    });
+}
