--- a/crates/dispatch/src/dispatcher/suspect.rs
+++ b/crates/dispatch/src/dispatcher/suspect.rs
@@ -374,7 +374,7 @@
 
     /// Whether a request has a feature that may have crashed an endpoint.
     pub(super) fn is_suspect(&self, job: &Job) -> bool {
-        self.quarantine.has_unexplained_suspect(&Features::of(job))
+        !self.quarantine.is_empty() && self.quarantine.has_unexplained_suspect(&Features::of(job))
     }
 
     /// Returns the constraints on placing a request, if it is a suspect. One that was
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -130,11 +130,6 @@
         self.whole.contains(&feature) || self.parts.contains_key(&feature)
     }
 
-    /// Iterates over all barred features.
-    pub fn iter(&self) -> impl Iterator<Item = Feature> + '_ {
-        self.whole.iter().chain(self.parts.keys()).copied()
-    }
-
     /// Whether barred features explain the crash of an endpoint.
     pub fn explains(&self, endpoint: u32) -> bool {
         self.explained.contains(&endpoint)
--- a/crates/dispatch/src/quarantine/registry.rs
+++ b/crates/dispatch/src/quarantine/registry.rs
@@ -127,10 +127,8 @@
 
     /// Whether any feature of a request is such a suspect.
     pub fn has_unexplained_suspect(&self, features: &Features) -> bool {
-        !self.records.is_empty()
-            && features
-                .iter()
-                .any(|feature| self.is_unexplained_suspect(feature))
+        let mut features = features.iter();
+        features.any(|feature| self.is_unexplained_suspect(feature))
     }
 
     /// Returns what is barred, as of the last [`Registry::refresh`]. `is_partitioned` tells whether
@@ -177,6 +175,11 @@
         self.digest
     }
 
+    /// Whether no endpoint crashed as far as is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Iterates over all records.
     pub fn iter(&self) -> impl Iterator<Item = (Feature, &Record)> + '_ {
         let records = self.records.iter();
