fix: accepted log lines name all parts of a prompt that can be barred

Cause: parts after the 32nd are read for the quarantine but were left out of the log, so that a refusal could name a part that no accepted line shows. Parts were also put together and written in hexadecimal in two places each; both stand once now (Prompt::part_ids, record::part_names).

Test: a part after forty others is logged and barred (sockets).

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -61,6 +61,14 @@
     pub further_parts: Vec<u64>,
 }
 
+impl Prompt {
+    /// Iterates over the ids of all parts, in order.
+    pub fn part_ids(&self) -> impl Iterator<Item = u64> + '_ {
+        let first = self.parts.iter().map(|part| part.id);
+        first.chain(self.further_parts.iter().copied())
+    }
+}
+
 /// A request to be run.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Job {
--- a/crates/dispatch/src/quarantine/feature.rs
+++ b/crates/dispatch/src/quarantine/feature.rs
@@ -76,8 +76,7 @@
     /// Returns the features of a request.
     pub fn of(job: &Job) -> Features {
         let service = endpoint::number_of(job.target.as_str());
-        let ids = job.prompt.parts.iter().map(|part| part.id);
-        let ids = ids.chain(job.prompt.further_parts.iter().copied());
+        let ids = job.prompt.part_ids();
         let mut parts: Vec<(Feature, u64)> =
             ids.map(|id| (Feature::of_part(service, id), id)).collect();
         parts.sort_unstable();
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -204,7 +204,7 @@
             returning: job.is_caller_retry(),
             prompt: job.prompt.tokens,
             output: job.prompt.output,
-            parts: &record::part_names(&job.prompt.parts),
+            parts: &record::part_names(job.prompt.part_ids()),
             resumes: text(&self.head.headers, &shell.headers.resumes).unwrap_or_default(),
             last_event: text(&self.head.headers, &shell.headers.last_event).unwrap_or_default(),
             quota: &self.charged_by.to_string(),
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -9,7 +9,6 @@
 use woadstage_dispatch::dispatcher::Reason;
 use woadstage_dispatch::dispatcher::TakeUp;
 use woadstage_dispatch::endpoint::Endpoint;
-use woadstage_dispatch::job::Part;
 use woadstage_dispatch::quarantine::Feature;
 use woadstage_types::id;
 use woadstage_types::unit::Time;
@@ -151,11 +150,10 @@
 /// others with a part of its prompt.
 pub fn barred(shell: &Shell, admitted: &Admitted, bar: &Bar) {
     let features: Vec<String> = bar.features.iter().map(Feature::to_string).collect();
-    let parts: Vec<String> = bar.part_ids.iter().map(|id| format!("{id:x}")).collect();
     shell.log(&Event::Barred {
         request: &admitted.request_id,
         features: &features.join(","),
-        parts: &parts.join(","),
+        parts: &part_names(bar.part_ids.iter().copied()),
         ends: bar.ends,
         trials: bar.trials,
     });
@@ -217,8 +215,8 @@
 }
 
 /// Formats the parts of a prompt for the log, as their ids in hexadecimal.
-pub fn part_names(parts: &[Part]) -> String {
-    let names: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+pub fn part_names(ids: impl Iterator<Item = u64>) -> String {
+    let names: Vec<String> = ids.map(|id| format!("{id:x}")).collect();
     names.join(",")
 }
 
--- a/crates/gateway/tests/gateway/crash_part.rs
+++ b/crates/gateway/tests/gateway/crash_part.rs
@@ -146,3 +146,34 @@
         }
     });
 }
+
+/// More parts than are matched against cached prefixes.
+#[test]
+fn a_part_far_back_in_prompts_is_logged_and_barred() {
+    run(|| async {
+        let (gateway, _workers) = start(Action::CrashOnPart, begun(true)).await;
+        let prompt = |number: u32| {
+            let first: String = (0..40)
+                .map(|part| format!("{number}a{part:x}:5,"))
+                .collect();
+            format!("{first}{CRASHING}:50")
+        };
+        for number in 0..2 {
+            send(
+                &gateway,
+                &format!("id-{number}"),
+                "/stream/x",
+                &prompt(number),
+            )
+            .await;
+            let ends = format!("\"ends\":{}", number + 1);
+            gateway
+                .wait_for_line(&["\"charged\"", "\"part\"", &ends])
+                .await;
+        }
+        let refused = send(&gateway, "id-last", "/stream/x", &prompt(2)).await;
+        assert!(refused.body.contains("W2015"), "{}", refused.body);
+        let accepted = gateway.wait_for_line(&["\"accepted\"", "id-last"]).await;
+        assert!(accepted.contains(&format!(",{CRASHING}\"")), "{accepted}");
+    });
+}
