docs: comments of the quarantine that stopped a newcomer

A comment told how a time was measured, which belongs to docs/incidents; two fields had no comment, one wording needed a second reading, one line was too long. No code changes.

--- a/crates/dispatch/src/dispatcher/suspect.rs
+++ b/crates/dispatch/src/dispatcher/suspect.rs
@@ -34,8 +34,7 @@
 const SUSPECT_NEIGHBOUR_COST_US: f64 = 300_000.0;
 
 /// How long after its start a request may still crash its endpoint, and how long after its first
-/// event its answer shows that the parts of its prompt are harmless. In the logs of fourteen crashes
-/// it took at most 0.75 s.
+/// event its answer shows that the parts of its prompt are harmless.
 const CRASH_WINDOW: Span = Span::from_secs(1);
 
 /// The retry delay for a request that gets no further trial: by then the endpoints may be
--- a/crates/dispatch/src/quarantine/mod.rs
+++ b/crates/dispatch/src/quarantine/mod.rs
@@ -50,8 +50,8 @@
     /// How long a part that was cleared before is not barred although it has enough charges.
     /// Meanwhile a complete answer from another endpoint may clear it again.
     pub settle_time: Span,
-    /// The threshold for a whole request while this node receives statuses from less than half of the nodes
-    /// that it knows. Each partition of a fleet loses endpoints of its own, so a higher
+    /// The threshold for a whole request while this node receives statuses from less than half
+    /// of the nodes that it knows. Each partition of a fleet loses endpoints of its own, so a higher
     /// threshold costs it many more of them.
     pub partitioned_bar_threshold: usize,
     /// The time from the last crash until a barred request gets a trial, in case it is
--- a/crates/dispatch/src/quarantine/record.rs
+++ b/crates/dispatch/src/quarantine/record.rs
@@ -99,7 +99,7 @@
     }
 
     /// Whether all nodes should know the record, even those that missed its announcement. Most
-    /// features are charged with one crash, beside which they ran.
+    /// features with a single crash only ran beside what caused it.
     pub fn is_significant(&self) -> bool {
         self.ends.len() > 1 || self.trials > 0
     }
--- a/crates/dispatch/src/quarantine/registry.rs
+++ b/crates/dispatch/src/quarantine/registry.rs
@@ -68,9 +68,11 @@
     status_rotation: usize,
     /// What is barred while this node hears at least half of the fleet, and while it doesn't.
     attributions: [Attribution; 2],
+    /// Parts that are not barred yet because a complete answer may still clear them.
     settling: Settling,
     /// Whether records changed since the attributions were computed.
     is_outdated: bool,
+    /// When they were last computed, or found up to date.
     refreshed_at: Time,
 }
 
