review: stand-ins keep their slots when a write fails, and signal by the shell

Cause: a worker that could not write a spoiled answer never freed its slot, and `kill` as a program of its own may be missing on another machine.

Change: such writes may fail; signals are sent by the shell's own `kill`.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -42,9 +42,11 @@
 
     /// Sends a signal.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let id = self.0.id().to_string();
-        Command::new("kill").args(["-s", name, &id]).status()?;
-        Ok(())
+        let command = format!("kill -s {name} {}", self.0.id());
+        match Command::new("sh").args(["-c", &command]).status()? {
+            status if status.success() => Ok(()),
+            status => Err(io::Error::other(format!("{command}: {status}"))),
+        }
     }
 
     /// Kills the process and waits for its end.
--- a/review/standin/service.rs
+++ b/review/standin/service.rs
@@ -142,7 +142,8 @@
             self.log(&format!(
                 "sends the rejection once more, before it answers {attempt}"
             ))?;
-            writer.write_all(answer.as_bytes())?;
+            // The work goes on, whether or not the other side still reads.
+            let _ = writer.write_all(answer.as_bytes());
         }
         self.work(attempt, writer)?;
         self.leave();
@@ -171,7 +172,7 @@
             if std::mem::take(&mut state.spoils_next) {
                 drop(state);
                 self.log(&format!("sends bytes that form no answer to {attempt}"))?;
-                writer.write_all(b"HTTP/1.1 OK\r\n\r\n")?;
+                let _ = writer.write_all(b"HTTP/1.1 OK\r\n\r\n");
                 state = self.state.lock().expect("the state");
             }
         }
