feat: log what each node answered that was asked about a stream

`taken-up` named who knew which software began a stream, but not what the others said, so that a refusal (W2013) could mean that nobody was told, that those who were told have forgotten it, or that they did not answer in time.

`taken-up` now lists the nodes that were asked, each with its answer and for how long its present start has been heard; `explain` prints them.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -142,6 +142,19 @@
     Several,
 }
 
+impl Answer {
+    /// The name used in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Answer::Known { .. } => "record",
+            Answer::Sole(_) => "sole",
+            Answer::Unknown => "unknown",
+            Answer::Disputed => "disputed",
+            Answer::Several => "several",
+        }
+    }
+}
+
 /// The maximum number of records. Beyond it those that expire first are dropped, and their streams
 /// can't be taken up.
 const MAX_RECORDS: usize = 65_536;
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -151,6 +151,7 @@
 pub use suspect::Bar;
 pub use suspect::Change;
 pub use suspect::Evidence;
+pub use take_up::Asked;
 use take_up::Inquiry;
 pub use take_up::Source;
 pub use take_up::TakeUp;
--- a/crates/dispatch/src/dispatcher/take_up.rs
+++ b/crates/dispatch/src/dispatcher/take_up.rs
@@ -47,8 +47,8 @@
     began: Time,
     sent: Time,
     rounds: u32,
-    /// The nodes that have not answered.
-    silent: Vec<SocketAddrV4>,
+    /// The nodes that were asked.
+    asked: Vec<Asked>,
     /// How the version that served alone was learnt from a node without a record, this one or another.
     sole: Option<(Source, id::Software)>,
     /// Whether a node saw several versions, so that none may be taken for the only one.
@@ -99,6 +99,17 @@
     }
 }
 
+/// A node that was asked which version began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Asked {
+    /// Its address.
+    pub node: SocketAddrV4,
+    /// What it answered; none if it was not waited for, or did not answer in time.
+    pub answer: Option<Answer>,
+    /// How long this node has heard its current incarnation.
+    pub heard_for: Span,
+}
+
 /// What came of finding out the version that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakeUp {
@@ -110,6 +121,8 @@
     pub age: Option<Span>,
     /// How long it took.
     pub took: Span,
+    /// The nodes that were asked.
+    pub asked: Vec<Asked>,
 }
 
 impl Dispatcher {
@@ -129,7 +142,14 @@
             let software = found.software.filter(|_| found.service == service);
             let source = software.as_ref().map_or(Source::Disputed, |_| Source::Own);
             job.binding = Binding::to(software.as_ref());
-            self.finish_take_up(now, id, job, source, Some(found.age), Span::ZERO);
+            let take_up = TakeUp {
+                software,
+                source,
+                age: Some(found.age),
+                took: Span::ZERO,
+                asked: Vec::new(),
+            };
+            self.finish_take_up(now, id, job, take_up);
             return;
         }
         let lifetime = self.lifetime(pool, job.deadline.since(now));
@@ -140,8 +160,13 @@
             true => MAX_ALL_ASKED,
             false => ASKED,
         };
-        let silent = self.members.keepers(now, key.0, asked);
-        let silent: Vec<SocketAddrV4> = silent.into_iter().map(|keeper| keeper.node).collect();
+        let asked = self.members.keepers(now, key.0, asked).into_iter();
+        let asked = asked.map(|keeper| Asked {
+            node: keeper.node,
+            answer: None,
+            heard_for: self.members.heard_for(now, keeper.node),
+        });
+        let asked = asked.collect();
         self.next_inquiry += 1;
         self.targets.insert(id, job.target.clone());
         let inquiry = Inquiry {
@@ -152,7 +177,7 @@
             began: now,
             sent: now,
             rounds: 0,
-            silent,
+            asked,
             is_mixed: served == Served::Several,
             sole: match served {
                 Served::Sole(software) => Some((Source::Sole, software)),
@@ -177,32 +202,18 @@
             service: pool.map_or(0, |pool| pool.number),
             lifetime: inquiry.lifetime,
         };
-        for node in &inquiry.silent {
+        for asked in inquiry.asked.iter().filter(|one| one.answer.is_none()) {
             self.outbox
-                .push((*node, Message::BindingQuestion(question)));
+                .push((asked.node, Message::BindingQuestion(question)));
         }
     }
 
     /// Submits a request whose binding is settled, or refuses it if nobody knows what began its
     /// stream.
-    fn finish_take_up(
-        &mut self,
-        now: Time,
-        id: job::Id,
-        job: Job,
-        source: Source,
-        age: Option<Span>,
-        took: Span,
-    ) {
-        let software = job.binding.software_opt().cloned();
-        let take_up = TakeUp {
-            software: software.clone(),
-            source,
-            age,
-            took,
-        };
+    fn finish_take_up(&mut self, now: Time, id: job::Id, job: Job, take_up: TakeUp) {
+        let (is_known, source) = (take_up.software.is_some(), take_up.source);
         self.take_ups.insert(id, take_up);
-        if software.is_some() {
+        if is_known {
             self.submit(now, id, job);
             return;
         }
@@ -234,7 +245,10 @@
             return;
         };
         let id = *id;
-        inquiry.silent.retain(|node| *node != from);
+        let mut asked = inquiry.asked.iter_mut();
+        if let Some(asked) = asked.find(|asked| asked.node == from) {
+            asked.answer = Some(reply.answer.clone());
+        }
         match reply.answer {
             Answer::Known { software, age } => {
                 self.end_inquiry(now, id, Source::Node(from), Some(software), Some(age));
@@ -258,7 +272,7 @@
     /// node that saw one version alone, so that all are waited for.
     fn end_answered_inquiry(&mut self, now: Time, id: job::Id) {
         let inquiry = self.inquiries.get(&id);
-        if inquiry.is_some_and(|inquiry| inquiry.silent.is_empty()) {
+        if inquiry.is_some_and(|inquiry| inquiry.asked.iter().all(|one| one.answer.is_some())) {
             self.end_inquiry_without_record(now, id, Source::Nobody);
         }
     }
@@ -284,7 +298,14 @@
         };
         let mut job = inquiry.job;
         job.binding = Binding::to(software.as_ref());
-        self.finish_take_up(now, id, job, source, age, now.since(inquiry.began));
+        let take_up = TakeUp {
+            software,
+            source,
+            age,
+            took: now.since(inquiry.began),
+            asked: inquiry.asked,
+        };
+        self.finish_take_up(now, id, job, take_up);
     }
 
     /// Repeats unanswered questions, and gives up those that stay unanswered.
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -368,6 +368,12 @@
         live.map(|member| member.status.incarnation)
     }
 
+    /// Returns how long this node has heard another node's current incarnation.
+    pub fn heard_for(&self, now: Time, address: SocketAddrV4) -> Span {
+        let joined = self.peers.get(&address).and_then(|member| member.joined);
+        joined.map_or(Span::ZERO, |joined| now.since(joined))
+    }
+
     /// Returns the number of requests that wait for a service on another node, by its latest
     /// status.
     pub fn waiting_at(&self, address: SocketAddrV4, service: u32) -> usize {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -214,6 +214,10 @@
         age_ms: Option<u64>,
         /// How long it took in milliseconds.
         after_ms: u64,
+        /// The nodes that were asked, each with its answer (`record`, `sole`, `several`, `unknown`,
+        /// `disputed`, `none`) and for how many milliseconds its current start has been heard.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        asked: &'a str,
     },
     /// A request matched no route, or its key belongs to no customer.
     Unmatched {
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -155,7 +155,11 @@
         (software, "node") => format!("software {software} began it, by another node's record"),
         (software, _) => format!("only software {software} had served"),
     };
-    format!(" It took up {began} after event {last}: {known}.")
+    let asked = match str_field(event, "asked") {
+        "" => String::new(),
+        asked => format!(" (asked: {asked})"),
+    };
+    format!(" It took up {began} after event {last}: {known}{asked}.")
 }
 
 /// Returns a sentence that describes a forward to another node.
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddrV4;
 
+use woadstage_dispatch::binding::Answer;
 use woadstage_dispatch::dispatcher::Admission;
+use woadstage_dispatch::dispatcher::Asked;
 use woadstage_dispatch::dispatcher::Bar;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::PassedOver;
@@ -143,9 +145,20 @@
         node: &node_name(take_up.source.node_opt()),
         age_ms: take_up.age.map(|age| age.0 / 1_000),
         after_ms: take_up.took.0 / 1_000,
+        asked: &asked_names(&take_up.asked),
     });
 }
 
+/// Formats the nodes that were asked about a stream for the log.
+fn asked_names(asked: &[Asked]) -> String {
+    let names = asked.iter().map(|asked| {
+        let answer = asked.answer.as_ref().map_or("none", Answer::as_str);
+        let heard_ms = asked.heard_for.0 / 1_000;
+        format!("{}={answer} ({heard_ms} ms)", asked.node)
+    });
+    names.collect::<Vec<_>>().join(", ")
+}
+
 /// Logs a request that is refused because endpoints crashed while running the same request, or
 /// others with a part of its prompt.
 pub fn barred(shell: &Shell, admitted: &Admitted, bar: &Bar) {
--- a/crates/gateway/tests/gateway/explain.rs
+++ b/crates/gateway/tests/gateway/explain.rs
@@ -205,7 +205,7 @@
     ];
     let other = [
         r#"{"time_ms":6,"event":"accepted","request":"again","resumes":"r","last_event":"3"}"#,
-        r#"{"time_ms":6,"event":"taken-up","request":"again","resumes":"r","last_event":"3","software":"v2","source":"node"}"#,
+        r#"{"time_ms":6,"event":"taken-up","request":"again","resumes":"r","last_event":"3","software":"v2","source":"node","asked":"10.0.0.2:7600=record (90 ms)"}"#,
         r#"{"time_ms":8,"event":"answered","request":"again","status":200,"code":"","after_ms":2}"#,
         r#"{"time_ms":9,"event":"accepted","request":"other","resumes":"x","last_event":"3"}"#,
     ];
@@ -237,7 +237,7 @@
         text.ends_with(
             "The requests of its caller for the same stream:\n\
              r: The answer broke off after it had begun: connection reset.\n\
-             again: An endpoint answered 200; the answer was whole after 2 ms. It took up the stream of r after event 3: software v2 began it, by another node's record.\n"
+             again: An endpoint answered 200; the answer was whole after 2 ms. It took up the stream of r after event 3: software v2 began it, by another node's record (asked: 10.0.0.2:7600=record (90 ms)).\n"
         ),
         "{text}"
     );
