fix: keepers are told of every stream, whatever versions a node knows of

Cause: a node that had seen one version alone for longer than a stream lasts kept the record of each stream to itself, and relied on the others to know the same without one. They don't if they started since, as after a rolling restart, nor if another version is listed once the node is gone, since they can't tell when the stream began. The node has no way to learn either.

Ruled out: that keepers were told and forgot it, or answered too late. All that lived answered within the time, had run since before the stream began, and had no record (`asked` in `taken-up`).

Now the node that passes on a stream's first event tells its keepers in any case. It tells one more while some stay silent, looks for keepers that are gone every 250 ms, and ranks nodes anew only once one of them is gone or another node joined. A node that is stopping passes on what it is told, and no record is confirmed that was dropped for want of room.

`binding::origin_lost` plays seven orders of events at the other nodes (none, stopped or killed in turn or together, before or while the streams run, another version listed after the loss), three ways to lose the node, 6 and 30 nodes.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -3,7 +3,9 @@
 //! What two versions write into one stream doesn't fit together, so a stream whose first event was
 //! passed on goes on only at endpoints of the version that wrote it. A caller may take a stream up
 //! at any node. The node that passed on its first event therefore tells a few others, its keepers,
-//! which a hash of the stream's key selects, so that a node without a record knows whom to ask.
+//! which a hash of the stream's key selects, so that a node without a record knows whom to ask. It
+//! does so whatever versions it knows of: those that the others will know of when they are asked is
+//! out of its sight.
 //!
 //! Records are lost with the nodes that hold them. A stream of which nobody holds a record is not
 //! resumed, unless one version alone has served for longer than any stream lasts.
@@ -169,7 +171,16 @@
 const RESEND_INTERVAL: Span = Span::from_millis(100);
 
 /// The interval at which a record that all keepers confirmed is checked for keepers that are gone.
-const CHECK_INTERVAL: Span = Span::from_millis(500);
+const CHECK_INTERVAL: Span = Span::from_millis(250);
+
+/// The number of nodes that keep a record.
+pub const KEEPERS: usize = 3;
+
+/// The maximum number of nodes that are told of a record, as some may be silent.
+pub const MAX_TOLD: usize = 2 * KEEPERS;
+
+/// The number of times that keepers are told before one more node is.
+const ROUNDS_BEFORE_ANOTHER: usize = 3;
 
 /// One start of a node that keeps a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -193,16 +204,37 @@
     is_own: bool,
     /// The keepers that confirmed it.
     confirmed: Vec<Keeper>,
+    /// How often keepers were told since all had confirmed it.
+    rounds: usize,
+    /// When all keepers were last found to have confirmed it.
+    complete: Option<Time>,
     /// When the keepers are to be checked.
     due: Time,
 }
 
+impl Record {
+    /// Returns the keepers that have not confirmed it, none if enough nodes did.
+    fn find_missing(&self, rank: impl FnOnce(usize) -> Vec<Keeper>) -> Vec<SocketAddrV4> {
+        let wanted = KEEPERS + self.rounds / ROUNDS_BEFORE_ANOTHER;
+        let keepers = rank(wanted.min(MAX_TOLD));
+        let (confirmed, missing): (Vec<Keeper>, Vec<Keeper>) = keepers
+            .into_iter()
+            .partition(|keeper| self.confirmed.contains(keeper));
+        match confirmed.len() >= KEEPERS {
+            true => Vec::new(),
+            false => missing.into_iter().map(|keeper| keeper.node).collect(),
+        }
+    }
+}
+
 /// The records of one node.
 #[derive(Debug, Default)]
 pub struct Registry {
     records: HashMap<Key, Record>,
     expiries: BTreeSet<(Time, Key)>,
     due: BTreeSet<(Time, Key)>,
+    /// When a node last joined, which may be a keeper from then on.
+    joined: Time,
 }
 
 /// What a record states.
@@ -227,11 +259,17 @@
         self.set_due(stream.key, now);
     }
 
-    /// Records what another node states.
-    pub fn record_stated(&mut self, now: Time, statement: &Statement) {
+    /// Records what another node states. Returns false if there is no room for it.
+    pub fn record_stated(&mut self, now: Time, statement: &Statement) -> bool {
         let expires = now + statement.valid_for.min(MAX_VALIDITY);
         let Statement { key, service, .. } = *statement;
         self.record(now, key, service, &statement.software, expires);
+        self.records.contains_key(&key)
+    }
+
+    /// Records that a node joined, or started again.
+    pub fn record_joined(&mut self, now: Time) {
+        self.joined = now;
     }
 
     fn record(
@@ -250,6 +288,8 @@
             is_disputed: false,
             is_own: false,
             confirmed: Vec::new(),
+            rounds: 0,
+            complete: None,
             due: Time(0),
         });
         record.is_disputed |= record.software != *software || record.service != service;
@@ -297,26 +337,20 @@
         self.records.is_empty()
     }
 
-    /// Has the keepers of this node's own records of a service checked at once.
-    pub fn check_service(&mut self, now: Time, service: u32) {
-        self.check_all(now, |record| record.is_own && record.service == service);
-    }
-
     /// Has the keepers of all records checked at once, as this node is leaving.
     pub fn hand_over(&mut self, now: Time) {
-        for record in self.records.values_mut() {
-            record.is_own = true;
+        let keys: Vec<Key> = self.records.keys().copied().collect();
+        for key in keys {
+            self.take_over(now, key);
         }
-        self.check_all(now, |_| true);
     }
 
-    fn check_all(&mut self, now: Time, is_meant: impl Fn(&Record) -> bool) {
-        let records = self.records.iter();
-        let keys = records.filter(|(_, record)| is_meant(record));
-        let keys: Vec<Key> = keys.map(|(key, _)| *key).collect();
-        for key in keys {
-            self.set_due(key, now);
+    /// Has this node tell keepers of a record as if it were its own.
+    pub fn take_over(&mut self, now: Time, key: Key) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.is_own = true;
         }
+        self.set_due(key, now);
     }
 
     fn set_due(&mut self, key: Key, at: Time) {
@@ -327,47 +361,53 @@
         }
     }
 
-    /// Takes the keys of this node's own records whose keepers are to be checked, with the numbers
-    /// of their services.
-    pub fn take_due(&mut self, now: Time) -> Vec<(Key, u32)> {
+    /// Takes the keys of this node's own records whose keepers are to be checked.
+    pub fn take_due(&mut self, now: Time) -> Vec<Key> {
         let mut taken = Vec::new();
         while let Some((at, key)) = self.due.first().copied()
             && at <= now
         {
             self.due.pop_first();
-            if let Some(record) = self.records.get(&key) {
-                taken.push((key, record.service));
-            }
+            taken.push(key);
         }
         taken
     }
 
-    /// Returns what to state of a stream, and to which of these keepers, which have not confirmed it.
-    /// Has them checked again later.
+    /// Returns what to state of a stream, and to which keepers: those of the first nodes that `rank`
+    /// returns which have not confirmed it. Has them checked again later. `is_live` tells whether a
+    /// keeper still runs, and stays.
     pub fn state(
         &mut self,
         now: Time,
         key: Key,
-        keepers: &[Keeper],
+        is_live: impl Fn(&Keeper) -> bool,
+        rank: impl FnOnce(usize) -> Vec<Keeper>,
     ) -> Option<(Statement, Vec<SocketAddrV4>)> {
-        let record = self.records.get(&key)?;
-        let missing = keepers
-            .iter()
-            .filter(|keeper| !record.confirmed.contains(keeper));
-        let missing: Vec<SocketAddrV4> = missing.map(|keeper| keeper.node).collect();
+        let joined = self.joined;
+        let record = self.records.get_mut(&key)?;
+        let confirmed = record.confirmed.len();
+        record.confirmed.retain(is_live);
+        let is_complete = record.confirmed.len() == confirmed
+            && record.complete.is_some_and(|complete| complete > joined);
+        let missing = match is_complete || record.is_disputed {
+            true => Vec::new(),
+            false => record.find_missing(rank),
+        };
+        if missing.is_empty() {
+            record.complete = Some(now);
+            record.rounds = 0;
+            self.set_due(key, now + CHECK_INTERVAL);
+            return None;
+        }
+        record.rounds += 1;
         let statement = Statement {
             key,
             service: record.service,
             software: record.software.clone(),
             valid_for: record.expires.since(now),
         };
-        let is_stated = !missing.is_empty() && !record.is_disputed;
-        let interval = match is_stated {
-            true => RESEND_INTERVAL,
-            false => CHECK_INTERVAL,
-        };
-        self.set_due(key, now + interval);
-        is_stated.then_some((statement, missing))
+        self.set_due(key, now + RESEND_INTERVAL);
+        Some((statement, missing))
     }
 
     /// Records that a keeper confirmed records.
--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -17,9 +17,6 @@
 use crate::job::Job;
 use crate::message::Message;
 
-/// The number of nodes that keep a record.
-pub(super) const KEEPERS: usize = 3;
-
 /// The maximum number of statements in a datagram.
 const MAX_STATEMENTS: usize = 20;
 
@@ -74,13 +71,23 @@
         self.state_bindings(now);
     }
 
-    /// Keeps what another node states of its streams, and confirms it.
+    /// Keeps what another node states of its streams, and confirms it. A node that is leaving passes
+    /// it on to those that stay.
     pub fn receive_bindings(&mut self, now: Time, from: SocketAddrV4, statements: &[Statement]) {
+        let mut kept = Vec::new();
         for statement in statements {
-            self.bindings.record_stated(now, statement);
+            if self.bindings.record_stated(now, statement) {
+                kept.push(statement.key);
+            }
+        }
+        if self.leaving {
+            for key in kept {
+                self.bindings.take_over(now, key);
+            }
+            self.state_bindings(now);
+            return;
         }
-        let keys = statements.iter().map(|statement| statement.key).collect();
-        self.outbox.push((from, Message::BindingsKept(keys)));
+        self.outbox.push((from, Message::BindingsKept(kept)));
     }
 
     /// Records that a keeper confirmed what this node stated.
@@ -94,24 +101,20 @@
         }
     }
 
-    /// Tells keepers of the streams of services in which several versions serve, or may have served
-    /// since the streams began. A node that is leaving tells them of all its records.
+    /// Tells keepers of this node's own streams. A node that is leaving tells them of all that it
+    /// keeps.
     pub(super) fn state_bindings(&mut self, now: Time) {
         self.bindings.expire(now);
-        let due = self.bindings.take_due(now);
-        let mut mixed: HashMap<u32, bool> = HashMap::new();
+        let members = &self.members;
         let mut statements: HashMap<SocketAddrV4, Vec<Statement>> = HashMap::new();
-        for (key, service) in due {
-            let is_mixed = mixed.entry(service);
-            let is_mixed = *is_mixed.or_insert_with(|| self.is_mixed(now, service));
-            let keepers = match self.leaving || is_mixed {
-                true => self.members.keepers(now, key.0, KEEPERS),
-                false => Vec::new(),
+        for key in self.bindings.take_due(now) {
+            let is_live = |keeper: &Keeper| members.is_keeper(now, keeper);
+            let rank = |count| members.keepers(now, key.0, count);
+            let Some((statement, nodes)) = self.bindings.state(now, key, is_live, rank) else {
+                continue;
             };
-            if let Some((statement, nodes)) = self.bindings.state(now, key, &keepers) {
-                for node in nodes {
-                    statements.entry(node).or_default().push(statement.clone());
-                }
+            for node in nodes {
+                statements.entry(node).or_default().push(statement.clone());
             }
         }
         for (node, statements) in statements {
@@ -121,17 +124,6 @@
         }
     }
 
-    /// Tells keepers of the streams that began before another version appeared.
-    pub(super) fn check_bindings(&mut self, now: Time) {
-        let services: Vec<u32> = self.pools.values().map(|pool| pool.number).collect();
-        for service in services {
-            if self.is_mixed(now, service) {
-                self.bindings.check_service(now, service);
-            }
-        }
-        self.state_bindings(now);
-    }
-
     /// The number of streams of which this node keeps the version.
     pub fn binding_count(&self) -> usize {
         self.bindings.len()
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -158,7 +158,6 @@
         self.remove_unlisted_workers();
         self.assign_cell_workers();
         self.record_versions(now, &list);
-        self.check_bindings(now);
         self.sum_remote_loads(now);
         self.place_all(now);
     }
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -85,6 +85,9 @@
             return reception;
         }
         self.accounts.record_heard(now);
+        if reception == Reception::Joined {
+            self.bindings.record_joined(now);
+        }
         let reporter = Reporter {
             address: from,
             incarnation,
--- a/crates/dispatch/src/dispatcher/suspect.rs
+++ b/crates/dispatch/src/dispatcher/suspect.rs
@@ -13,7 +13,7 @@
 use super::Dispatcher;
 use super::Refusal;
 use super::Run;
-use super::bind::KEEPERS;
+use crate::binding::KEEPERS;
 use crate::job;
 use crate::job::End;
 use crate::job::Job;
--- a/crates/dispatch/src/dispatcher/take_up.rs
+++ b/crates/dispatch/src/dispatcher/take_up.rs
@@ -9,8 +9,8 @@
 
 use super::Dispatcher;
 use super::Refusal;
-use super::bind::KEEPERS;
 use super::track_versions::Served;
+use crate::binding;
 use crate::binding::Answer;
 use crate::binding::Binding;
 use crate::binding::Key;
@@ -20,10 +20,6 @@
 use crate::job::Job;
 use crate::message::Message;
 
-/// The number of nodes that are asked for a record. Nodes that started since it was made take the
-/// places of at most as many keepers.
-const ASKED: usize = 2 * KEEPERS;
-
 /// In a fleet of up to this many other nodes all are asked.
 const MAX_ALL_ASKED: usize = 15;
 
@@ -158,7 +154,7 @@
         let key = key.unwrap_or(Key(0));
         let asked = match self.members.live(now).count() <= MAX_ALL_ASKED {
             true => MAX_ALL_ASKED,
-            false => ASKED,
+            false => binding::MAX_TOLD,
         };
         let asked = self.members.keepers(now, key.0, asked).into_iter();
         let asked = asked.map(|keeper| Asked {
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -60,14 +60,6 @@
         }
     }
 
-    /// Whether streams of a service that still run may have begun at different versions.
-    pub(super) fn is_mixed(&self, now: Time, service: u32) -> bool {
-        let mut pools = self.pools.values();
-        let pool = pools.find(|pool| pool.number == service);
-        let served = pool.map(|pool| self.served(now, pool, self.lifetime(pool, Span::ZERO)));
-        !matches!(served, Some(Served::Sole(_)))
-    }
-
     /// Returns the longest time ago at which a stream may have begun whose caller still waits for
     /// `remaining`.
     pub(super) fn lifetime(&self, pool: &Pool, remaining: Span) -> Span {
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -147,6 +147,13 @@
         keepers.collect()
     }
 
+    /// Whether a keeper still runs, and stays.
+    pub fn is_keeper(&self, now: Time, keeper: &Keeper) -> bool {
+        let member = self.peers.get(&keeper.node);
+        let member = member.filter(|member| self.is_live(now, member) && is_eligible(member));
+        member.is_some_and(|member| member.status.incarnation == keeper.incarnation)
+    }
+
     /// Whether a live node has a newer list of endpoints.
     pub fn has_newer_list(&self, now: Time, edition: Edition) -> bool {
         let mut live = self.live(now);
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -36,6 +36,7 @@
 use crate::support::starts;
 
 mod fleet;
+mod origin_lost;
 mod random;
 
 use fleet::Fleet;
@@ -428,9 +429,11 @@
     };
     let told = |registry: &mut Registry, millis, incarnation| {
         let due = registry.take_due(at(millis));
+        let is_live = |other: &Keeper| *other == keeper(incarnation);
+        let rank = |_| vec![keeper(incarnation)];
         let stated = due
             .iter()
-            .filter_map(|(key, _)| registry.state(at(millis), *key, &[keeper(incarnation)]));
+            .filter_map(|key| registry.state(at(millis), *key, is_live, rank));
         stated.count()
     };
     assert_eq!(told(&mut registry, 0, 1), 1);
