test: what survives a restart of all nodes but one in turn, and the loss of that one

Streams were not the only thing that one node learns and others hold for it. Of each of these, nodes are told by one that is killed after all others were stopped or killed and started in turn: endpoints that said that they are leaving, rate limits, tolerances, barred requests, and requests charged with one end.

--- a/crates/dispatch/tests/dispatch/binding/fleet.rs
+++ b/crates/dispatch/tests/dispatch/binding/fleet.rs
@@ -28,12 +28,12 @@
 use crate::support::options;
 
 /// The data centre of a node or an engine.
-pub(super) fn centre(number: usize) -> &'static str {
+pub fn centre(number: usize) -> &'static str {
     ["a", "b", "c"][number % 3]
 }
 
 /// Several nodes that exchange messages. Only those to and from nodes that are cut off are lost.
-pub(super) struct Fleet {
+pub struct Fleet {
     pub nodes: BTreeMap<SocketAddrV4, Dispatcher>,
     pub now: Time,
     pub cut: BTreeSet<SocketAddrV4>,
@@ -42,7 +42,7 @@
 impl Fleet {
     /// Starts nodes in three data centres before engines of two versions, and waits until they know
     /// each other.
-    pub(super) fn start(count: u8) -> Fleet {
+    pub fn start(count: u8) -> Fleet {
         let engines: Vec<Endpoint> = (0..usize::from(count) * 2)
             .map(|number| {
                 let software = ["1", "2"][number / 3 % 2];
@@ -55,7 +55,7 @@
     }
 
     /// Starts nodes in three data centres that have this list.
-    pub(super) fn with_list(count: u8, list: &Arc<List>) -> Fleet {
+    pub fn with_list(count: u8, list: &Arc<List>) -> Fleet {
         let mut fleet = Fleet {
             nodes: BTreeMap::new(),
             now: at(0),
@@ -67,7 +67,7 @@
         fleet
     }
 
-    pub(super) fn start_node(&mut self, number: u8, incarnation: u64, list: &Arc<List>) {
+    pub fn start_node(&mut self, number: u8, incarnation: u64, list: &Arc<List>) {
         let options = Options {
             incarnation,
             data_centre: id::DataCentre::new(centre(usize::from(number))),
@@ -80,7 +80,7 @@
         self.nodes.insert(node(number), dispatcher);
     }
 
-    pub(super) fn run_for(&mut self, span: Span) {
+    pub fn run_for(&mut self, span: Span) {
         let until = self.now + span;
         while self.now < until {
             self.now = self.now + Span::from_millis(20);
@@ -116,6 +116,7 @@
                 Message::Leased(reply) => node.receive_lease_reply(now, from, reply),
                 Message::Report(report) => node.receive_lease_report(now, from, report),
                 Message::Check(check) => node.answer_lease_check(from, check),
+                Message::Findings(findings) => node.take_findings(now, &findings),
                 Message::Bindings(statements) => node.receive_bindings(now, from, &statements),
                 Message::BindingsKept(keys) => node.confirm_bindings(now, from, &keys),
                 Message::BindingQuestion(question) => node.answer_binding(now, from, question),
@@ -126,11 +127,7 @@
     }
 
     /// Submits a request and returns the software of the endpoint that it is sent to.
-    pub(super) fn submit(
-        &mut self,
-        number: u8,
-        request: Job,
-    ) -> Result<(job::Id, id::Software), Code> {
+    pub fn submit(&mut self, number: u8, request: Job) -> Result<(job::Id, id::Software), Code> {
         let address = node(number);
         let now = self.now;
         let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
@@ -152,7 +149,7 @@
     }
 
     /// Begins a stream and passes its first event on.
-    pub(super) fn begin(&mut self, number: u8, key: Key) -> (job::Id, id::Software) {
+    pub fn begin(&mut self, number: u8, key: Key) -> (job::Id, id::Software) {
         let request = stream(key, self.now);
         let (id, software) = self.submit(number, request).expect("the stream begins");
         let now = self.now;
@@ -162,7 +159,7 @@
     }
 
     /// Ends a request at its endpoint.
-    pub(super) fn end(&mut self, number: u8, id: job::Id) {
+    pub fn end(&mut self, number: u8, id: job::Id) {
         let now = self.now;
         let dispatcher = self.nodes.get_mut(&node(number)).expect("the node lives");
         dispatcher.end(now, id, job::End::Whole);
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -35,7 +35,7 @@
 use crate::support::refusals;
 use crate::support::starts;
 
-mod fleet;
+pub mod fleet;
 mod origin_lost;
 mod random;
 
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -35,6 +35,7 @@
 mod slot_depth;
 mod stated_load;
 mod support;
+mod survivors;
 mod suspect;
 mod table;
 mod tolerance;
