test: random stops and kills must not leave a stream that nobody knows

It also never had all nodes but one start anew before a stream began there.

It now stops nodes too, restarts all but one before that one begins streams and is killed, in fleets of 2 to 30 nodes, and asks that a stream goes on if since its start only one node at a time was disturbed, with 1.5 s between two.

--- a/crates/dispatch/tests/dispatch/binding/random.rs
+++ b/crates/dispatch/tests/dispatch/binding/random.rs
@@ -1,4 +1,5 @@
-//! Random kills, cuts between nodes and rolls of the engines' software, while streams are taken up.
+//! Random kills, stops, cuts between nodes and rolls of the engines' software, while streams are taken
+//! up.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -8,6 +9,7 @@
 use woadstage_dispatch::binding::Key;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
+use woadstage_types::code::Code;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -34,6 +36,10 @@
     TakeUp,
     /// It is killed and restarts after this time.
     Kill(Span),
+    /// It is stopped, ends after this time, and restarts.
+    Stop(Span),
+    /// All others restart, it begins streams this long after that, and is killed.
+    LoseSpared(Span),
     /// It reaches no other node for this time.
     Cut(Span),
     /// The platform lists other versions. It learns of them at once, and the others by their distance
@@ -47,6 +53,8 @@
         4 => Just(Step::Begin),
         8 => Just(Step::TakeUp),
         2 => span(20..1_500).prop_map(Step::Kill),
+        1 => span(60..400).prop_map(Step::Stop),
+        1 => span(1_500..3_000).prop_map(Step::LoseSpared),
         1 => span(20..2_000).prop_map(Step::Cut),
         1 => span(0..900).prop_map(Step::Roll),
     ]
@@ -67,7 +75,13 @@
 
 struct World {
     fleet: Fleet,
+    nodes: u8,
     incarnations: u64,
+    /// When a node was last killed, stopped or cut, or the end of that.
+    disturbed: Time,
+    /// The streams during which only one node at a time was disturbed, with time to recover between
+    /// two, and the time before which that would have been too soon.
+    owed: BTreeMap<u64, Time>,
     rolls: u64,
     /// What is due at nodes.
     due: Vec<(Time, u8, Due)>,
@@ -75,19 +89,33 @@
     began: BTreeMap<u64, (Time, id::Software)>,
 }
 
+/// How long a node takes to be heard by the others after it restarted, and to be told of what they
+/// keep.
+const CONTACT: Span = Span::from_millis(1_500);
+
+/// The first key of the streams that a spared node begins.
+const FIRST_KEY_AT_SPARED: u64 = 1_000;
+
+/// How long keepers take to be told of a stream.
+const TOLD_WITHIN: Span = Span::from_millis(100);
+
 enum Due {
+    End,
     Restart,
     Heal,
     Learn,
 }
 
 impl World {
-    fn start() -> World {
-        let mut fleet = Fleet::with_list(NODES, &list_after(0));
+    fn start(nodes: u8) -> World {
+        let mut fleet = Fleet::with_list(nodes, &list_after(0));
         fleet.run_for(QUIET);
         World {
+            disturbed: fleet.now - CONTACT,
             fleet,
-            incarnations: u64::from(NODES),
+            nodes,
+            incarnations: u64::from(nodes),
+            owed: BTreeMap::new(),
             rolls: 0,
             due: Vec::new(),
             began: BTreeMap::new(),
@@ -109,7 +137,13 @@
 
     fn apply(&mut self, number: u8, due: &Due) {
         let newest = list_after(self.rolls);
+        if !matches!(due, Due::Learn) {
+            self.disturbed = self.fleet.now;
+        }
         match due {
+            Due::End => {
+                self.fleet.nodes.remove(&node(number));
+            }
             Due::Restart => {
                 self.incarnations += 1;
                 self.fleet.start_node(number, self.incarnations, &newest);
@@ -126,32 +160,78 @@
         }
     }
 
+    /// Records that a node is disturbed from now on until this time.
+    fn disturb(&mut self, until: Time) {
+        let now = self.fleet.now;
+        let is_alone = now.since(self.disturbed) >= CONTACT && now >= self.disturbed;
+        self.owed.retain(|_, earliest| is_alone && now >= *earliest);
+        self.disturbed = until;
+    }
+
+    /// Restarts all other nodes, has this one begin streams after this time, kills it, and takes them
+    /// up.
+    fn lose_spared(&mut self, spared: u8, after: Span) {
+        for number in (1..=self.nodes).filter(|number| *number != spared) {
+            self.disturb(self.fleet.now);
+            self.apply(number, &Due::Restart);
+            self.run_for(Span::from_millis(20));
+        }
+        self.run_for(after.max(CONTACT));
+        if !self.fleet.nodes.contains_key(&node(spared)) {
+            return;
+        }
+        let first = self.began.len() as u64 + FIRST_KEY_AT_SPARED;
+        for key in first..first + 3 {
+            self.perform(spared, key, &Step::Begin);
+        }
+        self.run_for(TOLD_WITHIN + TOLD_WITHIN);
+        self.perform(spared, 0, &Step::Kill(Span::from_millis(20)));
+        self.run_for(CONTACT + TOLD_WITHIN);
+        self.take_up_all();
+    }
+
     fn perform(&mut self, number: u8, key: u64, step: &Step) {
+        let number = (number - 1) % self.nodes + 1;
         let now = self.fleet.now;
         let lives = self.fleet.nodes.contains_key(&node(number));
         match step {
             Step::Begin if lives && !self.began.contains_key(&key) => {
                 let (id, software) = self.fleet.begin(number, Key(key));
                 self.fleet.end(number, id);
-                self.began.insert(key, (self.fleet.now, software));
+                let began = self.fleet.now;
+                self.began.insert(key, (began, software));
+                if began.since(self.disturbed) >= CONTACT {
+                    self.owed.insert(key, began + TOLD_WITHIN);
+                }
             }
+            Step::LoseSpared(span) if lives => self.lose_spared(number, *span),
             Step::TakeUp if lives => self.take_up(number, key),
             Step::Kill(span) if lives => {
+                self.disturb(now + *span);
                 self.fleet.nodes.remove(&node(number));
                 self.due.push((now + *span, number, Due::Restart));
             }
+            Step::Stop(span) if lives => {
+                self.disturb(now + *span);
+                let stopped = self.fleet.nodes.get_mut(&node(number)).expect("it lives");
+                stopped.leave();
+                self.due.push((now + *span, number, Due::End));
+                self.due.push((now + *span, number, Due::Restart));
+            }
             Step::Cut(span) => {
+                self.disturb(now + *span);
                 self.fleet.cut.insert(node(number));
                 self.due.push((now + *span, number, Due::Heal));
             }
             Step::Roll(span) => {
                 self.rolls += 1;
-                for other in 1..=NODES {
-                    let lag = Span(span.0 * u64::from(other.abs_diff(number)) / u64::from(NODES));
+                for other in 1..=self.nodes {
+                    let lag =
+                        Span(span.0 * u64::from(other.abs_diff(number)) / u64::from(self.nodes));
                     self.due.push((now + lag, other, Due::Learn));
                 }
             }
-            Step::Begin | Step::TakeUp | Step::Kill(_) => {}
+            Step::Begin | Step::TakeUp | Step::LoseSpared(_) | Step::Kill(_) | Step::Stop(_) => {}
         }
     }
 
@@ -164,9 +244,28 @@
         if now.since(began) > PATIENCE {
             return;
         }
-        if let Ok((id, taken_up)) = self.fleet.submit(number, take_up(Some(Key(key)), now)) {
-            assert_eq!(taken_up, software, "stream {key} at node {number}");
-            self.fleet.end(number, id);
+        let is_owed = self.owed.contains_key(&key) && now.since(self.disturbed) >= CONTACT;
+        match self.fleet.submit(number, take_up(Some(Key(key)), now)) {
+            Ok((id, taken_up)) => {
+                assert_eq!(taken_up, software, "stream {key} at node {number}");
+                self.fleet.end(number, id);
+            }
+            Err(code) => assert!(
+                code != Code::StreamUnknown || !is_owed,
+                "stream {key} is not known at node {number}"
+            ),
+        }
+    }
+
+    /// Takes all streams up at all nodes.
+    fn take_up_all(&mut self) {
+        let keys: Vec<u64> = self.owed.keys().copied().collect();
+        for key in keys {
+            for number in 1..=self.nodes {
+                if self.fleet.nodes.contains_key(&node(number)) {
+                    self.take_up(number, key);
+                }
+            }
         }
     }
 }
@@ -174,7 +273,7 @@
 /// Guards against a node that takes a version for the only one while another already uses the next.
 #[test]
 fn a_node_that_learns_of_a_version_late_does_not_guess() {
-    let mut world = World::start();
+    let mut world = World::start(NODES);
     world.rolls = 1;
     world.apply(1, &Due::Learn);
     for key in 0..8 {
@@ -188,11 +287,26 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
+    /// Guards against streams that nobody knows although only one node at a time was disturbed.
+    #[test]
+    fn streams_go_on_while_nodes_are_disturbed_one_after_the_other(
+        nodes in 2..=30u8,
+        steps in prop::collection::vec((1..=30u8, 0u64..24, 0u64..2_500, step()), 1..40),
+    ) {
+        let mut world = World::start(nodes);
+        for (number, key, wait, step) in &steps {
+            world.perform(*number, *key, step);
+            world.run_for(Span::from_millis(*wait));
+        }
+        world.run_for(CONTACT);
+        world.take_up_all();
+    }
+
     #[test]
     fn a_stream_never_goes_on_at_another_version(
         steps in prop::collection::vec((1..=NODES, 0u64..8, 0u64..400, step()), 1..60),
     ) {
-        let mut world = World::start();
+        let mut world = World::start(NODES);
         for (number, key, wait, step) in &steps {
             world.perform(*number, *key, step);
             world.run_for(Span::from_millis(*wait));
