fix: the version of an endpoint that ended is not known until the platform tells

Cause: an endpoint that ends and starts again under its id, at its address, with newer software, is listed with the version of its earlier start until the platform takes its entry. Nodes saw that nothing listened at the address (and charged the quarantine for it), yet bound the streams of the next start to the listed version, and resumed others there.

An endpoint that refused a connection while another one was reached has ended. From then on its software is not known: new streams there are bound to nothing, bound ones don't go there, and no version counts as the only one. It is known again once the entry is another one, or still the same 4 s after the end and after the platform was last out of reach of this node or one that it hears. A node that merely hears from two others that they can't connect does the same. A broken call alone, without a refusal, is not taken for an end, as streams could then not be resumed at endpoints that break off answers.

Not covered: a node that had no call at the endpoint while it was down.

--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -46,7 +46,7 @@
     fn bind_to_running(&mut self, id: job::Id, stated: Option<&id::Software>) -> Option<&Job> {
         let (job, software) = if let Some(run) = self.runs.get_mut(&id) {
             let pool = self.pools.get(&run.job.target)?;
-            let software = pool.workers[run.worker].endpoint.software.as_ref();
+            let software = pool.workers[run.worker].software_opt();
             (&mut run.job, software)
         } else {
             (&mut self.forwards.get_mut(&id)?.job, stated)
--- a/crates/dispatch/src/dispatcher/displace.rs
+++ b/crates/dispatch/src/dispatcher/displace.rs
@@ -61,7 +61,7 @@
     /// it.
     pub(super) fn may_run_at(&self, job: &Job, worker: &Worker) -> bool {
         let endpoint = &worker.endpoint;
-        job.binding.allows(endpoint.software.as_ref())
+        job.binding.allows(worker.software_opt())
             && self
                 .options
                 .regions
@@ -140,7 +140,7 @@
             let workers = pool.workers.iter();
             let in_centre = workers.filter(|worker| {
                 worker.is_open()
-                    && job.binding.allows(worker.endpoint.software.as_ref())
+                    && job.binding.allows(worker.software_opt())
                     && endpoint::number_of(worker.endpoint.data_centre.as_str()) == centre
             });
             let slots: u32 = in_centre.map(|worker| worker.endpoint.slots).sum();
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -349,6 +349,8 @@
     sequence: u64,
     leaving: bool,
     platform_unreachable: bool,
+    /// When this node or one that it hears was last unable to reach the platform.
+    platform_lost_at: Time,
     urgent: bool,
     /// Whether documents came into force that were not announced to other nodes yet.
     has_news: bool,
@@ -405,6 +407,7 @@
             sequence: 0,
             leaving: false,
             platform_unreachable: false,
+            platform_lost_at: Time(0),
             urgent: false,
             has_news: false,
             ticked_at: Time(0),
--- a/crates/dispatch/src/dispatcher/probe_links.rs
+++ b/crates/dispatch/src/dispatcher/probe_links.rs
@@ -139,7 +139,10 @@
         for (at, endpoint) in refused {
             match endpoint == reached {
                 true => self.refused_endpoints.push((at, endpoint)),
-                false => self.record_endpoint_ended(now, endpoint),
+                false => {
+                    self.doubt_start(now, endpoint);
+                    self.record_endpoint_ended(now, endpoint);
+                }
             }
         }
     }
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -56,6 +56,7 @@
         self.apply_received_rate_limits(now);
         self.update_rests(now);
         self.track_links(now);
+        self.confirm_starts(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -8,12 +8,18 @@
 
 use super::Dispatcher;
 use super::Pool;
+use crate::endpoint::Endpoint;
 use crate::endpoint::List;
+use crate::worker::Worker;
 
 /// A stream lasts no longer than this many times the timeout of its route, over all tries of its
 /// caller.
 const TIMEOUTS_PER_STREAM: u64 = 2;
 
+/// How long after an endpoint ended the platform lists its next start: a node finds out that the
+/// platform is out of reach, or endpoints write their entries again once it is back.
+const LISTED_WITHIN: Span = Span::from_secs(4);
+
 /// How long a version is remembered after it was last listed, longer than any stream lasts.
 const VERSION_MEMORY: Span = Span::from_secs(3_600);
 
@@ -60,6 +66,40 @@
         }
     }
 
+    /// Records that an endpoint ended, so that another start of it may answer from now on.
+    pub(super) fn doubt_start(&mut self, now: Time, endpoint: u32) {
+        let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
+        for worker in workers.filter(|worker| worker.number == endpoint) {
+            worker.ended_at = Some(now);
+        }
+    }
+
+    /// Takes endpoints that ended, and are still listed as they were, for the same start again, once
+    /// the platform would have listed another.
+    pub(super) fn confirm_starts(&mut self, now: Time) {
+        if self.platform_unreachable || self.members.is_platform_unreachable(now) {
+            self.platform_lost_at = now;
+        }
+        let known_since = now - LISTED_WITHIN;
+        let options = &self.options.worker;
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            if worker.is_reported_unreachable(now, options) {
+                worker.ended_at = Some(now);
+            }
+            let ended_at = worker.ended_at.map(|at| at.max(self.platform_lost_at));
+            if ended_at.is_some_and(|at| at < known_since) {
+                worker.ended_at = None;
+            }
+        }
+    }
+
+    /// Returns the version of an endpoint's software, unless another start may have taken its place.
+    pub fn software_opt(&self, endpoint: &Endpoint) -> Option<&id::Software> {
+        let pool = self.pools.get(&endpoint.service)?;
+        let index = pool.worker_opt(endpoint.to_number())?;
+        pool.workers[index].software_opt()
+    }
+
     /// Returns the longest time ago at which a stream may have begun whose caller still waits for
     /// `remaining`.
     pub(super) fn lifetime(&self, pool: &Pool, remaining: Span) -> Span {
@@ -71,10 +111,11 @@
     pub(super) fn served(&self, now: Time, pool: &Pool, lifetime: Span) -> Served {
         let versions = &pool.versions;
         let listed = pool.workers.iter().filter(|worker| worker.listed);
-        let listed = listed.map(|worker| &worker.endpoint.software);
+        let listed = listed.map(Worker::software_opt);
         let past = versions.listed.iter();
         let past = past.filter(|(_, at)| now.since(**at) <= lifetime);
-        let mut all = listed.clone().chain(past.map(|(version, _)| version));
+        let past = past.map(|(version, _)| version.as_ref());
+        let mut all = listed.clone().chain(past);
         let is_known = versions
             .known_since
             .is_some_and(|at| now.since(at) >= lifetime);
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -154,6 +154,12 @@
         member.is_some_and(|member| member.status.incarnation == keeper.incarnation)
     }
 
+    /// Whether a live node states that it can't reach the platform.
+    pub fn is_platform_unreachable(&self, now: Time) -> bool {
+        let mut live = self.live(now);
+        live.any(|(_, member)| member.status.platform_unreachable)
+    }
+
     /// Whether a live node has a newer list of endpoints.
     pub fn has_newer_list(&self, now: Time, edition: Edition) -> bool {
         let mut live = self.live(now);
--- a/crates/dispatch/src/worker/availability.rs
+++ b/crates/dispatch/src/worker/availability.rs
@@ -1,5 +1,6 @@
 //! Whether an endpoint accepts work, and why not.
 
+use woadstage_types::id;
 use woadstage_types::unit::Time;
 
 use super::Options;
@@ -53,6 +54,12 @@
         self.is_present() && !self.evacuated
     }
 
+    /// The version of its software, unless another start may have taken its place.
+    pub fn software_opt(&self) -> Option<&id::Software> {
+        let software = self.endpoint.software.as_ref();
+        software.filter(|_| self.ended_at.is_none())
+    }
+
     /// Whether this node may send the endpoint new requests.
     pub fn accepts_work(&self, now: Time, options: &Options) -> bool {
         self.is_open()
--- a/crates/dispatch/src/worker/mod.rs
+++ b/crates/dispatch/src/worker/mod.rs
@@ -156,6 +156,9 @@
     pub unreachable: bool,
     /// When another endpoint answered at its address. It is then gone even if still listed.
     pub gone_at: Option<Time>,
+    /// When it was last found to have ended, until the platform would have listed another start. Until
+    /// then one may answer at its address and under its name, with other software.
+    pub ended_at: Option<Time>,
     /// When a call to it last succeeded.
     pub last_success: Option<Time>,
     /// Its time for a call as a multiple of the typical one. For an engine, the ratio of steps,
@@ -211,6 +214,7 @@
             remote_reports: Reports::default(),
             unreachable: false,
             gone_at: None,
+            ended_at: None,
             last_success: None,
             pace: 1.0,
             step_us: None,
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -443,3 +443,73 @@
     assert_eq!(told(&mut registry, 200, 1), 0);
     assert_eq!(told(&mut registry, 700, 2), 1);
 }
+
+/// Returns a dispatcher without a platform, one of whose two endpoints of one version has ended.
+fn with_ended_endpoint() -> (Dispatcher, Endpoint) {
+    let engines = [engine("one", "1", "a"), engine("two", "1", "a")];
+    let mut dispatcher = dispatcher(&engines);
+    dispatcher.tick(at(20_000));
+    dispatcher.set_platform_unreachable(true);
+    let [one, two] = engines;
+    dispatcher.record_refused(at(20_100), &one);
+    dispatcher.record_connected(at(20_120), &two);
+    dispatcher.tick(at(20_140));
+    (dispatcher, one)
+}
+
+/// Guards against streams of two versions: an endpoint that starts again while the platform is out of
+/// reach is listed with the version of its earlier start.
+#[test]
+fn a_stream_begun_at_another_start_of_an_endpoint_is_bound_to_nothing() {
+    let (mut dispatcher, one) = with_ended_endpoint();
+    assert_eq!(dispatcher.software_opt(&one), None);
+    for key in 0..6 {
+        dispatcher.enter(at(20_200), stream(Key(key), at(20_200)));
+    }
+    let started = starts(&mut dispatcher);
+    assert!(started.iter().any(|(_, name)| name == "one"));
+    for (id, name) in started {
+        dispatcher.bind(at(20_300), id, None);
+        dispatcher.end(at(20_400), id, job::End::Lost);
+        let refused = refusals(&mut dispatcher);
+        let expected = match name.as_str() {
+            "one" => Code::StreamUnknown,
+            _ => Code::SoftwareGone,
+        };
+        assert_eq!(refused[0].1, expected, "begun at {name}");
+    }
+}
+
+/// Guards against the same when a stream of the earlier version is resumed.
+#[test]
+fn a_bound_stream_is_not_resumed_at_another_start_of_an_endpoint() {
+    let (mut dispatcher, _) = with_ended_endpoint();
+    for key in 0..6 {
+        let when = at(20_200 + key);
+        let bound = Job {
+            binding: Binding::Software(id::Software::new("1")),
+            ..stream(Key(key), when)
+        };
+        dispatcher.enter(when, bound);
+    }
+    let started = starts(&mut dispatcher);
+    assert!(!started.is_empty() && started.iter().all(|(_, name)| name == "two"));
+}
+
+/// Guards against streams that can't be taken up beside a sound endpoint that was taken for another.
+#[test]
+fn an_endpoint_that_stays_listed_as_it_was_is_known_again_once_the_platform_is_back() {
+    let (mut dispatcher, one) = with_ended_endpoint();
+    let tick_until = |dispatcher: &mut Dispatcher, from: u64, until: u64| {
+        for millis in (from..=until).step_by(100) {
+            dispatcher.tick(at(millis));
+        }
+    };
+    tick_until(&mut dispatcher, 20_200, 40_000);
+    assert_eq!(dispatcher.software_opt(&one), None);
+    dispatcher.set_platform_unreachable(false);
+    tick_until(&mut dispatcher, 40_100, 43_900);
+    assert_eq!(dispatcher.software_opt(&one), None);
+    tick_until(&mut dispatcher, 44_000, 44_200);
+    assert_eq!(dispatcher.software_opt(&one), Some(&id::Software::new("1")));
+}
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -157,7 +157,10 @@
     let endpoint = exchange.endpoint.as_ref();
     let name = endpoint.map_or("", |endpoint| endpoint.name.as_str());
     let stated = hop::Answer::Endpoint(name.to_owned());
-    let software = endpoint.and_then(|endpoint| endpoint.software.as_ref());
+    let software = endpoint.and_then(|endpoint| {
+        let shell = &exchange.shell;
+        shell.query(|dispatcher, _| dispatcher.software_opt(endpoint).cloned())
+    });
     let software = software.and_then(|software| HeaderValue::from_str(software.as_str()).ok());
     let reads_software = exchange.hop.as_ref().is_some_and(|hop| hop.reads_software);
     exchange.bind_forwarded();
