fix: keepers of a stream see to it that others keep it once its node is gone

Only the node that passed on a stream's first event looked for keepers that were gone. Once it was gone itself, each end of a keeper took a record away for good, so that a stream could be lost although nodes ended one at a time, seconds apart.

A keeper now remembers which start of which node told it, and tells keepers itself once that is gone, as a node does that is leaving.

Found by `binding::random` with 2,000 cases (two nodes: the origin restarts, 1.5 s later the only keeper is killed, `stream 0 is not known`). `origin_lost::streams_go_on_after_their_node_and_all_its_keepers_died_in_turn` kills the origin and then a keeper every 1.8 s, at 6 and 30 nodes.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -200,8 +200,11 @@
     expires: Time,
     /// Whether another node stated another version.
     is_disputed: bool,
-    /// Whether this node passed on events of the stream, and so tells keepers.
+    /// Whether this node tells keepers, since it passed on events of the stream, or since the node
+    /// that told it is gone.
     is_own: bool,
+    /// The node that told it last.
+    told_by: Option<Keeper>,
     /// The keepers that confirmed it.
     confirmed: Vec<Keeper>,
     /// How often keepers were told since all had confirmed it.
@@ -235,6 +238,8 @@
     due: BTreeSet<(Time, Key)>,
     /// When a node last joined, which may be a keeper from then on.
     joined: Time,
+    /// When it was last checked whether the nodes that told others' records still run.
+    tellers_checked: Time,
 }
 
 /// What a record states.
@@ -267,6 +272,28 @@
         self.records.contains_key(&key)
     }
 
+    /// Records which node told a record.
+    pub fn record_teller(&mut self, key: Key, teller: Keeper) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.told_by = Some(teller);
+        }
+    }
+
+    /// Has this node tell keepers of the records that nodes told which are gone. `is_live` tells
+    /// whether one still runs.
+    pub fn take_over_lost(&mut self, now: Time, is_live: impl Fn(&Keeper) -> bool) {
+        if now.since(self.tellers_checked) < CHECK_INTERVAL {
+            return;
+        }
+        self.tellers_checked = now;
+        let told = self.records.iter().filter(|(_, record)| !record.is_own);
+        let lost = told.filter(|(_, record)| record.told_by.is_none_or(|teller| !is_live(&teller)));
+        let lost: Vec<Key> = lost.map(|(key, _)| *key).collect();
+        for key in lost {
+            self.take_over(now, key);
+        }
+    }
+
     /// Records that a node joined, or started again.
     pub fn record_joined(&mut self, now: Time) {
         self.joined = now;
@@ -287,6 +314,7 @@
             expires,
             is_disputed: false,
             is_own: false,
+            told_by: None,
             confirmed: Vec::new(),
             rounds: 0,
             complete: None,
--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -74,9 +74,15 @@
     /// Keeps what another node states of its streams, and confirms it. A node that is leaving passes
     /// it on to those that stay.
     pub fn receive_bindings(&mut self, now: Time, from: SocketAddrV4, statements: &[Statement]) {
+        // Without a status of the node it counts as gone.
+        let teller = Keeper {
+            node: from,
+            incarnation: self.members.incarnation_opt(now, from).unwrap_or_default(),
+        };
         let mut kept = Vec::new();
         for statement in statements {
             if self.bindings.record_stated(now, statement) {
+                self.bindings.record_teller(statement.key, teller);
                 kept.push(statement.key);
             }
         }
@@ -101,11 +107,14 @@
         }
     }
 
-    /// Tells keepers of this node's own streams. A node that is leaving tells them of all that it
-    /// keeps.
+    /// Tells keepers of this node's own streams, and of those of nodes that are gone. A node that is
+    /// leaving tells them of all that it keeps.
     pub(super) fn state_bindings(&mut self, now: Time) {
         self.bindings.expire(now);
         let members = &self.members;
+        let runs =
+            |teller: &Keeper| members.incarnation_opt(now, teller.node) == Some(teller.incarnation);
+        self.bindings.take_over_lost(now, runs);
         let mut statements: HashMap<SocketAddrV4, Vec<Statement>> = HashMap::new();
         for key in self.bindings.take_due(now) {
             let is_live = |keeper: &Keeper| members.is_keeper(now, keeper);
--- a/crates/dispatch/tests/dispatch/binding/origin_lost.rs
+++ b/crates/dispatch/tests/dispatch/binding/origin_lost.rs
@@ -177,3 +177,34 @@
     }
     assert_eq!(refused, 0, "refused of {STREAMS}");
 }
+
+/// Guards against streams whose keepers end one after the other, once their node is gone.
+#[rstest]
+fn streams_go_on_after_their_node_and_all_its_keepers_died_in_turn(#[values(6, 30)] nodes: u8) {
+    let one = list_of(&["1"], 1);
+    let mut fleet = Fleet::with_list(nodes, &one);
+    fleet.run_for(QUIET);
+    for number in 2..=nodes {
+        restart(&mut fleet, number, &one);
+    }
+    fleet.run_for(Span::from_secs(2));
+    let key = Key(1);
+    let (id, _) = fleet.begin(ORIGIN, key);
+    fleet.end(ORIGIN, id);
+    fleet.run_for(Span::from_millis(60));
+    let mut lost = ORIGIN;
+    for _ in 0..4 {
+        fleet.nodes.remove(&node(lost));
+        fleet.run_for(Span::from_millis(1_800));
+        let keeps = |number: &u8| fleet.nodes[&node(*number)].binding_count() > 0;
+        let live = (2..=nodes).filter(|number| fleet.nodes.contains_key(&node(*number)));
+        let keepers: Vec<u8> = live.filter(keeps).collect();
+        assert!(keepers.len() >= 2, "{keepers:?} after {lost} died");
+        lost = keepers[0];
+    }
+    let number =
+        (2..=nodes).rfind(|number| *number != lost && fleet.nodes.contains_key(&node(*number)));
+    let request = take_up(Some(key), fleet.now);
+    let taken_up = fleet.submit(number.expect("some live"), request);
+    assert!(taken_up.is_ok(), "{taken_up:?}");
+}
