fix: an answer that names no request is not taken for the answer to one that has an id

Cause: a faulty endpoint sends the rejection of a health check a second time, late, in the place of the next answer on that connection. Answers echo the id of their request, and that of a health check has none; a success without an id was not believed, but a rejection was.

Now no answer without an id is taken for that to a request with one: the attempt may have run, and its connection is closed. Only a 400 may lack the id, of an endpoint that could not read the request. The connection of a health check is closed after it, since a second answer there could only hit the next request.

`attempts::a_rejection_that_names_no_request_is_not_believed` covers both statuses that stand for "has not run".

--- a/crates/gateway/src/serve/classify.rs
+++ b/crates/gateway/src/serve/classify.rs
@@ -16,8 +16,10 @@
     Retry(End),
 }
 
-/// Classifies the answer to the request with id `request_id`. An answer that echoes another id,
-/// or a success that echoes none, counts as lost.
+/// Classifies the answer to the request with id `request_id`. An answer that echoes another id
+/// belongs to another request, and one that echoes none to a request without one, such as a health
+/// check: whether this request ran is not known. Only an endpoint that could not read a request
+/// answers without its id.
 pub fn classify(
     names: &Headers,
     request_id: &str,
@@ -28,12 +30,13 @@
     if echoed.is_some_and(|echoed| echoed != request_id) {
         return Disposition::Retry(End::Lost);
     }
+    let may_lack_id = request_id.is_empty() || status == StatusCode::BAD_REQUEST;
+    if echoed.is_none() && !may_lack_id {
+        return Disposition::Retry(End::Lost);
+    }
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         return classify_not_run(status);
     }
-    if status.is_success() && echoed.is_none() && !request_id.is_empty() {
-        return Disposition::Retry(End::Lost);
-    }
     if status.is_server_error() || implies_not_run(status) {
         return Disposition::Retry(End::Fault);
     }
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -14,7 +14,6 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::link::Probe;
 
-use super::Answer;
 use super::CONNECT_TIMEOUT;
 use super::Connection;
 use super::Target;
@@ -128,8 +127,8 @@
     error.is_some_and(|error| error.kind() == kind)
 }
 
-/// Sends a health check over a new connection, which is kept if it can be reused. Without a path
-/// for it, the connection itself counts as an answer.
+/// Sends a health check over a new connection. Without a path for it, the connection itself counts as
+/// an answer, and is kept if it can be reused.
 async fn check(shell: &Rc<Shell>, target: &ProbeTarget, mut connection: Connection) -> Probe {
     let Some(path) = &target.health_path else {
         if is_closed(&mut connection).await {
@@ -152,23 +151,14 @@
         return Probe::Connected;
     };
     match tokio::time::timeout(HEALTH_TIMEOUT, send(connection, request)).await {
-        Ok(Ok(answer)) => {
-            keep_after_answer(shell, &target.endpoint, answer).await;
-            Probe::Answered
-        }
+        // The connection is closed: a second answer to a request without an id could not be told from
+        // the answer to the next request.
+        Ok(Ok(_)) => Probe::Answered,
         Ok(Err(_)) => Probe::Failed,
         Err(_) => Probe::Connected,
     }
 }
 
-async fn keep_after_answer(shell: &Rc<Shell>, endpoint: &Endpoint, answer: Answer) {
-    let keep_alive = reuse::keep_alive_duration(answer.response.headers());
-    let body = answer.response.into_body().collect();
-    if let Ok(Ok(_)) = tokio::time::timeout(HEALTH_TIMEOUT, body).await {
-        keep(shell, endpoint, answer.connection, keep_alive).await;
-    }
-}
-
 async fn keep(
     shell: &Rc<Shell>,
     endpoint: &Endpoint,
--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -17,6 +17,13 @@
 const BUSY_WITHOUT_NOT_RUN: &str =
     "HTTP/1.1 503 Service Unavailable\r\nwoadstage-request: {id}\r\ncontent-length: 0\r\n\r\n";
 
+/// A rejection that names no request, as that of a health check does.
+const NOT_RUN_WITHOUT_ID: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nwoadstage-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+const MISDIRECTED_WITHOUT_ID: &str =
+    "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+
 const MISDIRECTED: &str =
     "HTTP/1.1 421 Misdirected Request\r\nwoadstage-request: {id}\r\ncontent-length: 0\r\n\r\n";
 
@@ -53,6 +60,19 @@
     });
 }
 
+/// Guards against the late second rejection of a health check, which was taken for the answer to a
+/// request that ran.
+#[rstest]
+#[case::rejected(NOT_RUN_WITHOUT_ID)]
+#[case::misdirected(MISDIRECTED_WITHOUT_ID)]
+fn a_rejection_that_names_no_request_is_not_believed(#[case] stray: &str) {
+    run(|| async {
+        let (asked, response) = send_to_pair(Action::Answer(stray.into()), "/twice/x").await;
+        assert_eq!((asked, response.status), (1, 502), "{response:?}");
+        assert_eq!(field(&response.head, "retry-after"), None);
+    });
+}
+
 #[rstest]
 #[case::closed_without_an_answer(Action::AnswerAndClose(String::new()), 502)]
 #[case::reset_without_an_answer(Action::AnswerAndReset(String::new()), 502)]
