fix: a node that takes a keeper's place is told until it confirms

Once a keeper was gone, the node that took its place was told once. At the next check the record counted as complete, as no keeper had gone since the last one, so that a lost datagram left the record with one keeper less.

A record with a keeper that has not confirmed is complete no more. `a_keeper_is_told_until_it_confirms_and_again_after_it_restarted` asks for the second time, and fails before.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -4,8 +4,8 @@
 //! passed on goes on only at endpoints of the version that wrote it. A caller may take a stream up
 //! at any node. The node that passed on its first event therefore tells a few others, its keepers,
 //! which a hash of the stream's key selects, so that a node without a record knows whom to ask. It
-//! does so whatever versions it knows of: those that the others will know of when they are asked is
-//! out of its sight.
+//! does so whatever versions it knows of, since it can't tell which ones the others will know of when
+//! they are asked. Once it is gone, the keepers tell others in its place.
 //!
 //! Records are lost with the nodes that hold them. A stream of which nobody holds a record is not
 //! resumed, unless one version alone has served for longer than any stream lasts.
@@ -173,7 +173,7 @@
 /// The interval at which a record that all keepers confirmed is checked for keepers that are gone.
 const CHECK_INTERVAL: Span = Span::from_millis(250);
 
-/// The number of nodes that keep a record.
+/// The number of nodes, beside the one that makes it, that keep a record.
 pub const KEEPERS: usize = 3;
 
 /// The maximum number of nodes that are told of a record, as some may be silent.
@@ -207,9 +207,9 @@
     told_by: Option<Keeper>,
     /// The keepers that confirmed it.
     confirmed: Vec<Keeper>,
-    /// How often keepers were told since all had confirmed it.
+    /// How often keepers were told since enough of them had last confirmed it.
     rounds: usize,
-    /// When all keepers were last found to have confirmed it.
+    /// When enough keepers were found to have confirmed it, unless one has gone since.
     complete: Option<Time>,
     /// When the keepers are to be checked.
     due: Time,
@@ -427,6 +427,7 @@
             self.set_due(key, now + CHECK_INTERVAL);
             return None;
         }
+        record.complete = None;
         record.rounds += 1;
         let statement = Statement {
             key,
--- a/crates/dispatch/src/worker/mod.rs
+++ b/crates/dispatch/src/worker/mod.rs
@@ -157,7 +157,7 @@
     /// When another endpoint answered at its address. It is then gone even if still listed.
     pub gone_at: Option<Time>,
     /// When it was last found to have ended, until the platform would have listed another start. Until
-    /// then one may answer at its address and under its name, with other software.
+    /// then, one with other software may answer at its address, under its name.
     pub ended_at: Option<Time>,
     /// When a call to it last succeeded.
     pub last_success: Option<Time>,
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -442,6 +442,9 @@
     registry.confirm(keeper(1), &[KEY]);
     assert_eq!(told(&mut registry, 200, 1), 0);
     assert_eq!(told(&mut registry, 700, 2), 1);
+    assert_eq!(told(&mut registry, 800, 2), 1);
+    registry.confirm(keeper(2), &[KEY]);
+    assert_eq!(told(&mut registry, 900, 2), 0);
 }
 
 /// Returns a dispatcher without a platform, one of whose two endpoints of one version has ended.
