--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -182,7 +182,7 @@
 /// The number of times that keepers are told before one more node is.
 const ROUNDS_BEFORE_ANOTHER: usize = 3;
 
-/// One start of a node that keeps a record.
+/// One start of a node that keeps a record, or that told others of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Keeper {
     /// Its address.
@@ -200,10 +200,10 @@
     expires: Time,
     /// Whether another node stated another version.
     is_disputed: bool,
-    /// Whether this node tells keepers, since it passed on events of the stream, or since the node
-    /// that told it is gone.
-    is_own: bool,
-    /// The node that told it last.
+    /// Whether this node sees to it that keepers have the record: it passed on events of the stream, it
+    /// is leaving, or the node that told it is gone.
+    tells_keepers: bool,
+    /// The node that told this one last.
     told_by: Option<Keeper>,
     /// The keepers that confirmed it.
     confirmed: Vec<Keeper>,
@@ -259,7 +259,7 @@
         let expires = (stream.until + EXPIRY_MARGIN).min(now + MAX_VALIDITY);
         self.record(now, stream.key, service, software, expires);
         if let Some(record) = self.records.get_mut(&stream.key) {
-            record.is_own = true;
+            record.tells_keepers = true;
         }
         self.set_due(stream.key, now);
     }
@@ -286,7 +286,10 @@
             return;
         }
         self.tellers_checked = now;
-        let told = self.records.iter().filter(|(_, record)| !record.is_own);
+        let told = self
+            .records
+            .iter()
+            .filter(|(_, record)| !record.tells_keepers);
         let lost = told.filter(|(_, record)| record.told_by.is_none_or(|teller| !is_live(&teller)));
         let lost: Vec<Key> = lost.map(|(key, _)| *key).collect();
         for key in lost {
@@ -313,7 +316,7 @@
             recorded: now,
             expires,
             is_disputed: false,
-            is_own: false,
+            tells_keepers: false,
             told_by: None,
             confirmed: Vec::new(),
             rounds: 0,
@@ -376,7 +379,7 @@
     /// Has this node tell keepers of a record as if it were its own.
     pub fn take_over(&mut self, now: Time, key: Key) {
         if let Some(record) = self.records.get_mut(&key) {
-            record.is_own = true;
+            record.tells_keepers = true;
         }
         self.set_due(key, now);
     }
@@ -389,7 +392,7 @@
         }
     }
 
-    /// Takes the keys of this node's own records whose keepers are to be checked.
+    /// Takes the keys of the records whose keepers this node is to check now.
     pub fn take_due(&mut self, now: Time) -> Vec<Key> {
         let mut taken = Vec::new();
         while let Some((at, key)) = self.due.first().copied()
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -1,4 +1,5 @@
-//! Tracks which versions of the software each service's endpoints have been listed with.
+//! Tracks which versions of the software each service's endpoints have been listed with, and whether
+//! an endpoint may have started again since.
 
 use std::collections::HashMap;
 
