fix: a node that is late with its own work declines new connections unread

While most new connections went to one node with a small part of a processor, callers got W2002 for 1,109 of 1,449 first tries there, after their requests had been read. Nothing bounded what a node reads, so that all requests, those in progress too, became late together, and nothing measured that.

A node now measures by how much its timers fire late; only a delay that lasts counts, so that a pause or a quota of processor time in windows does not. While it is late it accepts no more new connections than it gets done, by a limit that falls by as much as it is late and grows slowly, and closes the others unread: their callers know that nothing has run and connect to another node. It does so only while at most a quarter of the other nodes is late (statuses say so, protocol 17), since somebody has to accept them. Connections that are open already are served as before.

The test of the gateway fails without the change: all connections are accepted.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 //! * `book.rs`: books places for callers that are refused, and recognises them when they return.
 //! * `redirect.rs`: redirects requests to owners at which they wait less.
 //! * `report_queue.rs`: exchanges reports on waiting requests with those owners.
+//! * `decline.rs`: declines new connections while this node is late with its own work.
 //! * `retry.rs`: computes when refused callers should retry.
 //! * `borrow.rs`: requests slots that other nodes own.
 //! * `answer.rs`: handles their replies.
@@ -64,6 +65,7 @@
 use crate::first_try;
 use crate::job;
 use crate::job::Job;
+use crate::lateness;
 use crate::lease::Lease;
 use crate::lease::Origin;
 use crate::leaving;
@@ -96,6 +98,7 @@
 mod book;
 mod borrow;
 mod decision;
+mod decline;
 mod displace;
 mod enter;
 mod flow;
@@ -136,6 +139,7 @@
 pub use decision::Decision;
 pub use decision::Next;
 pub use decision::Reason;
+pub use decline::Lateness;
 pub use enter::Refusal;
 use flow::Flow;
 pub use flow::Rate;
@@ -356,6 +360,9 @@
     has_news: bool,
     ticked_at: Time,
     arranged_at: Time,
+    /// How late this node is with its own work.
+    lateness: lateness::Meter,
+    connection_limit: lateness::Limit,
     decisions: Vec<Decision>,
 }
 
@@ -412,6 +419,8 @@
             has_news: false,
             ticked_at: Time(0),
             arranged_at: Time(0),
+            lateness: lateness::Meter::default(),
+            connection_limit: lateness::Limit::default(),
             decisions: Vec::new(),
         }
     }
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -194,6 +194,7 @@
             tolerances: self.rotate_announcements(self.tolerances_to_announce(now)),
             lost_links: self.lost_links(),
             uptime: self.accounts.recent_uptime_opt(now),
+            is_late: self.states_lateness(),
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,6 +30,7 @@
 //! * [`first_try`]: callers that have tried before.
 //! * [`job`]: one request, from its arrival to its final answer.
 //! * [`lease`]: slots that one node grants to another.
+//! * [`lateness`]: how late this node is with its own work.
 //! * [`leaving`]: endpoints that stated in an answer that they are leaving.
 //! * [`rest`]: endpoints that asked to be sent nothing for a while.
 //! * [`link`]: this node's own links to endpoints.
@@ -61,6 +62,7 @@
 pub mod fair_share;
 pub mod first_try;
 pub mod job;
+pub mod lateness;
 pub mod lease;
 pub mod leaving;
 pub mod length;
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -118,6 +118,9 @@
     /// How long ago the node started, if that was recent enough to matter for quotas.
     #[serde(skip)]
     pub uptime: Option<Span>,
+    /// Whether the node is late with its own work, so that it accepts few new connections.
+    #[serde(skip)]
+    pub is_late: bool,
 }
 
 /// How many of a service's endpoints a node doesn't reach.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -50,8 +50,11 @@
     /// The first version that bars parts of prompts, and whose findings are also about those.
     pub const PARTS: Protocol = Protocol(16);
 
+    /// The first version whose statuses say whether a node is late with its own work.
+    pub const LATENESS: Protocol = Protocol(17);
+
     /// The version of this build.
-    pub const CURRENT: Protocol = Protocol::PARTS;
+    pub const CURRENT: Protocol = Protocol::LATENESS;
 
     /// Returns the version assumed for messages that do not contain one.
     pub(crate) fn first() -> Protocol {
--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -69,13 +69,17 @@
     let bytes = postcard::to_extend(&extension, bytes)?;
     let bytes = postcard::to_extend(&status.rate_limits, bytes)?;
     let bytes = postcard::to_extend(&status.notices, bytes)?;
-    let has_tolerances = !status.tolerances.is_empty();
+    let has_tolerances = !status.tolerances.is_empty() || status.is_late;
     if status.lost_links.is_empty() && status.uptime.is_none() && !has_tolerances {
         return Ok(bytes);
     }
     let bytes = postcard::to_extend(&(&status.lost_links, status.uptime), bytes)?;
-    match has_tolerances {
-        true => postcard::to_extend(&status.tolerances, bytes),
+    if !has_tolerances {
+        return Ok(bytes);
+    }
+    let bytes = postcard::to_extend(&status.tolerances, bytes)?;
+    match status.is_late {
+        true => postcard::to_extend(&true, bytes),
         false => Ok(bytes),
     }
 }
@@ -113,7 +117,11 @@
             if !rest.is_empty() {
                 let ((lost_links, uptime), rest) = postcard::take_from_bytes(rest).ok()?;
                 (status.lost_links, status.uptime) = (lost_links, uptime);
-                status.tolerances = take_list(rest).ok()?.0;
+                let (tolerances, rest) = take_list(rest).ok()?;
+                status.tolerances = tolerances;
+                if !rest.is_empty() {
+                    status.is_late = postcard::take_from_bytes(rest).ok()?.0;
+                }
             }
         }
         _ => {}
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -41,8 +41,11 @@
 /// Messages as encoded by builds of the version that added software versions.
 const SOFTWARE: &str = include_str!("15.hex");
 
+/// Messages as encoded by builds of the version that added parts of prompts.
+const PARTS: &str = include_str!("16.hex");
+
 /// Messages as encoded by this build.
-const CURRENT: &str = include_str!("16.hex");
+const CURRENT: &str = include_str!("17.hex");
 
 /// Returns the messages in a file, by name.
 fn samples_of(file: &str) -> HashMap<&str, Vec<u8>> {
@@ -131,7 +134,7 @@
         assert_eq!(
             extension,
             EraExtension {
-                protocol: 16,
+                protocol: 17,
                 era: 3
             }
         );
@@ -165,9 +168,19 @@
     message
 }
 
+/// Returns the message without what the version with parts of prompts lacks.
+fn without_lateness(message: Message) -> Message {
+    with_status(message, |status| {
+        status.protocol = Protocol::PARTS;
+        status.is_late = false;
+    })
+}
+
 /// Returns the message as the version with software versions wrote it.
 fn without_parts(message: Message) -> Message {
-    with_status(message, |status| status.protocol = Protocol::SOFTWARE)
+    with_status(without_lateness(message), |status| {
+        status.protocol = Protocol::SOFTWARE;
+    })
 }
 
 /// Returns the message without what the version with tolerances lacks.
@@ -175,7 +188,9 @@
     if let Message::Lease(request) = &mut message {
         request.software = None;
     }
-    with_status(message, |status| status.protocol = Protocol::TOLERANCES)
+    with_status(without_parts(message), |status| {
+        status.protocol = Protocol::TOLERANCES;
+    })
 }
 
 /// Returns the message without what the version with forwarding lacks.
@@ -243,6 +258,7 @@
 #[case::of_the_protocol_with_forwarding(FORWARDING, without_tolerances)]
 #[case::of_the_protocol_with_tolerances(TOLERANCES, without_software)]
 #[case::of_the_protocol_with_software_versions(SOFTWARE, without_parts)]
+#[case::of_the_protocol_with_parts(PARTS, without_lateness)]
 #[case::of_this_build(CURRENT, |message| message)]
 fn datagrams_are_decoded(#[case] file: &str, #[case] expected: fn(Message) -> Message) {
     let stored = samples_of(file);
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -133,6 +133,7 @@
             percent: 92,
         }],
         uptime: Some(Span::from_millis(900)),
+        is_late: true,
         tolerances: vec![tolerance(10, Some("12"), 3), tolerance(11, None, 0)],
     }
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -33,6 +33,15 @@
         /// The duration of the suspension in milliseconds.
         after_ms: u64,
     },
+    /// The node is late with its own work and limits new connections, or is on time again.
+    Lateness {
+        /// The state: `late` or `on-time`.
+        state: &'a str,
+        /// By how many milliseconds its timers fire late.
+        delay_ms: u64,
+        /// The connections declined since the start.
+        declined: u64,
+    },
     /// A configuration came into force.
     Configuration {
         /// The version of the configuration.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,6 +77,10 @@
     pub sent_messages: IntGaugeVec,
     /// The number of bytes sent to other nodes, by kind.
     pub sent_bytes: IntGaugeVec,
+    /// By how many milliseconds the node's timers fire late.
+    pub delay: IntGauge,
+    /// The number of new connections declined because the node was late.
+    pub declined_connections: IntGauge,
     /// The number of log lines dropped.
     pub dropped_log_lines: IntGauge,
     /// The number of features of requests during which endpoints crashed since they were last
@@ -251,6 +255,14 @@
             )?,
             nodes: gauge("woadstage_nodes", "Nodes that count.")?,
             silent_nodes: gauge("woadstage_silent_nodes", "Nodes that are silent.")?,
+            delay: gauge(
+                "woadstage_delay_ms",
+                "By how many milliseconds the node's timers fire late.",
+            )?,
+            declined_connections: gauge(
+                "woadstage_declined_connections",
+                "New connections declined because the node was late.",
+            )?,
             dropped_log_lines: gauge("woadstage_log_lines_left_out", "Log lines left out.")?,
             booking_error,
             services,
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -111,6 +111,9 @@
     metrics.suspects.set(suspects as i64);
     metrics.barred_requests.set(barred as i64);
     metrics.barred_parts.set(barred_parts as i64);
+    let lateness = shell.query(|dispatcher, _| dispatcher.lateness());
+    metrics.delay.set((lateness.delay.0 / 1_000) as i64);
+    metrics.declined_connections.set(lateness.declined as i64);
     metrics
         .dropped_log_lines
         .set(shell.log.dropped_lines() as i64);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -209,9 +209,11 @@
 async fn tick(shell: Rc<Shell>, socket: Rc<UdpSocket>, advertised_role: watch::Sender<Role>) {
     let mut last = shell.now();
     loop {
-        tokio::time::sleep(TICK_INTERVAL).await;
+        let due = tokio::time::Instant::now() + TICK_INTERVAL;
+        tokio::time::sleep_until(due).await;
         shell.check_suspension();
         let now = shell.now();
+        record_delay(&shell, due.elapsed());
         if shell.command(|dispatcher, now| dispatcher.tick(now)) {
             shell.upstream.close_idle();
             shell.log(&Event::Woke {
@@ -226,6 +228,24 @@
     }
 }
 
+/// Records by how much the node's timer fired late, and logs what follows for new connections.
+fn record_delay(shell: &Shell, delay: Duration) {
+    let changed = shell.command(|dispatcher, now| dispatcher.record_delay(now, to_span(delay)));
+    let Some(lateness) = changed else {
+        return;
+    };
+    let state = match lateness.is_limited {
+        true => "late",
+        false => "on-time",
+    };
+    shell.metrics.record_state_change(state);
+    shell.log(&Event::Lateness {
+        state,
+        delay_ms: lateness.delay.0 / 1_000,
+        declined: lateness.declined,
+    });
+}
+
 /// Closes idle connections to endpoints and logs how many log lines were dropped.
 async fn sweep(shell: Rc<Shell>) {
     let mut left_out = 0;
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -21,6 +21,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::FutureExt;
 use hyper::Request;
@@ -32,6 +33,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
@@ -75,9 +77,10 @@
             () = shell.wait_for_phase(Phase::Stopped) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, _)) if shell.try_accept_connection() => {
                 tokio::task::spawn_local(serve_caller(shell.clone(), stream));
             }
+            Ok((stream, _)) => decline(stream),
             // The usual cause is a lack of file descriptors: wait for connections to close.
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
         }
@@ -88,6 +91,13 @@
     }
 }
 
+/// Closes a connection of which nothing was read. The caller learns at once that its request has not
+/// run, and connects to another node.
+fn decline(stream: TcpStream) {
+    // Without the reset, a caller that has sent nothing yet would learn it a round trip later.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
 async fn serve_caller(shell: Rc<Shell>, stream: TcpStream) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -220,6 +220,16 @@
         answer
     }
 
+    /// Whether a caller's new connection is accepted.
+    pub fn try_accept_connection(&self) -> bool {
+        let is_serving = self.phase() == Phase::Serving;
+        !is_serving
+            || self
+                .dispatcher
+                .borrow_mut()
+                .try_accept_connection(self.now())
+    }
+
     /// Queues a request and returns a receiver of its decision.
     pub fn enter(&self, job: Job) -> (job::Id, oneshot::Receiver<Decision>) {
         let id = self.dispatcher.borrow_mut().enter(self.now(), job);
--- a/crates/gateway/tests/gateway/callers.rs
+++ b/crates/gateway/tests/gateway/callers.rs
@@ -5,7 +5,9 @@
 
 use rstest::rstest;
 use woadstage_dispatch::configuration::Quota;
+use woadstage_dispatch::message::Status;
 use woadstage_gateway::log;
+use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use crate::support::Action;
@@ -145,3 +147,33 @@
         }
     });
 }
+
+/// Guards against requests that a late node reads although it can't serve them in time.
+#[test]
+fn a_late_node_closes_new_connections_unread() {
+    run(|| async {
+        let (worker, gateway, mut kept) = serving().await;
+        kept.request("before", "/once/x", "").await;
+        assert_eq!(kept.answer().await.status, 200);
+        let status = Status {
+            incarnation: 1,
+            sequence: 1,
+            ..Status::default()
+        };
+        let other = "127.0.0.2:7600".parse().expect("an address");
+        let late = Span::from_millis(200);
+        gateway.shell.command(|dispatcher, now| {
+            dispatcher.receive_status(now, other, status);
+            for tick in 0..10 {
+                dispatcher.record_delay(now + Span::from_millis(20 * tick), late);
+            }
+        });
+        for _ in 0..5 {
+            let mut caller = Caller::connect(&gateway).await;
+            assert!(caller.is_closed().await);
+        }
+        kept.request("kept", "/once/x", "").await;
+        assert_eq!(kept.answer().await.status, 200);
+        assert_eq!(worker.requests.borrow().len(), 2);
+    });
+}
