fix: a late node does not vouch for what it measured

A node whose processor is spent reads answers late, and took that for the endpoints: it told owners of slots of slow first events and calls, other nodes of failing endpoints, passed over owners whose answers it had not read yet, and put silent links in doubt.

While a node is late and for half a second after, its times are not learnt from, here or at the owner (a report of a first event becomes one of progress, an end has no time), and its status names no endpoint as failing or unreachable. While it is late, an owner's missing answer and a silent endpoint prove nothing. An endpoint whose address answers under another name is still reported: that does not depend on time.

a_late_node_does_not_vouch_for_failures fails without the change.

--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -353,7 +353,8 @@
             self.give_up_redirection(now, id);
             return;
         }
-        let is_silent = open_request.unanswered >= MAX_UNANSWERED;
+        // While this node is late, the answer may be there unread.
+        let is_silent = open_request.unanswered >= MAX_UNANSWERED && !self.lateness.is_late();
         if is_silent {
             self.members.record_unanswered(now, open_request.owner);
         }
--- a/crates/dispatch/src/dispatcher/lend.rs
+++ b/crates/dispatch/src/dispatcher/lend.rs
@@ -256,6 +256,7 @@
         }
         if let Some(mut run) = self.runs.remove(&remote.id) {
             run.event_count = seen.events;
+            run.is_timed = seen.took.is_some();
             let pool = self.pools.get_mut(&target);
             if let Some((pool, used)) = pool.zip(seen.took) {
                 pool.turnaround.learn(now.since(run.started), used);
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -223,6 +223,8 @@
     is_recorded_gone_on: bool,
     /// Whether the answer ended with its connection, maybe since its endpoint did.
     is_end_in_doubt: bool,
+    /// Whether its times show how fast its endpoint is, and not how late the node that measured them.
+    is_timed: bool,
 }
 
 /// The state that this node keeps for one service.
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -46,6 +46,7 @@
     pub fn progress(&mut self, now: Time, id: job::Id, events: u32) {
         self.record_answering(now, id);
         self.record_gone_on(now, id);
+        let is_distrusted = self.lateness.is_distrusted(now);
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
@@ -63,20 +64,23 @@
         run.event_count += events;
         let first = run.first.is_none();
         let lease_event = match first {
+            // The owner would learn from the time of a first event.
+            true if is_distrusted => Some(lease::Event::Progress),
             true => Some(lease::Event::First),
             false if now.since(run.reported) >= REPORT_INTERVAL => Some(lease::Event::Progress),
             false => None,
         };
         let lease_event = run.lease.zip(lease_event);
+        run.is_timed &= !is_distrusted;
         if first {
-            learn_first(pool, run, now);
+            record_first(pool, run, now);
         } else {
-            if events == 1 {
+            if events == 1 && run.is_timed {
                 learn_pause(pool, run, now);
             }
             run.last = now;
             run.sample_events += events;
-            if run.sample_events >= EVENTS_PER_SAMPLE {
+            if run.sample_events >= EVENTS_PER_SAMPLE && run.is_timed {
                 learn_events(pool, run, now);
             }
         }
@@ -192,12 +196,14 @@
     }
 
     /// Removes an attempt from its endpoint's load and learns from how it ended.
-    pub(super) fn finish_attempt(&mut self, now: Time, run: Run, end: End) -> Job {
+    pub(super) fn finish_attempt(&mut self, now: Time, mut run: Run, end: End) -> Job {
+        run.is_timed &= !self.lateness.is_distrusted(now);
         if let Some(lease) = run.lease {
             let seen = lease::Observation {
                 events: run.event_count,
-                step: run.step.map(|step| step as u32),
-                took: matches!(end, End::Whole | End::Rejected).then(|| now.since(run.started)),
+                step: run.step.filter(|_| run.is_timed).map(|step| step as u32),
+                took: (run.is_timed && matches!(end, End::Whole | End::Rejected))
+                    .then(|| now.since(run.started)),
             };
             let event = lease::Event::Ended { end, seen };
             let load = self.load_to_report_opt(now, &run);
@@ -226,9 +232,11 @@
         match end {
             End::Whole | End::Rejected => {
                 worker.record_success(now, is_own);
-                learn_call(pool, &run, now);
                 learn_length(pool, &run);
-                if is_own {
+                if run.is_timed {
+                    learn_call(pool, &run, now);
+                }
+                if is_own && run.is_timed {
                     let took = now.since(run.job.arrived);
                     self.durations.learn(&run.job.route, took);
                 }
@@ -312,14 +320,22 @@
 /// The assumed number of nodes until another node is discovered.
 const ASSUMED_NODES: usize = 8;
 
-fn learn_first(pool: &mut Pool, run: &mut Run, now: Time) {
+/// Records the first event of a stream, and learns from the time that it took.
+fn record_first(pool: &mut Pool, run: &mut Run, now: Time) {
     run.first = Some(now);
     run.sample_start = now;
     run.last = now;
-    let after = now.since(run.started).0 as f64;
-    pool.first_event_us += (after - pool.first_event_us) * SAMPLE_WEIGHT;
     let worker = &mut pool.workers[run.worker];
     worker.pending = worker.pending.saturating_sub(run.uncached);
+    if run.is_timed {
+        learn_first(pool, run, now);
+    }
+}
+
+fn learn_first(pool: &mut Pool, run: &Run, now: Time) {
+    let after = now.since(run.started).0 as f64;
+    pool.first_event_us += (after - pool.first_event_us) * SAMPLE_WEIGHT;
+    let worker = &pool.workers[run.worker];
     let tokens = run.uncached + run.tokens_ahead;
     // The time includes waiting for a slot if the request was queued at the endpoint.
     if pool.engine && tokens >= MIN_SAMPLE_TOKENS && !run.queued {
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -213,6 +213,7 @@
     /// Returns the load on each endpoint, except what the owners of leased slots report.
     fn loads(&self, now: Time) -> Vec<Load> {
         let leased_loads = self.leased_loads(now);
+        let is_distrusted = self.lateness.is_distrusted(now);
         let workers = self.pools.values().flat_map(|pool| &pool.workers);
         let loads = workers.map(|worker| {
             let leased = leased_loads
@@ -230,7 +231,9 @@
                 endpoint: worker.number,
                 running: running.min(u32::from(u16::MAX)) as u16,
                 pending_tokens: pending.min(u64::from(u32::MAX)) as u32,
-                unavailability: worker.unavailability_opt(now, &self.options.worker),
+                unavailability: worker
+                    .unavailability_opt(now, &self.options.worker)
+                    .filter(|what| !is_distrusted || *what == Unavailability::Gone),
             }
         });
         let reported = loads.filter(|load| load.running > 0 || load.unavailability.is_some());
--- a/crates/dispatch/src/dispatcher/start.rs
+++ b/crates/dispatch/src/dispatcher/start.rs
@@ -109,6 +109,7 @@
             stated_load: None,
             is_recorded_gone_on: false,
             is_end_in_doubt: false,
+            is_timed: true,
             job,
         };
         self.runs.insert(id, run);
--- a/crates/dispatch/src/dispatcher/track_links.rs
+++ b/crates/dispatch/src/dispatcher/track_links.rs
@@ -113,7 +113,10 @@
             }
         }
         let mut silent_counts: HashMap<id::Target, usize> = HashMap::new();
-        for call in first_calls(self.runs.values()) {
+        // What seems silent to a node that is late may be there unread.
+        let is_late = self.lateness.is_late();
+        let calls = first_calls(self.runs.values());
+        for call in calls.into_iter().filter(|_| !is_late) {
             let Some(pool) = self.pools.get_mut(&call.target) else {
                 continue;
             };
--- a/crates/dispatch/tests/dispatch/lateness.rs
+++ b/crates/dispatch/tests/dispatch/lateness.rs
@@ -2,13 +2,18 @@
 
 use rstest::rstest;
 use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::job::End;
 use woadstage_dispatch::lateness::Limit;
 use woadstage_dispatch::lateness::Meter;
 use woadstage_dispatch::message::Status;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::support::MODEL;
 use crate::support::at;
+use crate::support::dispatcher;
+use crate::support::endpoint;
+use crate::support::job;
 use crate::support::node;
 use crate::support::options;
 
@@ -116,3 +121,33 @@
 ) {
     assert_eq!(accepted_beside(others, late), expected);
 }
+
+/// Makes a node late.
+fn delay(dispatcher: &mut Dispatcher, until: Time) {
+    for tick in 0..3 {
+        dispatcher.record_delay(until - ms(60 - tick * TICK_MS), ms(200));
+    }
+}
+
+/// Returns whether a node states that an endpoint which resets its calls is failing.
+fn states_failure(is_late: bool) -> bool {
+    let mut dispatcher = dispatcher(&[endpoint("e1", MODEL, 4)]);
+    for call in 0..6 {
+        let now = at(10 + call * 10);
+        let id = dispatcher.enter(now, job(MODEL, 0, now));
+        if is_late {
+            delay(&mut dispatcher, now);
+        }
+        dispatcher.end(now + ms(2), id, End::Lost);
+    }
+    let status = dispatcher.status(at(80));
+    let mut loads = status.loads.iter();
+    loads.any(|load| load.unavailability.is_some())
+}
+
+#[rstest]
+#[case::on_time(false, true)]
+#[case::late(true, false)]
+fn a_late_node_does_not_vouch_for_failures(#[case] is_late: bool, #[case] expected: bool) {
+    assert_eq!(states_failure(is_late), expected);
+}
