fix: one node gets the slots of the fleet that its callers need

Two things made a wait of milliseconds a refusal. The forecast added the wait to an answer that is late by itself, so that any wait refused it; now only the wait that the caller's own timeout leaves counts then, as for a caller that returns. And the forecasts know the slots of a cell alone, while one node's callers need most slots of the fleet: those of other cells were asked for one at a time for each of them, by a timer, by requests that had waited 60 ms. Under overload of the whole fleet each cell denies, the denials are renewed while requests wait, and forecasts refuse as before. Nothing is lent for longer than a request, so slots come back by themselves when the skew ends or moves on.

--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -90,6 +90,9 @@
             return;
         };
         let worker = pool.worker_opt(endpoint);
+        if open_request.job.is_none() {
+            pool.spare_granted_at = Some(now);
+        }
         let job = open_request.job.or_else(|| pool.queue.remove(id));
         let Some(mut job) = job else {
             self.release_slot(open_request.owner, open_request.number, End::Abandoned);
@@ -162,6 +165,9 @@
         };
         let Some(job) = open_request.job else {
             self.spare_denied_at.insert(open_request.owner, now);
+            if let Some(target) = self.targets.get(&id).cloned() {
+                self.request_more_spare_slots(now, &target);
+            }
             return;
         };
         let pool = self.pools.get_mut(&job.target);
--- a/crates/dispatch/src/dispatcher/enter.rs
+++ b/crates/dispatch/src/dispatcher/enter.rs
@@ -84,6 +84,7 @@
         let target = job.target.clone();
         self.push(now, id, job);
         self.place(now, &target);
+        self.request_more_spare_slots(now, &target);
     }
 
     /// Refuses a request, and books a place for its caller if there is one.
@@ -198,14 +199,18 @@
         if pool.is_some_and(|pool| self.forecasts_by_position(pool)) {
             return self.position_refusal(now, job);
         }
-        // A caller that was refused before accepts a late answer rather than none.
-        let max_response_time = match job.is_caller_retry() {
+        let answer = self.pools.get(&job.target).map(Pool::typical_response_time);
+        let answer = answer.unwrap_or(Span::ZERO);
+        let in_time = job.objective.0 as f64 * self.options.policy.refuse_beyond;
+        // A caller that was refused before accepts a late answer rather than none, and no wait makes
+        // an answer late that would be late without.
+        let max_response_time = match job.is_caller_retry() || answer.0 as f64 > in_time {
             true => job.caller_timeout.0 as f64,
-            false => job.objective.0 as f64 * self.options.policy.refuse_beyond,
+            false => in_time,
         };
-        let answer = self.pools.get(&job.target).map(Pool::typical_response_time);
-        let expected_response_time = (wait + answer.unwrap_or(Span::ZERO)).0 as f64;
-        (wait > Span::ZERO && expected_response_time > max_response_time).then(|| Refusal {
+        let expected_response_time = (wait + answer).0 as f64;
+        let is_late = wait > Span::ZERO && expected_response_time > max_response_time;
+        (is_late && !self.may_get_spare_slot(now, job)).then(|| Refusal {
             code: Code::TooLate,
             retry_after: Some(self.retry_after_estimate(now, wait, remaining)),
             wait: Some(wait),
--- a/crates/dispatch/src/dispatcher/forecast.rs
+++ b/crates/dispatch/src/dispatcher/forecast.rs
@@ -145,7 +145,10 @@
         let pool = self.pools.get(&job.target)?;
         let own = self.backlog_of(now, pool, job, self.is_late(now, pool, job));
         let all = self.backlog_with_all_arrivals(now, pool, job.rank, None);
-        let outcome = decide(own, all, limits(now, pool, job));
+        let outcome = match decide(own, all, limits(now, pool, job)) {
+            Outcome::Refused if self.may_get_spare_slot(now, job) => Outcome::Held,
+            outcome => outcome,
+        };
         let flow = &mut self.pools.get_mut(&job.target)?.flow;
         match outcome {
             Outcome::InTime => return None,
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -265,6 +265,8 @@
     turnaround: Turnaround,
     /// When one of its endpoints was last open, if ever.
     open_at: Option<Time>,
+    /// When another cell last granted a spare slot for it.
+    spare_granted_at: Option<Time>,
     /// The path at which its endpoints answer health checks, if configured.
     health_path: Option<String>,
     /// Until when no further probe of a lost link starts.
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -348,6 +348,7 @@
         call_us: INITIAL_CALL_US,
         turnaround: Turnaround::default(),
         open_at: None,
+        spare_granted_at: None,
         health_path: None,
         lost_probe_after: Time(0),
         has_variable_capacity: false,
--- a/crates/dispatch/tests/dispatch/fleet/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/mod.rs
@@ -30,6 +30,7 @@
 mod redirect;
 mod region_bound;
 mod resting;
+mod skew;
 mod slot_depth;
 mod start;
 mod world;
