fix: a caller that does not read holds its endpoint until the deadline, not longer

An endpoint in trouble may send bytes without end, in a head or a body, until the connection closes. What bounds what a node reads and keeps of them: the buffer of a connection for a head, a chunk's extension and trailers; back-pressure and the request's deadline for a body. The deadline was looked at only when more of the body was wanted, and a caller that doesn't read wants none: the request, its slot and both connections stayed for as long as the caller did.

A write to a caller that waits at the deadline now fails and resets the connection; not once the endpoint's answer is whole, since a ready answer is delivered also late. The buffer for what an endpoint sends is 64 KiB, where it was 408 KiB: two hundred heads without end were as much as a small host's memory.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -71,6 +71,10 @@
     outgoing::remove_hop_by_hop(&mut head.headers);
     // The endpoint's version must not choose the framing on the caller's connection.
     head.version = Version::HTTP_11;
+    if let Some(reset) = &exchange.reset {
+        let clock = &exchange.shell.clock;
+        reset.set_deadline(Some(clock.to_instant(exchange.admitted.deadline)));
+    }
     let is_resumable = is_stream && exchange.admitted.route.resumable;
     if is_resumable {
         // It may be resumed by an answer of another length.
@@ -240,6 +244,9 @@
     /// Ends the exchange after the endpoint's answer is complete.
     fn finish(&mut self) {
         self.is_finished = true;
+        if let Some(reset) = &self.exchange.reset {
+            reset.set_deadline(None);
+        }
         let end = match self.status {
             500.. => End::Fault,
             400..500 => End::Rejected,
--- a/crates/gateway/src/upstream/connect.rs
+++ b/crates/gateway/src/upstream/connect.rs
@@ -15,6 +15,10 @@
 /// connection, before the host is considered gone.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The bytes of an answer that are buffered, which bounds its head. One without end ends its
+/// connection.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
+
 /// The interval of TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -22,7 +26,10 @@
 pub async fn open(address: SocketAddrV4) -> anyhow::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     set_socket_options(&stream)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_BUFFERED_BYTES)
+        .handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await?;
     let task = tokio::task::spawn_local(async move {
         // An error of the connection is reported by the call in progress.
         let _ = connection.await;
--- a/crates/gateway/tests/gateway/flood.rs
+++ b/crates/gateway/tests/gateway/flood.rs
@@ -8,6 +8,7 @@
 use crate::support::KEY;
 use crate::support::Worker;
 use crate::support::answer;
+use crate::support::chunked_head;
 use crate::support::run;
 
 /// What the buffers of the kernel take of a connection, and the node's on top: far less than an
@@ -24,22 +25,27 @@
 
 /// Guards against an endpoint whose bytes without end take a node's memory or hold its caller.
 #[rstest]
-#[case::field_without_end(head("x-filler: "), 502)]
-#[case::no_answer("fizz".to_owned(), 502)]
-#[case::after_the_answer(answer("200 OK", "fine"), 200)]
-#[case::chunk_extension_without_end(chunked("4;"), 0)]
-#[case::trailer_without_end(chunked("0\r\nx-filler: "), 0)]
-#[case::body_until_the_connection_ends(head("\r\n"), 0)]
-#[case::chunk_without_end(chunked("ffffffffffff\r\n"), 0)]
-fn bytes_without_end_are_bounded(#[case] begun: String, #[case] status: u16) {
+#[case::field_without_end("/once/x", head("x-filler: "), 502)]
+#[case::no_answer("/once/x", "fizz".to_owned(), 502)]
+#[case::after_the_answer("/once/x", answer("200 OK", "fine"), 200)]
+#[case::chunk_extension_without_end("/once/x", chunked("4;"), 0)]
+#[case::trailer_without_end("/once/x", chunked("0\r\nx-filler: "), 0)]
+#[case::body_until_the_connection_ends("/once/x", head("\r\n"), 0)]
+#[case::chunk_without_end("/once/x", chunked("ffffffffffff\r\n"), 0)]
+#[case::event_without_end("/resumable/x", chunked_head() + "ffffffffffff\r\ndata: ", 0)]
+fn bytes_without_end_are_bounded(
+    #[case] path: &'static str,
+    #[case] begun: String,
+    #[case] status: u16,
+) {
     run(move || async move {
         let worker = Worker::start("e", vec![Action::Flood(begun)]).await;
         let gateway = Gateway::start(&[&worker]).await;
         let mut caller = Caller::connect(&gateway).await;
         caller
             .send(&format!(
-                "GET /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
-                 woadstage-request: id-1\r\nwoadstage-timeout-ms: 900\r\n\r\n"
+                "POST {path} HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: id-1\r\nwoadstage-timeout-ms: 900\r\ncontent-length: 0\r\n\r\n"
             ))
             .await;
         // The caller reads nothing until the endpoint's connection has ended.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod ending;
 mod explain;
 mod fingerprint;
+mod flood;
 mod hop;
 mod keep;
 mod links;
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -39,6 +39,8 @@
     AnswerStepwiseAndClose(Vec<String>, Rc<Notify>),
     /// Writes the text once the head has arrived, and reads the body after a notification.
     AnswerEarly(String, Rc<Notify>),
+    /// Writes the text, and then the same byte until the gateway closes the connection.
+    Flood(String),
     /// Writes nothing until the gateway closes the connection.
     NoAnswer,
     /// Answers with a stream of four events, and closes the connection after the second unless the
@@ -70,6 +72,8 @@
     pub requests: Rc<RefCell<Vec<String>>>,
     /// The number of connections accepted.
     pub connections: Rc<Cell<usize>>,
+    /// The bytes that [`Action::Flood`] has written.
+    pub flooded: Rc<Cell<usize>>,
     /// Notified when a connection has ended.
     pub connection_closed: Rc<Notify>,
     script: Rc<RefCell<VecDeque<Action>>>,
@@ -102,6 +106,7 @@
             address,
             requests: Rc::default(),
             connections: Rc::default(),
+            flooded: Rc::default(),
             connection_closed: Rc::default(),
             script: Rc::new(RefCell::new(script.into())),
             crashed: Rc::new(watch::Sender::new(false)),
@@ -241,6 +246,15 @@
                 write_stepwise(stream, texts, &proceed, head).await;
                 false
             }
+            Action::Flood(text) => {
+                let text = insert_request_id(&text, head);
+                let mut written = stream.write_all(text.as_bytes()).await.map(|()| 0);
+                while let Ok(bytes) = written {
+                    self.flooded.set(self.flooded.get() + bytes);
+                    written = stream.write(&[b'x'; 16 << 10]).await;
+                }
+                false
+            }
             Action::NoAnswer => {
                 let mut byte = [0];
                 let _ = stream.read(&mut byte).await;
