--- a/crates/dispatch/src/wire.rs
+++ b/crates/dispatch/src/wire.rs
@@ -69,12 +69,12 @@
     let bytes = postcard::to_extend(&extension, bytes)?;
     let bytes = postcard::to_extend(&status.rate_limits, bytes)?;
     let bytes = postcard::to_extend(&status.notices, bytes)?;
-    let has_tolerances = !status.tolerances.is_empty() || status.is_late;
-    if status.lost_links.is_empty() && status.uptime.is_none() && !has_tolerances {
+    let writes_tolerances = !status.tolerances.is_empty() || status.is_late;
+    if status.lost_links.is_empty() && status.uptime.is_none() && !writes_tolerances {
         return Ok(bytes);
     }
     let bytes = postcard::to_extend(&(&status.lost_links, status.uptime), bytes)?;
-    if !has_tolerances {
+    if !writes_tolerances {
         return Ok(bytes);
     }
     let bytes = postcard::to_extend(&status.tolerances, bytes)?;
