feat: the log tells which list chose an endpoint, and which entries it keeps without the platform

From the logs of one could not tell whether a list of endpoints was complete, nor which endpoints were in use although the platform's list lacked them. endpoints lines have settled and kept, sent lines the revision of the list and whether it is complete, and an unsettled line says why the list counts as incomplete, how long the platform gave no answer and for how long it stays so. Two gauges: woadstage_endpoints_kept and woadstage_endpoints_age_milliseconds. No decision changes.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -305,6 +305,10 @@
     sections: section::Index,
     /// The list as published by the platform, if `list` contains corrections.
     uncorrected: Option<Arc<List>>,
+    /// The endpoints of `list` that the platform's list lacks, since that may be incomplete.
+    kept: Vec<id::Endpoint>,
+    /// When `list` came into force.
+    listed_at: Time,
     /// Facts from earlier lists that an older copy of the platform's data may lack.
     corrections: Corrections,
     pools: HashMap<id::Target, Pool>,
@@ -394,6 +398,8 @@
             list: Arc::default(),
             sections: section::Index::default(),
             uncorrected: None,
+            kept: Vec::new(),
+            listed_at: Time(0),
             corrections: Corrections::default(),
             pools: HashMap::new(),
             targets: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -119,10 +119,16 @@
     }
 
     fn replace_list(&mut self, now: Time, list: Arc<List>) {
+        let mut kept = Vec::new();
         let list = match list.settled {
             true => list,
-            false => Arc::new(list.merge(&self.list)),
+            false => {
+                let missing = list.missing(&self.list).into_iter();
+                kept = missing.map(|endpoint| endpoint.name.clone()).collect();
+                Arc::new(list.merge(&self.list))
+            }
         };
+        (self.kept, self.listed_at) = (kept, now);
         self.corrections.record_list(now, &self.list, &list);
         let replaced = self.list.clone();
         self.record_versions(now, &replaced);
--- a/crates/dispatch/src/dispatcher/query.rs
+++ b/crates/dispatch/src/dispatcher/query.rs
@@ -188,6 +188,16 @@
         self.list.edition()
     }
 
+    /// The endpoints in force that the platform's list lacks, since that may be incomplete.
+    pub fn kept_endpoints(&self) -> &[id::Endpoint] {
+        &self.kept
+    }
+
+    /// How long the list of endpoints has been in force.
+    pub fn endpoints_age(&self, now: Time) -> Span {
+        now.since(self.listed_at)
+    }
+
     /// Whether the node can serve: it has the platform's configuration and endpoint list and is not
     /// stopping.
     pub fn is_ready(&self, now: Time) -> bool {
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -113,17 +113,24 @@
         self.evacuated.contains(data_centre)
     }
 
-    /// Returns this list plus the endpoints of an older one that it lacks, except those
-    /// that were leaving. Evacuations come from this list alone: they are set by an
-    /// operator and never expire, so they can't be missing.
-    pub fn merge(&self, older: &List) -> List {
+    /// Returns the endpoints of an older list that this one lacks, except those that were leaving.
+    pub fn missing<'a>(&self, older: &'a List) -> Vec<&'a Endpoint> {
         let names: HashSet<&id::Endpoint> = self
             .endpoints
             .iter()
             .map(|endpoint| &endpoint.name)
             .collect();
-        let kept = older.endpoints.iter();
-        let kept = kept.filter(|endpoint| !endpoint.leaving && !names.contains(&endpoint.name));
+        let missing = older.endpoints.iter();
+        missing
+            .filter(|endpoint| !endpoint.leaving && !names.contains(&endpoint.name))
+            .collect()
+    }
+
+    /// Returns this list plus the endpoints of an older one that it lacks, except those
+    /// that were leaving. Evacuations come from this list alone: they are set by an
+    /// operator and never expire, so they can't be missing.
+    pub fn merge(&self, older: &List) -> List {
+        let kept = self.missing(older);
         List {
             era: self.era,
             revision: self.revision,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -69,6 +69,11 @@
         era: u64,
         /// The revision of the list, comparable only within its era.
         revision: u64,
+        /// Whether the list is complete.
+        settled: bool,
+        /// The endpoints that are in use although the list lacks them, separated by commas.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        kept: &'a str,
         /// The number of endpoints that accept requests.
         ready: usize,
         /// The number of endpoints that are leaving.
@@ -80,6 +85,15 @@
         /// The source: `platform` or the address of a node.
         from: &'a str,
     },
+    /// The platform's list may lack endpoints that still run, for a while.
+    Unsettled {
+        /// Why: `started`, `outage` or `restored`.
+        cause: &'a str,
+        /// How long the platform gave no answer, in milliseconds.
+        away_ms: u64,
+        /// For how long the list counts as incomplete, in milliseconds.
+        for_ms: u64,
+    },
     /// The platform was restored from an older copy of data it had acknowledged. The node
     /// reads everything again and waits for the writes that are missing from the copy.
     Era {
@@ -288,6 +302,10 @@
         /// The version of its software; empty if not known.
         #[serde(skip_serializing_if = "str::is_empty")]
         software: &'a str,
+        /// The revision of the list of endpoints in force.
+        list: u64,
+        /// Whether that list is complete.
+        settled: bool,
         /// The time in milliseconds that the request had waited.
         waited_ms: u64,
         /// The number of requests of this node in progress at the endpoint.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,10 @@
     pub platform_answer_age: IntGauge,
     /// The revision of the list of endpoints in force.
     pub endpoints_revision: IntGauge,
+    /// How long that list has been in force, in milliseconds.
+    pub endpoints_age: IntGauge,
+    /// The number of endpoints in force that the platform's list lacks.
+    pub endpoints_kept: IntGauge,
     /// The platform's era in which that list was read.
     pub endpoints_era: IntGauge,
     /// The number of nodes that share fleet-wide limits, including this one.
@@ -249,6 +253,14 @@
                 "How long ago the platform last answered this node; -1 if it never did.",
             )?,
             endpoints_revision: gauge("woadstage_endpoints_revision", "The revision in force.")?,
+            endpoints_age: gauge(
+                "woadstage_endpoints_age_milliseconds",
+                "For how long the list of endpoints in force has been.",
+            )?,
+            endpoints_kept: gauge(
+                "woadstage_endpoints_kept",
+                "Endpoints in force that the platform's list lacks, since it may be incomplete.",
+            )?,
             endpoints_era: gauge(
                 "woadstage_endpoints_era",
                 "The platform's era in which the list in force was read.",
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -81,6 +81,14 @@
         .set(age(shell.platform_answered_at.get()));
     metrics.endpoints_revision.set(endpoints.revision as i64);
     metrics.endpoints_era.set(endpoints.era.0 as i64);
+    let (age, kept) = shell.query(|dispatcher, now| {
+        (
+            dispatcher.endpoints_age(now),
+            dispatcher.kept_endpoints().len(),
+        )
+    });
+    metrics.endpoints_age.set((age.0 / 1_000) as i64);
+    metrics.endpoints_kept.set(kept as i64);
     for (kind, count) in shell.peers.traffic.counts() {
         let labels = [kind.as_str()];
         let messages = metrics.sent_messages.with_label_values(&labels);
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -12,6 +12,7 @@
 use crate::active_configuration::Origin;
 use crate::clock::to_span;
 use crate::event::Event;
+use crate::serve::record;
 use crate::shell::Shell;
 use crate::source::Answer;
 
@@ -63,10 +64,13 @@
         .iter()
         .map(|data_centre| data_centre.as_str())
         .collect();
+    let kept = shell.query(|dispatcher, _| record::join_names(dispatcher.kept_endpoints()));
     shell.metrics.record_state_change("endpoints");
     shell.log(&Event::Endpoints {
         era: list.era.0,
         revision: list.revision,
+        settled: list.settled,
+        kept: &kept,
         ready: list.endpoints.len() - leaving,
         leaving,
         cold,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -161,6 +161,18 @@
             Update::Endpoints(list) => {
                 publish::set_endpoints(&shell, publish::PLATFORM_SOURCE, list);
             }
+            Update::Unsettled {
+                cause,
+                away,
+                settles_in,
+            } => {
+                shell.metrics.record_state_change("unsettled");
+                shell.log(&Event::Unsettled {
+                    cause: cause.as_str(),
+                    away_ms: away.as_millis() as u64,
+                    for_ms: settles_in.as_millis() as u64,
+                });
+            }
             Update::Restored { before, era } => {
                 shell.metrics.record_state_change("platform-restored");
                 shell.log(&Event::Era {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -60,7 +60,7 @@
 mod outgoing;
 mod parse_notice;
 mod payload;
-mod record;
+pub(crate) mod record;
 mod relay;
 mod reply;
 mod reset;
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -195,10 +195,13 @@
         .metrics
         .record_queue_time(&admitted.route.name, reason.waited);
     let passed_over = passed_over(shell, &admitted.target);
+    let list = shell.query(|dispatcher, _| dispatcher.edition());
     shell.log(&Event::Sent {
         request: &admitted.request_id,
         endpoint: endpoint.name.as_str(),
         software: software_name(endpoint),
+        list: list.revision,
+        settled: list.settled,
         waited_ms: reason.waited.0 / 1_000,
         running: reason.running,
         others: reason.others,
@@ -221,7 +224,7 @@
 }
 
 /// Formats a list of endpoints for the log.
-fn join_names(endpoints: &[id::Endpoint]) -> String {
+pub fn join_names(endpoints: &[id::Endpoint]) -> String {
     let names = endpoints.iter().take(MAX_PASSED_OVER);
     let names: Vec<&str> = names.map(id::Endpoint::as_str).collect();
     names.join(", ")
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -2,6 +2,7 @@
 //! implements the platform's protocol and sends typed updates.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -44,6 +45,28 @@
     pub received_at: Instant,
 }
 
+/// Why the platform's list of endpoints may be incomplete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// The node has just started and knows of no earlier list.
+    Started,
+    /// Entries may have expired while the platform was away.
+    Outage,
+    /// The platform was restored from an older copy.
+    Restored,
+}
+
+impl Cause {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::Started => "started",
+            Cause::Outage => "outage",
+            Cause::Restored => "restored",
+        }
+    }
+}
+
 /// An update from the adapter.
 #[derive(Debug, Clone)]
 pub enum Update {
@@ -53,6 +76,15 @@
     Configuration(Arc<Configuration>, Answer),
     /// The full list of endpoints was read.
     Endpoints(Arc<List>),
+    /// The platform's list may lack endpoints that still run, for this long from now on.
+    Unsettled {
+        /// Why.
+        cause: Cause,
+        /// How long the platform gave no answer.
+        away: Duration,
+        /// For how long.
+        settles_in: Duration,
+    },
     /// The platform is reachable again.
     Reached,
     /// The platform was restored from a copy that lacks data it had acknowledged, and is read
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -170,6 +170,8 @@
         request: "routine",
         endpoint: "e",
         software: "1",
+        list: 12,
+        settled: true,
         waited_ms: 0,
         running: 0,
         others: 0,
