fix: only an outage in which entries can expire keeps removed endpoints in use

Callers' requests went to endpoints up to 2.2 s after their entry had been removed, and for as long as calls to the store went on failing. Cause: after any failed call, also a waiting watch that was cut, the list counted as incomplete for 2.2 s, in which entries that it lacks are kept, and each further failure began that time again. Entries expire after three heartbeats of silence, so only an outage of two heartbeats or more can hide one that still runs. What bounds the outage is the time between two answers: after a failure the next call doesn't wait, so that this time is short where only the call was cut; a wait ends well before it looks like such an outage. A shorter failure while the list is incomplete moves the end by its own length, and doesn't begin the time again. platform.heartbeat states the interval.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -48,6 +48,8 @@
     /// The maximum time after a network fault towards the platform until everything that it
     /// published is in force.
     pub regained_within: Span,
+    /// The interval at which endpoints write their entries to the platform.
+    pub heartbeat: Span,
     /// The limits on exceeding quotas.
     pub quota: quota::Options,
     /// The retry budget.
@@ -64,6 +66,9 @@
 /// The default of [`Settings::regained_within`].
 const DEFAULT_REGAINED_WITHIN: Span = Span::from_secs(3);
 
+/// The default of [`Settings::heartbeat`].
+const DEFAULT_HEARTBEAT: Span = Span::from_millis(1_200);
+
 /// The smallest memory limit that is accepted.
 const MIN_MEMORY: Size = Size::from_mib(32);
 
@@ -96,6 +101,7 @@
         seeds: read_seeds(&mut peers),
         platform: read_address(&mut platform, "address"),
         regained_within: platform.take_or("regained_within", DEFAULT_REGAINED_WITHIN),
+        heartbeat: platform.take_or("heartbeat", DEFAULT_HEARTBEAT),
         quota: read_quota(&mut quota),
         budget: read_budget(&mut retry),
         policy: policy::read(&mut policy),
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -193,6 +193,7 @@
     let adapter = |settings: &Settings, feed| {
         let options = follow::Options {
             regained_within: to_duration(settings.regained_within),
+            heartbeat: to_duration(settings.heartbeat),
         };
         follow::follow(settings.platform, options, feed)
     };
