--- a/crates/clock/tests/clock/main.rs
+++ b/crates/clock/tests/clock/main.rs
@@ -66,6 +66,25 @@
     assert!(awake.abs_diff(awake_ms) <= 20, "{awake}");
 }
 
+/// Guards against answers that are discarded since their time limit passed while the process stood
+/// still.
+#[tokio::test(start_paused = true)]
+async fn what_arrived_during_a_pause_is_returned_after_the_limit() {
+    let (clock, suspended) = suspendable();
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    let (relay, relayed) = tokio::sync::oneshot::channel();
+    tokio::spawn(async move {
+        let _ = relay.send(receiver.await);
+    });
+    let answer = async move {
+        suspended.set(Duration::from_secs(30));
+        let _ = tokio::task::spawn(async move { sender.send(7) });
+        relayed.await
+    };
+    let result = timeout(&clock, Duration::ZERO, answer).await;
+    assert_eq!(result, Ok(Ok(Ok(7))));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_future_that_completes_in_time_returns_its_output() {
     let (clock, _) = suspendable();
