fix: a node that stood still confirms what it knows before it starts requests

Requests reached endpoints up to 2.9 s after they had left, from a node whose process had stood still: it read what callers had sent meanwhile, chose by the list of before and wrote, within milliseconds and before it read the change that waited in its socket. Nothing told it that it had stood still; a pause of 1.5 s only cleared loads. Class: knowledge that is acted on without a bound on its age.

Every command observes the clock that includes suspensions; the timer does so every 20 ms. After a gap of half a second the gate closes: no request is admitted or started, no slot granted, a slot granted before is given back. It opens once the platform has answered a call that began after the pause and all messages of other nodes are read, after a second at most (a quarter if the platform was away before). A node that does not read the platform itself asks only whether anything has changed, and reads all if so. What was decided before the pause, or for an endpoint that left while the connection to it was opened, is withdrawn before it is written and submitted again. The time of the pause is not learnt from.

Log: woke has the part that the host was suspended, current tells how requests went on; an attempt may end withdrawn.

--- a/crates/clock/tests/clock/main.rs
+++ b/crates/clock/tests/clock/main.rs
@@ -78,7 +78,7 @@
     });
     let answer = async move {
         suspended.set(Duration::from_secs(30));
-        let _ = tokio::task::spawn(async move { sender.send(7) });
+        drop(tokio::spawn(async move { sender.send(7) }));
         relayed.await
     };
     let result = timeout(&clock, Duration::ZERO, answer).await;
--- a/crates/dispatch/src/dispatcher/answer.rs
+++ b/crates/dispatch/src/dispatcher/answer.rs
@@ -90,6 +90,15 @@
             return;
         };
         let worker = pool.worker_opt(endpoint);
+        if self.gate.is_closed() {
+            // The slot was granted by what was known before a pause, and may be taken again.
+            let job = open_request.job.or_else(|| pool.queue.remove(id));
+            self.release_slot(open_request.owner, open_request.number, End::Abandoned);
+            if let Some(job) = job {
+                self.hold(id, job);
+            }
+            return;
+        }
         if open_request.job.is_none() {
             pool.spare_granted_at = Some(now);
         }
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -85,6 +85,10 @@
 impl Dispatcher {
     /// Queues a request on this node, or asks the owner of the slots that it may use.
     pub(super) fn submit(&mut self, now: Time, id: job::Id, mut job: Job) {
+        if self.gate.is_closed() {
+            self.hold(id, job);
+            return;
+        }
         if let Some(refusal) = self.check_barred(now, &mut job) {
             self.refuse(now, id, &job, refusal);
             return;
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -14,6 +14,7 @@
 //! * `redirect.rs`: redirects requests to owners at which they wait less.
 //! * `report_queue.rs`: exchanges reports on waiting requests with those owners.
 //! * `decline.rs`: declines new connections while this node is late with its own work.
+//! * `hold.rs`: holds requests after a pause of this node.
 //! * `retry.rs`: computes when refused callers should retry.
 //! * `borrow.rs`: requests slots that other nodes own.
 //! * `answer.rs`: handles their replies.
@@ -75,6 +76,7 @@
 use crate::message::Message;
 use crate::notice;
 use crate::parts;
+use crate::pause;
 use crate::prefix_cache;
 use crate::prefix_cache::PrefixCache;
 use crate::quarantine;
@@ -104,6 +106,7 @@
 mod flow;
 pub mod forecast;
 mod forward;
+mod hold;
 mod keep_rate_limit;
 mod keep_tolerance;
 mod lend;
@@ -360,6 +363,12 @@
     next_reserve: u64,
     sequence: u64,
     leaving: bool,
+    /// Closed after a pause until this node has confirmed what it knows.
+    gate: pause::Gate,
+    /// Requests to be submitted once the gate opens.
+    held_jobs: Vec<(job::Id, Job)>,
+    /// Changes of the gate since they were last taken.
+    pause_changes: Vec<pause::Change>,
     platform_unreachable: bool,
     /// When this node or one that it hears was last unable to reach the platform.
     platform_lost_at: Time,
@@ -423,6 +432,9 @@
             next_reserve: 0,
             sequence: 0,
             leaving: false,
+            gate: pause::Gate::default(),
+            held_jobs: Vec::new(),
+            pause_changes: Vec::new(),
             platform_unreachable: false,
             platform_lost_at: Time(0),
             urgent: false,
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -189,6 +189,7 @@
             return;
         };
         self.cancel_open_request(id);
+        self.held_jobs.retain(|(held, _)| *held != id);
         if let Some(pool) = self.pools.get_mut(&target) {
             pool.queue.remove(id);
             self.urgent = true;
--- a/crates/dispatch/src/dispatcher/place.rs
+++ b/crates/dispatch/src/dispatcher/place.rs
@@ -72,7 +72,7 @@
         let Some(pool) = self.pools.get_mut(target) else {
             return;
         };
-        if pool.queue.is_empty() {
+        if pool.queue.is_empty() || self.gate.is_closed() {
             return;
         }
         if self.options.policy.late_last {
--- a/crates/dispatch/src/dispatcher/spare.rs
+++ b/crates/dispatch/src/dispatcher/spare.rs
@@ -144,7 +144,8 @@
         let choice = pool
             .filter(|pool| self.has_spare_slot(now, pool, &job))
             .and_then(|pool| self.cheapest(now, pool, &job, |_| 0, |_| true));
-        let Some(choice) = choice.filter(|_| !self.leaving) else {
+        let may_grant = !self.leaving && !self.gate.is_closed();
+        let Some(choice) = choice.filter(|_| may_grant) else {
             self.send_lease_reply(origin, Answer::Denied);
             return;
         };
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -47,6 +47,7 @@
             self.forget_versions(now);
         }
         self.ticked_at = now;
+        self.expire_hold(now);
         self.accounts.record_start(now);
         self.members.remove_expired(now);
         self.quarantine.expire(now);
@@ -60,6 +61,9 @@
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
+            if self.gate.is_closed() {
+                continue;
+            }
             self.refuse_infeasible(now, &target);
             self.record_open(now, &target);
             self.refuse_unservable(now, &target);
--- a/crates/dispatch/src/lateness.rs
+++ b/crates/dispatch/src/lateness.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Has what the node measured up to now count as late, after its process stood still.
+    pub fn distrust(&mut self, now: Time) {
+        self.late_at = Some(now);
+    }
+
     /// The shortest delay of the last timers: work that is there all the time delays them all.
     pub fn delay(&self) -> Span {
         let is_complete = self.samples.len() >= MIN_LATE_SAMPLES;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod message;
 pub mod notice;
 pub mod parts;
+pub mod pause;
 pub mod prefix_cache;
 pub mod protocol;
 pub mod quarantine;
--- a/crates/dispatch/tests/dispatch/lease/mod.rs
+++ b/crates/dispatch/tests/dispatch/lease/mod.rs
@@ -19,6 +19,7 @@
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Status;
 use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
 
 use crate::support::MODEL;
 use crate::support::at;
@@ -31,6 +32,7 @@
 
 mod borrow;
 mod lend;
+mod pause;
 mod redirect;
 mod stated_load;
 
@@ -63,13 +65,17 @@
 }
 
 fn receive_status_of(dispatcher: &mut Dispatcher, other: u8, sequence: u64) {
+    receive_status_at(dispatcher, at(1), other, sequence);
+}
+
+fn receive_status_at(dispatcher: &mut Dispatcher, now: Time, other: u8, sequence: u64) {
     let status = Status {
         incarnation: u64::from(other),
         sequence,
         data_centre: endpoint::number_of("a"),
         ..Status::default()
     };
-    dispatcher.receive_status(at(1), node(other), status);
+    dispatcher.receive_status(now, node(other), status);
 }
 
 fn find_lease_request(
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -11,6 +11,7 @@
 mod first_try;
 mod fleet;
 mod forecast;
+mod hold;
 mod lateness;
 mod lease;
 mod link;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -28,10 +28,23 @@
         /// Whether the settings are in force, or what is wrong with them.
         outcome: &'a str,
     },
-    /// The process seems to have been suspended.
+    /// The process stood still.
     Woke {
-        /// The duration of the suspension in milliseconds.
+        /// For how many milliseconds.
         after_ms: u64,
+        /// How much of that time the host was suspended, in milliseconds.
+        suspended_ms: u64,
+    },
+    /// Requests that were held after a pause go on.
+    Current {
+        /// Whether what the node knows was `confirmed`, or could not be in time (`unconfirmed`).
+        how: &'a str,
+        /// How long requests were held, in milliseconds.
+        held_ms: u64,
+        /// The revision of the list of endpoints in force.
+        list: u64,
+        /// Whether that list is complete.
+        settled: bool,
     },
     /// The node is late with its own work and limits new connections, or is on time again.
     Lateness {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,6 +9,7 @@
 //! * [`traffic`]: counts of sent messages, by kind.
 
 use std::cell::OnceCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -79,10 +80,20 @@
 pub async fn listen(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        // An error may report that a datagram sent earlier could not be delivered.
-        let Ok((length, SocketAddr::V4(from))) = socket.recv_from(&mut buffer).await else {
-            continue;
+        let (length, from) = match socket.try_recv_from(&mut buffer) {
+            Ok((length, SocketAddr::V4(from))) => (length, from),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                shell.has_unread_messages.set(false);
+                // An error shows when the socket is read.
+                let _ = socket.readable().await;
+                shell.has_unread_messages.set(true);
+                continue;
+            }
+            // An error may report that a datagram sent earlier could not be delivered.
+            _ => continue,
         };
+        // Other tasks run too while many messages arrive.
+        tokio::task::consume_budget().await;
         match wire::try_from_datagram(&buffer[..length]) {
             Some(Message::Status(status)) => receive_status(&shell, from, *status),
             Some(Message::Reserve(reserve)) => answer_reservation(&shell, from, &reserve),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -36,6 +36,7 @@
 use crate::shell::Phase;
 use crate::shell::Shell;
 use crate::source;
+use crate::source::Inquiry;
 use crate::source::Source;
 use crate::source::Update;
 use crate::upstream::probe;
@@ -95,7 +96,11 @@
     let metrics = listen(settings.metrics).await?;
     let callers = listen(settings.callers).await?;
     let (feed, source) = source::channel();
-    let Source { updates, role } = source;
+    let Source {
+        updates,
+        role,
+        inquiries,
+    } = source;
     spawn_local(adapter(&settings, feed));
     spawn_local(apply_updates(shell.clone(), updates));
     spawn_local(peers::listen(shell.clone(), socket.clone()));
@@ -109,7 +114,7 @@
         operators::metrics(&shared)
     }));
     spawn_local(serve::accept(shell.clone(), callers));
-    spawn_local(tick(shell.clone(), socket, role));
+    spawn_local(tick(shell.clone(), socket, role, inquiries));
     for document in [Document::Endpoints, Document::Configuration] {
         spawn_local(peers::catch_up::run(shell.clone(), document));
     }
@@ -192,6 +197,10 @@
                     waited_after,
                 });
             }
+            Update::Confirmed(generation) => {
+                shell.wait_until_messages_are_read().await;
+                shell.command(|dispatcher, now| dispatcher.confirm(now, generation));
+            }
             Update::Reached => record_platform_state(&shell, true, ""),
             Update::Unreachable(detail) => record_platform_state(&shell, false, &detail),
             Update::Unreadable(document, detail) => shell.log(&Event::Unreadable {
@@ -218,21 +227,22 @@
 
 /// Runs the periodic work: detecting suspensions, the dispatcher's timers, messages to other
 /// nodes and notifying the adapter of the node's role.
-async fn tick(shell: Rc<Shell>, socket: Rc<UdpSocket>, advertised_role: watch::Sender<Role>) {
-    let mut last = shell.now();
+async fn tick(
+    shell: Rc<Shell>,
+    socket: Rc<UdpSocket>,
+    advertised_role: watch::Sender<Role>,
+    inquiries: watch::Sender<Option<Inquiry>>,
+) {
     loop {
         let due = tokio::time::Instant::now() + TICK_INTERVAL;
         tokio::time::sleep_until(due).await;
         shell.check_suspension();
-        let now = shell.now();
+        shell.observe();
+        inquire(&shell, &inquiries);
         record_delay(&shell, due.elapsed());
         if shell.command(|dispatcher, now| dispatcher.tick(now)) {
             shell.upstream.close_idle();
-            shell.log(&Event::Woke {
-                after_ms: now.since(last).0 / 1_000,
-            });
         }
-        last = now;
         probe::start_due(&shell);
         peers::send_statuses(&shell, &socket);
         let role = shell.query(|dispatcher, now| dispatcher.role(now));
@@ -240,6 +250,25 @@
     }
 }
 
+/// Asks the adapter to confirm what the node knows after a pause.
+fn inquire(shell: &Shell, inquiries: &watch::Sender<Option<Inquiry>>) {
+    let inquiry = shell.query(|dispatcher, _| {
+        let generation = dispatcher.unconfirmed_opt()?;
+        Some(Inquiry {
+            generation,
+            endpoints: dispatcher.edition(),
+        })
+    });
+    let generation = |inquiry: &Option<Inquiry>| inquiry.map(|inquiry| inquiry.generation);
+    inquiries.send_if_modified(|known| {
+        let is_new = inquiry.is_some() && generation(known) != generation(&inquiry);
+        if is_new {
+            *known = inquiry;
+        }
+        is_new
+    });
+}
+
 /// Records by how much the node's timer fired late, and logs what follows for new connections.
 fn record_delay(shell: &Shell, delay: Duration) {
     let changed = shell.command(|dispatcher, now| dispatcher.record_delay(now, to_span(delay)));
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -248,6 +248,8 @@
                         (end, detail)
                     }
                 },
+                Err(CallError::Withdrawn) if self.withdraw_attempt() => continue,
+                Err(CallError::Withdrawn) => return Err(self.to_final_reply(End::NotSent)),
                 Err(fault) => (to_end(&fault), fault.to_string()),
             };
             if !self.end_attempt(end, &detail) {
@@ -380,6 +382,9 @@
         endpoint: &Endpoint,
         last_event: Option<&str>,
     ) -> Result<Answer, CallError> {
+        let Some(job) = self.job.filter(|job| self.shell.may_send(*job)) else {
+            return Err(CallError::Withdrawn);
+        };
         let attempt = Attempt {
             endpoint,
             time_left: self.admitted.caller_deadline.since(self.shell.now()),
@@ -394,11 +399,13 @@
         };
         let shell = self.shell.clone();
         let target = Target::Endpoint(endpoint.to_instance());
+        // A streamed body that was taken for this call can't be sent elsewhere.
+        let can_resend = self.payload.as_ref().is_some_and(Payload::can_send);
+        let may_send = || !can_resend || shell.may_send(job);
         let call = shell
             .upstream
-            .call(shell.now(), &target, endpoint.address, request);
-        let can_move = self.admitted.route.may_repeat()
-            && self.payload.as_ref().is_some_and(Payload::can_send);
+            .call(shell.now(), &target, endpoint.address, request, may_send);
+        let can_move = self.admitted.route.may_repeat() && can_resend;
         let call = async {
             tokio::select! {
                 sent = call => sent,
@@ -506,6 +513,30 @@
         self.finish_step(next)
     }
 
+    /// Takes back an attempt of which nothing was sent. Returns whether the request is tried again.
+    fn withdraw_attempt(&mut self) -> bool {
+        let Some(job) = self.job else {
+            return false;
+        };
+        let (next, decision) = self.shell.withdraw(job);
+        self.decision = decision;
+        let endpoint = self.endpoint.as_deref();
+        let service = self.admitted.target.as_str();
+        self.shell.metrics.record_attempt(service, WITHDRAWN);
+        self.shell.log(&Event::Attempt {
+            request: &self.admitted.request_id,
+            endpoint: endpoint.map_or("", |endpoint| endpoint.name.as_str()),
+            software: endpoint.map_or("", record::software_name),
+            end: WITHDRAWN,
+            next: next.as_str(),
+            detail: "",
+            framing: "",
+            body: "",
+            after_ms: self.shell.now().since(self.sent_at).0 / 1_000,
+        });
+        self.finish_step(next)
+    }
+
     /// Returns whether the request is tried again, and forgets its id in the dispatcher if not.
     pub(super) fn finish_step(&mut self, next: Next) -> bool {
         if next != Next::Again {
@@ -571,6 +602,9 @@
     }
 }
 
+/// The end of an attempt of which nothing was sent, in logs and metrics.
+const WITHDRAWN: &str = "withdrawn";
+
 /// The maximum number of idle connections that are kept to another node.
 const MAX_IDLE_TO_NODE: usize = 16;
 
@@ -584,7 +618,7 @@
 
 fn to_end(fault: &CallError) -> End {
     match fault {
-        CallError::NotSent(_) => End::NotSent,
+        CallError::NotSent(_) | CallError::Withdrawn => End::NotSent,
         CallError::Lost(_) => End::Lost,
         CallError::Late => End::Late,
     }
--- a/crates/gateway/src/serve/forward.rs
+++ b/crates/gateway/src/serve/forward.rs
@@ -50,7 +50,7 @@
                 let (end, forward_end) = match fault {
                     CallError::NotSent(_) => (End::NotSent, ForwardEnd::NotSent),
                     CallError::Lost(_) => (End::Lost, ForwardEnd::Lost),
-                    CallError::Late => (End::Late, ForwardEnd::Answered),
+                    CallError::Late | CallError::Withdrawn => (End::Late, ForwardEnd::Answered),
                 };
                 let is_retried = self.end_forward(node, forward_end, end, &fault.to_string());
                 return match is_retried {
@@ -110,7 +110,9 @@
         };
         let shell = self.shell.clone();
         let target = Target::Node(forward.node);
-        let call = shell.upstream.call(now, &target, forward.node, request);
+        let call = shell
+            .upstream
+            .call(now, &target, forward.node, request, || true);
         match shell.timeout_at(self.admitted.deadline, call).await {
             Ok(sent) => sent,
             Err(_) => Err(CallError::Late),
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -55,6 +55,7 @@
     reset: reset::Switch,
 ) -> Response<Body> {
     let arrived = shell.now();
+    shell.wait_until_current().await;
     let (head, body) = request.into_parts();
     let table = admission_table(&shell, &head, arrived).await;
     let admitted = admit::admit(table.as_deref(), &shell.headers, &head, arrived);
@@ -89,6 +90,7 @@
 /// Serves a request that another node forwarded. It waits and runs like one of this node's own
 /// callers'; the other node has charged the customer's quota.
 pub async fn serve_forwarded(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
+    shell.wait_until_current().await;
     let in_progress = hop::InProgress::new(&shell);
     let (mut head, body) = request.into_parts();
     let hop: Option<hop::Request> = hop::take(&mut head.headers);
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -23,6 +23,7 @@
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::link::Change;
 use woadstage_dispatch::notice;
+use woadstage_dispatch::pause;
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -84,6 +85,12 @@
     pub platform_answered_at: Cell<Option<Time>>,
     /// The number of requests in progress that other nodes forwarded to this one.
     pub forwarded: Cell<usize>,
+    /// Whether messages of other nodes wait to be read.
+    pub has_unread_messages: Cell<bool>,
+    /// Whether requests are held after a pause.
+    is_holding: watch::Sender<bool>,
+    /// How long the host had been suspended when the node last observed that it runs.
+    suspended_before: Cell<Span>,
     /// The number of link losses so far.
     link_losses: watch::Sender<u64>,
     /// The total time for which the host was suspended, as detected so far.
@@ -114,6 +121,7 @@
     ) -> Rc<Shell> {
         Rc::new(Shell {
             suspended: watch::Sender::new(clock.suspended()),
+            suspended_before: Cell::new(clock.suspended()),
             clock,
             headers,
             log,
@@ -130,6 +138,8 @@
             active_configuration: Cell::default(),
             platform_answered_at: Cell::default(),
             forwarded: Cell::new(0),
+            has_unread_messages: Cell::new(false),
+            is_holding: watch::Sender::new(false),
             link_losses: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Serving),
             answer_deadline: Cell::new(None),
@@ -213,8 +223,45 @@
         query(&self.dispatcher.borrow(), self.now())
     }
 
+    /// Observes that the node runs, and detects whether its process stood still.
+    pub fn observe(&self) {
+        self.dispatcher.borrow_mut().observe(self.now());
+        self.deliver_pause_changes();
+    }
+
+    /// Waits while requests are held after a pause of the node.
+    pub async fn wait_until_current(&self) {
+        self.observe();
+        let mut is_holding = self.is_holding.subscribe();
+        // Fails only if the sender was dropped, and `self` owns it.
+        let _ = is_holding.wait_for(|is_holding| !is_holding).await.is_ok();
+    }
+
+    /// Waits until no message of another node waits to be read.
+    pub async fn wait_until_messages_are_read(&self) {
+        while self.has_unread_messages.get() {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Whether a request that was started may still be sent.
+    pub fn may_send(&self, id: job::Id) -> bool {
+        self.observe();
+        self.query(|dispatcher, _| dispatcher.may_send(id))
+    }
+
+    /// Takes back a started request of which nothing was sent. Returns a receiver of the next decision
+    /// if it is to be sent elsewhere.
+    pub fn withdraw(&self, id: job::Id) -> (Next, Option<oneshot::Receiver<Decision>>) {
+        let next = self.dispatcher.borrow_mut().withdraw(self.now(), id);
+        let decision = (next == Next::Again).then(|| self.register_waiter(id));
+        self.deliver();
+        (next, decision)
+    }
+
     /// Runs a command on the dispatcher and delivers the decisions that result.
     pub fn command<R>(&self, command: impl FnOnce(&mut Dispatcher, Time) -> R) -> R {
+        self.dispatcher.borrow_mut().observe(self.now());
         let answer = command(&mut self.dispatcher.borrow_mut(), self.now());
         self.deliver();
         answer
@@ -232,6 +279,7 @@
 
     /// Queues a request and returns a receiver of its decision.
     pub fn enter(&self, job: Job) -> (job::Id, oneshot::Receiver<Decision>) {
+        self.observe();
         let id = self.dispatcher.borrow_mut().enter(self.now(), job);
         let decision = self.register_waiter(id);
         self.deliver();
@@ -241,6 +289,7 @@
     /// Reports how an attempt ended. Returns a receiver of the next decision if the request is
     /// to be tried again.
     pub fn end(&self, id: job::Id, end: End) -> (Next, Option<oneshot::Receiver<Decision>>) {
+        self.observe();
         let next = self.dispatcher.borrow_mut().end(self.now(), id, end);
         let decision = (next == Next::Again).then(|| self.register_waiter(id));
         self.deliver();
@@ -254,6 +303,7 @@
         id: job::Id,
         end: ForwardEnd,
     ) -> (Next, Option<oneshot::Receiver<Decision>>) {
+        self.observe();
         let now = self.now();
         let next = self.dispatcher.borrow_mut().end_forward(now, id, end);
         let decision = (next == Next::Again).then(|| self.register_waiter(id));
@@ -281,6 +331,7 @@
     /// Delivers everything that the dispatcher has produced: decisions, changes to log and
     /// messages to other nodes.
     fn deliver(&self) {
+        self.deliver_pause_changes();
         loop {
             let decisions = self.dispatcher.borrow_mut().take_decisions();
             if decisions.is_empty() {
@@ -323,6 +374,37 @@
         }
     }
 
+    /// Logs pauses and what followed, and tells the tasks that wait for it whether requests are held.
+    fn deliver_pause_changes(&self) {
+        let changes = self.dispatcher.borrow_mut().take_pause_changes();
+        let suspended = self.clock.suspended();
+        let suspended_before = self.suspended_before.replace(suspended);
+        for change in changes {
+            match change {
+                pause::Change::Closed(paused) => {
+                    self.metrics.record_state_change("paused");
+                    self.log(&Event::Woke {
+                        after_ms: paused.0 / 1_000,
+                        suspended_ms: suspended.0.saturating_sub(suspended_before.0) / 1_000,
+                    });
+                }
+                pause::Change::Opened(opened, held_for) => {
+                    self.metrics.record_state_change(opened.as_str());
+                    let list = self.query(|dispatcher, _| dispatcher.edition());
+                    self.log(&Event::Current {
+                        how: opened.as_str(),
+                        held_ms: held_for.0 / 1_000,
+                        list: list.revision,
+                        settled: list.settled,
+                    });
+                }
+            }
+        }
+        let is_holding = self.query(|dispatcher, _| dispatcher.is_holding());
+        self.is_holding
+            .send_if_modified(|known| std::mem::replace(known, is_holding) != is_holding);
+    }
+
     /// Sends a decision to the task that waits for it, or abandons the request if that task is
     /// gone.
     fn deliver_decision(&self, decision: Decision) {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -8,10 +8,12 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use woadstage_dispatch::configuration::Configuration;
+use woadstage_dispatch::edition::Edition;
 use woadstage_dispatch::edition::Era;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::member::Role;
 pub use woadstage_dispatch::message::Document;
+use woadstage_dispatch::pause::Generation;
 
 /// The kind of call that returned a document.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,6 +109,9 @@
         /// The revision after which the node had watched for changes.
         waited_after: u64,
     },
+    /// A call that began after this pause of the node has been answered, and what it returned was sent
+    /// before this.
+    Confirmed(Generation),
     /// A published entry could not be parsed and is ignored; holds the cause.
     Unreadable(Document, String),
 }
@@ -114,8 +119,19 @@
 /// The sending half of the channel of updates.
 pub type Sender = mpsc::UnboundedSender<Update>;
 
+/// A request to confirm what the node knows after a pause, with a call that begins now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Inquiry {
+    /// The pause.
+    pub generation: Generation,
+    /// The edition of the list of endpoints in force, from whichever source.
+    pub endpoints: Edition,
+}
+
 /// The adapter's end of the channels.
 pub struct Feed {
+    /// Asks the adapter to confirm what the node knows.
+    pub inquiries: watch::Receiver<Option<Inquiry>>,
     /// Sends updates to the node.
     pub updates: Sender,
     /// The node's role: whether it reads the platform itself or follows other nodes that do.
@@ -124,6 +140,8 @@
 
 /// The node's end of a [`Feed`].
 pub struct Source {
+    /// Asks the adapter to confirm what the node knows.
+    pub inquiries: watch::Sender<Option<Inquiry>>,
     /// Receives updates from the adapter.
     pub updates: mpsc::UnboundedReceiver<Update>,
     /// Tells the adapter the node's role.
@@ -134,11 +152,14 @@
 pub fn channel() -> (Feed, Source) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let (role_sender, role_receiver) = watch::channel(Role::Follower);
+    let (inquiry_sender, inquiry_receiver) = watch::channel(None);
     let feed = Feed {
+        inquiries: inquiry_receiver,
         updates: sender,
         role: role_receiver,
     };
     let source = Source {
+        inquiries: inquiry_sender,
         updates: receiver,
         role: role_sender,
     };
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -34,6 +34,8 @@
     Lost(String),
     /// The time limit of the request passed before a response began.
     Late,
+    /// No byte of the request was written, as it must not be sent there any more.
+    Withdrawn,
 }
 
 impl fmt::Display for CallError {
@@ -41,6 +43,7 @@
         match self {
             CallError::NotSent(detail) | CallError::Lost(detail) => f.write_str(detail),
             CallError::Late => f.write_str("no response in time"),
+            CallError::Withdrawn => f.write_str("withdrawn before it was sent"),
         }
     }
 }
@@ -98,23 +101,28 @@
 const MAX_REUSE_ATTEMPTS: usize = 3;
 
 impl Upstream {
-    /// Sends a request to an endpoint or node and waits for the head of its response.
+    /// Sends a request to an endpoint or node and waits for the head of its response. `may_send` is
+    /// asked right before the request is written, since opening a connection takes time.
     ///
     /// # Errors
-    /// Returns [`CallError::NotSent`] if certainly nothing was written, otherwise
-    /// [`CallError::Lost`].
+    /// Returns [`CallError::NotSent`] or [`CallError::Withdrawn`] if certainly nothing was written,
+    /// otherwise [`CallError::Lost`].
     pub async fn call(
         &self,
         now: Time,
         target: &Target,
         address: SocketAddrV4,
         request: Request<Body>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Answer, CallError> {
         let mut request = request;
         for _ in 0..MAX_REUSE_ATTEMPTS {
             let Some(connection) = self.take_idle(now, target) else {
                 break;
             };
+            if !may_send() {
+                return Err(CallError::Withdrawn);
+            }
             match send(connection, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(SendError::NotSent(returned)) => request = *returned,
@@ -127,6 +135,9 @@
             Ok(Err(error)) => return Err(CallError::NotSent(format!("connect: {error}"))),
             Err(_) => return Err(CallError::NotSent("connect: timed out".into())),
         };
+        if !may_send() {
+            return Err(CallError::Withdrawn);
+        }
         match send(connection, request).await {
             Ok(answer) => Ok(answer),
             Err(SendError::NotSent(_)) => Err(CallError::NotSent(
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod links;
 mod log;
 mod notice;
+mod pause;
 mod peers;
 mod rate_limit;
 mod requests;
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -78,6 +78,8 @@
     pub lines: LogBuffer,
     /// The total time for which its simulated host was suspended.
     pub suspended: Rc<Cell<Duration>>,
+    /// Whether the platform confirms after a pause what the gateway knows.
+    pub confirms: Rc<Cell<bool>>,
 }
 
 /// Returns one route for each path prefix: `/once/`, `/repeatable/`, `/stream/` and so on.
@@ -192,11 +194,14 @@
             unreachable!("bound to IPv4");
         };
         spawn_local(serve::accept(shell.clone(), listener));
+        let confirms = Rc::new(Cell::new(true));
+        spawn_local(observe(shell.clone(), confirms.clone()));
         Gateway {
             shell,
             address,
             lines,
             suspended,
+            confirms,
         }
     }
 
@@ -236,6 +241,18 @@
     }
 }
 
+/// Observes that the gateway runs, as its timer does, and confirms what it knows after pauses.
+async fn observe(shell: Rc<Shell>, confirms: Rc<Cell<bool>>) {
+    loop {
+        shell.observe();
+        let unconfirmed = shell.query(|dispatcher, _| dispatcher.unconfirmed_opt());
+        if let Some(generation) = unconfirmed.filter(|_| confirms.get()) {
+            shell.command(|dispatcher, now| dispatcher.confirm(now, generation));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Returns the default header names, and two reserved ones.
 fn headers() -> Headers {
     Headers {
