fix: decisions do not depend on the order of hashed maps

The maps of the decision core, and of its tests, hash with a fixed seed (foldhash) now, so that what a node decides follows from its inputs. The keys are numbers and names of this system or hashes of what callers sent.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -11,7 +11,6 @@
 //! resumed, unless one version alone has served for longer than any stream lasts.
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
 use serde::Deserialize;
@@ -21,6 +20,8 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::map::HashMap;
+
 /// Identifies a stream on all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(pub u64);
--- a/crates/dispatch/src/booking.rs
+++ b/crates/dispatch/src/booking.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
 use serde::Deserialize;
@@ -16,6 +15,7 @@
 use crate::configuration::Rank;
 use crate::job;
 use crate::job::Fingerprint;
+use crate::map::HashMap;
 
 /// The length of a step of the calendar.
 pub const STEP: Span = Span::from_millis(100);
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -3,13 +3,14 @@
 //! equal part of the fixed number, so the total bound holds during any network partition
 //! (after the retry budget of Finagle).
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::map::HashMap;
+
 /// Bounds on retries, over all nodes together.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -64,7 +65,7 @@
     pub fn new(options: Options) -> Budget {
         Budget {
             options,
-            services: HashMap::new(),
+            services: HashMap::default(),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -1,7 +1,6 @@
 //! Binds streams to the version of the software that began them, and keeps the records of other
 //! nodes' streams.
 
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
 use woadstage_types::id;
@@ -15,6 +14,7 @@
 use crate::binding::Stream;
 use crate::job;
 use crate::job::Job;
+use crate::map::HashMap;
 use crate::message::Message;
 
 /// The maximum number of statements in a datagram.
@@ -115,7 +115,7 @@
         let runs =
             |teller: &Keeper| members.incarnation_opt(now, teller.node) == Some(teller.incarnation);
         self.bindings.take_over_lost(now, runs);
-        let mut statements: HashMap<SocketAddrV4, Vec<Statement>> = HashMap::new();
+        let mut statements: HashMap<SocketAddrV4, Vec<Statement>> = HashMap::default();
         for key in self.bindings.take_due(now) {
             let is_live = |keeper: &Keeper| members.is_keeper(now, keeper);
             let rank = |count| members.keepers(now, key.0, count);
--- a/crates/dispatch/src/dispatcher/flow.rs
+++ b/crates/dispatch/src/dispatcher/flow.rs
@@ -1,11 +1,10 @@
 //! Counts recent arrivals and starts of a service's requests.
 
-use std::collections::HashMap;
-
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use crate::configuration::Rank;
+use crate::map::HashMap;
 
 /// The resolution at which arrivals and starts are counted.
 const STEP: Span = Span::from_millis(50);
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -42,7 +42,6 @@
 //! * `share.rs`: exchanges status with other nodes.
 //! * `query.rs`: read-only queries.
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -71,6 +70,7 @@
 use crate::lease::Origin;
 use crate::leaving;
 use crate::length::Lengths;
+use crate::map::HashMap;
 use crate::member;
 use crate::member::Members;
 use crate::message::Message;
@@ -410,20 +410,20 @@
             kept: Vec::new(),
             listed_at: Time(0),
             corrections: Corrections::default(),
-            pools: HashMap::new(),
-            targets: HashMap::new(),
-            runs: HashMap::new(),
-            forwards: HashMap::new(),
+            pools: HashMap::default(),
+            targets: HashMap::default(),
+            runs: HashMap::default(),
+            forwards: HashMap::default(),
             link_updates: Vec::new(),
             refused_endpoints: Vec::new(),
-            open_requests: HashMap::new(),
-            remote_requests: HashMap::new(),
-            received_rate_limits: HashMap::new(),
-            received_rests: HashMap::new(),
-            spare_denied_at: HashMap::new(),
+            open_requests: HashMap::default(),
+            remote_requests: HashMap::default(),
+            received_rate_limits: HashMap::default(),
+            received_rests: HashMap::default(),
+            spare_denied_at: HashMap::default(),
             bindings: binding::Registry::default(),
-            inquiries: HashMap::new(),
-            take_ups: HashMap::new(),
+            inquiries: HashMap::default(),
+            take_ups: HashMap::default(),
             next_inquiry: 0,
             outbox: Vec::new(),
             booking_starts: Vec::new(),
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -1,8 +1,6 @@
 //! Applies the documents that the platform publishes, from whichever source they were read.
 //! Within one run of a node no document ever goes back to an older version.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use woadstage_types::id;
@@ -21,6 +19,8 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::length::Lengths;
+use crate::map::HashMap;
+use crate::map::HashSet;
 use crate::notice::Change;
 use crate::notice::Update;
 use crate::parts::Manifest;
@@ -296,7 +296,7 @@
             {
                 continue;
             }
-            let mut new_indices: HashMap<usize, usize> = HashMap::new();
+            let mut new_indices: HashMap<usize, usize> = HashMap::default();
             let mut kept = Vec::new();
             for (index, worker) in std::mem::take(&mut pool.workers).into_iter().enumerate() {
                 if is_removable(index, &worker) {
@@ -340,11 +340,11 @@
         least_protected: 0,
         cold: None,
         workers: Vec::new(),
-        index: HashMap::new(),
+        index: HashMap::default(),
         queue: Queue::default(),
         prefix_cache: PrefixCache::new(prefix_cache.clone()),
         repeat_ratio: 0.0,
-        starts: HashMap::new(),
+        starts: HashMap::default(),
         flow: Flow::default(),
         first_event_us: INITIAL_FIRST_EVENT_US,
         longest_pause: INITIAL_LONGEST_PAUSE,
@@ -361,7 +361,7 @@
         avoided_slow: 0,
         redirection: redirect::State::default(),
         calendar: Calendar::default(),
-        shares: HashMap::new(),
+        shares: HashMap::default(),
         share_refunds: 0,
         share_excesses: 0,
         versions: Versions::default(),
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -1,14 +1,14 @@
 //! The exchange of status between nodes: running and waiting requests, quota usage, and the
 //! versions of the documents each node has read.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddrV4;
 
 use woadstage_types::unit::Time;
 
 use super::Dispatcher;
 use crate::endpoint;
+use crate::map::HashMap;
+use crate::map::HashSet;
 use crate::member::Reception;
 use crate::member::Role;
 use crate::member::Trigger;
@@ -112,7 +112,7 @@
 
     /// Sums up the load and the unavailability that other nodes report for each endpoint.
     pub(super) fn sum_remote_loads(&mut self, now: Time) {
-        let mut sums: HashMap<u32, RemoteLoad> = HashMap::new();
+        let mut sums: HashMap<u32, RemoteLoad> = HashMap::default();
         for (_, member) in self.members.live(now) {
             let loads = &member.status.loads;
             let credible = !is_disconnected(loads) && member.status.lost_links.is_empty();
@@ -242,7 +242,7 @@
 
     /// Returns the load in leased slots whose owner is reachable and reports that load.
     fn leased_loads(&self, now: Time) -> HashMap<u32, LeasedLoad> {
-        let mut leased_loads: HashMap<u32, LeasedLoad> = HashMap::new();
+        let mut leased_loads: HashMap<u32, LeasedLoad> = HashMap::default();
         for run in self.runs.values() {
             let Some(lease) = run.lease else {
                 continue;
--- a/crates/dispatch/src/dispatcher/suspect.rs
+++ b/crates/dispatch/src/dispatcher/suspect.rs
@@ -1,7 +1,5 @@
 //! Features of requests during which endpoints crashed: charging, barring and trials.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddrV4;
 
 use woadstage_types::code::Code;
@@ -17,6 +15,8 @@
 use crate::job;
 use crate::job::End;
 use crate::job::Job;
+use crate::map::HashMap;
+use crate::map::HashSet;
 use crate::message::Message;
 use crate::quarantine::Attempt;
 use crate::quarantine::AttemptEnd;
@@ -183,7 +183,7 @@
     /// Tells the keepers of charged features, at which the charges of all nodes meet. Statuses would
     /// take too long to tell everybody, as most of the features are harmless.
     fn tell_keepers(&mut self, now: Time, charged: &[Feature]) {
-        let mut findings: HashMap<SocketAddrV4, Vec<Finding>> = HashMap::new();
+        let mut findings: HashMap<SocketAddrV4, Vec<Finding>> = HashMap::default();
         for feature in charged {
             let Some(record) = self.quarantine.get(*feature) else {
                 continue;
@@ -398,7 +398,7 @@
         });
         let mut isolation = Isolation {
             is_starting: false,
-            suspect_starts: HashSet::new(),
+            suspect_starts: HashSet::default(),
         };
         for run in begun {
             isolation.is_starting |= run.job.fingerprint == job.fingerprint && is_one_enough;
--- a/crates/dispatch/src/dispatcher/track_links.rs
+++ b/crates/dispatch/src/dispatcher/track_links.rs
@@ -1,8 +1,6 @@
 //! Tracks which endpoints this node reaches, from its own calls and from probes. What it finds
 //! says nothing of the endpoints themselves.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use woadstage_types::id;
@@ -18,6 +16,8 @@
 use crate::link;
 use crate::link::Change;
 use crate::link::Evidence;
+use crate::map::HashMap;
+use crate::map::HashSet;
 use crate::message::LostLinks;
 use crate::worker;
 use crate::worker::Worker;
@@ -112,7 +112,7 @@
                 worker.link.doubt(now, Evidence::Reported);
             }
         }
-        let mut silent_counts: HashMap<id::Target, usize> = HashMap::new();
+        let mut silent_counts: HashMap<id::Target, usize> = HashMap::default();
         // What seems silent to a node that is late may be there unread.
         let is_late = self.lateness.is_late();
         let calls = first_calls(self.runs.values());
@@ -143,7 +143,7 @@
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
             worker.holders = u32::from(worker.own_running > 0 && !worker.link.is_lost());
         }
-        let mut counted = HashSet::new();
+        let mut counted = HashSet::default();
         for run in self.runs.values() {
             let Some(origin) = run.job.origin else {
                 continue;
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -1,8 +1,6 @@
 //! Tracks which versions of the software each service's endpoints have been listed with, and whether
 //! an endpoint may have started again since.
 
-use std::collections::HashMap;
-
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -11,6 +9,7 @@
 use super::Pool;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
+use crate::map::HashMap;
 use crate::worker::Worker;
 
 /// A stream lasts no longer than this many times the timeout of its route, over all tries of its
--- a/crates/dispatch/src/duration.rs
+++ b/crates/dispatch/src/duration.rs
@@ -1,9 +1,9 @@
 //! Learns how long whole answers of each route take.
 
-use std::collections::HashMap;
-
 use woadstage_types::unit::Span;
 
+use crate::map::HashMap;
+
 /// The weights of one observation in the mean and in the deviation, and the number of deviations
 /// above the mean that covers nearly all answers (the estimator of RFC 6298).
 const MEAN_WEIGHT: f64 = 0.125;
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -1,6 +1,5 @@
 //! Endpoints as the platform lists them.
 
-use std::collections::HashSet;
 use std::net::SocketAddrV4;
 
 use serde::Deserialize;
@@ -11,6 +10,7 @@
 
 use crate::edition::Edition;
 use crate::edition::Era;
+use crate::map::HashSet;
 
 /// One start of an endpoint.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/dispatch/src/fair_share.rs
+++ b/crates/dispatch/src/fair_share.rs
@@ -9,12 +9,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 
 use woadstage_types::unit::Time;
 
 use crate::job;
 use crate::job::Job;
+use crate::map::HashMap;
 
 /// The number of customers without waiting requests that are remembered. One that is forgotten
 /// early is not charged for its last request.
@@ -104,8 +104,8 @@
     fn default() -> Ledger {
         Ledger {
             virtual_time: Tag::FIRST.after(Cost(1)),
-            accounts: HashMap::new(),
-            places: HashMap::new(),
+            accounts: HashMap::default(),
+            places: HashMap::default(),
             idle: BTreeSet::new(),
             changed: Vec::new(),
         }
--- a/crates/dispatch/src/leaving.rs
+++ b/crates/dispatch/src/leaving.rs
@@ -5,9 +5,10 @@
 //! the lists, by the number of the endpoint's start, even while no list contains the
 //! endpoint.
 
-use std::collections::HashSet;
 use std::collections::VecDeque;
 
+use crate::map::HashSet;
+
 /// The maximum number of starts kept: more than are replaced within the time in which an
 /// older list may reappear.
 const MAX_STARTS: usize = 8_192;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -43,6 +43,8 @@
 //! * [`rate_limit`]: the request rates that endpoints state they accept.
 //! * [`tolerance`]: endpoints that fail if they have to reject too many requests.
 //! * [`budget`]: the retry budget across all nodes.
+//! * [`pause`]: pauses of this node, after which it confirms what it knows.
+//! * [`map`]: hashed maps whose order is the same in each run.
 //! * [`member`]: the other nodes of the fleet.
 //! * [`message`]: messages between nodes.
 //! * [`protocol`]: versions of the protocol between nodes.
@@ -67,6 +69,7 @@
 pub mod leaving;
 pub mod length;
 pub mod link;
+pub mod map;
 pub mod member;
 pub mod message;
 pub mod notice;
--- a/crates/dispatch/src/member/mod.rs
+++ b/crates/dispatch/src/member/mod.rs
@@ -9,12 +9,12 @@
 //! * `catch_up.rs`: which node to fetch newer documents from.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::map::HashMap;
 use crate::message::Status;
 use crate::quota::Reach;
 
@@ -165,7 +165,7 @@
             own_address,
             data_centre,
             seeds: Vec::new(),
-            peers: HashMap::new(),
+            peers: HashMap::default(),
             cell: cell::SINGLE_CELL,
             other_cells: Vec::new(),
             first_heard: None,
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -2,7 +2,6 @@
 //! node leaves, only what it owned gets new owners.
 
 use std::cmp::Reverse;
-use std::collections::HashSet;
 use std::net::SocketAddrV4;
 
 use woadstage_types::hash;
@@ -13,6 +12,7 @@
 use super::Members;
 use crate::binding::Keeper;
 use crate::edition::Edition;
+use crate::map::HashSet;
 use crate::protocol::Protocol;
 
 /// How long a node that failed to answer is skipped as an owner.
@@ -135,7 +135,7 @@
             .map(|(address, member)| (score(key, address), *address, member))
             .collect();
         ranked.sort_unstable_by_key(|(score, address, _)| Reverse((*score, *address)));
-        let mut centres = HashSet::new();
+        let mut centres = HashSet::default();
         let (first, others): (Vec<_>, Vec<_>) = ranked
             .into_iter()
             .partition(|(_, _, member)| centres.insert(member.status.data_centre));
--- a/crates/dispatch/src/parts.rs
+++ b/crates/dispatch/src/parts.rs
@@ -2,8 +2,6 @@
 //! small change to a long configuration needs little traffic and an interrupted transfer can be
 //! resumed.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::fmt;
 
 use serde::Deserialize;
@@ -16,6 +14,8 @@
 use crate::configuration::Limits;
 use crate::configuration::Route;
 use crate::configuration::Service;
+use crate::map::HashMap;
+use crate::map::HashSet;
 use crate::region::Restrictions;
 
 /// The number of parts of a configuration. Their digests take 2 KiB, and with 1,500 routes a
--- a/crates/dispatch/src/prefix_cache.rs
+++ b/crates/dispatch/src/prefix_cache.rs
@@ -3,7 +3,6 @@
 //! while, and sending the same prompt there again saves reading it. The entries are hints: a wrong
 //! entry costs one read.
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use woadstage_types::hash;
@@ -11,6 +10,7 @@
 use woadstage_types::unit::Time;
 
 use crate::job::Part;
+use crate::map::HashMap;
 
 /// Settings of the prefix cache.
 #[derive(Debug, Clone, PartialEq)]
@@ -64,7 +64,7 @@
     pub fn new(options: Options) -> PrefixCache {
         PrefixCache {
             options,
-            hints: HashMap::new(),
+            hints: HashMap::default(),
             order: VecDeque::new(),
         }
     }
--- a/crates/dispatch/src/quarantine/attribution.rs
+++ b/crates/dispatch/src/quarantine/attribution.rs
@@ -5,8 +5,6 @@
 //! is no evidence against the others, so that those which only ran beside them are not barred.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
-use std::collections::HashSet;
 
 use woadstage_types::unit::Time;
 
@@ -14,6 +12,8 @@
 use super::Features;
 use super::Options;
 use super::Record;
+use crate::map::HashMap;
+use crate::map::HashSet;
 
 /// The features that are barred.
 #[derive(Debug, Clone, Default)]
@@ -141,7 +141,7 @@
         if self.is_empty() {
             return None;
         }
-        let mut found: HashMap<usize, Vec<Feature>> = HashMap::new();
+        let mut found: HashMap<usize, Vec<Feature>> = HashMap::default();
         for (part, _) in &features.parts {
             if let Some(group) = self.parts.get(part) {
                 found.entry(*group).or_default().push(*part);
@@ -166,7 +166,7 @@
 }
 
 fn group<'a>(records: impl Iterator<Item = (Feature, &'a Record)>) -> Vec<Suspects<'a>> {
-    let mut groups: HashMap<(bool, &[u32]), Vec<Feature>> = HashMap::new();
+    let mut groups: HashMap<(bool, &[u32]), Vec<Feature>> = HashMap::default();
     for (feature, record) in records {
         let evidence = (record.was_cleared(), record.ends.as_slice());
         groups.entry(evidence).or_default().push(feature);
--- a/crates/dispatch/src/quarantine/registry.rs
+++ b/crates/dispatch/src/quarantine/registry.rs
@@ -1,6 +1,5 @@
 //! The features of all requests during which endpoints crashed, in bounded memory.
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use woadstage_types::unit::Span;
@@ -13,6 +12,7 @@
 use super::Options;
 use super::Record;
 use super::attribution::Settling;
+use crate::map::HashMap;
 
 /// An attempt whose endpoint may have crashed.
 #[derive(Debug, Clone)]
@@ -82,7 +82,7 @@
         Registry {
             known_good: vec![None; options.max_known_good.max(1)],
             options,
-            records: HashMap::new(),
+            records: HashMap::default(),
             digest: 0,
             recent_changes: VecDeque::new(),
             has_significant_change: false,
@@ -90,7 +90,7 @@
             rotation: 0,
             status_rotation: 0,
             attributions: Default::default(),
-            settling: Settling::new(),
+            settling: Settling::default(),
             is_outdated: false,
             refreshed_at: Time(0),
         }
@@ -302,7 +302,7 @@
     pub fn recent_findings(&mut self, now: Time) -> Vec<Finding> {
         let recent = self.recent_changes.iter().rev();
         let recent = recent.take_while(|change| now.since(change.at) <= self.options.announce_for);
-        let mut is_significant: HashMap<Feature, bool> = HashMap::new();
+        let mut is_significant: HashMap<Feature, bool> = HashMap::default();
         for change in recent {
             *is_significant.entry(change.feature).or_default() |= change.is_significant;
         }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use woadstage_types::unit::Time;
@@ -11,6 +10,7 @@
 use crate::fair_share::Tag;
 use crate::job;
 use crate::job::Job;
+use crate::map::HashMap;
 
 /// The position of a request in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/dispatch/src/quota/mod.rs
+++ b/crates/dispatch/src/quota/mod.rs
@@ -13,7 +13,6 @@
 //! * `initial.rs`: the credit of a node that has just started.
 //! * `usage.rs`: the exchange of usage between nodes.
 
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
 use serde::Deserialize;
@@ -22,6 +21,7 @@
 use woadstage_types::unit::Time;
 
 use crate::configuration::Quota;
+use crate::map::HashMap;
 
 mod admit;
 mod initial;
@@ -192,7 +192,7 @@
             initial_used: 0,
             used_at: Time(0),
             share_paid_until: Time(0),
-            peer_usage: HashMap::new(),
+            peer_usage: HashMap::default(),
         }
     }
 }
@@ -220,7 +220,7 @@
             started: Time(0),
             first_heard: None,
             is_initial_credit_used: false,
-            accounts: HashMap::new(),
+            accounts: HashMap::default(),
         }
     }
 
--- a/crates/dispatch/src/region.rs
+++ b/crates/dispatch/src/region.rs
@@ -5,7 +5,6 @@
 //! is not known belongs to no region.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -13,6 +12,7 @@
 
 use crate::configuration::Configuration;
 use crate::endpoint;
+use crate::map::HashMap;
 
 /// The regions that a route or a customer is restricted to; empty if unrestricted.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -65,7 +65,8 @@
 
 impl Map {
     /// Creates a map from the region of each data centre.
-    pub fn new(regions: HashMap<id::DataCentre, id::Region>) -> Map {
+    pub fn new(regions: impl IntoIterator<Item = (id::DataCentre, id::Region)>) -> Map {
+        let regions: HashMap<id::DataCentre, id::Region> = regions.into_iter().collect();
         let numbered = regions.iter().map(|(data_centre, region)| {
             let number = endpoint::number_of(data_centre.as_str());
             (number, region.clone())
@@ -138,8 +139,8 @@
 
     /// Applies the restrictions to a configuration, and lifts all others in it.
     pub fn apply(&self, configuration: &mut Configuration) {
-        let mut routes: HashMap<(&str, &str), &Regions> = HashMap::new();
-        let mut customers: HashMap<&id::Customer, &Regions> = HashMap::new();
+        let mut routes: HashMap<(&str, &str), &Regions> = HashMap::default();
+        let mut customers: HashMap<&id::Customer, &Regions> = HashMap::default();
         for Restriction {
             regions,
             routes: restricted_routes,
--- a/crates/dispatch/src/restore.rs
+++ b/crates/dispatch/src/restore.rs
@@ -7,8 +7,6 @@
 //! before takes precedence over the copy. Endpoints that the copy lacks are kept as after any
 //! outage ([`List::merge`]).
 
-use std::collections::HashMap;
-
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -16,6 +14,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::Instance;
 use crate::endpoint::List;
+use crate::map::HashMap;
 
 /// How long earlier knowledge takes precedence over an older copy. The entry of an endpoint
 /// that has ended is removed after three missed heartbeats, which takes at most 9 s in known
--- a/crates/dispatch/src/section.rs
+++ b/crates/dispatch/src/section.rs
@@ -4,8 +4,6 @@
 //! A node that is behind sends the digests of its sections and receives the sections that
 //! differ, in full. This does not depend on which lists the two nodes had before.
 
-use std::collections::HashSet;
-
 use serde::Deserialize;
 use serde::Serialize;
 use woadstage_types::hash;
@@ -14,6 +12,7 @@
 use crate::edition::Era;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
+use crate::map::HashSet;
 
 /// The number of sections of a list. A request with their digests takes 0.6 KB. The answer for
 /// one changed entry takes 0.15 KB in a list of 166 and 1.3 KB in one of 3,100, where whole
--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -1,6 +1,5 @@
 //! The configuration in force, indexed so that a look-up takes one or two hash look-ups.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::OnceLock;
 
@@ -12,6 +11,7 @@
 use crate::configuration::Key;
 use crate::configuration::Route;
 use crate::configuration::Service;
+use crate::map::HashMap;
 use crate::parts;
 
 /// A configuration with its indexes.
@@ -37,7 +37,7 @@
 impl Table {
     /// Indexes a configuration.
     pub fn new(configuration: Arc<Configuration>) -> Table {
-        let mut routes: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        let mut routes: HashMap<String, HashMap<String, usize>> = HashMap::default();
         for (index, route) in configuration.routes.iter().enumerate() {
             let host = route.host.to_ascii_lowercase();
             routes
--- a/crates/dispatch/tests/dispatch/fleet/booking.rs
+++ b/crates/dispatch/tests/dispatch/fleet/booking.rs
@@ -1,13 +1,12 @@
 //! Tests of callers that retry once when they are refused, with and without bookings. Without them
 //! a retry is refused as often as a first try, and that costs a caller the most.
 
-use std::collections::HashMap;
-
 use woadstage_dispatch::activation::Activation;
 use woadstage_dispatch::booking::Counts;
 use woadstage_dispatch::booking::Start;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::job::Fingerprint;
+use woadstage_dispatch::map::HashMap;
 
 use super::*;
 
@@ -90,7 +89,7 @@
 impl Tally {
     /// Counts the callers that first tried since a time, whose calls have this objective.
     fn of(world: &World, from: Time, objective: Span) -> Tally {
-        let mut callers: HashMap<Fingerprint, Vec<Outcome>> = HashMap::new();
+        let mut callers: HashMap<Fingerprint, Vec<Outcome>> = HashMap::default();
         for outcome in world.outcomes.values() {
             let tries = callers.entry(outcome.fingerprint).or_default();
             tries.push(*outcome);
--- a/crates/dispatch/tests/dispatch/fleet/region_bound.rs
+++ b/crates/dispatch/tests/dispatch/fleet/region_bound.rs
@@ -1,8 +1,7 @@
 //! Tests for requests that may run in some regions only, in a large fleet.
 
-use std::collections::HashMap;
-
 use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::map::HashMap;
 use woadstage_dispatch::region::Constraint;
 use woadstage_dispatch::region::Map;
 use woadstage_dispatch::region::Regions;
@@ -17,7 +16,7 @@
         let region = id::Region::new(region);
         (id::DataCentre::new(centre), region)
     });
-    Map::new(HashMap::from(centres))
+    Map::new(HashMap::from_iter(centres))
 }
 
 fn fleet(nodes: u16) -> World {
--- a/crates/dispatch/tests/dispatch/fleet/world/brittle.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/brittle.rs
@@ -1,8 +1,7 @@
 //! Endpoints that fall over if they have to reject too many requests within a second.
 
-use std::collections::HashMap;
-
 use woadstage_dispatch::job;
+use woadstage_dispatch::map::HashMap;
 use woadstage_dispatch::tolerance::Tolerance;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
@@ -36,7 +35,7 @@
             since: now,
             tolerance,
             room,
-            rejected: HashMap::new(),
+            rejected: HashMap::default(),
             falls: Vec::new(),
         }
     }
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
-use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -24,6 +23,7 @@
 use woadstage_dispatch::job::Fingerprint;
 use woadstage_dispatch::job::Job;
 use woadstage_dispatch::link::Probe;
+use woadstage_dispatch::map::HashMap;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Status;
@@ -309,17 +309,17 @@
     fn new(shape: Shape) -> World {
         let mut world = World {
             nodes: BTreeMap::new(),
-            engines: HashMap::new(),
+            engines: HashMap::default(),
             list: Arc::default(),
             without_platform: BTreeSet::new(),
-            arrivals: HashMap::new(),
+            arrivals: HashMap::default(),
             queue: BinaryHeap::new(),
-            scheduled: HashMap::new(),
+            scheduled: HashMap::default(),
             next_number: 0,
             now: at(0),
-            outcomes: HashMap::new(),
+            outcomes: HashMap::default(),
             cut: BTreeSet::new(),
-            forwarded: HashMap::new(),
+            forwarded: HashMap::default(),
             partitioned: BTreeSet::new(),
             previous_build: BTreeSet::new(),
             previous_protocol: Protocol::FIRST,
@@ -331,8 +331,8 @@
             ended: BTreeSet::new(),
             crashes: Vec::new(),
             crash_arrivals: Vec::new(),
-            jobs: HashMap::new(),
-            rate_limits: HashMap::new(),
+            jobs: HashMap::default(),
+            rate_limits: HashMap::default(),
             notices: Notices::default(),
             brittle: None,
             retried: BTreeSet::new(),
--- a/crates/dispatch/tests/dispatch/fleet/world/notices.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/notices.rs
@@ -1,10 +1,9 @@
 //! Conditions that endpoints state in answers: leaving, and rest after a rejection.
 
-use std::collections::HashMap;
-
 use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
+use woadstage_dispatch::map::HashMap;
 use woadstage_dispatch::notice::Field;
 use woadstage_dispatch::notice::Notice;
 use woadstage_types::hash;
--- a/crates/dispatch/tests/dispatch/members.rs
+++ b/crates/dispatch/tests/dispatch/members.rs
@@ -1,9 +1,8 @@
 //! Membership: discovery, cells, platform readers and the scheduling of statuses.
 
-use std::collections::HashSet;
-
 use rstest::rstest;
 use woadstage_dispatch::edition::Edition;
+use woadstage_dispatch::map::HashSet;
 use woadstage_dispatch::member::Members;
 use woadstage_dispatch::member::Options;
 use woadstage_dispatch::member::Reception;
--- a/crates/dispatch/tests/dispatch/parts.rs
+++ b/crates/dispatch/tests/dispatch/parts.rs
@@ -1,6 +1,5 @@
 //! Transfer of configurations between nodes in parts.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use proptest::collection::vec;
@@ -15,6 +14,7 @@
 use woadstage_dispatch::configuration::Route;
 use woadstage_dispatch::configuration::Service;
 use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::map::HashSet;
 use woadstage_dispatch::message::Pull;
 use woadstage_dispatch::parts::Digest;
 use woadstage_dispatch::region::Regions;
@@ -78,7 +78,7 @@
 
 /// Returns a configuration of the entries. The last one wins if several have the same number.
 fn to_configuration(version: u64, entries: &[Entry]) -> Configuration {
-    let mut seen = HashSet::new();
+    let mut seen = HashSet::default();
     let entries = entries.iter().rev().copied();
     let entries: Vec<Entry> = entries.filter(|entry| seen.insert(entry.number)).collect();
     let all = || entries.iter().copied();
--- a/crates/dispatch/tests/dispatch/region.rs
+++ b/crates/dispatch/tests/dispatch/region.rs
@@ -1,7 +1,5 @@
 //! Tests that requests run only in the regions that their route and their customer allow.
 
-use std::collections::HashMap;
-
 use rstest::rstest;
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::dispatcher::Dispatcher;
@@ -10,6 +8,7 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job::End;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::map::HashMap;
 use woadstage_dispatch::region::Constraint;
 use woadstage_dispatch::region::Map;
 use woadstage_dispatch::region::Regions;
@@ -48,7 +47,7 @@
         (id::DataCentre::new(centre), region)
     });
     let mut dispatcher = Dispatcher::new(Options {
-        regions: Map::new(HashMap::from(known)),
+        regions: Map::new(HashMap::from_iter(known)),
         ..options(1)
     });
     dispatcher.set_configuration(at(0), configuration(1));
@@ -152,7 +151,7 @@
         let region = id::Region::new(region);
         (id::DataCentre::new(centre), region)
     });
-    let map = Map::new(HashMap::from(known));
+    let map = Map::new(HashMap::from_iter(known));
     let other = endpoint::number_of(other);
     assert_eq!(map.is_same_region(&id::DataCentre::new(own), other), same);
 }
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -1,11 +1,10 @@
 //! Compatibility of the encoding of messages with builds in service.
 
-use std::collections::HashMap;
-
 use rstest::rstest;
 use serde::Deserialize;
 use woadstage_dispatch::edition::Era;
 use woadstage_dispatch::lease::Details;
+use woadstage_dispatch::map::HashMap;
 use woadstage_dispatch::message::Frame;
 use woadstage_dispatch::message::Message;
 use woadstage_dispatch::message::Pull;
