--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -15,6 +15,7 @@
 mod lateness;
 mod lease;
 mod link;
+mod list_order;
 mod members;
 mod order;
 mod outcomes;
