--- a/crates/dispatch/tests/dispatch/binding/random.rs
+++ b/crates/dispatch/tests/dispatch/binding/random.rs
@@ -313,3 +313,26 @@
         }
     }
 }
+
+/// Guards against requests of a cut off node that nobody decides about.
+#[test]
+fn a_stream_begins_at_a_node_that_is_cut_off_after_others_restarted() {
+    let ms = Span::from_millis;
+    let steps = [
+        (1, 0, 0, Step::Kill(ms(20))),
+        (1, 0, 0, Step::Roll(ms(13))),
+        (29, 14, 1_749, Step::Roll(ms(368))),
+        (5, 14, 156, Step::Roll(ms(851))),
+        (26, 5, 443, Step::LoseSpared(ms(1_810))),
+        (13, 5, 1_282, Step::Roll(ms(52))),
+        (29, 5, 76, Step::Cut(ms(1_549))),
+        (29, 16, 1_950, Step::Begin),
+    ];
+    let mut world = World::start(17);
+    for (number, key, wait, step) in &steps {
+        world.perform(*number, *key, step);
+        world.run_for(ms(*wait));
+    }
+    world.run_for(CONTACT);
+    world.take_up_all();
+}
