feat: log when the start of an endpoint is in doubt, why, and for how long

`endpoint-start` says that the start of an endpoint is in doubt and why, and when it is confirmed. No decision changes.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -163,6 +163,7 @@
 pub use take_up::Source;
 pub use take_up::TakeUp;
 pub use track_links::LinkUpdate;
+pub use track_versions::StartUpdate;
 use track_versions::Versions;
 
 /// The settings of a dispatcher.
@@ -321,6 +322,8 @@
     forwards: HashMap<job::Id, Forward>,
     /// Changes of this node's links since they were last taken.
     link_updates: Vec<LinkUpdate>,
+    /// Changes of what is known of endpoints' starts since they were last taken.
+    start_updates: Vec<StartUpdate>,
     /// Endpoints that refused a connection after a call broke, until another endpoint shows whether
     /// this node's links are to blame.
     refused_endpoints: Vec<(Time, u32)>,
@@ -415,6 +418,7 @@
             runs: HashMap::default(),
             forwards: HashMap::default(),
             link_updates: Vec::new(),
+            start_updates: Vec::new(),
             refused_endpoints: Vec::new(),
             open_requests: HashMap::default(),
             remote_requests: HashMap::default(),
--- a/crates/dispatch/src/dispatcher/probe_links.rs
+++ b/crates/dispatch/src/dispatcher/probe_links.rs
@@ -10,6 +10,7 @@
 use crate::endpoint::Endpoint;
 use crate::link::Evidence;
 use crate::link::Probe;
+use crate::start::Cause;
 
 /// The time between two probes of lost links to the endpoints of one service.
 const LOST_PROBE_SPACING: Span = Span::from_millis(400);
@@ -140,7 +141,7 @@
             match endpoint == reached {
                 true => self.refused_endpoints.push((at, endpoint)),
                 false => {
-                    self.doubt_start(now, endpoint);
+                    self.doubt_start(now, endpoint, Cause::Refused);
                     self.record_endpoint_ended(now, endpoint);
                 }
             }
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -1,6 +1,8 @@
 //! Tracks which versions of the software each service's endpoints have been listed with, and whether
 //! an endpoint may have started again since.
 
+use std::sync::Arc;
+
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -10,6 +12,8 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::map::HashMap;
+use crate::start::Cause;
+use crate::start::Change;
 use crate::worker::Worker;
 
 /// A stream lasts no longer than this many times the timeout of its route, over all tries of its
@@ -23,6 +27,24 @@
 /// How long a version is remembered after it was last listed, longer than any stream lasts.
 const VERSION_MEMORY: Span = Span::from_secs(3_600);
 
+/// A change of what is known of an endpoint's start, for logs and metrics.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StartUpdate {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// What changed.
+    pub change: Change,
+}
+
+impl StartUpdate {
+    fn new(worker: &Worker, change: Change) -> StartUpdate {
+        StartUpdate {
+            endpoint: worker.endpoint.clone(),
+            change,
+        }
+    }
+}
+
 /// The versions of the software of a service's endpoints, as far as this node saw them.
 #[derive(Debug, Default)]
 pub(super) struct Versions {
@@ -66,11 +88,18 @@
         }
     }
 
-    /// Records that an endpoint ended, so that another start of it may answer from now on.
-    pub(super) fn doubt_start(&mut self, now: Time, endpoint: u32) {
+    /// Takes what changed of the starts of endpoints since the last call.
+    pub fn take_start_updates(&mut self) -> Vec<StartUpdate> {
+        std::mem::take(&mut self.start_updates)
+    }
+
+    /// Doubts the start of an endpoint, since another one may answer from now on.
+    pub(super) fn doubt_start(&mut self, now: Time, endpoint: u32, cause: Cause) {
         let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
         for worker in workers.filter(|worker| worker.number == endpoint) {
-            worker.ended_at = Some(now);
+            let change = worker.start.doubt(now, cause);
+            let update = change.map(|change| StartUpdate::new(worker, change));
+            self.start_updates.extend(update);
         }
     }
 
@@ -83,13 +112,17 @@
         let known_since = now - LISTED_WITHIN;
         let options = &self.options.worker;
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            let mut change = None;
             if worker.is_reported_unreachable(now, options) {
-                worker.ended_at = Some(now);
+                change = worker.start.doubt(now, Cause::Reported);
             }
-            let ended_at = worker.ended_at.map(|at| at.max(self.platform_lost_at));
-            if ended_at.is_some_and(|at| at < known_since) {
-                worker.ended_at = None;
+            let doubted_at = worker.start.doubted_at_opt();
+            let doubted_at = doubted_at.map(|at| at.max(self.platform_lost_at));
+            if doubted_at.is_some_and(|at| at < known_since) {
+                change = worker.start.confirm(now);
             }
+            let update = change.map(|change| StartUpdate::new(worker, change));
+            self.start_updates.extend(update);
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 //! * [`cold`]: limits on the load of endpoints that have just started.
 //! * [`worker`]: what was measured of one endpoint.
 //! * [`slot_depth`]: requests that an endpoint is given beyond its slots, by the load it states.
+//! * [`start`]: whether an endpoint is still the start that the platform lists.
 //! * [`stated_load`]: the load that endpoints state in answers.
 //! * [`statement`]: what endpoints state in all their answers, passed on between nodes.
 //! * [`turnaround`]: the idle time of slots between two requests.
@@ -87,6 +88,7 @@
 pub mod restore;
 pub mod section;
 pub mod slot_depth;
+pub mod start;
 pub mod stated_load;
 pub mod statement;
 pub mod table;
--- a/crates/dispatch/src/worker/availability.rs
+++ b/crates/dispatch/src/worker/availability.rs
@@ -57,7 +57,7 @@
     /// The version of its software, unless another start may have taken its place.
     pub fn software_opt(&self) -> Option<&id::Software> {
         let software = self.endpoint.software.as_ref();
-        software.filter(|_| self.ended_at.is_none())
+        software.filter(|_| !self.start.is_doubted())
     }
 
     /// Whether this node may send the endpoint new requests.
--- a/crates/dispatch/src/worker/mod.rs
+++ b/crates/dispatch/src/worker/mod.rs
@@ -14,6 +14,7 @@
 use crate::rate_limit;
 use crate::rest;
 use crate::slot_depth;
+use crate::start;
 use crate::stated_load;
 use crate::tolerance;
 
@@ -156,9 +157,8 @@
     pub unreachable: bool,
     /// When another endpoint answered at its address. It is then gone even if still listed.
     pub gone_at: Option<Time>,
-    /// When it was last found to have ended, until the platform would have listed another start. Until
-    /// then, one with other software may answer at its address, under its name.
-    pub ended_at: Option<Time>,
+    /// Whether another start of it may answer at its address, with other software.
+    pub start: start::State,
     /// When a call to it last succeeded.
     pub last_success: Option<Time>,
     /// Its time for a call as a multiple of the typical one. For an engine, the ratio of steps,
@@ -214,7 +214,7 @@
             remote_reports: Reports::default(),
             unreachable: false,
             gone_at: None,
-            ended_at: None,
+            start: start::State::default(),
             last_success: None,
             pace: 1.0,
             step_us: None,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -142,6 +142,20 @@
         /// The number of open endpoints of the service.
         open: usize,
     },
+    /// An endpoint may have started again with other software, or is still the start that is listed.
+    EndpointStart {
+        /// The endpoint.
+        endpoint: &'a str,
+        /// Its service.
+        service: &'a str,
+        /// The state: `doubted` or `confirmed`.
+        state: &'a str,
+        /// Why a start is in doubt.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        cause: &'a str,
+        /// How long a start was in doubt, in milliseconds.
+        after_ms: u64,
+    },
     /// A transfer of published documents between nodes ended.
     Transfer {
         /// The direction: `taken` by this node or `given` by it.
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -17,6 +17,7 @@
 use woadstage_dispatch::dispatcher::ForwardEnd;
 use woadstage_dispatch::dispatcher::LinkUpdate;
 use woadstage_dispatch::dispatcher::Next;
+use woadstage_dispatch::dispatcher::StartUpdate;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
@@ -24,6 +25,7 @@
 use woadstage_dispatch::link::Change;
 use woadstage_dispatch::notice;
 use woadstage_dispatch::pause;
+use woadstage_dispatch::start;
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -363,6 +365,10 @@
         for update in updates {
             self.record_link_update(&update);
         }
+        let updates = self.dispatcher.borrow_mut().take_start_updates();
+        for update in updates {
+            self.record_start_update(&update);
+        }
         let starts = self.dispatcher.borrow_mut().take_booking_starts();
         for start in starts {
             self.metrics.record_booked_start(start);
@@ -456,6 +462,24 @@
         }
     }
 
+    /// Logs and counts a change of what is known of an endpoint's start.
+    fn record_start_update(&self, update: &StartUpdate) {
+        let (state, counted_as, cause, after) = match update.change {
+            start::Change::Doubted(cause) => {
+                ("doubted", "start-doubted", cause.as_str(), Span::ZERO)
+            }
+            start::Change::Confirmed(after) => ("confirmed", "start-confirmed", "", after),
+        };
+        self.metrics.record_state_change(counted_as);
+        self.log(&Event::EndpointStart {
+            endpoint: update.endpoint.name.as_str(),
+            service: update.endpoint.service.as_str(),
+            state,
+            cause,
+            after_ms: after.0 / 1_000,
+        });
+    }
+
     /// Writes an event to the log.
     pub fn log(&self, event: &Event<'_>) {
         self.log.write(event);
