--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -7,6 +7,10 @@
 //! does so whatever versions it knows of, since it can't tell which ones the others will know of when
 //! they are asked. Once it is gone, the keepers tell others in its place.
 //!
+//! A node may doubt that an endpoint is still the start that the platform lists, and so which version
+//! writes a stream. It records such a stream with its doubt, which is settled once the platform would
+//! have listed another start. Until then the stream is not resumed.
+//!
 //! Records are lost with the nodes that hold them. A stream of which nobody holds a record is not
 //! resumed, unless one version alone has served for longer than any stream lasts.
 
@@ -103,6 +107,37 @@
     pub valid_for: Span,
 }
 
+/// Says that a record holds only if an endpoint was still the start that was listed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubt {
+    /// The endpoint that wrote the stream's first event.
+    pub endpoint: id::Endpoint,
+    /// The listed start, as in [`Endpoint::started_at`](crate::endpoint::Endpoint::started_at).
+    pub started_at: u64,
+    /// How long until the platform would have listed another start.
+    pub settled_in: Span,
+}
+
+/// A [`Statement`] that holds only if a doubt proves unfounded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubted {
+    /// What is stated.
+    pub statement: Statement,
+    /// Why it may not hold.
+    pub doubt: Doubt,
+}
+
+/// What the platform's list says of a doubted start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was the listed one, or another one with the same software.
+    Confirmed,
+    /// It may have been one with other software.
+    Refuted,
+    /// Nothing yet.
+    Open,
+}
+
 /// Asks a node which version began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -143,6 +178,11 @@
     Disputed,
     /// It holds no record, and several versions served during the stream's lifetime.
     Several,
+    /// It holds a record that is in doubt. Only sent to nodes that settle doubts.
+    Doubted {
+        /// How long until the doubt is settled.
+        settled_in: Span,
+    },
 }
 
 impl Answer {
@@ -154,6 +194,7 @@
             Answer::Unknown => "unknown",
             Answer::Disputed => "disputed",
             Answer::Several => "several",
+            Answer::Doubted { .. } => "doubted",
         }
     }
 }
@@ -199,8 +240,10 @@
     software: id::Software,
     recorded: Time,
     expires: Time,
-    /// Whether another node stated another version.
+    /// Whether another node stated another version, or a doubt proved well-founded.
     is_disputed: bool,
+    /// The doubt that it is recorded with, and when that can be settled.
+    doubt: Option<(Doubt, Time)>,
     /// Whether this node sees to it that keepers have the record: it passed on events of the stream, it
     /// is leaving, or the node that told it is gone.
     tells_keepers: bool,
@@ -237,17 +280,32 @@
     records: HashMap<Key, Record>,
     expiries: BTreeSet<(Time, Key)>,
     due: BTreeSet<(Time, Key)>,
+    /// The streams whose records are in doubt.
+    doubted: BTreeSet<Key>,
     /// When a node last joined, which may be a keeper from then on.
     joined: Time,
     /// When it was last checked whether the nodes that told others' records still run.
     tellers_checked: Time,
 }
 
+/// What keepers are to be told of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Telling {
+    /// The statement.
+    pub statement: Statement,
+    /// Why it may not hold, if that is in doubt.
+    pub doubt: Option<Doubt>,
+    /// The keepers that have not confirmed it.
+    pub nodes: Vec<SocketAddrV4>,
+}
+
 /// What a record states.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Found {
-    /// The version that began the stream; `None` if two nodes stated different ones.
+    /// The version that began the stream; `None` if two nodes stated different ones, or it is in doubt.
     pub software: Option<id::Software>,
+    /// How long until it is known, if it is in doubt.
+    pub settled_in: Option<Span>,
     /// The number of its service.
     pub service: u32,
     /// The age of the record.
@@ -256,9 +314,16 @@
 
 impl Registry {
     /// Records the version of a stream of which this node passes on events.
-    pub fn record_own(&mut self, now: Time, stream: Stream, service: u32, software: &id::Software) {
+    pub fn record_own(
+        &mut self,
+        now: Time,
+        stream: Stream,
+        service: u32,
+        software: &id::Software,
+        doubt: Option<Doubt>,
+    ) {
         let expires = (stream.until + EXPIRY_MARGIN).min(now + MAX_VALIDITY);
-        self.record(now, stream.key, service, software, expires);
+        self.record(now, stream.key, service, software, expires, doubt);
         if let Some(record) = self.records.get_mut(&stream.key) {
             record.tells_keepers = true;
         }
@@ -266,13 +331,51 @@
     }
 
     /// Records what another node states. Returns false if there is no room for it.
-    pub fn record_stated(&mut self, now: Time, statement: &Statement) -> bool {
+    pub fn record_stated(
+        &mut self,
+        now: Time,
+        statement: &Statement,
+        doubt: Option<&Doubt>,
+    ) -> bool {
         let expires = now + statement.valid_for.min(MAX_VALIDITY);
         let Statement { key, service, .. } = *statement;
-        self.record(now, key, service, &statement.software, expires);
+        let software = &statement.software;
+        self.record(now, key, service, software, expires, doubt.cloned());
         self.records.contains_key(&key)
     }
 
+    /// Settles the records in doubt of which `outcome_of` can tell. It is given the doubt, the stated
+    /// version and the time from which on the list tells.
+    pub fn settle_doubts(
+        &mut self,
+        now: Time,
+        outcome_of: impl Fn(&Doubt, &id::Software, Time) -> Outcome,
+    ) {
+        let records = &self.records;
+        let outcomes = self.doubted.iter().filter_map(|key| {
+            let record = records.get(key)?;
+            let (doubt, settled_at) = record.doubt.as_ref()?;
+            Some((*key, outcome_of(doubt, &record.software, *settled_at)))
+        });
+        let settled: Vec<(Key, Outcome)> = outcomes
+            .filter(|(_, outcome)| *outcome != Outcome::Open)
+            .collect();
+        for (key, outcome) in settled {
+            self.doubted.remove(&key);
+            let Some(record) = self.records.get_mut(&key) else {
+                continue;
+            };
+            record.doubt = None;
+            record.is_disputed |= outcome == Outcome::Refuted;
+            // Keepers that can't tell yet learn it.
+            record.confirmed.clear();
+            record.complete = None;
+            if record.tells_keepers {
+                self.set_due(key, now);
+            }
+        }
+    }
+
     /// Records which node told a record.
     pub fn record_teller(&mut self, key: Key, teller: Keeper) {
         if let Some(record) = self.records.get_mut(&key) {
@@ -310,13 +413,20 @@
         service: u32,
         software: &id::Software,
         expires: Time,
+        doubt: Option<Doubt>,
     ) {
+        let doubt = doubt.map(|doubt| {
+            let settled_at = now + doubt.settled_in;
+            (doubt, settled_at)
+        });
+        let is_certain = doubt.is_none();
         let record = self.records.entry(key).or_insert_with(|| Record {
             service,
             software: software.clone(),
             recorded: now,
             expires,
             is_disputed: false,
+            doubt,
             tells_keepers: false,
             told_by: None,
             confirmed: Vec::new(),
@@ -324,6 +434,13 @@
             complete: None,
             due: Time(0),
         });
+        if is_certain {
+            record.doubt = None;
+        }
+        match record.doubt.is_some() {
+            true => self.doubted.insert(key),
+            false => self.doubted.remove(&key),
+        };
         record.is_disputed |= record.software != *software || record.service != service;
         self.expiries.remove(&(record.expires, key));
         record.expires = record.expires.max(expires);
@@ -337,6 +454,7 @@
         let Some((_, key)) = self.expiries.pop_first() else {
             return;
         };
+        self.doubted.remove(&key);
         if let Some(record) = self.records.remove(&key) {
             self.due.remove(&(record.due, key));
         }
@@ -352,8 +470,14 @@
     /// Returns what is recorded of a stream.
     pub fn find_opt(&self, now: Time, key: Key) -> Option<Found> {
         let record = self.records.get(&key)?;
+        let settled_in = record
+            .doubt
+            .as_ref()
+            .map(|(_, settled_at)| settled_at.since(now));
+        let is_known = !record.is_disputed && settled_in.is_none();
         Some(Found {
-            software: (!record.is_disputed).then(|| record.software.clone()),
+            software: is_known.then(|| record.software.clone()),
+            settled_in: settled_in.filter(|_| !record.is_disputed),
             service: record.service,
             age: now.since(record.recorded),
         })
@@ -414,7 +538,7 @@
         key: Key,
         is_live: impl Fn(&Keeper) -> bool,
         rank: impl FnOnce(usize) -> Vec<Keeper>,
-    ) -> Option<(Statement, Vec<SocketAddrV4>)> {
+    ) -> Option<Telling> {
         let joined = self.joined;
         let record = self.records.get_mut(&key)?;
         let confirmed = record.confirmed.len();
@@ -439,8 +563,16 @@
             software: record.software.clone(),
             valid_for: record.expires.since(now),
         };
+        let doubt = record.doubt.as_ref().map(|(doubt, settled_at)| Doubt {
+            settled_in: settled_at.since(now),
+            ..doubt.clone()
+        });
         self.set_due(key, now + RESEND_INTERVAL);
-        Some((statement, missing))
+        Some(Telling {
+            statement,
+            doubt,
+            nodes: missing,
+        })
     }
 
     /// Records that a keeper confirmed records.
--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -8,14 +8,19 @@
 
 use super::Dispatcher;
 use crate::binding::Binding;
+use crate::binding::Doubt;
+use crate::binding::Doubted;
 use crate::binding::Keeper;
 use crate::binding::Key;
+use crate::binding::Outcome;
 use crate::binding::Statement;
 use crate::binding::Stream;
+use crate::binding::Telling;
 use crate::job;
 use crate::job::Job;
 use crate::map::HashMap;
 use crate::message::Message;
+use crate::start;
 
 /// The maximum number of statements in a datagram.
 const MAX_STATEMENTS: usize = 20;
@@ -36,11 +41,74 @@
         };
         let (stream, target) = (job.stream, job.target.clone());
         let software = job.binding.software_opt().cloned();
-        if let (Some(stream), Some(software)) = (stream, software) {
-            self.record_stream(now, stream, &target, &software);
+        let Some(stream) = stream else {
+            return;
+        };
+        if let Some(software) = software {
+            self.record_stream(now, stream, &target, &software, None);
+        } else if let Some((software, doubt)) = self.doubted_start_opt(now, id) {
+            self.record_stream(now, stream, &target, &software, Some(doubt));
         }
     }
 
+    /// Returns the listed version of the endpoint that runs a request, and the doubt about it, if its
+    /// start is in doubt.
+    fn doubted_start_opt(&mut self, now: Time, id: job::Id) -> Option<(id::Software, Doubt)> {
+        let run = self.runs.get(&id)?;
+        let pool = self.pools.get_mut(&run.job.target)?;
+        let worker = &mut pool.workers[run.worker];
+        let settled_at = worker.start.settled_at_opt(self.platform_lost_at)?;
+        worker.start.is_asked_for = true;
+        let software = worker.endpoint.software.clone()?;
+        let doubt = Doubt {
+            endpoint: worker.endpoint.name.clone(),
+            started_at: worker.endpoint.started_at,
+            settled_in: settled_at.since(now),
+        };
+        Some((software, doubt))
+    }
+
+    /// Binds a request whose stream began while the start of its endpoint was in doubt, once that is
+    /// settled.
+    pub(super) fn bind_settled(&self, now: Time, job: &mut Job) {
+        if job.binding != Binding::Unknown {
+            return;
+        }
+        let found = job
+            .stream
+            .and_then(|stream| self.bindings.find_opt(now, stream.key));
+        let software = found.and_then(|found| found.software);
+        job.binding = Binding::to(software.as_ref());
+    }
+
+    /// Settles which version began streams whose endpoints' starts were in doubt.
+    pub(super) fn settle_doubts(&mut self, now: Time) {
+        let Dispatcher {
+            bindings, pools, ..
+        } = self;
+        let platform_lost_at = self.platform_lost_at;
+        bindings.settle_doubts(now, |doubt, software, settled_at| {
+            let is_settled = now >= start::settled_at(settled_at, platform_lost_at);
+            let mut workers = pools.values().filter_map(|pool| {
+                let index = pool.index.get(&doubt.endpoint)?;
+                pool.workers.get(*index).filter(|worker| worker.listed)
+            });
+            let Some(worker) = workers.next() else {
+                return match is_settled {
+                    true => Outcome::Refuted,
+                    false => Outcome::Open,
+                };
+            };
+            let is_same_start = worker.endpoint.started_at == doubt.started_at;
+            let is_same_software = worker.endpoint.software.as_ref() == Some(software);
+            match (is_same_start, is_same_software) {
+                (true, _) if !is_settled => Outcome::Open,
+                (true, _) | (false, true) => Outcome::Confirmed,
+                (false, false) => Outcome::Refuted,
+            }
+        });
+    }
+
     /// Binds a request that runs here, or at another node that stated this version, unless it is
     /// bound. Returns the request.
     fn bind_to_running(&mut self, id: job::Id, stated: Option<&id::Software>) -> Option<&Job> {
@@ -63,25 +131,45 @@
         stream: Stream,
         target: &id::Target,
         software: &id::Software,
+        doubt: Option<Doubt>,
     ) {
         let Some(service) = self.pools.get(target).map(|pool| pool.number) else {
             return;
         };
-        self.bindings.record_own(now, stream, service, software);
+        self.bindings
+            .record_own(now, stream, service, software, doubt);
         self.state_bindings(now);
     }
 
     /// Keeps what another node states of its streams, and confirms it. A node that is leaving passes
     /// it on to those that stay.
     pub fn receive_bindings(&mut self, now: Time, from: SocketAddrV4, statements: &[Statement]) {
+        let statements = statements.iter().map(|statement| (statement, None));
+        self.keep_stated(now, from, statements);
+    }
+
+    /// Keeps what another node states of its streams that it is in doubt about.
+    pub fn receive_doubted_bindings(&mut self, now: Time, from: SocketAddrV4, stated: &[Doubted]) {
+        let stated = stated
+            .iter()
+            .map(|doubted| (&doubted.statement, Some(&doubted.doubt)));
+        self.keep_stated(now, from, stated);
+    }
+
+    fn keep_stated<'a>(
+        &mut self,
+        now: Time,
+        from: SocketAddrV4,
+        statements: impl Iterator<Item = (&'a Statement, Option<&'a Doubt>)>,
+    ) {
         // Without a status of the node it counts as gone.
         let teller = Keeper {
             node: from,
             incarnation: self.members.incarnation_opt(now, from).unwrap_or_default(),
         };
         let mut kept = Vec::new();
-        for statement in statements {
-            if self.bindings.record_stated(now, statement) {
+        for (statement, doubt) in statements {
+            if self.bindings.record_stated(now, statement, doubt) {
                 self.bindings.record_teller(statement.key, teller);
                 kept.push(statement.key);
             }
@@ -116,14 +204,28 @@
             |teller: &Keeper| members.incarnation_opt(now, teller.node) == Some(teller.incarnation);
         self.bindings.take_over_lost(now, runs);
         let mut statements: HashMap<SocketAddrV4, Vec<Statement>> = HashMap::default();
+        let mut doubted: HashMap<SocketAddrV4, Vec<Doubted>> = HashMap::default();
         for key in self.bindings.take_due(now) {
             let is_live = |keeper: &Keeper| members.is_keeper(now, keeper);
             let rank = |count| members.keepers(now, key.0, count);
-            let Some((statement, nodes)) = self.bindings.state(now, key, is_live, rank) else {
+            let Some(telling) = self.bindings.state(now, key, is_live, rank) else {
                 continue;
             };
-            for node in nodes {
-                statements.entry(node).or_default().push(statement.clone());
+            let Telling {
+                statement, doubt, ..
+            } = telling;
+            for node in telling.nodes {
+                let statement = statement.clone();
+                match &doubt {
+                    None => statements.entry(node).or_default().push(statement),
+                    Some(doubt) if members.settles_doubts(node) => {
+                        let doubt = doubt.clone();
+                        let told = doubted.entry(node).or_default();
+                        told.push(Doubted { statement, doubt });
+                    }
+                    // An older build would take it for certain.
+                    Some(_) => {}
+                }
             }
         }
         for (node, statements) in statements {
@@ -131,6 +233,12 @@
                 self.outbox.push((node, Message::Bindings(part.to_vec())));
             }
         }
+        for (node, doubted) in doubted {
+            for part in doubted.chunks(MAX_STATEMENTS) {
+                let message = Message::DoubtedBindings(part.to_vec());
+                self.outbox.push((node, message));
+            }
+        }
     }
 
     /// The number of streams of which this node keeps the version.
--- a/crates/dispatch/src/dispatcher/borrow.rs
+++ b/crates/dispatch/src/dispatcher/borrow.rs
@@ -93,6 +93,7 @@
             self.refuse(now, id, &job, refusal);
             return;
         }
+        self.bind_settled(now, &mut job);
         if let Some(refusal) = self.check_bound(now, &job) {
             self.refuse(now, id, &job, refusal);
             return;
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -151,6 +151,7 @@
 use lend::RemoteRequest;
 pub use policy::Policy;
 pub use probe_links::ProbeTarget;
+use probe_links::Refused;
 pub use query::PassedOver;
 pub use query::Summary;
 pub use query::Unusable;
@@ -324,9 +325,9 @@
     link_updates: Vec<LinkUpdate>,
     /// Changes of what is known of endpoints' starts since they were last taken.
     start_updates: Vec<StartUpdate>,
-    /// Endpoints that refused a connection after a call broke, until another endpoint shows whether
-    /// this node's links are to blame.
-    refused_endpoints: Vec<(Time, u32)>,
+    /// Endpoints that refused a connection after a call broke, until it shows whether this node's links
+    /// are to blame.
+    refused_endpoints: Vec<Refused>,
     members: Members,
     accounts: Accounts,
     budget: Budget,
--- a/crates/dispatch/src/dispatcher/probe_links.rs
+++ b/crates/dispatch/src/dispatcher/probe_links.rs
@@ -24,6 +24,31 @@
 /// How long it is open whether an endpoint that refused a connection has ended.
 const REFUSAL_TIMEOUT: Span = Span::from_secs(3);
 
+/// Losses of links within this time have a common cause if they are many.
+const COMMON_SPAN: Span = Span::from_millis(250);
+
+/// How many these are at least.
+const MIN_COMMON_LOSSES: usize = 3;
+
+/// An endpoint that refused a connection.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Refused {
+    at: Time,
+    endpoint: u32,
+    blame: Blame,
+}
+
+/// Whether an endpoint refused a connection since it has ended, or this node's link to it is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Blame {
+    /// No other endpoint was reached since.
+    Unknown,
+    /// Another one was reached since, so that a further refusal shows the cause.
+    Rechecked,
+    /// The cause was found.
+    Found,
+}
+
 /// An endpoint to probe.
 #[derive(Debug, Clone)]
 pub struct ProbeTarget {
@@ -38,6 +63,12 @@
     pub fn take_probe_targets(&mut self, now: Time) -> Vec<ProbeTarget> {
         let options = &self.options.worker.link;
         let mut targets = Vec::new();
+        let rechecked: Vec<u32> = self
+            .refused_endpoints
+            .iter()
+            .filter(|refused| refused.blame == Blame::Rechecked)
+            .map(|refused| refused.endpoint)
+            .collect();
         for pool in self.pools.values_mut() {
             let may_probe_lost = now >= pool.lost_probe_after;
             let lost = pool.workers.iter().enumerate().filter(|(_, worker)| {
@@ -51,8 +82,9 @@
                 pool.lost_probe_after = now + pool.lost_probe_spacing(now);
             }
             for (index, worker) in pool.workers.iter_mut().enumerate() {
-                let is_doubted = !worker.link.is_lost() && worker.link.is_probe_due(now);
-                if next_lost == Some(index) || (is_doubted && worker.is_open()) {
+                let is_due = worker.is_open() && worker.link.is_probe_due(now);
+                let is_urgent = !worker.link.is_lost() || rechecked.contains(&worker.number);
+                if next_lost == Some(index) || (is_due && is_urgent) {
                     worker.link.start_probe(now, options);
                     targets.push(ProbeTarget {
                         endpoint: worker.endpoint.clone(),
@@ -105,17 +137,28 @@
     pub fn record_connected(&mut self, now: Time, endpoint: &Endpoint) {
         let number = endpoint.to_number();
         self.record_endpoint_alive(number);
-        self.settle_refusals(now, number);
+        self.refused_endpoints
+            .retain(|refused| refused.endpoint != number);
+        self.recheck_refusals(now, number);
     }
 
-    /// Records that an endpoint refused a connection after a call to it broke. It has ended if other
-    /// endpoints are reached; otherwise this node's links may be broken. Returns another endpoint to
-    /// probe for that.
+    /// Records that an endpoint refused a connection after a call to it broke. It has ended if it refuses
+    /// again once another endpoint is reached; otherwise this node's links may be broken. Returns another
+    /// endpoint to probe for that.
     pub fn record_refused(&mut self, now: Time, endpoint: &Endpoint) -> Option<ProbeTarget> {
         let number = endpoint.to_number();
-        let is_known = |(_, known): &(Time, u32)| *known == number;
-        if !self.refused_endpoints.iter().any(is_known) {
-            self.refused_endpoints.push((now, number));
+        let mut known = self.refused_endpoints.iter();
+        match known.find(|refused| refused.endpoint == number) {
+            Some(refused) if refused.blame == Blame::Rechecked => {
+                self.find_cause(now, endpoint);
+                return None;
+            }
+            Some(_) => {}
+            None => self.refused_endpoints.push(Refused {
+                at: now,
+                endpoint: number,
+                blame: Blame::Unknown,
+            }),
         }
         let pool = self.pools.get(&endpoint.service)?;
         let mut others = pool.workers.iter();
@@ -128,22 +171,43 @@
         self.probe_target_opt(now, &other)
     }
 
+    /// Charges the end of an endpoint that refuses connections while another one is reached, unless so
+    /// many were lost at the same time that this node's links are the likely cause.
+    fn find_cause(&mut self, now: Time, endpoint: &Endpoint) {
+        let number = endpoint.to_number();
+        let mut refused = self.refused_endpoints.iter_mut();
+        let Some(refused) = refused.find(|refused| refused.endpoint == number) else {
+            return;
+        };
+        refused.blame = Blame::Found;
+        let at = refused.at;
+        let all = self.refused_endpoints.iter();
+        let together = all.filter(|other| other.at.max(at).since(other.at.min(at)) <= COMMON_SPAN);
+        let together = together.count();
+        let pool = self.pools.get(&endpoint.service);
+        let open = pool.map_or(0, |pool| pool.count_open(|_| true));
+        self.doubt_start(now, number, Cause::Refused);
+        if together < MIN_COMMON_LOSSES || together * 2 < open {
+            self.record_endpoint_ended(now, number);
+        }
+    }
+
     /// Forgets refused connections of which nothing showed the cause.
     pub(super) fn expire_refusals(&mut self, now: Time) {
         self.refused_endpoints
-            .retain(|(at, _)| now.since(*at) < REFUSAL_TIMEOUT);
+            .retain(|refused| now.since(refused.at) < REFUSAL_TIMEOUT);
     }
 
-    /// Charges the ends of endpoints that refused connections, now that another one is reached.
-    pub(super) fn settle_refusals(&mut self, now: Time, reached: u32) {
-        let refused = std::mem::take(&mut self.refused_endpoints);
-        for (at, endpoint) in refused {
-            match endpoint == reached {
-                true => self.refused_endpoints.push((at, endpoint)),
-                false => {
-                    self.doubt_start(now, endpoint, Cause::Refused);
-                    self.record_endpoint_ended(now, endpoint);
-                }
+    /// Has endpoints that refused connections probed again, now that another one is reached.
+    pub(super) fn recheck_refusals(&mut self, now: Time, reached: u32) {
+        for refused in &mut self.refused_endpoints {
+            if refused.endpoint == reached || refused.blame != Blame::Unknown {
+                continue;
+            }
+            refused.blame = Blame::Rechecked;
+            let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
+            for worker in workers.filter(|worker| worker.number == refused.endpoint) {
+                worker.link.hasten_probe(now);
             }
         }
     }
--- a/crates/dispatch/src/dispatcher/take_up.rs
+++ b/crates/dispatch/src/dispatcher/take_up.rs
@@ -30,6 +30,13 @@
 /// How often a question is sent.
 const MAX_ROUNDS: u32 = 2;
 
+/// How long a take-up waits until a doubt about the start of an endpoint is settled. Callers take a
+/// stream that is silent for longer for dead.
+const MAX_SETTLING_WAIT: Span = Span::from_secs(2);
+
+/// How often it is looked whether the doubt is settled.
+const SETTLING_INTERVAL: Span = Span::from_millis(100);
+
 /// When a caller may retry after a node that was asked stayed silent.
 const RETRY_AFTER_SILENCE: Span = Span::from_millis(200);
 
@@ -49,6 +56,12 @@
     sole: Option<(Source, id::Software)>,
     /// Whether a node saw several versions, so that none may be taken for the only one.
     is_mixed: bool,
+    /// Whether a node holds a record that is in doubt.
+    has_doubted_record: bool,
+    /// When doubts that decide about it are settled, if there are any.
+    settled_at: Option<Time>,
+    /// When it is made anew, while it waits for that.
+    repeats_at: Option<Time>,
 }
 
 /// How a node learnt which version began a stream.
@@ -68,6 +81,8 @@
     Unanswered,
     /// Not at all: by a record, different versions were stated.
     Disputed,
+    /// Not at all: the start of the endpoint that wrote its first event is in doubt.
+    Doubted,
 }
 
 impl Source {
@@ -81,6 +96,7 @@
             Source::Nobody => "nobody",
             Source::Unanswered => "unanswered",
             Source::Disputed => "disputed",
+            Source::Doubted => "doubted",
         }
     }
 
@@ -88,9 +104,12 @@
     pub fn node_opt(self) -> Option<SocketAddrV4> {
         match self {
             Source::Node(node) | Source::SoleAt(node) => Some(node),
-            Source::Own | Source::Sole | Source::Nobody | Source::Unanswered | Source::Disputed => {
-                None
-            }
+            Source::Own
+            | Source::Sole
+            | Source::Nobody
+            | Source::Unanswered
+            | Source::Disputed
+            | Source::Doubted => None,
         }
     }
 }
@@ -123,7 +142,7 @@
 
 impl Dispatcher {
     /// Submits a request, or first finds out which version began the stream that it takes up.
-    pub(super) fn submit_bound(&mut self, now: Time, id: job::Id, mut job: Job) {
+    pub(super) fn submit_bound(&mut self, now: Time, id: job::Id, job: Job) {
         let Binding::TakesUp(key) = job.binding else {
             self.submit(now, id, job);
             return;
@@ -132,59 +151,114 @@
             self.submit(now, id, job);
             return;
         };
-        let service = pool.number;
-        let found = key.and_then(|key| self.bindings.find_opt(now, key));
-        if let Some(found) = found {
-            let software = found.software.filter(|_| found.service == service);
-            let source = software.as_ref().map_or(Source::Disputed, |_| Source::Own);
-            job.binding = Binding::to(software.as_ref());
-            let take_up = TakeUp {
-                software,
-                source,
-                age: Some(found.age),
-                took: Span::ZERO,
-                asked: Vec::new(),
-            };
-            self.finish_take_up(now, id, job, take_up);
-            return;
-        }
         let lifetime = self.lifetime(pool, job.deadline.since(now));
-        let served = self.served(now, pool, lifetime);
-        // Without a key nodes can still tell that one version alone has served.
-        let key = key.unwrap_or(Key(0));
-        let asked = match self.members.live(now).count() <= MAX_ALL_ASKED {
-            true => MAX_ALL_ASKED,
-            false => binding::MAX_TOLD,
-        };
-        let asked = self.members.keepers(now, key.0, asked).into_iter();
-        let asked = asked.map(|keeper| Asked {
-            node: keeper.node,
-            answer: None,
-            heard_for: self.members.heard_for(now, keeper.node),
-        });
-        let asked = asked.collect();
-        self.next_inquiry += 1;
         self.targets.insert(id, job.target.clone());
         let inquiry = Inquiry {
             job,
-            number: self.next_inquiry,
-            key,
+            number: 0,
+            // Without a key nodes can still tell that one version alone has served.
+            key: key.unwrap_or(Key(0)),
             lifetime,
             began: now,
             sent: now,
             rounds: 0,
-            asked,
-            is_mixed: served == Served::Several,
-            sole: match served {
-                Served::Sole(software) => Some((Source::Sole, software)),
-                Served::Several | Served::Unknown => None,
-            },
+            asked: Vec::new(),
+            is_mixed: false,
+            sole: None,
+            has_doubted_record: false,
+            settled_at: None,
+            repeats_at: None,
         };
         self.inquiries.insert(id, inquiry);
+        self.inquire(now, id);
+    }
+
+    /// Looks for a record of this node, and asks others if it has none.
+    fn inquire(&mut self, now: Time, id: job::Id) {
+        let Some(inquiry) = self.inquiries.get(&id) else {
+            return;
+        };
+        let (key, lifetime) = (inquiry.key, inquiry.lifetime);
+        let pool = self.pools.get(&inquiry.job.target);
+        let service = pool.map_or(0, |pool| pool.number);
+        if let Some(found) = self.bindings.find_opt(now, key) {
+            let settled_in = found.settled_in.filter(|_| found.service == service);
+            let software = found.software.filter(|_| found.service == service);
+            match (software, settled_in) {
+                (None, Some(settled_in)) => self.wait_until_settled(now, id, now + settled_in),
+                (software, _) => {
+                    let source = software.as_ref().map_or(Source::Disputed, |_| Source::Own);
+                    self.end_inquiry(now, id, source, software, Some(found.age));
+                }
+            }
+            return;
+        }
+        let served = pool.map_or(Served::Unknown, |pool| self.served(now, pool, lifetime));
+        let settled_at = match served {
+            Served::Doubted => self.first_settled_at_opt(id, None),
+            Served::Sole(_) | Served::Several | Served::Unknown => None,
+        };
+        let asked = self.keepers_to_ask(now, key);
+        self.next_inquiry += 1;
+        let number = self.next_inquiry;
+        if let Some(inquiry) = self.inquiries.get_mut(&id) {
+            inquiry.number = number;
+            inquiry.rounds = 0;
+            inquiry.asked = asked;
+            inquiry.is_mixed = served == Served::Several;
+            inquiry.has_doubted_record = false;
+            inquiry.settled_at = settled_at;
+            inquiry.sole = match served {
+                Served::Sole(software) => Some((Source::Sole, software)),
+                Served::Several | Served::Doubted | Served::Unknown => None,
+            };
+        }
         self.ask(now, id);
         self.end_answered_inquiry(now, id);
     }
 
+    fn keepers_to_ask(&self, now: Time, key: Key) -> Vec<Asked> {
+        let count = match self.members.live(now).count() <= MAX_ALL_ASKED {
+            true => MAX_ALL_ASKED,
+            false => binding::MAX_TOLD,
+        };
+        let keepers = self.members.keepers(now, key.0, count).into_iter();
+        let asked = keepers.map(|keeper| Asked {
+            node: keeper.node,
+            answer: None,
+            heard_for: self.members.heard_for(now, keeper.node),
+        });
+        asked.collect()
+    }
+
+    /// Returns when the first doubt about an open endpoint is settled that is listed with this version,
+    /// or any, at which an inquiry's request may run.
+    fn first_settled_at_opt(&self, id: job::Id, software: Option<&id::Software>) -> Option<Time> {
+        let inquiry = self.inquiries.get(&id)?;
+        let pool = self.pools.get(&inquiry.job.target)?;
+        let workers = pool.workers.iter();
+        let doubted = workers.filter(|worker| {
+            let listed = worker.endpoint.software.as_ref();
+            worker.is_open() && (software.is_none() || listed == software)
+        });
+        let settled_at =
+            doubted.filter_map(|worker| worker.start.settled_at_opt(self.platform_lost_at));
+        settled_at.min()
+    }
+
+    /// Has an inquiry wait until a doubt is settled, or ends it if that takes too long.
+    fn wait_until_settled(&mut self, now: Time, id: job::Id, settled_at: Time) {
+        let Some(inquiry) = self.inquiries.get_mut(&id) else {
+            return;
+        };
+        inquiry.settled_at = Some(settled_at);
+        if settled_at.since(inquiry.began) <= MAX_SETTLING_WAIT {
+            inquiry.repeats_at = Some(now + SETTLING_INTERVAL);
+            return;
+        }
+        self.end_inquiry(now, id, Source::Doubted, None, None);
+    }
+
     fn ask(&mut self, now: Time, id: job::Id) {
         let Some(inquiry) = self.inquiries.get_mut(&id) else {
             return;
@@ -206,7 +280,14 @@
 
     /// Submits a request whose binding is settled, or refuses it if nobody knows what began its
     /// stream.
-    fn finish_take_up(&mut self, now: Time, id: job::Id, job: Job, take_up: TakeUp) {
+    fn finish_take_up(
+        &mut self,
+        now: Time,
+        id: job::Id,
+        job: Job,
+        take_up: TakeUp,
+        settled_at: Option<Time>,
+    ) {
         let (is_known, source) = (take_up.software.is_some(), take_up.source);
         self.take_ups.insert(id, take_up);
         if is_known {
@@ -215,7 +296,11 @@
         }
         let refusal = Refusal {
             code: Code::StreamUnknown,
-            retry_after: (source == Source::Unanswered).then_some(RETRY_AFTER_SILENCE),
+            retry_after: match source {
+                Source::Unanswered => Some(RETRY_AFTER_SILENCE),
+                Source::Doubted => settled_at.map(|at| at.since(now)),
+                _ => None,
+            },
             wait: None,
             owner: None,
         };
@@ -260,6 +345,11 @@
                 inquiry.is_mixed = true;
                 self.end_answered_inquiry(now, id);
             }
+            Answer::Doubted { settled_in } => {
+                inquiry.has_doubted_record = true;
+                inquiry.settled_at = Some(now + settled_in);
+                self.end_answered_inquiry(now, id);
+            }
             Answer::Unknown => self.end_answered_inquiry(now, id),
         }
     }
@@ -274,10 +364,17 @@
     }
 
     fn end_inquiry_without_record(&mut self, now: Time, id: job::Id, otherwise: Source) {
-        let inquiry = self.inquiries.get_mut(&id).filter(|one| !one.is_mixed);
-        match inquiry.and_then(|inquiry| inquiry.sole.take()) {
-            Some((source, software)) => self.end_inquiry(now, id, source, Some(software), None),
-            None => self.end_inquiry(now, id, otherwise, None, None),
+        let (sole, settled_at) = match self.inquiries.get_mut(&id) {
+            Some(inquiry) if inquiry.has_doubted_record => (None, inquiry.settled_at),
+            Some(inquiry) if !inquiry.is_mixed => (inquiry.sole.take(), inquiry.settled_at),
+            Some(_) | None => (None, None),
+        };
+        match (sole, settled_at) {
+            (Some((source, software)), _) => {
+                self.end_inquiry(now, id, source, Some(software), None);
+            }
+            (None, Some(settled_at)) => self.wait_until_settled(now, id, settled_at),
+            (None, None) => self.end_inquiry(now, id, otherwise, None, None),
         }
     }
 
@@ -289,6 +386,10 @@
         software: Option<id::Software>,
         age: Option<Span>,
     ) {
+        if let Some(settled_at) = self.needed_start_settled_at_opt(now, id, software.as_ref()) {
+            self.wait_until_settled(now, id, settled_at);
+            return;
+        }
         let Some(inquiry) = self.inquiries.remove(&id) else {
             return;
         };
@@ -301,13 +402,43 @@
             took: now.since(inquiry.began),
             asked: inquiry.asked,
         };
-        self.finish_take_up(now, id, job, take_up);
+        self.finish_take_up(now, id, job, take_up, inquiry.settled_at);
+    }
+
+    /// Returns when an endpoint of this version can be used, if the starts of all that are open are in
+    /// doubt and that takes no longer than an inquiry may wait.
+    fn needed_start_settled_at_opt(
+        &self,
+        now: Time,
+        id: job::Id,
+        software: Option<&id::Software>,
+    ) -> Option<Time> {
+        let inquiry = self.inquiries.get(&id)?;
+        let software = software?;
+        let pool = self.pools.get(&inquiry.job.target)?;
+        let mut workers = pool.workers.iter();
+        let has_certain =
+            workers.any(|worker| worker.is_open() && worker.software_opt() == Some(software));
+        let settled_at = self.first_settled_at_opt(id, Some(software))?;
+        let is_in_time = settled_at.since(inquiry.began) <= MAX_SETTLING_WAIT;
+        (!has_certain && is_in_time && settled_at > now).then_some(settled_at)
     }
 
-    /// Repeats unanswered questions, and gives up those that stay unanswered.
+    /// Repeats unanswered questions, and gives up those that stay unanswered. Repeats inquiries that wait
+    /// for a doubt to be settled.
     pub(super) fn renew_inquiries(&mut self, now: Time) {
-        let inquiries = self.inquiries.iter();
-        let due = inquiries.filter(|(_, inquiry)| now.since(inquiry.sent) >= ANSWER_TIMEOUT);
+        let waiting = self.inquiries.iter();
+        let waiting = waiting.filter(|(_, inquiry)| inquiry.repeats_at.is_some_and(|at| now >= at));
+        let waiting: Vec<job::Id> = waiting.map(|(id, _)| *id).collect();
+        for id in waiting {
+            if let Some(inquiry) = self.inquiries.get_mut(&id) {
+                inquiry.repeats_at = None;
+            }
+            self.inquire(now, id);
+        }
+        let asked = self.inquiries.iter();
+        let asked = asked.filter(|(_, inquiry)| inquiry.repeats_at.is_none());
+        let due = asked.filter(|(_, inquiry)| now.since(inquiry.sent) >= ANSWER_TIMEOUT);
         let due: Vec<(job::Id, u32)> = due.map(|(id, inquiry)| (*id, inquiry.rounds)).collect();
         for (id, rounds) in due {
             match rounds < MAX_ROUNDS {
@@ -323,17 +454,21 @@
         let pool = pools.find(|pool| pool.number == question.service);
         let found = self.bindings.find_opt(now, question.key);
         let answer = match found {
-            Some(found) => match found.software.filter(|_| found.service == question.service) {
-                Some(software) => Answer::Known {
+            Some(found) if found.service != question.service => Answer::Disputed,
+            Some(found) => match (found.software, found.settled_in) {
+                (Some(software), _) => Answer::Known {
                     software,
                     age: found.age,
                 },
-                None => Answer::Disputed,
+                (None, Some(settled_in)) if self.members.settles_doubts(from) => {
+                    Answer::Doubted { settled_in }
+                }
+                (None, _) => Answer::Disputed,
             },
             None => match pool.map(|pool| self.served(now, pool, question.lifetime)) {
                 Some(Served::Sole(software)) => Answer::Sole(software),
                 Some(Served::Several) => Answer::Several,
-                Some(Served::Unknown) | None => Answer::Unknown,
+                Some(Served::Doubted | Served::Unknown) | None => Answer::Unknown,
             },
         };
         let reply = Reply {
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -20,10 +20,6 @@
 /// caller.
 const TIMEOUTS_PER_STREAM: u64 = 2;
 
-/// How long after an endpoint ended the platform lists its next start: a node finds out that the
-/// platform is out of reach, or endpoints write their entries again once it is back.
-const LISTED_WITHIN: Span = Span::from_secs(4);
-
 /// How long a version is remembered after it was last listed, longer than any stream lasts.
 const VERSION_MEMORY: Span = Span::from_secs(3_600);
 
@@ -61,6 +57,8 @@
     Sole(id::Software),
     /// More than one.
     Several,
+    /// One alone, unless an endpoint whose start is in doubt has another.
+    Doubted,
     /// This node may have missed some.
     Unknown,
 }
@@ -109,21 +107,23 @@
         if self.platform_unreachable || self.members.is_platform_unreachable(now) {
             self.platform_lost_at = now;
         }
-        let known_since = now - LISTED_WITHIN;
         let options = &self.options.worker;
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
-            let mut change = None;
-            if worker.is_reported_unreachable(now, options) {
-                change = worker.start.doubt(now, Cause::Reported);
-            }
-            let doubted_at = worker.start.doubted_at_opt();
-            let doubted_at = doubted_at.map(|at| at.max(self.platform_lost_at));
-            if doubted_at.is_some_and(|at| at < known_since) {
-                change = worker.start.confirm(now);
-            }
+            let cause = match () {
+                () if worker.link.is_lost() => Some(Cause::LinkLost),
+                () if worker.is_reported_unreachable(now, options) => Some(Cause::Reported),
+                () => None,
+            };
+            let settled_at = worker.start.settled_at_opt(self.platform_lost_at);
+            let change = match cause {
+                Some(cause) => worker.start.doubt(now, cause),
+                None if settled_at.is_some_and(|at| now >= at) => worker.start.confirm(now),
+                None => None,
+            };
             let update = change.map(|change| StartUpdate::new(worker, change));
             self.start_updates.extend(update);
         }
+        self.settle_doubts(now);
     }
 
     /// Returns the version of an endpoint's software, unless another start may have taken its place.
@@ -144,7 +144,8 @@
     pub(super) fn served(&self, now: Time, pool: &Pool, lifetime: Span) -> Served {
         let versions = &pool.versions;
         let listed = pool.workers.iter().filter(|worker| worker.listed);
-        let listed = listed.map(Worker::software_opt);
+        let is_doubted = listed.clone().any(|worker| worker.start.has_shown_end());
+        let listed = listed.map(|worker| worker.endpoint.software.as_ref());
         let past = versions.listed.iter();
         let past = past.filter(|(_, at)| now.since(**at) <= lifetime);
         let past = past.map(|(version, _)| version.as_ref());
@@ -155,7 +156,10 @@
         match all.next() {
             Some(first) if all.any(|other| other != first) => Served::Several,
             Some(Some(sole)) if is_known && listed.count() > 0 && self.is_list_current(now) => {
-                Served::Sole(sole.clone())
+                match is_doubted {
+                    true => Served::Doubted,
+                    false => Served::Sole(sole.clone()),
+                }
             }
             Some(_) | None => Served::Unknown,
         }
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -125,6 +125,12 @@
         protocol.is_some_and(Protocol::supports_software)
     }
 
+    /// Whether a node's build settles doubts about the starts of endpoints.
+    pub fn settles_doubts(&self, address: SocketAddrV4) -> bool {
+        let protocol = self.protocol_opt(address);
+        protocol.is_some_and(Protocol::settles_doubts)
+    }
+
     /// Returns the nodes that keep which version began a stream with this key: those that a hash
     /// prefers, from as many data centres as there are. Fewer are the first of more.
     pub fn keepers(&self, now: Time, key: u64, count: usize) -> Vec<Keeper> {
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -214,6 +214,9 @@
     BindingQuestion(binding::Question),
     /// The answer.
     BindingReply(binding::Reply),
+    /// Which versions began streams, as far as the starts of their endpoints are the listed ones. Only
+    /// sent to nodes that settle such doubts.
+    DoubtedBindings(Vec<binding::Doubted>),
 }
 
 /// A document that the platform publishes.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -53,8 +53,11 @@
     /// The first version whose statuses say whether a node is late with its own work.
     pub const LATENESS: Protocol = Protocol(17);
 
+    /// The first version that records streams whose endpoints' starts are in doubt.
+    pub const DOUBTS: Protocol = Protocol(18);
+
     /// The version of this build.
-    pub const CURRENT: Protocol = Protocol::LATENESS;
+    pub const CURRENT: Protocol = Protocol::DOUBTS;
 
     /// Returns the version assumed for messages that do not contain one.
     pub(crate) fn first() -> Protocol {
@@ -86,6 +89,11 @@
         self >= Protocol::SOFTWARE
     }
 
+    /// Whether a node settles doubts about the starts of endpoints.
+    pub fn settles_doubts(self) -> bool {
+        self >= Protocol::DOUBTS
+    }
+
     /// Whether a node reads queue reports, bookings and redirections of slot owners.
     pub fn supports_shared_admission(self) -> bool {
         self >= Protocol::SHARED_ADMISSION
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -6,6 +6,19 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+/// How long after an endpoint started again the platform lists that at the latest: a node finds out
+/// that the platform is out of reach, or endpoints write their entries again once it is back.
+const LISTED_WITHIN: Span = Span::from_secs(4);
+
+/// Returns when a doubt is settled that is due at `due`. `platform_lost_at` is when the platform was last
+/// out of reach.
+pub fn settled_at(due: Time, platform_lost_at: Time) -> Time {
+    match platform_lost_at {
+        Time(0) => due,
+        lost_at => due.max(lost_at + LISTED_WITHIN),
+    }
+}
+
 /// Why a start is in doubt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
@@ -13,6 +26,8 @@
     Refused,
     /// Several other nodes could not connect to it.
     Reported,
+    /// This node's link to it is lost, or was until now.
+    LinkLost,
 }
 
 impl Cause {
@@ -21,6 +36,7 @@
         match self {
             Cause::Refused => "refused",
             Cause::Reported => "reported",
+            Cause::LinkLost => "link-lost",
         }
     }
 }
@@ -37,7 +53,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Doubt {
     since: Time,
-    /// When it was last in doubt for a new reason, or still for the same one.
+    /// Whether anything but this node's own link speaks for an end of the endpoint.
+    has_shown_end: bool,
+    /// When there was last a reason for it.
     renewed: Time,
 }
 
@@ -45,6 +63,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct State {
     doubt: Option<Doubt>,
+    /// Whether the endpoint is to be asked which start it is.
+    pub is_asked_for: bool,
 }
 
 impl State {
@@ -53,9 +73,15 @@
         self.doubt.is_some()
     }
 
-    /// When it was last in doubt for a new reason, or still for the same one, unless it is confirmed.
-    pub fn doubted_at_opt(&self) -> Option<Time> {
-        self.doubt.map(|doubt| doubt.renewed)
+    /// Whether anything but this node's own link speaks for an end of the endpoint.
+    pub fn has_shown_end(&self) -> bool {
+        self.doubt.is_some_and(|doubt| doubt.has_shown_end)
+    }
+
+    /// When the doubt is settled if the platform lists no other start, if there is one.
+    pub fn settled_at_opt(&self, platform_lost_at: Time) -> Option<Time> {
+        let doubt = self.doubt?;
+        Some(settled_at(doubt.renewed + LISTED_WITHIN, platform_lost_at))
     }
 
     /// Doubts the start. Returns the change if it was not in doubt.
@@ -63,8 +89,10 @@
         let is_new = self.doubt.is_none();
         let doubt = self.doubt.get_or_insert(Doubt {
             since: now,
+            has_shown_end: false,
             renewed: now,
         });
+        doubt.has_shown_end |= cause != Cause::LinkLost;
         doubt.renewed = now;
         is_new.then_some(Change::Doubted(cause))
     }
--- a/crates/dispatch/tests/dispatch/binding/fleet.rs
+++ b/crates/dispatch/tests/dispatch/binding/fleet.rs
@@ -9,10 +9,13 @@
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Options;
+use woadstage_dispatch::dispatcher::ProbeTarget;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::Job;
+use woadstage_dispatch::link::Probe;
+use woadstage_dispatch::map::HashMap;
 use woadstage_dispatch::message::Message;
 use woadstage_types::code::Code;
 use woadstage_types::id;
@@ -37,6 +40,10 @@
     pub nodes: BTreeMap<SocketAddrV4, Dispatcher>,
     pub now: Time,
     pub cut: BTreeSet<SocketAddrV4>,
+    /// The endpoints that nodes don't reach, by name.
+    pub unreachable: BTreeSet<(SocketAddrV4, String)>,
+    /// The endpoints that requests were sent to.
+    placed: HashMap<(SocketAddrV4, job::Id), Endpoint>,
 }
 
 impl Fleet {
@@ -60,6 +67,8 @@
             nodes: BTreeMap::new(),
             now: at(0),
             cut: BTreeSet::new(),
+            unreachable: BTreeSet::new(),
+            placed: HashMap::default(),
         };
         for number in 1..=count {
             fleet.start_node(number, u64::from(number), list);
@@ -96,6 +105,50 @@
                 sent.extend(messages.map(|(to, message)| (*from, to, message)));
             }
             self.deliver(sent);
+            self.probe_due();
+        }
+    }
+
+    /// Cuts the links of a node to endpoints: its calls break, and new connections are refused.
+    pub fn cut_links(&mut self, number: u8, endpoints: &[Endpoint]) {
+        let address = node(number);
+        for endpoint in endpoints {
+            let name = endpoint.name.as_str().to_owned();
+            self.unreachable.insert((address, name));
+        }
+        for endpoint in endpoints {
+            let now = self.now;
+            let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
+            let target = dispatcher.probe_target_opt(now, endpoint);
+            self.finish_probes(address, target);
+        }
+    }
+
+    fn probe_due(&mut self) {
+        let addresses: Vec<SocketAddrV4> = self.nodes.keys().copied().collect();
+        for address in addresses {
+            let now = self.now;
+            let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
+            for target in dispatcher.take_probe_targets(now) {
+                self.finish_probes(address, Some(target));
+            }
+        }
+    }
+
+    /// Answers a probe, and those that follow from its result.
+    fn finish_probes(&mut self, address: SocketAddrV4, mut next: Option<ProbeTarget>) {
+        let now = self.now;
+        while let Some(target) = next.take() {
+            let endpoint = &target.endpoint;
+            let name = endpoint.name.as_str().to_owned();
+            let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
+            if self.unreachable.contains(&(address, name)) {
+                next = dispatcher.record_refused(now, endpoint);
+                dispatcher.record_probe(now, endpoint, Probe::Failed);
+            } else {
+                dispatcher.record_connected(now, endpoint);
+                dispatcher.record_probe(now, endpoint, Probe::Answered);
+            }
         }
     }
 
@@ -118,6 +171,9 @@
                 Message::Check(check) => node.answer_lease_check(from, check),
                 Message::Findings(findings) => node.take_findings(now, &findings),
                 Message::Bindings(statements) => node.receive_bindings(now, from, &statements),
+                Message::DoubtedBindings(stated) => {
+                    node.receive_doubted_bindings(now, from, &stated);
+                }
                 Message::BindingsKept(keys) => node.confirm_bindings(now, from, &keys),
                 Message::BindingQuestion(question) => node.answer_binding(now, from, question),
                 Message::BindingReply(reply) => node.receive_binding_reply(now, from, reply),
@@ -132,11 +188,13 @@
         let now = self.now;
         let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
         let id = dispatcher.enter(now, request);
-        for _ in 0..30 {
+        for _ in 0..150 {
             let dispatcher = self.nodes.get_mut(&address).expect("the node lives");
             for decision in dispatcher.take_decisions() {
                 match decision {
                     Decision::Start { job, endpoint, .. } if job == id => {
+                        let placed = endpoint.as_ref().clone();
+                        self.placed.insert((address, id), placed);
                         return Ok((id, endpoint.software.clone().expect("a version")));
                     }
                     Decision::Refuse { job, refusal, .. } if job == id => return Err(refusal.code),
@@ -158,6 +216,11 @@
         (id, software)
     }
 
+    /// Returns the endpoint at which a request of a node runs.
+    pub fn endpoint_of(&self, number: u8, id: job::Id) -> Endpoint {
+        self.placed[&(node(number), id)].clone()
+    }
+
     /// Ends a request at its endpoint.
     pub fn end(&mut self, number: u8, id: job::Id) {
         let now = self.now;
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -36,6 +36,7 @@
 use crate::support::starts;
 
 pub mod fleet;
+mod links_lost;
 mod origin_lost;
 mod random;
 
@@ -390,10 +391,10 @@
 #[test]
 fn a_stream_of_which_two_versions_are_stated_is_not_resumed() {
     let mut registry = Registry::default();
-    registry.record_stated(at(0), &statement(1, "1"));
+    registry.record_stated(at(0), &statement(1, "1"), None);
     let found = registry.find_opt(at(5), Key(1)).expect("a record");
     assert_eq!(found.software, Some(id::Software::new("1")));
-    registry.record_stated(at(6), &statement(1, "2"));
+    registry.record_stated(at(6), &statement(1, "2"), None);
     let found = registry.find_opt(at(7), Key(1)).expect("a record");
     assert_eq!(found.software, None);
 }
@@ -406,7 +407,7 @@
             valid_for: Span::from_secs(10 + key % 2),
             ..statement(key, "1")
         };
-        registry.record_stated(at(0), &kept_longer);
+        registry.record_stated(at(0), &kept_longer, None);
     }
     assert_eq!(registry.len(), 65_536);
     registry.expire(at(10_000));
@@ -422,7 +423,7 @@
         key: KEY,
         until: at(20_000),
     };
-    registry.record_own(at(0), stream, 1, &id::Software::new("1"));
+    registry.record_own(at(0), stream, 1, &id::Software::new("1"), None);
     let keeper = |incarnation| Keeper {
         node: node(2),
         incarnation,
@@ -456,6 +457,7 @@
     let [one, two] = engines;
     dispatcher.record_refused(at(20_100), &one);
     dispatcher.record_connected(at(20_120), &two);
+    dispatcher.record_refused(at(20_130), &one);
     dispatcher.tick(at(20_140));
     (dispatcher, one)
 }
--- a/crates/dispatch/tests/dispatch/fleet/world/mod.rs
+++ b/crates/dispatch/tests/dispatch/fleet/world/mod.rs
@@ -570,6 +570,9 @@
                 dispatcher.receive_bookings(now, from, announcement);
             }
             Message::Bindings(statements) => dispatcher.receive_bindings(now, from, &statements),
+            Message::DoubtedBindings(stated) => {
+                dispatcher.receive_doubted_bindings(now, from, &stated);
+            }
             Message::BindingsKept(keys) => dispatcher.confirm_bindings(now, from, &keys),
             Message::BindingQuestion(question) => dispatcher.answer_binding(now, from, question),
             Message::BindingReply(reply) => dispatcher.receive_binding_reply(now, from, reply),
--- a/crates/dispatch/tests/dispatch/link.rs
+++ b/crates/dispatch/tests/dispatch/link.rs
@@ -294,5 +294,28 @@
         .expect("another endpoint");
     assert!(dispatcher.take_changes().is_empty());
     dispatcher.record_connected(at(4), &other.endpoint);
+    assert!(dispatcher.take_changes().is_empty());
+    dispatcher.record_refused(at(5), &refused);
     assert_eq!(dispatcher.take_changes().len(), 1);
 }
+
+/// Guards against charging endpoints whose links were lost with those of all others: the first one that
+/// was reached again counted as proof that the others had ended.
+#[test]
+fn endpoints_that_are_reached_again_one_after_the_other_have_not_ended() {
+    let mut dispatcher = dispatcher(&endpoints());
+    let mut started = Vec::new();
+    for _ in 0..endpoints().len() {
+        dispatcher.enter(at(1), job(MODEL, 2, at(1)));
+        started.append(&mut starts(&mut dispatcher));
+    }
+    for (id, name) in started {
+        dispatcher.end(at(2), id, End::Lost);
+        dispatcher.record_refused(at(3), &endpoint(&name, MODEL, 4));
+    }
+    for (millis, reached) in (2_000..).zip(endpoints()) {
+        dispatcher.tick(at(millis));
+        dispatcher.record_connected(at(millis), &reached);
+    }
+    assert!(dispatcher.take_changes().is_empty());
+}
--- a/crates/dispatch/tests/dispatch/wire/mod.rs
+++ b/crates/dispatch/tests/dispatch/wire/mod.rs
@@ -43,8 +43,11 @@
 /// Messages as encoded by builds of the version that added parts of prompts.
 const PARTS: &str = include_str!("16.hex");
 
+/// Messages as encoded by builds of the version that added lateness.
+const LATENESS: &str = include_str!("17.hex");
+
 /// Messages as encoded by this build.
-const CURRENT: &str = include_str!("17.hex");
+const CURRENT: &str = include_str!("18.hex");
 
 /// Returns the messages in a file, by name.
 fn samples_of(file: &str) -> HashMap<&str, Vec<u8>> {
@@ -133,7 +136,7 @@
         assert_eq!(
             extension,
             EraExtension {
-                protocol: 17,
+                protocol: 18,
                 era: 3
             }
         );
@@ -167,9 +170,14 @@
     message
 }
 
+/// Returns the message as the version with lateness wrote it.
+fn without_doubts(message: Message) -> Message {
+    with_status(message, |status| status.protocol = Protocol::LATENESS)
+}
+
 /// Returns the message without what the version with parts of prompts lacks.
 fn without_lateness(message: Message) -> Message {
-    with_status(message, |status| {
+    with_status(without_doubts(message), |status| {
         status.protocol = Protocol::PARTS;
         status.is_late = false;
     })
@@ -258,6 +266,7 @@
 #[case::of_the_protocol_with_tolerances(TOLERANCES, without_software)]
 #[case::of_the_protocol_with_software_versions(SOFTWARE, without_parts)]
 #[case::of_the_protocol_with_parts(PARTS, without_lateness)]
+#[case::of_the_protocol_with_lateness(LATENESS, without_doubts)]
 #[case::of_this_build(CURRENT, |message| message)]
 fn datagrams_are_decoded(#[case] file: &str, #[case] expected: fn(Message) -> Message) {
     let stored = samples_of(file);
@@ -274,6 +283,7 @@
                 "queue-report",
                 "bookings",
                 "binding",
+                "doubted-bindings",
             ];
             assert!(later.iter().any(|one| name.starts_with(one)), "{name}");
             continue;
--- a/crates/dispatch/tests/dispatch/wire/samples.rs
+++ b/crates/dispatch/tests/dispatch/wire/samples.rs
@@ -219,6 +219,14 @@
     }
 }
 
+fn doubt() -> binding::Doubt {
+    binding::Doubt {
+        endpoint: id::Endpoint::new("e-1"),
+        started_at: 1_700_000_000_000,
+        settled_in: Span::from_millis(1_500),
+    }
+}
+
 fn question() -> binding::Question {
     binding::Question {
         number: 6,
@@ -396,6 +404,19 @@
             "binding-reply-several",
             binding_reply(binding::Answer::Several),
         ),
+        (
+            "binding-reply-doubted",
+            binding_reply(binding::Answer::Doubted {
+                settled_in: doubt().settled_in,
+            }),
+        ),
+        (
+            "doubted-bindings",
+            Message::DoubtedBindings(vec![binding::Doubted {
+                statement: statement(),
+                doubt: doubt(),
+            }]),
+        ),
     ]
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -254,7 +254,7 @@
         /// How this node learnt it: `own` (its own record), `node` (the record of another), `sole`
         /// (no other version has served), `sole-at-node` (as seen by another); otherwise `nobody`
         /// or, if some did not answer, `unanswered`, or, if different versions were stated,
-        /// `disputed`.
+        /// `disputed`, or, if the endpoint may have started again, `doubted`.
         source: &'a str,
         /// That other node; empty if there is none.
         #[serde(skip_serializing_if = "str::is_empty")]
@@ -265,7 +265,7 @@
         /// How long it took in milliseconds.
         after_ms: u64,
         /// The nodes that were asked, each with its answer (`record`, `sole`, `several`, `unknown`,
-        /// `disputed`, `none`) and for how many milliseconds its current start has been heard.
+        /// `disputed`, `doubted`, `none`) and for how many milliseconds its current start has been heard.
         #[serde(skip_serializing_if = "str::is_empty")]
         asked: &'a str,
     },
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -149,6 +149,7 @@
     };
     let known = match (software, source) {
         ("", "unanswered") => "some nodes didn't say which software began it".to_owned(),
+        ("", "doubted") => "the endpoint that began it may have started again".to_owned(),
         ("", "disputed") => "nodes stated different software".to_owned(),
         ("", _) => "no node knew which software began it".to_owned(),
         (software, "own") => format!("software {software} began it, by this node's record"),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -130,6 +130,11 @@
                 shell
                     .command(|dispatcher, now| dispatcher.receive_bindings(now, from, &statements));
             }
+            Some(Message::DoubtedBindings(stated)) => {
+                shell.command(|dispatcher, now| {
+                    dispatcher.receive_doubted_bindings(now, from, &stated);
+                });
+            }
             Some(Message::BindingsKept(keys)) => {
                 shell.command(|dispatcher, now| dispatcher.confirm_bindings(now, from, &keys));
             }
--- a/crates/gateway/src/peers/traffic.rs
+++ b/crates/gateway/src/peers/traffic.rs
@@ -69,6 +69,7 @@
             Message::Findings(_) => Kind::Findings,
             Message::QueueReport(_) | Message::Bookings(_) => Kind::SharedAdmission,
             Message::Bindings(_)
+            | Message::DoubtedBindings(_)
             | Message::BindingsKept(_)
             | Message::BindingQuestion(_)
             | Message::BindingReply(_) => Kind::Bindings,
