--- a/crates/gateway/tests/gateway/bodies.rs
+++ b/crates/gateway/tests/gateway/bodies.rs
@@ -60,7 +60,7 @@
     while let Some((size, after)) = rest.split_once("\r\n") {
         let size = usize::from_str_radix(size, 16).expect("a size");
         body.push_str(&after[..size]);
-        rest = &after[size..].trim_start_matches("\r\n");
+        rest = after[size..].trim_start_matches("\r\n");
         if size == 0 {
             break;
         }
