fix: nodes vouch for the only version once they have seen it for as long as records are kept

Cause: a node without a record of a stream resumes it at the only version that it has seen for twice the longest timeout in force, or twice what is left of the caller's try. Neither bounds when the stream began: its caller may have begun it with a longer deadline, and a configuration may have shortened the timeout since. Nodes that start after the old version has left see the new one alone.

Change: the time is 120 s at least, which is how long records are kept at most, so that a stream which could still be taken up by its record is not resumed by a guess either.

The price: callers that name no attempt, or whose records are lost, are refused for 120 s instead of twice a timeout after a version came or went, or after all nodes started. What the store's history could say was weighed: it has no times, and events of removals name no version, so it can disprove that one version served alone, but show it only while the store still has all of its history.

`one_version_must_have_served_alone_for_longer_than_a_stream_lasts` stated the old time (16 s) and now states the new one, at the same distances.

--- a/crates/dispatch/src/binding.rs
+++ b/crates/dispatch/src/binding.rs
@@ -207,7 +207,7 @@
 const EXPIRY_MARGIN: Span = Span::from_secs(2);
 
 /// The longest time for which a record is kept.
-const MAX_VALIDITY: Span = Span::from_secs(120);
+pub const MAX_VALIDITY: Span = Span::from_secs(120);
 
 /// The interval at which a record is sent to keepers that have not confirmed it.
 const RESEND_INTERVAL: Span = Span::from_millis(100);
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -9,6 +9,7 @@
 
 use super::Dispatcher;
 use super::Pool;
+use crate::binding;
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::map::HashMap;
@@ -17,7 +18,8 @@
 use crate::worker::Worker;
 
 /// A stream lasts no longer than this many times the timeout of its route, over all tries of its
-/// caller.
+/// caller, or than records are kept. Its caller may have begun it with a longer deadline than its present
+/// try has, or under an earlier configuration with longer timeouts.
 const TIMEOUTS_PER_STREAM: u64 = 2;
 
 /// How long a version is remembered after it was last listed, longer than any stream lasts.
@@ -136,7 +138,8 @@
     /// Returns the longest time ago at which a stream may have begun whose caller still waits for
     /// `remaining`.
     pub(super) fn lifetime(&self, pool: &Pool, remaining: Span) -> Span {
-        Span(pool.stream_timeout.max(remaining).0 * TIMEOUTS_PER_STREAM)
+        let tries = Span(pool.stream_timeout.max(remaining).0 * TIMEOUTS_PER_STREAM);
+        tries.max(binding::MAX_VALIDITY)
     }
 
     /// Returns the versions that served in this span. That one alone did is known only to a node that
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -35,6 +35,7 @@
 use crate::support::refusals;
 use crate::support::starts;
 
+mod all_lost;
 pub mod fleet;
 mod links_lost;
 mod origin_lost;
@@ -139,20 +140,20 @@
     refusals(dispatcher).is_empty()
 }
 
-/// The routes of the tests have a timeout of 8 s, so that a stream lasts for at most 16 s.
+/// The routes of the tests have a timeout of 8 s, and records are kept for at most 120 s.
 #[test]
 fn one_version_must_have_served_alone_for_longer_than_a_stream_lasts() {
     let one = [engine("one", "1", "a")];
     let mut dispatcher = dispatcher(&one);
-    assert!(!runs(&mut dispatcher, at(15_000)));
-    assert!(runs(&mut dispatcher, at(16_000)));
-    dispatcher.set_endpoints(at(17_000), list(2, &two_versions()));
-    assert!(!runs(&mut dispatcher, at(17_001)));
-    dispatcher.set_endpoints(at(20_000), list(3, &one));
-    assert!(!runs(&mut dispatcher, at(35_000)));
-    assert!(runs(&mut dispatcher, at(36_001)));
+    assert!(!runs(&mut dispatcher, at(119_000)));
+    assert!(runs(&mut dispatcher, at(120_000)));
+    dispatcher.set_endpoints(at(121_000), list(2, &two_versions()));
+    assert!(!runs(&mut dispatcher, at(121_001)));
+    dispatcher.set_endpoints(at(124_000), list(3, &one));
+    assert!(!runs(&mut dispatcher, at(243_000)));
+    assert!(runs(&mut dispatcher, at(244_001)));
     dispatcher.set_platform_unreachable(true);
-    assert!(!runs(&mut dispatcher, at(36_002)));
+    assert!(!runs(&mut dispatcher, at(244_002)));
 }
 
 #[test]
