fix: a node that has just started doubts entries that may be older than their endpoints' starts

With all nodes down, endpoints started again in place with newer software.

Cause: nobody watched the endpoints. A node that runs sees calls break when an endpoint ends; one that starts takes the list for what is true now.

Change: the starts of a node's first list are in doubt for 4 s, as after a lost link, and so are all after a suspension, unless another node is heard that has run for as long. What begins meanwhile is recorded with its doubt. A single node that restarts beside others is not affected.

Tests whose node has just started give it a list that it has watched for 5 s; `software::` waits for that.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -314,6 +314,8 @@
     kept: Vec<id::Endpoint>,
     /// When `list` came into force.
     listed_at: Time,
+    /// When this node first had a list.
+    first_listed_at: Option<Time>,
     /// Facts from earlier lists that an older copy of the platform's data may lack.
     corrections: Corrections,
     pools: HashMap<id::Target, Pool>,
@@ -413,6 +415,7 @@
             uncorrected: None,
             kept: Vec::new(),
             listed_at: Time(0),
+            first_listed_at: None,
             corrections: Corrections::default(),
             pools: HashMap::default(),
             targets: HashMap::default(),
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -9,6 +9,7 @@
 
 use super::Dispatcher;
 use super::Pool;
+use super::StartUpdate;
 use super::Versions;
 use super::flow::Flow;
 use super::redirect;
@@ -29,6 +30,7 @@
 use crate::prefix_cache::PrefixCache;
 use crate::queue::Queue;
 use crate::section;
+use crate::start;
 use crate::table::Table;
 use crate::turnaround::Turnaround;
 use crate::worker::Worker;
@@ -129,6 +131,7 @@
             }
         };
         (self.kept, self.listed_at) = (kept, now);
+        self.first_listed_at.get_or_insert(now);
         self.corrections.record_list(now, &self.list, &list);
         let replaced = self.list.clone();
         self.record_versions(now, &replaced);
@@ -202,6 +205,11 @@
         }
         pool.index.insert(endpoint.name.clone(), pool.workers.len());
         let mut worker = Worker::new(endpoint);
+        if self.first_listed_at == Some(now) {
+            let change = worker.start.doubt(now, start::Cause::Unwatched);
+            let update = change.map(|change| StartUpdate::new(&worker, change));
+            self.start_updates.extend(update);
+        }
         worker.cold.extend(now, worker.endpoint.cold_for);
         worker.leaving = self.leaving_endpoints.contains(worker.number);
         // It may fail as easily as the others, and its first answers come too late to tell.
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -13,6 +13,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::map::HashMap;
+use crate::start;
 use crate::start::Cause;
 use crate::start::Change;
 use crate::worker::Worker;
@@ -35,7 +36,7 @@
 }
 
 impl StartUpdate {
-    fn new(worker: &Worker, change: Change) -> StartUpdate {
+    pub(super) fn new(worker: &Worker, change: Change) -> StartUpdate {
         StartUpdate {
             endpoint: worker.endpoint.clone(),
             change,
@@ -86,6 +87,11 @@
         for pool in self.pools.values_mut() {
             pool.versions.known_since = Some(now);
         }
+        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
+            let change = worker.start.doubt(now, Cause::Unwatched);
+            let update = change.map(|change| StartUpdate::new(worker, change));
+            self.start_updates.extend(update);
+        }
     }
 
     /// Takes what changed of the starts of endpoints since the last call.
@@ -110,6 +116,7 @@
             self.platform_lost_at = now;
         }
         let options = &self.options.worker;
+        let is_watched = self.members.has_longer_running(now, start::LISTED_WITHIN);
         for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
             let cause = match () {
                 () if worker.link.is_lost() => Some(Cause::LinkLost),
@@ -119,6 +126,7 @@
             let settled_at = worker.start.settled_at_opt(self.platform_lost_at);
             let change = match cause {
                 Some(cause) => worker.start.doubt(now, cause),
+                None if is_watched && worker.start.is_unwatched() => worker.start.confirm(now),
                 None if settled_at.is_some_and(|at| now >= at) => worker.start.confirm(now),
                 None => None,
             };
--- a/crates/dispatch/src/member/owner.rs
+++ b/crates/dispatch/src/member/owner.rs
@@ -125,6 +125,17 @@
         protocol.is_some_and(Protocol::supports_software)
     }
 
+    /// Whether another node is heard that has run for at least this long. Nodes state how long they have
+    /// run only soon after they started.
+    pub fn has_longer_running(&self, now: Time, span: Span) -> bool {
+        let mut live = self.live(now);
+        live.any(|(_, member)| {
+            let status = &member.status;
+            let uptime = status.uptime;
+            status.protocol.supports_forwarding() && uptime.is_none_or(|uptime| uptime >= span)
+        })
+    }
+
     /// Whether a node's build settles doubts about the starts of endpoints.
     pub fn settles_doubts(&self, address: SocketAddrV4) -> bool {
         let protocol = self.protocol_opt(address);
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -8,7 +8,7 @@
 
 /// How long after an endpoint started again the platform lists that at the latest: a node finds out
 /// that the platform is out of reach, or endpoints write their entries again once it is back.
-const LISTED_WITHIN: Span = Span::from_secs(4);
+pub const LISTED_WITHIN: Span = Span::from_secs(4);
 
 /// Returns when a doubt is settled that is due at `due`. `platform_lost_at` is when the platform was last
 /// out of reach.
@@ -19,24 +19,27 @@
     }
 }
 
-/// Why a start is in doubt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Why a start is in doubt. A later one outweighs an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
-    /// The endpoint refused a connection while others were reached.
-    Refused,
-    /// Several other nodes could not connect to it.
-    Reported,
+    /// No node that is heard watched the endpoint before this one started, or was suspended.
+    Unwatched,
     /// This node's link to it is lost, or was until now.
     LinkLost,
+    /// Several other nodes could not connect to it.
+    Reported,
+    /// The endpoint refused a connection while others were reached.
+    Refused,
 }
 
 impl Cause {
     /// Returns the name used in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Cause::Refused => "refused",
-            Cause::Reported => "reported",
+            Cause::Unwatched => "unwatched",
             Cause::LinkLost => "link-lost",
+            Cause::Reported => "reported",
+            Cause::Refused => "refused",
         }
     }
 }
@@ -53,8 +56,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Doubt {
     since: Time,
-    /// Whether anything but this node's own link speaks for an end of the endpoint.
-    has_shown_end: bool,
+    /// The weightiest reason.
+    cause: Cause,
     /// When there was last a reason for it.
     renewed: Time,
 }
@@ -73,9 +76,16 @@
         self.doubt.is_some()
     }
 
-    /// Whether anything but this node's own link speaks for an end of the endpoint.
+    /// Whether anything shows that the endpoint ended.
     pub fn has_shown_end(&self) -> bool {
-        self.doubt.is_some_and(|doubt| doubt.has_shown_end)
+        self.doubt
+            .is_some_and(|doubt| doubt.cause >= Cause::Reported)
+    }
+
+    /// Whether it is in doubt only since nobody watched the endpoint.
+    pub fn is_unwatched(&self) -> bool {
+        self.doubt
+            .is_some_and(|doubt| doubt.cause == Cause::Unwatched)
     }
 
     /// When the doubt is settled if the platform lists no other start, if there is one.
@@ -89,10 +99,10 @@
         let is_new = self.doubt.is_none();
         let doubt = self.doubt.get_or_insert(Doubt {
             since: now,
-            has_shown_end: false,
+            cause,
             renewed: now,
         });
-        doubt.has_shown_end |= cause != Cause::LinkLost;
+        doubt.cause = doubt.cause.max(cause);
         doubt.renewed = now;
         is_new.then_some(Change::Doubted(cause))
     }
--- a/crates/dispatch/tests/dispatch/binding/all_lost.rs
+++ b/crates/dispatch/tests/dispatch/binding/all_lost.rs
@@ -6,6 +6,8 @@
 use woadstage_dispatch::binding::Key;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
+use woadstage_dispatch::job;
+use woadstage_types::id;
 use woadstage_types::unit::Span;
 
 use super::engine;
@@ -13,6 +15,7 @@
 use super::fleet::Fleet;
 use super::take_up;
 use crate::support::list;
+use crate::support::node;
 
 const STREAMS: u64 = 18;
 
@@ -66,3 +69,45 @@
         assert!(taken_up.is_err(), "{taken_up:?}");
     }
 }
+
+/// Guards against nodes that have just started and believe an entry that is older than the start of its
+/// endpoint.
+#[rstest]
+fn streams_are_not_joined_if_endpoints_started_again_while_all_nodes_were_down(
+    #[values(5, 20)] nodes: u8,
+) {
+    let before = list_of(&["1", "2"], 1);
+    let mut fleet = Fleet::with_list(nodes, &before);
+    fleet.run_for(Span::from_secs(6));
+    restart_all(&mut fleet, &before);
+    fleet.run_for(Span::from_millis(300));
+    let keys = (0..STREAMS).map(|key| Key(key * 1_000_003));
+    let begun: Vec<(Key, job::Id)> = keys.map(|key| (key, fleet.begin(1, key).0)).collect();
+    let placed = begun.iter().map(|(_, id)| fleet.endpoint_of(1, *id));
+    let placed: Vec<Endpoint> = placed.collect();
+    let is_reborn = |endpoint: &Endpoint| ["e-1-0", "e-1-1"].contains(&endpoint.name.as_str());
+    assert!(placed.iter().any(is_reborn));
+    fleet.run_for(Span::from_millis(1_300));
+    let mut after = before.as_ref().clone();
+    after.revision = 2;
+    for endpoint in after.endpoints.iter_mut().filter(|one| is_reborn(one)) {
+        endpoint.started_at = 2;
+        endpoint.software = Some(id::Software::new("2"));
+    }
+    let (now, after) = (fleet.now, Arc::new(after));
+    for dispatcher in fleet.nodes.values_mut() {
+        dispatcher.set_endpoints(now, after.clone());
+    }
+    fleet.run_for(Span::from_secs(1));
+    fleet.nodes.remove(&node(1));
+    let mut lost = 0;
+    for ((key, _), endpoint) in begun.into_iter().zip(placed) {
+        let request = take_up(Some(key), fleet.now);
+        match fleet.submit(2, request) {
+            Ok((_, taken_up)) if is_reborn(&endpoint) => assert_eq!(taken_up.as_str(), "2"),
+            Ok((_, taken_up)) => assert_eq!(Some(taken_up), endpoint.software),
+            Err(_) => lost += u64::from(!is_reborn(&endpoint)),
+        }
+    }
+    assert_eq!(lost, 0, "lost of {STREAMS}");
+}
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -28,6 +28,7 @@
 use crate::support::MODEL;
 use crate::support::at;
 use crate::support::dispatcher;
+use crate::support::dispatcher_at;
 use crate::support::endpoint;
 use crate::support::job;
 use crate::support::list;
@@ -144,7 +145,7 @@
 #[test]
 fn one_version_must_have_served_alone_for_longer_than_a_stream_lasts() {
     let one = [engine("one", "1", "a")];
-    let mut dispatcher = dispatcher(&one);
+    let mut dispatcher = dispatcher_at(at(0), &one);
     assert!(!runs(&mut dispatcher, at(119_000)));
     assert!(runs(&mut dispatcher, at(120_000)));
     dispatcher.set_endpoints(at(121_000), list(2, &two_versions()));
@@ -453,7 +454,9 @@
 fn with_ended_endpoint() -> (Dispatcher, Endpoint) {
     let engines = [engine("one", "1", "a"), engine("two", "1", "a")];
     let mut dispatcher = dispatcher(&engines);
-    dispatcher.tick(at(20_000));
+    for second in 1..=20 {
+        dispatcher.tick(at(second * 1_000));
+    }
     dispatcher.set_platform_unreachable(true);
     let [one, two] = engines;
     dispatcher.record_refused(at(20_100), &one);
--- a/crates/dispatch/tests/dispatch/support.rs
+++ b/crates/dispatch/tests/dispatch/support.rs
@@ -184,9 +184,22 @@
 
 /// Creates a dispatcher with a configuration and the given endpoints.
 pub fn dispatcher(endpoints: &[Endpoint]) -> Dispatcher {
+    dispatcher_at(at(0) - WATCH_TIME, endpoints)
+}
+
+/// How long a node watches the endpoints of its first list before it relies on them.
+const WATCH_TIME: Span = Span::from_secs(5);
+
+/// Like [`dispatcher`], which has its list at this time, and has watched the endpoints since.
+pub fn dispatcher_at(listed_at: Time, endpoints: &[Endpoint]) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(options(1));
-    dispatcher.set_configuration(at(0), configuration(1));
-    dispatcher.set_endpoints(at(0), list(1, endpoints));
+    dispatcher.set_configuration(listed_at, configuration(1));
+    dispatcher.set_endpoints(listed_at, list(1, endpoints));
+    let mut now = listed_at;
+    while now <= listed_at + WATCH_TIME {
+        dispatcher.tick(now);
+        now = now + Span::from_secs(1);
+    }
     dispatcher
 }
 
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -88,6 +88,8 @@
     match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
         Ok(Ok(connection)) => {
             shell.command(|dispatcher, now| dispatcher.record_connected(now, &target.endpoint));
+            // Endpoints that refused connections before are probed again at once.
+            start_due(shell);
             Finding {
                 probe: check(shell, target, connection).await,
                 is_refused: false,
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -149,7 +149,13 @@
 impl Gateway {
     /// Starts a gateway with these endpoints and the default configuration.
     pub async fn start(workers: &[&Worker]) -> Gateway {
-        Gateway::configured(workers, Some(configuration(None)), log::Options::default()).await
+        let configuration = configuration(None);
+        let options = log::Options::default();
+        let gateway = Gateway::configured(workers, Some(configuration), options).await;
+        gateway
+            .shell
+            .command(|dispatcher, now| dispatcher.tick(now));
+        gateway
     }
 
     /// Starts a gateway with these endpoints and a configuration, or without one.
@@ -216,8 +222,13 @@
             endpoints: workers.iter().map(|worker| to_endpoint(worker)).collect(),
             ..List::default()
         });
+        // Those of the first list have been watched for some time.
+        let watched_for = match revision {
+            0 => Span::from_secs(5),
+            _ => Span::ZERO,
+        };
         self.shell
-            .command(|dispatcher, now| dispatcher.set_endpoints(now, list));
+            .command(|dispatcher, now| dispatcher.set_endpoints(now - watched_for, list));
     }
 
     /// Simulates a suspension of the host, which the gateway detects at once.
