--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -53,12 +53,11 @@
 
     /// Returns the listed version of the endpoint that runs a request, and the doubt about it, if its
     /// start is in doubt.
-    fn doubted_start_opt(&mut self, now: Time, id: job::Id) -> Option<(id::Software, Doubt)> {
+    fn doubted_start_opt(&self, now: Time, id: job::Id) -> Option<(id::Software, Doubt)> {
         let run = self.runs.get(&id)?;
-        let pool = self.pools.get_mut(&run.job.target)?;
-        let worker = &mut pool.workers[run.worker];
+        let pool = self.pools.get(&run.job.target)?;
+        let worker = &pool.workers[run.worker];
         let settled_at = worker.start.settled_at_opt(self.platform_lost_at)?;
-        worker.start.is_asked_for = true;
         let software = worker.endpoint.software.clone()?;
         let doubt = Doubt {
             endpoint: worker.endpoint.name.clone(),
--- a/crates/dispatch/src/dispatcher/probe_links.rs
+++ b/crates/dispatch/src/dispatcher/probe_links.rs
@@ -27,7 +27,7 @@
 /// Losses of links within this time have a common cause if they are many.
 const COMMON_SPAN: Span = Span::from_millis(250);
 
-/// How many these are at least.
+/// The minimum number of such losses.
 const MIN_COMMON_LOSSES: usize = 3;
 
 /// An endpoint that refused a connection.
--- a/crates/dispatch/src/dispatcher/take_up.rs
+++ b/crates/dispatch/src/dispatcher/take_up.rs
@@ -37,7 +37,8 @@
 /// How often it is looked whether the doubt is settled.
 const SETTLING_INTERVAL: Span = Span::from_millis(100);
 
-/// When a caller may retry after a node that was asked stayed silent.
+/// When a caller may retry after a node that was asked stayed silent, or a doubt was not settled in time,
+/// at the earliest.
 const RETRY_AFTER_SILENCE: Span = Span::from_millis(200);
 
 /// A request that takes a stream up while this node asks others which version began it.
@@ -298,7 +299,7 @@
             code: Code::StreamUnknown,
             retry_after: match source {
                 Source::Unanswered => Some(RETRY_AFTER_SILENCE),
-                Source::Doubted => settled_at.map(|at| at.since(now)),
+                Source::Doubted => settled_at.map(|at| at.since(now).max(RETRY_AFTER_SILENCE)),
                 _ => None,
             },
             wait: None,
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -109,8 +109,8 @@
         }
     }
 
-    /// Takes endpoints that ended, and are still listed as they were, for the same start again, once
-    /// the platform would have listed another.
+    /// Doubts the starts of endpoints that this node or others don't reach. Confirms those that are
+    /// still listed as they were once the platform would have listed another.
     pub(super) fn confirm_starts(&mut self, now: Time) {
         if self.platform_unreachable || self.members.is_platform_unreachable(now) {
             self.platform_lost_at = now;
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -10,8 +10,8 @@
 /// that the platform is out of reach, or endpoints write their entries again once it is back.
 pub const LISTED_WITHIN: Span = Span::from_secs(4);
 
-/// The same while nothing shows that the endpoint ended, and so none but a double fault would take the
-/// platform out of reach at that time: endpoints write their entries within about two seconds.
+/// The same if nothing shows that the endpoint ended: it is not assumed then that the platform went out
+/// of reach at the same time. Endpoints write their entries within about two seconds of their start.
 const WRITTEN_WITHIN: Span = Span::from_millis(2_200);
 
 /// Returns when a doubt is settled that is due at `due`. `platform_lost_at` is when the platform was last
@@ -70,8 +70,6 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct State {
     doubt: Option<Doubt>,
-    /// Whether the endpoint is to be asked which start it is.
-    pub is_asked_for: bool,
 }
 
 impl State {
