fix: an end is charged at once if another endpoint is reached right after the refusal

In the log of a failed one the third end is charged 0.3 ms after the fourth request was sent.

Only if some refusal is older may this node's links have been lost and regained; then the endpoints are probed again.

--- a/crates/dispatch/src/dispatcher/probe_links.rs
+++ b/crates/dispatch/src/dispatcher/probe_links.rs
@@ -24,23 +24,18 @@
 /// How long it is open whether an endpoint that refused a connection has ended.
 const REFUSAL_TIMEOUT: Span = Span::from_secs(3);
 
+/// How soon after an endpoint refused a connection another one is reached if this node's links are
+/// sound: many round trips.
+const MAX_REACH_DELAY: Span = Span::from_millis(200);
+
 /// An endpoint that refused a connection.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Refused {
     at: Time,
     endpoint: u32,
-    blame: Blame,
-}
-
-/// Whether an endpoint refused a connection since it has ended, or this node's link to it is lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Blame {
-    /// No other endpoint was reached since.
-    Unknown,
-    /// Another one was reached since, so that a further refusal shows the cause.
-    Rechecked,
-    /// The cause was found.
-    Found,
+    /// Whether it is probed again, since another endpoint was reached only after this node's links may
+    /// have been lost.
+    is_rechecked: bool,
 }
 
 /// An endpoint to probe.
@@ -60,7 +55,7 @@
         let rechecked: Vec<u32> = self
             .refused_endpoints
             .iter()
-            .filter(|refused| refused.blame == Blame::Rechecked)
+            .filter(|refused| refused.is_rechecked)
             .map(|refused| refused.endpoint)
             .collect();
         for pool in self.pools.values_mut() {
@@ -131,27 +126,28 @@
     pub fn record_connected(&mut self, now: Time, endpoint: &Endpoint) {
         let number = endpoint.to_number();
         self.record_endpoint_alive(number);
+        self.settle_refusals(now, number);
         self.refused_endpoints
             .retain(|refused| refused.endpoint != number);
-        self.recheck_refusals(now, number);
     }
 
-    /// Records that an endpoint refused a connection after a call to it broke. It has ended if it refuses
-    /// again once another endpoint is reached; otherwise this node's links may be broken. Returns another
-    /// endpoint to probe for that.
+    /// Records that an endpoint refused a connection after a call to it broke. It has ended if other
+    /// endpoints are reached; otherwise this node's links may be broken. Returns another endpoint to
+    /// probe for that.
     pub fn record_refused(&mut self, now: Time, endpoint: &Endpoint) -> Option<ProbeTarget> {
         let number = endpoint.to_number();
         let mut known = self.refused_endpoints.iter();
-        match known.find(|refused| refused.endpoint == number) {
-            Some(refused) if refused.blame == Blame::Rechecked => {
-                self.record_end(now, number);
+        match known.position(|refused| refused.endpoint == number) {
+            Some(index) if self.refused_endpoints[index].is_rechecked => {
+                self.refused_endpoints.remove(index);
+                self.record_refusing_endpoint_ended(now, number);
                 return None;
             }
             Some(_) => {}
             None => self.refused_endpoints.push(Refused {
                 at: now,
                 endpoint: number,
-                blame: Blame::Unknown,
+                is_rechecked: false,
             }),
         }
         let pool = self.pools.get(&endpoint.service)?;
@@ -165,35 +161,45 @@
         self.probe_target_opt(now, &other)
     }
 
-    /// Charges the end of an endpoint that refuses connections while another one is reached.
-    fn record_end(&mut self, now: Time, number: u32) {
-        let mut refused = self.refused_endpoints.iter_mut();
-        if let Some(refused) = refused.find(|refused| refused.endpoint == number) {
-            refused.blame = Blame::Found;
-        }
-        self.doubt_start(now, number, Cause::Refused);
-        self.record_endpoint_ended(now, number);
-    }
-
     /// Forgets refused connections of which nothing showed the cause.
     pub(super) fn expire_refusals(&mut self, now: Time) {
         self.refused_endpoints
             .retain(|refused| now.since(refused.at) < REFUSAL_TIMEOUT);
     }
 
-    /// Has endpoints that refused connections probed again, now that another one is reached.
-    pub(super) fn recheck_refusals(&mut self, now: Time, reached: u32) {
-        for refused in &mut self.refused_endpoints {
-            if refused.endpoint == reached || refused.blame != Blame::Unknown {
-                continue;
-            }
-            refused.blame = Blame::Rechecked;
-            let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
-            for worker in workers.filter(|worker| worker.number == refused.endpoint) {
-                worker.link.hasten_probe(now);
+    /// Charges the ends of endpoints that refused connections, now that another one is reached. If none
+    /// was for longer, this node's links may have been lost: then they are probed again first.
+    pub(super) fn settle_refusals(&mut self, now: Time, reached: u32) {
+        let mut unsettled = self.refused_endpoints.iter();
+        let was_disconnected = unsettled
+            .any(|refused| !refused.is_rechecked && now.since(refused.at) > MAX_REACH_DELAY);
+        let refused = std::mem::take(&mut self.refused_endpoints);
+        for refused in refused {
+            if refused.endpoint == reached || refused.is_rechecked {
+                self.refused_endpoints.push(refused);
+            } else if was_disconnected {
+                self.recheck(now, refused);
+            } else {
+                self.record_refusing_endpoint_ended(now, refused.endpoint);
             }
         }
     }
+
+    fn recheck(&mut self, now: Time, refused: Refused) {
+        let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
+        for worker in workers.filter(|worker| worker.number == refused.endpoint) {
+            worker.link.hasten_probe(now);
+        }
+        self.refused_endpoints.push(Refused {
+            is_rechecked: true,
+            ..refused
+        });
+    }
+
+    fn record_refusing_endpoint_ended(&mut self, now: Time, endpoint: u32) {
+        self.doubt_start(now, endpoint, Cause::Refused);
+        self.record_endpoint_ended(now, endpoint);
+    }
 }
 
 impl Pool {
--- a/crates/dispatch/src/dispatcher/track_links.rs
+++ b/crates/dispatch/src/dispatcher/track_links.rs
@@ -69,7 +69,7 @@
         };
         let change = pool.workers[index].link.record_heard(now);
         let number = pool.workers[index].number;
-        self.recheck_refusals(now, number);
+        self.settle_refusals(now, number);
         self.record_endpoint_answering(now, number);
         if let Some(change) = change {
             self.record_link_change(now, target, index, change);
