--- a/crates/dispatch/src/dispatcher/bind.rs
+++ b/crates/dispatch/src/dispatcher/bind.rs
@@ -12,7 +12,6 @@
 use crate::binding::Doubted;
 use crate::binding::Keeper;
 use crate::binding::Key;
-use crate::binding::Outcome;
 use crate::binding::Statement;
 use crate::binding::Stream;
 use crate::binding::Telling;
@@ -20,7 +19,6 @@
 use crate::job::Job;
 use crate::map::HashMap;
 use crate::message::Message;
-use crate::start;
 
 /// The maximum number of statements in a datagram.
 const MAX_STATEMENTS: usize = 20;
@@ -80,34 +78,6 @@
         job.binding = Binding::to(software.as_ref());
     }
 
-    /// Settles which version began streams whose endpoints' starts were in doubt.
-    pub(super) fn settle_doubts(&mut self, now: Time) {
-        let Dispatcher {
-            bindings, pools, ..
-        } = self;
-        let platform_lost_at = self.platform_lost_at;
-        bindings.settle_doubts(now, |doubt, software, settled_at| {
-            let is_settled = now >= start::settled_at(settled_at, platform_lost_at);
-            let mut workers = pools.values().filter_map(|pool| {
-                let index = pool.index.get(&doubt.endpoint)?;
-                pool.workers.get(*index).filter(|worker| worker.listed)
-            });
-            let Some(worker) = workers.next() else {
-                return match is_settled {
-                    true => Outcome::Refuted,
-                    false => Outcome::Open,
-                };
-            };
-            let is_same_start = worker.endpoint.started_at == doubt.started_at;
-            let is_same_software = worker.endpoint.software.as_ref() == Some(software);
-            match (is_same_start, is_same_software) {
-                (true, _) if !is_settled => Outcome::Open,
-                (true, _) | (false, true) => Outcome::Confirmed,
-                (false, false) => Outcome::Refuted,
-            }
-        });
-    }
-
     /// Binds a request that runs here, or at another node that stated this version, unless it is
     /// bound. Returns the request.
     fn bind_to_running(&mut self, id: job::Id, stated: Option<&id::Software>) -> Option<&Job> {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -7,7 +7,9 @@
 //! * `flow.rs`: counts recent arrivals and starts.
 //! * [`forecast`]: predicts the wait of a request from those that precede it in the queue.
 //! * `share_fairly.rs`: orders the requests of one rank by their customers' fair shares.
+//! * `track_starts.rs`: tracks whether endpoints are still the starts that the platform lists.
 //! * `track_versions.rs`: tracks the versions of the software that endpoints run.
+//! * `await_start.rs`: take-ups that wait until doubts about the starts of endpoints are settled.
 //! * `bind.rs`: binds streams to the version that began them, and keeps records of that.
 //! * `take_up.rs`: finds out which version began a stream that a caller takes up.
 //! * `book.rs`: books places for callers that are refused, and recognises them when they return.
@@ -96,6 +98,7 @@
 
 mod answer;
 mod apply_notice;
+mod await_start;
 mod bind;
 mod book;
 mod borrow;
@@ -134,6 +137,7 @@
 mod take_up;
 mod tick;
 mod track_links;
+mod track_starts;
 mod track_versions;
 
 use borrow::OpenRequest;
@@ -164,7 +168,7 @@
 pub use take_up::Source;
 pub use take_up::TakeUp;
 pub use track_links::LinkUpdate;
-pub use track_versions::StartUpdate;
+pub use track_starts::StartUpdate;
 use track_versions::Versions;
 
 /// The settings of a dispatcher.
@@ -314,8 +318,6 @@
     kept: Vec<id::Endpoint>,
     /// When `list` came into force.
     listed_at: Time,
-    /// When this node first had a list.
-    first_listed_at: Option<Time>,
     /// Facts from earlier lists that an older copy of the platform's data may lack.
     corrections: Corrections,
     pools: HashMap<id::Target, Pool>,
@@ -415,7 +417,6 @@
             uncorrected: None,
             kept: Vec::new(),
             listed_at: Time(0),
-            first_listed_at: None,
             corrections: Corrections::default(),
             pools: HashMap::default(),
             targets: HashMap::default(),
--- a/crates/dispatch/src/dispatcher/publish.rs
+++ b/crates/dispatch/src/dispatcher/publish.rs
@@ -9,7 +9,6 @@
 
 use super::Dispatcher;
 use super::Pool;
-use super::StartUpdate;
 use super::Versions;
 use super::flow::Flow;
 use super::redirect;
@@ -30,7 +29,6 @@
 use crate::prefix_cache::PrefixCache;
 use crate::queue::Queue;
 use crate::section;
-use crate::start;
 use crate::table::Table;
 use crate::turnaround::Turnaround;
 use crate::worker::Worker;
@@ -130,8 +128,8 @@
                 Arc::new(list.merge(&self.list))
             }
         };
+        let is_first = self.listed_at == Time(0);
         (self.kept, self.listed_at) = (kept, now);
-        self.first_listed_at.get_or_insert(now);
         self.corrections.record_list(now, &self.list, &list);
         let replaced = self.list.clone();
         self.record_versions(now, &replaced);
@@ -139,6 +137,9 @@
         self.list = list;
         self.has_news = true;
         self.apply_list(now);
+        if is_first {
+            self.doubt_unwatched_starts(now);
+        }
     }
 
     /// Applies the list to the endpoints whose service the configuration names. Other systems
@@ -205,11 +206,6 @@
         }
         pool.index.insert(endpoint.name.clone(), pool.workers.len());
         let mut worker = Worker::new(endpoint);
-        if self.first_listed_at == Some(now) {
-            let change = worker.start.doubt(now, start::Cause::Unwatched);
-            let update = change.map(|change| StartUpdate::new(&worker, change));
-            self.start_updates.extend(update);
-        }
         worker.cold.extend(now, worker.endpoint.cold_for);
         worker.leaving = self.leaving_endpoints.contains(worker.number);
         // It may fail as easily as the others, and its first answers come too late to tell.
--- a/crates/dispatch/src/dispatcher/take_up.rs
+++ b/crates/dispatch/src/dispatcher/take_up.rs
@@ -30,13 +30,6 @@
 /// How often a question is sent.
 const MAX_ROUNDS: u32 = 2;
 
-/// How long a take-up waits until a doubt about the start of an endpoint is settled. Callers take a
-/// stream that is silent for longer for dead.
-const MAX_SETTLING_WAIT: Span = Span::from_millis(2_300);
-
-/// How often it is looked whether the doubt is settled.
-const SETTLING_INTERVAL: Span = Span::from_millis(100);
-
 /// When a caller may retry after a node that was asked stayed silent, or a doubt was not settled in time,
 /// at the earliest.
 const RETRY_AFTER_SILENCE: Span = Span::from_millis(200);
@@ -44,11 +37,11 @@
 /// A request that takes a stream up while this node asks others which version began it.
 #[derive(Debug)]
 pub(super) struct Inquiry {
-    job: Job,
+    pub(super) job: Job,
     number: u64,
     key: Key,
     lifetime: Span,
-    began: Time,
+    pub(super) began: Time,
     sent: Time,
     rounds: u32,
     /// The nodes that were asked.
@@ -60,9 +53,9 @@
     /// Whether a node holds a record that is in doubt.
     has_doubted_record: bool,
     /// When doubts that decide about it are settled, if there are any.
-    settled_at: Option<Time>,
+    pub(super) settled_at: Option<Time>,
     /// When it is made anew, while it waits for that.
-    repeats_at: Option<Time>,
+    pub(super) repeats_at: Option<Time>,
 }
 
 /// How a node learnt which version began a stream.
@@ -175,7 +168,7 @@
     }
 
     /// Looks for a record of this node, and asks others if it has none.
-    fn inquire(&mut self, now: Time, id: job::Id) {
+    pub(super) fn inquire(&mut self, now: Time, id: job::Id) {
         let Some(inquiry) = self.inquiries.get(&id) else {
             return;
         };
@@ -232,34 +225,6 @@
         asked.collect()
     }
 
-    /// Returns when the first doubt about an open endpoint is settled that is listed with this version,
-    /// or any, at which an inquiry's request may run.
-    fn first_settled_at_opt(&self, id: job::Id, software: Option<&id::Software>) -> Option<Time> {
-        let inquiry = self.inquiries.get(&id)?;
-        let pool = self.pools.get(&inquiry.job.target)?;
-        let workers = pool.workers.iter();
-        let doubted = workers.filter(|worker| {
-            let listed = worker.endpoint.software.as_ref();
-            worker.is_open() && (software.is_none() || listed == software)
-        });
-        let settled_at =
-            doubted.filter_map(|worker| worker.start.settled_at_opt(self.platform_lost_at));
-        settled_at.min()
-    }
-
-    /// Has an inquiry wait until a doubt is settled, or ends it if that takes too long.
-    fn wait_until_settled(&mut self, now: Time, id: job::Id, settled_at: Time) {
-        let Some(inquiry) = self.inquiries.get_mut(&id) else {
-            return;
-        };
-        inquiry.settled_at = Some(settled_at);
-        if settled_at.since(inquiry.began) <= MAX_SETTLING_WAIT {
-            inquiry.repeats_at = Some(now + SETTLING_INTERVAL);
-            return;
-        }
-        self.end_inquiry(now, id, Source::Doubted, None, None);
-    }
-
     fn ask(&mut self, now: Time, id: job::Id) {
         let Some(inquiry) = self.inquiries.get_mut(&id) else {
             return;
@@ -380,7 +345,7 @@
         }
     }
 
-    fn end_inquiry(
+    pub(super) fn end_inquiry(
         &mut self,
         now: Time,
         id: job::Id,
@@ -407,37 +372,8 @@
         self.finish_take_up(now, id, job, take_up, inquiry.settled_at);
     }
 
-    /// Returns when an endpoint of this version can be used, if the starts of all that are open are in
-    /// doubt and that takes no longer than an inquiry may wait.
-    fn needed_start_settled_at_opt(
-        &self,
-        now: Time,
-        id: job::Id,
-        software: Option<&id::Software>,
-    ) -> Option<Time> {
-        let inquiry = self.inquiries.get(&id)?;
-        let software = software?;
-        let pool = self.pools.get(&inquiry.job.target)?;
-        let mut workers = pool.workers.iter();
-        let has_certain =
-            workers.any(|worker| worker.is_open() && worker.software_opt() == Some(software));
-        let settled_at = self.first_settled_at_opt(id, Some(software))?;
-        let is_in_time = settled_at.since(inquiry.began) <= MAX_SETTLING_WAIT;
-        (!has_certain && is_in_time && settled_at > now).then_some(settled_at)
-    }
-
-    /// Repeats unanswered questions, and gives up those that stay unanswered. Repeats inquiries that wait
-    /// for a doubt to be settled.
+    /// Repeats unanswered questions, and gives up those that stay unanswered.
     pub(super) fn renew_inquiries(&mut self, now: Time) {
-        let waiting = self.inquiries.iter();
-        let waiting = waiting.filter(|(_, inquiry)| inquiry.repeats_at.is_some_and(|at| now >= at));
-        let waiting: Vec<job::Id> = waiting.map(|(id, _)| *id).collect();
-        for id in waiting {
-            if let Some(inquiry) = self.inquiries.get_mut(&id) {
-                inquiry.repeats_at = None;
-            }
-            self.inquire(now, id);
-        }
         let asked = self.inquiries.iter();
         let asked = asked.filter(|(_, inquiry)| inquiry.repeats_at.is_none());
         let due = asked.filter(|(_, inquiry)| now.since(inquiry.sent) >= ANSWER_TIMEOUT);
--- a/crates/dispatch/src/dispatcher/tick.rs
+++ b/crates/dispatch/src/dispatcher/tick.rs
@@ -45,6 +45,7 @@
             self.members.clear_loads();
             self.forget_silence(now);
             self.forget_versions(now);
+            self.doubt_unwatched_starts(now);
         }
         self.ticked_at = now;
         self.expire_hold(now);
@@ -57,7 +58,7 @@
         self.apply_received_rate_limits(now);
         self.update_rests(now);
         self.track_links(now);
-        self.confirm_starts(now);
+        self.update_starts(now);
         let targets: Vec<id::Target> = self.pools.keys().cloned().collect();
         for target in targets {
             self.refuse_expired(now, &target);
@@ -75,6 +76,7 @@
             self.report_queue(now, &target);
         }
         self.renew_open_requests(now);
+        self.repeat_waiting_inquiries(now);
         self.renew_inquiries(now);
         self.state_bindings(now);
         self.announce_bookings(now);
--- a/crates/dispatch/src/dispatcher/track_versions.rs
+++ b/crates/dispatch/src/dispatcher/track_versions.rs
@@ -1,7 +1,4 @@
-//! Tracks which versions of the software each service's endpoints have been listed with, and whether
-//! an endpoint may have started again since.
-
-use std::sync::Arc;
+//! Tracks which versions of the software each service's endpoints have been listed with.
 
 use woadstage_types::id;
 use woadstage_types::unit::Span;
@@ -13,37 +10,14 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::List;
 use crate::map::HashMap;
-use crate::start;
-use crate::start::Cause;
-use crate::start::Change;
-use crate::worker::Worker;
 
 /// A stream lasts no longer than this many times the timeout of its route, over all tries of its
-/// caller, or than records are kept. Its caller may have begun it with a longer deadline than its present
-/// try has, or under an earlier configuration with longer timeouts.
+/// caller.
 const TIMEOUTS_PER_STREAM: u64 = 2;
 
 /// How long a version is remembered after it was last listed, longer than any stream lasts.
 const VERSION_MEMORY: Span = Span::from_secs(3_600);
 
-/// A change of what is known of an endpoint's start, for logs and metrics.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StartUpdate {
-    /// The endpoint.
-    pub endpoint: Arc<Endpoint>,
-    /// What changed.
-    pub change: Change,
-}
-
-impl StartUpdate {
-    pub(super) fn new(worker: &Worker, change: Change) -> StartUpdate {
-        StartUpdate {
-            endpoint: worker.endpoint.clone(),
-            change,
-        }
-    }
-}
-
 /// The versions of the software of a service's endpoints, as far as this node saw them.
 #[derive(Debug, Default)]
 pub(super) struct Versions {
@@ -87,53 +61,6 @@
         for pool in self.pools.values_mut() {
             pool.versions.known_since = Some(now);
         }
-        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
-            let change = worker.start.doubt(now, Cause::Unwatched);
-            let update = change.map(|change| StartUpdate::new(worker, change));
-            self.start_updates.extend(update);
-        }
-    }
-
-    /// Takes what changed of the starts of endpoints since the last call.
-    pub fn take_start_updates(&mut self) -> Vec<StartUpdate> {
-        std::mem::take(&mut self.start_updates)
-    }
-
-    /// Doubts the start of an endpoint, since another one may answer from now on.
-    pub(super) fn doubt_start(&mut self, now: Time, endpoint: u32, cause: Cause) {
-        let workers = self.pools.values_mut().flat_map(|pool| &mut pool.workers);
-        for worker in workers.filter(|worker| worker.number == endpoint) {
-            let change = worker.start.doubt(now, cause);
-            let update = change.map(|change| StartUpdate::new(worker, change));
-            self.start_updates.extend(update);
-        }
-    }
-
-    /// Doubts the starts of endpoints that this node or others don't reach. Confirms those that are
-    /// still listed as they were once the platform would have listed another.
-    pub(super) fn confirm_starts(&mut self, now: Time) {
-        if self.platform_unreachable || self.members.is_platform_unreachable(now) {
-            self.platform_lost_at = now;
-        }
-        let options = &self.options.worker;
-        let is_watched = self.members.has_longer_running(now, start::LISTED_WITHIN);
-        for worker in self.pools.values_mut().flat_map(|pool| &mut pool.workers) {
-            let cause = match () {
-                () if worker.link.is_lost() => Some(Cause::LinkLost),
-                () if worker.is_reported_unreachable(now, options) => Some(Cause::Reported),
-                () => None,
-            };
-            let settled_at = worker.start.settled_at_opt(self.platform_lost_at);
-            let change = match cause {
-                Some(cause) => worker.start.doubt(now, cause),
-                None if is_watched && worker.start.is_unwatched() => worker.start.confirm(now),
-                None if settled_at.is_some_and(|at| now >= at) => worker.start.confirm(now),
-                None => None,
-            };
-            let update = change.map(|change| StartUpdate::new(worker, change));
-            self.start_updates.extend(update);
-        }
-        self.settle_doubts(now);
     }
 
     /// Returns the version of an endpoint's software, unless another start may have taken its place.
@@ -144,7 +71,8 @@
     }
 
     /// Returns the longest time ago at which a stream may have begun whose caller still waits for
-    /// `remaining`.
+    /// `remaining`. Timeouts alone don't bound it: the caller may have begun with a longer deadline, or
+    /// under an earlier configuration. No stream is resumed for longer than records are kept.
     pub(super) fn lifetime(&self, pool: &Pool, remaining: Span) -> Span {
         let tries = Span(pool.stream_timeout.max(remaining).0 * TIMEOUTS_PER_STREAM);
         tries.max(binding::MAX_VALIDITY)
