--- a/crates/dispatch/tests/dispatch/binding/all_lost.rs
+++ b/crates/dispatch/tests/dispatch/binding/all_lost.rs
@@ -1,39 +1,25 @@
-//! Streams that callers take up after all nodes were lost at once.
+//! Streams around the time in which all nodes are lost at once, and what nodes rely on that nobody
+//! watched for.
 
 use std::sync::Arc;
 
 use rstest::rstest;
-use woadstage_dispatch::binding::Key;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
-use woadstage_dispatch::job;
-use woadstage_types::id;
 use woadstage_types::unit::Span;
 
-use super::engine;
-use super::fleet;
+use super::engines_of;
 use super::fleet::Fleet;
-use super::take_up;
+use super::with_restarted;
+use crate::support::at;
+use crate::support::dispatcher;
 use crate::support::list;
 use crate::support::node;
 
-const STREAMS: u64 = 18;
+/// The node that serves the callers.
+const ORIGIN: u8 = 1;
 
-fn list_of(versions: &[&str], revision: u64) -> Arc<List> {
-    let numbers = versions
-        .iter()
-        .flat_map(|software| (0..4).map(move |number| (software, number)));
-    let engines: Vec<Endpoint> = numbers
-        .map(|(software, number)| {
-            engine(
-                &format!("e-{software}-{number}"),
-                software,
-                fleet::centre(number),
-            )
-        })
-        .collect();
-    list(revision, &engines)
-}
+const STREAMS: u64 = 18;
 
 /// Kills all nodes at once and starts them again a second later.
 fn restart_all(fleet: &mut Fleet, list: &Arc<List>) {
@@ -52,21 +38,20 @@
     #[values(5, 20)] nodes: u8,
     #[values(400, 9_000, 17_000, 40_000)] after_ms: u64,
 ) {
-    let mut fleet = Fleet::with_list(nodes, &list_of(&["1", "2"], 1));
+    let mut fleet = Fleet::with_list(nodes, &list(1, &engines_of(&["1", "2"], 4)));
     fleet.run_for(Span::from_secs(6));
-    let keys = (0..STREAMS).map(|key| Key(key * 1_000_003));
-    let begun: Vec<_> = keys.map(|key| (key, fleet.begin(1, key))).collect();
-    let old = begun
-        .into_iter()
-        .filter(|(_, (_, software))| software.as_str() == "1");
-    let old: Vec<Key> = old.map(|(key, _)| key).collect();
-    assert!(!old.is_empty());
-    restart_all(&mut fleet, &list_of(&["2"], 2));
+    let begun = fleet.begin_all(ORIGIN, STREAMS);
+    let remaining = engines_of(&["2"], 4);
+    restart_all(&mut fleet, &list(2, &remaining));
     fleet.run_for(Span::from_millis(after_ms));
-    for key in old {
-        let request = take_up(Some(key), fleet.now);
-        let taken_up = fleet.submit(2, request).map(|(_, software)| software);
-        assert!(taken_up.is_err(), "{taken_up:?}");
+    let is_old = |endpoint: &Endpoint| !remaining.contains(endpoint);
+    assert!(begun.iter().any(|begun| is_old(&begun.endpoint)));
+    let taken_up = fleet.take_up_all(&begun);
+    for (begun, taken_up) in begun.iter().zip(taken_up) {
+        assert!(
+            !is_old(&begun.endpoint) || taken_up.is_err(),
+            "{taken_up:?}"
+        );
     }
 }
 
@@ -76,42 +61,54 @@
 fn streams_are_not_joined_if_endpoints_started_again_while_all_nodes_were_down(
     #[values(5, 20)] nodes: u8,
 ) {
-    let before = list_of(&["1", "2"], 1);
-    let mut fleet = Fleet::with_list(nodes, &before);
+    let engines = engines_of(&["1", "2"], 4);
+    let mut fleet = Fleet::with_list(nodes, &list(1, &engines));
     fleet.run_for(Span::from_secs(6));
-    restart_all(&mut fleet, &before);
+    restart_all(&mut fleet, &list(1, &engines));
     let written_at = fleet.now + Span::from_millis(1_600);
     fleet.run_for(Span::from_millis(300));
-    let keys = (0..STREAMS).map(|key| Key(key * 1_000_003));
-    let begun: Vec<(Key, job::Id)> = keys.map(|key| (key, fleet.begin(1, key).0)).collect();
-    let placed = begun.iter().map(|(_, id)| fleet.endpoint_of(1, *id));
-    let placed: Vec<Endpoint> = placed.collect();
-    let is_reborn = |endpoint: &Endpoint| ["e-1-0", "e-1-1"].contains(&endpoint.name.as_str());
-    assert!(placed.iter().any(is_reborn));
+    let begun = fleet.begin_all(ORIGIN, STREAMS);
+    let is_restarted = |endpoint: &Endpoint| ["e-1-0", "e-1-1"].contains(&endpoint.name.as_str());
+    assert!(begun.iter().any(|begun| is_restarted(&begun.endpoint)));
     fleet.run_for(written_at.since(fleet.now));
-    let mut after = before.as_ref().clone();
-    after.revision = 2;
-    for endpoint in after.endpoints.iter_mut().filter(|one| is_reborn(one)) {
-        endpoint.started_at = 2;
-        endpoint.software = Some(id::Software::new("2"));
-    }
-    let (now, after) = (fleet.now, Arc::new(after));
-    for dispatcher in fleet.nodes.values_mut() {
-        dispatcher.set_endpoints(now, after.clone());
-    }
+    fleet.publish(&list(2, &with_restarted(&engines, "2", is_restarted)));
     fleet.run_for(Span::from_secs(1));
-    fleet.nodes.remove(&node(1));
-    let mut lost = 0;
-    for ((key, _), endpoint) in begun.into_iter().zip(placed) {
-        let request = take_up(Some(key), fleet.now);
-        match fleet.submit(2, request) {
-            Ok((id, taken_up)) => {
-                assert!(!is_reborn(&endpoint) || taken_up.as_str() == "2");
-                assert!(is_reborn(&endpoint) || Some(taken_up) == endpoint.software);
-                fleet.end(2, id);
-            }
-            Err(_) => lost += u64::from(!is_reborn(&endpoint)),
+    fleet.nodes.remove(&node(ORIGIN));
+    let taken_up = fleet.take_up_all(&begun);
+    for (begun, taken_up) in begun.iter().zip(taken_up) {
+        match is_restarted(&begun.endpoint) {
+            true => assert_ne!(taken_up.ok(), begun.endpoint.software),
+            false => assert_eq!(taken_up.ok(), begun.endpoint.software),
         }
     }
-    assert_eq!(lost, 0, "lost of {STREAMS}");
+}
+
+/// Guards against refusing streams at a node that restarts while others watch the endpoints.
+#[test]
+fn a_node_that_starts_beside_others_relies_on_its_first_list() {
+    let engines = engines_of(&["1", "2"], 4);
+    let mut fleet = Fleet::with_list(5, &list(1, &engines));
+    fleet.run_for(Span::from_secs(6));
+    fleet.start_node(3, 1_000, &list(1, &engines));
+    fleet.run_for(Span::from_millis(600));
+    let started = &fleet.nodes[&node(3)];
+    for engine in &engines {
+        assert_eq!(started.software_opt(engine), engine.software.as_ref());
+    }
+}
+
+/// Guards against relying on endpoints that started again while the only node was suspended.
+#[test]
+fn a_node_that_was_suspended_alone_relies_on_its_list_later() {
+    let engines = engines_of(&["1"], 1);
+    let mut dispatcher = dispatcher(&engines);
+    let mut is_known = |millis: u64| {
+        dispatcher.tick(at(millis));
+        dispatcher.software_opt(&engines[0]).is_some()
+    };
+    assert!(is_known(1_000));
+    assert!(!is_known(4_000));
+    assert!(!is_known(5_000));
+    assert!(!is_known(6_100));
+    assert!(is_known(6_300));
 }
--- a/crates/dispatch/tests/dispatch/binding/fleet.rs
+++ b/crates/dispatch/tests/dispatch/binding/fleet.rs
@@ -24,6 +24,7 @@
 
 use super::engine;
 use super::stream;
+use super::take_up;
 use crate::support::at;
 use crate::support::configuration;
 use crate::support::list;
@@ -46,6 +47,13 @@
     placed: HashMap<(SocketAddrV4, job::Id), Endpoint>,
 }
 
+/// A stream that has begun.
+pub struct Begun {
+    pub key: Key,
+    /// The endpoint at which it began.
+    pub endpoint: Endpoint,
+}
+
 impl Fleet {
     /// Starts nodes in three data centres before engines of two versions, and waits until they know
     /// each other.
@@ -216,9 +224,43 @@
         (id, software)
     }
 
-    /// Returns the endpoint at which a request of a node runs.
-    pub fn endpoint_of(&self, number: u8, id: job::Id) -> Endpoint {
-        self.placed[&(node(number), id)].clone()
+    /// Begins streams at a node, which run side by side and then end.
+    pub fn begin_all(&mut self, number: u8, count: u64) -> Vec<Begun> {
+        let keys = (0..count).map(|key| Key(key * 1_000_003));
+        let begun: Vec<(Key, job::Id)> = keys.map(|key| (key, self.begin(number, key).0)).collect();
+        let begun = begun.into_iter().map(|(key, id)| {
+            self.end(number, id);
+            let endpoint = self.placed[&(node(number), id)].clone();
+            Begun { key, endpoint }
+        });
+        begun.collect()
+    }
+
+    /// Takes a stream up at a node and ends it. Returns the version at which it goes on.
+    pub fn take_up(&mut self, number: u8, key: Key) -> Result<id::Software, Code> {
+        let request = take_up(Some(key), self.now);
+        let (id, software) = self.submit(number, request)?;
+        self.end(number, id);
+        Ok(software)
+    }
+
+    /// Takes streams up at all nodes but the first in turn, and ends them. Returns the versions at which
+    /// they go on.
+    pub fn take_up_all(&mut self, begun: &[Begun]) -> Vec<Result<id::Software, Code>> {
+        let others: Vec<SocketAddrV4> = self.nodes.keys().copied().collect();
+        let numbers = others.iter().map(|address| address.ip().octets()[3]);
+        let numbers: Vec<u8> = numbers.filter(|number| *number != 1).collect();
+        let turns = begun.iter().zip(numbers.iter().cycle());
+        let taken_up = turns.map(|(begun, number)| self.take_up(*number, begun.key));
+        taken_up.collect()
+    }
+
+    /// Has all nodes apply a list.
+    pub fn publish(&mut self, list: &Arc<List>) {
+        let now = self.now;
+        for dispatcher in self.nodes.values_mut() {
+            dispatcher.set_endpoints(now, list.clone());
+        }
     }
 
     /// Ends a request at its endpoint.
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -54,6 +54,35 @@
     }
 }
 
+/// Returns this many engines of each version, in the data centres in turn.
+fn engines_of(versions: &[&str], count: usize) -> Vec<Endpoint> {
+    let numbers = versions
+        .iter()
+        .flat_map(|software| (0..count).map(move |number| (software, number)));
+    let engines = numbers.map(|(software, number)| {
+        let name = format!("e-{software}-{number}");
+        engine(&name, software, fleet::centre(number))
+    });
+    engines.collect()
+}
+
+/// Returns the engines after some of them have started again with other software.
+fn with_restarted(
+    engines: &[Endpoint],
+    software: &str,
+    is_restarted: impl Fn(&Endpoint) -> bool,
+) -> Vec<Endpoint> {
+    let engines = engines.iter().map(|engine| match is_restarted(engine) {
+        true => Endpoint {
+            started_at: engine.started_at + 1,
+            software: Some(id::Software::new(software)),
+            ..engine.clone()
+        },
+        false => engine.clone(),
+    });
+    engines.collect()
+}
+
 fn two_versions() -> Vec<Endpoint> {
     vec![engine("one", "1", "a"), engine("two", "2", "a")]
 }
--- a/crates/dispatch/tests/dispatch/binding/origin_lost.rs
+++ b/crates/dispatch/tests/dispatch/binding/origin_lost.rs
@@ -5,12 +5,10 @@
 
 use rstest::rstest;
 use woadstage_dispatch::binding::Key;
-use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
 use woadstage_types::unit::Span;
 
-use super::engine;
-use super::fleet;
+use super::engines_of;
 use super::fleet::Fleet;
 use super::take_up;
 use crate::support::list;
@@ -56,18 +54,7 @@
 }
 
 fn list_of(versions: &[&str], revision: u64) -> Arc<List> {
-    let engines: Vec<Endpoint> = versions
-        .iter()
-        .flat_map(|software| (0..6).map(move |number| (software, number)))
-        .map(|(software, number)| {
-            engine(
-                &format!("e-{software}-{number}"),
-                software,
-                fleet::centre(number),
-            )
-        })
-        .collect();
-    list(revision, &engines)
+    list(revision, &engines_of(versions, 6))
 }
 
 fn restart(fleet: &mut Fleet, number: u8, list: &Arc<List>) {
@@ -157,10 +144,7 @@
     lose(&mut fleet, loss);
     if others == Others::LearnOfAnotherVersion {
         fleet.run_for(Span::from_millis(200));
-        let now = fleet.now;
-        for dispatcher in fleet.nodes.values_mut() {
-            dispatcher.set_endpoints(now, list_of(&["1", "2"], 2));
-        }
+        fleet.publish(&list_of(&["1", "2"], 2));
         fleet.run_for(Span::from_millis(400));
     }
     let mut refused = 0;
