test: wait for what nodes believe of endpoints rather than for a fixed time

The tests of software versions slept for 4.2 s until nodes that start together rely on their first list. They read that from the nodes' metrics now, and fail by the harness's time limit if it never happens.

--- a/crates/gateway/tests/gateway/software.rs
+++ b/crates/gateway/tests/gateway/software.rs
@@ -83,15 +83,14 @@
     });
 }
 
-/// How long nodes that start together watch endpoints before they rely on the first list.
-const WATCH_TIME: Duration = Duration::from_millis(4_200);
-
 /// Starts a fleet before two workers of different software, the streams of which break off.
 async fn start(nodes: u8) -> (Worker, Worker, Vec<fleet::Node>) {
     let one = Worker::start_version("e", "1", vec![Action::BreakStream]).await;
     let two = Worker::start_version("g", "2", vec![Action::BreakStream]).await;
     let nodes = fleet::start(nodes, &[&one, &two]).await;
-    tokio::time::sleep(WATCH_TIME).await;
+    for node in &nodes {
+        fleet::wait_until_watched(node, 2).await;
+    }
     (one, two, nodes)
 }
 
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -232,14 +232,23 @@
 
 /// Waits until a node has heard from all nodes of its fleet.
 async fn wait_until_known(node: &Node, count: u8) {
+    wait_for_metric(node, &format!("woadstage_nodes {count}\n")).await;
+}
+
+/// Waits until a node relies on the list for this many endpoints, as it has watched them for long enough.
+pub async fn wait_until_watched(node: &Node, endpoints: usize) {
+    let line = format!("woadstage_changes_total{{what=\"start-confirmed\"}} {endpoints}\n");
+    wait_for_metric(node, &line).await;
+}
+
+async fn wait_for_metric(node: &Node, line: &str) {
     let metrics = SocketAddrV4::new(*node.callers.ip(), 7_002);
-    let line = format!("woadstage_nodes {count}\n");
     loop {
         if let Some(mut caller) = Caller::try_connect(metrics).await {
             caller
                 .send("GET /metrics HTTP/1.1\r\nhost: node\r\n\r\n")
                 .await;
-            if caller.answer().await.body.contains(&line) {
+            if caller.answer().await.body.contains(line) {
                 return;
             }
         }
