--- a/crates/gateway/src/connections/stream.rs
+++ b/crates/gateway/src/connections/stream.rs
@@ -1,7 +1,9 @@
-//! Resets callers' connections. An answer in HTTP/1.0 ends with its connection, so that one that is
-//! aborted must not end in an orderly close. A caller that does not read its answer must not hold its
-//! endpoint beyond the request's deadline: nothing is read from the endpoint meanwhile, so that only
-//! the caller's connection shows that time passes.
+//! A connection that tells its registry how far it is.
+//!
+//! An answer in HTTP/1.0 ends with its connection, so that one that is aborted must not end in an
+//! orderly close: such a connection is reset. A connection whose peer does not read what is written to
+//! it is reset after some time: neither the buffers here nor an endpoint that answers may wait for it
+//! without a bound.
 
 use std::cell::Cell;
 use std::io;
@@ -12,6 +14,8 @@
 use std::task::ready;
 use std::time::Duration;
 
+use bytes::Buf;
+use bytes::Bytes;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -20,52 +24,111 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-/// Decides whether a connection is reset when it is dropped, and until when its caller has to read.
-#[derive(Debug, Clone, Default)]
-pub struct Switch(Rc<State>);
+use super::registry::State;
+use super::registry::Tracker;
+use crate::clock::Clock;
 
-#[derive(Debug, Default)]
-struct State {
+/// Decides whether a connection is reset when it is dropped, and until when its peer has to read.
+#[derive(Debug, Clone)]
+pub struct Switch(Rc<Settings>);
+
+#[derive(Debug)]
+struct Settings {
     is_set: Cell<bool>,
     deadline: Cell<Option<Instant>>,
+    default_patience: Duration,
+    patience: Cell<Duration>,
 }
 
 impl Switch {
+    /// Creates a switch that isn't set. The connection is reset if its peer reads nothing for as long
+    /// as `patience` while something is written to it.
+    pub fn new(patience: Duration) -> Switch {
+        Switch(Rc::new(Settings {
+            is_set: Cell::new(false),
+            deadline: Cell::new(None),
+            default_patience: patience,
+            patience: Cell::new(patience),
+        }))
+    }
+
     /// Resets the connection when it is dropped, instead of closing it.
     pub fn set(&self) {
         self.0.is_set.set(true);
     }
 
-    /// Resets the connection if its caller still lets writes wait at this time; `None` for never.
+    /// Resets the connection if its peer still lets writes wait at this time; `None` for no such time.
     pub fn set_deadline(&self, deadline: Option<Instant>) {
         self.0.deadline.set(deadline);
     }
+
+    /// Sets for how long the peer may read nothing; `None` for the default.
+    pub fn set_patience(&self, patience: Option<Duration>) {
+        let patience = patience.unwrap_or(self.0.default_patience);
+        self.0.patience.set(patience);
+    }
 }
 
-/// A connection of a caller.
+/// A connection that was accepted.
 pub struct Stream {
     stream: TcpStream,
-    reset: Switch,
+    /// What was read from it before.
+    read_before: Bytes,
+    clock: Clock,
+    switch: Switch,
+    tracker: Tracker,
+    /// Since when a write waits.
+    stalled_since: Option<Instant>,
     /// Runs while a write waits.
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
-    /// Wraps a connection, which is reset when dropped if `reset` is set by then.
-    pub fn new(stream: TcpStream, reset: Switch) -> Stream {
+    /// Wraps a connection, which is reset when dropped if `switch` is set by then. `read_before` was read
+    /// from it already.
+    pub fn new(
+        stream: TcpStream,
+        read_before: Bytes,
+        clock: Clock,
+        switch: Switch,
+        tracker: Tracker,
+    ) -> Stream {
         Stream {
             stream,
-            reset,
+            read_before,
+            clock,
+            switch,
+            tracker,
+            stalled_since: None,
             timer: None,
         }
     }
 
-    /// Fails a write that waits at the deadline.
-    fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let Some(deadline) = self.reset.0.deadline.get() else {
+    /// Records the outcome of a write, and fails one that waits for too long.
+    fn follow_write(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_pending() {
+            return self.poll_expired(context);
+        }
+        if self.stalled_since.take().is_some() {
             self.timer = None;
-            return Poll::Pending;
-        };
+            self.tracker.set_stalled(false);
+        }
+        written
+    }
+
+    fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let since = *self.stalled_since.get_or_insert_with(Instant::now);
+        self.tracker.set_stalled(true);
+        let settings = &self.switch.0;
+        let until = since + settings.patience.get();
+        let deadline = settings
+            .deadline
+            .get()
+            .map_or(until, |deadline| deadline.min(until));
         let timer = self
             .timer
             .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
@@ -73,14 +136,22 @@
             timer.as_mut().reset(deadline);
         }
         ready!(timer.as_mut().poll(context));
-        self.reset.set();
+        self.switch.set();
+        self.tracker.record_stall_timeout();
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
+
+    /// Records that something was read.
+    fn record_read(&self) {
+        if matches!(self.tracker.state(), State::Silent | State::Idle) {
+            self.tracker.set_state(self.clock.now(), State::Head);
+        }
+    }
 }
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        if self.reset.0.is_set.get() {
+        if self.switch.0.is_set.get() {
             // A failure means that the connection is gone already.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
@@ -93,7 +164,18 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled = buffer.filled().len();
+        if self.read_before.is_empty() {
+            ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        } else {
+            let length = self.read_before.len().min(buffer.remaining());
+            buffer.put_slice(&self.read_before[..length]);
+            self.read_before.advance(length);
+        }
+        if buffer.filled().len() > filled {
+            self.record_read();
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -103,10 +185,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        match Pin::new(&mut self.stream).poll_write(context, bytes) {
-            Poll::Pending => self.poll_expired(context),
-            written => written,
-        }
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.follow_write(context, written)
     }
 
     fn poll_write_vectored(
@@ -114,10 +194,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        match Pin::new(&mut self.stream).poll_write_vectored(context, slices) {
-            Poll::Pending => self.poll_expired(context),
-            written => written,
-        }
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.follow_write(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -543,6 +543,17 @@
         /// The time in milliseconds since the request arrived.
         after_ms: u64,
     },
+    /// Connections that others had opened to this node were closed.
+    ConnectionsClosed {
+        /// Where they were opened: `callers`, `ready`, `metrics` or `nodes`.
+        listener: &'a str,
+        /// Why they were closed.
+        reason: &'a str,
+        /// The number of connections closed since the last such event.
+        connections: u64,
+        /// The number of connections that are open there.
+        open: usize,
+    },
     /// Log lines were dropped to limit the volume.
     LeftOut {
         /// The number of lines dropped since the last such event.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`source`]: the interface to the adapter that reads the platform.
 //! * [`publish`], [`active_configuration`]: applying configurations and lists of endpoints.
 //! * [`shell`]: the state that all tasks share, and the delivery of decisions to them.
+//! * [`connections`]: the connections that others open to this node.
 //! * [`serve`]: answers callers.
 //! * [`upstream`]: calls endpoints.
 //! * [`peers`]: communicates with other nodes.
@@ -19,6 +20,7 @@
 pub mod active_configuration;
 pub mod check;
 pub mod clock;
+pub mod connections;
 pub mod event;
 pub mod explain;
 pub mod headers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -85,6 +85,10 @@
     pub delay: IntGauge,
     /// The number of new connections declined because the node was late.
     pub declined_connections: IntGauge,
+    /// The number of connections that others opened to this node, by listener.
+    pub connections: IntGaugeVec,
+    /// The number of such connections that this node closed, by listener and reason.
+    pub closed_connections: IntGaugeVec,
     /// The number of log lines dropped.
     pub dropped_log_lines: IntGauge,
     /// The number of features of requests during which endpoints crashed since they were last
@@ -152,6 +156,18 @@
             Opts::new("woadstage_nodes_heard", "Other nodes heard, by protocol.");
         let peers_by_protocol = IntGaugeVec::new(peers_by_protocol, &["protocol"])?;
         registry.register(Box::new(peers_by_protocol.clone()))?;
+        let connections = Opts::new(
+            "woadstage_connections",
+            "Open connections that others opened to this node, by listener.",
+        );
+        let connections = IntGaugeVec::new(connections, &["listener"])?;
+        registry.register(Box::new(connections.clone()))?;
+        let closed_connections = Opts::new(
+            "woadstage_connections_closed",
+            "Connections that others opened to this node and that it closed.",
+        );
+        let closed_connections = IntGaugeVec::new(closed_connections, &["listener", "reason"])?;
+        registry.register(Box::new(closed_connections.clone()))?;
         Ok(Metrics {
             answer_time: histogram(
                 "woadstage_answer_seconds",
@@ -282,6 +298,8 @@
             peers_by_protocol,
             sent_messages,
             sent_bytes,
+            connections,
+            closed_connections,
             routes: RefCell::default(),
             registry,
         })
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -1,6 +1,7 @@
 //! Serves the readiness page for the platform and the metrics page for operators.
 
 use std::convert::Infallible;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,35 +12,102 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use woadstage_dispatch::quarantine::Feature;
 use woadstage_types::unit::Time;
 
+use crate::clock::Clock;
+use crate::connections::Reason;
+use crate::connections::Registry;
+use crate::connections::State;
+use crate::connections::Stream;
+use crate::connections::Tracker;
+use crate::connections::stream::Switch;
 use crate::shell::Shell;
 
 /// The status and text of a page.
 pub type Page = (StatusCode, Vec<u8>);
 
-/// Serves the pages that `page` returns for a path.
-pub async fn serve(listener: TcpListener, page: impl Fn(&str) -> Page + Clone + 'static) {
+/// The maximum size of the buffer for a request's head.
+const MAX_HEAD_BUFFER_BYTES: usize = 8 << 10;
+
+/// How long a head may take, a connection may wait for its next request, and its peer may read
+/// nothing.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The pause after a failed accept. The usual cause is a lack of file descriptors, which other
+/// connections free when they close.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Serves the pages that `page` returns for a path, on as many connections as `registry` allows.
+pub async fn serve(
+    listener: TcpListener,
+    clock: Clock,
+    registry: Registry,
+    page: impl Fn(&str) -> Page + Clone + 'static,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let page = page.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let (status, text) = page(request.uri().path());
-            let mut response = Response::new(Full::new(Bytes::from(text)));
-            *response.status_mut() = status;
-            async move { Ok::<_, Infallible>(response) }
-        });
-        tokio::task::spawn_local(async move {
-            // An error only means that the client disconnected early.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+        if let Some(tracker) = registry.try_open(clock.now()) {
+            let serving = serve_connection(stream, clock.clone(), tracker, page.clone());
+            tokio::task::spawn_local(serving);
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    clock: Clock,
+    tracker: Tracker,
+    page: impl Fn(&str) -> Page + 'static,
+) {
+    tokio::select! {
+        Ok(Ok(())) = tokio::time::timeout(TIMEOUT, stream.readable()) => {}
+        _ = tracker.closed() => return,
+        else => return,
+    }
+    // Boxed, so that the task takes little memory until then.
+    Box::pin(serve_requests(stream, clock, tracker, page)).await;
+}
+
+async fn serve_requests(
+    stream: TcpStream,
+    clock: Clock,
+    tracker: Tracker,
+    page: impl Fn(&str) -> Page + 'static,
+) {
+    let switch = Switch::new(TIMEOUT);
+    let stream = Stream::new(
+        stream,
+        Bytes::new(),
+        clock.clone(),
+        switch.clone(),
+        tracker.clone(),
+    );
+    let answered = tracker.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        answered.set_state(clock.now(), State::Busy);
+        answered.set_served();
+        let (status, text) = page(request.uri().path());
+        let mut response = Response::new(Full::new(Bytes::from(text)));
+        *response.status_mut() = status;
+        answered.set_state(clock.now(), State::Idle);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(TIMEOUT)
+        .max_buf_size(MAX_HEAD_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // An error only means that the client disconnected early.
+        _ = connection => {}
+        _ = tracker.closed() => switch.set(),
     }
 }
 
@@ -125,6 +193,15 @@
     metrics
         .dropped_log_lines
         .set(shell.log.dropped_lines() as i64);
+    for (listener, registry) in shell.registries.named() {
+        let open = metrics.connections.with_label_values(&[listener]);
+        open.set(registry.open() as i64);
+        for reason in Reason::ALL {
+            let labels = [listener, reason.as_str()];
+            let closed = metrics.closed_connections.with_label_values(&labels);
+            closed.set(registry.closed(reason) as i64);
+        }
+    }
     metrics.endpoints_by_software.reset();
     for service in services {
         for (software, count) in &service.software {
--- a/crates/gateway/src/peers/transfer/serve.rs
+++ b/crates/gateway/src/peers/transfer/serve.rs
@@ -18,6 +18,8 @@
 use super::PROGRESS_TIMEOUT;
 use super::frame;
 use super::run_logged;
+use crate::connections::State;
+use crate::connections::Tracker;
 use crate::peers::traffic::Kind;
 use crate::serve;
 use crate::shell::Shell;
@@ -42,20 +44,33 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        tokio::task::spawn_local(serve_connection(shell.clone(), stream, to));
+        if let Some(tracker) = shell.registries.nodes.try_open(shell.now()) {
+            tokio::task::spawn_local(serve_connection(shell.clone(), stream, to, tracker));
+        }
     }
 }
 
-async fn serve_connection(shell: Rc<Shell>, mut stream: TcpStream, to: SocketAddrV4) {
+async fn serve_connection(
+    shell: Rc<Shell>,
+    mut stream: TcpStream,
+    to: SocketAddrV4,
+    tracker: Tracker,
+) {
     let transfers = &shell.transfers;
     let is_busy = transfers.sending.get() + transfers.opening.get() >= MAX_TRANSFERS;
     transfers.opening.set(transfers.opening.get() + 1);
-    let first = read_first_byte(&mut stream).await;
+    let first = tokio::select! {
+        first = read_first_byte(&mut stream) => first,
+        reason = tracker.closed() => Err(anyhow::anyhow!("closed: {}", reason.as_str())),
+    };
+    if first.is_ok() {
+        tracker.set_state(shell.now(), State::Busy);
+    }
     transfers.opening.set(transfers.opening.get() - 1);
     match first {
         // Every message between nodes starts with the layout, and no forwarded request does.
         Ok(first) if first != protocol::LAYOUT => {
-            serve::serve_node(shell, stream, vec![first]).await;
+            serve::serve_node(shell, stream, vec![first], tracker).await;
         }
         Ok(_) if is_busy => {
             shell.metrics.record_transfer("given", false);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs a node, from reading its settings to a graceful shutdown.
 
+use std::collections::HashMap;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,11 +19,14 @@
 use woadstage_dispatch::member::Role;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::region;
+use woadstage_types::unit::Size;
 use woadstage_types::unit::Time;
 
 use crate::clock::Clock;
 use crate::clock::to_duration;
 use crate::clock::to_span;
+use crate::connections::Reason;
+use crate::connections::listen;
 use crate::event::Event;
 use crate::log;
 use crate::log::Log;
@@ -60,6 +64,13 @@
 /// The interval of closing idle connections to endpoints and of reporting dropped log lines.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The size of the buffers of callers' connections, and of those at the readiness and metrics address.
+const CALLER_BUFFER: Size = Size::from_kib(16);
+const OPERATOR_BUFFER: Size = Size::from_kib(4);
+
+/// The size of the buffers of other nodes' connections, over which documents are sent.
+const PEER_BUFFER: Size = Size::from_kib(128);
+
 /// Runs a node until a graceful shutdown is complete. `adapter` is called once, with the
 /// settings, and reads the platform for as long as the process runs.
 ///
@@ -79,6 +90,7 @@
         settings.headers.clone(),
         Clock::start(),
         settings.memory,
+        settings.capacity.clone(),
         log,
         Metrics::new()?,
     );
@@ -91,10 +103,10 @@
     let socket =
         Rc::new(socket.with_context(|| format!("could not listen on {}", settings.peers))?);
     shell.peers.set_socket(socket.clone());
-    let transfers = listen(settings.peers).await?;
-    let ready = listen(settings.ready).await?;
-    let metrics = listen(settings.metrics).await?;
-    let callers = listen(settings.callers).await?;
+    let transfers = open(settings.peers, PEER_BUFFER)?;
+    let ready = open(settings.ready, OPERATOR_BUFFER)?;
+    let metrics = open(settings.metrics, OPERATOR_BUFFER)?;
+    let callers = open(settings.callers, CALLER_BUFFER)?;
     let (feed, source) = source::channel();
     let Source {
         updates,
@@ -106,13 +118,18 @@
     spawn_local(peers::listen(shell.clone(), socket.clone()));
     spawn_local(peers::transfer::serve(shell.clone(), transfers));
     let (ready_path, shared) = (settings.ready_path.clone(), shell.clone());
-    spawn_local(operators::serve(ready, move |path| {
-        operators::readiness(&shared, path, &ready_path)
-    }));
+    let registry = shell.registries.ready.clone();
+    let page = move |path: &str| operators::readiness(&shared, path, &ready_path);
+    spawn_local(operators::serve(ready, shell.clock.clone(), registry, page));
     let shared = shell.clone();
-    spawn_local(operators::serve(metrics, move |_| {
-        operators::metrics(&shared)
-    }));
+    let registry = shell.registries.metrics.clone();
+    let page = move |_: &str| operators::metrics(&shared);
+    spawn_local(operators::serve(
+        metrics,
+        shell.clock.clone(),
+        registry,
+        page,
+    ));
     spawn_local(serve::accept(shell.clone(), callers));
     spawn_local(tick(shell.clone(), socket, role, inquiries));
     for document in [Document::Endpoints, Document::Configuration] {
@@ -133,8 +150,9 @@
     settings::parse(&text).map_err(|faults: Faults| anyhow::anyhow!("{faults}"))
 }
 
-async fn listen(address: std::net::SocketAddrV4) -> anyhow::Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
+/// Opens a listener, with `buffer` as the size of each buffer of its sockets.
+fn open(address: std::net::SocketAddrV4, buffer: Size) -> anyhow::Result<TcpListener> {
+    let listener = listen::listen(address, buffer, buffer);
     listener.with_context(|| format!("could not listen on {address}"))
 }
 
@@ -287,12 +305,16 @@
     });
 }
 
-/// Closes idle connections to endpoints and logs how many log lines were dropped.
+/// Closes connections that are idle or late, and logs which were closed and how many log lines were
+/// dropped.
 async fn sweep(shell: Rc<Shell>) {
     let mut left_out = 0;
+    let mut closed = HashMap::new();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         shell.upstream.remove_expired(shell.now());
+        shell.close_late_heads();
+        log_closed_connections(&shell, &mut closed);
         let total = shell.log.dropped_lines();
         if total > left_out {
             shell.log(&Event::LeftOut {
@@ -303,6 +325,24 @@
     }
 }
 
+/// Logs the connections that were closed since `known`, by listener and reason.
+fn log_closed_connections(shell: &Shell, known: &mut HashMap<(&'static str, Reason), u64>) {
+    for (listener, registry) in shell.registries.named() {
+        for reason in Reason::ALL {
+            let total = registry.closed(reason);
+            let before = known.insert((listener, reason), total).unwrap_or(0);
+            if total > before {
+                shell.log(&Event::ConnectionsClosed {
+                    listener,
+                    reason: reason.as_str(),
+                    connections: total - before,
+                    open: registry.open(),
+                });
+            }
+        }
+    }
+}
+
 /// Reloads the settings on SIGHUP or when the file has changed. Only the seeds take effect
 /// without a restart.
 async fn reload(shell: Rc<Shell>, path: std::path::PathBuf) {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -45,7 +45,7 @@
 use super::record;
 use super::record::Context;
 use super::reply::Reply;
-use super::reset;
+use crate::connections::stream::Switch;
 use crate::event::Event;
 use crate::headers::text;
 use crate::shell::Shell;
@@ -75,8 +75,8 @@
     pub hop: Option<hop::Request>,
     /// Counts the request among those that other nodes forwarded to this one.
     pub in_progress: Option<hop::InProgress>,
-    /// Resets the caller's connection, if a caller sent the request to this node.
-    pub(super) reset: Option<reset::Switch>,
+    /// Resets the connection over which the request arrived.
+    pub(super) reset: Option<Switch>,
     pub(super) head: Parts,
     pub(super) payload: Option<Payload>,
     /// What the request has in common with others, once it is submitted.
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -26,7 +26,8 @@
 use super::record::Context;
 use super::relay;
 use super::reply::Reply;
-use super::reset;
+use crate::connections::Handle;
+use crate::connections::State;
 use crate::headers::text;
 use crate::shell::Shell;
 use crate::upstream::Answer;
@@ -48,11 +49,11 @@
 /// The interval at which a waiting request checks for the first configuration.
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Serves one request. `reset` decides how its connection ends.
+/// Serves one request, which arrived over `connection`.
 pub async fn serve(
     shell: Rc<Shell>,
     request: Request<Incoming>,
-    reset: reset::Switch,
+    connection: Handle,
 ) -> Response<Body> {
     let arrived = shell.now();
     shell.wait_until_current().await;
@@ -64,8 +65,9 @@
         Err(code) => return reject(&shell, &head, arrived, code),
     };
     let payload = Payload::read(body, admitted.max_body, &shell.body_budget).await;
+    connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell, admitted, head);
-    exchange.reset = Some(reset);
+    exchange.reset = Some(connection.switch);
     match payload {
         Ok(payload) => exchange.set_payload(payload),
         Err(code) => return exchange.refuse(code.into()),
@@ -79,7 +81,10 @@
         return exchange.refuse(reply);
     }
     match exchange.run(None).await {
-        Ok(answer) => relay::relay(exchange, answer),
+        Ok(answer) => {
+            connection.tracker.set_served();
+            relay::relay(exchange, answer)
+        }
         Err(reply) => exchange.refuse(reply),
     }
 }
@@ -89,7 +94,11 @@
 
 /// Serves a request that another node forwarded. It waits and runs like one of this node's own
 /// callers'; the other node has charged the customer's quota.
-pub async fn serve_forwarded(shell: Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
+pub async fn serve_forwarded(
+    shell: Rc<Shell>,
+    request: Request<Incoming>,
+    connection: Handle,
+) -> Response<Body> {
     shell.wait_until_current().await;
     let in_progress = hop::InProgress::new(&shell);
     let (mut head, body) = request.into_parts();
@@ -113,14 +122,19 @@
             return response;
         }
     };
+    connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell.clone(), admitted, head);
+    exchange.reset = Some(connection.switch);
     exchange.hop = hop;
     exchange.in_progress = Some(in_progress);
     let reply = match payload {
         Ok(payload) => {
             exchange.set_payload(payload);
             match run_forwarded(&mut exchange).await {
-                Ok(answer) => return relay_forwarded(exchange, answer),
+                Ok(answer) => {
+                    connection.tracker.set_served();
+                    return relay_forwarded(exchange, answer);
+                }
                 Err(reply) => reply,
             }
         }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -15,14 +15,15 @@
 //! * `parse_notice.rs`: parses what an answer's head reports about its endpoint.
 //! * `relay.rs`: forwards an answer to the caller.
 //! * `framer.rs`: buffers incomplete events of a stream.
-//! * `reset.rs`: resets callers' connections.
 //! * `reply.rs`: the answers that this node generates.
+//! * `progress.rs`: tells a connection's registry when a request is in progress.
 //! * `record.rs`: log lines and metrics about a request.
 
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::FutureExt;
 use hyper::Request;
 use hyper::Response;
@@ -34,14 +35,16 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use socket2::SockRef;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use woadstage_dispatch::configuration::Limits;
 
 use crate::clock::to_duration;
+use crate::connections::Handle;
+use crate::connections::Reason;
+use crate::connections::Stream;
+use crate::connections::Tracker;
+use crate::connections::stream::Switch;
 use crate::shell::Phase;
 use crate::shell::Shell;
 use crate::upstream::Body;
@@ -60,10 +63,12 @@
 mod outgoing;
 mod parse_notice;
 mod payload;
+mod progress;
 pub(crate) mod record;
 mod relay;
 mod reply;
-mod reset;
+
+use progress::Progress;
 
 /// The minimum size of the buffer for a request's head that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
@@ -77,9 +82,7 @@
             () = shell.wait_for_phase(Phase::Stopped) => break,
         };
         match accepted {
-            Ok((stream, _)) if shell.try_accept_connection() => {
-                tokio::task::spawn_local(serve_caller(shell.clone(), stream));
-            }
+            Ok((stream, _)) if shell.try_accept_connection() => serve_caller(&shell, stream),
             Ok((stream, _)) => decline(stream),
             // The usual cause is a lack of file descriptors: wait for connections to close.
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
@@ -87,7 +90,7 @@
     }
     // Connections left in the backlog would be reset.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        tokio::task::spawn_local(serve_caller(shell.clone(), stream));
+        serve_caller(&shell, stream);
     }
 }
 
@@ -98,42 +101,64 @@
     let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
 }
 
-async fn serve_caller(shell: Rc<Shell>, stream: TcpStream) {
+/// Serves a caller's connection, unless there are too many.
+fn serve_caller(shell: &Rc<Shell>, stream: TcpStream) {
+    match shell.registries.callers.try_open(shell.now()) {
+        Some(tracker) => {
+            tokio::task::spawn_local(serve_tracked_caller(shell.clone(), stream, tracker));
+        }
+        None => decline(stream),
+    }
+}
+
+async fn serve_tracked_caller(shell: Rc<Shell>, stream: TcpStream, tracker: Tracker) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
-    let reset = reset::Switch::default();
-    let stream = reset::Stream::new(stream, reset.clone());
-    serve_connection(shell, stream, Peer::Caller(reset)).await;
+    let idle_timeout = limits(&shell).idle_timeout;
+    // Until something arrives, the connection takes no buffers.
+    let arrived = tokio::time::timeout(to_duration(idle_timeout), stream.readable());
+    tokio::select! {
+        Ok(Ok(())) = arrived => {}
+        _ = tracker.closed() => return decline(stream),
+        else => return,
+    }
+    // Boxed, so that the task takes little memory until then.
+    let serving = serve_connection(shell, stream, Bytes::new(), tracker, Sender::Caller);
+    Box::pin(serving).await;
 }
 
 /// Serves the requests that another node forwards over a connection, the first bytes of which were
 /// read already.
-pub async fn serve_node(shell: Rc<Shell>, stream: TcpStream, read: Vec<u8>) {
+pub async fn serve_node(shell: Rc<Shell>, stream: TcpStream, read: Vec<u8>, tracker: Tracker) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
-    let (rest, writer) = stream.into_split();
-    let reader = AsyncReadExt::chain(std::io::Cursor::new(read), rest);
-    serve_connection(shell, tokio::io::join(reader, writer), Peer::Node).await;
+    let serving = serve_connection(shell, stream, read.into(), tracker, Sender::Node);
+    Box::pin(serving).await;
 }
 
 /// Who sends requests over a connection.
-#[derive(Debug, Clone)]
-enum Peer {
-    /// A caller, whose connection the switch resets.
-    Caller(reset::Switch),
-    /// Another node.
+#[derive(Debug, Clone, Copy)]
+enum Sender {
+    Caller,
     Node,
 }
 
+/// Returns the limits of the configuration in force.
+fn limits(shell: &Shell) -> Limits {
+    shell.query(|dispatcher, _| {
+        let configuration = dispatcher.configuration();
+        configuration.map_or_else(Limits::default, |active| active.limits.clone())
+    })
+}
+
 async fn serve_connection(
     shell: Rc<Shell>,
-    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
-    peer: Peer,
+    stream: TcpStream,
+    read_before: Bytes,
+    tracker: Tracker,
+    sender: Sender,
 ) {
-    let limits = shell.query(|dispatcher, _| {
-        let configuration = dispatcher.configuration();
-        configuration.map_or_else(Limits::default, |active| active.limits.clone())
-    });
+    let limits = limits(&shell);
     let is_closing = shell.phase() >= Phase::Closing;
     // hyper applies this timeout to the idle time between requests, too.
     let head_timeout = if is_closing {
@@ -148,8 +173,18 @@
         .header_read_timeout(to_duration(head_timeout))
         .max_buf_size((limits.head.0 as usize).max(MIN_HEAD_BUFFER_BYTES))
         .auto_date_header(false);
+    let switch = Switch::new(to_duration(limits.idle_timeout));
+    let peer = Handle {
+        switch: switch.clone(),
+        tracker: tracker.clone(),
+    };
+    let clock = shell.clock.clone();
+    let stream = Stream::new(stream, read_before, clock, switch.clone(), tracker.clone());
     let server = shell.clone();
-    let service = service_fn(move |request| respond(server.clone(), request, peer.clone()));
+    // Boxed, so that a connection takes little memory while no request is in progress.
+    let service = service_fn(move |request| {
+        Box::pin(respond(server.clone(), request, sender, peer.clone()))
+    });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let open_connections = if is_closing {
@@ -158,11 +193,22 @@
         &shell.connections
     };
     open_connections.set(open_connections.get() + 1);
+    let serving = async {
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = shell.wait_for_phase(Phase::Closing), if !is_closing => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+    };
     tokio::select! {
-        _ = connection.as_mut() => {}
-        () = shell.wait_for_phase(Phase::Closing), if !is_closing => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+        () = serving => {}
+        reason = tracker.closed() => {
+            // A connection that waits for its next request is closed in order.
+            if reason != Reason::TooMany {
+                switch.set();
+            }
         }
     }
     open_connections.set(open_connections.get() - 1);
@@ -171,15 +217,17 @@
 async fn respond(
     shell: Rc<Shell>,
     request: Request<Incoming>,
-    peer: Peer,
+    sender: Sender,
+    peer: Handle,
 ) -> Result<Response<Body>, Infallible> {
-    let mut response = match peer {
-        Peer::Caller(reset) => handle::serve(shell.clone(), request, reset).await,
-        Peer::Node => handle::serve_forwarded(shell.clone(), request).await,
+    let progress = Progress::begin(shell.clock.clone(), peer.tracker.clone());
+    let mut response = match sender {
+        Sender::Caller => handle::serve(shell.clone(), request, peer).await,
+        Sender::Node => handle::serve_forwarded(shell.clone(), request, peer).await,
     };
     if shell.phase() >= Phase::Leaving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    Ok(progress.follow(response))
 }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -20,6 +20,7 @@
 use woadstage_body::ending::Framing;
 use woadstage_body::ending::Reception;
 use woadstage_dispatch::configuration::Kind;
+use woadstage_dispatch::configuration::Route;
 use woadstage_dispatch::job::End;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -29,6 +30,7 @@
 use super::framer::Framer;
 use super::outgoing;
 use super::record;
+use crate::clock::to_duration;
 use crate::event::Event;
 use crate::upstream::Answer;
 use crate::upstream::Body;
@@ -74,6 +76,7 @@
     if let Some(reset) = &exchange.reset {
         let clock = &exchange.shell.clock;
         reset.set_deadline(Some(clock.to_instant(exchange.admitted.deadline)));
+        reset.set_patience(is_stream.then(|| patience(&exchange.admitted.route)));
     }
     let is_resumable = is_stream && exchange.admitted.route.resumable;
     if is_resumable {
@@ -106,6 +109,17 @@
     Response::from_parts(head, Box::pin(StreamBody::new(frames)))
 }
 
+/// Returns for how long the caller of a stream may read nothing. Callers give a stream up that pauses
+/// for as long.
+fn patience(route: &Route) -> Duration {
+    let objective = to_duration(route.objective) * 4;
+    let pause = to_duration(route.pause.unwrap_or(Span::ZERO)) * 8;
+    MIN_PATIENCE.max(objective).max(pause)
+}
+
+/// The least that [`patience`] returns.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Follows an answer with this head: as a stream of events if its content type says so, or if it
 /// states none and its route is one of streams.
 fn follow(headers: &HeaderMap, body: &Incoming, is_stream: bool) -> Reception {
@@ -246,6 +260,7 @@
         self.is_finished = true;
         if let Some(reset) = &self.exchange.reset {
             reset.set_deadline(None);
+            reset.set_patience(None);
         }
         let end = match self.status {
             500.. => End::Fault,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,8 @@
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 
+use crate::connections::Capacity;
+use crate::connections::Limits;
 use crate::headers::Headers;
 use crate::policy;
 use crate::policy::take_number;
@@ -31,6 +33,10 @@
     pub stop_within: Span,
     /// The memory that the process may use.
     pub memory: Size,
+    /// The number of descriptors that the process may have.
+    pub descriptors: usize,
+    /// The connections that it holds at most.
+    pub capacity: Capacity,
     /// The address at which callers are served.
     pub callers: SocketAddrV4,
     /// The address of the readiness endpoint.
@@ -69,6 +75,10 @@
 /// The default of [`Settings::heartbeat`].
 const DEFAULT_HEARTBEAT: Span = Span::from_millis(1_200);
 
+/// The default of [`Settings::descriptors`], and the smallest number that is accepted.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+const MIN_DESCRIPTORS: usize = 512;
+
 /// The smallest memory limit that is accepted.
 const MIN_MEMORY: Size = Size::from_mib(32);
 
@@ -85,14 +95,19 @@
     let mut platform = reader.take_table("platform");
     let mut quota = reader.take_table("quota");
     let mut retry = reader.take_table("retry");
+    let mut connections = reader.take_table("connections");
     let mut policy = reader.take_table("policy");
     let mut headers = reader.take_table("headers");
+    let memory = node.take_or("memory", Size::from_mib(128));
+    let descriptors = node.take_or("descriptors", DEFAULT_DESCRIPTORS);
     let settings = Settings {
         host: id::Host::new(&read_name(&mut node, "host")),
         data_centre: id::DataCentre::new(&read_name(&mut node, "data_centre")),
         regions,
         stop_within: node.take_or("stop_within", Span::from_secs(8)),
-        memory: node.take_or("memory", Size::from_mib(128)),
+        memory,
+        descriptors,
+        capacity: read_capacity(&mut connections, Capacity::new(memory, descriptors)),
         callers: read_address(&mut listen, "callers"),
         ready: read_address(&mut listen, "ready"),
         ready_path: listen.take_or("ready_path", "/readyz".to_owned()),
@@ -110,8 +125,22 @@
     if settings.memory < MIN_MEMORY {
         node.add_fault("memory", Code::SettingsValue, "Give at least 32MiB.");
     }
+    if settings.descriptors < MIN_DESCRIPTORS {
+        node.add_fault("descriptors", Code::SettingsValue, "Give at least 512.");
+    }
     let mut faults = reader.finish();
-    for table in [node, listen, peers, platform, quota, retry, policy, headers] {
+    let tables = [
+        node,
+        listen,
+        peers,
+        platform,
+        quota,
+        retry,
+        connections,
+        policy,
+        headers,
+    ];
+    for table in tables {
         faults.0.append(&mut table.finish().0);
     }
     faults.into_result(settings)
@@ -153,6 +182,32 @@
     addresses
 }
 
+/// Reads the limits of connections.
+fn read_capacity(table: &mut Reader, defaults: Capacity) -> Capacity {
+    let mut take = |field: &str, default: usize| {
+        let value = table.take_or(field, default);
+        if value == 0 {
+            table.add_fault(field, Code::SettingsValue, "Give a number from 1 on.");
+        }
+        value
+    };
+    Capacity {
+        callers: Limits {
+            open: take("callers", defaults.callers.open),
+            active: take("callers_active", defaults.callers.active),
+            stalled: take("callers_unread", defaults.callers.stalled),
+        },
+        operators: Limits {
+            open: take("operators", defaults.operators.open),
+            ..defaults.operators
+        },
+        nodes: Limits {
+            open: take("nodes", defaults.nodes.open),
+            ..defaults.nodes
+        },
+    }
+}
+
 fn read_quota(table: &mut Reader) -> quota::Options {
     let defaults = quota::Options::default();
     quota::Options {
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -32,6 +32,8 @@
 
 use crate::active_configuration::ActiveConfiguration;
 use crate::clock::Clock;
+use crate::connections::Capacity;
+use crate::connections::Registry;
 use crate::event::Event;
 use crate::headers::Headers;
 use crate::log::Log;
@@ -57,6 +59,39 @@
     Stopped,
 }
 
+/// The connections that others opened to this node, by listener.
+pub struct Registries {
+    /// Those of callers.
+    pub callers: Registry,
+    /// Those at the readiness address.
+    pub ready: Registry,
+    /// Those at the metrics address.
+    pub metrics: Registry,
+    /// Those of other nodes.
+    pub nodes: Registry,
+}
+
+impl Registries {
+    fn new(capacity: Capacity) -> Registries {
+        Registries {
+            callers: Registry::new(capacity.callers),
+            ready: Registry::new(capacity.operators.clone()),
+            metrics: Registry::new(capacity.operators),
+            nodes: Registry::new(capacity.nodes),
+        }
+    }
+
+    /// Returns all registries, with their names in logs and metrics.
+    pub fn named(&self) -> [(&'static str, &Registry); 4] {
+        [
+            ("callers", &self.callers),
+            ("ready", &self.ready),
+            ("metrics", &self.metrics),
+            ("nodes", &self.nodes),
+        ]
+    }
+}
+
 /// The state that all tasks share. They run on one thread, so it needs no locks.
 pub struct Shell {
     /// The clock.
@@ -71,6 +106,8 @@
     pub upstream: Upstream,
     /// The memory left for request bodies, one permit per KiB.
     pub body_budget: Arc<Semaphore>,
+    /// The connections that others opened to this node.
+    pub registries: Registries,
     /// The number of open connections that callers opened before [`Phase::Closing`].
     pub connections: Cell<usize>,
     /// The number of open connections that callers opened in [`Phase::Closing`] or later.
@@ -118,6 +155,7 @@
         headers: Headers,
         clock: Clock,
         memory: Size,
+        capacity: Capacity,
         log: Log,
         metrics: Metrics,
     ) -> Rc<Shell> {
@@ -132,6 +170,7 @@
             body_budget: Arc::new(Semaphore::new(
                 ((memory.0 / BODY_MEMORY_DIVISOR) >> 10) as usize,
             )),
+            registries: Registries::new(capacity),
             connections: Cell::new(0),
             late_connections: Cell::new(0),
             peers: peers::Sender::default(),
@@ -279,6 +318,18 @@
                 .try_accept_connection(self.now())
     }
 
+    /// Closes the connections on which the head of a request takes too long.
+    pub fn close_late_heads(&self) {
+        let timeout = self.query(|dispatcher, _| {
+            let configuration = dispatcher.configuration();
+            let limits = configuration.map(|active| active.limits.clone());
+            limits.unwrap_or_default().head_timeout
+        });
+        for registry in [&self.registries.callers, &self.registries.nodes] {
+            registry.close_late_heads(self.now(), timeout);
+        }
+    }
+
     /// Queues a request and returns a receiver of its decision.
     pub fn enter(&self, job: Job) -> (job::Id, oneshot::Receiver<Decision>) {
         self.observe();
--- a/crates/gateway/src/upstream/connect.rs
+++ b/crates/gateway/src/upstream/connect.rs
@@ -7,9 +7,12 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use woadstage_types::unit::Size;
 
 use super::Connection;
+use crate::connections::listen;
 
 /// How long sent bytes may stay unacknowledged, or keepalive probes unanswered on an idle
 /// connection, before the host is considered gone.
@@ -19,12 +22,17 @@
 /// connection.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// The size of each buffer of a connection's socket, in which answers wait whose callers do not read.
+const BUFFER: Size = Size::from_kib(32);
+
 /// The interval of TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Opens an HTTP/1 connection.
 pub async fn open(address: SocketAddrV4) -> anyhow::Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
+    let socket = TcpSocket::new_v4()?;
+    listen::bound_buffers(&socket, BUFFER, BUFFER);
+    let stream = socket.connect(address.into()).await?;
     set_socket_options(&stream)?;
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_BUFFERED_BYTES)
--- /dev/null
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -0,0 +1,190 @@
+//! Tests of the connections that others open to a node, and of which are closed.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use woadstage_gateway::clock::Clock;
+use woadstage_gateway::connections::Limits;
+use woadstage_gateway::connections::Reason;
+use woadstage_gateway::connections::Registry;
+use woadstage_gateway::connections::State;
+use woadstage_gateway::connections::listen;
+use woadstage_gateway::operators;
+use woadstage_types::unit::Size;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::support::Action;
+use crate::support::Caller;
+use crate::support::Gateway;
+use crate::support::Worker;
+use crate::support::answer;
+use crate::support::run;
+
+const NOW: Time = Time(1_000_000);
+
+const LIMITS: Limits = Limits {
+    open: 4,
+    active: 3,
+    stalled: 2,
+};
+
+/// Returns the reason for which a connection was closed, if it was.
+fn closed(tracker: &woadstage_gateway::connections::Tracker) -> Option<Reason> {
+    use futures_util::FutureExt;
+    tracker.closed().now_or_never()
+}
+
+/// Guards against connections without a request that keep out those of callers.
+#[rstest]
+#[case::silent_before_heads([State::Silent, State::Head, State::Idle, State::Busy], Some(0))]
+#[case::heads_before_requests([State::Busy, State::Head, State::Busy, State::Busy], Some(1))]
+#[case::bodies_before_requests([State::Busy, State::Busy, State::Body, State::Busy], Some(2))]
+#[case::longest_first([State::Idle, State::Head, State::Idle, State::Idle], Some(0))]
+#[case::no_request_in_progress([State::Busy; 4], None)]
+fn a_connection_gives_way_to_a_new_one(
+    #[case] states: [State; 4],
+    #[case] expected: Option<usize>,
+) {
+    let registry = Registry::new(Limits {
+        active: 8,
+        ..LIMITS
+    });
+    let trackers = states.map(|state| {
+        let tracker = registry.try_open(NOW).expect("it is below the limit");
+        tracker.set_state(NOW, state);
+        tracker
+    });
+    assert_eq!(registry.try_open(NOW).is_some(), expected.is_some());
+    let given_way = trackers
+        .iter()
+        .position(|tracker| closed(tracker).is_some());
+    assert_eq!(given_way, expected);
+}
+
+/// Guards against callers whose kept connections are closed for those of a crowd.
+#[test]
+fn connections_of_served_callers_give_way_last() {
+    let registry = Registry::new(LIMITS);
+    let open = || registry.try_open(NOW).expect("it is below the limit");
+    let served = open();
+    served.set_state(NOW, State::Busy);
+    served.set_served();
+    served.set_state(NOW, State::Idle);
+    let refused = [open(), open(), open()];
+    for tracker in &refused {
+        tracker.set_state(NOW, State::Busy);
+        tracker.set_state(NOW, State::Idle);
+    }
+    assert_eq!(closed(&served), None);
+    assert_eq!(closed(&refused[0]), Some(Reason::TooMany));
+}
+
+/// Guards against peers that read nothing and fill buffers without a limit.
+#[test]
+fn of_too_many_stalled_connections_the_longest_is_closed() {
+    let registry = Registry::new(LIMITS);
+    let trackers = [(); 3].map(|()| registry.try_open(NOW).expect("it is below the limit"));
+    for tracker in &trackers {
+        tracker.set_state(NOW, State::Busy);
+    }
+    trackers[0].set_stalled(true);
+    trackers[1].set_stalled(true);
+    trackers[0].set_stalled(false);
+    trackers[0].set_stalled(true);
+    trackers[2].set_stalled(true);
+    let reasons = trackers.each_ref().map(closed);
+    assert_eq!(reasons, [None, Some(Reason::TooManyStalled), None]);
+    drop(trackers);
+    assert_eq!(registry.open(), 0);
+}
+
+/// Guards against heads that take as long as a connection may rest.
+#[test]
+fn late_heads_are_closed() {
+    let registry = Registry::new(LIMITS);
+    let trackers = [(); 2].map(|()| registry.try_open(NOW).expect("it is below the limit"));
+    trackers[0].set_state(NOW, State::Head);
+    registry.close_late_heads(NOW + Span::from_secs(3), Span::from_secs(3));
+    assert_eq!(closed(&trackers[0]), None);
+    registry.close_late_heads(NOW + Span::from_millis(3_001), Span::from_secs(3));
+    assert_eq!(closed(&trackers[0]), Some(Reason::HeadTimeout));
+    assert_eq!(closed(&trackers[1]), None);
+}
+
+/// Guards against crowds that hold all connections, so that callers time out.
+#[rstest]
+#[case::silent("")]
+#[case::in_a_head("GET /once/x HTTP/1.1\r\nx: ")]
+#[case::in_a_body(
+    "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer a-secret-key\r\ncontent-length: 9\r\n\r\n"
+)]
+fn callers_are_served_beside_a_crowd(#[case] begin: &'static str) {
+    run(move || async move {
+        let fine = Action::Answer(answer("200 OK", "fine"));
+        let worker = Worker::start("e", vec![fine]).await;
+        let gateway = Gateway::with_callers(&[&worker], LIMITS).await;
+        let mut crowd = Vec::new();
+        for _ in 0..20 {
+            let mut stream = TcpStream::connect(gateway.address)
+                .await
+                .expect("it listens");
+            stream.write_all(begin.as_bytes()).await.expect("it reads");
+            crowd.push(stream);
+        }
+        let mut caller = Caller::connect(&gateway).await;
+        for number in 0..3 {
+            caller
+                .request(&format!("id-{number}"), "/once/x", "body")
+                .await;
+            assert_eq!(caller.answer().await.status, 200);
+        }
+    });
+}
+
+/// The most bytes that may be written to a node that nobody reads from: far less than without a bound.
+const MAX_UNREAD_BYTES: usize = 2 << 20;
+
+/// Guards against requests ahead, whose answers are buffered without a limit while nobody reads them.
+#[rstest]
+#[case::ready("/ready")]
+#[case::empty_answers("/none")]
+fn requests_ahead_are_not_read_without_end(#[case] path: &'static str) {
+    run(move || async move {
+        let any_port = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let size = Size::from_kib(4);
+        let listener = listen::listen(any_port, size, size).expect("a free port");
+        let address = listener.local_addr().expect("it has an address");
+        let registry = Registry::new(Limits::default());
+        let page = |path: &str| match path {
+            "/ready" => (StatusCode::OK, b"ready\n".to_vec()),
+            _ => (StatusCode::NOT_FOUND, Vec::new()),
+        };
+        spawn_local(operators::serve(listener, Clock::start(), registry, page));
+        let socket = TcpSocket::new_v4().expect("a socket");
+        listen::bound_buffers(&socket, size, size);
+        let mut ahead = socket.connect(address).await.expect("it listens");
+        let requests = format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n").repeat(100);
+        let mut written = 0;
+        while let Ok(more) =
+            tokio::time::timeout(Duration::from_millis(500), ahead.write(requests.as_bytes())).await
+        {
+            written += more.expect("the connection stays open");
+            assert!(written <= MAX_UNREAD_BYTES, "{written}");
+        }
+        // The answers follow once they are read.
+        let mut answers = vec![0; 1 << 20];
+        let mut read = 0;
+        while read < written / 2 {
+            read += ahead.read(&mut answers).await.expect("answers");
+        }
+    });
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod bodies;
 mod callers;
 mod catch_up;
+mod connections;
 mod crash;
 mod crash_part;
 mod ending;
--- a/crates/gateway/tests/gateway/settings.rs
+++ b/crates/gateway/tests/gateway/settings.rs
@@ -68,6 +68,12 @@
 )]
 #[case::empty_host_name("host = \"edge-1\"", "host = \"\"", "node.host")]
 #[case::memory_below_minimum("110MiB", "8MiB", "node.memory")]
+#[case::too_few_descriptors("110MiB\"", "110MiB\"\ndescriptors = 100", "node.descriptors")]
+#[case::no_callers(
+    "[retry]",
+    "[connections]\ncallers = 0\n[retry]",
+    "connections.callers"
+)]
 #[case::invalid_seed("\"10.0.0.2:9000\"", "\"seed\"", "peers.seeds")]
 #[case::negative_overrun("overrun = 0.25", "overrun = -1", "quota.overrun")]
 #[case::text_for_a_number("extra = 58", "extra = \"many\"", "retry.extra")]
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -26,6 +26,8 @@
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
 use woadstage_gateway::clock::Clock;
+use woadstage_gateway::connections::Capacity;
+use woadstage_gateway::connections::Limits;
 use woadstage_gateway::headers::Headers;
 use woadstage_gateway::log;
 use woadstage_gateway::log::Log;
@@ -68,6 +70,9 @@
     }
 }
 
+/// The memory that it may use.
+const MEMORY: Size = Size::from_mib(64);
+
 /// A gateway that runs in the test process.
 pub struct Gateway {
     /// Its shared state.
@@ -177,9 +182,32 @@
 
     /// Starts a gateway without a configuration or endpoints.
     pub async fn unconfigured(options: log::Options) -> Gateway {
+        let capacity = Capacity::new(MEMORY, 4_096);
+        Gateway::unconfigured_with_capacity(options, capacity).await
+    }
+
+    /// Starts a gateway with these endpoints that holds this number of callers' connections at most.
+    pub async fn with_callers(workers: &[&Worker], callers: Limits) -> Gateway {
+        let capacity = Capacity {
+            callers,
+            ..Capacity::new(MEMORY, 4_096)
+        };
+        let options = log::Options::default();
+        let gateway = Gateway::unconfigured_with_capacity(options, capacity).await;
+        gateway.set_endpoints(workers);
+        let configuration = Arc::new(configuration(None));
+        gateway
+            .shell
+            .command(|dispatcher, now| dispatcher.set_configuration(now, configuration));
+        gateway
+            .shell
+            .command(|dispatcher, now| dispatcher.tick(now));
+        gateway
+    }
+
+    async fn unconfigured_with_capacity(options: log::Options, capacity: Capacity) -> Gateway {
         let lines = LogBuffer::default();
         let log = Log::start(options, lines.clone()).expect("the log starts");
-        let memory = Size::from_mib(64);
         let metrics = Metrics::new().expect("the metrics register");
         let suspended: Rc<Cell<Duration>> = Rc::default();
         let counted = suspended.clone();
@@ -188,7 +216,8 @@
             Dispatcher::new(dispatcher_options()),
             headers(),
             clock,
-            memory,
+            MEMORY,
+            capacity,
             log,
             metrics,
         );
