fix: bodies take memory as they arrive, and give way if they hold it for long

Cause: a body reserved its stated length, or 256 KiB in chunks, when it began, 86 of them all memory of an 88 MiB node, and nothing ended one that did not arrive.

A body now takes memory as it arrives and has until its request's deadline (408 W1009). If memory runs short, the body that has held most of it for longest gives way while it arrives (503 W2010: nothing of it was sent). A quarter of the memory is left for bodies of at most 16 KiB. The largest size holds for bodies that are passed on as they arrive, too.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -89,6 +89,10 @@
     pub connections: IntGaugeVec,
     /// The number of such connections that this node closed, by listener and reason.
     pub closed_connections: IntGaugeVec,
+    /// The memory that request bodies take, in bytes.
+    pub body_memory: IntGauge,
+    /// The number of bodies that gave way to others while they arrived.
+    pub bodies_cut: IntGauge,
     /// The number of log lines dropped.
     pub dropped_log_lines: IntGauge,
     /// The number of features of requests during which endpoints crashed since they were last
@@ -300,6 +304,11 @@
             sent_bytes,
             connections,
             closed_connections,
+            body_memory: gauge("woadstage_body_memory_bytes", "Memory taken by bodies.")?,
+            bodies_cut: gauge(
+                "woadstage_bodies_cut",
+                "Bodies that gave way to others while they arrived.",
+            )?,
             routes: RefCell::default(),
             registry,
         })
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -193,6 +193,8 @@
     metrics
         .dropped_log_lines
         .set(shell.log.dropped_lines() as i64);
+    metrics.body_memory.set(shell.body_memory.used().0 as i64);
+    metrics.bodies_cut.set(shell.body_memory.gave_way() as i64);
     for (listener, registry) in shell.registries.named() {
         let open = metrics.connections.with_label_values(&[listener]);
         open.set(registry.open() as i64);
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -64,7 +64,7 @@
         Ok(admitted) => admitted,
         Err(code) => return reject(&shell, &head, arrived, code),
     };
-    let payload = Payload::read(body, admitted.max_body, &shell.body_budget).await;
+    let payload = Payload::read(&shell, body, admitted.max_body, admitted.deadline).await;
     connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell, admitted, head);
     exchange.reset = Some(connection.switch);
@@ -107,12 +107,12 @@
         Some(hop) => admit_forwarded(&shell, &head, hop),
         None => Err(Code::HeaderInvalid),
     };
-    let max_body = match &admitted {
-        Ok(admitted) => admitted.max_body,
-        Err(_) => Limits::default().body,
+    let (max_body, deadline) = match &admitted {
+        Ok(admitted) => (admitted.max_body, admitted.deadline),
+        Err(_) => (Limits::default().body, shell.now() + MAX_REFUSED_BODY_TIME),
     };
     // As for callers, the body is read before any reply.
-    let payload = Payload::read(body, max_body, &shell.body_budget).await;
+    let payload = Payload::read(&shell, body, max_body, deadline).await;
     let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(code) => {
@@ -145,6 +145,9 @@
     response
 }
 
+/// How long the body of a forwarded request that is refused may take.
+const MAX_REFUSED_BODY_TIME: Span = Span::from_secs(3);
+
 /// Admits a forwarded request as of its arrival at the node that forwarded it.
 ///
 /// # Errors
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,7 @@
 //! * `handle.rs`: handles one request, from its head to the answer.
 //! * `admit.rs`: finds a request's route, customer and deadline.
 //! * `payload.rs`: reads and sends request bodies.
+//! * [`body_memory`]: the memory for them.
 //! * `closing.rs`: limits requests during a planned stop.
 //! * `charge.rs`: charges requests to their customer's quota.
 //! * `fingerprint.rs`: computes fingerprints of requests.
@@ -51,6 +52,7 @@
 
 mod admit;
 mod bind;
+pub mod body_memory;
 mod charge;
 mod classify;
 mod closing;
@@ -182,9 +184,8 @@
     let stream = Stream::new(stream, read_before, clock, switch.clone(), tracker.clone());
     let server = shell.clone();
     // Boxed, so that a connection takes little memory while no request is in progress.
-    let service = service_fn(move |request| {
-        Box::pin(respond(server.clone(), request, sender, peer.clone()))
-    });
+    let service =
+        service_fn(move |request| Box::pin(respond(server.clone(), request, sender, peer.clone())));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let open_connections = if is_closing {
--- a/crates/gateway/src/serve/payload.rs
+++ b/crates/gateway/src/serve/payload.rs
@@ -1,21 +1,19 @@
 //! Request bodies. A short body is buffered and can be sent again; a long one is streamed
 //! in bounded memory and can be sent only once.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Size;
+use woadstage_types::unit::Time;
 
+use super::body_memory::Reservation;
+use crate::shell::Shell;
 use crate::upstream::Body;
 
 /// The maximum size of a body that is buffered.
@@ -24,22 +22,42 @@
 /// A request body, buffered or streamed.
 pub struct Payload {
     buffered: Bytes,
-    remaining: Option<Incoming>,
+    /// The rest of a streamed body, until it is sent.
+    rest: Option<Rest>,
     is_streamed: bool,
-    _permit: Option<OwnedSemaphorePermit>,
+    reservation: Option<Reservation>,
+}
+
+/// The part of a long body that has not been read.
+struct Rest {
+    body: Incoming,
+    /// The most bytes that may follow.
+    max_bytes: u64,
 }
 
 impl Payload {
-    /// Reads a whole short body, or the beginning of a long one. Reserves memory for the
-    /// buffer from `memory`, which has one permit per KiB.
+    /// Reads a whole short body, or the beginning of a long one, before the deadline.
     ///
     /// # Errors
-    /// Returns [`Code::BodyTooLarge`], [`Code::BodyCutOff`], or [`Code::NodeBusy`]
-    /// if no memory is left for bodies.
+    /// Returns [`Code::BodyTooLarge`], [`Code::BodyCutOff`], [`Code::BodyTooSlow`], or
+    /// [`Code::NodeBusy`] if no memory is left for the body.
     pub async fn read(
+        shell: &Shell,
+        body: Incoming,
+        max_size: Size,
+        deadline: Time,
+    ) -> Result<Payload, Code> {
+        let reading = shell.timeout_at(
+            deadline,
+            Payload::read_without_deadline(shell, body, max_size),
+        );
+        reading.await.unwrap_or(Err(Code::BodyTooSlow))
+    }
+
+    async fn read_without_deadline(
+        shell: &Shell,
         mut body: Incoming,
         max_size: Size,
-        memory: &Arc<Semaphore>,
     ) -> Result<Payload, Code> {
         let declared = body.size_hint().lower();
         if declared > max_size.0 {
@@ -48,66 +66,72 @@
         if body.is_end_stream() {
             return Ok(Payload {
                 buffered: Bytes::new(),
-                remaining: None,
+                rest: None,
                 is_streamed: false,
-                _permit: None,
+                reservation: None,
             });
         }
         let max_buffered = MAX_BUFFERED_BYTES.min(max_size.0);
-        let reserved = match body.size_hint().exact() {
+        let max_reserved = match body.size_hint().exact() {
             Some(exact) => exact.min(max_buffered),
             None => max_buffered,
         };
-        let kibibytes = reserved.div_ceil(1 << 10) as u32;
-        let permit = memory.clone().try_acquire_many_owned(kibibytes);
-        let permit = permit.map_err(|_| Code::NodeBusy)?;
-        let mut buffered = BytesMut::with_capacity(reserved.min(declared.max(1 << 10)) as usize);
-        let mut remaining = None;
+        let reading = shell.body_memory.begin(shell.now());
+        let mut rest = None;
         loop {
-            match body.frame().await {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = reading.gives_way() => return Err(Code::NodeBusy),
+            };
+            match frame {
                 None => break,
                 Some(Err(_)) => return Err(Code::BodyCutOff),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        buffered.extend_from_slice(&data);
+                        reading.append(shell.now(), &data, max_reserved)?;
                     }
                 }
             }
-            if buffered.len() as u64 > max_buffered {
-                remaining = Some(body);
+            let length = reading.len() as u64;
+            if length > max_size.0 {
+                return Err(Code::BodyTooLarge);
+            }
+            if length > max_buffered {
+                let max_bytes = max_size.0 - length;
+                rest = Some(Rest { body, max_bytes });
                 break;
             }
         }
+        let (buffered, reservation) = reading.finish();
         Ok(Payload {
-            is_streamed: remaining.is_some(),
+            is_streamed: rest.is_some(),
             buffered: buffered.freeze(),
-            remaining,
-            _permit: Some(permit),
+            rest,
+            reservation: Some(reservation),
         })
     }
 
     /// Whether the body can be sent now, for the first time or again.
     pub fn can_send(&self) -> bool {
-        !self.is_streamed || self.remaining.is_some()
+        !self.is_streamed || self.rest.is_some()
     }
 
     /// Returns the body for one attempt.
     pub fn take_body(&mut self) -> Body {
         let buffered = Full::new(self.buffered.clone());
-        let Some(remaining) = self.remaining.take() else {
+        let Some(rest) = self.rest.take() else {
             return Box::pin(buffered.map_err(|never| match never {}));
         };
-        let buffered = std::mem::take(&mut self.buffered);
-        let frames = futures_util::stream::unfold(
-            (Some(buffered), remaining),
-            |(buffered, mut remaining)| async move {
-                if let Some(buffered) = buffered {
-                    return Some((Ok(Frame::data(buffered)), (None, remaining)));
-                }
-                let data = next_data(&mut remaining).await?;
-                Some((data.map(Frame::data), (None, remaining)))
-            },
-        );
+        let sending = Sending {
+            beginning: Some(std::mem::take(&mut self.buffered)),
+            reservation: self.reservation.take(),
+            rest,
+        };
+        let frames = futures_util::stream::unfold(sending, |mut sending| async move {
+            let data = sending.next_data().await?;
+            Some((data.map(Frame::data), sending))
+        });
         Box::pin(StreamBody::new(frames))
     }
 
@@ -124,17 +148,40 @@
     }
 }
 
-/// Returns the next bytes of a body. Drops trailers: they would add fields that are not in
-/// the caller's head.
-async fn next_data(body: &mut Incoming) -> Option<anyhow::Result<Bytes>> {
-    loop {
-        match body.frame().await? {
-            Err(error) => return Some(Err(error.into())),
-            Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    return Some(Ok(data));
-                }
-            }
+impl Rest {
+    /// Returns the next bytes. Drops trailers: they would add fields that are not in the caller's head.
+    async fn next_data(&mut self) -> Option<Result<Bytes, Code>> {
+        loop {
+            let Ok(frame) = self.body.frame().await? else {
+                return Some(Err(Code::BodyCutOff));
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let Some(left) = self.max_bytes.checked_sub(data.len() as u64) else {
+                return Some(Err(Code::BodyTooLarge));
+            };
+            self.max_bytes = left;
+            return Some(Ok(data));
+        }
+    }
+}
+
+/// A long body that is being sent.
+struct Sending {
+    beginning: Option<Bytes>,
+    /// The memory that the beginning takes, until more is sent.
+    reservation: Option<Reservation>,
+    rest: Rest,
+}
+
+impl Sending {
+    async fn next_data(&mut self) -> Option<anyhow::Result<Bytes>> {
+        if let Some(beginning) = self.beginning.take() {
+            return Some(Ok(beginning));
         }
+        self.reservation = None;
+        let data = self.rest.next_data().await?;
+        Some(data.map_err(|code| anyhow::anyhow!("{code}")))
     }
 }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -6,9 +6,7 @@
 use std::collections::HashMap;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 
-use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use woadstage_clock::Elapsed;
@@ -41,6 +39,7 @@
 use crate::peers;
 use crate::peers::reservations::Reservations;
 use crate::peers::transfer;
+use crate::serve::body_memory::BodyMemory;
 use crate::upstream::Target;
 use crate::upstream::Upstream;
 
@@ -104,8 +103,8 @@
     pub metrics: Metrics,
     /// The connections to endpoints.
     pub upstream: Upstream,
-    /// The memory left for request bodies, one permit per KiB.
-    pub body_budget: Arc<Semaphore>,
+    /// The memory for request bodies.
+    pub body_memory: BodyMemory,
     /// The connections that others opened to this node.
     pub registries: Registries,
     /// The number of open connections that callers opened before [`Phase::Closing`].
@@ -167,9 +166,7 @@
             log,
             metrics,
             upstream: Upstream::default(),
-            body_budget: Arc::new(Semaphore::new(
-                ((memory.0 / BODY_MEMORY_DIVISOR) >> 10) as usize,
-            )),
+            body_memory: BodyMemory::new(Size(memory.0 / BODY_MEMORY_DIVISOR)),
             registries: Registries::new(capacity),
             connections: Cell::new(0),
             late_connections: Cell::new(0),
--- /dev/null
+++ b/crates/gateway/tests/gateway/body_memory.rs
@@ -0,0 +1,125 @@
+//! Tests of the memory for request bodies, and of bodies and heads at the limits.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use woadstage_gateway::serve::body_memory::BodyMemory;
+use woadstage_types::code::Code;
+use woadstage_types::unit::Size;
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::support::KEY;
+use crate::support::run;
+use crate::support::serving;
+
+const NOW: Time = Time(1_000_000);
+
+/// The longest body of these tests that is buffered.
+const MAX: u64 = 256 << 10;
+
+/// Guards against bodies that stop half-way and keep the memory from those that arrive.
+#[test]
+fn the_body_that_held_most_for_longest_gives_way() {
+    let memory = BodyMemory::new(Size::from_kib(400));
+    let bytes = vec![b'a'; 100 << 10];
+    let old = memory.begin(NOW);
+    old.append(NOW, &bytes, MAX).expect("there is room");
+    let later = NOW + Span::from_secs(1);
+    let newer = memory.begin(later);
+    newer.append(later, &bytes, MAX).expect("there is room");
+    let newest = memory.begin(later);
+    newest.append(later, &bytes, MAX).expect("there is room");
+    let last = memory.begin(later);
+    assert_eq!(last.append(later, &bytes, MAX), Ok(()));
+    assert_eq!(old.append(later, b"more", MAX), Err(Code::NodeBusy));
+    assert_eq!(newer.append(later, b"", MAX), Ok(()));
+    assert_eq!(memory.gave_way(), 1);
+}
+
+/// Guards against short bodies that are refused beside long ones.
+#[test]
+fn a_part_of_the_memory_is_left_for_short_bodies() {
+    let memory = BodyMemory::new(Size::from_kib(400));
+    let bytes = vec![b'a'; 100 << 10];
+    let whole: Vec<_> = (0..3)
+        .map(|_| {
+            let body = memory.begin(NOW);
+            body.append(NOW, &bytes, MAX).expect("there is room");
+            body.finish()
+        })
+        .collect();
+    assert_eq!(
+        memory.begin(NOW).append(NOW, &bytes, MAX),
+        Err(Code::NodeBusy)
+    );
+    assert_eq!(memory.begin(NOW).append(NOW, b"short", MAX), Ok(()));
+    drop(whole);
+    assert_eq!(memory.used(), Size(0));
+}
+
+/// Guards against bodies that hold a request longer than its route allows.
+#[test]
+fn a_body_that_stops_ends_at_the_deadline() {
+    run(|| async {
+        let (worker, _gateway, mut caller) = serving().await;
+        caller
+            .send(&format!(
+                "POST /short/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: i\r\ncontent-length: 10\r\n\r\nhalf"
+            ))
+            .await;
+        let response = caller.answer().await;
+        assert_eq!(response.status, 408, "{response:?}");
+        assert!(response.body.contains("not-run"));
+        assert!(worker.requests.borrow().is_empty());
+    });
+}
+
+/// Returns a body in chunks.
+fn chunks(length: usize) -> String {
+    let chunk = format!("8000\r\n{}\r\n", "b".repeat(0x8000));
+    chunk.repeat(length / 0x8000)
+}
+
+/// The limits of the default configuration.
+const MAX_BODY: usize = 4 << 20;
+const MAX_HEAD: usize = 16 << 10;
+
+/// Guards against limits that refuse a single request inside those of the configuration.
+#[rstest]
+#[case::longest_body(format!("content-length: {MAX_BODY}\r\n\r\n{}", "b".repeat(MAX_BODY)))]
+#[case::longest_body_in_chunks(format!("transfer-encoding: chunked\r\n\r\n{}0\r\n\r\n", chunks(MAX_BODY)))]
+#[case::tiny_chunks(format!("transfer-encoding: chunked\r\n\r\n{}0\r\n\r\n", "1\r\nb\r\n".repeat(100_000)))]
+#[case::one_long_field(format!("x: {}\r\n\r\n", "a".repeat(MAX_HEAD - 200)))]
+fn a_single_request_at_the_limits_is_served(#[case] rest: String) {
+    run(|| async move {
+        let (worker, _gateway, mut caller) = serving().await;
+        caller
+            .send(&format!(
+                "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: i\r\n{rest}"
+            ))
+            .await;
+        let response = caller.answer().await;
+        assert_eq!(response.status, 200, "{response:?}");
+        assert_eq!(worker.requests.borrow().len(), 1);
+    });
+}
+
+/// Guards against limits on slow heads that are shorter than the configuration's.
+#[test]
+fn a_head_and_a_body_in_pieces_are_served() {
+    run(|| async {
+        let (_worker, _gateway, mut caller) = serving().await;
+        let request = format!(
+            "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+             woadstage-request: i\r\ncontent-length: 8\r\n\r\nthe body"
+        );
+        for piece in request.as_bytes().chunks(10) {
+            caller.send(&String::from_utf8_lossy(piece)).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(caller.answer().await.status, 200);
+    });
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod bodies;
+mod body_memory;
 mod callers;
 mod catch_up;
 mod connections;
