fix: heads of as many fields as fit are read, and take memory by their fields

A caller got 431 for a head of more than 100 fields, though shorter than the configuration's largest: the library's default. Each field takes 320 bytes in memory here and in the request to an endpoint, so a head of 16 KiB takes over a megabyte. As many fields as fit are read now, and heads of more than 100 take part in the memory for bodies.

body_memory::a_single_request_at_the_limits_is_served (short fields) failed before.

--- a/crates/gateway/src/serve/body_memory.rs
+++ b/crates/gateway/src/serve/body_memory.rs
@@ -96,6 +96,16 @@
         }
     }
 
+    /// Reserves memory that stays until the result is dropped.
+    ///
+    /// # Errors
+    /// Returns [`Code::NodeBusy`] if too little is left.
+    pub fn reserve(&self, now: Time, size: Size) -> Result<Reservation, Code> {
+        let reading = self.begin(now);
+        reading.grow(now, size.0)?;
+        Ok(reading.finish().1)
+    }
+
     /// Returns the body with the greatest weight.
     fn heaviest_opt(&self, now: Time) -> Option<Rc<Arriving>> {
         let arriving = self.0.arriving.borrow();
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -30,6 +30,7 @@
 use woadstage_types::unit::Time;
 
 use super::admit::Admitted;
+use super::body_memory::Reservation;
 use super::charge;
 use super::charge::ChargedBy;
 use super::classify;
@@ -75,6 +76,8 @@
     pub hop: Option<hop::Request>,
     /// Counts the request among those that other nodes forwarded to this one.
     pub in_progress: Option<hop::InProgress>,
+    /// The memory that the fields of its head take, if they are many.
+    pub(super) fields: Option<Reservation>,
     /// Resets the connection over which the request arrived.
     pub(super) reset: Option<Switch>,
     pub(super) head: Parts,
@@ -133,6 +136,7 @@
             stated_software: None,
             hop: None,
             in_progress: None,
+            fields: None,
             reset: None,
             payload: None,
             features: None,
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -13,11 +13,13 @@
 use woadstage_dispatch::dispatcher::Admission;
 use woadstage_dispatch::table::Table;
 use woadstage_types::code::Code;
+use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
 use super::admit;
 use super::admit::Admitted;
+use super::body_memory::Reservation;
 use super::closing;
 use super::exchange::Exchange;
 use super::hop;
@@ -64,10 +66,15 @@
         Ok(admitted) => admitted,
         Err(code) => return reject(&shell, &head, arrived, code),
     };
-    let payload = Payload::read(&shell, body, admitted.max_body, admitted.deadline).await;
+    let fields = reserve_fields(&shell, &head);
+    let payload = match &fields {
+        Ok(_) => Payload::read(&shell, body, admitted.max_body, admitted.deadline).await,
+        Err(code) => Err(*code),
+    };
     connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell, admitted, head);
     exchange.reset = Some(connection.switch);
+    exchange.fields = fields.unwrap_or_default();
     match payload {
         Ok(payload) => exchange.set_payload(payload),
         Err(code) => return exchange.refuse(code.into()),
@@ -111,8 +118,12 @@
         Ok(admitted) => (admitted.max_body, admitted.deadline),
         Err(_) => (Limits::default().body, shell.now() + MAX_REFUSED_BODY_TIME),
     };
+    let fields = reserve_fields(&shell, &head);
     // As for callers, the body is read before any reply.
-    let payload = Payload::read(&shell, body, max_body, deadline).await;
+    let payload = match &fields {
+        Ok(_) => Payload::read(&shell, body, max_body, deadline).await,
+        Err(code) => Err(*code),
+    };
     let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(code) => {
@@ -125,6 +136,7 @@
     connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell.clone(), admitted, head);
     exchange.reset = Some(connection.switch);
+    exchange.fields = fields.unwrap_or_default();
     exchange.hop = hop;
     exchange.in_progress = Some(in_progress);
     let reply = match payload {
@@ -148,6 +160,25 @@
 /// How long the body of a forwarded request that is refused may take.
 const MAX_REFUSED_BODY_TIME: Span = Span::from_secs(3);
 
+/// The number of fields up to which a head takes no memory of its own.
+const MAX_FREE_FIELDS: usize = 100;
+
+/// The memory that a field of a head takes beside its bytes, here and in the request to an endpoint.
+const FIELD_SIZE: Size = Size(320);
+
+/// Reserves memory for a head with many fields, which takes far more than the bytes that were sent.
+///
+/// # Errors
+/// Returns [`Code::NodeBusy`] if too little is left.
+fn reserve_fields(shell: &Shell, head: &Parts) -> Result<Option<Reservation>, Code> {
+    let fields = head.headers.len();
+    if fields <= MAX_FREE_FIELDS {
+        return Ok(None);
+    }
+    let size = Size(FIELD_SIZE.0 * fields as u64);
+    shell.body_memory.reserve(shell.now(), size).map(Some)
+}
+
 /// Admits a forwarded request as of its arrival at the node that forwarded it.
 ///
 /// # Errors
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -75,6 +75,12 @@
 /// The minimum size of the buffer for a request's head that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
 
+/// The fewest bytes that a field of a head takes.
+const MIN_FIELD_BYTES: usize = 4;
+
+/// The most fields of a head, more than which the library's map can't hold.
+const MAX_FIELDS: usize = 16 << 10;
+
 /// Accepts connections until [`Phase::Stopped`], and not only until the shutdown starts: while
 /// many nodes stop, a caller may find no other.
 pub async fn accept(shell: Rc<Shell>, listener: TcpListener) {
@@ -168,12 +174,14 @@
     } else {
         limits.idle_timeout
     };
+    let max_head = (limits.head.0 as usize).max(MIN_HEAD_BUFFER_BYTES);
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .keep_alive(!is_closing)
         .header_read_timeout(to_duration(head_timeout))
-        .max_buf_size((limits.head.0 as usize).max(MIN_HEAD_BUFFER_BYTES))
+        .max_buf_size(max_head)
+        .max_headers((max_head / MIN_FIELD_BYTES).min(MAX_FIELDS))
         .auto_date_header(false);
     let switch = Switch::new(to_duration(limits.idle_timeout));
     let peer = Handle {
--- a/crates/gateway/tests/gateway/body_memory.rs
+++ b/crates/gateway/tests/gateway/body_memory.rs
@@ -91,6 +91,7 @@
 #[case::longest_body(format!("content-length: {MAX_BODY}\r\n\r\n{}", "b".repeat(MAX_BODY)))]
 #[case::longest_body_in_chunks(format!("transfer-encoding: chunked\r\n\r\n{}0\r\n\r\n", chunks(MAX_BODY)))]
 #[case::tiny_chunks(format!("transfer-encoding: chunked\r\n\r\n{}0\r\n\r\n", "1\r\nb\r\n".repeat(100_000)))]
+#[case::short_fields("a:\r\n".repeat((MAX_HEAD - 200) / 4) + "\r\n")]
 #[case::one_long_field(format!("x: {}\r\n\r\n", "a".repeat(MAX_HEAD - 200)))]
 fn a_single_request_at_the_limits_is_served(#[case] rest: String) {
     run(|| async move {
