fix: endpoints are not charged with callers' faulty bodies

A long body in chunks that goes on with something that is no chunk, or past the largest size, ended its attempt as lost: the endpoint that had received its beginning was taken to have broken the connection, and what the request asks for was suspected of crashing endpoints.

Cause: the library reports a failure of a body that it sends as one of the connection. The body notes its own fault now, and such a call ends as if its caller had left, at both ends of a hop.

body_memory::an_endpoint_is_not_charged_with_a_faulty_body: both cases failed before.

--- a/crates/gateway/src/serve/body_memory.rs
+++ b/crates/gateway/src/serve/body_memory.rs
@@ -137,7 +137,7 @@
         if self.body.has_given_way.get() {
             return Err(Code::NodeBusy);
         }
-        let needed = (self.len() + bytes.len()) as u64;
+        let needed = (self.arrived() + bytes.len()) as u64;
         if needed > self.body.reserved.get() {
             let doubled = (self.body.reserved.get() * 2).min(max);
             let reserved = needed.max(doubled).max(MIN_RESERVED.0);
@@ -152,7 +152,7 @@
     }
 
     /// Returns the number of bytes that have arrived.
-    pub fn len(&self) -> usize {
+    pub fn arrived(&self) -> usize {
         self.body.buffer.borrow().len()
     }
 
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -254,6 +254,8 @@
                 },
                 Err(CallError::Withdrawn) if self.withdraw_attempt() => continue,
                 Err(CallError::Withdrawn) => return Err(self.to_final_reply(End::NotSent)),
+                // The endpoint has received the beginning. The attempt ends as if the caller had left.
+                Err(CallError::Body(_)) => return Err(Code::CallerLeft.into()),
                 Err(fault) => (to_end(&fault), fault.to_string()),
             };
             if !self.end_attempt(end, &detail) {
@@ -418,9 +420,21 @@
                 }
             }
         };
-        match shell.timeout_at(self.admitted.deadline, call).await {
-            Ok(sent) => sent,
-            Err(_) => Err(CallError::Late),
+        let sent = shell.timeout_at(self.admitted.deadline, call).await;
+        self.to_caller_fault(sent.unwrap_or(Err(CallError::Late)))
+    }
+
+    /// Attributes a failed call to the caller if the rest of its body was faulty.
+    pub(super) fn to_caller_fault(
+        &self,
+        sent: Result<Answer, CallError>,
+    ) -> Result<Answer, CallError> {
+        let fault = self.payload.as_ref().and_then(Payload::fault_opt);
+        match (sent, fault) {
+            (Err(CallError::Lost(_) | CallError::NotSent(_)), Some(code)) => {
+                Err(CallError::Body(code))
+            }
+            (sent, _) => sent,
         }
     }
 
@@ -625,5 +639,6 @@
         CallError::NotSent(_) | CallError::Withdrawn => End::NotSent,
         CallError::Lost(_) => End::Lost,
         CallError::Late => End::Late,
+        CallError::Body(_) => End::Abandoned,
     }
 }
--- a/crates/gateway/src/serve/forward.rs
+++ b/crates/gateway/src/serve/forward.rs
@@ -4,6 +4,7 @@
 
 use woadstage_dispatch::dispatcher::ForwardEnd;
 use woadstage_dispatch::job::End;
+use woadstage_types::code::Code;
 use woadstage_types::id;
 
 use super::exchange::Exchange;
@@ -46,11 +47,14 @@
         });
         let mut answer = match self.send_to_node(forward, last_event).await {
             Ok(answer) => answer,
+            Err(CallError::Body(_)) => return Err(Code::CallerLeft.into()),
             Err(fault) => {
                 let (end, forward_end) = match fault {
                     CallError::NotSent(_) => (End::NotSent, ForwardEnd::NotSent),
                     CallError::Lost(_) => (End::Lost, ForwardEnd::Lost),
-                    CallError::Late | CallError::Withdrawn => (End::Late, ForwardEnd::Answered),
+                    CallError::Late | CallError::Withdrawn | CallError::Body(_) => {
+                        (End::Late, ForwardEnd::Answered)
+                    }
                 };
                 let is_retried = self.end_forward(node, forward_end, end, &fault.to_string());
                 return match is_retried {
@@ -113,10 +117,8 @@
         let call = shell
             .upstream
             .call(now, &target, forward.node, request, || true);
-        match shell.timeout_at(self.admitted.deadline, call).await {
-            Ok(sent) => sent,
-            Err(_) => Err(CallError::Late),
-        }
+        let sent = shell.timeout_at(self.admitted.deadline, call).await;
+        self.to_caller_fault(sent.unwrap_or(Err(CallError::Late)))
     }
 
     /// Reports the end of a forwarded request to the dispatcher. Returns whether it is tried again.
--- a/crates/gateway/src/serve/payload.rs
+++ b/crates/gateway/src/serve/payload.rs
@@ -1,6 +1,9 @@
 //! Request bodies. A short body is buffered and can be sent again; a long one is streamed
 //! in bounded memory and can be sent only once.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -26,6 +29,7 @@
     rest: Option<Rest>,
     is_streamed: bool,
     reservation: Option<Reservation>,
+    fault: Rc<Cell<Option<Code>>>,
 }
 
 /// The part of a long body that has not been read.
@@ -69,6 +73,7 @@
                 rest: None,
                 is_streamed: false,
                 reservation: None,
+                fault: Rc::default(),
             });
         }
         let max_buffered = MAX_BUFFERED_BYTES.min(max_size.0);
@@ -93,7 +98,7 @@
                     }
                 }
             }
-            let length = reading.len() as u64;
+            let length = reading.arrived() as u64;
             if length > max_size.0 {
                 return Err(Code::BodyTooLarge);
             }
@@ -109,6 +114,7 @@
             buffered: buffered.freeze(),
             rest,
             reservation: Some(reservation),
+            fault: Rc::default(),
         })
     }
 
@@ -127,6 +133,7 @@
             beginning: Some(std::mem::take(&mut self.buffered)),
             reservation: self.reservation.take(),
             rest,
+            fault: self.fault.clone(),
         };
         let frames = futures_util::stream::unfold(sending, |mut sending| async move {
             let data = sending.next_data().await?;
@@ -135,6 +142,11 @@
         Box::pin(StreamBody::new(frames))
     }
 
+    /// Returns what was wrong with the rest of a streamed body, if that was found while it was sent.
+    pub fn fault_opt(&self) -> Option<Code> {
+        self.fault.get()
+    }
+
     /// The whole body if it is buffered, or at most the first [`MAX_BUFFERED_BYTES`] bytes of
     /// a long one; empty once a long one was sent.
     pub fn buffered_prefix(&self) -> &[u8] {
@@ -173,6 +185,7 @@
     /// The memory that the beginning takes, until more is sent.
     reservation: Option<Reservation>,
     rest: Rest,
+    fault: Rc<Cell<Option<Code>>>,
 }
 
 impl Sending {
@@ -182,6 +195,9 @@
         }
         self.reservation = None;
         let data = self.rest.next_data().await?;
-        Some(data.map_err(|code| anyhow::anyhow!("{code}")))
+        Some(data.map_err(|code| {
+            self.fault.set(Some(code));
+            anyhow::anyhow!("{code}")
+        }))
     }
 }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::JoinHandle;
 use woadstage_dispatch::endpoint::Instance;
+use woadstage_types::code::Code;
 use woadstage_types::unit::Time;
 
 mod connect;
@@ -34,6 +35,8 @@
     Lost(String),
     /// The time limit of the request passed before a response began.
     Late,
+    /// The caller's body was faulty or too long. The endpoint has received its beginning.
+    Body(Code),
     /// No byte of the request was written, as it must not be sent there any more.
     Withdrawn,
 }
@@ -43,6 +46,7 @@
         match self {
             CallError::NotSent(detail) | CallError::Lost(detail) => f.write_str(detail),
             CallError::Late => f.write_str("no response in time"),
+            CallError::Body(code) => write!(f, "the caller's body: {code}"),
             CallError::Withdrawn => f.write_str("withdrawn before it was sent"),
         }
     }
--- a/crates/gateway/tests/gateway/body_memory.rs
+++ b/crates/gateway/tests/gateway/body_memory.rs
@@ -9,7 +9,12 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use crate::support::Action;
+use crate::support::Caller;
+use crate::support::Gateway;
 use crate::support::KEY;
+use crate::support::Worker;
+use crate::support::answer;
 use crate::support::run;
 use crate::support::serving;
 
@@ -82,6 +87,35 @@
     chunk.repeat(length / 0x8000)
 }
 
+/// Guards against callers' faulty bodies that are taken for failures of the endpoint.
+#[rstest]
+#[case::no_chunk(chunks(300 << 10) + "zz\r\n")]
+#[case::over_the_limit(chunks(5 << 20))]
+fn an_endpoint_is_not_charged_with_a_faulty_body(#[case] body: String) {
+    run(|| async move {
+        let fine = Action::Answer(answer("200 OK", "fine"));
+        let worker = Worker::start("e", vec![fine]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        for number in 0..4 {
+            let mut caller = Caller::connect(&gateway).await;
+            let head = format!(
+                "POST /repeatable/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: faulty-{number}\r\ntransfer-encoding: chunked\r\n\r\n"
+            );
+            // The gateway may close the connection before all was sent.
+            let _ = tokio::time::timeout(Duration::from_secs(5), caller.try_send(&(head + &body)))
+                .await;
+            caller.read_to_end().await;
+        }
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("sound", "/repeatable/x", "body").await;
+        assert_eq!(caller.answer().await.status, 200);
+        gateway.wait_for_line(&["answered", "sound"]).await;
+        let lines = gateway.lines.text();
+        assert!(!lines.contains("\"end\":\"lost\""), "{lines}");
+    });
+}
+
 /// The limits of the default configuration.
 const MAX_BODY: usize = 4 << 20;
 const MAX_HEAD: usize = 16 << 10;
--- a/crates/gateway/tests/gateway/support/caller.rs
+++ b/crates/gateway/tests/gateway/support/caller.rs
@@ -60,6 +60,11 @@
             .expect("the gateway accepts data");
     }
 
+    /// Sends raw text. Returns whether the gateway accepted all of it.
+    pub async fn try_send(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     /// Sends a request with a valid key and an id.
     pub async fn request(&mut self, id: &str, path: &str, body: &str) {
         let length = body.len();
