fix: work that costs a peer little and a node much has a pace

Beside 400 clients that send requests ahead and read nothing, ordinary first tries took 1.2 s at the median (67 of 70) or got 503 W2002 (73 of 153 with stops beside), both beside load; 900 bodies in chunks of one byte took 0.9 of a core of each node.

Cause: a node does at once what a connection asks for, as long as more has arrived. Pieces of bodies of at most 64 bytes, and requests that were read together with the one before, now have a pace that all peers share.

Limits of connections follow from the descriptors that the host allows if the settings name none or more, and connections to endpoints at rest have a limit: 2,870 descriptors were fewer than the sum of limits by default.

--- a/crates/gateway/src/connections/mod.rs
+++ b/crates/gateway/src/connections/mod.rs
@@ -4,10 +4,12 @@
 //! * [`capacity`]: shares a node's memory and descriptors among its listeners.
 //! * [`registry`]: counts the connections of one listener and chooses which one is closed.
 //! * [`listen`]: opens listeners with bounded socket buffers.
+//! * [`pace`]: spreads work over time.
 //! * [`stream`]: a connection that tells its registry how far it is.
 
 pub mod capacity;
 pub mod listen;
+pub mod pace;
 pub mod registry;
 pub mod stream;
 
--- a/crates/gateway/src/connections/registry.rs
+++ b/crates/gateway/src/connections/registry.rs
@@ -13,6 +13,8 @@
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
+use super::pace::Pace;
+
 /// The limits of one listener's connections.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
@@ -22,6 +24,9 @@
     pub active: usize,
     /// The maximum number of connections whose peers do not read what was sent to them.
     pub stalled: usize,
+    /// The requests a second, and as many at once, that all peers together may send ahead of the answers
+    /// to earlier ones.
+    pub requests_ahead_per_s: u64,
 }
 
 impl Default for Limits {
@@ -30,6 +35,7 @@
             open: 1_024,
             active: 512,
             stalled: 64,
+            requests_ahead_per_s: 512,
         }
     }
 }
@@ -208,15 +214,18 @@
 
 /// The open connections of one listener.
 #[derive(Debug, Clone)]
-pub struct Registry(Rc<RefCell<Inner>>);
+pub struct Registry(Rc<RefCell<Inner>>, Rc<Pace>);
 
 impl Registry {
     /// Creates a registry without connections.
     pub fn new(limits: Limits) -> Registry {
-        Registry(Rc::new(RefCell::new(Inner {
+        let per_s = limits.requests_ahead_per_s;
+        let pace = Pace::new(per_s, per_s);
+        let inner = Inner {
             limits,
             ..Inner::default()
-        })))
+        };
+        Registry(Rc::new(RefCell::new(inner)), Rc::new(pace))
     }
 
     /// Counts a new connection, and closes another one if they are too many now. `None` if there is
@@ -257,6 +266,11 @@
         }
     }
 
+    /// Returns how many requests waited since they were sent ahead.
+    pub fn delayed(&self) -> u64 {
+        self.1.delayed()
+    }
+
     /// Returns the number of open connections.
     pub fn open(&self) -> usize {
         self.0.borrow().open
@@ -295,6 +309,15 @@
         self.0.entry.state.get()
     }
 
+    /// Records that a request begins. Returns how long it has to wait if it was sent ahead of the answer
+    /// to the one before.
+    pub fn begin_request(&self, now: Time) -> Option<Span> {
+        let is_ahead = self.state() == State::Idle;
+        self.set_state(now, State::Body);
+        let pace = &self.0.registry.1;
+        is_ahead.then(|| pace.record(now, 1)).flatten()
+    }
+
     /// Records how far the connection is.
     pub fn set_state(&self, now: Time, state: State) {
         let entry = &self.0.entry;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -89,6 +89,8 @@
     pub connections: IntGaugeVec,
     /// The number of such connections that this node closed, by listener and reason.
     pub closed_connections: IntGaugeVec,
+    /// How often something that a peer asked for was delayed, by what it was.
+    pub delayed: IntGaugeVec,
     /// The memory that request bodies take, in bytes.
     pub body_memory: IntGauge,
     /// The number of bodies that gave way to others while they arrived.
@@ -172,6 +174,12 @@
         );
         let closed_connections = IntGaugeVec::new(closed_connections, &["listener", "reason"])?;
         registry.register(Box::new(closed_connections.clone()))?;
+        let delayed = Opts::new(
+            "woadstage_delayed",
+            "How often small pieces of bodies and requests sent ahead were delayed.",
+        );
+        let delayed = IntGaugeVec::new(delayed, &["what"])?;
+        registry.register(Box::new(delayed.clone()))?;
         Ok(Metrics {
             answer_time: histogram(
                 "woadstage_answer_seconds",
@@ -304,6 +312,7 @@
             sent_bytes,
             connections,
             closed_connections,
+            delayed,
             body_memory: gauge("woadstage_body_memory_bytes", "Memory taken by bodies.")?,
             bodies_cut: gauge(
                 "woadstage_bodies_cut",
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -1,6 +1,7 @@
 //! Serves the readiness page for the platform and the metrics page for operators.
 
 use std::convert::Infallible;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 use woadstage_types::unit::Time;
 
 use crate::clock::Clock;
+use crate::clock::to_duration;
 use crate::connections::Reason;
 use crate::connections::Registry;
 use crate::connections::State;
@@ -89,15 +91,10 @@
         switch.clone(),
         tracker.clone(),
     );
+    let page = Rc::new(page);
     let answered = tracker.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        answered.set_state(clock.now(), State::Busy);
-        answered.set_served();
-        let (status, text) = page(request.uri().path());
-        let mut response = Response::new(Full::new(Bytes::from(text)));
-        *response.status_mut() = status;
-        answered.set_state(clock.now(), State::Idle);
-        async move { Ok::<_, Infallible>(response) }
+        answer(request, clock.clone(), answered.clone(), page.clone())
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -111,6 +108,24 @@
     }
 }
 
+async fn answer(
+    request: Request<Incoming>,
+    clock: Clock,
+    tracker: Tracker,
+    page: Rc<impl Fn(&str) -> Page>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    if let Some(wait) = tracker.begin_request(clock.now()) {
+        tokio::time::sleep(to_duration(wait)).await;
+    }
+    tracker.set_state(clock.now(), State::Busy);
+    tracker.set_served();
+    let (status, text) = page(request.uri().path());
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    tracker.set_state(clock.now(), State::Idle);
+    Ok(response)
+}
+
 /// Returns the page that shows whether the node is ready for callers, or "not found" for any path
 /// but `ready_path`.
 pub fn readiness(shell: &Shell, path: &str, ready_path: &str) -> Page {
@@ -195,6 +210,16 @@
         .set(shell.log.dropped_lines() as i64);
     metrics.body_memory.set(shell.body_memory.used().0 as i64);
     metrics.bodies_cut.set(shell.body_memory.gave_way() as i64);
+    let delayed = |what, times: u64| {
+        let delayed = metrics.delayed.with_label_values(&[what]);
+        delayed.set(times as i64);
+    };
+    delayed("small-pieces", shell.piece_rate.delayed());
+    let ahead = shell
+        .registries
+        .named()
+        .map(|(_, registry)| registry.delayed());
+    delayed("requests-ahead", ahead.iter().sum());
     for (listener, registry) in shell.registries.named() {
         let open = metrics.connections.with_label_values(&[listener]);
         open.set(registry.open() as i64);
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 //! * `admit.rs`: finds a request's route, customer and deadline.
 //! * `payload.rs`: reads and sends request bodies.
 //! * [`body_memory`]: the memory for them.
+//! * [`piece_rate`]: limits how many small pieces of them are read.
 //! * `closing.rs`: limits requests during a planned stop.
 //! * `charge.rs`: charges requests to their customer's quota.
 //! * `fingerprint.rs`: computes fingerprints of requests.
@@ -65,6 +66,7 @@
 mod outgoing;
 mod parse_notice;
 mod payload;
+pub mod piece_rate;
 mod progress;
 pub(crate) mod record;
 mod relay;
@@ -229,7 +231,7 @@
     sender: Sender,
     peer: Handle,
 ) -> Result<Response<Body>, Infallible> {
-    let progress = Progress::begin(shell.clock.clone(), peer.tracker.clone());
+    let progress = Progress::begin(shell.clock.clone(), peer.tracker.clone()).await;
     let mut response = match sender {
         Sender::Caller => handle::serve(shell.clone(), request, peer).await,
         Sender::Node => handle::serve_forwarded(shell.clone(), request, peer).await,
--- a/crates/gateway/src/serve/payload.rs
+++ b/crates/gateway/src/serve/payload.rs
@@ -16,6 +16,10 @@
 use woadstage_types::unit::Time;
 
 use super::body_memory::Reservation;
+use super::piece_rate::PieceRate;
+use super::piece_rate::SmallPieces;
+use crate::clock::Clock;
+use crate::clock::to_duration;
 use crate::shell::Shell;
 use crate::upstream::Body;
 
@@ -37,6 +41,9 @@
     body: Incoming,
     /// The most bytes that may follow.
     max_bytes: u64,
+    pieces: SmallPieces,
+    clock: Clock,
+    piece_rate: Rc<PieceRate>,
 }
 
 impl Payload {
@@ -83,6 +90,7 @@
         };
         let reading = shell.body_memory.begin(shell.now());
         let mut rest = None;
+        let mut pieces = SmallPieces::default();
         loop {
             let frame = tokio::select! {
                 biased;
@@ -93,8 +101,16 @@
                 None => break,
                 Some(Err(_)) => return Err(Code::BodyCutOff),
                 Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        reading.append(shell.now(), &data, max_reserved)?;
+                    let data = frame.into_data().unwrap_or_default();
+                    reading.append(shell.now(), &data, max_reserved)?;
+                    let wait = shell
+                        .piece_rate
+                        .record(shell.now(), &mut pieces, data.len());
+                    if let Some(wait) = wait {
+                        tokio::select! {
+                            () = tokio::time::sleep(to_duration(wait)) => {}
+                            () = reading.gives_way() => return Err(Code::NodeBusy),
+                        }
                     }
                 }
             }
@@ -104,7 +120,13 @@
             }
             if length > max_buffered {
                 let max_bytes = max_size.0 - length;
-                rest = Some(Rest { body, max_bytes });
+                rest = Some(Rest {
+                    body,
+                    max_bytes,
+                    pieces,
+                    clock: shell.clock.clone(),
+                    piece_rate: shell.piece_rate.clone(),
+                });
                 break;
             }
         }
@@ -174,6 +196,11 @@
                 return Some(Err(Code::BodyTooLarge));
             };
             self.max_bytes = left;
+            let rate = &self.piece_rate;
+            let wait = rate.record(self.clock.now(), &mut self.pieces, data.len());
+            if let Some(wait) = wait {
+                tokio::time::sleep(to_duration(wait)).await;
+            }
             return Some(Ok(data));
         }
     }
--- a/crates/gateway/src/serve/progress.rs
+++ b/crates/gateway/src/serve/progress.rs
@@ -11,6 +11,7 @@
 use hyper::body::SizeHint;
 
 use crate::clock::Clock;
+use crate::clock::to_duration;
 use crate::connections::State;
 use crate::connections::Tracker;
 use crate::upstream::Body;
@@ -22,9 +23,11 @@
 }
 
 impl Progress {
-    /// Begins a request.
-    pub fn begin(clock: Clock, tracker: Tracker) -> Progress {
-        tracker.set_state(clock.now(), State::Body);
+    /// Begins a request. One that was sent ahead of the answer to the one before may have to wait.
+    pub async fn begin(clock: Clock, tracker: Tracker) -> Progress {
+        if let Some(wait) = tracker.begin_request(clock.now()) {
+            tokio::time::sleep(to_duration(wait)).await;
+        }
         Progress { clock, tracker }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -15,6 +15,7 @@
 
 use crate::connections::Capacity;
 use crate::connections::Limits;
+use crate::connections::capacity::descriptor_limit;
 use crate::headers::Headers;
 use crate::policy;
 use crate::policy::take_number;
@@ -33,7 +34,7 @@
     pub stop_within: Span,
     /// The memory that the process may use.
     pub memory: Size,
-    /// The number of descriptors that the process may have.
+    /// The number of descriptors that the process may have: at most as many as the host allows.
     pub descriptors: usize,
     /// The connections that it holds at most.
     pub capacity: Capacity,
@@ -75,8 +76,7 @@
 /// The default of [`Settings::heartbeat`].
 const DEFAULT_HEARTBEAT: Span = Span::from_millis(1_200);
 
-/// The default of [`Settings::descriptors`], and the smallest number that is accepted.
-const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// The smallest number of descriptors that is accepted.
 const MIN_DESCRIPTORS: usize = 512;
 
 /// The smallest memory limit that is accepted.
@@ -99,7 +99,8 @@
     let mut policy = reader.take_table("policy");
     let mut headers = reader.take_table("headers");
     let memory = node.take_or("memory", Size::from_mib(128));
-    let descriptors = node.take_or("descriptors", DEFAULT_DESCRIPTORS);
+    let descriptors = node.take_opt::<usize>("descriptors");
+    let descriptors = descriptors.unwrap_or(usize::MAX).min(descriptor_limit());
     let settings = Settings {
         host: id::Host::new(&read_name(&mut node, "host")),
         data_centre: id::DataCentre::new(&read_name(&mut node, "data_centre")),
@@ -191,20 +192,33 @@
         }
         value
     };
+    let ahead = defaults.callers.requests_ahead_per_s as usize;
+    let requests_ahead_per_s = take("requests_ahead_per_s", ahead) as u64;
+    let small_pieces = take("small_pieces_per_s", defaults.small_pieces_per_s as usize);
     Capacity {
         callers: Limits {
             open: take("callers", defaults.callers.open),
             active: take("callers_active", defaults.callers.active),
             stalled: take("callers_unread", defaults.callers.stalled),
+            requests_ahead_per_s,
         },
-        operators: Limits {
-            open: take("operators", defaults.operators.open),
-            ..defaults.operators
+        ready: Limits {
+            open: take("ready", defaults.ready.open),
+            requests_ahead_per_s,
+            ..defaults.ready
+        },
+        metrics: Limits {
+            open: take("metrics", defaults.metrics.open),
+            requests_ahead_per_s,
+            ..defaults.metrics
         },
         nodes: Limits {
             open: take("nodes", defaults.nodes.open),
+            requests_ahead_per_s,
             ..defaults.nodes
         },
+        idle_endpoints: take("idle_endpoints", defaults.idle_endpoints),
+        small_pieces_per_s: small_pieces as u64,
     }
 }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -40,6 +40,7 @@
 use crate::peers::reservations::Reservations;
 use crate::peers::transfer;
 use crate::serve::body_memory::BodyMemory;
+use crate::serve::piece_rate::PieceRate;
 use crate::upstream::Target;
 use crate::upstream::Upstream;
 
@@ -74,8 +75,8 @@
     fn new(capacity: Capacity) -> Registries {
         Registries {
             callers: Registry::new(capacity.callers),
-            ready: Registry::new(capacity.operators.clone()),
-            metrics: Registry::new(capacity.operators),
+            ready: Registry::new(capacity.ready),
+            metrics: Registry::new(capacity.metrics),
             nodes: Registry::new(capacity.nodes),
         }
     }
@@ -105,6 +106,8 @@
     pub upstream: Upstream,
     /// The memory for request bodies.
     pub body_memory: BodyMemory,
+    /// The limit on small pieces of request bodies.
+    pub piece_rate: Rc<PieceRate>,
     /// The connections that others opened to this node.
     pub registries: Registries,
     /// The number of open connections that callers opened before [`Phase::Closing`].
@@ -165,8 +168,9 @@
             headers,
             log,
             metrics,
-            upstream: Upstream::default(),
+            upstream: Upstream::new(capacity.idle_endpoints),
             body_memory: BodyMemory::new(Size(memory.0 / BODY_MEMORY_DIVISOR)),
+            piece_rate: Rc::new(PieceRate::new(capacity.small_pieces_per_s)),
             registries: Registries::new(capacity),
             connections: Cell::new(0),
             late_connections: Cell::new(0),
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -91,8 +91,9 @@
 }
 
 /// The pool of idle connections, and the endpoints that are being probed.
-#[derive(Default)]
 pub struct Upstream {
+    /// The maximum number of idle connections.
+    max_idle: usize,
     idle: RefCell<HashMap<Target, Vec<Idle>>>,
     /// The number of probes in progress.
     probes: Cell<usize>,
@@ -105,6 +106,15 @@
 const MAX_REUSE_ATTEMPTS: usize = 3;
 
 impl Upstream {
+    /// Creates a pool that holds at most this number of connections.
+    pub fn new(max_idle: usize) -> Upstream {
+        Upstream {
+            max_idle,
+            idle: RefCell::default(),
+            probes: Cell::default(),
+        }
+    }
+
     /// Sends a request to an endpoint or node and waits for the head of its response. `may_send` is
     /// asked right before the request is written, since opening a connection takes time.
     ///
--- a/crates/gateway/src/upstream/reuse.rs
+++ b/crates/gateway/src/upstream/reuse.rs
@@ -44,7 +44,8 @@
     }
 
     /// Adds a connection returned by [`into_reusable`] to the pool for at most `keep_alive`. Closes
-    /// the oldest ones to the same endpoint so that, with this one, at most `max_idle` remain. The
+    /// the oldest ones to the same endpoint so that, with this one, at most `max_idle` remain, or this
+    /// one if there are too many to all endpoints. The
     /// expiry counts suspensions of this host, since the endpoint's keep-alive timeout continues
     /// during them.
     pub fn add_idle(
@@ -56,6 +57,9 @@
         max_idle: usize,
     ) {
         let mut pool = self.idle.borrow_mut();
+        if pool.values().map(Vec::len).sum::<usize>() >= self.max_idle {
+            return;
+        }
         let idle = pool.entry(target).or_default();
         let max_before = max_idle.clamp(1, MAX_IDLE_PER_ENDPOINT) - 1;
         let excess = idle.len().saturating_sub(max_before);
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -17,6 +17,7 @@
 use woadstage_gateway::connections::Registry;
 use woadstage_gateway::connections::State;
 use woadstage_gateway::connections::listen;
+use woadstage_gateway::connections::pace::Pace;
 use woadstage_gateway::operators;
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
@@ -35,6 +36,7 @@
     open: 4,
     active: 3,
     stalled: 2,
+    requests_ahead_per_s: 2,
 };
 
 /// Returns the reason for which a connection was closed, if it was.
@@ -120,6 +122,35 @@
     assert_eq!(closed(&trackers[1]), None);
 }
 
+/// Guards against requests sent ahead and tiny chunks that keep other callers waiting.
+#[test]
+fn work_beyond_the_pace_waits() {
+    let pace = Pace::new(1_000, 2);
+    let waits = [(); 4].map(|()| pace.record(NOW, 1));
+    let ms = |millis| Some(Span::from_millis(millis));
+    assert_eq!(waits, [None, None, ms(1), ms(2)]);
+    assert_eq!(pace.record(NOW + Span::from_secs(1), 1), None);
+    assert_eq!(pace.delayed(), 2);
+}
+
+/// Guards against a limit on requests ahead that meets callers who wait for their answers.
+#[test]
+fn only_requests_ahead_wait() {
+    let registry = Registry::new(LIMITS);
+    let tracker = registry.try_open(NOW).expect("it is below the limit");
+    let mut begin = |is_ahead: bool| {
+        if !is_ahead {
+            tracker.set_state(NOW, State::Head);
+        }
+        let wait = tracker.begin_request(NOW);
+        tracker.set_state(NOW, State::Busy);
+        tracker.set_state(NOW, State::Idle);
+        wait.is_some()
+    };
+    let waits = [false, true, true, true, false, false].map(&mut begin);
+    assert_eq!(waits, [false, false, false, true, false, false]);
+}
+
 /// Guards against crowds that hold all connections, so that callers time out.
 #[rstest]
 #[case::silent("")]
