fix: refusals reach callers that are still sending their bodies

A caller whose body was refused while it was still sending found its connection reset and got no answer, and no promise that its request had not run: a connection that is closed with bytes unread is reset.

Such an answer now says that the connection closes, and the node drops what still arrives for a second and a megabyte at most, also on the hop between nodes. 503 W2010 says when to come back.

--- a/crates/gateway/src/connections/stream.rs
+++ b/crates/gateway/src/connections/stream.rs
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 struct Settings {
     is_set: Cell<bool>,
+    lingers: Cell<bool>,
     deadline: Cell<Option<Instant>>,
     default_patience: Duration,
     patience: Cell<Duration>,
@@ -46,6 +47,7 @@
     pub fn new(patience: Duration) -> Switch {
         Switch(Rc::new(Settings {
             is_set: Cell::new(false),
+            lingers: Cell::new(false),
             deadline: Cell::new(None),
             default_patience: patience,
             patience: Cell::new(patience),
@@ -57,6 +59,13 @@
         self.0.is_set.set(true);
     }
 
+    /// Decides whether what still arrives when the connection is closed is read and dropped for some
+    /// time. Closing a connection with unread bytes resets it, and the answer to a peer that is still
+    /// sending would be lost.
+    pub fn set_lingers(&self, lingers: bool) {
+        self.0.lingers.set(lingers);
+    }
+
     /// Resets the connection if its peer still lets writes wait at this time; `None` for no such time.
     pub fn set_deadline(&self, deadline: Option<Instant>) {
         self.0.deadline.set(deadline);
@@ -69,6 +78,19 @@
     }
 }
 
+/// How long a peer may go on sending after the answer, and how much.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+const MAX_LINGER_BYTES: usize = 1 << 20;
+
+/// The size of the buffer for what is dropped.
+const LINGER_BUFFER_BYTES: usize = 4 << 10;
+
+/// A connection that is being closed while its peer is still sending.
+struct Lingering {
+    timer: Pin<Box<Sleep>>,
+    dropped_bytes: usize,
+}
+
 /// A connection that was accepted.
 pub struct Stream {
     stream: TcpStream,
@@ -81,6 +103,7 @@
     stalled_since: Option<Instant>,
     /// Runs while a write waits.
     timer: Option<Pin<Box<Sleep>>>,
+    lingering: Option<Lingering>,
 }
 
 impl Stream {
@@ -101,9 +124,31 @@
             tracker,
             stalled_since: None,
             timer: None,
+            lingering: None,
         }
     }
 
+    /// Reads and drops what arrives, until the peer closes or has had its time.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let lingering = self.lingering.get_or_insert_with(|| Lingering {
+            timer: Box::pin(tokio::time::sleep(LINGER_TIME)),
+            dropped_bytes: 0,
+        });
+        if lingering.timer.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        let mut bytes = [0; LINGER_BUFFER_BYTES];
+        while lingering.dropped_bytes < MAX_LINGER_BYTES {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
+            if buffer.filled().is_empty() {
+                break;
+            }
+            lingering.dropped_bytes += buffer.filled().len();
+        }
+        Poll::Ready(Ok(()))
+    }
+
     /// Records the outcome of a write, and fails one that waits for too long.
     fn follow_write(
         &mut self,
@@ -207,6 +252,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.lingering.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        }
+        match self.switch.0.lingers.get() {
+            true => self.poll_linger(context),
+            false => Poll::Ready(Ok(())),
+        }
     }
 }
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -6,7 +6,9 @@
 
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use woadstage_dispatch::configuration::Limits;
@@ -58,13 +60,18 @@
     connection: Handle,
 ) -> Response<Body> {
     let arrived = shell.now();
+    connection.switch.set_lingers(false);
     shell.wait_until_current().await;
     let (head, body) = request.into_parts();
     let table = admission_table(&shell, &head, arrived).await;
     let admitted = admit::admit(table.as_deref(), &shell.headers, &head, arrived);
     let admitted = match admitted {
         Ok(admitted) => admitted,
-        Err(code) => return reject(&shell, &head, arrived, code),
+        Err(code) => {
+            // The server closes the connection unless the rest of the body has arrived already.
+            connection.switch.set_lingers(!body.is_end_stream());
+            return reject(&shell, &head, arrived, code);
+        }
     };
     let fields = reserve_fields(&shell, &head);
     let payload = match &fields {
@@ -73,11 +80,14 @@
     };
     connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell, admitted, head);
-    exchange.reset = Some(connection.switch);
+    exchange.reset = Some(connection.switch.clone());
     exchange.fields = fields.unwrap_or_default();
     match payload {
         Ok(payload) => exchange.set_payload(payload),
-        Err(code) => return exchange.refuse(code.into()),
+        Err(code) => {
+            let reply = to_body_refusal(&exchange, code);
+            return close_after(exchange.refuse(reply), &connection);
+        }
     }
     // The request is refused only after its body was read: closing a connection with unread
     // bytes resets it, and the reply would be lost.
@@ -96,6 +106,34 @@
     }
 }
 
+/// Closes the connection after an answer to a request whose body was not read. The caller may still be
+/// sending it.
+fn close_after(mut response: Response<Body>, connection: &Handle) -> Response<Body> {
+    connection.switch.set_lingers(true);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
+/// The delay after which a caller may retry if there was no memory for its body: the retry probably
+/// reaches another node.
+const MEMORY_RETRY_DELAY: Span = Span::from_millis(100);
+
+/// Returns the refusal of a request whose body was not read.
+fn to_body_refusal(exchange: &Exchange, code: Code) -> Reply {
+    let admitted = &exchange.admitted;
+    let retry_after = (code == Code::NodeBusy).then(|| {
+        exchange.shell.query(|dispatcher, now| {
+            let remaining = admitted.caller_deadline.since(now);
+            dispatcher.retry_after(now, MEMORY_RETRY_DELAY, remaining)
+        })
+    });
+    Reply {
+        retry_after,
+        ..code.into()
+    }
+}
+
 /// The maximum number of forwarded requests in progress, each of which takes two connections.
 const MAX_FORWARDED: usize = 512;
 
@@ -135,10 +173,11 @@
     };
     connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell.clone(), admitted, head);
-    exchange.reset = Some(connection.switch);
+    exchange.reset = Some(connection.switch.clone());
     exchange.fields = fields.unwrap_or_default();
     exchange.hop = hop;
     exchange.in_progress = Some(in_progress);
+    let is_body_read = payload.is_ok();
     let reply = match payload {
         Ok(payload) => {
             exchange.set_payload(payload);
@@ -154,7 +193,10 @@
     };
     let mut response = exchange.refuse(reply);
     state_reply(&shell, &mut response, reply);
-    response
+    match is_body_read {
+        true => response,
+        false => close_after(response, &connection),
+    }
 }
 
 /// How long the body of a forwarded request that is refused may take.
--- a/crates/gateway/tests/gateway/body_memory.rs
+++ b/crates/gateway/tests/gateway/body_memory.rs
@@ -81,6 +81,29 @@
     });
 }
 
+/// Guards against answers that are lost, since their callers are still sending.
+#[rstest]
+#[case::too_long("/once/x", 413)]
+#[case::no_route("/none/x", 404)]
+fn a_caller_that_is_still_sending_gets_its_answer(#[case] path: &'static str, #[case] status: u16) {
+    run(move || async move {
+        let (_worker, _gateway, mut caller) = serving().await;
+        caller
+            .send(&format!(
+                "POST {path} HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: i\r\ncontent-length: {}\r\n\r\n",
+                5 << 20
+            ))
+            .await;
+        for _ in 0..4 {
+            caller.send(&"b".repeat(100 << 10)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let response = caller.answer().await;
+        assert_eq!(response.status, status, "{response:?}");
+    });
+}
+
 /// Returns a body in chunks.
 fn chunks(length: usize) -> String {
     let chunk = format!("8000\r\n{}\r\n", "b".repeat(0x8000));
