--- a/crates/gateway/src/connections/registry.rs
+++ b/crates/gateway/src/connections/registry.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// How long a peer has to read nothing until its connection may be closed for that.
+const MIN_STALL: Span = Span::from_millis(500);
+
 /// How far a connection is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -106,8 +109,8 @@
     /// Its place in [`Inner::silent`] or [`Inner::waiting`].
     turn: Cell<Turn>,
     since: Cell<Time>,
-    /// Its place in [`Inner::stalled`], while its peer reads nothing.
-    stalled: Cell<Option<Turn>>,
+    /// Its place in [`Inner::stalled`], while its peer reads nothing, and since when it does not.
+    stalled: Cell<Option<(Turn, Time)>>,
     closed: Cell<Option<Reason>>,
     notify: Notify,
 }
@@ -186,11 +189,27 @@
     }
 
     fn clear_stall(&mut self, entry: &Entry) {
-        if let Some(turn) = entry.stalled.take() {
+        if let Some((turn, _)) = entry.stalled.take() {
             self.stalled.remove(&turn);
         }
     }
 
+    /// Closes the connections that have stalled for longest, as far as they are too many. A link that is
+    /// full for a moment stalls many.
+    fn close_excess_stalled(&mut self, now: Time) {
+        while self.stalled.len() > self.limits.stalled {
+            let longest = self.stalled.values().next().cloned();
+            let is_due = |entry: &Rc<Entry>| {
+                let since = entry.stalled.get().map_or(now, |(_, since)| since);
+                now.since(since) >= MIN_STALL
+            };
+            let Some(longest) = longest.filter(is_due) else {
+                return;
+            };
+            self.close(&longest, Reason::TooManyStalled);
+        }
+    }
+
     /// Closes a connection that has buffers, if one may be closed. Returns whether it did.
     fn close_active(&mut self) -> bool {
         let Some((_, entry)) = self.waiting.first_key_value() else {
@@ -254,9 +273,11 @@
         })))
     }
 
-    /// Closes the connections on which a part of a head arrived longer than `timeout` ago.
-    pub fn close_late_heads(&self, now: Time, timeout: Span) {
+    /// Closes the connections on which a part of a head arrived longer than `timeout` ago, and those on
+    /// which too many peers read nothing.
+    pub fn close_late(&self, now: Time, timeout: Span) {
         let mut inner = self.0.borrow_mut();
+        inner.close_excess_stalled(now);
         let late = |entry: &&Rc<Entry>| {
             entry.state.get() == State::Head && now.since(entry.since.get()) > timeout
         };
@@ -349,8 +370,8 @@
     }
 
     /// Records whether the peer leaves unread what is written to it. If too many do, the one that has
-    /// done so for longest is closed.
-    pub fn set_stalled(&self, is_stalled: bool) {
+    /// done so for longest is closed, unless all have begun to just now.
+    pub fn set_stalled(&self, now: Time, is_stalled: bool) {
         let entry = &self.0.entry;
         if entry.stalled.get().is_some() == is_stalled || entry.closed.get().is_some() {
             return;
@@ -361,13 +382,9 @@
             return;
         }
         let turn = inner.next_turn();
-        entry.stalled.set(Some(turn));
+        entry.stalled.set(Some((turn, now)));
         inner.stalled.insert(turn, entry.clone());
-        if inner.stalled.len() > inner.limits.stalled
-            && let Some(longest) = inner.stalled.values().next().cloned()
-        {
-            inner.close(&longest, Reason::TooManyStalled);
-        }
+        inner.close_excess_stalled(now);
     }
 
     /// Records that the connection is closed because its peer reads nothing.
--- a/crates/gateway/src/connections/stream.rs
+++ b/crates/gateway/src/connections/stream.rs
@@ -160,14 +160,14 @@
         }
         if self.stalled_since.take().is_some() {
             self.timer = None;
-            self.tracker.set_stalled(false);
+            self.tracker.set_stalled(self.clock.now(), false);
         }
         written
     }
 
     fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let since = *self.stalled_since.get_or_insert_with(Instant::now);
-        self.tracker.set_stalled(true);
+        self.tracker.set_stalled(self.clock.now(), true);
         let settings = &self.switch.0;
         let until = since + settings.patience.get();
         let deadline = settings
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -68,13 +68,14 @@
     tracker: Tracker,
     page: impl Fn(&str) -> Page + 'static,
 ) {
-    tokio::select! {
-        Ok(Ok(())) = tokio::time::timeout(TIMEOUT, stream.readable()) => {}
-        _ = tracker.closed() => return,
-        else => return,
+    let arrived = tokio::select! {
+        arrived = tokio::time::timeout(TIMEOUT, stream.readable()) => matches!(arrived, Ok(Ok(()))),
+        _ = tracker.closed() => false,
+    };
+    if arrived {
+        // Boxed, so that the task takes little memory until then.
+        Box::pin(serve_requests(stream, clock, tracker, page)).await;
     }
-    // Boxed, so that the task takes little memory until then.
-    Box::pin(serve_requests(stream, clock, tracker, page)).await;
 }
 
 async fn serve_requests(
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -313,7 +313,7 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         shell.upstream.remove_expired(shell.now());
-        shell.close_late_heads();
+        shell.close_late_connections();
         log_closed_connections(&shell, &mut closed);
         let total = shell.log.dropped_lines();
         if total > left_out {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -126,11 +126,13 @@
     let _ = stream.set_nodelay(true);
     let idle_timeout = limits(&shell).idle_timeout;
     // Until something arrives, the connection takes no buffers.
-    let arrived = tokio::time::timeout(to_duration(idle_timeout), stream.readable());
-    tokio::select! {
-        Ok(Ok(())) = arrived => {}
-        _ = tracker.closed() => return decline(stream),
-        else => return,
+    let arriving = tokio::time::timeout(to_duration(idle_timeout), stream.readable());
+    let arrived = tokio::select! {
+        arrived = arriving => matches!(arrived, Ok(Ok(()))),
+        _ = tracker.closed() => false,
+    };
+    if !arrived {
+        return decline(stream);
     }
     // Boxed, so that the task takes little memory until then.
     let serving = serve_connection(shell, stream, Bytes::new(), tracker, Sender::Caller);
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -319,15 +319,16 @@
                 .try_accept_connection(self.now())
     }
 
-    /// Closes the connections on which the head of a request takes too long.
-    pub fn close_late_heads(&self) {
+    /// Closes the connections on which the head of a request takes too long, and those on which too many
+    /// peers read nothing.
+    pub fn close_late_connections(&self) {
         let timeout = self.query(|dispatcher, _| {
             let configuration = dispatcher.configuration();
             let limits = configuration.map(|active| active.limits.clone());
             limits.unwrap_or_default().head_timeout
         });
         for registry in [&self.registries.callers, &self.registries.nodes] {
-            registry.close_late_heads(self.now(), timeout);
+            registry.close_late(self.now(), timeout);
         }
     }
 
