fix: a connection takes no buffers until something arrives

A node held 37 MiB beside 13,500 silent clients that it should hold without buffers. Cause: a socket is reported as readable once without cause, so that the server library took each connection over at once, with 16 KiB of buffers. The first bytes are read before that now.

--- a/crates/gateway/src/connections/stream.rs
+++ b/crates/gateway/src/connections/stream.rs
@@ -16,6 +16,7 @@
 
 use bytes::Buf;
 use bytes::Bytes;
+use bytes::BytesMut;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -78,6 +79,26 @@
     }
 }
 
+/// The most bytes that are read before a connection gets its buffers.
+const MAX_FIRST_BYTES: usize = 1 << 10;
+
+/// Waits for the first bytes of a connection, for at most `timeout`. `None` if none arrive.
+pub async fn read_first(stream: &TcpStream, timeout: Duration) -> Option<Bytes> {
+    let reading = async {
+        loop {
+            stream.readable().await?;
+            let mut bytes = BytesMut::with_capacity(MAX_FIRST_BYTES);
+            match stream.try_read_buf(&mut bytes) {
+                // A socket may be reported as readable without cause.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => return read.map(|_| bytes.freeze()),
+            }
+        }
+    };
+    let read = tokio::time::timeout(timeout, reading).await;
+    read.ok()?.ok().filter(|bytes| !bytes.is_empty())
+}
+
 /// How long a peer may go on sending after the answer, and how much.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 const MAX_LINGER_BYTES: usize = 1 << 20;
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -27,6 +27,7 @@
 use crate::connections::Stream;
 use crate::connections::Tracker;
 use crate::connections::stream::Switch;
+use crate::connections::stream::read_first;
 use crate::shell::Shell;
 
 /// The status and text of a page.
@@ -68,18 +69,19 @@
     tracker: Tracker,
     page: impl Fn(&str) -> Page + 'static,
 ) {
-    let arrived = tokio::select! {
-        arrived = tokio::time::timeout(TIMEOUT, stream.readable()) => matches!(arrived, Ok(Ok(()))),
-        _ = tracker.closed() => false,
+    let first = tokio::select! {
+        first = read_first(&stream, TIMEOUT) => first,
+        _ = tracker.closed() => None,
     };
-    if arrived {
+    if let Some(first) = first {
         // Boxed, so that the task takes little memory until then.
-        Box::pin(serve_requests(stream, clock, tracker, page)).await;
+        Box::pin(serve_requests(stream, first, clock, tracker, page)).await;
     }
 }
 
 async fn serve_requests(
     stream: TcpStream,
+    first: Bytes,
     clock: Clock,
     tracker: Tracker,
     page: impl Fn(&str) -> Page + 'static,
@@ -87,7 +89,7 @@
     let switch = Switch::new(TIMEOUT);
     let stream = Stream::new(
         stream,
-        Bytes::new(),
+        first,
         clock.clone(),
         switch.clone(),
         tracker.clone(),
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -47,6 +47,7 @@
 use crate::connections::Stream;
 use crate::connections::Tracker;
 use crate::connections::stream::Switch;
+use crate::connections::stream::read_first;
 use crate::shell::Phase;
 use crate::shell::Shell;
 use crate::upstream::Body;
@@ -126,16 +127,15 @@
     let _ = stream.set_nodelay(true);
     let idle_timeout = limits(&shell).idle_timeout;
     // Until something arrives, the connection takes no buffers.
-    let arriving = tokio::time::timeout(to_duration(idle_timeout), stream.readable());
-    let arrived = tokio::select! {
-        arrived = arriving => matches!(arrived, Ok(Ok(()))),
-        _ = tracker.closed() => false,
+    let first = tokio::select! {
+        first = read_first(&stream, to_duration(idle_timeout)) => first,
+        _ = tracker.closed() => None,
     };
-    if !arrived {
+    let Some(first) = first else {
         return decline(stream);
-    }
+    };
     // Boxed, so that the task takes little memory until then.
-    let serving = serve_connection(shell, stream, Bytes::new(), tracker, Sender::Caller);
+    let serving = serve_connection(shell, stream, first, tracker, Sender::Caller);
     Box::pin(serving).await;
 }
 
