--- a/crates/gateway/src/connections/registry.rs
+++ b/crates/gateway/src/connections/registry.rs
@@ -233,24 +233,30 @@
 
 /// The open connections of one listener.
 #[derive(Debug, Clone)]
-pub struct Registry(Rc<RefCell<Inner>>, Rc<Pace>);
+pub struct Registry {
+    inner: Rc<RefCell<Inner>>,
+    /// The pace of requests that are sent ahead.
+    ahead: Rc<Pace>,
+}
 
 impl Registry {
     /// Creates a registry without connections.
     pub fn new(limits: Limits) -> Registry {
         let per_s = limits.requests_ahead_per_s;
-        let pace = Pace::new(per_s, per_s);
         let inner = Inner {
             limits,
             ..Inner::default()
         };
-        Registry(Rc::new(RefCell::new(inner)), Rc::new(pace))
+        Registry {
+            inner: Rc::new(RefCell::new(inner)),
+            ahead: Rc::new(Pace::new(per_s, per_s)),
+        }
     }
 
     /// Counts a new connection, and closes another one if they are too many now. `None` if there is
     /// none that may be closed.
     pub fn try_open(&self, now: Time) -> Option<Tracker> {
-        let mut inner = self.0.borrow_mut();
+        let mut inner = self.inner.borrow_mut();
         if inner.open >= inner.limits.open && !inner.close_any() {
             *inner.closed.entry(Reason::TooMany).or_default() += 1;
             return None;
@@ -276,7 +282,7 @@
     /// Closes the connections on which a part of a head arrived longer than `timeout` ago, and those on
     /// which too many peers read nothing.
     pub fn close_late(&self, now: Time, timeout: Span) {
-        let mut inner = self.0.borrow_mut();
+        let mut inner = self.inner.borrow_mut();
         inner.close_excess_stalled(now);
         let late = |entry: &&Rc<Entry>| {
             entry.state.get() == State::Head && now.since(entry.since.get()) > timeout
@@ -289,17 +295,22 @@
 
     /// Returns how many requests waited since they were sent ahead.
     pub fn delayed(&self) -> u64 {
-        self.1.delayed()
+        self.ahead.delayed()
     }
 
     /// Returns the number of open connections.
     pub fn open(&self) -> usize {
-        self.0.borrow().open
+        self.inner.borrow().open
     }
 
     /// Returns the number of connections closed so far, by reason.
     pub fn closed(&self, reason: Reason) -> u64 {
-        self.0.borrow().closed.get(&reason).copied().unwrap_or(0)
+        self.inner
+            .borrow()
+            .closed
+            .get(&reason)
+            .copied()
+            .unwrap_or(0)
     }
 }
 
@@ -311,7 +322,7 @@
 
 impl Drop for Tracked {
     fn drop(&mut self) {
-        let mut inner = self.registry.0.borrow_mut();
+        let mut inner = self.registry.inner.borrow_mut();
         inner.remove(&self.entry);
         inner.clear_stall(&self.entry);
         if self.entry.closed.get().is_none() {
@@ -335,7 +346,7 @@
     pub fn begin_request(&self, now: Time) -> Option<Span> {
         let is_ahead = self.state() == State::Idle;
         self.set_state(now, State::Body);
-        let pace = &self.0.registry.1;
+        let pace = &self.0.registry.ahead;
         is_ahead.then(|| pace.record(now, 1)).flatten()
     }
 
@@ -346,7 +357,7 @@
         if before == state || entry.closed.get().is_some() {
             return;
         }
-        let mut inner = self.0.registry.0.borrow_mut();
+        let mut inner = self.0.registry.inner.borrow_mut();
         inner.remove(entry);
         entry.state.set(state);
         entry.since.set(now);
@@ -376,7 +387,7 @@
         if entry.stalled.get().is_some() == is_stalled || entry.closed.get().is_some() {
             return;
         }
-        let mut inner = self.0.registry.0.borrow_mut();
+        let mut inner = self.0.registry.inner.borrow_mut();
         if !is_stalled {
             inner.clear_stall(entry);
             return;
@@ -389,7 +400,7 @@
 
     /// Records that the connection is closed because its peer reads nothing.
     pub fn record_stall_timeout(&self) {
-        let mut inner = self.0.registry.0.borrow_mut();
+        let mut inner = self.0.registry.inner.borrow_mut();
         inner.close(&self.0.entry, Reason::Stalled);
     }
 
