--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -76,7 +76,8 @@
 /// The default of [`Settings::heartbeat`].
 const DEFAULT_HEARTBEAT: Span = Span::from_millis(1_200);
 
-/// The smallest number of descriptors that is accepted.
+/// The default of [`Settings::descriptors`], and the smallest number that is accepted.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
 const MIN_DESCRIPTORS: usize = 512;
 
 /// The smallest memory limit that is accepted.
@@ -99,8 +100,8 @@
     let mut policy = reader.take_table("policy");
     let mut headers = reader.take_table("headers");
     let memory = node.take_or("memory", Size::from_mib(128));
-    let descriptors = node.take_opt::<usize>("descriptors");
-    let descriptors = descriptors.unwrap_or(usize::MAX).min(descriptor_limit());
+    let descriptors = node.take_or("descriptors", DEFAULT_DESCRIPTORS);
+    let descriptors = descriptors.min(descriptor_limit());
     let settings = Settings {
         host: id::Host::new(&read_name(&mut node, "host")),
         data_centre: id::DataCentre::new(&read_name(&mut node, "data_centre")),
