fix: a host that allows few descriptors is no fault of the settings

A node on a host that allows fewer than 512 descriptors ended at its start with W5002 for node.descriptors, although the file did not name it: the check looked at the lower of the file's number and the host's. It looks at the file's now; limits of connections follow from the lower one as before.

'woadstage check' of the same file under 'ulimit -n 256': exit 1 with W5002 before, 0 now.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -101,6 +101,9 @@
     let mut headers = reader.take_table("headers");
     let memory = node.take_or("memory", Size::from_mib(128));
     let descriptors = node.take_or("descriptors", DEFAULT_DESCRIPTORS);
+    if descriptors < MIN_DESCRIPTORS {
+        node.add_fault("descriptors", Code::SettingsValue, "Give at least 512.");
+    }
     let descriptors = descriptors.min(descriptor_limit());
     let settings = Settings {
         host: id::Host::new(&read_name(&mut node, "host")),
@@ -127,9 +130,6 @@
     if settings.memory < MIN_MEMORY {
         node.add_fault("memory", Code::SettingsValue, "Give at least 32MiB.");
     }
-    if settings.descriptors < MIN_DESCRIPTORS {
-        node.add_fault("descriptors", Code::SettingsValue, "Give at least 512.");
-    }
     let mut faults = reader.finish();
     let tables = [
         node,
