--- a/crates/gateway/src/connections/capacity.rs
+++ b/crates/gateway/src/connections/capacity.rs
@@ -5,12 +5,14 @@
 use woadstage_types::unit::Size;
 
 use super::registry::Limits;
+use super::registry::REQUESTS_AHEAD_PER_S;
 
 /// The descriptors that are kept for files, listeners and calls to the platform.
 const RESERVED_DESCRIPTORS: usize = 264;
 
-/// Of a hundred other descriptors, those that callers' connections may take, and of these the ones that
-/// have sent something: each request in progress needs another descriptor for its endpoint.
+/// Of a hundred other descriptors, those that callers' connections may take, and those that callers'
+/// connections which have sent something may take: each request in progress needs another descriptor
+/// for its endpoint.
 const CALLERS_PERCENT: usize = 45;
 const ACTIVE_CALLERS_PERCENT: usize = 25;
 
@@ -19,9 +21,6 @@
 const NODES_PERCENT: usize = 10;
 const IDLE_ENDPOINTS_PERCENT: usize = 20;
 
-/// The requests a second that peers of a listener may send ahead of the answers to earlier ones.
-const REQUESTS_AHEAD_PER_S: u64 = 512;
-
 /// The small pieces of bodies that are read in a second.
 const SMALL_PIECES_PER_S: u64 = 8_192;
 
@@ -55,7 +54,7 @@
 const STALLED_SIZE: Size = Size::from_kib(160);
 
 /// The connections that a node holds at most, and how fast it does what they ask for.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Capacity {
     /// Those of callers.
     pub callers: Limits,
--- a/crates/gateway/src/connections/listen.rs
+++ b/crates/gateway/src/connections/listen.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -11,6 +12,10 @@
 /// The number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// The pause after a failed accept. The usual cause is a lack of file descriptors, which other
+/// connections free when they close.
+pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Opens a listener. The kernel doubles the sizes for its own needs.
 ///
 /// # Errors
--- a/crates/gateway/src/connections/pace.rs
+++ b/crates/gateway/src/connections/pace.rs
@@ -27,13 +27,13 @@
         }
     }
 
-    /// Records that it is done once. Returns how long whoever asked for it has to wait, if at least as
-    /// long as `turns` times take.
-    pub fn record(&self, now: Time, turns: u64) -> Option<Span> {
+    /// Records that it is done once. Returns how long whoever asked for it has to wait, unless that is
+    /// shorter than `min_intervals` intervals: each wait costs something.
+    pub fn record(&self, now: Time, min_intervals: u64) -> Option<Span> {
         let paid_at = self.paid_at.get().max(now) + self.interval;
         self.paid_at.set(paid_at);
         let wait = paid_at.since(now).0.checked_sub(self.burst.0)?;
-        if wait < turns * self.interval.0 {
+        if wait < min_intervals * self.interval.0 {
             return None;
         }
         self.delayed.set(self.delayed.get() + 1);
--- a/crates/gateway/src/connections/registry.rs
+++ b/crates/gateway/src/connections/registry.rs
@@ -15,6 +15,9 @@
 
 use super::pace::Pace;
 
+/// The default of [`Limits::requests_ahead_per_s`].
+pub const REQUESTS_AHEAD_PER_S: u64 = 512;
+
 /// The limits of one listener's connections.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
@@ -35,7 +38,7 @@
             open: 1_024,
             active: 512,
             stalled: 64,
-            requests_ahead_per_s: 512,
+            requests_ahead_per_s: REQUESTS_AHEAD_PER_S,
         }
     }
 }
@@ -91,7 +94,7 @@
     }
 }
 
-/// A connection's number, in the order in which connections changed their state.
+/// Orders connections by when they last changed their state, or began to stall.
 type Turn = u64;
 
 /// What may be closed for a new connection; the least is closed first.
@@ -293,7 +296,7 @@
         }
     }
 
-    /// Returns how many requests waited since they were sent ahead.
+    /// Returns how many requests had to wait, since they were sent ahead.
     pub fn delayed(&self) -> u64 {
         self.ahead.delayed()
     }
--- a/crates/gateway/src/connections/stream.rs
+++ b/crates/gateway/src/connections/stream.rs
@@ -82,8 +82,9 @@
 /// The most bytes that are read before a connection gets its buffers.
 const MAX_FIRST_BYTES: usize = 1 << 10;
 
-/// Waits for the first bytes of a connection, for at most `timeout`. `None` if none arrive.
-pub async fn read_first(stream: &TcpStream, timeout: Duration) -> Option<Bytes> {
+/// Waits for the first bytes of a connection, for at most `timeout`. `None` if none arrive, or if the
+/// connection has to be closed before.
+pub async fn read_first(stream: &TcpStream, timeout: Duration, tracker: &Tracker) -> Option<Bytes> {
     let reading = async {
         loop {
             stream.readable().await?;
@@ -95,7 +96,10 @@
             }
         }
     };
-    let read = tokio::time::timeout(timeout, reading).await;
+    let read = tokio::select! {
+        read = tokio::time::timeout(timeout, reading) => read,
+        _ = tracker.closed() => return None,
+    };
     read.ok()?.ok().filter(|bytes| !bytes.is_empty())
 }
 
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -26,6 +26,7 @@
 use crate::connections::State;
 use crate::connections::Stream;
 use crate::connections::Tracker;
+use crate::connections::listen::ACCEPT_RETRY_DELAY;
 use crate::connections::stream::Switch;
 use crate::connections::stream::read_first;
 use crate::shell::Shell;
@@ -40,10 +41,6 @@
 /// nothing.
 const TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The pause after a failed accept. The usual cause is a lack of file descriptors, which other
-/// connections free when they close.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Serves the pages that `page` returns for a path, on as many connections as `registry` allows.
 pub async fn serve(
     listener: TcpListener,
@@ -69,11 +66,7 @@
     tracker: Tracker,
     page: impl Fn(&str) -> Page + 'static,
 ) {
-    let first = tokio::select! {
-        first = read_first(&stream, TIMEOUT) => first,
-        _ = tracker.closed() => None,
-    };
-    if let Some(first) = first {
+    if let Some(first) = read_first(&stream, TIMEOUT, &tracker).await {
         // Boxed, so that the task takes little memory until then.
         Box::pin(serve_requests(stream, first, clock, tracker, page)).await;
     }
--- a/crates/gateway/src/peers/transfer/serve.rs
+++ b/crates/gateway/src/peers/transfer/serve.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -20,6 +19,7 @@
 use super::run_logged;
 use crate::connections::State;
 use crate::connections::Tracker;
+use crate::connections::listen::ACCEPT_RETRY_DELAY;
 use crate::peers::traffic::Kind;
 use crate::serve;
 use crate::shell::Shell;
@@ -33,10 +33,6 @@
 /// 20 Mbit/s. Whole lists, of 132 kB, go to a few nodes at a time, which then serve others.
 const MAX_BUSY_ENDPOINTS_BYTES: usize = 33 << 10;
 
-/// The pause after a failed accept. The usual cause is a lack of file descriptors, which other
-/// connections free when they close.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Serves the requests of connecting nodes, for as long as the process runs.
 pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
     loop {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -77,7 +77,7 @@
     /// Counts the request among those that other nodes forwarded to this one.
     pub in_progress: Option<hop::InProgress>,
     /// The memory that the fields of its head take, if they are many.
-    pub(super) fields: Option<Reservation>,
+    fields: Option<Reservation>,
     /// Resets the connection over which the request arrived.
     pub(super) reset: Option<Switch>,
     pub(super) head: Parts,
@@ -150,8 +150,9 @@
         }
     }
 
-    /// Sets the body, as far as it was read.
-    pub fn set_payload(&mut self, payload: Payload) {
+    /// Sets the body, as far as it was read, and the memory that the fields of the head take.
+    pub fn set_content(&mut self, fields: Option<Reservation>, payload: Payload) {
+        self.fields = fields;
         self.payload = Some(payload);
     }
 
--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -73,17 +73,12 @@
             return reject(&shell, &head, arrived, code);
         }
     };
-    let fields = reserve_fields(&shell, &head);
-    let payload = match &fields {
-        Ok(_) => Payload::read(&shell, body, admitted.max_body, admitted.deadline).await,
-        Err(code) => Err(*code),
-    };
+    let content = read_content(&shell, &head, body, admitted.max_body, admitted.deadline).await;
     connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell, admitted, head);
     exchange.reset = Some(connection.switch.clone());
-    exchange.fields = fields.unwrap_or_default();
-    match payload {
-        Ok(payload) => exchange.set_payload(payload),
+    match content {
+        Ok((fields, payload)) => exchange.set_content(fields, payload),
         Err(code) => {
             let reply = to_body_refusal(&exchange, code);
             return close_after(exchange.refuse(reply), &connection);
@@ -156,12 +151,8 @@
         Ok(admitted) => (admitted.max_body, admitted.deadline),
         Err(_) => (Limits::default().body, shell.now() + MAX_REFUSED_BODY_TIME),
     };
-    let fields = reserve_fields(&shell, &head);
     // As for callers, the body is read before any reply.
-    let payload = match &fields {
-        Ok(_) => Payload::read(&shell, body, max_body, deadline).await,
-        Err(code) => Err(*code),
-    };
+    let content = read_content(&shell, &head, body, max_body, deadline).await;
     let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(code) => {
@@ -174,13 +165,12 @@
     connection.tracker.set_state(shell.now(), State::Busy);
     let mut exchange = Exchange::new(shell.clone(), admitted, head);
     exchange.reset = Some(connection.switch.clone());
-    exchange.fields = fields.unwrap_or_default();
     exchange.hop = hop;
     exchange.in_progress = Some(in_progress);
-    let is_body_read = payload.is_ok();
-    let reply = match payload {
-        Ok(payload) => {
-            exchange.set_payload(payload);
+    let is_body_read = content.is_ok();
+    let reply = match content {
+        Ok((fields, payload)) => {
+            exchange.set_content(fields, payload);
             match run_forwarded(&mut exchange).await {
                 Ok(answer) => {
                     connection.tracker.set_served();
@@ -208,6 +198,22 @@
 /// The memory that a field of a head takes beside its bytes, here and in the request to an endpoint.
 const FIELD_SIZE: Size = Size(320);
 
+/// Reserves memory for the head, and reads the body as far as [`Payload::read`] does.
+///
+/// # Errors
+/// Returns the code of the reply as [`Payload::read`] does, or [`Code::NodeBusy`] for the head.
+async fn read_content(
+    shell: &Shell,
+    head: &Parts,
+    body: Incoming,
+    max_body: Size,
+    deadline: Time,
+) -> Result<(Option<Reservation>, Payload), Code> {
+    let fields = reserve_fields(shell, head)?;
+    let payload = Payload::read(shell, body, max_body, deadline).await?;
+    Ok((fields, payload))
+}
+
 /// Reserves memory for a head with many fields, which takes far more than the bytes that were sent.
 ///
 /// # Errors
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -39,13 +39,13 @@
 use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use woadstage_dispatch::configuration::Limits;
 
 use crate::clock::to_duration;
 use crate::connections::Handle;
 use crate::connections::Reason;
 use crate::connections::Stream;
 use crate::connections::Tracker;
+use crate::connections::listen::ACCEPT_RETRY_DELAY;
 use crate::connections::stream::Switch;
 use crate::connections::stream::read_first;
 use crate::shell::Phase;
@@ -95,8 +95,7 @@
         match accepted {
             Ok((stream, _)) if shell.try_accept_connection() => serve_caller(&shell, stream),
             Ok((stream, _)) => decline(stream),
-            // The usual cause is a lack of file descriptors: wait for connections to close.
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
     // Connections left in the backlog would be reset.
@@ -125,12 +124,9 @@
 async fn serve_tracked_caller(shell: Rc<Shell>, stream: TcpStream, tracker: Tracker) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
-    let idle_timeout = limits(&shell).idle_timeout;
+    let idle_timeout = shell.limits().idle_timeout;
     // Until something arrives, the connection takes no buffers.
-    let first = tokio::select! {
-        first = read_first(&stream, to_duration(idle_timeout)) => first,
-        _ = tracker.closed() => None,
-    };
+    let first = read_first(&stream, to_duration(idle_timeout), &tracker).await;
     let Some(first) = first else {
         return decline(stream);
     };
@@ -155,14 +151,6 @@
     Node,
 }
 
-/// Returns the limits of the configuration in force.
-fn limits(shell: &Shell) -> Limits {
-    shell.query(|dispatcher, _| {
-        let configuration = dispatcher.configuration();
-        configuration.map_or_else(Limits::default, |active| active.limits.clone())
-    })
-}
-
 async fn serve_connection(
     shell: Rc<Shell>,
     stream: TcpStream,
@@ -170,7 +158,7 @@
     tracker: Tracker,
     sender: Sender,
 ) {
-    let limits = limits(&shell);
+    let limits = shell.limits();
     let is_closing = shell.phase() >= Phase::Closing;
     // hyper applies this timeout to the idle time between requests, too.
     let head_timeout = if is_closing {
--- a/crates/gateway/src/serve/piece_rate.rs
+++ b/crates/gateway/src/serve/piece_rate.rs
@@ -12,7 +12,7 @@
 /// The small pieces that all bodies together may have at once.
 const BURST: u64 = 256 << 10;
 
-/// The pieces for which a body waits at once, since each wait costs something.
+/// The least number of pieces for which a body waits at once.
 const PIECES_PER_WAIT: u64 = 64;
 
 /// The small pieces of each body that are not limited.
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use woadstage_clock::Elapsed;
+use woadstage_dispatch::configuration::Limits;
 use woadstage_dispatch::dispatcher::Decision;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::ForwardEnd;
@@ -322,16 +323,20 @@
     /// Closes the connections on which the head of a request takes too long, and those on which too many
     /// peers read nothing.
     pub fn close_late_connections(&self) {
-        let timeout = self.query(|dispatcher, _| {
-            let configuration = dispatcher.configuration();
-            let limits = configuration.map(|active| active.limits.clone());
-            limits.unwrap_or_default().head_timeout
-        });
+        let timeout = self.limits().head_timeout;
         for registry in [&self.registries.callers, &self.registries.nodes] {
             registry.close_late(self.now(), timeout);
         }
     }
 
+    /// Returns the limits of the configuration in force.
+    pub fn limits(&self) -> Limits {
+        self.query(|dispatcher, _| {
+            let configuration = dispatcher.configuration();
+            configuration.map_or_else(Limits::default, |active| active.limits.clone())
+        })
+    }
+
     /// Queues a request and returns a receiver of its decision.
     pub fn enter(&self, job: Job) -> (job::Id, oneshot::Receiver<Decision>) {
         self.observe();
