test: gateway tests of two processes at the same time use networks of their own

Both started nodes at the same fixed addresses.

Each process now takes the first loopback network in which it can hold a port.

--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -126,6 +127,18 @@
     }
 }
 
+/// The second part of the addresses of this process's nodes. Their ports are fixed, so that test
+/// processes at the same time need networks of their own; each holds a port in its own.
+static NETWORK: LazyLock<(u8, std::net::TcpListener)> = LazyLock::new(|| {
+    let mut networks = 64..=127;
+    let free = networks.find_map(|network| {
+        let held =
+            std::net::TcpListener::bind((Ipv4Addr::new(127, network, 255, 1), 7_000)).ok()?;
+        Some((network, held))
+    });
+    free.expect("a loopback network that no other test process uses")
+});
+
 /// Numbers the fleets of a process, which get loopback networks of their own.
 static NEXT_FLEET: std::sync::atomic::AtomicU8 = std::sync::atomic::AtomicU8::new(1);
 
@@ -147,7 +160,7 @@
     let fleet = NEXT_FLEET.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let mut nodes = Vec::new();
     for number in 1..=count {
-        let ip = Ipv4Addr::new(127, 77, fleet, number);
+        let ip = Ipv4Addr::new(127, NETWORK.0, fleet, number);
         nodes.push(start_node(ip, workers, &configuration).await);
     }
     for node in &nodes {
