--- a/crates/gateway/src/connections/capacity.rs
+++ b/crates/gateway/src/connections/capacity.rs
@@ -21,6 +21,13 @@
 const NODES_PERCENT: usize = 10;
 const IDLE_ENDPOINTS_PERCENT: usize = 20;
 
+/// Request bodies may take the node's memory divided by this.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+
+/// The size of each buffer of callers' sockets, and of those to endpoints.
+const CALLERS_BUFFER: Size = Size::from_kib(16);
+const ENDPOINTS_BUFFER: Size = Size::from_kib(32);
+
 /// The small pieces of bodies that are read in a second.
 const SMALL_PIECES_PER_S: u64 = 8_192;
 
@@ -53,7 +60,8 @@
 /// What an answer that is not read takes at most, here and at the connection to its endpoint.
 const STALLED_SIZE: Size = Size::from_kib(160);
 
-/// The connections that a node holds at most, and how fast it does what they ask for.
+/// The connections that a node holds at most, what they may take, and how fast it does what they ask
+/// for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Capacity {
     /// Those of callers.
@@ -66,6 +74,12 @@
     pub nodes: Limits,
     /// Those to endpoints and other nodes that are at rest.
     pub idle_endpoints: usize,
+    /// The memory for request bodies.
+    pub body_memory: Size,
+    /// The size of each buffer of callers' sockets.
+    pub callers_buffer: Size,
+    /// The size of each buffer of sockets to endpoints and other nodes.
+    pub endpoints_buffer: Size,
     /// The small pieces of callers' bodies that are read in a second.
     pub small_pieces_per_s: u64,
 }
@@ -90,6 +104,9 @@
             metrics: METRICS,
             nodes: limits(percent(NODES_PERCENT), percent(NODES_PERCENT)),
             idle_endpoints: percent(IDLE_ENDPOINTS_PERCENT),
+            body_memory: Size(memory.0 / BODY_MEMORY_DIVISOR),
+            callers_buffer: CALLERS_BUFFER,
+            endpoints_buffer: ENDPOINTS_BUFFER,
             small_pieces_per_s: SMALL_PIECES_PER_S,
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -64,8 +64,7 @@
 /// The interval of closing idle connections to endpoints and of reporting dropped log lines.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The size of the buffers of callers' connections, and of those at the readiness and metrics address.
-const CALLER_BUFFER: Size = Size::from_kib(16);
+/// The size of the buffers of connections at the readiness and metrics address.
 const OPERATOR_BUFFER: Size = Size::from_kib(4);
 
 /// The size of the buffers of other nodes' connections, over which documents are sent.
@@ -89,7 +88,6 @@
         dispatcher,
         settings.headers.clone(),
         Clock::start(),
-        settings.memory,
         settings.capacity.clone(),
         log,
         Metrics::new()?,
@@ -106,7 +104,7 @@
     let transfers = open(settings.peers, PEER_BUFFER)?;
     let ready = open(settings.ready, OPERATOR_BUFFER)?;
     let metrics = open(settings.metrics, OPERATOR_BUFFER)?;
-    let callers = open(settings.callers, CALLER_BUFFER)?;
+    let callers = open(settings.callers, settings.capacity.callers_buffer)?;
     let (feed, source) = source::channel();
     let Source {
         updates,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -196,7 +196,7 @@
         let endpoint =
             endpoint.filter(|_| ending == Ending::Closed && self.reception.is_event_stream());
         match endpoint {
-            Some(endpoint) if probe::has_ended(endpoint).await => {
+            Some(endpoint) if probe::has_ended(&self.exchange.shell, endpoint).await => {
                 Ending::BrokenOff(Cause::SenderEnded)
             }
             _ => ending,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -80,6 +80,12 @@
 const DEFAULT_DESCRIPTORS: usize = 4_096;
 const MIN_DESCRIPTORS: usize = 512;
 
+/// The smallest memory for bodies that is accepted: two that are buffered.
+const MIN_BODY_MEMORY: Size = Size::from_kib(512);
+
+/// The smallest buffer of a socket that is accepted.
+const MIN_BUFFER: Size = Size::from_kib(4);
+
 /// The smallest memory limit that is accepted.
 const MIN_MEMORY: Size = Size::from_mib(32);
 
@@ -196,7 +202,7 @@
     let ahead = defaults.callers.requests_ahead_per_s as usize;
     let requests_ahead_per_s = take("requests_ahead_per_s", ahead) as u64;
     let small_pieces = take("small_pieces_per_s", defaults.small_pieces_per_s as usize);
-    Capacity {
+    let capacity = Capacity {
         callers: Limits {
             open: take("callers", defaults.callers.open),
             active: take("callers_active", defaults.callers.active),
@@ -220,6 +226,20 @@
         },
         idle_endpoints: take("idle_endpoints", defaults.idle_endpoints),
         small_pieces_per_s: small_pieces as u64,
+        ..defaults
+    };
+    let mut take_size = |field: &str, default: Size, min: Size| {
+        let size = table.take_or(field, default);
+        if size < min {
+            table.add_fault(field, Code::SettingsValue, format!("Give at least {min}."));
+        }
+        size
+    };
+    Capacity {
+        body_memory: take_size("body_memory", capacity.body_memory, MIN_BODY_MEMORY),
+        callers_buffer: take_size("callers_buffer", capacity.callers_buffer, MIN_BUFFER),
+        endpoints_buffer: take_size("endpoints_buffer", capacity.endpoints_buffer, MIN_BUFFER),
+        ..capacity
     }
 }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -25,7 +25,6 @@
 use woadstage_dispatch::notice;
 use woadstage_dispatch::pause;
 use woadstage_dispatch::start;
-use woadstage_types::unit::Size;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
 
@@ -148,16 +147,12 @@
 /// host does.
 const MIN_SUSPENSION: Span = Span::from_millis(50);
 
-/// Request bodies may take the node's memory divided by this.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-
 impl Shell {
     /// Creates the shared state of a node that is [`Phase::Serving`].
     pub fn new(
         dispatcher: Dispatcher,
         headers: Headers,
         clock: Clock,
-        memory: Size,
         capacity: Capacity,
         log: Log,
         metrics: Metrics,
@@ -169,8 +164,8 @@
             headers,
             log,
             metrics,
-            upstream: Upstream::new(capacity.idle_endpoints),
-            body_memory: BodyMemory::new(Size(memory.0 / BODY_MEMORY_DIVISOR)),
+            upstream: Upstream::new(capacity.idle_endpoints, capacity.endpoints_buffer),
+            body_memory: BodyMemory::new(capacity.body_memory),
             piece_rate: Rc::new(PieceRate::new(capacity.small_pieces_per_s)),
             registries: Registries::new(capacity),
             connections: Cell::new(0),
--- a/crates/gateway/src/upstream/connect.rs
+++ b/crates/gateway/src/upstream/connect.rs
@@ -22,16 +22,14 @@
 /// connection.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
-/// The size of each buffer of a connection's socket, in which answers wait whose callers do not read.
-const BUFFER: Size = Size::from_kib(32);
-
 /// The interval of TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Opens an HTTP/1 connection.
-pub async fn open(address: SocketAddrV4) -> anyhow::Result<Connection> {
+/// Opens an HTTP/1 connection. In the buffers of its socket, of size `buffer` each, answers wait whose
+/// callers do not read.
+pub async fn open(address: SocketAddrV4, buffer: Size) -> anyhow::Result<Connection> {
     let socket = TcpSocket::new_v4()?;
-    listen::bound_buffers(&socket, BUFFER, BUFFER);
+    listen::bound_buffers(&socket, buffer, buffer);
     let stream = socket.connect(address.into()).await?;
     set_socket_options(&stream)?;
     let handshake = http1::Builder::new()
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinHandle;
 use woadstage_dispatch::endpoint::Instance;
 use woadstage_types::code::Code;
+use woadstage_types::unit::Size;
 use woadstage_types::unit::Time;
 
 mod connect;
@@ -94,6 +95,8 @@
 pub struct Upstream {
     /// The maximum number of idle connections.
     max_idle: usize,
+    /// The size of each buffer of a connection's socket.
+    buffer: Size,
     idle: RefCell<HashMap<Target, Vec<Idle>>>,
     /// The number of probes in progress.
     probes: Cell<usize>,
@@ -106,15 +109,21 @@
 const MAX_REUSE_ATTEMPTS: usize = 3;
 
 impl Upstream {
-    /// Creates a pool that holds at most this number of connections.
-    pub fn new(max_idle: usize) -> Upstream {
+    /// Creates a pool that holds at most this number of connections, with buffers of this size each way.
+    pub fn new(max_idle: usize, buffer: Size) -> Upstream {
         Upstream {
             max_idle,
+            buffer,
             idle: RefCell::default(),
             probes: Cell::default(),
         }
     }
 
+    /// Opens a connection.
+    async fn open(&self, address: SocketAddrV4) -> anyhow::Result<Connection> {
+        connect::open(address, self.buffer).await
+    }
+
     /// Sends a request to an endpoint or node and waits for the head of its response. `may_send` is
     /// asked right before the request is written, since opening a connection takes time.
     ///
@@ -143,7 +152,7 @@
                 Err(SendError::Lost(detail)) => return Err(CallError::Lost(detail)),
             }
         }
-        let opening = tokio::time::timeout(CONNECT_TIMEOUT, connect::open(address));
+        let opening = tokio::time::timeout(CONNECT_TIMEOUT, self.open(address));
         let connection = match opening.await {
             Ok(Ok(connection)) => connection,
             Ok(Err(error)) => return Err(CallError::NotSent(format!("connect: {error}"))),
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -18,7 +18,6 @@
 use super::Connection;
 use super::Target;
 use super::Upstream;
-use super::connect;
 use super::reuse;
 use super::send;
 use crate::shell::Shell;
@@ -84,7 +83,7 @@
 }
 
 async fn run(shell: &Rc<Shell>, target: &ProbeTarget) -> Finding {
-    let opening = connect::open(target.endpoint.address);
+    let opening = shell.upstream.open(target.endpoint.address);
     match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
         Ok(Ok(connection)) => {
             shell.command(|dispatcher, now| dispatcher.record_connected(now, &target.endpoint));
@@ -104,8 +103,8 @@
 
 /// Whether an endpoint has ended: it refuses a new connection, or closes it at once, as one does that
 /// accepted it in its last moment.
-pub async fn has_ended(endpoint: &Endpoint) -> bool {
-    let opening = connect::open(endpoint.address);
+pub async fn has_ended(shell: &Shell, endpoint: &Endpoint) -> bool {
+    let opening = shell.upstream.open(endpoint.address);
     match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
         Ok(Ok(mut connection)) => is_closed(&mut connection).await,
         // A reset may arrive before the connection counts as open here.
--- a/crates/gateway/tests/gateway/ending.rs
+++ b/crates/gateway/tests/gateway/ending.rs
@@ -256,8 +256,12 @@
             address,
             ..to_endpoint(&worker)
         };
+        let gateway = Gateway::start(&[]).await;
         for number in 0..MAX_RESETS {
-            assert!(probe::has_ended(&endpoint).await, "{number}");
+            assert!(
+                probe::has_ended(&gateway.shell, &endpoint).await,
+                "{number}"
+            );
         }
     });
     resetting.join().expect("the thread ends");
--- a/crates/gateway/tests/gateway/settings.rs
+++ b/crates/gateway/tests/gateway/settings.rs
@@ -74,6 +74,16 @@
     "[connections]\ncallers = 0\n[retry]",
     "connections.callers"
 )]
+#[case::small_body_memory(
+    "[retry]",
+    "[connections]\nbody_memory = \"4KiB\"\n[retry]",
+    "connections.body_memory"
+)]
+#[case::tiny_buffer(
+    "[retry]",
+    "[connections]\ncallers_buffer = \"1KiB\"\n[retry]",
+    "connections.callers_buffer"
+)]
 #[case::invalid_seed("\"10.0.0.2:9000\"", "\"seed\"", "peers.seeds")]
 #[case::negative_overrun("overrun = 0.25", "overrun = -1", "quota.overrun")]
 #[case::text_for_a_number("extra = 58", "extra = \"many\"", "retry.extra")]
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -216,7 +216,6 @@
             Dispatcher::new(dispatcher_options()),
             headers(),
             clock,
-            MEMORY,
             capacity,
             log,
             metrics,
