fix: an answer whose head leaves the end of its body open is no success

Callers got 200 and a complete answer with another body than the endpoint's: the sizes and chunks as they stood on the wire where `Transfer-Encoding` was anything but one `chunked`, the first bytes where `Content-Length` stood beside chunks.

Cause: what ends a body was decided twice. The HTTP library reads to the end of the connection where it doesn't know the transfer coding, and prefers chunks to a length; `Framing::of` then looked at the names of the fields alone, took the former for chunks whose end was stated, and the length went on to the caller, who got as many bytes as it says. The library also decodes `gzip, chunked` and `chunked, chunked` as if they were `chunked`.

Change: `woadstage_body::framing` decides once, from the head and before a byte is passed on: no body, a length, chunks, the end of the connection, or an error (RFC 9112, 6.3). An attempt whose answer is invalid ends as one whose connection broke: it may have run, it goes out again only where the route allows, the failure promises nothing, and the connection is closed. A length goes to the caller as a single number, however the endpoint stated it.

Lines that are no field, blanks and control bytes in names, lengths that are no number, status 000 and broken chunks were handled before; their tests stay.

--- a/crates/body/src/ending.rs
+++ b/crates/body/src/ending.rs
@@ -7,45 +7,11 @@
 use std::fmt;
 
 use hyper::HeaderMap;
-use hyper::body::Body;
 use hyper::header;
 
 use crate::events::Progress;
 use crate::events::Scanner;
-
-/// What marks the end of a body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Framing {
-    /// Its length, which may be zero.
-    Length,
-    /// A last chunk.
-    Chunks,
-    /// The end of the connection.
-    Connection,
-}
-
-impl Framing {
-    /// Returns the framing of a body that was received with these header fields.
-    pub fn of(headers: &HeaderMap, body: &impl Body) -> Framing {
-        let has = |name| headers.contains_key(name);
-        if has(header::TRANSFER_ENCODING) {
-            Framing::Chunks
-        } else if has(header::CONTENT_LENGTH) || body.is_end_stream() {
-            Framing::Length
-        } else {
-            Framing::Connection
-        }
-    }
-
-    /// The name used in logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Framing::Length => "length",
-            Framing::Chunks => "chunks",
-            Framing::Connection => "connection",
-        }
-    }
-}
+use crate::framing::Framing;
 
 /// How a body ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -153,7 +119,7 @@
             return Ending::BrokenOff(Cause::InsideEvent);
         }
         match self.framing {
-            Framing::Length | Framing::Chunks => Ending::Stated,
+            Framing::Head | Framing::Length(_) | Framing::Chunks => Ending::Stated,
             Framing::Connection if self.scanner.is_some() && self.events == 0 => {
                 Ending::BrokenOff(Cause::NoEvent)
             }
--- a/crates/body/tests/body/main.rs
+++ b/crates/body/tests/body/main.rs
@@ -3,3 +3,4 @@
 mod collect;
 mod ending;
 mod events;
+mod framing;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use tokio::sync::oneshot;
 use woadstage_body::ending::Ending;
-use woadstage_body::ending::Framing;
+use woadstage_body::framing::Framing;
 use woadstage_dispatch::binding::Binding;
 use woadstage_dispatch::dispatcher::Admission;
 use woadstage_dispatch::dispatcher::Decision;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -17,8 +17,8 @@
 use woadstage_body::ending;
 use woadstage_body::ending::Cause;
 use woadstage_body::ending::Ending;
-use woadstage_body::ending::Framing;
 use woadstage_body::ending::Reception;
+use woadstage_body::framing::Framing;
 use woadstage_dispatch::configuration::Kind;
 use woadstage_dispatch::configuration::Route;
 use woadstage_dispatch::job::End;
@@ -63,14 +63,19 @@
 pub fn relay(exchange: Exchange, answer: Answer) -> Response<Body> {
     let Answer {
         response,
+        framing,
         connection,
     } = answer;
     let (mut head, incoming) = response.into_parts();
     let keep_alive = reuse::keep_alive_duration(&head.headers);
     let is_success = head.status.is_success();
     let is_stream = exchange.admitted.route.kind == Kind::Stream && is_success;
-    let reception = follow(&head.headers, &incoming, is_stream);
+    let reception = follow(framing, &head.headers, is_stream);
     outgoing::remove_hop_by_hop(&mut head.headers);
+    if let Framing::Length(length) = framing {
+        // The endpoint may have stated it several times.
+        head.headers.insert(header::CONTENT_LENGTH, length.into());
+    }
     // The endpoint's version must not choose the framing on the caller's connection.
     head.version = Version::HTTP_11;
     if let Some(reset) = &exchange.reset {
@@ -122,8 +127,7 @@
 
 /// Follows an answer with this head: as a stream of events if its content type says so, or if it
 /// states none and its route is one of streams.
-fn follow(headers: &HeaderMap, body: &Incoming, is_stream: bool) -> Reception {
-    let framing = Framing::of(headers, body);
+fn follow(framing: Framing, headers: &HeaderMap, is_stream: bool) -> Reception {
     let has_events = match headers.contains_key(header::CONTENT_TYPE) {
         true => ending::is_event_stream(headers),
         false => is_stream,
@@ -360,7 +364,7 @@
         }
         let headers = answer.response.headers();
         self.keep_alive = reuse::keep_alive_duration(headers);
-        self.reception = follow(headers, answer.response.body(), self.is_stream);
+        self.reception = follow(answer.framing, headers, self.is_stream);
         self.incoming = answer.response.into_body();
         self.connection = Some(answer.connection);
         true
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::JoinHandle;
+use woadstage_body::framing::Framing;
 use woadstage_dispatch::endpoint::Instance;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Size;
@@ -71,6 +72,8 @@
 pub struct Answer {
     /// The response.
     pub response: Response<Incoming>,
+    /// What marks the end of its body.
+    pub framing: Framing,
     /// The connection it arrives on.
     pub connection: Connection,
 }
@@ -177,12 +180,19 @@
     Lost(String),
 }
 
+/// Sends a request over a connection. A response of which the head can't be read or leaves open what
+/// ends the body counts as none.
 async fn send(mut connection: Connection, request: Request<Body>) -> Result<Answer, SendError> {
+    let method = request.method().clone();
     match connection.sender.try_send_request(request).await {
-        Ok(response) => Ok(Answer {
-            response,
-            connection,
-        }),
+        Ok(response) => match Framing::try_of(&method, &response) {
+            Ok(framing) => Ok(Answer {
+                response,
+                framing,
+                connection,
+            }),
+            Err(error) => Err(SendError::Lost(format!("invalid answer: {error}"))),
+        },
         Err(mut error) => Err(match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Lost(error.into_error().to_string()),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod bodies;
 mod body_memory;
+mod broken_answers;
 mod callers;
 mod catch_up;
 mod connections;
--- a/crates/gateway/tests/gateway/support/caller.rs
+++ b/crates/gateway/tests/gateway/support/caller.rs
@@ -1,6 +1,7 @@
 //! A caller that works on raw bytes.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -75,6 +76,16 @@
         .await;
     }
 
+    /// Like [`Caller::request`] without a body, with a timeout of the caller.
+    pub async fn request_within(&mut self, id: &str, path: &str, timeout: Duration) {
+        let timeout_ms = timeout.as_millis();
+        self.send(&format!(
+            "POST {path} HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+             woadstage-request: {id}\r\nwoadstage-timeout-ms: {timeout_ms}\r\ncontent-length: 0\r\n\r\n"
+        ))
+        .await;
+    }
+
     /// Sends a request of a stream, with a valid key, an id and the parts of its prompt.
     pub async fn prompt(&mut self, id: &str, path: &str, parts: &str) {
         self.send(&format!(
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -93,6 +93,19 @@
         name: &'static str,
         software: &'static str,
         script: Vec<Action>,
+    ) -> Worker {
+        Worker::start_scripted(name, software, Rc::new(RefCell::new(script.into()))).await
+    }
+
+    /// Starts another stand-in that takes its actions from the same script.
+    pub async fn start_beside(&self, name: &'static str) -> Worker {
+        Worker::start_scripted(name, self.software, self.script.clone()).await
+    }
+
+    async fn start_scripted(
+        name: &'static str,
+        software: &'static str,
+        script: Rc<RefCell<VecDeque<Action>>>,
     ) -> Worker {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
@@ -108,7 +121,7 @@
             connections: Rc::default(),
             flooded: Rc::default(),
             connection_closed: Rc::default(),
-            script: Rc::new(RefCell::new(script.into())),
+            script,
             crashed: Rc::new(watch::Sender::new(false)),
         };
         let stub = worker.clone();
--- a/crates/node/src/endpoints/call.rs
+++ b/crates/node/src/endpoints/call.rs
@@ -11,11 +11,11 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use woadstage_body::ending;
-use woadstage_body::ending::Framing;
 use woadstage_body::ending::Reception;
+use woadstage_body::framing;
+use woadstage_body::framing::Framing;
 use woadstage_core::node;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Size;
@@ -98,6 +98,7 @@
 
 async fn serve(client: &Client, call: &Call) -> Result<(node::Call, Option<Answer>), Failure> {
     let request = to_request(call).map_err(|_| Failure::REFUSED)?;
+    let method = request.method().clone();
     let http = if call.record > 0 {
         &client.unpooled
     } else {
@@ -108,6 +109,7 @@
         Err(error) if error.is_connect() => return Err(Failure::REFUSED),
         Err(_) => return Err(Failure::LOST),
     };
+    let framing = Framing::try_of(&method, &response).map_err(|_| Failure::LOST)?;
     let status = response.status().as_u16();
     if GATEWAY_ERROR_STATUSES.contains(&status) {
         let leaving = response.headers().contains_key(LEAVING_HEADER);
@@ -116,7 +118,7 @@
             ..Failure::LOST
         });
     }
-    relay(call, response).await
+    relay(call, response, framing).await
 }
 
 fn to_request(call: &Call) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
@@ -152,19 +154,14 @@
 }
 
 fn to_head(response: &Response<Incoming>) -> Head {
-    let text = |name| {
-        response
-            .headers()
-            .get(name)?
-            .to_str()
-            .ok()
-            .map(str::to_string)
-    };
+    let headers = response.headers();
+    let content_type = headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
     let status = response.status().as_u16();
     Head {
         status,
-        content_type: text(CONTENT_TYPE),
-        length: text(CONTENT_LENGTH).and_then(|text| text.parse().ok()),
+        content_type: content_type.map(str::to_owned),
+        length: framing::length_opt(headers).ok().flatten(),
         code: if status >= 500 {
             Code::EndpointFault
         } else {
@@ -177,10 +174,10 @@
 async fn relay(
     call: &Call,
     response: Response<Incoming>,
+    framing: Framing,
 ) -> Result<(node::Call, Option<Answer>), Failure> {
     let head = to_head(&response);
     let is_stream = ending::is_event_stream(response.headers());
-    let framing = Framing::of(response.headers(), response.body());
     let mut reception = Reception::new(framing, is_stream);
     let mut reader = Reader::new(is_stream);
     let mut body = response.into_body();
--- a/crates/node/src/endpoints/report.rs
+++ b/crates/node/src/endpoints/report.rs
@@ -7,8 +7,10 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::Method;
 use hyper::Request;
 use serde::Deserialize;
+use woadstage_body::framing::Framing;
 use woadstage_core::node::Event;
 use woadstage_types::id;
 
@@ -65,6 +67,7 @@
     let uri = format!("http://{address}{LOAD_PATH}");
     let request = Request::get(uri).body(Full::new(Bytes::new())).ok()?;
     let response = client.pooled.request(request).await.ok()?;
+    Framing::try_of(&Method::GET, &response).ok()?;
     let body = Limited::new(response.into_body(), MAX_REPORT_BYTES)
         .collect()
         .await
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -11,6 +11,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,6 +19,7 @@
 use serde::Deserialize;
 use spdlog::warn;
 use woadstage_body::Limits;
+use woadstage_body::framing::Framing;
 use woadstage_config::hosts;
 use woadstage_config::published::MAX_DOCUMENT_BYTES;
 use woadstage_core::node::Event;
@@ -98,6 +100,7 @@
         let request = Request::get(uri).body(Full::new(Bytes::new()))?;
         let timeout = to_duration(self.wait) + TIMEOUT_MARGIN;
         let answer = tokio::time::timeout(timeout, self.client.request(request)).await??;
+        Framing::try_of(&Method::GET, &answer)?;
         ensure!(
             answer.status().is_success(),
             "unexpected status {}",
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the frames between nodes, of reading usage and of relaying answers.
 
 mod answers;
+mod broken_answers;
 mod ending;
 
 use proptest::prelude::*;
