fix: an answer whose status is none of a final answer is no answer

Callers got answers with status 101, 600 and 999, with the endpoint's signature, as if they were final; requests that may be repeated were not tried elsewhere.

Cause: the HTTP library rejects statuses below 100 alone, and an answer was classified by what its status is not: neither an error of the server nor one that implies that nothing ran.

Change: only 200 to 599 makes an answer (RFC 9110, 15); others end the attempt like a broken connection. Nobody asks to switch protocols, so that 101 answers nothing.

--- a/crates/body/src/framing.rs
+++ b/crates/body/src/framing.rs
@@ -30,6 +30,8 @@
 /// Why an answer can't be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
+    /// The status is none of a final answer (RFC 9110, 15).
+    Status(StatusCode),
     /// The transfer coding is not `chunked` alone, or stated where it may not be.
     Coding(String),
     /// The length is no number, or several.
@@ -41,6 +43,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Error::Status(status) => write!(f, "invalid status {}", status.as_u16()),
             Error::Coding(coding) => write!(f, "invalid transfer coding {coding:?}"),
             Error::Length(length) => write!(f, "invalid content length {length:?}"),
             Error::LengthBesideCoding => f.write_str("content length beside a transfer coding"),
@@ -54,10 +57,14 @@
     /// Returns the framing of the answer to a request with this method.
     ///
     /// # Errors
-    /// If the head leaves open what ends the body. What follows the head is then not known to be the
-    /// body.
+    /// If the head leaves open what ends the body, or its status is none of a final answer. What
+    /// follows the head is then not known to be the body.
     pub fn try_of<B>(method: &Method, answer: &Response<B>) -> Result<Framing, Error> {
         let status = answer.status();
+        let is_final = (200..600).contains(&status.as_u16());
+        if !is_final {
+            return Err(Error::Status(status));
+        }
         let headers = answer.headers();
         let is_chunked = is_chunked(headers)?;
         let length = length_opt(headers)?;
--- a/crates/body/tests/body/framing.rs
+++ b/crates/body/tests/body/framing.rs
@@ -101,3 +101,11 @@
     *answer.status_mut() = StatusCode::from_u16(status).expect("a status");
     assert_eq!(Framing::try_of(&method, &answer), Ok(Framing::Head));
 }
+
+#[rstest]
+fn only_a_final_status_makes_an_answer(#[values(100, 101, 199, 600, 999)] status: u16) {
+    let mut answer = answer(&[(LENGTH, "42")]);
+    *answer.status_mut() = StatusCode::from_u16(status).expect("a status");
+    let framing = Framing::try_of(&Method::POST, &answer);
+    assert_eq!(framing, Err(Error::Status(answer.status())));
+}
--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -172,7 +172,19 @@
 /// Status lines without the status of a final answer (RFC 9110, 15).
 fn statuses() -> Vec<String> {
     let statuses = [
-        "000 None", "000", "001 None", "099 None", "2 OK", "20 OK", "2000 OK", "2x0 OK", "OK", "",
+        "000 None",
+        "000",
+        "001 None",
+        "099 None",
+        "101 Switching Protocols",
+        "600 None",
+        "999 None",
+        "2 OK",
+        "20 OK",
+        "2000 OK",
+        "2x0 OK",
+        "OK",
+        "",
         "-200 OK",
     ];
     let mut answers: Vec<String> = statuses.map(with_status).into();
--- a/crates/node/tests/node/broken_answers.rs
+++ b/crates/node/tests/node/broken_answers.rs
@@ -60,4 +60,5 @@
     no_field: "200 OK", "no field\r\ncontent-length: 4", "fine";
     blank_in_a_name: "200 OK", "na me: x\r\ncontent-length: 4", "fine";
     status_000: "000 None", "content-length: 4", "fine";
+    status_999: "999 None", "content-length: 4", "fine";
 }
