fix: a request with another transfer coding than chunks is rejected

A body that a caller had coded (`gzip, chunked`) or put in chunks twice reached the endpoint without one of the codings and without the field that named it: the endpoint ran something else than its caller had sent.

Cause: the HTTP library takes a request whose last transfer coding is `chunked`, whatever stands before it, and undoes that one alone; the field is dropped with those of the connection.

Change: a request whose transfer coding is not `chunked` alone gets 400 (W1007, not run), by the rule for answers, and its connection is closed, at the gateway and at the product's own interface.

Evidence: three of twelve cases of `requests::a_request_that_leaves_open_what_its_body_is_is_rejected` failed on (`gzip, chunked`; `chunked` twice, in one field and in two), and `input::a_body_with_another_transfer_coding_is_not_run`; all pass now. A length beside chunks was handled before: the body is that of the chunks, and the connection is closed.

--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -11,6 +11,7 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
+use woadstage_body::framing;
 use woadstage_dispatch::configuration::Limits;
 use woadstage_dispatch::dispatcher::Admission;
 use woadstage_dispatch::table::Table;
@@ -63,6 +64,11 @@
     connection.switch.set_lingers(false);
     shell.wait_until_current().await;
     let (head, body) = request.into_parts();
+    // What another transfer coding did to the body would be lost with the field.
+    if framing::is_chunked(&head.headers).is_err() {
+        let response = reject(&shell, &head, arrived, Code::HeaderInvalid);
+        return close_after(response, &connection);
+    }
     let table = admission_table(&shell, &head, arrived).await;
     let admitted = admit::admit(table.as_deref(), &shell.headers, &head, arrived);
     let admitted = match admitted {
@@ -300,7 +306,7 @@
     given_ms.map_or(admit::DEFAULT_CALLER_TIMEOUT, Span::from_millis)
 }
 
-/// Replies to a request that has no route, customer or configuration.
+/// Replies to a request that has no route, customer or configuration, or an invalid head.
 fn reject(shell: &Shell, head: &Parts, arrived: Time, code: Code) -> Response<Body> {
     let request_id = text(&head.headers, &shell.headers.request).unwrap_or_default();
     let timeout = caller_timeout(shell, head);
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -1,5 +1,7 @@
 //! Tests that requests reach their endpoint unchanged except for what the gateway sets.
 
+use rstest::rstest;
+
 use crate::support::Action;
 use crate::support::Caller;
 use crate::support::Gateway;
@@ -150,3 +152,59 @@
         );
     });
 }
+
+fn framed_by(fields: &str, body: &str) -> String {
+    format!(
+        "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+         woadstage-request: id-1\r\n{fields}\r\n\r\n{body}"
+    )
+}
+
+/// Guards against bodies that reach an endpoint in another form than their caller sent them.
+#[rstest]
+#[case::misspelt_coding("transfer-encoding: chunke")]
+#[case::other_coding("transfer-encoding: gzip")]
+#[case::coding_before_chunks("transfer-encoding: gzip, chunked")]
+#[case::coding_after_chunks("transfer-encoding: chunked, gzip")]
+#[case::chunks_twice("transfer-encoding: chunked, chunked")]
+#[case::chunks_in_two_fields("transfer-encoding: chunked\r\ntransfer-encoding: chunked")]
+#[case::empty_coding("transfer-encoding:")]
+#[case::no_length("content-length: x")]
+#[case::other_lengths("content-length: 4\r\ncontent-length: 3")]
+#[case::list_of_lengths("content-length: 4, 3")]
+#[case::no_field("no field\r\ncontent-length: 4")]
+#[case::blank_in_a_name("na me: x\r\ncontent-length: 4")]
+fn a_request_that_leaves_open_what_its_body_is_is_rejected(#[case] fields: &str) {
+    run(|| async {
+        let (worker, gateway) = start_one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&framed_by(fields, "4\r\nbody\r\n0\r\n\r\n"))
+            .await;
+        let (received, _) = caller.read_to_end().await;
+        assert!(received.starts_with("HTTP/1.1 400 "), "{received}");
+        assert_eq!(received.matches("HTTP/1.1 ").count(), 1, "{received}");
+        assert_eq!(worker.requests.borrow().len(), 0);
+    });
+}
+
+/// Guards against a second request that is hidden in the body of the first.
+#[rstest]
+#[case::length_first("content-length: 3\r\ntransfer-encoding: chunked")]
+#[case::coding_first("transfer-encoding: chunked\r\ncontent-length: 3")]
+fn a_length_beside_chunks_does_not_split_a_request(#[case] fields: &str) {
+    run(|| async {
+        let (worker, gateway) = start_one().await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&framed_by(fields, "4\r\nbody\r\n0\r\n\r\n"))
+            .await;
+        assert_eq!(caller.answer().await.status, 200);
+        assert!(caller.is_closed().await);
+        let requests = worker.requests.borrow();
+        assert_eq!(requests.len(), 1);
+        assert!(requests[0].ends_with("\r\n\r\nbody"), "{}", requests[0]);
+        assert_eq!(field(&requests[0], "transfer-encoding"), None);
+        assert_eq!(field(&requests[0], "content-length"), Some("4"));
+    });
+}
--- a/crates/node/src/callers/read.rs
+++ b/crates/node/src/callers/read.rs
@@ -13,6 +13,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 use tokio::sync::OwnedSemaphorePermit;
+use woadstage_body::framing;
 use woadstage_core::node::Arrival;
 use woadstage_types::code::Code;
 use woadstage_types::hash;
@@ -73,6 +74,7 @@
 
 async fn body(request: &mut Request, shared: &Shared) -> Result<Body, Code> {
     let _: Option<usize> = parsed(request, "content-length")?;
+    framing::is_chunked(request.headers()).map_err(|_| Code::HeaderInvalid)?;
     let body = request.take_body();
     let within = to_duration(shared.limits.receive_within);
     let read = tokio::time::timeout(within, collect(body, shared)).await;
--- a/crates/woadstage/tests/e2e/input.rs
+++ b/crates/woadstage/tests/e2e/input.rs
@@ -137,6 +137,17 @@
         Ok(())
     });
 
+    a_body_with_another_transfer_coding_is_not_run => run(async {
+        let fleet = fleet().await?;
+        for coding in ["gzip, chunked", "chunked, chunked"] {
+            let request = format!("POST /services/roster/check HTTP/1.1\r\nhost: x\r\nauthorization: Bearer token-one\r\ntransfer-encoding: {coding}\r\nconnection: close\r\n\r\n5\r\ncoded\r\n0\r\n\r\n");
+            let answer = send_raw(&fleet.nodes[0].callers, &request, false).await?;
+            assert!(answer.contains("W1007"), "{coding}: {answer}");
+        }
+        assert_eq!(fleet.roster_runs("coded"), 0);
+        Ok(())
+    });
+
     half_closed_connection_runs_no_request => run(async {
         let fleet = fleet().await?;
         let head = "POST /services/roster/confirm HTTP/1.1\r\nhost: x\r\nauthorization: Bearer token-one\r\ncontent-length: 50\r\n\r\nhalf";
