fix: a cut off node doesn't take the version that it knows for the only one

While endpoints of a new version joined, a stream that began there through other nodes and broke went on at the old version when it was taken up at a node that was cut off from the others: one answer, two versions.

Cause: without a record of what began a stream, it goes on at the version that served alone as far as the node knows, also if none of those that were asked has answered. A node that is cut off asks in vain, its list is the one from before the cut, and it counted as current while the node had not noticed that the platform is out of reach, or as it follows others and had not yet missed them.

Change: a version that serves alone counts only if every node was heard and has answered, or the platform has confirmed the list by a call that began after the stream was taken up. The node asks for that as after a pause; take-ups that wait share a call.

The stand-in fleet of these tests now answers nodes that ask the platform; no check changed.

--- a/crates/dispatch/src/dispatcher/hold.rs
+++ b/crates/dispatch/src/dispatcher/hold.rs
@@ -22,8 +22,12 @@
         self.lateness.distrust(now);
         self.pause_changes.push(pause::Change::Closed(pause));
         // A node that has just started knows nothing that could be out of date.
-        if self.list.revision == 0 {
-            self.confirm(now, self.gate.generation());
+        if let Some(generation) = self
+            .gate
+            .generation_opt()
+            .filter(|_| self.list.revision == 0)
+        {
+            self.confirm(now, generation);
         }
     }
 
@@ -32,19 +36,20 @@
         self.gate.is_closed()
     }
 
-    /// Returns the pause after which this node has to confirm what it knows, if it has to.
+    /// Identifies the call to the platform by which this node has to confirm what it knows, if it has
+    /// to.
     pub fn unconfirmed_opt(&self) -> Option<Generation> {
-        let generation = self.gate.generation();
-        self.gate.is_closed().then_some(generation)
+        self.gate.generation_opt().max(self.confirming)
     }
 
-    /// Records that everything that was published and sent to this node until after a pause is in
+    /// Records that everything that was published and sent to this node until this call began is in
     /// force here.
     pub fn confirm(&mut self, now: Time, generation: Generation) {
         if let Some(closed_for) = self.gate.confirm(now, generation) {
             let opened = pause::Change::Opened(Opened::Confirmed, closed_for);
             self.release_held(now, opened);
         }
+        self.confirm_versions(now, generation);
     }
 
     /// Releases held requests if what this node knows can't be confirmed in time.
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -12,6 +12,7 @@
 //! * `await_start.rs`: take-ups that wait until doubts about the starts of endpoints are settled.
 //! * `bind.rs`: binds streams to the version that began them, and keeps records of that.
 //! * `take_up.rs`: finds out which version began a stream that a caller takes up.
+//! * `confirm_version.rs`: confirms with the platform that one version serves alone.
 //! * `book.rs`: books places for callers that are refused, and recognises them when they return.
 //! * `redirect.rs`: redirects requests to owners at which they wait less.
 //! * `report_queue.rs`: exchanges reports on waiting requests with those owners.
@@ -102,6 +103,7 @@
 mod bind;
 mod book;
 mod borrow;
+mod confirm_version;
 mod decision;
 mod decline;
 mod displace;
@@ -362,6 +364,8 @@
     /// What came of finding that out, until the node that holds the request takes it.
     take_ups: HashMap<job::Id, TakeUp>,
     next_inquiry: u64,
+    /// The call to the platform that inquiries wait for, if any do.
+    confirming: Option<pause::Generation>,
     /// Messages to be sent.
     outbox: Vec<(SocketAddrV4, Message)>,
     /// The starts of requests with a booking since they were last taken.
@@ -434,6 +438,7 @@
             inquiries: HashMap::default(),
             take_ups: HashMap::default(),
             next_inquiry: 0,
+            confirming: None,
             outbox: Vec::new(),
             booking_starts: Vec::new(),
             next_job: 0,
--- a/crates/dispatch/src/dispatcher/take_up.rs
+++ b/crates/dispatch/src/dispatcher/take_up.rs
@@ -9,6 +9,7 @@
 
 use super::Dispatcher;
 use super::Refusal;
+use super::confirm_version::Confirmation;
 use super::track_versions::Served;
 use crate::binding;
 use crate::binding::Answer;
@@ -40,18 +41,20 @@
     pub(super) job: Job,
     number: u64,
     key: Key,
-    lifetime: Span,
+    pub(super) lifetime: Span,
     pub(super) began: Time,
     sent: Time,
     rounds: u32,
     /// The nodes that were asked.
-    asked: Vec<Asked>,
+    pub(super) asked: Vec<Asked>,
     /// How the version that served alone was learnt from a node without a record, this one or another.
     sole: Option<(Source, id::Software)>,
     /// Whether a node saw several versions, so that none may be taken for the only one.
-    is_mixed: bool,
+    pub(super) is_mixed: bool,
     /// Whether a node holds a record that is in doubt.
     has_doubted_record: bool,
+    /// Whether the platform has confirmed what this node lists.
+    pub(super) confirmation: Confirmation,
     /// When doubts that decide about it are settled, if there are any.
     pub(super) settled_at: Option<Time>,
     /// When it is made anew, while it waits for that.
@@ -160,6 +163,7 @@
             is_mixed: false,
             sole: None,
             has_doubted_record: false,
+            confirmation: Confirmation::Unasked,
             settled_at: None,
             repeats_at: None,
         };
@@ -330,13 +334,14 @@
         }
     }
 
-    fn end_inquiry_without_record(&mut self, now: Time, id: job::Id, otherwise: Source) {
-        let (sole, settled_at) = match self.inquiries.get_mut(&id) {
+    pub(super) fn end_inquiry_without_record(&mut self, now: Time, id: job::Id, otherwise: Source) {
+        let (sole, settled_at) = match self.inquiries.get(&id) {
             Some(inquiry) if inquiry.has_doubted_record => (None, inquiry.settled_at),
-            Some(inquiry) if !inquiry.is_mixed => (inquiry.sole.take(), inquiry.settled_at),
+            Some(inquiry) if !inquiry.is_mixed => (inquiry.sole.clone(), inquiry.settled_at),
             Some(_) | None => (None, None),
         };
         match (sole, settled_at) {
+            (Some(_), _) if !self.is_sole_certain(now, id) => self.await_confirmation(now, id),
             (Some((source, software)), _) => {
                 self.end_inquiry(now, id, source, Some(software), None);
             }
--- a/crates/dispatch/src/pause.rs
+++ b/crates/dispatch/src/pause.rs
@@ -20,7 +20,8 @@
 /// can tell what changed.
 const MAX_CLOSED_WITHOUT_PLATFORM: Span = Span::from_millis(250);
 
-/// Identifies the last pause of a node.
+/// Identifies a call to the platform by which a node confirms what it knows, after a pause or since it
+/// doesn't hear all others. Later calls have higher numbers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Generation(pub u64);
 
@@ -56,6 +57,7 @@
 struct Closed {
     since: Time,
     until: Time,
+    generation: Generation,
 }
 
 /// Closed from the end of a pause until the node has confirmed what it knows.
@@ -80,10 +82,10 @@
             true => MAX_CLOSED,
             false => MAX_CLOSED_WITHOUT_PLATFORM,
         };
-        self.generation.0 += 1;
         self.closed = Some(Closed {
             since: now,
             until: now + max_closed,
+            generation: self.next_generation(),
         });
         Some(gap)
     }
@@ -93,15 +95,23 @@
         self.closed.is_some()
     }
 
-    /// Identifies the last pause.
-    pub fn generation(&self) -> Generation {
+    /// Identifies the call that opens the gate, if it is closed.
+    pub fn generation_opt(&self) -> Option<Generation> {
+        self.closed.map(|closed| closed.generation)
+    }
+
+    /// Identifies the next call.
+    pub fn next_generation(&mut self) -> Generation {
+        self.generation.0 += 1;
         self.generation
     }
 
     /// Opens the gate if what the node knows was confirmed after the last pause. Returns for how long it
     /// was closed.
     pub fn confirm(&mut self, now: Time, generation: Generation) -> Option<Span> {
-        let closed = self.closed.take_if(|_| generation == self.generation)?;
+        let closed = self
+            .closed
+            .take_if(|closed| generation >= closed.generation)?;
         Some(now.since(closed.since))
     }
 
--- a/crates/dispatch/tests/dispatch/binding/fleet.rs
+++ b/crates/dispatch/tests/dispatch/binding/fleet.rs
@@ -43,6 +43,10 @@
     pub cut: BTreeSet<SocketAddrV4>,
     /// The endpoints that nodes don't reach, by name.
     pub unreachable: BTreeSet<(SocketAddrV4, String)>,
+    /// What the platform lists.
+    pub published: Arc<List>,
+    /// The nodes that don't reach the platform.
+    pub without_platform: BTreeSet<SocketAddrV4>,
     /// The endpoints that requests were sent to.
     placed: HashMap<(SocketAddrV4, job::Id), Endpoint>,
 }
@@ -76,6 +80,8 @@
             now: at(0),
             cut: BTreeSet::new(),
             unreachable: BTreeSet::new(),
+            published: list.clone(),
+            without_platform: BTreeSet::new(),
             placed: HashMap::default(),
         };
         for number in 1..=count {
@@ -85,6 +91,9 @@
     }
 
     pub fn start_node(&mut self, number: u8, incarnation: u64, list: &Arc<List>) {
+        if list.revision > self.published.revision {
+            self.published = list.clone();
+        }
         let options = Options {
             incarnation,
             data_centre: id::DataCentre::new(centre(usize::from(number))),
@@ -113,10 +122,24 @@
                 sent.extend(messages.map(|(to, message)| (*from, to, message)));
             }
             self.deliver(sent);
+            self.answer_inquiries();
             self.probe_due();
         }
     }
 
+    /// Has the platform answer the nodes that have to confirm what they know.
+    fn answer_inquiries(&mut self) {
+        for (address, dispatcher) in &mut self.nodes {
+            if self.without_platform.contains(address) {
+                continue;
+            }
+            if let Some(call) = dispatcher.unconfirmed_opt() {
+                dispatcher.set_endpoints(self.now, self.published.clone());
+                dispatcher.confirm(self.now, call);
+            }
+        }
+    }
+
     /// Cuts the links of a node to endpoints: its calls break, and new connections are refused.
     pub fn cut_links(&mut self, number: u8, endpoints: &[Endpoint]) {
         let address = node(number);
@@ -258,6 +281,7 @@
     /// Has all nodes apply a list.
     pub fn publish(&mut self, list: &Arc<List>) {
         let now = self.now;
+        self.published = list.clone();
         for dispatcher in self.nodes.values_mut() {
             dispatcher.set_endpoints(now, list.clone());
         }
--- a/crates/dispatch/tests/dispatch/binding/mod.rs
+++ b/crates/dispatch/tests/dispatch/binding/mod.rs
@@ -37,6 +37,7 @@
 use crate::support::starts;
 
 mod all_lost;
+mod cut_off;
 pub mod fleet;
 mod links_lost;
 mod origin_lost;
--- a/crates/dispatch/tests/dispatch/binding/random.rs
+++ b/crates/dispatch/tests/dispatch/binding/random.rs
@@ -225,6 +225,7 @@
             }
             Step::Roll(span) => {
                 self.rolls += 1;
+                self.fleet.published = list_after(self.rolls);
                 for other in 1..=self.nodes {
                     let lag =
                         Span(span.0 * u64::from(other.abs_diff(number)) / u64::from(self.nodes));
@@ -275,6 +276,7 @@
 fn a_node_that_learns_of_a_version_late_does_not_guess() {
     let mut world = World::start(NODES);
     world.rolls = 1;
+    world.fleet.published = list_after(1);
     world.apply(1, &Due::Learn);
     for key in 0..8 {
         world.perform(1, key, &Step::Begin);
