test: requests that arrive late in a planned stop get an answer before it ends

Here it doesn't happen: 80 requests of four kinds, sent over two seconds to a node that closes, before endpoints that take 50 ms or longer than the node lives, all get a whole answer in that time. Nothing else is changed.

--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -1,6 +1,8 @@
 //! Tests of readiness, graceful shutdown and metrics.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use rstest::rstest;
@@ -137,6 +139,50 @@
     });
 }
 
+/// Sends a request after this time, over a new connection. Returns the status of the complete answer.
+async fn send_late(gateway: Rc<Gateway>, path: &str, after: Duration) -> u16 {
+    tokio::time::sleep(after).await;
+    let mut caller = Caller::connect(&gateway).await;
+    let id = format!("{path}-{}", after.as_millis());
+    caller.request(&id, path, "").await;
+    let response = caller.answer().await;
+    assert!(response.is_complete, "{id}: {response:?}");
+    response.status
+}
+
+/// Guards against requests that are taken late in a planned stop and cut off at its end.
+#[rstest]
+#[case::endpoints_that_answer_in_time(Duration::from_millis(50))]
+#[case::endpoints_that_would_answer_after_the_end(Duration::from_secs(30))]
+fn late_requests_get_an_answer_before_the_node_ends(#[case] work: Duration) {
+    run(|| async move {
+        let script = vec![Action::AnswerAfter(
+            work,
+            answer("200 OK", "data: fine\n\n"),
+        )];
+        let worker = Worker::start("e", script).await;
+        let gateway = Rc::new(Gateway::start(&[&worker]).await);
+        gateway.shell.start_closing(Span::from_secs(2));
+        let mut sent = Vec::new();
+        for after_ms in (0..2_000).step_by(100) {
+            for path in ["/once/x", "/repeatable/x", "/stream/x", "/resumable/x"] {
+                let after = Duration::from_millis(after_ms);
+                let sending = send_late(gateway.clone(), path, after);
+                sent.push(tokio::task::spawn_local(sending));
+            }
+        }
+        let mut answered = BTreeMap::new();
+        for sending in sent {
+            *answered
+                .entry(sending.await.expect("an answer"))
+                .or_insert(0) += 1;
+        }
+        let is_answered = |status: &u16| matches!(status, 200 | 502 | 503 | 504);
+        assert!(answered.keys().all(is_answered), "{answered:?}");
+        assert_eq!(gateway.shell.query(|dispatcher, _| dispatcher.held()), 0);
+    });
+}
+
 #[test]
 fn metrics_report_answers_and_state() {
     run(|| async {
--- a/crates/gateway/tests/gateway/support/worker.rs
+++ b/crates/gateway/tests/gateway/support/worker.rs
@@ -33,6 +33,8 @@
     AnswerAndClose(String),
     /// Writes the text and resets the connection.
     AnswerAndReset(String),
+    /// Writes the text after this time, unless the gateway closes the connection before.
+    AnswerAfter(Duration, String),
     /// Writes the texts one by one, waiting for a notification before each.
     AnswerStepwise(Vec<String>, Rc<Notify>),
     /// Like [`Action::AnswerStepwise`], and closes the connection afterwards.
@@ -252,6 +254,14 @@
                 let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
                 false
             }
+            Action::AnswerAfter(work, text) => {
+                tokio::select! {
+                    () = tokio::time::sleep(work) => {}
+                    _ = stream.readable() => return false,
+                }
+                let text = insert_request_id(&text, head);
+                stream.write_all(text.as_bytes()).await.is_ok()
+            }
             Action::AnswerStepwise(texts, proceed) => {
                 write_stepwise(stream, texts, &proceed, head).await
             }
