refactor: what a newcomer stumbled over in the last changes

A call to confirm a version gets a number only if an inquiry waits for it, comments on inquiries no longer speak of pauses alone, and the docs say what "heard" means: no node is missed, and all that were asked have answered. Answers with 204 and 304 that state a length, which were served before, have a test.

--- a/crates/body/src/framing.rs
+++ b/crates/body/src/framing.rs
@@ -1,8 +1,8 @@
-//! Decides from the head of an answer what ends its body (RFC 9112, 6.3).
+//! Decides from the head of a message what ends its body (RFC 9112, 6.3).
 //!
-//! The HTTP library reads on to the end of the connection where a head states a transfer coding that it
-//! doesn't know, and prefers chunks to a length beside them. Bodies found so are not those that were
-//! sent, so that such heads are rejected before a byte of the body is passed on.
+//! Where an answer states a transfer coding that the HTTP library doesn't know, it reads on to the end of
+//! the connection, and it prefers chunks to a length beside them. Bodies found so are not those that
+//! were sent, so that such heads are rejected before a byte of the body is passed on.
 
 use std::fmt;
 
--- a/crates/dispatch/src/dispatcher/confirm_version.rs
+++ b/crates/dispatch/src/dispatcher/confirm_version.rs
@@ -29,8 +29,8 @@
 }
 
 impl Dispatcher {
-    /// Whether a version that serves alone, as far as is known, does so: every node was heard and has
-    /// answered, or the platform has confirmed it.
+    /// Whether a version that serves alone, as far as is known, does so: no node is missed and all that
+    /// were asked have answered, or the platform has confirmed it.
     pub(super) fn is_sole_certain(&self, now: Time, id: job::Id) -> bool {
         let Some(inquiry) = self.inquiries.get(&id) else {
             return false;
@@ -59,16 +59,18 @@
 
     /// Asks for a call to the platform, unless one is in progress, which may have begun too early.
     fn ask_for_confirmation(&mut self) {
-        if self.confirming.is_some() {
+        let inquiries = self.inquiries.values_mut();
+        let waiting = inquiries.filter_map(|inquiry| match &mut inquiry.confirmation {
+            Confirmation::Awaited(_, call @ None) => Some(call),
+            _ => None,
+        });
+        let mut waiting = waiting.peekable();
+        if self.confirming.is_some() || waiting.peek().is_none() {
             return;
         }
         let call = self.gate.next_generation();
-        for inquiry in self.inquiries.values_mut() {
-            if let Confirmation::Awaited(since, None) = inquiry.confirmation {
-                inquiry.confirmation = Confirmation::Awaited(since, Some(call));
-                self.confirming = Some(call);
-            }
-        }
+        self.confirming = Some(call);
+        waiting.for_each(|awaited| *awaited = Some(call));
     }
 
     /// Ends the inquiries that waited for this call, or for an earlier one.
--- a/crates/dispatch/src/dispatcher/hold.rs
+++ b/crates/dispatch/src/dispatcher/hold.rs
@@ -22,11 +22,8 @@
         self.lateness.distrust(now);
         self.pause_changes.push(pause::Change::Closed(pause));
         // A node that has just started knows nothing that could be out of date.
-        if let Some(generation) = self
-            .gate
-            .generation_opt()
-            .filter(|_| self.list.revision == 0)
-        {
+        let is_new = self.list.revision == 0;
+        if let Some(generation) = self.gate.generation_opt().filter(|_| is_new) {
             self.confirm(now, generation);
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -266,7 +266,7 @@
     }
 }
 
-/// Asks the adapter to confirm what the node knows after a pause.
+/// Asks the adapter to confirm what the node knows, if it has to.
 fn inquire(shell: &Shell, inquiries: &watch::Sender<Option<Inquiry>>) {
     let inquiry = shell.query(|dispatcher, _| {
         let generation = dispatcher.unconfirmed_opt()?;
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -109,7 +109,7 @@
         /// The revision after which the node had watched for changes.
         waited_after: u64,
     },
-    /// A call that began after this pause of the node has been answered, and what it returned was sent
+    /// A call that began after this inquiry of the node has been answered, and what it returned was sent
     /// before this.
     Confirmed(Generation),
     /// A published entry could not be parsed and is ignored; holds the cause.
@@ -119,10 +119,10 @@
 /// The sending half of the channel of updates.
 pub type Sender = mpsc::UnboundedSender<Update>;
 
-/// A request to confirm what the node knows after a pause, with a call that begins now.
+/// A request to confirm what the node knows, with a call that begins now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Inquiry {
-    /// The pause.
+    /// Identifies the inquiry.
     pub generation: Generation,
     /// The edition of the list of endpoints in force, from whichever source.
     pub endpoints: Edition,
--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -393,6 +393,25 @@
     });
 }
 
+#[rstest]
+#[case::no_content("204 No Content", 204)]
+#[case::not_modified("304 Not Modified", 304)]
+fn an_answer_that_ends_with_its_head_may_state_a_length(
+    #[case] status: &str,
+    #[case] expected: u16,
+    #[values("/once/x", "/repeatable/x")] path: &str,
+) {
+    run(|| async move {
+        let text = answer_of(status, "content-length: 42", "");
+        let mut play = Play::start(vec![Action::Answer(text)]).await;
+        play.caller.request("id-1", path, "").await;
+        let head = play.caller.head().await.expect("an answer");
+        assert!(head.starts_with(&format!("HTTP/1.1 {expected} ")), "{head}");
+        play.workers[0].set_script(vec![Action::Answer(sound())]);
+        assert!(is_served(&play.request(path).await));
+    });
+}
+
 /// Starts two nodes of which the first reaches no endpoint and forwards what it is sent.
 async fn start_forwarding(workers: &[&Worker]) -> Vec<fleet::Node> {
     let nodes = fleet::start(2, workers).await;
