--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -153,11 +153,16 @@
     });
 }
 
-fn framed_by(fields: &str, body: &str) -> String {
-    format!(
-        "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
-         woadstage-request: id-1\r\n{fields}\r\n\r\n{body}"
-    )
+/// Sends a request with these fields and a body in one chunk.
+async fn send_in_chunks(gateway: &Gateway, fields: &str) -> Caller {
+    let mut caller = Caller::connect(gateway).await;
+    caller
+        .send(&format!(
+            "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+             woadstage-request: id-1\r\n{fields}\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+        ))
+        .await;
+    caller
 }
 
 /// Guards against bodies that reach an endpoint in another form than their caller sent them.
@@ -177,10 +182,7 @@
 fn a_request_that_leaves_open_what_its_body_is_is_rejected(#[case] fields: &str) {
     run(|| async {
         let (worker, gateway) = start_one().await;
-        let mut caller = Caller::connect(&gateway).await;
-        caller
-            .send(&framed_by(fields, "4\r\nbody\r\n0\r\n\r\n"))
-            .await;
+        let mut caller = send_in_chunks(&gateway, fields).await;
         let (received, _) = caller.read_to_end().await;
         assert!(received.starts_with("HTTP/1.1 400 "), "{received}");
         assert_eq!(received.matches("HTTP/1.1 ").count(), 1, "{received}");
@@ -195,10 +197,7 @@
 fn a_length_beside_chunks_does_not_split_a_request(#[case] fields: &str) {
     run(|| async {
         let (worker, gateway) = start_one().await;
-        let mut caller = Caller::connect(&gateway).await;
-        caller
-            .send(&framed_by(fields, "4\r\nbody\r\n0\r\n\r\n"))
-            .await;
+        let mut caller = send_in_chunks(&gateway, fields).await;
         assert_eq!(caller.answer().await.status, 200);
         assert!(caller.is_closed().await);
         let requests = worker.requests.borrow();
--- a/crates/node/tests/node/answers.rs
+++ b/crates/node/tests/node/answers.rs
@@ -116,6 +116,28 @@
     call_with(client, address, index, work).await
 }
 
+/// Calls an endpoint of a model or a service that sends this answer and closes the connection.
+pub async fn call_answered_with(answer: String, is_model: bool) -> Received {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let _ = stream.write_all(answer.as_bytes()).await;
+    });
+    let work = Work {
+        method: "POST".into(),
+        path: "/x".into(),
+        content_type: None,
+        body: "body".into(),
+        is_model,
+        is_stream: is_model,
+    };
+    let received = call_with(endpoints::Client::new(), address.into(), 0, work).await;
+    serving.await.expect("the endpoint ends");
+    received
+}
+
 /// Runs one call, and collects what its caller gets and what the core is told.
 pub async fn call_with(
     client: endpoints::Client,
--- a/crates/node/tests/node/broken_answers.rs
+++ b/crates/node/tests/node/broken_answers.rs
@@ -1,37 +1,8 @@
 //! Answers of endpoints whose head is broken.
 
 use rstest::rstest;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use woadstage_node::driver::Work;
-use woadstage_node::endpoints;
 
-use crate::answers::Received;
-use crate::answers::call_with;
-
-/// Calls a service that answers with these fields and this body, and closes the connection.
-async fn received(status: &str, fields: &str, body: &str) -> Received {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address").to_string();
-    let answer = format!("HTTP/1.1 {status}\r\n{fields}\r\n\r\n{body}");
-    let serving = tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        let _ = stream.read(&mut [0; 4_096]).await;
-        let _ = stream.write_all(answer.as_bytes()).await;
-    });
-    let work = Work {
-        method: "POST".into(),
-        path: "/x".into(),
-        content_type: None,
-        body: "body".into(),
-        is_model: false,
-        is_stream: false,
-    };
-    let received = call_with(endpoints::Client::new(), address.into(), 0, work).await;
-    serving.await.expect("the endpoint ends");
-    received
-}
+use crate::answers::call_answered_with;
 
 macro_rules! broken {
     ($($name:ident: $status:literal, $fields:literal, $body:literal;)*) => {
@@ -45,7 +16,8 @@
         ) {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.expect("the runtime starts");
-            let received = runtime.block_on(received(status, fields, body));
+            let answer = format!("HTTP/1.1 {status}\r\n{fields}\r\n\r\n{body}");
+            let received = runtime.block_on(call_answered_with(answer, false));
             assert!(!received.is_complete && !received.reported_complete);
         }
     };
--- a/crates/node/tests/node/ending.rs
+++ b/crates/node/tests/node/ending.rs
@@ -1,38 +1,16 @@
 //! Answers of endpoints that end with their connection.
 
 use rstest::rstest;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use woadstage_node::driver::Work;
-use woadstage_node::endpoints;
 
 use crate::answers::Received;
-use crate::answers::call_with;
+use crate::answers::call_answered_with;
 
 /// Calls an endpoint that sends this text after the head and closes the connection.
 async fn received(content_type: &str, text: &str, is_model: bool) -> Received {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address").to_string();
     let answer = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\nconnection: close\r\n\r\n{text}"
     );
-    let serving = tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        let _ = stream.read(&mut [0; 4_096]).await;
-        let _ = stream.write_all(answer.as_bytes()).await;
-    });
-    let work = Work {
-        method: "POST".into(),
-        path: "/x".into(),
-        content_type: None,
-        body: "body".into(),
-        is_model,
-        is_stream: is_model,
-    };
-    let received = call_with(endpoints::Client::new(), address.into(), 0, work).await;
-    serving.await.expect("the endpoint ends");
-    received
+    call_answered_with(answer, is_model).await
 }
 
 macro_rules! closed {
