test: a due repeat and a late request's answer in time are checked, not only seen

Two tests of this change passed on less than their names say. After a broken head a request that may be repeated was allowed to fail with 502; it has to be served now, unless the head never ends or the body breaks. Late requests in a planned stop could be answered at their callers' own timeout; all have to be within 10 s, of a stop of 2 s and a timeout of 20 s.

--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -330,10 +330,14 @@
                     let mut play = Play::start(script).await;
                     let response = play.request(path).await;
                     let may_repeat = matches!(path, "/repeatable/x" | "/resumable/x");
-                    assert!(
-                        is_failure(&response) || may_repeat && is_served(&response) || went_on(&play, &response),
-                        "{text:?}: {response:?}"
-                    );
+                    // Only a head that never ends, or a body that breaks, is known too late to repeat.
+                    let is_late = response.status == 504 || response.status == 200;
+                    let is_expected = match may_repeat {
+                        true if is_served(&response) || went_on(&play, &response) => true,
+                        true => is_late && is_failure(&response),
+                        false => is_failure(&response),
+                    };
+                    assert!(is_expected, "{text:?}: {response:?}");
                     assert!(play.received() <= 1 + usize::from(may_repeat), "{text:?}");
                 }
             });
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -172,11 +172,15 @@
             }
         }
         let mut answered = BTreeMap::new();
-        for sending in sent {
-            *answered
-                .entry(sending.await.expect("an answer"))
-                .or_insert(0) += 1;
-        }
+        let answering = async {
+            for sending in sent {
+                let status = sending.await.expect("an answer");
+                *answered.entry(status).or_insert(0) += 1;
+            }
+        };
+        // Far from the end of the node and from the callers' own timeout.
+        let ended = tokio::time::timeout(Duration::from_secs(10), answering).await;
+        ended.expect("all are answered as the node ends");
         let is_answered = |status: &u16| matches!(status, 200 | 502 | 503 | 504);
         assert!(answered.keys().all(is_answered), "{answered:?}");
         assert_eq!(gateway.shell.query(|dispatcher, _| dispatcher.held()), 0);
