feat: a gateway that ends says why as its last line

A gateway said why it ended on standard error alone, without a code for an address, in another form than its log; a panic of a task left no line of the log's form; and lines that waited for the log's thread were lost with an error.

Change: the log's last line is `ended`, with the exit status, a numbered code (W5011 to W5015 are new) and why. Panics are logged as `panicked` with their place; the message is left out, since it may quote what a caller sent. The process waits for the reader of its log, at most 400 ms. woadstage-startup holds the typed failure.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -23,6 +23,20 @@
         /// The phase: `leaving`, `closing` or `stopped`.
         phase: &'a str,
     },
+    /// The process ends. This is its last line.
+    Ended {
+        /// The exit status.
+        status: u8,
+        /// The numbered result code of the failure; empty after a planned stop.
+        code: String,
+        /// Why it ends.
+        detail: &'a str,
+    },
+    /// A task panicked. The message is left out, since it may quote what a caller sent.
+    Panicked {
+        /// The place in the source.
+        place: &'a str,
+    },
     /// The settings were read again.
     Reloaded {
         /// Whether the settings are in force, or what is wrong with them.
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -6,6 +6,7 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -20,6 +21,11 @@
 
 use crate::event::Event;
 
+/// How long a process that ends waits for the reader of its log, and how often it looks whether all
+/// lines are written.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(400);
+const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Limits of the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
@@ -48,6 +54,8 @@
     options: Options,
     lines: Mutex<Vec<u8>>,
     non_empty: Condvar,
+    /// Whether the thread has taken lines that it is still writing.
+    is_writing: AtomicBool,
     dropped_lines: AtomicU64,
 }
 
@@ -92,13 +100,22 @@
         let waiting = self.non_empty.wait_while(lines, |lines| lines.is_empty());
         drop(waiting);
         std::thread::sleep(self.options.flush_interval);
-        std::mem::take(&mut *self.lines.lock().unwrap_or_else(PoisonError::into_inner))
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        self.is_writing.store(true, Ordering::Release);
+        std::mem::take(&mut *lines)
     }
 
     fn write(&self, to: &mut impl Write) {
         let lines = self.wait_for_batch();
         // If the reader is gone, the lines are lost: the error cannot be reported anywhere.
         let _ = to.write_all(&lines).and_then(|()| to.flush());
+        self.is_writing.store(false, Ordering::Release);
+    }
+
+    /// Whether all lines were written.
+    fn is_written(&self) -> bool {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.is_empty() && !self.is_writing.load(Ordering::Acquire)
     }
 }
 
@@ -120,6 +137,7 @@
             options,
             lines: Mutex::default(),
             non_empty: Condvar::new(),
+            is_writing: AtomicBool::new(false),
             dropped_lines: AtomicU64::new(0),
         });
         let logger = Logger::builder().sink(buffer.clone()).build()?;
@@ -150,6 +168,14 @@
         }
     }
 
+    /// Waits until all lines are written, or the reader has had its time.
+    pub async fn finish(&self) {
+        let deadline = tokio::time::Instant::now() + FINISH_TIMEOUT;
+        while !self.buffer.is_written() && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(FINISH_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the number of lines dropped since the start.
     pub fn dropped_lines(&self) -> u64 {
         self.buffer.dropped_lines.load(Ordering::Relaxed)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,11 +1,12 @@
 //! Runs a node, from reading its settings to a graceful shutdown.
 
 use std::collections::HashMap;
+use std::io::Write;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
@@ -13,12 +14,13 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use woadstage_config::fault::Faults;
 use woadstage_dispatch::dispatcher;
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::member::Role;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::region;
+use woadstage_startup::failure::Failure;
+use woadstage_types::code::Code;
 use woadstage_types::unit::Size;
 use woadstage_types::unit::Time;
 
@@ -70,18 +72,70 @@
 /// The size of the buffers of other nodes' connections, over which documents are sent.
 const PEER_BUFFER: Size = Size::from_kib(128);
 
-/// Runs a node until a graceful shutdown is complete. `adapter` is called once, with the
-/// settings, and reads the platform for as long as the process runs.
+/// Runs a node until a graceful shutdown is complete, and logs why it ends. `adapter` is called once,
+/// with the settings, and reads the platform for as long as the process runs.
 ///
 /// # Errors
-/// Returns an error if the settings are invalid or an address cannot be bound.
-pub async fn run<A, F>(path: &Path, adapter: A) -> anyhow::Result<()>
+/// Returns a failure, which was written to standard error and the log, if the settings are invalid or
+/// an address cannot be bound.
+pub async fn run<A, F>(path: &Path, adapter: A) -> Result<(), Failure>
+where
+    A: FnOnce(&Settings, source::Feed) -> F,
+    F: Future<Output = ()> + 'static,
+{
+    let log = match Log::start(log::Options::default(), std::io::stdout()) {
+        Ok(log) => log,
+        Err(error) => {
+            let failure = Failure::new(Code::HostExhausted, "log", error);
+            report_failure(&failure);
+            return Err(failure);
+        }
+    };
+    log_panics(log.clone());
+    let result = serve_until_stopped(path, adapter, log.clone()).await;
+    let event = match &result {
+        Ok(()) => Event::Ended {
+            status: 0,
+            code: String::new(),
+            detail: "told to stop",
+        },
+        Err(failure) => {
+            report_failure(failure);
+            Event::Ended {
+                status: 1,
+                code: failure.code.to_string(),
+                detail: &failure.detail,
+            }
+        }
+    };
+    log.write(&event);
+    log.finish().await;
+    result
+}
+
+/// Writes a failure to standard error, for those who run the program by hand.
+fn report_failure(failure: &Failure) {
+    // If nobody reads it, the log still holds it.
+    let _ = writeln!(std::io::stderr(), "woadstage: {failure}");
+}
+
+/// Has panics logged instead of written to standard error.
+fn log_panics(log: Log) {
+    std::panic::set_hook(Box::new(move |panic| {
+        let place = panic.location().map(ToString::to_string);
+        log.write(&Event::Panicked {
+            place: &place.unwrap_or_default(),
+        });
+    }));
+}
+
+async fn serve_until_stopped<A, F>(path: &Path, adapter: A, log: Log) -> Result<(), Failure>
 where
     A: FnOnce(&Settings, source::Feed) -> F,
     F: Future<Output = ()> + 'static,
 {
     let settings = read(path)?;
-    let log = Log::start(log::Options::default(), std::io::stdout())?;
+    let metrics = Metrics::new().map_err(internal)?;
     let incarnation = rand::random();
     let dispatcher = Dispatcher::new(to_options(&settings, incarnation));
     let shell = Shell::new(
@@ -90,7 +144,7 @@
         Clock::start(),
         settings.capacity.clone(),
         log,
-        Metrics::new()?,
+        metrics,
     );
     shell.log(&Event::Started {
         host: settings.host.as_str(),
@@ -98,13 +152,13 @@
         version: env!("CARGO_PKG_VERSION"),
     });
     let socket = UdpSocket::bind(settings.peers).await;
-    let socket =
-        Rc::new(socket.with_context(|| format!("could not listen on {}", settings.peers))?);
+    let socket = Rc::new(socket.map_err(|error| refused("peers", settings.peers, &error))?);
     shell.peers.set_socket(socket.clone());
-    let transfers = open(settings.peers, PEER_BUFFER)?;
-    let ready = open(settings.ready, OPERATOR_BUFFER)?;
-    let metrics = open(settings.metrics, OPERATOR_BUFFER)?;
-    let callers = open(settings.callers, settings.capacity.callers_buffer)?;
+    let transfers = open("peers", settings.peers, PEER_BUFFER)?;
+    let ready = open("ready", settings.ready, OPERATOR_BUFFER)?;
+    let metrics = open("metrics", settings.metrics, OPERATOR_BUFFER)?;
+    let callers_buffer = settings.capacity.callers_buffer;
+    let callers = open("callers", settings.callers, callers_buffer)?;
     let (feed, source) = source::channel();
     let Source {
         updates,
@@ -139,19 +193,26 @@
 }
 
 /// Reads and validates the settings file.
-///
-/// # Errors
-/// Returns an error if the file cannot be read, or one that lists every invalid setting.
-pub fn read(path: &Path) -> anyhow::Result<Settings> {
+fn read(path: &Path) -> Result<Settings, Failure> {
     let text = std::fs::read_to_string(path)
-        .with_context(|| format!("could not read {}", path.display()))?;
-    settings::parse(&text).map_err(|faults: Faults| anyhow::anyhow!("{faults}"))
+        .map_err(|error| Failure::new(Code::SettingsMissing, &path.display().to_string(), error))?;
+    Ok(settings::parse(&text)?)
 }
 
 /// Opens a listener, with `buffer` as the size of each buffer of its sockets.
-fn open(address: std::net::SocketAddrV4, buffer: Size) -> anyhow::Result<TcpListener> {
+fn open(name: &str, address: SocketAddrV4, buffer: Size) -> Result<TcpListener, Failure> {
     let listener = listen::listen(address, buffer, buffer);
-    listener.with_context(|| format!("could not listen on {address}"))
+    listener.map_err(|error| refused(name, address, &error))
+}
+
+/// Describes an address that could not be bound.
+fn refused(name: &str, address: SocketAddrV4, error: &std::io::Error) -> Failure {
+    Failure::refused(&format!("{name} {address}"), error)
+}
+
+/// Describes a failure of the program itself.
+fn internal(error: impl std::fmt::Display) -> Failure {
+    Failure::new(Code::TaskFailed, "start", error)
 }
 
 fn to_options(settings: &Settings, incarnation: u64) -> dispatcher::Options {
@@ -370,9 +431,10 @@
 
 /// Waits for SIGTERM or SIGINT, then announces that the node is leaving and waits for the
 /// requests in progress to end, for at most `within`.
-async fn stop(shell: &Rc<Shell>, within: Duration) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+async fn stop(shell: &Rc<Shell>, within: Duration) -> Result<(), Failure> {
+    let refused = |error| Failure::refused("signals", &error);
+    let mut terminate = signal(SignalKind::terminate()).map_err(refused)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(refused)?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -402,8 +464,6 @@
     };
     wait_until(shell, deadline, is_drained).await;
     log_phase("stopped");
-    // The log's thread buffers lines for a moment before it writes them.
-    tokio::time::sleep(log::Options::default().flush_interval * 2).await;
     Ok(())
 }
 
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -122,6 +122,11 @@
     StreamUnknown = 2013, 503, NotRun, "No node knows which software version began the stream that this request takes up.";
     SoftwareGone = 2014, 503, NotRun, "No endpoint of the software version that began this stream is live.";
     PartBarred = 2015, 503, NotRun, "Endpoints ended while they ran requests with a part of this prompt: it is not run again.";
+    SettingsMissing = 5011, 0, None, "The settings file is missing or incomplete.";
+    AddressInUse = 5012, 0, None, "Another process uses this address.";
+    HostRefused = 5013, 0, None, "The host refuses this address or file.";
+    HostExhausted = 5014, 0, None, "The host has no descriptor, thread or memory left.";
+    TaskFailed = 5015, 0, None, "A task of the process failed again and again.";
 }
 
 impl Code {
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -18,6 +18,7 @@
 use woadstage_node::commands;
 use woadstage_node::commands::Refused;
 use woadstage_platform::follow;
+use woadstage_startup::failure::Failure;
 
 mod flags;
 
@@ -46,7 +47,8 @@
             ExitCode::from(USAGE_EXIT_CODE)
         }
         Err(error) => {
-            if !error.is::<Refused>() {
+            // A gateway's failure was reported when it ended.
+            if !error.is::<Refused>() && !error.is::<Failure>() {
                 eprintln!("woadstage: {error:#}");
             }
             ExitCode::FAILURE
@@ -198,5 +200,5 @@
         follow::follow(settings.platform, options, feed)
     };
     let gateway = woadstage_gateway::run::run(settings, adapter);
-    tasks.run_until(gateway).await
+    Ok(tasks.run_until(gateway).await?)
 }
--- /dev/null
+++ b/crates/woadstage/tests/gateway/main.rs
@@ -0,0 +1,4 @@
+//! Starts and ends of gateways, each a process on real sockets.
+
+mod end;
+mod support;
