--- a/crates/woadstage/tests/gateway/end.rs
+++ b/crates/woadstage/tests/gateway/end.rs
@@ -31,6 +31,11 @@
     no_time: "W5002", |settings| settings.replace("\"5s\"", "\"soon\"");
     unknown_field: "W5002", |settings| format!("{settings}speed = 3\n");
     wrong_port: "W5002", |settings| settings.replace("callers = \"127", "callers = \"1270");
+    one_address_for_two: "W5002", |settings| {
+        let callers = settings.lines().find(|line| line.starts_with("callers")).unwrap_or_default();
+        let ready = settings.lines().find(|line| line.starts_with("ready")).unwrap_or_default();
+        settings.replace(ready, &callers.replace("callers", "ready"))
+    };
     address_of_another_host: "W5013", |settings| settings.replace("callers = \"127", "callers = \"192.0.2.1:1\" #");
 }
 
--- a/crates/woadstage/tests/gateway/main.rs
+++ b/crates/woadstage/tests/gateway/main.rs
@@ -1,4 +1,5 @@
 //! Starts and ends of gateways, each a process on real sockets.
 
 mod end;
+mod start;
 mod support;
--- a/crates/woadstage/tests/gateway/support.rs
+++ b/crates/woadstage/tests/gateway/support.rs
@@ -96,6 +96,13 @@
         self.start_with(Command::new(program).args(["gateway", "--settings"]))
     }
 
+    /// Starts a process in a shell that sets limits first.
+    pub fn start_limited(&self, limits: &str) -> Process {
+        let script = format!("{limits} && exec \"$0\" gateway --settings \"$1\"");
+        let program = env!("CARGO_BIN_EXE_woadstage");
+        self.start_with(Command::new("sh").args(["-c", &script, program]))
+    }
+
     fn start_with(&self, command: &mut Command) -> Process {
         let log = self.0.join("log");
         let output = File::options().create(true).append(true).open(&log);
@@ -152,6 +159,15 @@
         kill_process(pid, signal).expect("the process should exist");
     }
 
+    /// Waits until the process logs an event, which it has to do before it ends.
+    pub fn wait_for_event(&mut self, event: &str) {
+        wait_until(event, || {
+            let is_logged = !self.events(event).is_empty();
+            assert!(is_logged || self.is_running(), "ended: {}", self.text());
+            is_logged
+        });
+    }
+
     /// Waits until the process serves at all of its addresses.
     pub fn wait_until_serving(&mut self, addresses: Addresses) {
         wait_until("the node serves", || {
