fix: a node waits for an address that another process still holds

Symptom: a node ended with status 1 ("Address already in use") if any of its five sockets' addresses was held for a moment when it started: by its earlier process that still ended in order, by a connection of the host to which the kernel had given the port, or by such a connection's TIME_WAIT.

Cause: what a node meets at its start it took as final, while it outlasts the same once it runs.

Change: woadstage-startup tells what may pass (an address in use; no descriptor, buffer or memory) from what does not (an address of another host, no permission, one address for two listeners: at once, with a code). The former is tried again for two minutes, twice TIME_WAIT, with a log line `waiting` at once and every ten seconds; then the node ends with the code. A stop meanwhile ends it in order, since signals are taken before anything else. Readiness is served first and says no. The sockets for callers and nodes are opened together or not at all, so that nothing waits unread at one of them. The metrics address is waited for without a limit while callers are served.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -23,6 +23,15 @@
         /// The phase: `leaving`, `closing` or `stopped`.
         phase: &'a str,
     },
+    /// The process can't start yet.
+    Waiting {
+        /// The numbered result code of what it waits for.
+        code: String,
+        /// What it waits for.
+        detail: &'a str,
+        /// For how many milliseconds so far.
+        waited_ms: u64,
+    },
     /// The process ends. This is its last line.
     Ended {
         /// The exit status.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`check`]: validates a settings file without starting a node.
 //! * [`headers`]: the configurable names of HTTP headers.
 //! * [`run`]: the process from start to graceful shutdown.
+//! * [`start`]: reads the settings, opens the sockets and spawns the tasks.
 //! * [`source`]: the interface to the adapter that reads the platform.
 //! * [`publish`], [`active_configuration`]: applying configurations and lists of endpoints.
 //! * [`shell`]: the state that all tasks share, and the delivery of decisions to them.
@@ -35,4 +36,5 @@
 pub mod settings;
 pub mod shell;
 pub mod source;
+pub mod start;
 pub mod upstream;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,49 +2,43 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::SocketAddrV4;
 use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use woadstage_dispatch::dispatcher;
-use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::member::Role;
-use woadstage_dispatch::message::Document;
-use woadstage_dispatch::region;
 use woadstage_startup::failure::Failure;
+use woadstage_startup::retry;
+use woadstage_startup::retry::Waiting;
+use woadstage_startup::retry::retry;
 use woadstage_types::code::Code;
-use woadstage_types::unit::Size;
 use woadstage_types::unit::Time;
 
-use crate::clock::Clock;
 use crate::clock::to_duration;
 use crate::clock::to_span;
 use crate::connections::Reason;
-use crate::connections::listen;
 use crate::event::Event;
 use crate::log;
 use crate::log::Log;
-use crate::metrics::Metrics;
-use crate::operators;
 use crate::peers;
 use crate::publish;
-use crate::serve;
 use crate::settings;
 use crate::settings::Settings;
 use crate::shell::Phase;
 use crate::shell::Shell;
 use crate::source;
 use crate::source::Inquiry;
-use crate::source::Source;
 use crate::source::Update;
+use crate::start;
+use crate::start::Started;
 use crate::upstream::probe;
 
 /// The interval of the dispatcher's timer.
@@ -66,12 +60,6 @@
 /// The interval of closing idle connections to endpoints and of reporting dropped log lines.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The size of the buffers of connections at the readiness and metrics address.
-const OPERATOR_BUFFER: Size = Size::from_kib(4);
-
-/// The size of the buffers of other nodes' connections, over which documents are sent.
-const PEER_BUFFER: Size = Size::from_kib(128);
-
 /// Runs a node until a graceful shutdown is complete, and logs why it ends. `adapter` is called once,
 /// with the settings, and reads the platform for as long as the process runs.
 ///
@@ -134,106 +122,60 @@
     A: FnOnce(&Settings, source::Feed) -> F,
     F: Future<Output = ()> + 'static,
 {
-    let settings = read(path)?;
-    let metrics = Metrics::new().map_err(internal)?;
-    let incarnation = rand::random();
-    let dispatcher = Dispatcher::new(to_options(&settings, incarnation));
-    let shell = Shell::new(
-        dispatcher,
-        settings.headers.clone(),
-        Clock::start(),
-        settings.capacity.clone(),
-        log,
-        metrics,
-    );
-    shell.log(&Event::Started {
-        host: settings.host.as_str(),
-        incarnation,
-        version: env!("CARGO_PKG_VERSION"),
-    });
-    let socket = UdpSocket::bind(settings.peers).await;
-    let socket = Rc::new(socket.map_err(|error| refused("peers", settings.peers, &error))?);
-    shell.peers.set_socket(socket.clone());
-    let transfers = open("peers", settings.peers, PEER_BUFFER)?;
-    let ready = open("ready", settings.ready, OPERATOR_BUFFER)?;
-    let metrics = open("metrics", settings.metrics, OPERATOR_BUFFER)?;
-    let callers_buffer = settings.capacity.callers_buffer;
-    let callers = open("callers", settings.callers, callers_buffer)?;
-    let (feed, source) = source::channel();
-    let Source {
-        updates,
-        role,
-        inquiries,
-    } = source;
-    spawn_local(adapter(&settings, feed));
-    spawn_local(apply_updates(shell.clone(), updates));
-    spawn_local(peers::listen(shell.clone(), socket.clone()));
-    spawn_local(peers::transfer::serve(shell.clone(), transfers));
-    let (ready_path, shared) = (settings.ready_path.clone(), shell.clone());
-    let registry = shell.registries.ready.clone();
-    let page = move |path: &str| operators::readiness(&shared, path, &ready_path);
-    spawn_local(operators::serve(ready, shell.clock.clone(), registry, page));
-    let shared = shell.clone();
-    let registry = shell.registries.metrics.clone();
-    let page = move |_: &str| operators::metrics(&shared);
-    spawn_local(operators::serve(
-        metrics,
-        shell.clock.clone(),
-        registry,
-        page,
-    ));
-    spawn_local(serve::accept(shell.clone(), callers));
-    spawn_local(tick(shell.clone(), socket, role, inquiries));
-    for document in [Document::Endpoints, Document::Configuration] {
-        spawn_local(peers::catch_up::run(shell.clone(), document));
-    }
-    spawn_local(sweep(shell.clone()));
-    spawn_local(reload(shell.clone(), path.to_owned()));
-    stop(&shell, to_duration(settings.stop_within)).await
-}
-
-/// Reads and validates the settings file.
-fn read(path: &Path) -> Result<Settings, Failure> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| Failure::new(Code::SettingsMissing, &path.display().to_string(), error))?;
-    Ok(settings::parse(&text)?)
+    let report = |waiting: &Waiting| start::log_waiting(&log, waiting);
+    let mut signals = retry(&retry::Options::default(), Signals::try_new, report).await?;
+    let Started {
+        shell,
+        settings,
+        settings_text,
+    } = tokio::select! {
+        started = start::start(path, adapter, &log) => started?,
+        () = signals.stop.wait() => return Ok(()),
+    };
+    let Signals { stop, hangup } = signals;
+    let reload = reload(shell.clone(), path.to_owned(), settings_text, hangup);
+    spawn_local(reload);
+    stop_when_told(&shell, stop, to_duration(settings.stop_within)).await;
+    Ok(())
 }
 
-/// Opens a listener, with `buffer` as the size of each buffer of its sockets.
-fn open(name: &str, address: SocketAddrV4, buffer: Size) -> Result<TcpListener, Failure> {
-    let listener = listen::listen(address, buffer, buffer);
-    listener.map_err(|error| refused(name, address, &error))
+/// The signals that a process handles. Their default is to end it, so that they are taken before
+/// anything else.
+struct Signals {
+    stop: StopSignals,
+    hangup: Signal,
 }
 
-/// Describes an address that could not be bound.
-fn refused(name: &str, address: SocketAddrV4, error: &std::io::Error) -> Failure {
-    Failure::refused(&format!("{name} {address}"), error)
+/// The signals that tell a process to stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
 }
 
-/// Describes a failure of the program itself.
-fn internal(error: impl std::fmt::Display) -> Failure {
-    Failure::new(Code::TaskFailed, "start", error)
+impl Signals {
+    fn try_new() -> Result<Signals, Failure> {
+        let take = |kind| signal(kind).map_err(|error| Failure::refused("signals", &error));
+        Ok(Signals {
+            hangup: take(SignalKind::hangup())?,
+            stop: StopSignals {
+                terminate: take(SignalKind::terminate())?,
+                interrupt: take(SignalKind::interrupt())?,
+            },
+        })
+    }
 }
 
-fn to_options(settings: &Settings, incarnation: u64) -> dispatcher::Options {
-    dispatcher::Options {
-        own: settings.peers,
-        incarnation,
-        data_centre: settings.data_centre.clone(),
-        seeds: settings.seeds.clone(),
-        policy: settings.policy.clone(),
-        worker: Default::default(),
-        prefix_cache: Default::default(),
-        member: Default::default(),
-        quota: settings.quota.clone(),
-        budget: settings.budget.clone(),
-        quarantine: Default::default(),
-        regions: region::Map::new(settings.regions.clone()),
+impl StopSignals {
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
 
 /// Applies what the platform published, as the adapter reports it.
-async fn apply_updates(shell: Rc<Shell>, mut updates: UnboundedReceiver<Update>) {
+pub(crate) async fn apply_updates(shell: Rc<Shell>, mut updates: UnboundedReceiver<Update>) {
     while let Some(update) = updates.recv().await {
         match update {
             Update::Answered => shell.platform_answered_at.set(Some(shell.now())),
@@ -304,7 +246,7 @@
 
 /// Runs the periodic work: detecting suspensions, the dispatcher's timers, messages to other
 /// nodes and notifying the adapter of the node's role.
-async fn tick(
+pub(crate) async fn tick(
     shell: Rc<Shell>,
     socket: Rc<UdpSocket>,
     advertised_role: watch::Sender<Role>,
@@ -366,7 +308,7 @@
 
 /// Closes connections that are idle or late, and logs which were closed and how many log lines were
 /// dropped.
-async fn sweep(shell: Rc<Shell>) {
+pub(crate) async fn sweep(shell: Rc<Shell>) {
     let mut left_out = 0;
     let mut closed = HashMap::new();
     loop {
@@ -404,11 +346,8 @@
 
 /// Reloads the settings on SIGHUP or when the file has changed. Only the seeds take effect
 /// without a restart.
-async fn reload(shell: Rc<Shell>, path: std::path::PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        return;
-    };
-    let mut known = std::fs::read_to_string(&path).unwrap_or_default();
+async fn reload(shell: Rc<Shell>, path: PathBuf, known: String, mut hangup: Signal) {
+    let mut known = known;
     loop {
         let is_signalled = tokio::time::timeout(SETTINGS_POLL_INTERVAL, hangup.recv())
             .await
@@ -429,16 +368,10 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT, then announces that the node is leaving and waits for the
+/// Waits until the process is told to stop, then announces that the node is leaving and waits for the
 /// requests in progress to end, for at most `within`.
-async fn stop(shell: &Rc<Shell>, within: Duration) -> Result<(), Failure> {
-    let refused = |error| Failure::refused("signals", &error);
-    let mut terminate = signal(SignalKind::terminate()).map_err(refused)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(refused)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+async fn stop_when_told(shell: &Rc<Shell>, mut signals: StopSignals, within: Duration) {
+    signals.wait().await;
     let deadline = shell.now() + to_span(within.saturating_sub(EXIT_MARGIN));
     let log_phase = |phase: &str| {
         let held = shell.query(|dispatcher, _| dispatcher.held());
@@ -464,7 +397,6 @@
     };
     wait_until(shell, deadline, is_drained).await;
     log_phase("stopped");
-    Ok(())
 }
 
 /// Waits until `condition` holds or the deadline has passed.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -136,6 +136,7 @@
     if settings.memory < MIN_MEMORY {
         node.add_fault("memory", Code::SettingsValue, "Give at least 32MiB.");
     }
+    check_addresses(&settings, &mut listen, &mut peers);
     let mut faults = reader.finish();
     let tables = [
         node,
@@ -154,6 +155,22 @@
     faults.into_result(settings)
 }
 
+/// Reports an address that is given to more than one listener.
+fn check_addresses(settings: &Settings, listen: &mut Reader, peers: &mut Reader) {
+    let mut taken = vec![settings.callers];
+    let mut check = |table: &mut Reader, field: &str, address: SocketAddrV4| {
+        // With port 0 the host picks a port for each.
+        if address.port() != 0 && taken.contains(&address) {
+            let hint = "Give each listener an address of its own.";
+            table.add_fault(field, Code::SettingsValue, hint);
+        }
+        taken.push(address);
+    };
+    check(listen, "ready", settings.ready);
+    check(listen, "metrics", settings.metrics);
+    check(peers, "address", settings.peers);
+}
+
 fn read_name(table: &mut Reader, field: &str) -> String {
     let text: String = table.take(field);
     if text.is_empty() {
--- a/crates/startup/src/failure.rs
+++ b/crates/startup/src/failure.rs
@@ -36,6 +36,11 @@
         };
         Failure::new(code, what, error)
     }
+
+    /// Whether the host may grant in a moment what it refused.
+    pub fn is_transient(&self) -> bool {
+        matches!(self.code, Code::AddressInUse | Code::HostExhausted)
+    }
 }
 
 impl From<Faults> for Failure {
--- /dev/null
+++ b/crates/startup/tests/startup/main.rs
@@ -0,0 +1,3 @@
+//! Tests of what a process waits for when it starts.
+
+mod retry;
