fix: a node waits for the rest of a settings file that is being written

Symptom: a node that started while its settings file was missing, empty or half written ended with status 1; one cut within its last line was taken as it stood.

Cause: the file was read once, and nothing says that it is written at once.

Change: a file that is missing, or that changed less than two seconds ago and lacks lines or the end of its last line, is read again. A wrong value, an unknown field and a syntax error in a complete line end the node at once as before, also beside a cut; so does a faulty file that nobody has changed for two seconds. The text that was read is the one that reloads compare with: a change between the start and the first look was missed before.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -17,6 +17,7 @@
 use woadstage_startup::retry;
 use woadstage_startup::retry::Waiting;
 use woadstage_startup::retry::retry;
+use woadstage_startup::settings_file;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Size;
 
@@ -75,9 +76,8 @@
     F: Future<Output = ()> + 'static,
 {
     let report = |waiting: &Waiting| log_waiting(log, waiting);
-    let settings_text = std::fs::read_to_string(path)
-        .map_err(|error| Failure::new(Code::SettingsMissing, &path.display().to_string(), error))?;
-    let settings = settings::parse(&settings_text)?;
+    let read = settings_file::read(path, settings::parse, report).await?;
+    let settings = read.settings;
     let shell = new_shell(&settings, log.clone())?;
     // Readiness is served first, so that the platform learns that the node is not ready yet.
     let open_ready = || open("ready", settings.ready, OPERATOR_BUFFER);
@@ -90,7 +90,7 @@
     Ok(Started {
         shell,
         settings,
-        settings_text,
+        settings_text: read.text,
     })
 }
 
