fix: a node runs on a stack of its own size

Symptom: under a limit of 64 KiB on stacks a node was aborted ("thread 'main' has overflowed its stack") before its first line.

Cause: the program ran on the process's first thread, whose stack grows up to the host's limit; it takes between 96 and 128 KiB.

Change: it runs on a thread with 4 MiB of address space for its stack, or on the first one where no thread can be had.

--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -25,7 +25,23 @@
 /// Exit code for invalid arguments.
 const USAGE_EXIT_CODE: u8 = 2;
 
+/// The size of the stack on which the program runs.
+const STACK_BYTES: usize = 4 << 20;
+
 fn main() -> ExitCode {
+    // The stack of the process's first thread may be smaller, by a limit of the host.
+    let thread = std::thread::Builder::new()
+        .name("woadstage".into())
+        .stack_size(STACK_BYTES)
+        .spawn(run_program);
+    match thread {
+        Ok(thread) => thread.join().unwrap_or(ExitCode::FAILURE),
+        // The first thread's stack suffices on most hosts.
+        Err(_) => run_program(),
+    }
+}
+
+fn run_program() -> ExitCode {
     let flags = match flags::Woadstage::from_env() {
         Ok(flags) => flags,
         Err(error) => error.exit(),
