fix: outgoing connections don't stand in the way of a listener of their host

Symptom: with a node's ports in the range from which the kernel takes those of outgoing connections (32768 to 60999), nodes that started again ended with "Address already in use", some for as long as TIME_WAIT.

Cause: a connection to an endpoint, another node or the store, of this process or of the one before at this address, may have been given the port of a listener, and holds it until it has lingered.

Change: sockets of outgoing connections allow their address to be taken by a listener, from before they connect (SO_REUSEADDR; TCP only: for messages between nodes it would let two processes share an address). Connections of other programs can't be told so; a node waits for these.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`connections`]: the connections that others open to this node.
 //! * [`serve`]: answers callers.
 //! * [`upstream`]: calls endpoints.
+//! * [`dial`]: opens outgoing connections.
 //! * [`peers`]: communicates with other nodes.
 //! * [`operators`]: the readiness and metrics endpoints.
 //! * [`event`], [`log`], [`metrics`], [`explain`]: logs, metrics and their interpretation.
@@ -22,6 +23,7 @@
 pub mod check;
 pub mod clock;
 pub mod connections;
+pub mod dial;
 pub mod event;
 pub mod explain;
 pub mod headers;
--- a/crates/gateway/src/peers/transfer/fetch.rs
+++ b/crates/gateway/src/peers/transfer/fetch.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use tokio::net::TcpStream;
 use woadstage_dispatch::endpoint::List;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::message::Frame;
@@ -15,6 +14,7 @@
 use super::PROGRESS_TIMEOUT;
 use super::frame;
 use super::run_logged;
+use crate::dial;
 use crate::publish;
 use crate::shell::Shell;
 
@@ -59,7 +59,7 @@
     request: &Request,
     outcome: &mut Outcome,
 ) -> anyhow::Result<usize> {
-    let connecting = TcpStream::connect(from);
+    let connecting = dial::connect(from);
     let mut stream = tokio::time::timeout(PROGRESS_TIMEOUT, connecting).await??;
     let mut bytes = Vec::new();
     frame::put_layout(&mut bytes);
--- a/crates/gateway/src/upstream/connect.rs
+++ b/crates/gateway/src/upstream/connect.rs
@@ -7,12 +7,12 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use woadstage_types::unit::Size;
 
 use super::Connection;
 use crate::connections::listen;
+use crate::dial;
 
 /// How long sent bytes may stay unacknowledged, or keepalive probes unanswered on an idle
 /// connection, before the host is considered gone.
@@ -28,7 +28,7 @@
 /// Opens an HTTP/1 connection. In the buffers of its socket, of size `buffer` each, answers wait whose
 /// callers do not read.
 pub async fn open(address: SocketAddrV4, buffer: Size) -> anyhow::Result<Connection> {
-    let socket = TcpSocket::new_v4()?;
+    let socket = dial::new_socket()?;
     listen::bound_buffers(&socket, buffer, buffer);
     let stream = socket.connect(address.into()).await?;
     set_socket_options(&stream)?;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod connections;
 mod crash;
 mod crash_part;
+mod dial;
 mod ending;
 mod explain;
 mod fingerprint;
