fix: a task of a gateway that ends starts again

A panic in one of a gateway's long-lived tasks is caught by the runtime, whose handle nobody kept: the process lived on without its timer, a listener, the reader of messages, or news of the platform. If its main task panicked, it ended without a last line.

Cause: tasks were spawned and forgotten. Class: what fails is not noticed by who depends on it.

The one that reads the platform and the one that applies what it read start together, since what the latter had in hand is lost; everything is read again. A panic of the main task ends the process with its last line. The count of callers' connections no longer goes wrong if serving one panics. The binary, not the library, redirects panics to the log, so that tests see theirs.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -46,6 +46,13 @@
         /// The place in the source.
         place: &'a str,
     },
+    /// A task that runs for as long as the process ended and starts again.
+    TaskEnded {
+        /// The name of the task.
+        task: &'a str,
+        /// How it ended: `panicked` or `returned`.
+        how: &'a str,
+    },
     /// The settings were read again.
     Reloaded {
         /// Whether the settings are in force, or what is wrong with them.
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -156,6 +156,17 @@
         })
     }
 
+    /// Has panics of the process logged instead of written to standard error.
+    pub fn record_panics(&self) {
+        let log = self.clone();
+        std::panic::set_hook(Box::new(move |panic| {
+            let place = panic.location().map(ToString::to_string);
+            log.write(&Event::Panicked {
+                place: &place.unwrap_or_default(),
+            });
+        }));
+    }
+
     /// Logs an event.
     pub fn write(&self, event: &Event<'_>) {
         let Ok(text) = serde_json::to_string(event) else {
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -43,7 +43,7 @@
 
 /// Serves the pages that `page` returns for a path, on as many connections as `registry` allows.
 pub async fn serve(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     clock: Clock,
     registry: Registry,
     page: impl Fn(&str) -> Page + Clone + 'static,
--- a/crates/gateway/src/peers/transfer/serve.rs
+++ b/crates/gateway/src/peers/transfer/serve.rs
@@ -34,7 +34,7 @@
 const MAX_BUSY_ENDPOINTS_BYTES: usize = 33 << 10;
 
 /// Serves the requests of connecting nodes, for as long as the process runs.
-pub async fn serve(shell: Rc<Shell>, listener: TcpListener) {
+pub async fn serve(shell: Rc<Shell>, listener: Rc<TcpListener>) {
     loop {
         let Ok((stream, SocketAddr::V4(to))) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Mutex;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -26,7 +27,6 @@
 use crate::clock::to_span;
 use crate::connections::Reason;
 use crate::event::Event;
-use crate::log;
 use crate::log::Log;
 use crate::peers;
 use crate::publish;
@@ -60,27 +60,22 @@
 /// The interval of closing idle connections to endpoints and of reporting dropped log lines.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Runs a node until a graceful shutdown is complete, and logs why it ends. `adapter` is called once,
-/// with the settings, and reads the platform for as long as the process runs.
+/// Runs a node until a graceful shutdown is complete, and writes why it ends to `log`. `adapter` is called with
+/// the settings, again if what it returned ends, and reads the platform for as long as the process
+/// runs.
 ///
 /// # Errors
-/// Returns a failure, which was written to standard error and the log, if the settings are invalid or
-/// an address cannot be bound.
-pub async fn run<A, F>(path: &Path, adapter: A) -> Result<(), Failure>
+/// Returns a failure, which was written to standard error and the log, if the settings are invalid,
+/// an address cannot be bound, or a task fails again and again.
+pub async fn run<A, F>(path: &Path, log: Log, adapter: A) -> Result<(), Failure>
 where
-    A: FnOnce(&Settings, source::Feed) -> F,
+    A: Fn(&Settings, source::Feed) -> F + 'static,
     F: Future<Output = ()> + 'static,
 {
-    let log = match Log::start(log::Options::default(), std::io::stdout()) {
-        Ok(log) => log,
-        Err(error) => {
-            let failure = Failure::new(Code::HostExhausted, "log", error);
-            report_failure(&failure);
-            return Err(failure);
-        }
-    };
-    log_panics(log.clone());
-    let result = serve_until_stopped(path, adapter, log.clone()).await;
+    let serving = spawn_local(serve_until_stopped(path.to_owned(), adapter, log.clone()));
+    let result = serving
+        .await
+        .unwrap_or_else(|error| Err(Failure::new(Code::TaskFailed, "main", error)));
     let event = match &result {
         Ok(()) => Event::Ended {
             status: 0,
@@ -107,36 +102,34 @@
     let _ = writeln!(std::io::stderr(), "woadstage: {failure}");
 }
 
-/// Has panics logged instead of written to standard error.
-fn log_panics(log: Log) {
-    std::panic::set_hook(Box::new(move |panic| {
-        let place = panic.location().map(ToString::to_string);
-        log.write(&Event::Panicked {
-            place: &place.unwrap_or_default(),
-        });
-    }));
-}
-
-async fn serve_until_stopped<A, F>(path: &Path, adapter: A, log: Log) -> Result<(), Failure>
+async fn serve_until_stopped<A, F>(path: PathBuf, adapter: A, log: Log) -> Result<(), Failure>
 where
-    A: FnOnce(&Settings, source::Feed) -> F,
+    A: Fn(&Settings, source::Feed) -> F + 'static,
     F: Future<Output = ()> + 'static,
 {
     let report = |waiting: &Waiting| start::log_waiting(&log, waiting);
     let mut signals = retry(&retry::Options::default(), Signals::try_new, report).await?;
     let Started {
         shell,
+        supervisor,
         settings,
         settings_text,
     } = tokio::select! {
-        started = start::start(path, adapter, &log) => started?,
+        started = start::start(&path, adapter, &log) => started?,
         () = signals.stop.wait() => return Ok(()),
     };
-    let Signals { stop, hangup } = signals;
-    let reload = reload(shell.clone(), path.to_owned(), settings_text, hangup);
-    spawn_local(reload);
-    stop_when_told(&shell, stop, to_duration(settings.stop_within)).await;
-    Ok(())
+    let Signals { mut stop, hangup } = signals;
+    let (shared, hangup) = (shell.clone(), Rc::new(Mutex::new(hangup)));
+    supervisor.spawn("reload", move || {
+        let known = settings_text.clone();
+        reload(shared.clone(), path.clone(), known, hangup.clone())
+    });
+    let result = tokio::select! {
+        () = stop.wait() => Ok(()),
+        failure = supervisor.wait_for_failure() => Err(failure),
+    };
+    stop_gracefully(&shell, to_duration(settings.stop_within)).await;
+    result
 }
 
 /// The signals that a process handles. Their default is to end it, so that they are taken before
@@ -346,8 +339,9 @@
 
 /// Reloads the settings on SIGHUP or when the file has changed. Only the seeds take effect
 /// without a restart.
-async fn reload(shell: Rc<Shell>, path: PathBuf, known: String, mut hangup: Signal) {
+async fn reload(shell: Rc<Shell>, path: PathBuf, known: String, hangup: Rc<Mutex<Signal>>) {
     let mut known = known;
+    let mut hangup = hangup.lock().await;
     loop {
         let is_signalled = tokio::time::timeout(SETTINGS_POLL_INTERVAL, hangup.recv())
             .await
@@ -368,10 +362,9 @@
     }
 }
 
-/// Waits until the process is told to stop, then announces that the node is leaving and waits for the
-/// requests in progress to end, for at most `within`.
-async fn stop_when_told(shell: &Rc<Shell>, mut signals: StopSignals, within: Duration) {
-    signals.wait().await;
+/// Announces that the node is leaving and waits for the requests in progress to end, for at most
+/// `within`.
+async fn stop_gracefully(shell: &Rc<Shell>, within: Duration) {
     let deadline = shell.now() + to_span(within.saturating_sub(EXIT_MARGIN));
     let log_phase = |phase: &str| {
         let held = shell.query(|dispatcher, _| dispatcher.held());
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -21,6 +21,7 @@
 //! * `progress.rs`: tells a connection's registry when a request is in progress.
 //! * `record.rs`: log lines and metrics about a request.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,7 +87,7 @@
 
 /// Accepts connections until [`Phase::Stopped`], and not only until the shutdown starts: while
 /// many nodes stop, a caller may find no other.
-pub async fn accept(shell: Rc<Shell>, listener: TcpListener) {
+pub async fn accept(shell: Rc<Shell>, listener: Rc<TcpListener>) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -193,7 +194,7 @@
     } else {
         &shell.connections
     };
-    open_connections.set(open_connections.get() + 1);
+    let _counted = Counted::new(open_connections);
     let serving = async {
         tokio::select! {
             _ = connection.as_mut() => {}
@@ -212,7 +213,22 @@
             }
         }
     }
-    open_connections.set(open_connections.get() - 1);
+}
+
+/// Counts something for as long as it exists, also if the task that holds it panics.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Counted<'a> {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 async fn respond(
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -150,18 +150,27 @@
 
 /// Creates the connected ends. The role is [`Role::Follower`] at first.
 pub fn channel() -> (Feed, Source) {
-    let (sender, receiver) = mpsc::unbounded_channel();
-    let (role_sender, role_receiver) = watch::channel(Role::Follower);
-    let (inquiry_sender, inquiry_receiver) = watch::channel(None);
+    connect(watch::Sender::new(Role::Follower), watch::Sender::new(None))
+}
+
+/// Creates the connected ends of another adapter for a node that has told one its role and
+/// inquiries. The last inquiry is asked again, since it may not have been answered.
+pub fn connect(
+    role: watch::Sender<Role>,
+    inquiries: watch::Sender<Option<Inquiry>>,
+) -> (Feed, Source) {
+    let (sender, updates) = mpsc::unbounded_channel();
+    let mut asked = inquiries.subscribe();
+    asked.mark_changed();
     let feed = Feed {
-        inquiries: inquiry_receiver,
+        inquiries: asked,
         updates: sender,
-        role: role_receiver,
+        role: role.subscribe(),
     };
     let source = Source {
-        inquiries: inquiry_sender,
-        updates: receiver,
-        role: role_sender,
+        inquiries,
+        updates,
+        role,
     };
     (feed, source)
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,6 +1,7 @@
 //! Starts a node: reads its settings, opens its sockets and spawns its tasks. Waits while the host
 //! can't grant what that takes yet.
 
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::rc::Rc;
@@ -8,9 +9,10 @@
 
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
-use tokio::task::spawn_local;
+use tokio::sync::watch;
 use woadstage_dispatch::dispatcher;
 use woadstage_dispatch::dispatcher::Dispatcher;
+use woadstage_dispatch::member::Role;
 use woadstage_dispatch::message::Document;
 use woadstage_dispatch::region;
 use woadstage_startup::failure::Failure;
@@ -34,7 +36,7 @@
 use crate::settings::Settings;
 use crate::shell::Shell;
 use crate::source;
-use crate::source::Source;
+use crate::supervise::Supervisor;
 
 /// The size of the buffers of connections at the readiness and metrics address.
 const OPERATOR_BUFFER: Size = Size::from_kib(4);
@@ -53,6 +55,8 @@
 pub struct Started {
     /// The state that its tasks share.
     pub shell: Rc<Shell>,
+    /// Keeps its tasks running.
+    pub supervisor: Supervisor,
     /// Its settings.
     pub settings: Settings,
     /// The content of the settings file.
@@ -61,8 +65,8 @@
 
 /// The sockets without which a node serves nobody.
 struct Sockets {
-    callers: TcpListener,
-    transfers: TcpListener,
+    callers: Rc<TcpListener>,
+    transfers: Rc<TcpListener>,
     messages: Rc<UdpSocket>,
 }
 
@@ -72,7 +76,7 @@
 /// Returns why it can't start if that won't pass by itself, or has not in time.
 pub async fn start<A, F>(path: &Path, adapter: A, log: &Log) -> Result<Started, Failure>
 where
-    A: FnOnce(&Settings, source::Feed) -> F,
+    A: Fn(&Settings, source::Feed) -> F + 'static,
     F: Future<Output = ()> + 'static,
 {
     let report = |waiting: &Waiting| log_waiting(log, waiting);
@@ -82,13 +86,15 @@
     // Readiness is served first, so that the platform learns that the node is not ready yet.
     let open_ready = || open("ready", settings.ready, OPERATOR_BUFFER);
     let ready = retry(&retry::Options::default(), open_ready, report).await?;
-    serve_readiness(&shell, &settings, ready);
-    serve_metrics(&shell, &settings)?;
+    let supervisor = Supervisor::new(shell.clone());
+    serve_readiness(&supervisor, &settings, ready);
+    serve_metrics(&supervisor, &settings)?;
     let open_sockets = || open_sockets(&settings);
     let sockets = retry(&retry::Options::default(), open_sockets, report).await?;
-    spawn_tasks(&shell, &settings, sockets, adapter);
+    spawn_tasks(&supervisor, &settings, sockets, adapter);
     Ok(Started {
         shell,
+        supervisor,
         settings,
         settings_text: read.text,
     })
@@ -162,63 +168,59 @@
     let messages = messages.map_err(|error| refused("peers", settings.peers, &error))?;
     let callers_buffer = settings.capacity.callers_buffer;
     Ok(Sockets {
-        transfers: open("peers", settings.peers, PEER_BUFFER)?,
-        callers: open("callers", settings.callers, callers_buffer)?,
+        transfers: Rc::new(open("peers", settings.peers, PEER_BUFFER)?),
+        callers: Rc::new(open("callers", settings.callers, callers_buffer)?),
         messages: Rc::new(messages),
     })
 }
 
-fn serve_readiness(shell: &Rc<Shell>, settings: &Settings, listener: TcpListener) {
-    let (path, shared) = (settings.ready_path.clone(), shell.clone());
-    let page = move |requested: &str| operators::readiness(&shared, requested, &path);
-    let registry = shell.registries.ready.clone();
-    spawn_local(operators::serve(
-        listener,
-        shell.clock.clone(),
-        registry,
-        page,
-    ));
+fn serve_readiness(supervisor: &Supervisor, settings: &Settings, listener: TcpListener) {
+    let (listener, path) = (Rc::new(listener), settings.ready_path.clone());
+    let shell = supervisor.shell.clone();
+    supervisor.spawn("readiness", move || {
+        let (shared, path) = (shell.clone(), path.clone());
+        let page = move |requested: &str| operators::readiness(&shared, requested, &path);
+        let registry = shell.registries.ready.clone();
+        operators::serve(listener.clone(), shell.clock.clone(), registry, page)
+    });
 }
 
 /// Serves the metrics as soon as their address is free.
-fn serve_metrics(shell: &Rc<Shell>, settings: &Settings) -> Result<(), Failure> {
+fn serve_metrics(supervisor: &Supervisor, settings: &Settings) -> Result<(), Failure> {
     let address = settings.metrics;
     let open = move || open("metrics", address, OPERATOR_BUFFER);
     let opened = match open() {
         Err(failure) if !failure.is_transient() => return Err(failure),
-        opened => opened.ok(),
+        opened => Rc::new(RefCell::new(opened.ok())),
     };
-    let shell = shell.clone();
-    spawn_local(async move {
-        let listener = match opened {
-            Some(listener) => Ok(listener),
-            None => {
-                let report = |waiting: &Waiting| log_waiting(&shell.log, waiting);
-                retry(&METRICS_RETRY, open, report).await
-            }
-        };
-        let shared = shell.clone();
-        let page = move |_: &str| operators::metrics(&shared);
-        let registry = shell.registries.metrics.clone();
-        match listener {
-            Ok(listener) => {
-                operators::serve(listener, shell.clock.clone(), registry, page).await;
+    let shell = supervisor.shell.clone();
+    supervisor.spawn("metrics", move || {
+        let (shell, opened) = (shell.clone(), opened.clone());
+        async move {
+            let report = |waiting: &Waiting| log_waiting(&shell.log, waiting);
+            let opened = opened.take();
+            let listener = match opened {
+                Some(listener) => Ok(listener),
+                None => retry(&METRICS_RETRY, open, report).await,
+            };
+            match listener {
+                Ok(listener) => {
+                    let shared = shell.clone();
+                    let page = move |_: &str| operators::metrics(&shared);
+                    let registry = shell.registries.metrics.clone();
+                    let listener = Rc::new(listener);
+                    operators::serve(listener, shell.clock.clone(), registry, page).await;
+                }
+                Err(_) => std::future::pending().await,
             }
-            Err(cause) => log_waiting(
-                &shell.log,
-                &Waiting {
-                    cause,
-                    waited: Duration::ZERO,
-                },
-            ),
         }
     });
     Ok(())
 }
 
-fn spawn_tasks<A, F>(shell: &Rc<Shell>, settings: &Settings, sockets: Sockets, adapter: A)
+fn spawn_tasks<A, F>(supervisor: &Supervisor, settings: &Settings, sockets: Sockets, adapter: A)
 where
-    A: FnOnce(&Settings, source::Feed) -> F,
+    A: Fn(&Settings, source::Feed) -> F + 'static,
     F: Future<Output = ()> + 'static,
 {
     let Sockets {
@@ -226,21 +228,47 @@
         transfers,
         messages,
     } = sockets;
+    let shell = &supervisor.shell;
     shell.peers.set_socket(messages.clone());
-    let (feed, source) = source::channel();
-    let Source {
-        updates,
-        role,
-        inquiries,
-    } = source;
-    spawn_local(adapter(settings, feed));
-    spawn_local(run::apply_updates(shell.clone(), updates));
-    spawn_local(peers::listen(shell.clone(), messages.clone()));
-    spawn_local(peers::transfer::serve(shell.clone(), transfers));
-    spawn_local(serve::accept(shell.clone(), callers));
-    spawn_local(run::tick(shell.clone(), messages, role, inquiries));
+    let (role, inquiries) = (watch::Sender::new(Role::Follower), watch::Sender::new(None));
+    let (shared, settings) = (shell.clone(), settings.clone());
+    let (role_sender, inquiry_sender) = (role.clone(), inquiries.clone());
+    supervisor.spawn("platform", move || {
+        let (feed, source) = source::connect(role_sender.clone(), inquiry_sender.clone());
+        let follow = adapter(&settings, feed);
+        let apply = run::apply_updates(shared.clone(), source.updates);
+        // If one of them fails, the other can't go on: everything is read again.
+        async move {
+            tokio::join!(follow, apply);
+        }
+    });
+    let (shared, socket) = (shell.clone(), messages.clone());
+    supervisor.spawn("timer", move || {
+        run::tick(
+            shared.clone(),
+            socket.clone(),
+            role.clone(),
+            inquiries.clone(),
+        )
+    });
+    let shared = shell.clone();
+    supervisor.spawn("messages", move || {
+        peers::listen(shared.clone(), messages.clone())
+    });
+    let shared = shell.clone();
+    supervisor.spawn("transfers", move || {
+        peers::transfer::serve(shared.clone(), transfers.clone())
+    });
+    let shared = shell.clone();
+    supervisor.spawn("callers", move || {
+        serve::accept(shared.clone(), callers.clone())
+    });
     for document in [Document::Endpoints, Document::Configuration] {
-        spawn_local(peers::catch_up::run(shell.clone(), document));
+        let shared = shell.clone();
+        supervisor.spawn("catch-up", move || {
+            peers::catch_up::run(shared.clone(), document)
+        });
     }
-    spawn_local(run::sweep(shell.clone()));
+    let shared = shell.clone();
+    supervisor.spawn("sweep", move || run::sweep(shared.clone()));
 }
--- a/crates/gateway/tests/gateway/catch_up.rs
+++ b/crates/gateway/tests/gateway/catch_up.rs
@@ -12,6 +12,8 @@
 use woadstage_dispatch::dispatcher::Dispatcher;
 use woadstage_dispatch::dispatcher::Options;
 use woadstage_dispatch::endpoint::List;
+use woadstage_gateway::log;
+use woadstage_gateway::log::Log;
 use woadstage_types::unit::Time;
 
 use crate::support::Peer;
@@ -76,7 +78,9 @@
     std::fs::write(&path, settings(peer)).expect("settings are written");
     let (file, peer) = (path.clone(), Rc::clone(peer));
     spawn_local(async move {
-        let ended = woadstage_gateway::run::run(&file, |_, _| pending()).await;
+        let log = Log::start(log::Options::default(), std::io::stdout());
+        let log = log.expect("the log starts");
+        let ended = woadstage_gateway::run::run(&file, log, |_, _| pending()).await;
         panic!("the node at {} ended: {ended:?}", peer.node_address);
     });
     path
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -239,7 +240,12 @@
             "/ready" => (StatusCode::OK, b"ready\n".to_vec()),
             _ => (StatusCode::NOT_FOUND, Vec::new()),
         };
-        spawn_local(operators::serve(listener, Clock::start(), registry, page));
+        spawn_local(operators::serve(
+            Rc::new(listener),
+            Clock::start(),
+            registry,
+            page,
+        ));
         let socket = TcpSocket::new_v4().expect("a socket");
         listen::bound_buffers(&socket, size, size);
         let mut ahead = socket.connect(address).await.expect("it listens");
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod software;
 mod stop;
 mod streams;
+mod supervise;
 mod support;
 mod suspend;
 mod tolerance;
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -111,7 +111,10 @@
         let worker = Worker::start("e", vec![Action::NoAnswer]).await;
         let gateway = Gateway::start(&[&worker]).await;
         let (listener, address) = listen().await;
-        tokio::task::spawn_local(peers::transfer::serve(gateway.shell.clone(), listener));
+        tokio::task::spawn_local(peers::transfer::serve(
+            gateway.shell.clone(),
+            Rc::new(listener),
+        ));
         let other = Gateway::unconfigured(log::Options::default()).await;
         let versions =
             |gateway: &Gateway| gateway.shell.query(|dispatcher, _| dispatcher.versions());
@@ -131,7 +134,10 @@
     run(|| async {
         let gateway = Gateway::start(&[]).await;
         let (listener, address) = listen().await;
-        tokio::task::spawn_local(peers::transfer::serve(gateway.shell.clone(), listener));
+        tokio::task::spawn_local(peers::transfer::serve(
+            gateway.shell.clone(),
+            Rc::new(listener),
+        ));
         // These clients connect and request nothing.
         let mut stalled = Vec::new();
         for _ in 0..3 {
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -16,9 +16,13 @@
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::endpoint::List;
+use woadstage_gateway::log;
+use woadstage_gateway::log::Log;
 use woadstage_gateway::run;
+use woadstage_gateway::settings::Settings;
 use woadstage_gateway::source::Answer;
 use woadstage_gateway::source::Call;
+use woadstage_gateway::source::Feed;
 use woadstage_gateway::source::Update;
 
 use super::Caller;
@@ -192,24 +196,30 @@
     let configuration = Arc::new(configuration.clone());
     let settings_path = path.clone();
     spawn_local(async move {
-        let ended = run::run(&settings_path, move |_, feed| async move {
-            let answer = Answer {
-                call: Call::Read,
-                revision: 1,
-                answer_revision: 1,
-                received_at: Instant::now(),
-            };
-            let updates = [
-                Update::Reached,
-                Update::Answered,
-                Update::Endpoints(list),
-                Update::Configuration(configuration, answer),
-            ];
-            for update in updates {
-                feed.updates.send(update).expect("the node runs");
+        let adapter = move |_: &Settings, feed: Feed| {
+            let (list, configuration) = (list.clone(), configuration.clone());
+            async move {
+                let answer = Answer {
+                    call: Call::Read,
+                    revision: 1,
+                    answer_revision: 1,
+                    received_at: Instant::now(),
+                };
+                let updates = [
+                    Update::Reached,
+                    Update::Answered,
+                    Update::Endpoints(list),
+                    Update::Configuration(configuration, answer),
+                ];
+                for update in updates {
+                    feed.updates.send(update).expect("the node runs");
+                }
+                std::future::pending().await
             }
-            std::future::pending().await
-        });
+        };
+        let log = Log::start(log::Options::default(), std::io::stdout());
+        let log = log.expect("the log starts");
+        let ended = run::run(&settings_path, log, adapter);
         ended.await.expect("the node runs");
     });
     Node {
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -227,7 +227,7 @@
         else {
             unreachable!("bound to IPv4");
         };
-        spawn_local(serve::accept(shell.clone(), listener));
+        spawn_local(serve::accept(shell.clone(), Rc::new(listener)));
         let confirms = Rc::new(Cell::new(true));
         spawn_local(observe(shell.clone(), confirms.clone()));
         Gateway {
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -12,6 +12,8 @@
 use anyhow::Context;
 use woadstage_gateway::clock::to_duration;
 use woadstage_gateway::explain;
+use woadstage_gateway::log;
+use woadstage_gateway::log::Log;
 use woadstage_gateway::settings::Settings;
 use woadstage_losses::line;
 use woadstage_losses::report;
@@ -215,6 +217,8 @@
         };
         follow::follow(settings.platform, options, feed)
     };
-    let gateway = woadstage_gateway::run::run(settings, adapter);
+    let log = Log::start(log::Options::default(), io::stdout())?;
+    log.record_panics();
+    let gateway = woadstage_gateway::run::run(settings, log, adapter);
     Ok(tasks.run_until(gateway).await?)
 }
