fix: a node starts although its host allows no further thread

Symptom: with a limit of one thread a node ended with status 1 ("Resource temporarily unavailable").

Cause: the thread that writes the log was asked for once, and the node ended without it.

Result: gateway::log, two cases.

--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -1,6 +1,7 @@
 //! Writes log lines to standard output, one JSON object per line. The volume is bounded and
 //! requests never wait for the log: if the reader stalls, lines are dropped.
 
+use std::io;
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Condvar;
@@ -95,18 +96,23 @@
 }
 
 impl Buffer {
-    fn wait_for_batch(&self) -> Vec<u8> {
+    /// Waits for lines and writes those that follow soon together with them.
+    fn write(&self, to: &mut (impl Write + ?Sized)) {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         let waiting = self.non_empty.wait_while(lines, |lines| lines.is_empty());
         drop(waiting);
         std::thread::sleep(self.options.flush_interval);
+        self.write_waiting(to);
+    }
+
+    fn take(&self) -> Vec<u8> {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         self.is_writing.store(true, Ordering::Release);
         std::mem::take(&mut *lines)
     }
 
-    fn write(&self, to: &mut impl Write) {
-        let lines = self.wait_for_batch();
+    fn write_waiting(&self, to: &mut (impl Write + ?Sized)) {
+        let lines = self.take();
         // If the reader is gone, the lines are lost: the error cannot be reported anywhere.
         let _ = to.write_all(&lines).and_then(|()| to.flush());
         self.is_writing.store(false, Ordering::Release);
@@ -124,14 +130,27 @@
 pub struct Log {
     logger: Arc<Logger>,
     buffer: Arc<Buffer>,
+    output: Arc<Mutex<dyn Write + Send>>,
+    has_writer: Arc<AtomicBool>,
 }
 
 impl Log {
-    /// Starts a thread that writes the log to `to`.
+    /// Creates a log, and starts the thread that writes it to `to` if the host allows another.
+    ///
+    /// # Errors
+    /// Fails if the logger cannot be created.
+    pub fn start(options: Options, to: impl Write + Send + 'static) -> anyhow::Result<Log> {
+        let log = Log::new(options, to)?;
+        // Lines wait meanwhile, and the thread is asked for again.
+        let _ = log.try_start_writer();
+        Ok(log)
+    }
+
+    /// Creates a log whose lines wait until [`Log::try_start_writer`].
     ///
     /// # Errors
-    /// Fails if the thread or the logger cannot be created.
-    pub fn start(options: Options, mut to: impl Write + Send + 'static) -> anyhow::Result<Log> {
+    /// Fails if the logger cannot be created.
+    pub fn new(options: Options, to: impl Write + Send + 'static) -> anyhow::Result<Log> {
         let buffer = Arc::new(Buffer {
             prop: SinkProp::default(),
             options,
@@ -141,19 +160,34 @@
             dropped_lines: AtomicU64::new(0),
         });
         let logger = Logger::builder().sink(buffer.clone()).build()?;
-        let writer = buffer.clone();
+        Ok(Log {
+            logger: Arc::new(logger),
+            buffer,
+            output: Arc::new(Mutex::new(to)),
+            has_writer: Arc::default(),
+        })
+    }
+
+    /// Starts the thread that writes the log, unless it runs.
+    ///
+    /// # Errors
+    /// Fails if the host allows no further thread.
+    pub fn try_start_writer(&self) -> io::Result<()> {
+        if self.has_writer.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        let (buffer, output) = (self.buffer.clone(), self.output.clone());
         let thread = std::thread::Builder::new()
             .name("log".into())
             .stack_size(64 << 10);
         thread.spawn(move || {
+            let mut output = output.lock().unwrap_or_else(PoisonError::into_inner);
             loop {
-                writer.write(&mut to);
+                buffer.write(&mut *output);
             }
         })?;
-        Ok(Log {
-            logger: Arc::new(logger),
-            buffer,
-        })
+        self.has_writer.store(true, Ordering::Relaxed);
+        Ok(())
     }
 
     /// Has panics of the process logged instead of written to standard error.
@@ -181,6 +215,10 @@
 
     /// Waits until all lines are written, or the reader has had its time.
     pub async fn finish(&self) {
+        if !self.has_writer.load(Ordering::Relaxed) {
+            let mut output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
+            self.buffer.write_waiting(&mut *output);
+        }
         let deadline = tokio::time::Instant::now() + FINISH_TIMEOUT;
         while !self.buffer.is_written() && tokio::time::Instant::now() < deadline {
             tokio::time::sleep(FINISH_POLL_INTERVAL).await;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -308,6 +308,8 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         shell.upstream.remove_expired(shell.now());
         shell.close_late_connections();
+        // Failed before if the host allowed no further thread.
+        let _ = shell.log.try_start_writer();
         log_closed_connections(&shell, &mut closed);
         let total = shell.log.dropped_lines();
         if total > left_out {
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -224,3 +224,36 @@
     }
     assert!(reader.lines.text().len() < 4 * (64 << 10));
 }
+
+// Guards against a node that ends because its host allows no thread for the log.
+#[test]
+fn lines_wait_for_the_thread_that_writes_them() {
+    run(|| async {
+        let lines = LogBuffer::default();
+        let log = Log::new(Options::default(), lines.clone()).expect("the log starts");
+        let woke = Event::Woke {
+            after_ms: 500,
+            suspended_ms: 0,
+        };
+        log.write(&woke);
+        assert_eq!(lines.text(), "");
+        log.try_start_writer().expect("a thread");
+        log.finish().await;
+        assert!(lines.text().contains("\"woke\""));
+    });
+}
+
+#[test]
+fn the_last_lines_are_written_without_a_thread() {
+    run(|| async {
+        let lines = LogBuffer::default();
+        let log = Log::new(Options::default(), lines.clone()).expect("the log starts");
+        log.write(&Event::Ended {
+            status: 0,
+            code: String::new(),
+            detail: "told to stop",
+        });
+        log.finish().await;
+        assert!(lines.text().contains("\"ended\""));
+    });
+}
