fix: a lasting error of the messages' socket doesn't take the whole thread

Cause: after an error other than "would block" the reader of messages went on at once, without giving way: one that lasts (no memory) would keep every other task of the node from running. Found by reading; no run showed such an error.

Change: errors that report an undelivered datagram go on at once, as before; after any other the reader pauses for 20 ms.

Result: gateway tests of nodes over real sockets pass as before; there is no test with a lasting error, which can't be brought about here.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,10 +9,12 @@
 //! * [`traffic`]: counts of sent messages, by kind.
 
 use std::cell::OnceCell;
+use std::io;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 use woadstage_dispatch::member::Reception;
@@ -36,6 +38,9 @@
 /// The maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
+/// The pause after a failed receive. The usual cause is a lack of memory on the host.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Sends messages over UDP, without a guarantee of delivery.
 #[derive(Default)]
 pub struct Sender {
@@ -89,7 +94,10 @@
                 shell.has_unread_messages.set(true);
                 continue;
             }
-            // An error may report that a datagram sent earlier could not be delivered.
+            Err(error) if !is_undelivered(&error) => {
+                tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
+                continue;
+            }
             _ => continue,
         };
         // Other tasks run too while many messages arrive.
@@ -149,6 +157,14 @@
     }
 }
 
+/// Whether an error reports that a datagram sent earlier could not be delivered.
+fn is_undelivered(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+    )
+}
+
 /// Answers a node that considers this one the owner of a customer's quota.
 fn answer_reservation(shell: &Shell, from: SocketAddrV4, reserve: &Reserve) {
     let verdict = shell.command(|dispatcher, now| dispatcher.reserve(now, reserve));
