fix: a process waits for descriptors before it has a runtime

Symptom: with too few descriptors a process ended with status 1, panicked in the runtime's library (6 and 7 descriptors), or, where only the settings file was lacking one, ended after two seconds.

Cause: the runtime is built before anything that waits, and the library panics without a descriptor for its pipe of signals.

Change: the runtime is built again while the host has none left, for as long as an address is waited for; so is the settings file. Errors are printed without a panic where nobody reads them.

--- a/crates/startup/src/retry.rs
+++ b/crates/startup/src/retry.rs
@@ -48,21 +48,68 @@
     mut attempt: impl FnMut() -> Result<T, Failure>,
     report: impl Fn(&Waiting),
 ) -> Result<T, Failure> {
-    let started = Instant::now();
-    let mut reported_at: Option<Instant> = None;
+    let mut wait = Wait::start();
     loop {
-        let cause = match attempt() {
+        match attempt() {
             Ok(acquired) => return Ok(acquired),
-            Err(cause) => cause,
-        };
-        let waited = started.elapsed();
+            Err(cause) => wait.follow(options, cause, &report)?,
+        }
+        tokio::time::sleep(options.interval).await;
+    }
+}
+
+/// The same as [`retry`], for a thread without a runtime.
+///
+/// # Errors
+/// Same as for [`retry`].
+pub fn retry_blocking<T>(
+    options: &Options,
+    mut attempt: impl FnMut() -> Result<T, Failure>,
+    report: impl Fn(&Waiting),
+) -> Result<T, Failure> {
+    let mut wait = Wait::start();
+    loop {
+        match attempt() {
+            Ok(acquired) => return Ok(acquired),
+            Err(cause) => wait.follow(options, cause, &report)?,
+        }
+        std::thread::sleep(options.interval);
+    }
+}
+
+/// A wait for something that the host may grant.
+struct Wait {
+    started_at: Instant,
+    reported_at: Option<Instant>,
+}
+
+impl Wait {
+    fn start() -> Wait {
+        Wait {
+            started_at: Instant::now(),
+            reported_at: None,
+        }
+    }
+
+    /// Reports a failed attempt if a report is due, and returns the failure if no other attempt
+    /// follows.
+    fn follow(
+        &mut self,
+        options: &Options,
+        cause: Failure,
+        report: impl Fn(&Waiting),
+    ) -> Result<(), Failure> {
+        let waited = self.started_at.elapsed();
         if !cause.is_transient() || waited >= options.within {
             return Err(cause);
         }
-        if reported_at.is_none_or(|at| at.elapsed() >= options.report_interval) {
-            reported_at = Some(Instant::now());
+        let is_reported = self
+            .reported_at
+            .is_some_and(|at| at.elapsed() < options.report_interval);
+        if !is_reported {
+            self.reported_at = Some(Instant::now());
             report(&Waiting { cause, waited });
         }
-        tokio::time::sleep(options.interval).await;
+        Ok(())
     }
 }
--- a/crates/startup/src/settings_file.rs
+++ b/crates/startup/src/settings_file.rs
@@ -11,6 +11,7 @@
 use woadstage_types::code::Code;
 
 use crate::failure::Failure;
+use crate::retry;
 use crate::retry::Waiting;
 
 /// How long a file may be missing, or stay unchanged although it is incomplete.
@@ -34,8 +35,8 @@
 /// The result of one try that did not succeed.
 struct Attempt {
     cause: Failure,
-    /// Whether the rest of the file may be about to be written.
-    is_incomplete: bool,
+    /// Whether another attempt may succeed: the file, or the rest of it, may be about to be written.
+    may_pass: bool,
     /// How long to wait for that.
     within: Duration,
 }
@@ -57,7 +58,7 @@
             Err(attempt) => attempt,
         };
         let waited = started.elapsed();
-        if !attempt.is_incomplete || waited >= attempt.within {
+        if !attempt.may_pass || waited >= attempt.within {
             return Err(attempt.cause);
         }
         if !std::mem::replace(&mut is_reported, true) {
@@ -73,15 +74,20 @@
     let text = match std::fs::read_to_string(path) {
         Ok(text) => text,
         Err(error) => {
-            let is_missing = error.kind() == io::ErrorKind::NotFound;
-            let cause = match is_missing {
-                true => Failure::new(Code::SettingsMissing, &name, &error),
-                false => Failure::refused(&name, &error),
-            };
-            return Err(Attempt {
-                is_incomplete: is_missing || cause.is_transient(),
-                cause,
-                within: WRITE_TIMEOUT,
+            return Err(match error.kind() {
+                io::ErrorKind::NotFound => Attempt {
+                    cause: Failure::new(Code::SettingsMissing, &name, &error),
+                    may_pass: true,
+                    within: WRITE_TIMEOUT,
+                },
+                _ => {
+                    let cause = Failure::refused(&name, &error);
+                    Attempt {
+                        may_pass: cause.is_transient(),
+                        cause,
+                        within: retry::Options::default().within,
+                    }
+                }
             });
         }
     };
@@ -95,11 +101,11 @@
                 &name,
                 "The last line has no end yet.",
             ),
-            is_incomplete: true,
+            may_pass: true,
             within: MAX_WAIT,
         }),
         Err(faults) => Err(Attempt {
-            is_incomplete: is_recent && may_be_incomplete(&text, &parse),
+            may_pass: is_recent && may_be_incomplete(&text, &parse),
             cause: faults.into(),
             within: MAX_WAIT,
         }),
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -5,11 +5,13 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
+use std::panic::AssertUnwindSafe;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use anyhow::Context;
+use tokio::runtime::Runtime;
 use woadstage_gateway::clock::to_duration;
 use woadstage_gateway::explain;
 use woadstage_gateway::log;
@@ -21,6 +23,10 @@
 use woadstage_node::commands::Refused;
 use woadstage_platform::follow;
 use woadstage_startup::failure::Failure;
+use woadstage_startup::retry;
+use woadstage_startup::retry::Waiting;
+use woadstage_startup::retry::retry_blocking;
+use woadstage_types::code::Code;
 
 mod flags;
 
@@ -48,32 +54,45 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = match runtime {
+    let report = |waiting: &Waiting| print_error(&waiting.cause);
+    let runtime = match retry_blocking(&retry::Options::default(), try_build_runtime, report) {
         Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("woadstage: {error}");
+        Err(failure) => {
+            print_error(&failure);
             return ExitCode::FAILURE;
         }
     };
     match runtime.block_on(run(flags)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) if error.is::<UsageError>() => {
-            eprintln!("woadstage: {error}");
+            print_error(error);
             ExitCode::from(USAGE_EXIT_CODE)
         }
         Err(error) => {
             // A gateway's failure was reported when it ended.
             if !error.is::<Refused>() && !error.is::<Failure>() {
-                eprintln!("woadstage: {error:#}");
+                print_error(format_args!("{error:#}"));
             }
             ExitCode::FAILURE
         }
     }
 }
 
+fn try_build_runtime() -> Result<Runtime, Failure> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all();
+    // The runtime panics if it gets no descriptors for its pipe of signals.
+    match std::panic::catch_unwind(AssertUnwindSafe(|| builder.build())) {
+        Ok(built) => built.map_err(|error| Failure::refused("runtime", &error)),
+        Err(_) => Err(Failure::new(Code::HostExhausted, "runtime", "It panicked.")),
+    }
+}
+
+/// Prints an error for the user. Nothing can be done if nobody reads it.
+fn print_error(error: impl std::fmt::Display) {
+    let _ = writeln!(io::stderr(), "woadstage: {error}");
+}
+
 /// An invalid value or combination of arguments.
 #[derive(Debug)]
 struct UsageError(&'static str);
--- a/crates/woadstage/tests/gateway/start.rs
+++ b/crates/woadstage/tests/gateway/start.rs
@@ -8,6 +8,7 @@
 
 use crate::support::Addresses;
 use crate::support::Folder;
+use crate::support::wait_until;
 
 /// A socket that holds an address.
 enum Holder {
@@ -87,7 +88,7 @@
     let _holder = Holder::tcp(addresses.metrics);
     let mut node = folder.start();
     let is_served = || std::net::TcpStream::connect(addresses.callers).is_ok();
-    crate::support::wait_until("callers are served", || {
+    wait_until("callers are served", || {
         assert!(node.is_running(), "ended: {}", node.text());
         is_served()
     });
@@ -138,3 +139,21 @@
     let mut node = folder.start_limited(limits);
     node.wait_until_serving(addresses);
 }
+
+// Guards against a node that ends, or panics, because its host has no descriptor left for a moment.
+#[rstest]
+#[case::for_the_poller(4)]
+#[case::for_the_pipe_of_signals(6)]
+#[case::for_settings(9)]
+fn a_node_waits_for_descriptors(#[case] descriptors: u64) {
+    let (folder, addresses) = (Folder::new(), Addresses::new());
+    folder.write_settings(&addresses.to_settings());
+    let mut node = folder.start_limited(&format!("ulimit -S -n {descriptors}"));
+    wait_until("the node waits", || {
+        let is_waiting = node.text().contains("W5014");
+        assert!(is_waiting || node.is_running(), "ended: {}", node.text());
+        is_waiting
+    });
+    node.allow_descriptors(256);
+    node.wait_until_serving(addresses);
+}
--- a/crates/woadstage/tests/gateway/support.rs
+++ b/crates/woadstage/tests/gateway/support.rs
@@ -16,8 +16,11 @@
 use std::time::Duration;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 use serde_json::Value;
 
 /// The addresses of a node, which differ between tests and test processes.
@@ -159,6 +162,16 @@
         kill_process(pid, signal).expect("the process should exist");
     }
 
+    /// Sets how many descriptors the process may have.
+    pub fn allow_descriptors(&self, descriptors: u64) {
+        let limit = Rlimit {
+            current: Some(descriptors),
+            maximum: Some(descriptors),
+        };
+        let pid = Pid::from_raw(self.child.id() as i32).expect("the id is valid");
+        prlimit(Some(pid), Resource::Nofile, limit).expect("the limit should be set");
+    }
+
     /// Waits until the process logs an event, which it has to do before it ends.
     pub fn wait_for_event(&mut self, event: &str) {
         wait_until(event, || {
