fix: a settings file that is cut between two lines or within a character is incomplete

A file cut within a character ended the node.

Change: a file may name at its top the table with which it ends (`last_table`), and is incomplete without it; the template does. A file whose last bytes are the beginning of a character, and that changed just now, is read again.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -95,6 +95,7 @@
 /// Returns every fault, each with its place and code.
 pub fn parse(text: &str) -> Result<Settings, Faults> {
     let mut reader = Reader::parse(text)?;
+    check_end(&mut reader);
     let mut node = reader.take_table("node");
     let regions = reader.take_or("regions", HashMap::new());
     let mut listen = reader.take_table("listen");
@@ -155,6 +156,18 @@
     faults.into_result(settings)
 }
 
+/// Reports that the file lacks the table with which it says at its start that it ends. Most settings
+/// have defaults, so that a file which is cut at the end of a line would count as a whole one.
+fn check_end(reader: &mut Reader) {
+    let Some(name) = reader.take_opt::<String>("last_table") else {
+        return;
+    };
+    if reader.take_opt::<toml::Table>(&name).is_none() {
+        let hint = "The file ends before this table.";
+        reader.add_fault(&name, Code::SettingsMissing, hint);
+    }
+}
+
 /// Reports an address that is given to more than one listener.
 fn check_addresses(settings: &Settings, listen: &mut Reader, peers: &mut Reader) {
     let mut taken = vec![settings.callers];
--- a/crates/startup/src/settings_file.rs
+++ b/crates/startup/src/settings_file.rs
@@ -70,27 +70,7 @@
 }
 
 fn try_read<T>(path: &Path, parse: impl Fn(&str) -> Result<T, Faults>) -> Result<Read<T>, Attempt> {
-    let name = path.display().to_string();
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
-        Err(error) => {
-            return Err(match error.kind() {
-                io::ErrorKind::NotFound => Attempt {
-                    cause: Failure::new(Code::SettingsMissing, &name, &error),
-                    may_pass: true,
-                    within: WRITE_TIMEOUT,
-                },
-                _ => {
-                    let cause = Failure::refused(&name, &error);
-                    Attempt {
-                        may_pass: cause.is_transient(),
-                        cause,
-                        within: retry::Options::default().within,
-                    }
-                }
-            });
-        }
-    };
+    let text = read_text(path)?;
     let is_recent = is_recent(path);
     let is_terminated = text.ends_with('\n');
     match parse(&text) {
@@ -98,7 +78,7 @@
         Ok(_) => Err(Attempt {
             cause: Failure::new(
                 Code::SettingsMissing,
-                &name,
+                &path.display().to_string(),
                 "The last line has no end yet.",
             ),
             may_pass: true,
@@ -112,6 +92,34 @@
     }
 }
 
+fn read_text(path: &Path) -> Result<String, Attempt> {
+    let name = path.display().to_string();
+    let bytes = std::fs::read(path).map_err(|error| match error.kind() {
+        io::ErrorKind::NotFound => Attempt {
+            cause: Failure::new(Code::SettingsMissing, &name, &error),
+            may_pass: true,
+            within: WRITE_TIMEOUT,
+        },
+        _ => {
+            let cause = Failure::refused(&name, &error);
+            Attempt {
+                may_pass: cause.is_transient(),
+                cause,
+                within: retry::Options::default().within,
+            }
+        }
+    })?;
+    String::from_utf8(bytes).map_err(|error| {
+        // The file may end within a character.
+        let is_cut = error.utf8_error().error_len().is_none();
+        Attempt {
+            cause: Failure::new(Code::SettingsSyntax, &name, error.utf8_error()),
+            may_pass: is_cut && is_recent(path),
+            within: MAX_WAIT,
+        }
+    })
+}
+
 /// Whether a file was written so recently that its writer may still be at work.
 fn is_recent(path: &Path) -> bool {
     let modified = std::fs::metadata(path).and_then(|metadata| metadata.modified());
--- a/crates/startup/tests/startup/settings_file.rs
+++ b/crates/startup/tests/startup/settings_file.rs
@@ -30,7 +30,7 @@
 struct File(PathBuf);
 
 impl File {
-    fn new(name: &str, text: Option<&str>) -> File {
+    fn new(name: &str, text: Option<&[u8]>) -> File {
         let name = format!("woadstage-settings-{}-{name}", std::process::id());
         let path = std::env::temp_dir().join(name);
         if let Some(text) = text {
@@ -72,7 +72,7 @@
         #[tokio::test]
         async fn a_file_that_may_be_incomplete_is_read_again(
             #[case] name: &str,
-            #[case] text: Option<&str>,
+            #[case] text: Option<&[u8]>,
             #[case] waits: bool,
             #[case] expected: Result<u32, Code>,
         ) {
@@ -85,19 +85,21 @@
 }
 
 files! {
-    complete: Some("[node]\nhost = \"a\"\n[listen]\nport = 80\n"), waits false, Ok(80);
+    complete: Some(&b"[node]\nhost = \"a\"\n[listen]\nport = 80\n"[..]), waits false, Ok(80);
     missing: None, waits true, Ok(8_000);
-    empty: Some(""), waits true, Ok(8_000);
-    no_table_yet: Some("[node]\nhost = \"a\"\n"), waits true, Ok(8_000);
-    no_field_yet: Some("[node]\nhost = \"a\"\n[listen]\n"), waits true, Ok(8_000);
-    cut_name: Some("[node]\nhost = \"a\"\n[listen]\npo"), waits true, Ok(8_000);
-    cut_number: Some("[node]\nhost = \"a\"\n[listen]\nport = 80"), waits true, Ok(8_000);
-    cut_wrong_number: Some("[node]\nhost = \"a\"\n[listen]\nport = -"), waits true, Ok(8_000);
-    open_array: Some("[node]\nhost = [\n"), waits true, Ok(8_000);
-    wrong_value: Some("[node]\nhost = 7\n[listen]\nport = 80\n"), waits false, Err(Code::SettingsValue);
-    wrong_value_before_a_cut: Some("[node]\nhost = 7\n[listen]\npo"), waits false, Err(Code::SettingsSyntax);
-    unknown_field: Some("[node]\nhost = \"a\"\nspeed = 1\n"), waits false, Err(Code::SettingsValue);
-    no_toml: Some("[node]\nhost is a\n[listen]\nport = 80\n"), waits false, Err(Code::SettingsSyntax);
+    empty: Some(&b""[..]), waits true, Ok(8_000);
+    no_table_yet: Some(&b"[node]\nhost = \"a\"\n"[..]), waits true, Ok(8_000);
+    no_field_yet: Some(&b"[node]\nhost = \"a\"\n[listen]\n"[..]), waits true, Ok(8_000);
+    cut_name: Some(&b"[node]\nhost = \"a\"\n[listen]\npo"[..]), waits true, Ok(8_000);
+    cut_number: Some(&b"[node]\nhost = \"a\"\n[listen]\nport = 80"[..]), waits true, Ok(8_000);
+    cut_wrong_number: Some(&b"[node]\nhost = \"a\"\n[listen]\nport = -"[..]), waits true, Ok(8_000);
+    cut_character: Some(&b"[node]\nhost = \"\xc3"[..]), waits true, Ok(8_000);
+    no_text: Some(&b"[node]\nhost = \"\xff\"\n"[..]), waits false, Err(Code::SettingsSyntax);
+    open_array: Some(&b"[node]\nhost = [\n"[..]), waits true, Ok(8_000);
+    wrong_value: Some(&b"[node]\nhost = 7\n[listen]\nport = 80\n"[..]), waits false, Err(Code::SettingsValue);
+    wrong_value_before_a_cut: Some(&b"[node]\nhost = 7\n[listen]\npo"[..]), waits false, Err(Code::SettingsSyntax);
+    unknown_field: Some(&b"[node]\nhost = \"a\"\nspeed = 1\n"[..]), waits false, Err(Code::SettingsValue);
+    no_toml: Some(&b"[node]\nhost is a\n[listen]\nport = 80\n"[..]), waits false, Err(Code::SettingsSyntax);
 }
 
 // Guards against a person who waits for the error of a file that nobody is writing.
@@ -106,7 +108,7 @@
 #[case::no_last_line_end("old-end", "[node]\nhost = \"a")]
 #[tokio::test]
 async fn an_old_faulty_file_is_an_error_at_once(#[case] name: &str, #[case] text: &str) {
-    let file = File::new(name, Some(text));
+    let file = File::new(name, Some(text.as_bytes()));
     file.set_age(Duration::from_secs(60));
     let (result, waited) = read_while_written(&file).await;
     assert!(result.is_err() && !waited);
--- a/crates/woadstage/tests/gateway/end.rs
+++ b/crates/woadstage/tests/gateway/end.rs
@@ -29,7 +29,7 @@
 wrong_settings! {
     no_toml: "W5001", |settings| settings.replace("[listen]", "listen]");
     no_time: "W5002", |settings| settings.replace("\"5s\"", "\"soon\"");
-    unknown_field: "W5002", |settings| format!("{settings}speed = 3\n");
+    unknown_field: "W5002", |settings| settings.replace("[node]", "speed = 3\n[node]");
     wrong_port: "W5002", |settings| settings.replace("callers = \"127", "callers = \"1270");
     one_address_for_two: "W5002", |settings| {
         let callers = settings.lines().find(|line| line.starts_with("callers")).unwrap_or_default();
--- a/crates/woadstage/tests/gateway/start.rs
+++ b/crates/woadstage/tests/gateway/start.rs
@@ -126,6 +126,7 @@
     within_a_text: |settings| up_to(settings, "ready = \"127");
     within_a_name: |settings| up_to(settings, "[peers]\naddr");
     within_an_array: |settings| up_to(settings, "seeds = [");
+    within_optional_settings: |settings| up_to(settings, "request = \"X-Id\"\n");
     before_the_last_line_end: |settings| Some(settings.trim_end().to_owned());
 }
 
--- a/crates/woadstage/tests/gateway/support.rs
+++ b/crates/woadstage/tests/gateway/support.rs
@@ -56,11 +56,11 @@
             peers,
         } = self;
         format!(
-            "[node]\nhost = \"edge-1\"\ndata_centre = \"a\"\nstop_within = \"5s\"\n\
+            "last_table = \"end\"\n[node]\nhost = \"edge-1\"\ndata_centre = \"a\"\nstop_within = \"5s\"\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nmetrics = \"{metrics}\"\n\
              [peers]\naddress = \"{peers}\"\nseeds = []\n\
              [platform]\naddress = \"{}:9\"\n\
-             [headers]\nrequest = \"X-Id\"\n",
+             [headers]\nrequest = \"X-Id\"\nleaving = \"X-Leaving\"\n[end]\n",
             callers.ip()
         )
     }
