fix: only tasks without which callers can't be served may end a node

And a task that starts again while the store is away reported the platform as out of reach until the next outage had passed.

Change: the timer, messages, callers' and readiness listeners fail for good after the ninth end within a minute; the others go on starting again, at most a second apart. Whoever applies updates begins with a platform that can be reached, as the adapter does.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -169,6 +169,8 @@
 
 /// Applies what the platform published, as the adapter reports it.
 pub(crate) async fn apply_updates(shell: Rc<Shell>, mut updates: UnboundedReceiver<Update>) {
+    // An adapter that starts reports the platform only once a call has failed.
+    shell.command(|dispatcher, _| dispatcher.set_platform_unreachable(false));
     while let Some(update) = updates.recv().await {
         match update {
             Update::Answered => shell.platform_answered_at.set(Some(shell.now())),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -177,7 +177,7 @@
 fn serve_readiness(supervisor: &Supervisor, settings: &Settings, listener: TcpListener) {
     let (listener, path) = (Rc::new(listener), settings.ready_path.clone());
     let shell = supervisor.shell.clone();
-    supervisor.spawn("readiness", move || {
+    supervisor.spawn_essential("readiness", move || {
         let (shared, path) = (shell.clone(), path.clone());
         let page = move |requested: &str| operators::readiness(&shared, requested, &path);
         let registry = shell.registries.ready.clone();
@@ -243,7 +243,7 @@
         }
     });
     let (shared, socket) = (shell.clone(), messages.clone());
-    supervisor.spawn("timer", move || {
+    supervisor.spawn_essential("timer", move || {
         run::tick(
             shared.clone(),
             socket.clone(),
@@ -252,7 +252,7 @@
         )
     });
     let shared = shell.clone();
-    supervisor.spawn("messages", move || {
+    supervisor.spawn_essential("messages", move || {
         peers::listen(shared.clone(), messages.clone())
     });
     let shared = shell.clone();
@@ -260,7 +260,7 @@
         peers::transfer::serve(shared.clone(), transfers.clone())
     });
     let shared = shell.clone();
-    supervisor.spawn("callers", move || {
+    supervisor.spawn_essential("callers", move || {
         serve::accept(shared.clone(), callers.clone())
     });
     for document in [Document::Endpoints, Document::Configuration] {
--- a/crates/gateway/src/supervise.rs
+++ b/crates/gateway/src/supervise.rs
@@ -21,7 +21,7 @@
 /// The pause before a task starts again, which doubles up to the second value.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
-/// A task that ends more often than this within [`RESTART_WINDOW`] fails for good.
+/// An essential task that ends more often than this within [`RESTART_WINDOW`] fails for good.
 const MAX_RESTARTS: usize = 8;
 
 /// The time in which ends of a task are counted.
@@ -52,16 +52,25 @@
     }
 
     /// Runs the task that `start` returns, and another each time it ends, until the node has
-    /// stopped or the task fails for good.
+    /// stopped. Callers are better served by a node without the task than by none.
     pub fn spawn<F>(&self, name: &'static str, start: impl Fn() -> F + 'static)
     where
         F: Future<Output = ()> + 'static,
     {
         let supervisor = self.clone();
-        spawn_local(async move { supervisor.keep_running(name, start).await });
+        spawn_local(async move { supervisor.keep_running(name, start, usize::MAX).await });
     }
 
-    async fn keep_running<F>(self, name: &'static str, start: impl Fn() -> F)
+    /// The same for a task without which callers can't be served: it may fail for good.
+    pub fn spawn_essential<F>(&self, name: &'static str, start: impl Fn() -> F + 'static)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let supervisor = self.clone();
+        spawn_local(async move { supervisor.keep_running(name, start, MAX_RESTARTS).await });
+    }
+
+    async fn keep_running<F>(self, name: &'static str, start: impl Fn() -> F, max_restarts: usize)
     where
         F: Future<Output = ()> + 'static,
     {
@@ -75,10 +84,10 @@
             let now = Instant::now();
             ends.push_back(now);
             ends.retain(|at| now - *at < RESTART_WINDOW);
-            if ends.len() > MAX_RESTARTS {
+            if ends.len() > max_restarts {
                 return self.fail(name);
             }
-            let doubled = PAUSE.0 * (1 << (ends.len() - 1));
+            let doubled = PAUSE.0.saturating_mul(1 << (ends.len() - 1).min(16));
             tokio::time::sleep(doubled.min(PAUSE.1)).await;
         }
     }
@@ -100,7 +109,7 @@
         self.failed.changed.notify_one();
     }
 
-    /// Waits until a task has failed for good.
+    /// Waits until an essential task has failed for good.
     pub async fn wait_for_failure(&self) -> Failure {
         loop {
             if let Some(failure) = self.failed.failure.borrow().clone() {
