fix: numbers of callers and configurations that overflow are as large as possible

Found by the review, in a debug build: a deadline of 2^64 ms, or tokens whose sum overflows, panicked; a release build went on with what was left, so that a long deadline became a short one and a large prompt might have been charged as a small one.

Change: times and tokens saturate.

Result: types::spans_from_large_numbers_are_as_long_as_possible.

--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -115,7 +115,9 @@
             return 1;
         };
         let tokens = headers.to_tokens(&head.headers);
-        tokens.map_or(default_tokens, |(prompt, output)| prompt + output)
+        tokens.map_or(default_tokens, |(prompt, output)| {
+            prompt.saturating_add(output)
+        })
     }
 
     /// Returns the job for the dispatcher. `since_first_try` is the time that the caller has
--- a/crates/types/src/unit.rs
+++ b/crates/types/src/unit.rs
@@ -151,12 +151,12 @@
 
     /// Creates a duration from milliseconds.
     pub const fn from_millis(millis: u64) -> Span {
-        Span(millis * 1_000)
+        Span(millis.saturating_mul(1_000))
     }
 
     /// Creates a duration from seconds.
     pub const fn from_secs(secs: u64) -> Span {
-        Span(secs * MICROS_PER_SECOND)
+        Span(secs.saturating_mul(MICROS_PER_SECOND))
     }
 
     /// Returns the duration in seconds.
--- a/crates/types/tests/types/main.rs
+++ b/crates/types/tests/types/main.rs
@@ -79,3 +79,10 @@
         }
     };
 }
+
+// Guards against panics, or times near zero, for numbers that others send.
+#[test]
+fn spans_from_large_numbers_are_as_long_as_possible() {
+    assert_eq!(Span::from_millis(u64::MAX), Span(u64::MAX));
+    assert_eq!(Span::from_secs(1 << 62), Span(u64::MAX));
+}
