fix: counts of connections and transfers hold when their task panics

Found by the review: after three panics in transfers to other nodes all further ones would have been declined.

Change: one guard, also for callers' connections, that counts until it is dropped.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`publish`], [`active_configuration`]: applying configurations and lists of endpoints.
 //! * [`shell`]: the state that all tasks share, and the delivery of decisions to them.
 //! * [`connections`]: the connections that others open to this node.
+//! * `counted`: counts what is in progress.
 //! * [`serve`]: answers callers.
 //! * [`upstream`]: calls endpoints.
 //! * [`dial`]: opens outgoing connections.
@@ -24,6 +25,7 @@
 pub mod check;
 pub mod clock;
 pub mod connections;
+mod counted;
 pub mod dial;
 pub mod event;
 pub mod explain;
--- a/crates/gateway/src/peers/transfer/mod.rs
+++ b/crates/gateway/src/peers/transfer/mod.rs
@@ -11,6 +11,7 @@
 
 use tokio::time::error::Elapsed;
 
+use crate::counted::Counted;
 use crate::event::Event;
 use crate::shell::Shell;
 
@@ -70,11 +71,11 @@
         Direction::Sent => &shell.transfers.sending,
     };
     let started = shell.now();
-    in_progress.set(in_progress.get() + 1);
+    let counted = Counted::new(in_progress);
     let result: Result<_, Elapsed> = tokio::time::timeout(TRANSFER_TIMEOUT, transfer).await;
     let result = result.unwrap_or_else(|elapsed| Err(elapsed.into()));
     let at_once = in_progress.get();
-    in_progress.set(at_once - 1);
+    drop(counted);
     let detail = result.as_ref().err().map(ToString::to_string);
     let direction = direction.to_string();
     shell.metrics.record_transfer(&direction, result.is_ok());
--- a/crates/gateway/src/peers/transfer/serve.rs
+++ b/crates/gateway/src/peers/transfer/serve.rs
@@ -20,6 +20,7 @@
 use crate::connections::State;
 use crate::connections::Tracker;
 use crate::connections::listen::ACCEPT_RETRY_DELAY;
+use crate::counted::Counted;
 use crate::peers::traffic::Kind;
 use crate::serve;
 use crate::shell::Shell;
@@ -54,7 +55,7 @@
 ) {
     let transfers = &shell.transfers;
     let is_busy = transfers.sending.get() + transfers.opening.get() >= MAX_TRANSFERS;
-    transfers.opening.set(transfers.opening.get() + 1);
+    let opening = Counted::new(&transfers.opening);
     let first = tokio::select! {
         first = read_first_byte(&mut stream) => first,
         reason = tracker.closed() => Err(anyhow::anyhow!("closed: {}", reason.as_str())),
@@ -62,7 +63,7 @@
     if first.is_ok() {
         tracker.set_state(shell.now(), State::Busy);
     }
-    transfers.opening.set(transfers.opening.get() - 1);
+    drop(opening);
     match first {
         // Every message between nodes starts with the layout, and no forwarded request does.
         Ok(first) if first != protocol::LAYOUT => {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -21,7 +21,6 @@
 //! * `progress.rs`: tells a connection's registry when a request is in progress.
 //! * `record.rs`: log lines and metrics about a request.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +48,7 @@
 use crate::connections::listen::ACCEPT_RETRY_DELAY;
 use crate::connections::stream::Switch;
 use crate::connections::stream::read_first;
+use crate::counted::Counted;
 use crate::shell::Phase;
 use crate::shell::Shell;
 use crate::upstream::Body;
@@ -215,22 +215,6 @@
     }
 }
 
-/// Counts something for as long as it exists, also if the task that holds it panics.
-struct Counted<'a>(&'a Cell<usize>);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a Cell<usize>) -> Counted<'a> {
-        count.set(count.get() + 1);
-        Counted(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn respond(
     shell: Rc<Shell>,
     request: Request<Incoming>,
