fix: a process that ends doesn't wait for a reader of its errors

Found by the review: with a standard error that nobody reads a process with wrong settings stayed, without its last line and deaf to SIGTERM. A last line longer than the log's buffer, as of thousands of faults, was left out.

Change: another thread writes the failure to standard error, and is waited for 400 ms; the last line holds 16 KiB of the reason.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -60,6 +60,12 @@
 /// The interval of closing idle connections to endpoints and of reporting dropped log lines.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a process that ends waits for the reader of its standard error.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The maximum length of the reason in the last line of the log, in bytes.
+const MAX_DETAIL_BYTES: usize = 16 << 10;
+
 /// Runs a node until a graceful shutdown is complete, and writes why it ends to `log`. `adapter` is called with
 /// the settings, again if what it returned ends, and reads the platform for as long as the process
 /// runs.
@@ -87,7 +93,7 @@
             Event::Ended {
                 status: 1,
                 code: failure.code.to_string(),
-                detail: &failure.detail,
+                detail: clip(&failure.detail),
             }
         }
     };
@@ -96,10 +102,24 @@
     result
 }
 
-/// Writes a failure to standard error, for those who run the program by hand.
+/// Writes a failure to standard error, for those who run the program by hand. Another thread does it,
+/// since the write waits for as long as nobody reads.
 fn report_failure(failure: &Failure) {
-    // If nobody reads it, the log still holds it.
-    let _ = writeln!(std::io::stderr(), "woadstage: {failure}");
+    let text = format!("woadstage: {failure}\n");
+    let (sender, written) = std::sync::mpsc::channel();
+    let thread = std::thread::Builder::new().spawn(move || {
+        // If nobody reads it, the log still holds it.
+        let _ = std::io::stderr().write_all(text.as_bytes());
+        let _ = sender.send(());
+    });
+    if thread.is_ok() {
+        let _ = written.recv_timeout(REPORT_TIMEOUT);
+    }
+}
+
+/// Returns the beginning of a text that may be too long for the log.
+fn clip(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_DETAIL_BYTES)]
 }
 
 async fn serve_until_stopped<A, F>(path: PathBuf, adapter: A, log: Log) -> Result<(), Failure>
--- a/crates/woadstage/tests/gateway/end.rs
+++ b/crates/woadstage/tests/gateway/end.rs
@@ -53,3 +53,18 @@
         (&"ended".into(), &0.into())
     );
 }
+
+// Guards against a process that neither runs nor ends, since nobody reads its errors.
+#[test]
+fn a_node_ends_although_nobody_reads_its_errors() {
+    let (folder, addresses) = (Folder::new(), Addresses::new());
+    let unknown: String = (0..4_000).map(|at| format!("unknown-{at} = 1\n")).collect();
+    folder.write_settings(&format!("{unknown}{}", addresses.to_settings()));
+    let mut node = folder.start_with_unread_errors();
+    assert_eq!(node.wait_for_end().code(), Some(1));
+    let last = node.last_line();
+    assert_eq!(
+        (&last["event"], &last["code"]),
+        (&"ended".into(), &"W5002".into())
+    );
+}
--- a/crates/woadstage/tests/gateway/support.rs
+++ b/crates/woadstage/tests/gateway/support.rs
@@ -106,16 +106,30 @@
         self.start_with(Command::new("sh").args(["-c", &script, program]))
     }
 
+    /// Starts a process whose errors nobody reads.
+    pub fn start_with_unread_errors(&self) -> Process {
+        let program = env!("CARGO_BIN_EXE_woadstage");
+        let mut command = Command::new(program);
+        command.args(["gateway", "--settings"]);
+        self.spawn(command.stderr(Stdio::piped()))
+    }
+
     fn start_with(&self, command: &mut Command) -> Process {
-        let log = self.0.join("log");
+        let errors = File::options().create(true).append(true).open(self.log());
+        self.spawn(command.stderr(errors.expect("the log should be opened")))
+    }
+
+    fn log(&self) -> PathBuf {
+        self.0.join("log")
+    }
+
+    fn spawn(&self, command: &mut Command) -> Process {
+        let log = self.log();
         let output = File::options().create(true).append(true).open(&log);
-        let output = output.expect("the log should be opened");
-        let errors = output.try_clone().expect("the log should be shared");
         let child = command
             .arg(self.settings())
             .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(errors)
+            .stdout(output.expect("the log should be opened"))
             .spawn()
             .expect("the program should start");
         Process { child, log }
