--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -66,9 +66,9 @@
 /// The maximum length of the reason in the last line of the log, in bytes.
 const MAX_DETAIL_BYTES: usize = 16 << 10;
 
-/// Runs a node until a graceful shutdown is complete, and writes why it ends to `log`. `adapter` is called with
-/// the settings, again if what it returned ends, and reads the platform for as long as the process
-/// runs.
+/// Runs a node until a graceful shutdown is complete, and writes why it ends to `log`. `adapter` is
+/// called with the settings, again if what it returned ends, and reads the platform for as long as
+/// the process runs.
 ///
 /// # Errors
 /// Returns a failure, which was written to standard error and the log, if the settings are invalid,
--- a/crates/startup/src/settings_file.rs
+++ b/crates/startup/src/settings_file.rs
@@ -137,9 +137,12 @@
             Err(faults) => faults.0.iter().all(|fault| is_absent(&table, fault)),
         },
         // An array or text that goes on in the next line.
-        Err(error) => error
-            .span()
-            .is_some_and(|span| complete_lines[span.start..].trim().is_empty()),
+        Err(error) => {
+            let rest = error
+                .span()
+                .and_then(|span| complete_lines.get(span.start..));
+            rest.is_some_and(|rest| rest.trim().is_empty())
+        }
     }
 }
 
