test: answers whose status or head is broken are no success

Statuses 00, 0, 0000, +200, "2 00" and "000 200" beside those that were there; heads cut at each place, with a length, a length of 0, chunks and neither, after a 103, the connection closed, reset and kept, the first attempt alone and all; over two hops, statuses and cut heads; the product's own interface.

--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -174,6 +174,9 @@
     let statuses = [
         "000 None",
         "000",
+        "00 None",
+        "0 None",
+        "0000 None",
         "001 None",
         "099 None",
         "101 Switching Protocols",
@@ -186,6 +189,9 @@
         "OK",
         "",
         "-200 OK",
+        "+200 OK",
+        "2 00 OK",
+        "000 200 OK",
     ];
     let mut answers: Vec<String> = statuses.map(with_status).into();
     let version = |version| with_status("200 OK").replacen("HTTP/1.1", version, 1);
@@ -213,6 +219,27 @@
     bodies.iter().map(chunked).collect()
 }
 
+/// Returns a whole answer with these fields, after other texts, cut at each place before the end of its head.
+fn cuts(before: &str, fields: &str, body: &str) -> Vec<String> {
+    let head = format!("HTTP/1.1 200 OK\r\nwoadstage-request: {{id}}\r\n{fields}\r\n");
+    let whole = format!("{before}{head}{body}");
+    let end = before.len() + head.len();
+    (0..end).map(|length| whole[..length].to_owned()).collect()
+}
+
+/// Heads that end too early, by what they say of the body.
+fn cut_heads() -> Vec<Vec<String>> {
+    let interim = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n";
+    let length = format!("content-length: {}\r\n", BODY.len());
+    vec![
+        cuts("", &length, BODY),
+        cuts("", "content-length: 0\r\nx-other: 1\r\n", ""),
+        cuts("", "transfer-encoding: chunked\r\n", &in_chunks()),
+        cuts("", "content-type: text/event-stream\r\n", BODY),
+        cuts(interim, &length, BODY),
+    ]
+}
+
 /// Two endpoints that take their actions from one script, and a gateway before them.
 struct Play {
     workers: [Worker; 2],
@@ -354,6 +381,50 @@
     chunks: chunks();
 }
 
+/// Whether a caller that got no head is told that the request may have run.
+fn is_lost(response: &Response) -> bool {
+    response.status != 200 && is_failure(response)
+}
+
+/// Guards against answers with a part of a head that are passed on as successes.
+#[rstest]
+fn an_answer_whose_head_is_cut_is_no_success(
+    #[values("/once/x", "/repeatable/x", "/stream/x", "/resumable/x")] path: &str,
+    #[values(After::Close, After::Reset)] after: After,
+    #[values(0, 1, 2, 3, 4)] kind: usize,
+    #[values(false, true)] is_first_only: bool,
+) {
+    run(|| async move {
+        for text in cut_heads().swap_remove(kind) {
+            let mut script = vec![after.to_action(text.clone())];
+            script.extend(is_first_only.then(|| Action::Answer(sound())));
+            let mut play = Play::start(script).await;
+            let response = play.request(path).await;
+            let may_repeat = matches!(path, "/repeatable/x" | "/resumable/x");
+            let is_repeated = is_first_only && may_repeat && is_served(&response);
+            assert!(is_repeated || is_lost(&response), "{text:?}: {response:?}");
+            assert!(play.received() <= 1 + usize::from(may_repeat), "{text:?}");
+        }
+    });
+}
+
+/// Guards against heads that stop without an end of their connection and are passed on as successes.
+#[rstest]
+fn an_answer_whose_head_stops_is_no_success(
+    #[values("/once/x", "/repeatable/x", "/stream/x", "/resumable/x")] path: &str,
+    #[values(0, 1, 2, 3, 4)] kind: usize,
+) {
+    run(|| async move {
+        let heads = cut_heads().swap_remove(kind);
+        // Each takes until its caller's deadline; the last are within the blank line.
+        for text in heads.iter().rev().step_by(31) {
+            let mut play = Play::start(vec![Action::Answer(text.clone())]).await;
+            let response = play.request(path).await;
+            assert!(is_lost(&response), "{text:?}: {response:?}");
+        }
+    });
+}
+
 /// Heads that look unusual and are sound, with the fields that a caller gets of them.
 #[rstest]
 #[case::equal_lengths("content-length: 42\r\nContent-Length: 42", "content-length: 42")]
@@ -438,24 +509,34 @@
     caller.answer().await
 }
 
+/// Has an endpoint answer with each of these texts a node that forwards what it is sent.
+async fn assert_failures_over_two_hops(
+    answers: impl Iterator<Item = String>,
+    path: &str,
+    after: After,
+) {
+    let worker = Worker::start("e", vec![Action::Answer(sound())]).await;
+    let other = worker.start_beside("f").await;
+    let nodes = start_forwarding(&[&worker, &other]).await;
+    for text in answers {
+        worker.set_script(vec![after.to_action(text.clone())]);
+        let response = request_over(&nodes[0], "id-1", path).await;
+        assert!(is_failure(&response), "{text:?}: {response:?}");
+        worker.set_script(vec![Action::Answer(sound())]);
+        wait_until_served(&nodes[0]).await;
+    }
+}
+
 /// Guards against broken answers that another node passes on as successes.
 #[rstest]
+#[case::codings(codings().into_iter().chain(lengths_beside_codings()).step_by(4))]
+#[case::statuses(statuses().into_iter().step_by(4))]
+#[case::cut_heads(cut_heads().into_iter().flatten().step_by(89))]
 fn a_broken_answer_is_no_success_over_two_hops(
+    // Endpoints are left alone for a while after each, which limits how many there is time for.
+    #[case] answers: impl Iterator<Item = String>,
     #[values("/once/x", "/repeatable/x", "/stream/x", "/resumable/x")] path: &str,
     #[values(After::Keep, After::Close, After::Reset)] after: After,
 ) {
-    run(|| async move {
-        let worker = Worker::start("e", vec![Action::Answer(sound())]).await;
-        let other = worker.start_beside("f").await;
-        let nodes = start_forwarding(&[&worker, &other]).await;
-        // Endpoints are left alone for a while after each, which limits how many there is time for.
-        let answers = codings().into_iter().chain(lengths_beside_codings());
-        for text in answers.step_by(4) {
-            worker.set_script(vec![after.to_action(text.clone())]);
-            let response = request_over(&nodes[0], "id-1", path).await;
-            assert!(is_failure(&response), "{text:?}: {response:?}");
-            worker.set_script(vec![Action::Answer(sound())]);
-            wait_until_served(&nodes[0]).await;
-        }
-    });
+    run(|| assert_failures_over_two_hops(answers, path, after));
 }
