feat: a node of `serve` that ends says why as its last line

Change: the last line is `serve: Node ended.` with the exit status, the numbered code and the cause. Faults of settings are still printed on standard output. An aborted stop returns from the command instead of exiting the process.

The line of an aborted stop has no test.

--- a/crates/node/src/commands/serve.rs
+++ b/crates/node/src/commands/serve.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
-use salvo::Listener;
 use salvo::Router;
 use salvo::Server;
-use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
+use salvo::server::ServerHandle;
+use spdlog::error;
 use spdlog::info;
 use spdlog::warn;
 use tokio::signal::unix::SignalKind;
@@ -22,8 +22,11 @@
 use woadstage_core::node::Node;
 use woadstage_core::node::Options;
 use woadstage_core::pool::Peer;
+use woadstage_startup::failure::Failure;
+use woadstage_types::code::Code;
 use woadstage_types::id;
 use woadstage_types::unit::Size;
+use woadstage_types::unit::Span;
 
 use super::Refused;
 use crate::callers;
@@ -51,19 +54,58 @@
 /// The memory for recorded answers divided by this is the limit for one answer.
 const ANSWER_LIMIT_DIVISOR: u64 = 16;
 
-/// Runs a node.
+/// How a node ended that was told to stop.
+enum Stop {
+    /// Every request in progress was answered.
+    Complete,
+    /// The remaining requests were aborted.
+    Aborted,
+}
+
+/// Runs a node, and logs why it ends.
+///
+/// # Errors
+/// Returns a failure, or [`Refused`] if requests in progress were aborted, either of which was logged.
 pub async fn run(path: &Path, out: &mut impl Write) -> anyhow::Result<()> {
-    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    let result = read_and_serve(path, out).await;
+    log_end(&result);
+    match result {
+        Ok(Stop::Complete) => Ok(()),
+        Ok(Stop::Aborted) => Err(Refused.into()),
+        Err(failure) => Err(failure.into()),
+    }
+}
+
+fn log_end(result: &Result<Stop, Failure>) {
+    match result {
+        Ok(Stop::Complete) => {
+            info!("serve: Node ended.", kv: { status = 0, cause = "told to stop" });
+        }
+        Ok(Stop::Aborted) => {
+            let cause = "told to stop; aborted the requests in progress";
+            warn!("serve: Node ended.", kv: { status = 1, cause });
+        }
+        Err(Failure { code, detail }) => {
+            let cause = detail.replace('\n', "; ");
+            error!("serve: Node ended.", kv: { status = 1, code:, cause: });
+        }
+    }
+}
+
+async fn read_and_serve(path: &Path, out: &mut impl Write) -> Result<Stop, Failure> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| Failure::refused(&name, &error))?;
     match settings::parse(&text) {
         Ok(settings) => serve(settings).await,
         Err(faults) => {
-            write!(out, "{faults}")?;
-            Err(Refused.into())
+            // If nobody reads them, the log still holds them.
+            let _ = write!(out, "{faults}");
+            Err(faults.into())
         }
     }
 }
 
-async fn serve(settings: Settings) -> anyhow::Result<()> {
+async fn serve(settings: Settings) -> Result<Stop, Failure> {
     let clock = Clock::start();
     let incarnation = id::Incarnation(id::new_v7(clock.now(), rand::random()));
     let own = Peer {
@@ -71,7 +113,9 @@
         incarnation,
     };
     let (handle, inputs) = driver::channel();
-    let metrics = Arc::new(Metrics::new()?);
+    let metrics = Metrics::new();
+    let metrics = metrics.map_err(|error| Failure::new(Code::TaskFailed, "metrics", error))?;
+    let metrics = Arc::new(metrics);
     let endpoint = peers::tls::bind(settings.peers, &settings.identity)?;
     let shared = Arc::new(callers::Shared {
         handle: handle.clone(),
@@ -89,7 +133,6 @@
         tokio::spawn(platform::watch(platform.clone(), key, handle.clone()));
     }
     tokio::spawn(endpoints::poll(endpoints::Client::new(), handle.clone()));
-    tokio::spawn(stop_on_signal(handle.clone(), settings.stop_within));
     let answers = settings.limits.answers;
     let node = Node::new(
         clock.now(),
@@ -115,22 +158,26 @@
     let host = settings.host.to_string();
     let run = incarnation.to_string();
     info!("serve: Node started.", kv: { host:, incarnation = run });
-    Driver::new(parts, handle, inputs).run().await;
+    let driver = Driver::new(parts, handle.clone(), inputs);
+    let stop = tokio::select! {
+        () = driver.run() => Stop::Complete,
+        () = abort_on_signal(handle, settings.stop_within) => return Ok(Stop::Aborted),
+    };
     callers.stop_graceful(LAST_ANSWERS_TIMEOUT);
     operators.stop_graceful(LAST_ANSWERS_TIMEOUT);
     endpoint.close(0u32.into(), b"stopped");
     endpoint.wait_idle().await;
-    info!("serve: Node stopped.");
-    Ok(())
+    Ok(stop)
 }
 
 async fn listen(
     address: std::net::SocketAddr,
     router: Router,
     settings: &Settings,
-) -> anyhow::Result<salvo::server::ServerHandle> {
-    let listener = TcpListener::new(address).try_bind().await;
-    let acceptor = listener.with_context(|| format!("cannot listen on {address}"))?;
+) -> Result<ServerHandle, Failure> {
+    let listener = tokio::net::TcpListener::bind(address).await;
+    let acceptor = listener.and_then(TcpAcceptor::try_from);
+    let acceptor = acceptor.map_err(|error| Failure::refused(&address.to_string(), &error))?;
     let within = to_duration(settings.limits.receive_within);
     let fuse = FuseConfig::default().with_http1_header_timeout(within);
     let server = Server::new(acceptor).fuse_config(fuse);
@@ -140,9 +187,9 @@
 }
 
 /// Carries out a planned stop on SIGTERM or SIGINT: announces it, then refuses
-/// callers, then waits for the requests in progress. A second signal, or the end
-/// of the configured time, aborts the remaining requests and ends the process.
-async fn stop_on_signal(handle: Handle, within: woadstage_types::unit::Span) {
+/// callers, then waits for the requests in progress. Returns if they are to be aborted, because of
+/// a second signal or the end of the configured time.
+async fn abort_on_signal(handle: Handle, within: Span) {
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
         return;
     };
@@ -162,6 +209,4 @@
         _ = interrupt.recv() => {}
         () = tokio::time::sleep(to_duration(within)) => {}
     }
-    warn!("serve: Planned stop not completed; aborting the requests in progress.");
-    std::process::exit(1);
 }
--- a/crates/node/src/peers/tls.rs
+++ b/crates/node/src/peers/tls.rs
@@ -20,6 +20,8 @@
 use rustls::pki_types::pem::PemObject;
 use rustls::server::WebPkiClientVerifier;
 use woadstage_config::settings::Identity;
+use woadstage_startup::failure::Failure;
+use woadstage_types::code::Code;
 
 /// The ALPN protocol name.
 const ALPN_PROTOCOL: &[u8] = b"woadstage";
@@ -36,15 +38,26 @@
 const CONNECTION_WINDOW_BYTES: u32 = 2 << 20;
 
 /// Binds the socket that accepts connections and from which this node dials.
-pub fn bind(address: SocketAddr, identity: &Identity) -> anyhow::Result<Endpoint> {
+///
+/// # Errors
+/// Fails if the key or a certificate is invalid, or the host refuses the address.
+pub fn bind(address: SocketAddr, identity: &Identity) -> Result<Endpoint, Failure> {
+    let (server, client) = configs(identity)
+        .map_err(|error| Failure::new(Code::SettingsValue, "identity", format!("{error:#}")))?;
+    let name = format!("peers {address}");
+    let mut endpoint =
+        Endpoint::server(server, address).map_err(|error| Failure::refused(&name, &error))?;
+    endpoint.set_default_client_config(client);
+    Ok(endpoint)
+}
+
+fn configs(identity: &Identity) -> anyhow::Result<(ServerConfig, ClientConfig)> {
     let transport = Arc::new(transport()?);
     let mut server = ServerConfig::with_crypto(Arc::new(server(identity)?));
     server.transport_config(transport.clone());
     let mut client = ClientConfig::new(Arc::new(client(identity)?));
     client.transport_config(transport);
-    let mut endpoint = Endpoint::server(server, address).context("cannot bind the peer address")?;
-    endpoint.set_default_client_config(client);
-    Ok(endpoint)
+    Ok((server, client))
 }
 
 fn transport() -> anyhow::Result<TransportConfig> {
--- a/crates/woadstage/src/main.rs
+++ b/crates/woadstage/src/main.rs
@@ -69,7 +69,7 @@
             ExitCode::from(USAGE_EXIT_CODE)
         }
         Err(error) => {
-            // A gateway's failure was reported when it ended.
+            // A failure was reported when the process ended.
             if !error.is::<Refused>() && !error.is::<Failure>() {
                 print_error(format_args!("{error:#}"));
             }
--- a/crates/woadstage/tests/e2e/main.rs
+++ b/crates/woadstage/tests/e2e/main.rs
@@ -2,7 +2,9 @@
 //! by operators, callers and the platform.
 
 mod commands;
+mod end;
 mod failure;
 mod input;
 mod path;
+mod process;
 mod support;
