fix: a node of `serve` waits for an address that another process still holds

Symptom: a node ended with status 1 ("Address already in use") if its address for callers, operators or other nodes was held for a moment when it started, also by its earlier process that still ended in order. A stop before all were bound ended it by the signal.

Cause: each socket was bound once, and signals were taken after that; if that failed, the task returned and nothing stopped the node.

Change: signals are taken first.

--- a/crates/node/src/commands/serve.rs
+++ b/crates/node/src/commands/serve.rs
@@ -13,8 +13,6 @@
 use spdlog::error;
 use spdlog::info;
 use spdlog::warn;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::Semaphore;
 use woadstage_config::settings;
 use woadstage_config::settings::Settings;
@@ -23,6 +21,10 @@
 use woadstage_core::node::Options;
 use woadstage_core::pool::Peer;
 use woadstage_startup::failure::Failure;
+use woadstage_startup::retry;
+use woadstage_startup::retry::Waiting;
+use woadstage_startup::retry::retry;
+use woadstage_startup::stop::StopSignals;
 use woadstage_types::code::Code;
 use woadstage_types::id;
 use woadstage_types::unit::Size;
@@ -37,10 +39,13 @@
 use crate::driver::Handle;
 use crate::driver::Input;
 use crate::endpoints;
+use crate::listen;
+use crate::listen::Sockets;
 use crate::metrics::Metrics;
 use crate::operators;
 use crate::peers;
 use crate::peers::Peers;
+use crate::peers::tls;
 use crate::platform;
 use crate::platform::Platform;
 
@@ -93,19 +98,61 @@
 }
 
 async fn read_and_serve(path: &Path, out: &mut impl Write) -> Result<Stop, Failure> {
+    let mut signals = retry(
+        &retry::Options::default(),
+        StopSignals::try_new,
+        log_waiting,
+    )
+    .await?;
+    let started = tokio::select! {
+        started = start(path, out) => started?,
+        () = signals.wait() => return Ok(Stop::Complete),
+    };
+    serve(started, signals).await
+}
+
+fn log_waiting(waiting: &Waiting) {
+    let Failure { code, detail } = &waiting.cause;
+    let cause = detail.replace('\n', "; ");
+    let waited_ms = waiting.waited.as_millis() as u64;
+    warn!("serve: Waiting.", kv: { code:, cause:, waited_ms });
+}
+
+/// What a node acquires before it serves.
+struct Started {
+    settings: Settings,
+    sockets: Sockets,
+    tls: tls::Config,
+}
+
+async fn start(path: &Path, out: &mut impl Write) -> Result<Started, Failure> {
+    let settings = read(path, out)?;
+    let tls = tls::Config::new(&settings.identity)?;
+    let open = || listen::open(&settings);
+    let sockets = retry(&retry::Options::default(), open, log_waiting).await?;
+    Ok(Started {
+        settings,
+        sockets,
+        tls,
+    })
+}
+
+fn read(path: &Path, out: &mut impl Write) -> Result<Settings, Failure> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|error| Failure::refused(&name, &error))?;
-    match settings::parse(&text) {
-        Ok(settings) => serve(settings).await,
-        Err(faults) => {
-            // If nobody reads them, the log still holds them.
-            let _ = write!(out, "{faults}");
-            Err(faults.into())
-        }
-    }
+    settings::parse(&text).map_err(|faults| {
+        // If nobody reads them, the log still holds them.
+        let _ = write!(out, "{faults}");
+        faults.into()
+    })
 }
 
-async fn serve(settings: Settings) -> Result<Stop, Failure> {
+async fn serve(started: Started, signals: StopSignals) -> Result<Stop, Failure> {
+    let Started {
+        settings,
+        sockets,
+        tls,
+    } = started;
     let clock = Clock::start();
     let incarnation = id::Incarnation(id::new_v7(clock.now(), rand::random()));
     let own = Peer {
@@ -116,7 +163,7 @@
     let metrics = Metrics::new();
     let metrics = metrics.map_err(|error| Failure::new(Code::TaskFailed, "metrics", error))?;
     let metrics = Arc::new(metrics);
-    let endpoint = peers::tls::bind(settings.peers, &settings.identity)?;
+    let endpoint = tls.open(sockets.peers)?;
     let shared = Arc::new(callers::Shared {
         handle: handle.clone(),
         clock,
@@ -124,9 +171,9 @@
         permits: Arc::new(Semaphore::new(settings.limits.requests)),
         bodies: Arc::new(Semaphore::new((settings.limits.bodies.0 >> 10) as usize)),
     });
-    let callers = listen(settings.callers, callers::router(shared), &settings).await?;
+    let callers = spawn_server(sockets.callers, callers::router(shared), &settings);
     let operator_router = operators::router(&handle, &metrics);
-    let operators = listen(settings.operators, operator_router, &settings).await?;
+    let operators = spawn_server(sockets.operators, operator_router, &settings);
     tokio::spawn(peers::accept(endpoint.clone(), own.clone(), handle.clone()));
     let platform = Platform::new(settings.platform, settings.platform_wait);
     for key in [platform::CONFIG_KEY, platform::HOSTS_KEY] {
@@ -161,7 +208,7 @@
     let driver = Driver::new(parts, handle.clone(), inputs);
     let stop = tokio::select! {
         () = driver.run() => Stop::Complete,
-        () = abort_on_signal(handle, settings.stop_within) => return Ok(Stop::Aborted),
+        () = abort_on_signal(handle, signals, settings.stop_within) => return Ok(Stop::Aborted),
     };
     callers.stop_graceful(LAST_ANSWERS_TIMEOUT);
     operators.stop_graceful(LAST_ANSWERS_TIMEOUT);
@@ -170,43 +217,26 @@
     Ok(stop)
 }
 
-async fn listen(
-    address: std::net::SocketAddr,
-    router: Router,
-    settings: &Settings,
-) -> Result<ServerHandle, Failure> {
-    let listener = tokio::net::TcpListener::bind(address).await;
-    let acceptor = listener.and_then(TcpAcceptor::try_from);
-    let acceptor = acceptor.map_err(|error| Failure::refused(&address.to_string(), &error))?;
+fn spawn_server(acceptor: TcpAcceptor, router: Router, settings: &Settings) -> ServerHandle {
     let within = to_duration(settings.limits.receive_within);
     let fuse = FuseConfig::default().with_http1_header_timeout(within);
     let server = Server::new(acceptor).fuse_config(fuse);
     let handle = server.handle();
     tokio::spawn(server.serve(router));
-    Ok(handle)
+    handle
 }
 
 /// Carries out a planned stop on SIGTERM or SIGINT: announces it, then refuses
 /// callers, then waits for the requests in progress. Returns if they are to be aborted, because of
 /// a second signal or the end of the configured time.
-async fn abort_on_signal(handle: Handle, within: Span) {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        return;
-    };
-    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else {
-        return;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+async fn abort_on_signal(handle: Handle, mut signals: StopSignals, within: Span) {
+    signals.wait().await;
     info!("serve: Planned stop started.");
     handle.send(Input::Event(Event::Stop));
     tokio::time::sleep(STOP_NOTICE).await;
     handle.send(Input::Event(Event::Close));
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = signals.wait() => {}
         () = tokio::time::sleep(to_duration(within)) => {}
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`endpoints`]: the HTTP client for engines and services.
 //! * [`peers`]: QUIC connections between nodes.
 //! * [`platform`]: the client of the platform's read-only service.
+//! * [`listen`]: the sockets at which a node listens.
 //! * [`operators`]: the HTTP server for metrics, health checks and the query
 //!   commands.
 //! * [`metrics`]: the metrics.
@@ -17,6 +18,7 @@
 pub mod commands;
 pub mod driver;
 pub mod endpoints;
+pub mod listen;
 pub mod metrics;
 pub mod operators;
 pub mod peers;
--- a/crates/node/src/peers/tls.rs
+++ b/crates/node/src/peers/tls.rs
@@ -1,15 +1,17 @@
 //! TLS for QUIC. Both sides present a certificate signed by the common
 //! authority.
 
-use std::net::SocketAddr;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use quinn::ClientConfig;
 use quinn::Endpoint;
+use quinn::EndpointConfig;
 use quinn::IdleTimeout;
 use quinn::ServerConfig;
+use quinn::TokioRuntime;
 use quinn::TransportConfig;
 use quinn::VarInt;
 use quinn::crypto::rustls::QuicClientConfig;
@@ -37,27 +39,43 @@
 const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 const CONNECTION_WINDOW_BYTES: u32 = 2 << 20;
 
-/// Binds the socket that accepts connections and from which this node dials.
-///
-/// # Errors
-/// Fails if the key or a certificate is invalid, or the host refuses the address.
-pub fn bind(address: SocketAddr, identity: &Identity) -> Result<Endpoint, Failure> {
-    let (server, client) = configs(identity)
-        .map_err(|error| Failure::new(Code::SettingsValue, "identity", format!("{error:#}")))?;
-    let name = format!("peers {address}");
-    let mut endpoint =
-        Endpoint::server(server, address).map_err(|error| Failure::refused(&name, &error))?;
-    endpoint.set_default_client_config(client);
-    Ok(endpoint)
+/// What a node needs to accept connections from other nodes and to dial them.
+pub struct Config {
+    server: ServerConfig,
+    client: ClientConfig,
 }
 
-fn configs(identity: &Identity) -> anyhow::Result<(ServerConfig, ClientConfig)> {
-    let transport = Arc::new(transport()?);
-    let mut server = ServerConfig::with_crypto(Arc::new(server(identity)?));
-    server.transport_config(transport.clone());
-    let mut client = ClientConfig::new(Arc::new(client(identity)?));
-    client.transport_config(transport);
-    Ok((server, client))
+impl Config {
+    /// Creates a configuration.
+    ///
+    /// # Errors
+    /// Fails if the key or a certificate is invalid.
+    pub fn new(identity: &Identity) -> Result<Config, Failure> {
+        let config = Config::try_new(identity);
+        config.map_err(|error| Failure::new(Code::SettingsValue, "identity", format!("{error:#}")))
+    }
+
+    fn try_new(identity: &Identity) -> anyhow::Result<Config> {
+        let transport = Arc::new(transport()?);
+        let mut server = ServerConfig::with_crypto(Arc::new(server(identity)?));
+        server.transport_config(transport.clone());
+        let mut client = ClientConfig::new(Arc::new(client(identity)?));
+        client.transport_config(transport);
+        Ok(Config { server, client })
+    }
+
+    /// Creates the endpoint that accepts connections and dials, with this socket.
+    ///
+    /// # Errors
+    /// Fails if the host refuses an option of the socket.
+    pub fn open(self, socket: UdpSocket) -> Result<Endpoint, Failure> {
+        let server = Some(self.server);
+        let runtime = Arc::new(TokioRuntime);
+        let endpoint = Endpoint::new(EndpointConfig::default(), server, socket, runtime);
+        let mut endpoint = endpoint.map_err(|error| Failure::refused("peers", &error))?;
+        endpoint.set_default_client_config(self.client);
+        Ok(endpoint)
+    }
 }
 
 fn transport() -> anyhow::Result<TransportConfig> {
--- a/crates/woadstage/tests/e2e/end.rs
+++ b/crates/woadstage/tests/e2e/end.rs
@@ -49,4 +49,16 @@
         assert!(last.contains("serve: Node ended.") && last.contains("status=0"), "{}", node.text());
         Ok(())
     });
+
+    a_stop_while_the_node_waits_is_the_last_line => run(async {
+        let site = Site::new().await?;
+        let _holder = std::net::TcpListener::bind(site.addresses.callers)?;
+        let mut node = site.start();
+        node.wait_for_text("serve: Waiting.").await;
+        node.signal(Signal::TERM);
+        assert_eq!(node.wait_for_end().await, Some(0));
+        let last = node.last_line();
+        assert!(last.contains("serve: Node ended.") && last.contains("status=0"), "{}", node.text());
+        Ok(())
+    });
 }
--- a/crates/woadstage/tests/e2e/main.rs
+++ b/crates/woadstage/tests/e2e/main.rs
@@ -7,4 +7,5 @@
 mod input;
 mod path;
 mod process;
+mod start;
 mod support;
--- a/crates/woadstage/tests/e2e/process.rs
+++ b/crates/woadstage/tests/e2e/process.rs
@@ -110,6 +110,22 @@
         kill_process(pid, signal).expect("the process should exist");
     }
 
+    /// Waits until the process logs this, which it has to do before it ends.
+    pub async fn wait_for_text(&mut self, text: &str) {
+        let this = std::cell::RefCell::new(self);
+        until(text, || async {
+            let mut process = this.borrow_mut();
+            let is_logged = process.text().contains(text);
+            assert!(
+                is_logged || process.is_running(),
+                "ended: {}",
+                process.text()
+            );
+            is_logged
+        })
+        .await;
+    }
+
     /// Waits until the process serves at its addresses.
     pub async fn wait_until_serving(&mut self, addresses: Addresses) {
         let this = std::cell::RefCell::new(self);
