fix: a node of `serve` waits for the rest of a settings file that is being written

Symptom: a node that started while its settings file was missing, empty or half written ended with status 1; one cut within its last line was taken as it stood.

Cause: the file was read once, and nothing says that it is written at once.

Change: woadstage_startup::settings_file reads it, so that what is missing is waited for, with a line `serve: Waiting.`, and a wrong value in a complete line ends the node at once as before. Faults, and now also why a file can't be read, are printed on standard output.

--- a/crates/node/src/commands/serve.rs
+++ b/crates/node/src/commands/serve.rs
@@ -24,6 +24,7 @@
 use woadstage_startup::retry;
 use woadstage_startup::retry::Waiting;
 use woadstage_startup::retry::retry;
+use woadstage_startup::settings_file;
 use woadstage_startup::stop::StopSignals;
 use woadstage_types::code::Code;
 use woadstage_types::id;
@@ -126,7 +127,11 @@
 }
 
 async fn start(path: &Path, out: &mut impl Write) -> Result<Started, Failure> {
-    let settings = read(path, out)?;
+    let read = settings_file::read(path, settings::parse, log_waiting).await;
+    let settings_file::Read { settings, .. } = read.inspect_err(|failure| {
+        // If nobody reads it, the log still holds it.
+        let _ = writeln!(out, "{failure}");
+    })?;
     let tls = tls::Config::new(&settings.identity)?;
     let open = || listen::open(&settings);
     let sockets = retry(&retry::Options::default(), open, log_waiting).await?;
@@ -137,16 +142,6 @@
     })
 }
 
-fn read(path: &Path, out: &mut impl Write) -> Result<Settings, Failure> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| Failure::refused(&name, &error))?;
-    settings::parse(&text).map_err(|faults| {
-        // If nobody reads them, the log still holds them.
-        let _ = write!(out, "{faults}");
-        faults.into()
-    })
-}
-
 async fn serve(started: Started, signals: StopSignals) -> Result<Stop, Failure> {
     let Started {
         settings,
--- a/crates/woadstage/tests/e2e/process.rs
+++ b/crates/woadstage/tests/e2e/process.rs
@@ -72,6 +72,11 @@
         std::fs::write(&self.path, text).expect("the settings should be written");
     }
 
+    /// Removes the settings file.
+    pub fn remove_settings(&self) {
+        std::fs::remove_file(&self.path).expect("the settings should be removed");
+    }
+
     /// Starts a process, which appends its output and errors to one file.
     pub fn start(&self) -> Process {
         let log = self.path.with_extension("log");
--- a/crates/woadstage/tests/e2e/start.rs
+++ b/crates/woadstage/tests/e2e/start.rs
@@ -98,3 +98,43 @@
         Ok(())
     });
 }
+
+macro_rules! incomplete_files {
+    ($($name:ident: |$settings:pat_param| $cut:expr;)*) => {
+        // Guards against a node that ends because its settings are being written.
+        #[rstest]
+        $(#[case::$name(|$settings: &str| $cut)])*
+        fn a_node_waits_for_the_rest_of_its_settings(#[case] cut: fn(&str) -> Option<String>) {
+            run(async {
+                let site = Site::new().await?;
+                match cut(&site.settings) {
+                    Some(part) => site.write_settings(&part),
+                    None => site.remove_settings(),
+                }
+                let mut node = site.start();
+                node.wait_for_text("serve: Waiting.").await;
+                site.write_settings(&site.settings);
+                node.wait_until_serving(site.addresses).await;
+                Ok(())
+            })
+        }
+    };
+}
+
+fn up_to(settings: &str, end: &str) -> Option<String> {
+    let (part, _) = settings
+        .split_once(end)
+        .expect("the settings hold the text");
+    Some(format!("{part}{end}"))
+}
+
+incomplete_files! {
+    missing: |_| None;
+    empty: |_| Some(String::new());
+    without_tables: |settings| up_to(settings, "data_centre = \"cluj-a\"\n");
+    within_a_name: |settings| up_to(settings, "oper");
+    within_a_line_of_the_certificate: |settings| up_to(settings, "-----BEGIN CERT");
+    between_lines_of_the_certificate: |settings| up_to(settings, "-----BEGIN CERTIFICATE-----\n");
+    before_the_key: |settings| up_to(settings, "-----END CERTIFICATE-----\n'''\n");
+    before_the_last_line_end: |settings| Some(settings.trim_end().to_owned());
+}
