fix: outgoing connections of `serve` don't stand in the way of a listener of their host

Symptom: with ports of a node in the range from which the kernel takes those of outgoing connections, a node that started again met "Address already in use", for as long as TIME_WAIT.

Cause: a connection to an endpoint or the platform, or of the query commands to a node, may have been given the port of a listener, and holds it until it has lingered.

Change: one connector for all of them, which sets SO_REUSEADDR before it connects.

--- a/crates/node/src/commands/fetch.rs
+++ b/crates/node/src/commands/fetch.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 
 use super::Refused;
+use crate::dial::new_connector;
 use crate::operators::Fault;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -32,7 +33,7 @@
         Some(body) => Request::post(uri).body(Full::new(Bytes::from(body)))?,
         None => Request::get(uri).body(Full::new(Bytes::new()))?,
     };
-    let client = Client::builder(TokioExecutor::new()).build_http();
+    let client = Client::builder(TokioExecutor::new()).build(new_connector());
     let answer = tokio::time::timeout(TIMEOUT, client.request(request)).await??;
     let is_success = answer.status().is_success();
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
--- a/crates/node/src/endpoints/mod.rs
+++ b/crates/node/src/endpoints/mod.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use woadstage_types::id;
 
+use crate::dial::new_connector;
 use crate::driver::Handle;
 use crate::driver::Reply;
 use crate::driver::Work;
@@ -66,7 +67,7 @@
 }
 
 fn build(idle: usize) -> legacy::Client<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
+    let mut connector = new_connector();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     // If a pooled connection died, the library must not send a request a second
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`endpoints`]: the HTTP client for engines and services.
 //! * [`peers`]: QUIC connections between nodes.
 //! * [`platform`]: the client of the platform's read-only service.
+//! * [`dial`]: opens outgoing HTTP connections.
 //! * [`listen`]: the sockets at which a node listens.
 //! * [`operators`]: the HTTP server for metrics, health checks and the query
 //!   commands.
@@ -16,6 +17,7 @@
 pub mod callers;
 pub mod clock;
 pub mod commands;
+pub mod dial;
 pub mod driver;
 pub mod endpoints;
 pub mod listen;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -26,6 +26,7 @@
 use woadstage_types::unit::Span;
 
 use crate::clock::to_duration;
+use crate::dial::new_connector;
 use crate::driver::Handle;
 use crate::driver::Input;
 
@@ -78,7 +79,7 @@
 impl Platform {
     /// Creates a client for an address; one blocking read waits up to `wait`.
     pub fn new(address: SocketAddr, wait: Span) -> Platform {
-        let client = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+        let client = Client::builder(TokioExecutor::new()).build(new_connector());
         Platform {
             address,
             wait,
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,7 +1,9 @@
-//! Tests of the frames between nodes, of reading usage and of relaying answers.
+//! Tests of the frames between nodes, of reading usage, of relaying answers and of outgoing
+//! connections.
 
 mod answers;
 mod broken_answers;
+mod dial;
 mod ending;
 
 use proptest::prelude::*;
