fix: one address for callers and operators ends a node of `serve` at once

Symptom: a node whose settings give callers and operators the same address waited for two minutes for itself.

Cause: the second listener met the first one's address, which looks like another process that may release it.

Change: the two are compared before any socket is opened; the node ends with W5002.

Result: one case with a real process: failed before (no end within 30 s), passes now.

--- a/crates/node/src/listen.rs
+++ b/crates/node/src/listen.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpSocket;
 use woadstage_config::settings::Settings;
 use woadstage_startup::failure::Failure;
+use woadstage_types::code::Code;
 
 /// The maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -26,13 +27,17 @@
 /// in use.
 ///
 /// # Errors
-/// Fails if the host refuses an address.
+/// Fails if the host refuses an address, or callers and operators are given the same one.
 pub fn open(settings: &Settings) -> Result<Sockets, Failure> {
     let refused = |name: &str, address: SocketAddr, error: io::Error| {
         Failure::refused(&format!("{name} {address}"), &error)
     };
     let callers = settings.callers;
     let operators = settings.operators;
+    if callers == operators {
+        let cause = "It is the address for callers too.";
+        return Err(Failure::new(Code::SettingsValue, "listen.operators", cause));
+    }
     // Another process could share this address if the socket allowed that.
     let peers = UdpSocket::bind(settings.peers);
     Ok(Sockets {
--- a/crates/woadstage/tests/e2e/end.rs
+++ b/crates/woadstage/tests/e2e/end.rs
@@ -35,6 +35,11 @@
     no_time: "W5002", |settings| settings.replace("wait = \"5s\"", "wait = \"soon\"");
     unknown_fields: "W5002", |settings| settings.replace("[listen]", "speed = 3\npace = 4\n[listen]");
     no_certificate: "W5002", |settings| settings.replace("BEGIN CERTIFICATE", "BEGIN");
+    one_address_for_two: "W5002", |settings| {
+        let callers = settings.lines().find(|line| line.starts_with("callers")).unwrap_or_default();
+        let operators = settings.lines().find(|line| line.starts_with("operators")).unwrap_or_default();
+        settings.replace(operators, &callers.replace("callers", "operators"))
+    };
     address_of_another_host: "W5013", |settings| settings.replace("callers = \"127", "callers = \"192.0.2.1:1\" #");
 }
 
