fix: nothing follows the last line of a gateway's log

Change: a log takes no lines after its last one. Gateways take their stop signals with the type that `serve` uses; W5015 no longer says "again and again", which is not true of `serve`.

--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -132,6 +132,7 @@
     buffer: Arc<Buffer>,
     output: Arc<Mutex<dyn Write + Send>>,
     has_writer: Arc<AtomicBool>,
+    is_finished: Arc<AtomicBool>,
 }
 
 impl Log {
@@ -165,6 +166,7 @@
             buffer,
             output: Arc::new(Mutex::new(to)),
             has_writer: Arc::default(),
+            is_finished: Arc::default(),
         })
     }
 
@@ -203,6 +205,9 @@
 
     /// Logs an event.
     pub fn write(&self, event: &Event<'_>) {
+        if self.is_finished.load(Ordering::Relaxed) {
+            return;
+        }
         let Ok(text) = serde_json::to_string(event) else {
             return;
         };
@@ -213,8 +218,11 @@
         }
     }
 
-    /// Waits until all lines are written, or the reader has had its time.
-    pub async fn finish(&self) {
+    /// Logs the last event, and waits until all lines are written or the reader has had its time.
+    /// Tasks that go on meanwhile log nothing more.
+    pub async fn finish(&self, last: &Event<'_>) {
+        self.write(last);
+        self.is_finished.store(true, Ordering::Relaxed);
         if !self.has_writer.load(Ordering::Relaxed) {
             let mut output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
             self.buffer.write_waiting(&mut *output);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,6 +20,7 @@
 use woadstage_startup::retry;
 use woadstage_startup::retry::Waiting;
 use woadstage_startup::retry::retry;
+use woadstage_startup::stop::StopSignals;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Time;
 
@@ -97,8 +98,7 @@
             }
         }
     };
-    log.write(&event);
-    log.finish().await;
+    log.finish(&event).await;
     result
 }
 
@@ -159,34 +159,16 @@
     hangup: Signal,
 }
 
-/// The signals that tell a process to stop.
-struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
 impl Signals {
     fn try_new() -> Result<Signals, Failure> {
-        let take = |kind| signal(kind).map_err(|error| Failure::refused("signals", &error));
+        let hangup = signal(SignalKind::hangup());
         Ok(Signals {
-            hangup: take(SignalKind::hangup())?,
-            stop: StopSignals {
-                terminate: take(SignalKind::terminate())?,
-                interrupt: take(SignalKind::interrupt())?,
-            },
+            hangup: hangup.map_err(|error| Failure::refused("signals", &error))?,
+            stop: StopSignals::try_new()?,
         })
     }
 }
 
-impl StopSignals {
-    async fn wait(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
 /// Applies what the platform published, as the adapter reports it.
 pub(crate) async fn apply_updates(shell: Rc<Shell>, mut updates: UnboundedReceiver<Update>) {
     // An adapter that starts reports the platform only once a call has failed.
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -225,21 +225,41 @@
     assert!(reader.lines.text().len() < 4 * (64 << 10));
 }
 
+/// The last line of a process that was told to stop.
+const ENDED: Event<'static> = Event::Ended {
+    status: 0,
+    code: String::new(),
+    detail: "told to stop",
+};
+
+/// A line of a task that goes on.
+const WOKE: Event<'static> = Event::Woke {
+    after_ms: 500,
+    suspended_ms: 0,
+};
+
+/// Returns the events that were written.
+fn events(lines: &LogBuffer) -> Vec<String> {
+    let text = lines.text();
+    let lines = text
+        .lines()
+        .filter_map(|line| serde_json::from_str(line).ok());
+    lines
+        .map(|line: serde_json::Value| line["event"].as_str().unwrap_or_default().to_owned())
+        .collect()
+}
+
 // Guards against a node that ends because its host allows no thread for the log.
 #[test]
 fn lines_wait_for_the_thread_that_writes_them() {
     run(|| async {
         let lines = LogBuffer::default();
         let log = Log::new(Options::default(), lines.clone()).expect("the log starts");
-        let woke = Event::Woke {
-            after_ms: 500,
-            suspended_ms: 0,
-        };
-        log.write(&woke);
-        assert_eq!(lines.text(), "");
+        log.write(&WOKE);
+        assert!(events(&lines).is_empty());
         log.try_start_writer().expect("a thread");
-        log.finish().await;
-        assert!(lines.text().contains("\"woke\""));
+        log.finish(&ENDED).await;
+        assert_eq!(events(&lines), ["woke", "ended"]);
     });
 }
 
@@ -248,12 +268,26 @@
     run(|| async {
         let lines = LogBuffer::default();
         let log = Log::new(Options::default(), lines.clone()).expect("the log starts");
-        log.write(&Event::Ended {
-            status: 0,
-            code: String::new(),
-            detail: "told to stop",
+        log.write(&WOKE);
+        log.finish(&ENDED).await;
+        assert_eq!(events(&lines), ["woke", "ended"]);
+    });
+}
+
+// Guards against a process whose last line doesn't say why it ended, since its tasks go on.
+#[test]
+fn nothing_follows_the_last_line() {
+    run(|| async {
+        let lines = LogBuffer::default();
+        let log = Log::start(Options::default(), lines.clone()).expect("the log starts");
+        let task = log.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                task.write(&WOKE);
+                tokio::task::yield_now().await;
+            }
         });
-        log.finish().await;
-        assert!(lines.text().contains("\"ended\""));
+        log.finish(&ENDED).await;
+        assert_eq!(events(&lines).last().map(String::as_str), Some("ended"));
     });
 }
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -126,7 +126,7 @@
     AddressInUse = 5012, 0, None, "Another process uses this address.";
     HostRefused = 5013, 0, None, "The host refuses this address or file.";
     HostExhausted = 5014, 0, None, "The host has no descriptor, thread or memory left.";
-    TaskFailed = 5015, 0, None, "A task of the process failed again and again.";
+    TaskFailed = 5015, 0, None, "A task of the process failed.";
 }
 
 impl Code {
