--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`headers`]: the configurable names of HTTP headers.
 //! * [`run`]: the process from start to graceful shutdown.
 //! * [`start`]: reads the settings, opens the sockets and spawns the tasks.
+//! * [`stop`]: a planned stop.
 //! * [`supervise`]: keeps the tasks of the process running.
 //! * [`source`]: the interface to the adapter that reads the platform.
 //! * [`publish`], [`active_configuration`]: applying configurations and lists of endpoints.
@@ -42,5 +43,6 @@
 pub mod shell;
 pub mod source;
 pub mod start;
+pub mod stop;
 pub mod supervise;
 pub mod upstream;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,9 +22,7 @@
 use woadstage_startup::retry::retry;
 use woadstage_startup::stop::StopSignals;
 use woadstage_types::code::Code;
-use woadstage_types::unit::Time;
 
-use crate::clock::to_duration;
 use crate::clock::to_span;
 use crate::connections::Reason;
 use crate::event::Event;
@@ -33,13 +31,13 @@
 use crate::publish;
 use crate::settings;
 use crate::settings::Settings;
-use crate::shell::Phase;
 use crate::shell::Shell;
 use crate::source;
 use crate::source::Inquiry;
 use crate::source::Update;
 use crate::start;
 use crate::start::Started;
+use crate::stop;
 use crate::upstream::probe;
 
 /// The interval of the dispatcher's timer.
@@ -48,16 +46,6 @@
 /// The interval at which the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The maximum duration of [`Phase::Leaving`]. Callers keep arriving for this long after the
-/// platform is told that the node is leaving.
-const LEAVING_PERIOD: Duration = Duration::from_millis(2_600);
-
-/// The part of the stop time that is reserved for exiting in an orderly way.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
-/// The time reserved before the process exits for sending the last answers.
-const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(150);
-
 /// The interval of closing idle connections to endpoints and of reporting dropped log lines.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -148,7 +136,7 @@
         () = stop.wait() => Ok(()),
         failure = supervisor.wait_for_failure() => Err(failure),
     };
-    stop_gracefully(&shell, to_duration(settings.stop_within)).await;
+    stop::stop(&shell, settings.stop_within).await;
     result
 }
 
@@ -367,40 +355,3 @@
         shell.log(&Event::Reloaded { outcome: &outcome });
     }
 }
-
-/// Announces that the node is leaving and waits for the requests in progress to end, for at most
-/// `within`.
-async fn stop_gracefully(shell: &Rc<Shell>, within: Duration) {
-    let deadline = shell.now() + to_span(within.saturating_sub(EXIT_MARGIN));
-    let log_phase = |phase: &str| {
-        let held = shell.query(|dispatcher, _| dispatcher.held());
-        shell.log(&Event::Stopping { held, phase });
-    };
-    log_phase("leaving");
-    shell.set_phase(Phase::Leaving);
-    shell.command(|dispatcher, _| dispatcher.leave());
-    let leaving_until = deadline.min(shell.now() + to_span(LEAVING_PERIOD));
-    wait_until(shell, leaving_until, || false).await;
-    log_phase("closing");
-    let remaining = to_duration(deadline.since(shell.now()));
-    shell.start_closing(to_span(remaining.saturating_sub(LAST_ANSWERS_MARGIN)));
-    // New callers keep connecting while other nodes stop too. Waiting for their connections as
-    // well would delay the restart, and the requests accepted from them are short.
-    wait_until(shell, deadline, || shell.connections.get() == 0).await;
-    shell.set_phase(Phase::Stopped);
-    // Lets `serve::accept` accept the connections that are already established.
-    tokio::task::yield_now().await;
-    let is_drained = || {
-        let held = shell.query(|dispatcher, _| dispatcher.held());
-        held == 0 && shell.late_connections.get() == 0
-    };
-    wait_until(shell, deadline, is_drained).await;
-    log_phase("stopped");
-}
-
-/// Waits until `condition` holds or the deadline has passed.
-async fn wait_until(shell: &Shell, deadline: Time, condition: impl Fn() -> bool) {
-    while shell.now() < deadline && !condition() {
-        tokio::time::sleep(TICK_INTERVAL).await;
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,62 @@
+//! A planned stop: callers are asked to go elsewhere, and the requests in progress end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use woadstage_types::unit::Span;
+use woadstage_types::unit::Time;
+
+use crate::event::Event;
+use crate::shell::Phase;
+use crate::shell::Shell;
+
+/// The interval at which the node checks whether a phase is over.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The maximum duration of [`Phase::Leaving`]. Callers keep arriving for this long after the
+/// platform is told that the node is leaving.
+const LEAVING_PERIOD: Span = Span::from_millis(2_600);
+
+/// The part of the stop time that is reserved for exiting in an orderly way.
+const EXIT_MARGIN: Span = Span::from_millis(500);
+
+/// The time reserved before the process exits for sending the last answers.
+const LAST_ANSWERS_MARGIN: Span = Span::from_millis(150);
+
+/// Announces that the node is leaving and waits for the requests in progress to end, for at most
+/// `within`.
+pub async fn stop(shell: &Rc<Shell>, within: Span) {
+    let deadline = shell.now() + within - EXIT_MARGIN;
+    log_phase(shell, "leaving");
+    shell.set_phase(Phase::Leaving);
+    shell.command(|dispatcher, _| dispatcher.leave());
+    let leaving_until = deadline.min(shell.now() + LEAVING_PERIOD);
+    wait_until(shell, leaving_until, || false).await;
+    log_phase(shell, "closing");
+    let answers_until = deadline - LAST_ANSWERS_MARGIN;
+    shell.start_closing(answers_until.since(shell.now()));
+    // New callers keep connecting while other nodes stop too. Waiting for their connections as
+    // well would delay the restart, and the requests accepted from them are short.
+    wait_until(shell, deadline, || shell.connections.get() == 0).await;
+    shell.set_phase(Phase::Stopped);
+    // Lets `serve::accept` accept the connections that are already established.
+    tokio::task::yield_now().await;
+    let is_drained = || {
+        let held = shell.query(|dispatcher, _| dispatcher.held());
+        held == 0 && shell.late_connections.get() == 0
+    };
+    wait_until(shell, deadline, is_drained).await;
+    log_phase(shell, "stopped");
+}
+
+fn log_phase(shell: &Shell, phase: &str) {
+    let held = shell.query(|dispatcher, _| dispatcher.held());
+    shell.log(&Event::Stopping { held, phase });
+}
+
+/// Waits until `condition` holds or the deadline has passed.
+async fn wait_until(shell: &Shell, deadline: Time, condition: impl Fn() -> bool) {
+    while shell.now() < deadline && !condition() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
