feat: the log of a planned stop holds everything that precedes its end

What a process still does after the phase `stopped` was not in its log: the last line was written at once, and nothing after it. Now the lines of tasks that go on are written before it, so that a request that is accepted in that time shows. The line of each phase says how many connections are open, and how many of them are silent: nothing has arrived on them, and no count of what is in progress holds them.

Test `lines_of_tasks_that_go_on_precede_the_last_line` fails without the change (the line `cut` is left out).

--- a/crates/gateway/src/connections/registry.rs
+++ b/crates/gateway/src/connections/registry.rs
@@ -306,6 +306,11 @@
         self.inner.borrow().open
     }
 
+    /// Returns the number of open connections on which nothing has arrived.
+    pub fn silent(&self) -> usize {
+        self.inner.borrow().silent.len()
+    }
+
     /// Returns the number of connections closed so far, by reason.
     pub fn closed(&self, reason: Reason) -> u64 {
         self.inner
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -20,6 +20,10 @@
     Stopping {
         /// The number of requests still held.
         held: usize,
+        /// The number of connections that callers and nodes have sent something on.
+        connections: usize,
+        /// The number of connections of callers on which nothing has arrived yet.
+        silent: usize,
         /// The phase: `leaving`, `closing` or `stopped`.
         phase: &'a str,
     },
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -55,6 +55,9 @@
     options: Options,
     lines: Mutex<Vec<u8>>,
     non_empty: Condvar,
+    /// Whether the process ends, so that lines are written at once.
+    is_urgent: AtomicBool,
+    urgent: Condvar,
     /// Whether the thread has taken lines that it is still writing.
     is_writing: AtomicBool,
     dropped_lines: AtomicU64,
@@ -100,11 +103,23 @@
     fn write(&self, to: &mut (impl Write + ?Sized)) {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         let waiting = self.non_empty.wait_while(lines, |lines| lines.is_empty());
-        drop(waiting);
-        std::thread::sleep(self.options.flush_interval);
+        let lines = waiting.unwrap_or_else(PoisonError::into_inner);
+        let is_collecting = |_: &mut Vec<u8>| !self.is_urgent.load(Ordering::Relaxed);
+        let interval = self.options.flush_interval;
+        drop(
+            self.urgent
+                .wait_timeout_while(lines, interval, is_collecting),
+        );
         self.write_waiting(to);
     }
 
+    /// Has lines written at once from now on.
+    fn set_urgent(&self) {
+        let _lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        self.is_urgent.store(true, Ordering::Relaxed);
+        self.urgent.notify_one();
+    }
+
     fn take(&self) -> Vec<u8> {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         self.is_writing.store(true, Ordering::Release);
@@ -157,6 +172,8 @@
             options,
             lines: Mutex::default(),
             non_empty: Condvar::new(),
+            is_urgent: AtomicBool::new(false),
+            urgent: Condvar::new(),
             is_writing: AtomicBool::new(false),
             dropped_lines: AtomicU64::new(0),
         });
@@ -218,16 +235,23 @@
         }
     }
 
-    /// Logs the last event, and waits until all lines are written or the reader has had its time.
-    /// Tasks that go on meanwhile log nothing more.
+    /// Waits until the lines so far are written, logs the last event and waits until that is written,
+    /// unless the reader has had its time. Tasks that go on after the last event log nothing more.
     pub async fn finish(&self, last: &Event<'_>) {
+        let deadline = tokio::time::Instant::now() + FINISH_TIMEOUT;
+        self.buffer.set_urgent();
+        self.wait_until_written(deadline).await;
         self.write(last);
         self.is_finished.store(true, Ordering::Relaxed);
+        self.wait_until_written(deadline).await;
+    }
+
+    /// Waits until all lines are written, or until a time.
+    async fn wait_until_written(&self, deadline: tokio::time::Instant) {
         if !self.has_writer.load(Ordering::Relaxed) {
             let mut output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
             self.buffer.write_waiting(&mut *output);
         }
-        let deadline = tokio::time::Instant::now() + FINISH_TIMEOUT;
         while !self.buffer.is_written() && tokio::time::Instant::now() < deadline {
             tokio::time::sleep(FINISH_POLL_INTERVAL).await;
         }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -50,8 +50,12 @@
 }
 
 fn log_phase(shell: &Shell, phase: &str) {
-    let held = shell.query(|dispatcher, _| dispatcher.held());
-    shell.log(&Event::Stopping { held, phase });
+    shell.log(&Event::Stopping {
+        held: shell.query(|dispatcher, _| dispatcher.held()),
+        connections: shell.connections.get() + shell.late_connections.get(),
+        silent: shell.registries.callers.silent(),
+        phase,
+    });
 }
 
 /// Waits until `condition` holds or the deadline has passed.
--- a/crates/gateway/tests/gateway/log.rs
+++ b/crates/gateway/tests/gateway/log.rs
@@ -274,6 +274,20 @@
     });
 }
 
+// Guards against requests that a process began as it ended, of which its log holds nothing.
+#[test]
+fn lines_of_tasks_that_go_on_precede_the_last_line() {
+    run(|| async {
+        let lines = LogBuffer::default();
+        let log = Log::start(Options::default(), lines.clone()).expect("the log starts");
+        log.write(&WOKE);
+        let task = log.clone();
+        tokio::task::spawn_local(async move { task.write(&failure_event()) });
+        log.finish(&ENDED).await;
+        assert_eq!(events(&lines), ["woke", "cut", "ended"]);
+    });
+}
+
 // Guards against a process whose last line doesn't say why it ended, since its tasks go on.
 #[test]
 fn nothing_follows_the_last_line() {
