test: a request that arrives after a planned stop is refused

A node that stops returns from its planned stop while connections are open on which nothing has arrived. A request that comes over one of them in the time until the process ends (the log is finished meanwhile) is accepted and passed on: the test sees status 200 and one request at the endpoint, where the process would have ended before the answer.

--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -10,6 +10,7 @@
 use woadstage_gateway::log;
 use woadstage_gateway::operators;
 use woadstage_gateway::shell::Phase;
+use woadstage_gateway::stop;
 use woadstage_types::unit::Span;
 
 use crate::support::Action;
@@ -187,6 +188,46 @@
     });
 }
 
+// Guards against requests that are passed on although the process ends without their answers.
+#[rstest]
+#[case::on_a_connection_opened_before_the_stop(true)]
+#[case::on_a_connection_opened_during_the_stop(false)]
+fn a_request_that_arrives_after_a_planned_stop_is_refused(#[case] is_opened_before: bool) {
+    run(move || async move {
+        let fine = Action::Answer(answer("200 OK", "fine"));
+        let worker = Worker::start("e", vec![fine]).await;
+        let gateway = Rc::new(Gateway::start(&[&worker]).await);
+        let mut early = None;
+        if is_opened_before {
+            early = Some(Caller::connect(&gateway).await);
+            wait_for_connections(&gateway, 1).await;
+        }
+        let stopping = gateway.clone();
+        let stopped = tokio::task::spawn_local(async move {
+            stop::stop(&stopping.shell, Span::from_secs(5)).await;
+        });
+        gateway.shell.wait_for_phase(Phase::Leaving).await;
+        let mut caller = match early {
+            Some(caller) => caller,
+            None => Caller::connect(&gateway).await,
+        };
+        wait_for_connections(&gateway, 1).await;
+        stopped.await.expect("the stop does not panic");
+        caller.request("id-1", "/once/x", "").await;
+        let seen = caller.answer().await;
+        assert_eq!((seen.status, worker.requests.borrow().len()), (503, 0));
+        assert!(field(&seen.head, "retry-after").is_some());
+        assert!(caller.is_closed().await);
+    });
+}
+
+/// Waits until the gateway has this number of callers' connections.
+async fn wait_for_connections(gateway: &Gateway, connections: usize) {
+    while gateway.shell.registries.callers.open() < connections {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
 #[test]
 fn metrics_report_answers_and_state() {
     run(|| async {
