fix: a node that found itself drained passes nothing on any more

Callers of a node that stops saw their connections close without an answer after their requests had reached an endpoint: POST and GET alike, at the very end of the stop, most of them on connections that they had opened some time before.

A planned stop ends once no request is held and no connection is open that was opened late. A connection on which nothing has arrived is in neither count, and nothing closes it: its first request could begin in the time from that check to the end of the process, which waits for its log and whatever else is due, was accepted, sent and taken along. The check and the end were two steps with other tasks between them.

The phase `Ended` now begins with the check, without anything between. From then on requests are refused with 503, which says that they haven't run and when to come back; a node that forwarded one tries it elsewhere.

--- a/crates/gateway/src/serve/closing.rs
+++ b/crates/gateway/src/serve/closing.rs
@@ -10,6 +10,7 @@
 use super::admit::Admitted;
 use super::exchange::Exchange;
 use super::reply::Reply;
+use crate::shell::Phase;
 use crate::shell::Shell;
 
 /// The minimum time until the end of this node at which a request is accepted. An endpoint
@@ -24,7 +25,8 @@
 /// milliseconds.
 const RESTART_DURATION: Span = Span::from_millis(700);
 
-/// Limits a request's deadline to the end of this node, if it is stopping.
+/// Limits a request's deadline to the end of this node, if it is stopping. Nothing is passed on once
+/// the node has found that it is drained.
 ///
 /// # Errors
 /// Returns the reply to a request that might not finish before this node ends.
@@ -36,6 +38,9 @@
         return Ok(());
     };
     let now = shell.now();
+    if shell.phase() >= Phase::Ended {
+        return Err(to_refusal(shell, admitted, now));
+    }
     let needed = match admitted.route.kind {
         // A stream may last until its deadline and is not aborted.
         Kind::Stream => admitted.deadline.since(now),
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -54,9 +54,10 @@
     Leaving,
     /// Connections close after the answer in progress. A new connection gets one answer.
     Closing,
-    /// No connections are accepted any more. The process exits once the remaining requests have
-    /// ended.
+    /// No connections are accepted any more. The node waits for the remaining requests to end.
     Stopped,
+    /// The process exits. Requests that still arrive are refused.
+    Ended,
 }
 
 /// The connections that others opened to this node, by listener.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -41,14 +41,18 @@
     shell.set_phase(Phase::Stopped);
     // Lets `serve::accept` accept the connections that are already established.
     tokio::task::yield_now().await;
-    let is_drained = || {
-        let held = shell.query(|dispatcher, _| dispatcher.held());
-        held == 0 && shell.late_connections.get() == 0
-    };
-    wait_until(shell, deadline, is_drained).await;
+    wait_until(shell, deadline, || is_drained(shell)).await;
+    // Follows the check at once: whatever arrives between them would begin a request.
+    shell.set_phase(Phase::Ended);
     log_phase(shell, "stopped");
 }
 
+/// Whether no request is in progress. Connections on which nothing has arrived don't count.
+fn is_drained(shell: &Shell) -> bool {
+    let held = shell.query(|dispatcher, _| dispatcher.held());
+    held == 0 && shell.connections.get() == 0 && shell.late_connections.get() == 0
+}
+
 fn log_phase(shell: &Shell, phase: &str) {
     shell.log(&Event::Stopping {
         held: shell.query(|dispatcher, _| dispatcher.held()),
--- a/crates/gateway/src/supervise.rs
+++ b/crates/gateway/src/supervise.rs
@@ -77,7 +77,7 @@
         let mut ends = VecDeque::new();
         loop {
             let ended = spawn_local(start()).await;
-            if self.shell.phase() == Phase::Stopped {
+            if self.shell.phase() >= Phase::Stopped {
                 return;
             }
             self.record(name, &ended);
