fix: requests in progress are answered before a short stop ends

With a stop time of three seconds, callers on kept connections saw them close without an answer after their requests had reached an endpoint.

`Leaving` now takes two fifths of the stop time at most, and the time for an orderly exit a quarter: with the stop time of eight seconds both stay as they were. Every wait of a request ends when the node must have answered. A request that was not sent gets 503 with the time to return, one that was sent 504, and a stream in progress is broken off and logged as cut. None of them is tried elsewhere after that.

Tests `a_request_before_a_planned_stop_is_answered_before_its_end` (2 s, 1 s), `a_request_that_waits_as_a_planned_stop_ends_is_told_to_return` and `a_stream_in_progress_as_a_planned_stop_ends_is_broken_off` failed before: the stop ended with the request held.

--- a/crates/gateway/src/serve/closing.rs
+++ b/crates/gateway/src/serve/closing.rs
@@ -5,7 +5,6 @@
 use woadstage_dispatch::configuration::Kind;
 use woadstage_types::code::Code;
 use woadstage_types::unit::Span;
-use woadstage_types::unit::Time;
 
 use super::admit::Admitted;
 use super::exchange::Exchange;
@@ -39,7 +38,7 @@
     };
     let now = shell.now();
     if shell.phase() >= Phase::Ended {
-        return Err(to_refusal(shell, admitted, now));
+        return Err(to_refusal(shell, admitted));
     }
     let needed = match admitted.route.kind {
         // A stream may last until its deadline and is not aborted.
@@ -52,17 +51,20 @@
         }
     };
     if ends_at.since(now) < needed.max(MIN_TIME_LEFT) {
-        return Err(to_refusal(shell, admitted, ends_at));
+        return Err(to_refusal(shell, admitted));
     }
-    admitted.deadline = admitted.deadline.min(ends_at);
+    admitted.deadline = shell.limit_to_end(admitted.deadline);
     Ok(())
 }
 
-fn to_refusal(shell: &Shell, admitted: &Admitted, ends_at: Time) -> Reply {
+/// Returns the refusal of a request that a stopping node can't finish.
+pub(super) fn to_refusal(shell: &Shell, admitted: &Admitted) -> Reply {
+    let ends_at = shell.answer_deadline_opt();
+    let ends_at = ends_at.filter(|_| shell.phase() < Phase::Ended);
     let retry_after = shell.query(|dispatcher, now| {
         let wait = match dispatcher.are_most_peers_serving(now) {
             true => RETRY_ELSEWHERE_DELAY,
-            false => ends_at.since(now) + RESTART_DURATION,
+            false => ends_at.map_or(Span::ZERO, |at| at.since(now)) + RESTART_DURATION,
         };
         dispatcher.retry_after(now, wait, admitted.caller_deadline.since(now))
     });
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -35,6 +35,7 @@
 use super::charge::ChargedBy;
 use super::classify;
 use super::classify::Disposition;
+use super::closing;
 use super::fingerprint;
 use super::forward::Forward;
 use super::hop;
@@ -259,7 +260,7 @@
                 Err(CallError::Body(_)) => return Err(Code::CallerLeft.into()),
                 Err(fault) => (to_end(&fault), fault.to_string()),
             };
-            if !self.end_attempt(end, &detail) {
+            if !self.end_attempt(end, &detail) || self.shell.must_have_answered() {
                 return Err(self.to_final_reply(end));
             }
         }
@@ -313,6 +314,9 @@
                 self.record_take_up();
                 Err(self.to_refusal(refusal.into()))
             }
+            Err(_) if self.shell.must_have_answered() => {
+                Err(self.to_refusal(closing::to_refusal(&self.shell, &self.admitted)))
+            }
             Ok(Err(_)) | Err(_) => {
                 let admission = |job| {
                     self.shell
@@ -581,7 +585,7 @@
                 part: None,
             };
         }
-        let is_late = self.shell.now() >= self.admitted.deadline;
+        let is_late = self.shell.now() >= self.shell.limit_to_end(self.admitted.deadline);
         match end {
             _ if is_late => Code::AnswerLate.into(),
             End::Fault => Code::EndpointFault.into(),
--- a/crates/gateway/src/serve/forward.rs
+++ b/crates/gateway/src/serve/forward.rs
@@ -57,7 +57,7 @@
                     }
                 };
                 let is_retried = self.end_forward(node, forward_end, end, &fault.to_string());
-                return match is_retried {
+                return match is_retried && !self.shell.must_have_answered() {
                     true => Ok(None),
                     false => Err(self.to_final_reply(end)),
                 };
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -175,6 +175,9 @@
                     self.finish();
                     return None;
                 }
+                Received::Late if self.exchange.shell.must_have_answered() => {
+                    return Some(Err(self.abort(End::Abandoned, "this node ends")));
+                }
                 Received::Late => return Some(Err(self.abort(End::Late, "no time left"))),
             }
         }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -210,20 +210,36 @@
         });
     }
 
-    /// Waits for a future until `time`, which may pass during a suspension of the host.
+    /// Returns a time, or when all answers must have been sent if that is earlier.
+    pub fn limit_to_end(&self, time: Time) -> Time {
+        let ends_at = self.answer_deadline.get();
+        ends_at.map_or(time, |ends_at| ends_at.min(time))
+    }
+
+    /// Whether all answers must have been sent by now, since the node is stopping.
+    pub fn must_have_answered(&self) -> bool {
+        let ends_at = self.answer_deadline.get();
+        ends_at.is_some_and(|ends_at| ends_at <= self.now())
+    }
+
+    /// Waits for a future until `time`, which may pass during a suspension of the host, or until all
+    /// answers must have been sent.
     ///
     /// # Errors
     /// Returns [`Elapsed`] if the future is not ready by then.
     pub async fn timeout_at<F: Future>(&self, time: Time, future: F) -> Result<F::Output, Elapsed> {
         let mut suspended = self.suspended.subscribe();
+        let mut phase = self.phase.subscribe();
         let mut future = pin!(future);
         loop {
+            let until = self.clock.to_instant(self.limit_to_end(time));
             tokio::select! {
                 biased;
                 output = future.as_mut() => return Ok(output),
                 // Fails only if the sender was dropped, and `self` owns it.
                 _ = suspended.changed() => {}
-                () = tokio::time::sleep_until(self.clock.to_instant(time)) => return Err(Elapsed),
+                _ = phase.changed() => {}
+                () = tokio::time::sleep_until(until) => return Err(Elapsed),
             }
         }
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -15,10 +15,15 @@
 
 /// The maximum duration of [`Phase::Leaving`]. Callers keep arriving for this long after the
 /// platform is told that the node is leaving.
-const LEAVING_PERIOD: Span = Span::from_millis(2_600);
+const MAX_LEAVING: Span = Span::from_millis(2_600);
 
-/// The part of the stop time that is reserved for exiting in an orderly way.
-const EXIT_MARGIN: Span = Span::from_millis(500);
+/// The maximum share of the stop time that [`Phase::Leaving`] takes. The requests in progress need
+/// the rest.
+const MAX_LEAVING_PERCENT: u64 = 40;
+
+/// The time that is reserved for exiting in an orderly way, and its maximum share of the stop time.
+const MAX_EXIT_MARGIN: Span = Span::from_millis(500);
+const MAX_EXIT_MARGIN_PERCENT: u64 = 25;
 
 /// The time reserved before the process exits for sending the last answers.
 const LAST_ANSWERS_MARGIN: Span = Span::from_millis(150);
@@ -26,12 +31,14 @@
 /// Announces that the node is leaving and waits for the requests in progress to end, for at most
 /// `within`.
 pub async fn stop(shell: &Rc<Shell>, within: Span) {
-    let deadline = shell.now() + within - EXIT_MARGIN;
+    let started_at = shell.now();
+    let exit_margin = MAX_EXIT_MARGIN.min(percent(within, MAX_EXIT_MARGIN_PERCENT));
+    let deadline = started_at + within - exit_margin;
     log_phase(shell, "leaving");
     shell.set_phase(Phase::Leaving);
     shell.command(|dispatcher, _| dispatcher.leave());
-    let leaving_until = deadline.min(shell.now() + LEAVING_PERIOD);
-    wait_until(shell, leaving_until, || false).await;
+    let leaving = MAX_LEAVING.min(percent(within, MAX_LEAVING_PERCENT));
+    wait_until(shell, started_at + leaving, || false).await;
     log_phase(shell, "closing");
     let answers_until = deadline - LAST_ANSWERS_MARGIN;
     shell.start_closing(answers_until.since(shell.now()));
@@ -47,6 +54,10 @@
     log_phase(shell, "stopped");
 }
 
+fn percent(span: Span, percent: u64) -> Span {
+    Span(span.0 / 100 * percent)
+}
+
 /// Whether no request is in progress. Connections on which nothing has arrived don't count.
 fn is_drained(shell: &Shell) -> bool {
     let held = shell.query(|dispatcher, _| dispatcher.held());
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -228,6 +228,77 @@
     }
 }
 
+macro_rules! stopped_within {
+    ($($name:ident: $script:expr, $stop_time:expr => $status:literal;)*) => {
+        // Guards against requests that a short stop cuts, since their own deadlines lie after it.
+        #[rstest]
+        $(#[case::$name($script, $stop_time, $status)])*
+        fn a_request_before_a_planned_stop_is_answered_before_its_end(
+            #[case] script: Vec<Action>,
+            #[case] stop_time: Span,
+            #[case] status: u16,
+        ) {
+            run(move || async move {
+                let worker = Worker::start("e", script).await;
+                let gateway = Gateway::start(&[&worker]).await;
+                let mut caller = Caller::connect(&gateway).await;
+                caller.request("id-1", "/once/x", "").await;
+                gateway.wait_for_line(&["\"sent\"", "id-1"]).await;
+                stop::stop(&gateway.shell, stop_time).await;
+                assert_eq!(gateway.shell.query(|dispatcher, _| dispatcher.held()), 0);
+                let seen = caller.answer().await;
+                assert_eq!((seen.status, seen.is_complete), (status, true));
+                assert!(caller.is_closed().await);
+            });
+        }
+    };
+}
+
+stopped_within! {
+    that_takes_as_long: vec![Action::AnswerAfter(Duration::from_millis(1_000), answer("200 OK", "fine"))], Span::from_secs(3) => 200;
+    that_takes_longer: vec![Action::NoAnswer], Span::from_secs(2) => 504;
+    that_takes_longer_than_a_second: vec![Action::NoAnswer], Span::from_secs(1) => 504;
+}
+
+// Guards against a 504, or a cut, where the caller can be told that its request has not run.
+#[test]
+fn a_request_that_waits_as_a_planned_stop_ends_is_told_to_return() {
+    run(|| async {
+        let worker = Worker::start("e", vec![Action::NoAnswer]).await;
+        let gateway = Gateway::start(&[]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/once/x", "").await;
+        gateway.wait_for_line(&["\"accepted\"", "id-1"]).await;
+        stop::stop(&gateway.shell, Span::from_secs(2)).await;
+        let seen = caller.answer().await;
+        assert_eq!((seen.status, worker.requests.borrow().len()), (503, 0));
+        assert!(field(&seen.head, "retry-after").is_some());
+    });
+}
+
+// Guards against a stream that looks complete, or has no end, since its node ended.
+#[test]
+fn a_stream_in_progress_as_a_planned_stop_ends_is_broken_off() {
+    run(|| async {
+        let proceed = Rc::new(Notify::new());
+        let steps = vec![
+            format!("{}{}", chunked_head(), chunk("id: 1\n\n")),
+            "0\r\n\r\n".to_owned(),
+        ];
+        let worker = Worker::start("e", vec![Action::AnswerStepwise(steps, proceed.clone())]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/stream/x", "").await;
+        proceed.notify_one();
+        caller.read_until("id: 1").await;
+        stop::stop(&gateway.shell, Span::from_secs(1)).await;
+        assert_eq!(gateway.shell.query(|dispatcher, _| dispatcher.held()), 0);
+        let (rest, _) = caller.read_to_end().await;
+        assert!(!rest.contains("0\r\n\r\n"), "{rest}");
+        gateway.wait_for_line(&["\"cut\"", "id-1"]).await;
+    });
+}
+
 #[test]
 fn metrics_report_answers_and_state() {
     run(|| async {
