fix: nothing is passed on once a stopping node must have answered

Whether a node still takes a request was checked once, before its customer's quota was charged. That may wait for up to seconds at a node that has just started, or for the quota's owner, and the request went on to an endpoint however long ago the node had to have answered; a decision that was ready as the time passed was taken too. Its caller got no answer if the process ended first.

The check is made where a request is passed on: before a decision is waited for, and right before the first byte to an endpoint or another node is written. The wait for quota ends with the node. Such callers get 503 with the time to return.

Tests: `a_request_that_waits_for_quota_as_a_planned_stop_ends_is_refused` failed before.

--- a/crates/gateway/src/serve/charge.rs
+++ b/crates/gateway/src/serve/charge.rs
@@ -11,6 +11,7 @@
 use woadstage_dispatch::quota::Denied;
 
 use super::admit::Admitted;
+use super::closing;
 use super::reply::Reply;
 use crate::event::Event;
 use crate::shell::Shell;
@@ -74,7 +75,10 @@
                 })
             }
             Charge::Wait(until) => {
-                tokio::time::sleep_until(shell.clock.to_instant(until)).await;
+                let _ = shell.timeout_at(until, std::future::pending::<()>()).await;
+                if !shell.may_pass_on() {
+                    return Err(closing::to_refusal(shell, admitted));
+                }
                 shell.command(|dispatcher, now| dispatcher.charge(now, customer, demand, left()))
             }
             Charge::Refused(refusal, denied) => {
--- a/crates/gateway/src/serve/closing.rs
+++ b/crates/gateway/src/serve/closing.rs
@@ -24,8 +24,7 @@
 /// milliseconds.
 const RESTART_DURATION: Span = Span::from_millis(700);
 
-/// Limits a request's deadline to the end of this node, if it is stopping. Nothing is passed on once
-/// the node has found that it is drained.
+/// Limits a request's deadline to the end of this node, if it is stopping.
 ///
 /// # Errors
 /// Returns the reply to a request that might not finish before this node ends.
@@ -60,6 +59,7 @@
 /// Returns the refusal of a request that a stopping node can't finish.
 pub(super) fn to_refusal(shell: &Shell, admitted: &Admitted) -> Reply {
     let ends_at = shell.answer_deadline_opt();
+    // A node that has ended may do so long before that time.
     let ends_at = ends_at.filter(|_| shell.phase() < Phase::Ended);
     let retry_after = shell.query(|dispatcher, now| {
         let wait = match dispatcher.are_most_peers_serving(now) {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -260,7 +260,7 @@
                 Err(CallError::Body(_)) => return Err(Code::CallerLeft.into()),
                 Err(fault) => (to_end(&fault), fault.to_string()),
             };
-            if !self.end_attempt(end, &detail) || self.shell.must_have_answered() {
+            if !self.end_attempt(end, &detail) {
                 return Err(self.to_final_reply(end));
             }
         }
@@ -272,6 +272,9 @@
             return Err(Code::EndpointLost.into());
         };
         self.forwarded_to = None;
+        if !self.shell.may_pass_on() {
+            return Err(self.to_refusal(closing::to_refusal(&self.shell, &self.admitted)));
+        }
         match self
             .shell
             .timeout_at(self.admitted.deadline, decision)
@@ -412,7 +415,7 @@
         let target = Target::Endpoint(endpoint.to_instance());
         // A streamed body that was taken for this call can't be sent elsewhere.
         let can_resend = self.payload.as_ref().is_some_and(Payload::can_send);
-        let may_send = || !can_resend || shell.may_send(job);
+        let may_send = || shell.may_pass_on() && (!can_resend || shell.may_send(job));
         let call = shell
             .upstream
             .call(shell.now(), &target, endpoint.address, request, may_send);
--- a/crates/gateway/src/serve/forward.rs
+++ b/crates/gateway/src/serve/forward.rs
@@ -52,12 +52,11 @@
                 let (end, forward_end) = match fault {
                     CallError::NotSent(_) => (End::NotSent, ForwardEnd::NotSent),
                     CallError::Lost(_) => (End::Lost, ForwardEnd::Lost),
-                    CallError::Late | CallError::Withdrawn | CallError::Body(_) => {
-                        (End::Late, ForwardEnd::Answered)
-                    }
+                    CallError::Withdrawn => (End::NotSent, ForwardEnd::Declined),
+                    CallError::Late | CallError::Body(_) => (End::Late, ForwardEnd::Answered),
                 };
                 let is_retried = self.end_forward(node, forward_end, end, &fault.to_string());
-                return match is_retried && !self.shell.must_have_answered() {
+                return match is_retried {
                     true => Ok(None),
                     false => Err(self.to_final_reply(end)),
                 };
@@ -116,7 +115,7 @@
         let target = Target::Node(forward.node);
         let call = shell
             .upstream
-            .call(now, &target, forward.node, request, || true);
+            .call(now, &target, forward.node, request, || shell.may_pass_on());
         let sent = shell.timeout_at(self.admitted.deadline, call).await;
         self.to_caller_fault(sent.unwrap_or(Err(CallError::Late)))
     }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -222,6 +222,11 @@
         ends_at.is_some_and(|ends_at| ends_at <= self.now())
     }
 
+    /// Whether a request may be passed on: a stopping node could still send its answer.
+    pub fn may_pass_on(&self) -> bool {
+        self.phase() < Phase::Ended && !self.must_have_answered()
+    }
+
     /// Waits for a future until `time`, which may pass during a suspension of the host, or until all
     /// answers must have been sent.
     ///
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use rstest::rstest;
 use tokio::sync::Notify;
+use woadstage_dispatch::configuration::Quota;
 use woadstage_gateway::log;
 use woadstage_gateway::operators;
 use woadstage_gateway::shell::Phase;
@@ -21,6 +22,7 @@
 use crate::support::answer;
 use crate::support::chunk;
 use crate::support::chunked_head;
+use crate::support::configuration;
 use crate::support::field;
 use crate::support::run;
 use crate::support::serving;
@@ -299,6 +301,71 @@
     });
 }
 
+// Guards against a check of what is in progress that a request can overtake before the node ends.
+#[test]
+fn no_request_is_in_progress_when_a_planned_stop_ends() {
+    run(|| async {
+        let script = vec![Action::AnswerAfter(
+            Duration::from_millis(15),
+            answer("200 OK", "fine"),
+        )];
+        let worker = Worker::start("e", script).await;
+        let gateway = Rc::new(Gateway::start(&[&worker]).await);
+        let mut callers = Vec::new();
+        for number in 0..200 {
+            callers.push((number, Caller::connect(&gateway).await));
+        }
+        wait_for_connections(&gateway, callers.len()).await;
+        let sending = gateway.clone();
+        let sent = tokio::task::spawn_local(async move {
+            sending.shell.wait_for_phase(Phase::Closing).await;
+            for (number, caller) in &mut callers {
+                caller.request(&format!("id-{number}"), "/once/x", "").await;
+                tokio::time::sleep(Duration::from_millis(25)).await;
+            }
+        });
+        stop::stop(&gateway.shell, Span::from_secs(5)).await;
+        assert_eq!(gateway.shell.query(|dispatcher, _| dispatcher.held()), 0);
+        let passed_on = worker.requests.borrow().len();
+        sent.await.expect("the callers do not panic");
+        assert_eq!(worker.requests.borrow().len(), passed_on);
+    });
+}
+
+// Guards against requests that wait for their customer's quota while their node ends, and go on then.
+#[test]
+fn a_request_that_waits_for_quota_as_a_planned_stop_ends_is_refused() {
+    run(|| async {
+        let worker = Worker::start("e", vec![Action::Answer(answer("200 OK", "fine"))]).await;
+        let quota = Quota {
+            per_second: 4.0,
+            burst: 8.0,
+            default_tokens: None,
+        };
+        let configuration = configuration(Some(quota));
+        let options = log::Options::default();
+        let gateway = Gateway::configured(&[&worker], Some(configuration), options).await;
+        let mut callers = Vec::new();
+        for number in 0..8 {
+            let mut caller = Caller::connect(&gateway).await;
+            caller.request(&format!("id-{number}"), "/once/x", "").await;
+            callers.push(caller);
+        }
+        stop::stop(&gateway.shell, Span::from_millis(600)).await;
+        let passed_on = worker.requests.borrow().len();
+        let mut served = 0;
+        for caller in &mut callers {
+            let seen = caller.answer().await;
+            assert!(matches!(seen.status, 200 | 429 | 503), "{seen:?}");
+            served += usize::from(seen.status == 200);
+        }
+        assert_eq!(
+            (served, worker.requests.borrow().len()),
+            (passed_on, passed_on)
+        );
+    });
+}
+
 #[test]
 fn metrics_report_answers_and_state() {
     run(|| async {
