fix: an endpoint isn't late when its caller's node ends

A request that waits for the head of an answer as its node has to have answered ended as `late` at the endpoint, as if that had been too slow. It ends as `abandoned`, like a stream that the end of the node breaks off. By reading; found by the review.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -258,6 +258,10 @@
                 Err(CallError::Withdrawn) => return Err(self.to_final_reply(End::NotSent)),
                 // The endpoint has received the beginning. The attempt ends as if the caller had left.
                 Err(CallError::Body(_)) => return Err(Code::CallerLeft.into()),
+                // The endpoint isn't late: this node ends before its answer.
+                Err(CallError::Late) if self.shell.must_have_answered() => {
+                    (End::Abandoned, CallError::Late.to_string())
+                }
                 Err(fault) => (to_end(&fault), fault.to_string()),
             };
             if !self.end_attempt(end, &detail) {
