--- a/crates/gateway/src/serve/handle.rs
+++ b/crates/gateway/src/serve/handle.rs
@@ -123,6 +123,9 @@
 /// Returns the refusal of a request whose body was not read.
 fn to_body_refusal(exchange: &Exchange, code: Code) -> Reply {
     let admitted = &exchange.admitted;
+    if code == Code::Stopping {
+        return closing::to_refusal(&exchange.shell, admitted);
+    }
     let retry_after = (code == Code::NodeBusy).then(|| {
         exchange.shell.query(|dispatcher, now| {
             let remaining = admitted.caller_deadline.since(now);
--- a/crates/gateway/src/serve/payload.rs
+++ b/crates/gateway/src/serve/payload.rs
@@ -50,8 +50,9 @@
     /// Reads a whole short body, or the beginning of a long one, before the deadline.
     ///
     /// # Errors
-    /// Returns [`Code::BodyTooLarge`], [`Code::BodyCutOff`], [`Code::BodyTooSlow`], or
-    /// [`Code::NodeBusy`] if no memory is left for the body.
+    /// Returns [`Code::BodyTooLarge`], [`Code::BodyCutOff`], [`Code::BodyTooSlow`],
+    /// [`Code::NodeBusy`] if no memory is left for the body, or [`Code::Stopping`] if the node ends
+    /// before it has arrived.
     pub async fn read(
         shell: &Shell,
         body: Incoming,
@@ -62,7 +63,12 @@
             deadline,
             Payload::read_without_deadline(shell, body, max_size),
         );
-        reading.await.unwrap_or(Err(Code::BodyTooSlow))
+        reading
+            .await
+            .unwrap_or_else(|_| match shell.must_have_answered() {
+                true => Err(Code::Stopping),
+                false => Err(Code::BodyTooSlow),
+            })
     }
 
     async fn read_without_deadline(
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -17,6 +17,7 @@
 use crate::support::Action;
 use crate::support::Caller;
 use crate::support::Gateway;
+use crate::support::KEY;
 use crate::support::Response;
 use crate::support::Worker;
 use crate::support::answer;
@@ -366,6 +367,26 @@
     });
 }
 
+// Guards against a caller that is told that its body was late, where its node ended.
+#[test]
+fn a_request_whose_body_is_arriving_as_a_planned_stop_ends_is_told_to_return() {
+    run(|| async {
+        let worker = Worker::start("e", vec![Action::NoAnswer]).await;
+        let gateway = Gateway::start(&[&worker]).await;
+        let mut caller = Caller::connect(&gateway).await;
+        caller
+            .send(&format!(
+                "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer {KEY}\r\n\
+                 woadstage-request: id-1\r\ncontent-length: 20\r\n\r\nhalf of it"
+            ))
+            .await;
+        stop::stop(&gateway.shell, Span::from_secs(1)).await;
+        let seen = caller.answer().await;
+        assert_eq!((seen.status, worker.requests.borrow().len()), (503, 0));
+        assert!(field(&seen.head, "retry-after").is_some());
+    });
+}
+
 #[test]
 fn metrics_report_answers_and_state() {
     run(|| async {
