fix: short stops leave answers most of their time

With a stop time below four seconds the time for an orderly exit and for the last answers took so much of it that a stream was broken off before the last sixth of the stop time. Both have a share of it at most now: answers may take until 0.85 s of 1 s, 1.7 s of 2 s, 2.55 s of 3 s (0.6, 1.35, 2.35 before).

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -23,10 +23,11 @@
 
 /// The time that is reserved for exiting in an orderly way, and its maximum share of the stop time.
 const MAX_EXIT_MARGIN: Span = Span::from_millis(500);
-const MAX_EXIT_MARGIN_PERCENT: u64 = 25;
+const MAX_EXIT_MARGIN_PERCENT: u64 = 10;
 
-/// The time reserved before the process exits for sending the last answers.
-const LAST_ANSWERS_MARGIN: Span = Span::from_millis(150);
+/// The time reserved before that for sending the last answers, and its maximum share of the stop time.
+const MAX_LAST_ANSWERS_MARGIN: Span = Span::from_millis(150);
+const MAX_LAST_ANSWERS_PERCENT: u64 = 5;
 
 /// Announces that the node is leaving and waits for the requests in progress to end, for at most
 /// `within`.
@@ -40,7 +41,8 @@
     let leaving = MAX_LEAVING.min(percent(within, MAX_LEAVING_PERCENT));
     wait_until(shell, started_at + leaving, || false).await;
     log_phase(shell, "closing");
-    let answers_until = deadline - LAST_ANSWERS_MARGIN;
+    let answers_margin = MAX_LAST_ANSWERS_MARGIN.min(percent(within, MAX_LAST_ANSWERS_PERCENT));
+    let answers_until = deadline - answers_margin;
     shell.start_closing(answers_until.since(shell.now()));
     // New callers keep connecting while other nodes stop too. Waiting for their connections as
     // well would delay the restart, and the requests accepted from them are short.
