fix: lines of tasks that are ready precede the last line of the log

The wait for the writer of the log let other tasks run only if lines were left to be written, which depended on the writer's thread. Other tasks now run once in any case. By reading; found by the review.

--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -239,6 +239,8 @@
     /// unless the reader has had its time. Tasks that go on after the last event log nothing more.
     pub async fn finish(&self, last: &Event<'_>) {
         let deadline = tokio::time::Instant::now() + FINISH_TIMEOUT;
+        // Tasks that are ready may have something to log.
+        tokio::task::yield_now().await;
         self.buffer.set_urgent();
         self.wait_until_written(deadline).await;
         self.write(last);
