fix: requests that a stopped node never began are refused as such

A request that was queued behind the input that drained the core, or read after the loop had ended, got 502 W3008 with the outcome unknown ("the answer broke off"), without a time to return, though it had not begun: its channel closed without a reply. Forwarded requests ended without a reply in the same way.

The loop now closes its queue in the step in which it ends and refuses what is left, and a request for a loop that has ended is refused at once: 503 W2006, not-run, with Retry-After (unknown for requests with a key, whose owner may have run it).

Test `a_request_that_a_stopped_driver_never_begins_is_refused` (4 cases) failed before: no reply at all.

--- a/crates/core/src/node/arrive.rs
+++ b/crates/core/src/node/arrive.rs
@@ -41,6 +41,17 @@
         }
     }
 
+    /// Creates a refusal for a request that was not admitted.
+    pub fn for_arrival(code: Code, keyed: bool) -> Refusal {
+        // An earlier request with the same key may have run, so refusing this one
+        // must not claim that the key was not run.
+        let key_may_have_run = keyed && code.number() > 2_000;
+        match key_may_have_run {
+            true => Refusal::for_unowned_key(code),
+            false => Refusal::new(code),
+        }
+    }
+
     /// Creates a refusal for a keyed request from a node that does not own the key.
     ///
     /// A `NotRun` outcome becomes `Unknown`, as another node may have run the key.
@@ -58,14 +69,7 @@
         let request = arrival.request;
         let keyed = arrival.key.is_some();
         if let Err(code) = self.admit(now, arrival) {
-            // An earlier request with the same key may have run, so refusing this one
-            // must not claim that the key was not run.
-            let key_may_have_run = keyed && code.number() > 2_000;
-            let refusal = if key_may_have_run {
-                Refusal::for_unowned_key(code)
-            } else {
-                Refusal::new(code)
-            };
+            let refusal = Refusal::for_arrival(code, keyed);
             self.out.push(Action::Refuse { request, refusal });
         }
     }
--- a/crates/node/src/callers/reply.rs
+++ b/crates/node/src/callers/reply.rs
@@ -74,7 +74,7 @@
         work: Arc::new(work),
         reply,
     };
-    handle.send(Input::Request(Box::new(request)));
+    handle.submit(request);
     Answer {
         id,
         replies,
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use woadstage_config::hosts;
@@ -103,6 +104,15 @@
     pub reply: mpsc::Sender<Reply>,
 }
 
+impl Request {
+    /// Refuses the request, which no node has admitted.
+    fn refuse_as_stopping(self) {
+        let refusal = Refusal::for_arrival(Code::Stopping, self.arrival.key.is_some());
+        // The caller may have disconnected; otherwise the channel is empty.
+        let _ = self.reply.try_send(Reply::Refuse(refusal));
+    }
+}
+
 type Query = Box<dyn FnOnce(&mut Node, Time) + Send>;
 
 /// An input of the driver loop.
@@ -138,6 +148,14 @@
         let _ = self.inputs.send(input);
     }
 
+    /// Submits a request. A loop that has ended refuses it.
+    pub fn submit(&self, request: Request) {
+        let unsent = self.inputs.send(Input::Request(Box::new(request)));
+        if let Err(SendError(Input::Request(request))) = unsent {
+            request.refuse_as_stopping();
+        }
+    }
+
     /// Queries the core and waits for the result; `None` if the process is
     /// ending.
     pub async fn ask<T: Send + 'static>(
@@ -224,7 +242,8 @@
         }
     }
 
-    /// Runs until the core has drained after a planned stop.
+    /// Runs until the core has drained after a planned stop, and refuses the requests that are
+    /// queued behind its end.
     pub async fn run(mut self) {
         while !self.node.is_drained() {
             let wake = self.clock.to_instant(self.node.next_wake());
@@ -237,6 +256,12 @@
                 () = tokio::time::sleep_until(wake) => self.handle_event(Event::Tick),
             }
         }
+        self.inputs.close();
+        while let Some(input) = self.inputs.recv().await {
+            if let Input::Request(request) = input {
+                request.refuse_as_stopping();
+            }
+        }
     }
 
     fn handle_input(&mut self, input: Input) {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,10 +1,11 @@
 //! Tests of the frames between nodes, of reading usage, of relaying answers, of outgoing
-//! connections and of tasks that end.
+//! connections, of tasks that end and of stopping.
 
 mod answers;
 mod broken_answers;
 mod dial;
 mod ending;
+mod stop;
 mod tasks;
 
 use proptest::prelude::*;
