fix: the last answers are written before a node ends

At the end of a planned stop callers saw their connections close without an answer where the node still read their request, and could lose the end of an answer that was not yet written. `Running::close` told the servers to stop gracefully and returned; with no other node connected, nothing waited for them, and the process ended. The connections to other nodes were closed as soon as the last reply to a forwarded request was queued, which discards what the other node has not received.

A forwarded answer is over once the other node has received it.

Test `a_request_that_is_read_as_a_node_ends_is_answered` failed before: the connection closed with no byte of an answer; now it gets 408 W1009. The part for forwarded requests is by reading the code: no test reproduces it.

--- a/crates/node/src/peers/forward.rs
+++ b/crates/node/src/peers/forward.rs
@@ -104,5 +104,7 @@
         send.write_all(&wire::to_frame(&reply)?).await?;
     }
     send.finish()?;
+    // Closing the connection discards what the other node has not received.
+    send.stopped().await?;
     Ok(())
 }
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -30,7 +30,7 @@
 pub mod tls;
 pub mod wire;
 
-pub use accept::accept;
+pub use accept::Accept;
 pub use forward::Forward;
 pub use forward::forward;
 
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -10,6 +10,7 @@
 use salvo::server::ServerHandle;
 use spdlog::info;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use woadstage_config::settings::Settings;
 use woadstage_core::node::Event;
@@ -79,6 +80,8 @@
     callers: ServerHandle,
     operators: ServerHandle,
     endpoint: Endpoint,
+    /// Each task that answers callers or other nodes holds a receiver.
+    answering: watch::Sender<()>,
 }
 
 /// Spawns the tasks of a node.
@@ -113,13 +116,23 @@
     let callers = new_server(sockets.callers, &settings);
     let operators = new_server(sockets.operators, &settings);
     let (callers_handle, operators_handle) = (callers.handle(), operators.handle());
-    tasks.spawn("callers", callers.serve(callers::router(shared)));
+    let answering = watch::Sender::new(());
+    let answers = answering.subscribe();
+    tasks.spawn("callers", async move {
+        callers.serve(callers::router(shared)).await;
+        drop(answers);
+    });
     tasks.spawn(
         "operators",
         operators.serve(operators::router(&handle, &metrics)),
     );
-    let accept = peers::accept(endpoint.clone(), own.clone(), handle.clone());
-    tasks.spawn("peers", accept);
+    let accept = peers::Accept {
+        endpoint: endpoint.clone(),
+        own: own.clone(),
+        handle: handle.clone(),
+        answering: answering.clone(),
+    };
+    tasks.spawn("peers", accept.run());
     let platform = Platform::new(settings.platform, settings.platform_wait);
     for key in [platform::CONFIG_KEY, platform::HOSTS_KEY] {
         let watch = platform::watch(platform.clone(), key, handle.clone());
@@ -147,6 +160,7 @@
         callers: callers_handle,
         operators: operators_handle,
         endpoint,
+        answering,
     })
 }
 
@@ -222,8 +236,12 @@
         }
     }
 
+    /// Waits until the last answers are sent, then closes all connections.
     async fn close(self) {
         self.callers.stop_graceful(LAST_ANSWERS_TIMEOUT);
+        // The other end of a connection may read slowly or not at all.
+        let answered = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, self.answering.closed());
+        let _ = answered.await;
         self.operators.stop_graceful(LAST_ANSWERS_TIMEOUT);
         self.endpoint.close(0u32.into(), b"stopped");
         // An endpoint whose socket failed does not say that it is idle.
--- a/crates/woadstage/tests/e2e/main.rs
+++ b/crates/woadstage/tests/e2e/main.rs
@@ -8,4 +8,5 @@
 mod path;
 mod process;
 mod start;
+mod stop;
 mod support;
