fix: a refusal after an attempt that was sent doesn't promise not-run

Callers of repeatable requests got 503 with the outcome `not-run` though an endpoint had run the request: a call that stalled or broke before its answer began is tried again, and what the pool says to the second attempt (W2002 "could not have been finished in time") was passed on as it was. The promise held for the last attempt only.

A request keeps whether an earlier attempt may have reached an endpoint; its refusals then state `unknown`. Code and Retry-After stay.

Test `a_restarted_request_that_is_refused_is_not_said_not_to_have_run` failed before: 3 of 400 requests ran and were said not to have run, without any node that stops.

--- a/crates/core/src/node/arrive.rs
+++ b/crates/core/src/node/arrive.rs
@@ -118,6 +118,7 @@
             attempt: 0,
             retries: 0,
             avoid: None,
+            was_sent: false,
             phase: Phase::Waiting,
             caller_waiting: true,
             detached: false,
--- a/crates/core/src/node/call.rs
+++ b/crates/core/src/node/call.rs
@@ -128,13 +128,14 @@
     ) {
         let end = if leaving { End::Leaving } else { End::Failed };
         self.notify_end(now, request, end);
-        let Some(task) = self.tasks.get(&request) else {
+        let Some(task) = self.tasks.get_mut(&request) else {
             return;
         };
         let Phase::Calling { endpoint, .. } = &task.phase else {
             return;
         };
         let endpoint = endpoint.clone();
+        task.was_sent |= sent;
         if let Some(known) = self.endpoints.get_mut(&endpoint) {
             known.leaving |= leaving;
         }
--- a/crates/core/src/node/finish.rs
+++ b/crates/core/src/node/finish.rs
@@ -1,6 +1,7 @@
 //! Completion of requests: each ends exactly once, with one answer.
 
 use woadstage_types::code::Code;
+use woadstage_types::code::Outcome;
 use woadstage_types::id;
 use woadstage_types::unit::Span;
 use woadstage_types::unit::Time;
@@ -122,10 +123,13 @@
     }
 
     /// Sends the refusal if the caller still waits; the request itself may continue.
-    fn answer(&mut self, request: id::Request, refusal: Refusal) {
+    fn answer(&mut self, request: id::Request, mut refusal: Refusal) {
         let Some(task) = self.tasks.get_mut(&request) else {
             return;
         };
+        if task.was_sent && refusal.outcome == Outcome::NotRun {
+            refusal.outcome = Outcome::Unknown;
+        }
         if std::mem::take(&mut task.caller_waiting) {
             self.out.push(Action::Refuse { request, refusal });
         }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -119,6 +119,8 @@
     attempt: u32,
     retries: u32,
     avoid: Option<id::Endpoint>,
+    /// Whether an earlier attempt may have reached an endpoint.
+    was_sent: bool,
     phase: Phase,
     /// Whether the caller still waits for an answer.
     caller_waiting: bool,
--- a/crates/core/src/node/tick.rs
+++ b/crates/core/src/node/tick.rs
@@ -81,7 +81,7 @@
     }
 
     fn restart_call(&mut self, now: Time, request: id::Request) {
-        let Some(task) = self.tasks.get(&request) else {
+        let Some(task) = self.tasks.get_mut(&request) else {
             return;
         };
         let Phase::Calling { endpoint, .. } = &task.phase else {
@@ -91,6 +91,7 @@
         if task.retries > 0 || !self.retries.has_retry() {
             return;
         }
+        task.was_sent = true;
         self.cancel_call(now, request, End::Failed, Waste::Stalled);
         self.retry(now, request, Some(endpoint));
     }
--- a/crates/core/tests/core/at_most_once.rs
+++ b/crates/core/tests/core/at_most_once.rs
@@ -10,6 +10,7 @@
 use woadstage_types::unit::Span;
 
 use crate::support::answer;
+use crate::support::chat;
 use crate::support::is_complete;
 use crate::support::refusal_code;
 use crate::support::service;
@@ -286,4 +287,22 @@
         assert_eq!(split_owner("plain-confirmation", &fresh), 2);
         assert_eq!(split_owner("shift-confirmation", &named), 1);
     };
+
+    // Guards against the outcome `not-run` for a call that was sent and then restarted.
+    a_restarted_request_that_is_refused_is_not_said_not_to_have_run => {
+        let mut world = four_nodes();
+        let mut asked = Vec::new();
+        for turn in 0..400 {
+            let (arrival, work) = chat("handover-summary", &format!("chat {turn}"), 400, 4_000);
+            asked.push(world.ask(0, arrival, work));
+        }
+        world.run_for(Span::from_secs(3));
+        let is_refused_after_a_call = |id: &id::Request| {
+            let refused = world.asked[id].answers.iter();
+            world.executed.contains_key(id)
+                && refused.into_iter().any(|(_, answer)| matches!(answer, Answer::Refused(_)))
+        };
+        assert!(asked.iter().any(is_refused_after_a_call));
+        assert_eq!(violations(&world), Vec::<String>::new());
+    };
 }
