fix: requests that the end of a stop aborts get a final answer

At a second signal, or at the end of `stop_within`, callers saw their connections close without an answer, and streams broke off without an error event: the process ended with status 1 and took the requests in progress with it.

The core is now told to abort. Requests that no endpoint was given get 503 W2006 not-run with Retry-After, all others 504 W3005 unknown; a stream in progress ends with an error event, any other answer in progress as a broken body.

--- a/crates/core/src/node/event.rs
+++ b/crates/core/src/node/event.rs
@@ -158,6 +158,8 @@
     Stop,
     /// The second phase of a stop: new requests from callers are refused.
     Close,
+    /// The time of a stop is over: the requests in progress are refused.
+    Abort,
     /// Time passed; whatever is due by now is processed.
     Tick,
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -245,6 +245,7 @@
             }
             Event::Stop => self.stop(now),
             Event::Close => self.close(now),
+            Event::Abort => self.abort(now),
             Event::Tick => self.tick(now),
         }
         self.apply_decisions(now);
--- a/crates/core/tests/core/stop.rs
+++ b/crates/core/tests/core/stop.rs
@@ -1,5 +1,7 @@
 //! Tests of the planned stop.
 
+use std::collections::BTreeSet;
+
 use woadstage_core::node::Event;
 use woadstage_standin::cases;
 use woadstage_standin::world::Options;
@@ -8,6 +10,7 @@
 
 use crate::support::chat;
 use crate::support::is_complete;
+use crate::support::refusal_code;
 use crate::support::service;
 use crate::support::ticket;
 use crate::support::violations;
@@ -75,6 +78,50 @@
         let (arrival, work) = chat("handover-summary", "late", 50, 5);
         let late = world.ask(0, arrival, work);
         world.run_for(Span::from_secs(1));
-        assert_eq!(crate::support::refusal_code(&world, late), "W2006");
+        assert_eq!(refusal_code(&world, late), "W2006");
+    };
+
+    an_aborted_stop_answers_every_request_in_progress => {
+        let mut world = four_nodes();
+        let mut asked = Vec::new();
+        for turn in 0..400 {
+            let (arrival, work) = chat("handover-summary", &format!("chat {turn}"), 400, 4_000);
+            asked.push(world.ask(0, arrival, work));
+        }
+        world.run_for(Span::from_millis(500));
+        stop(&mut world, 0);
+        world.run_for(Span::from_millis(1_050));
+        let waiting: Vec<_> =
+            asked.iter().filter(|id| world.asked[*id].answers.is_empty()).copied().collect();
+        assert!(!waiting.is_empty());
+        world.tell(0, Event::Abort);
+        world.run_for(Span::from_millis(100));
+        assert_eq!(world.query(0, |core| core.is_drained()), Some(true));
+        let codes: BTreeSet<String> =
+            waiting.iter().map(|id| refusal_code(&world, *id)).collect();
+        // Requests that wait for an endpoint and those that were sent to one.
+        assert_eq!(codes, BTreeSet::from(["W2006".to_string(), "W3005".to_string()]));
+        assert_eq!(violations(&world), Vec::<String>::new());
+    };
+
+    an_aborted_stop_answers_a_keyed_call_and_its_repeat_as_unknown => {
+        let mut world = four_nodes();
+        let key = ticket(&mut world, 0).expect("a ticket");
+        let (arrival, work) = service("shift-confirmation", "call", Some(&key));
+        let first = world.ask(0, arrival.clone(), work.clone());
+        let repeat = world.ask(0, arrival, work);
+        let mut steps = 0;
+        while world.runs.is_empty() && steps < 1_000 {
+            world.run_for(Span::from_millis(1));
+            steps += 1;
+        }
+        assert_eq!(world.runs.len(), 1);
+        world.tell(0, Event::Abort);
+        world.run_for(Span::from_millis(100));
+        assert_eq!(world.query(0, |core| core.is_drained()), Some(true));
+        for id in [first, repeat] {
+            assert_eq!(refusal_code(&world, id), "W3005");
+        }
+        assert_eq!(violations(&world), Vec::<String>::new());
     };
 }
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -200,7 +200,8 @@
     }
 
     /// Carries out a planned stop: announces it, then refuses callers, then waits for the requests
-    /// in progress. A signal, or the end of the time, aborts the remaining requests.
+    /// in progress. A signal, or the end of the time, aborts the remaining requests, whose callers
+    /// are told so.
     ///
     /// # Errors
     /// Fails if the driver panics.
@@ -210,15 +211,13 @@
             true => Ok(Stop::Complete),
             false => self.drain(signals, within).await,
         };
-        if !matches!(stop, Ok(Stop::Aborted)) {
-            self.close().await;
-        }
+        self.close().await;
         stop
     }
 
     async fn drain(&mut self, signals: &mut StopSignals, within: Span) -> Result<Stop, Failure> {
         let handle = self.handle.clone();
-        let abort = async {
+        let time = async {
             handle.send(Input::Event(Event::Stop));
             tokio::time::sleep(STOP_NOTICE).await;
             handle.send(Input::Event(Event::Close));
@@ -227,12 +226,16 @@
                 () = tokio::time::sleep(to_duration(within)) => {}
             }
         };
-        tokio::select! {
-            ended = &mut self.driver => match ended {
-                Ok(()) => Ok(Stop::Complete),
-                Err(_) => Err(tasks::to_failure("driver", &ended)),
-            },
-            () = abort => Ok(Stop::Aborted),
+        let (ended, stop) = tokio::select! {
+            ended = &mut self.driver => (ended, Stop::Complete),
+            () = time => {
+                handle.send(Input::Event(Event::Abort));
+                ((&mut self.driver).await, Stop::Aborted)
+            }
+        };
+        match ended {
+            Ok(()) => Ok(stop),
+            Err(_) => Err(tasks::to_failure("driver", &ended)),
         }
     }
 
