fix: a connection whose answer waits to be written isn't closed for another

A caller that reads slowly got an endpoint's answer in part, with its connection closed, as others connected to a full node. The log called the request answered.

A connection counts as idle once the last piece of its answer is handed to the HTTP library. Up to the library's buffer of it is written later, as the caller reads. Meanwhile the connection could be closed for a new one (too-many), or reset since a part of the next head had arrived (head-timeout); what waited was dropped.

A connection whose writes wait (it is stalled) now neither gives way nor has a late head. The limits on peers that read nothing stay, and apply to it.

Test `a_connection_whose_answer_is_being_written_does_not_give_way` (2 cases) failed before at `try_open(NOW).is_none()`, and `an_answer_that_is_read_slowly_is_whole_beside_new_connections` with "the connection ended after 1046528 bytes" of 1,048,576 and a head. The gateway of the tests has the buffers of a real one now: with those of the host, an answer waits in the kernel instead.

--- a/crates/gateway/src/connections/registry.rs
+++ b/crates/gateway/src/connections/registry.rs
@@ -1,8 +1,8 @@
 //! The open connections of one listener, and which of them is closed when they are too many.
 //!
-//! A connection on which a whole request is in progress is not closed for a new one. Of the others,
-//! those on which no request was served yet are closed before those of callers who were, and of either
-//! the one that has waited longest.
+//! A connection on which a whole request is in progress, or an answer waits to be written, is not
+//! closed for a new one. Of the others, those on which no request was served yet are closed before
+//! those of callers who were, and of either the one that has waited longest.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -119,6 +119,13 @@
 }
 
 impl Entry {
+    /// Whether it may be closed for another connection, unless it is silent.
+    fn gives_way(&self) -> bool {
+        let is_waiting = matches!(self.state.get(), State::Head | State::Body | State::Idle);
+        // What is still to be written would be lost.
+        is_waiting && self.stalled.get().is_none()
+    }
+
     fn rank(&self) -> Rank {
         match self.is_served.get() {
             true => Rank::Served,
@@ -137,7 +144,7 @@
     active: usize,
     /// Connections on which nothing has arrived.
     silent: Order<Turn>,
-    /// Other connections without a request in progress.
+    /// Other connections without a request in progress whose peers read what is written to them.
     waiting: Order<(Rank, Turn)>,
     /// Connections whose peers do not read.
     stalled: Order<Turn>,
@@ -151,24 +158,20 @@
     }
 
     fn remove(&mut self, entry: &Entry) {
-        match entry.state.get() {
-            State::Silent => drop(self.silent.remove(&entry.turn.get())),
-            State::Head | State::Body | State::Idle => {
-                self.waiting.remove(&(entry.rank(), entry.turn.get()));
-            }
-            State::Busy => {}
+        if entry.state.get() == State::Silent {
+            self.silent.remove(&entry.turn.get());
+        } else if entry.gives_way() {
+            self.waiting.remove(&(entry.rank(), entry.turn.get()));
         }
     }
 
     fn insert(&mut self, entry: &Rc<Entry>) {
         let turn = self.next_turn();
         entry.turn.set(turn);
-        match entry.state.get() {
-            State::Silent => drop(self.silent.insert(turn, entry.clone())),
-            State::Head | State::Body | State::Idle => {
-                self.waiting.insert((entry.rank(), turn), entry.clone());
-            }
-            State::Busy => {}
+        if entry.state.get() == State::Silent {
+            self.silent.insert(turn, entry.clone());
+        } else if entry.gives_way() {
+            self.waiting.insert((entry.rank(), turn), entry.clone());
         }
     }
 
@@ -396,8 +399,11 @@
             return;
         }
         let mut inner = self.0.registry.inner.borrow_mut();
+        inner.remove(entry);
         if !is_stalled {
             inner.clear_stall(entry);
+            entry.since.set(now);
+            inner.insert(entry);
             return;
         }
         let turn = inner.next_turn();
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -95,6 +95,28 @@
     assert_eq!(closed(&refused[0]), Some(Reason::TooMany));
 }
 
+/// Guards against answers that are cut for a new connection, since their last bytes are yet to be written.
+#[rstest]
+#[case::handed_over(State::Idle)]
+#[case::before_the_next_request(State::Head)]
+fn a_connection_whose_answer_is_being_written_does_not_give_way(#[case] state: State) {
+    let registry = Registry::new(Limits { open: 1, ..LIMITS });
+    let tracker = registry.try_open(NOW).expect("it is below the limit");
+    tracker.set_state(NOW, State::Busy);
+    tracker.set_stalled(NOW, true);
+    tracker.set_state(NOW, State::Idle);
+    tracker.set_state(NOW, state);
+    assert!(registry.try_open(NOW).is_none());
+    registry.close_late(NOW + Span::from_secs(9), Span::from_secs(3));
+    assert_eq!(closed(&tracker), None);
+    let later = NOW + Span::from_secs(10);
+    tracker.set_stalled(later, false);
+    registry.close_late(later, Span::from_secs(3));
+    assert_eq!(closed(&tracker), None);
+    assert!(registry.try_open(later).is_some());
+    assert_eq!(closed(&tracker), Some(Reason::TooMany));
+}
+
 /// Guards against peers that read nothing and fill buffers without a limit.
 #[test]
 fn of_too_many_stalled_connections_the_longest_is_closed() {
@@ -222,6 +244,69 @@
     });
 }
 
+/// The most bytes of an answer that wait here and in the buffers of the sockets.
+const MAX_WAITING_BYTES: usize = 64 << 10;
+
+/// How long it takes until the log says that an answer was handed over.
+const HAND_OVER_TIME: Duration = Duration::from_millis(150);
+
+/// Connects with small buffers, sends a request and reads until its answer, of this length, has been
+/// handed over. Its last bytes wait to be written then.
+async fn read_until_handed_over(gateway: &Gateway, length: usize) -> (TcpStream, usize) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    listen::bound_buffers(&socket, Size::from_kib(4), Size::from_kib(4));
+    let connected = socket.connect(gateway.address.into()).await;
+    let mut stream = connected.expect("it listens");
+    let head =
+        "POST /once/x HTTP/1.1\r\nhost: host.example\r\nauthorization: Bearer a-secret-key\r\n";
+    let request = format!("{head}woadstage-request: slow\r\ncontent-length: 0\r\n\r\n");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("it reads");
+    gateway.wait_for_line(&["\"sent\"", "slow"]).await;
+    let mut piece = vec![0; 2 << 10];
+    let mut read = 0;
+    while !gateway.lines.text().contains("\"answered\"") {
+        read += stream.read(&mut piece).await.expect("it is open");
+        if read > length - MAX_WAITING_BYTES {
+            tokio::time::sleep(HAND_OVER_TIME).await;
+        }
+    }
+    (stream, read)
+}
+
+/// Guards against answers that slow readers get in part, since others connect.
+#[test]
+fn an_answer_that_is_read_slowly_is_whole_beside_new_connections() {
+    run(|| async {
+        let text = "x".repeat(1 << 20);
+        let script = vec![Action::Answer(answer("200 OK", &text)), Action::NoAnswer];
+        let worker = Worker::start("e", script).await;
+        let limits = Limits {
+            active: 8,
+            ..LIMITS
+        };
+        let gateway = Gateway::with_callers(&[&worker], limits).await;
+        let (mut slow, mut total) = read_until_handed_over(&gateway, text.len()).await;
+        assert!(total < text.len(), "a part waits");
+        let mut others = Vec::new();
+        for number in 0..3 {
+            let mut other = Caller::connect(&gateway).await;
+            let id = format!("other-{number}");
+            other.request(&id, "/once/x", "").await;
+            gateway.wait_for_line(&["\"accepted\"", &id]).await;
+            others.push(other);
+        }
+        let mut refused = Caller::connect(&gateway).await;
+        let mut rest = vec![0; 1 << 20];
+        while total < text.len() {
+            let more = slow.read(&mut rest).await.expect("it is open");
+            assert!(more > 0, "the connection ended after {total} bytes");
+            total += more;
+        }
+        assert!(refused.is_closed().await);
+    });
+}
+
 /// The most bytes that may be written to a node that nobody reads from: far less than without a bound.
 const MAX_UNREAD_BYTES: usize = 2 << 20;
 
--- a/crates/gateway/tests/gateway/support/gateway.rs
+++ b/crates/gateway/tests/gateway/support/gateway.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use hyper::header::HeaderName;
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use woadstage_dispatch::configuration::Configuration;
 use woadstage_dispatch::configuration::Customer;
@@ -28,6 +27,7 @@
 use woadstage_gateway::clock::Clock;
 use woadstage_gateway::connections::Capacity;
 use woadstage_gateway::connections::Limits;
+use woadstage_gateway::connections::listen;
 use woadstage_gateway::headers::Headers;
 use woadstage_gateway::log;
 use woadstage_gateway::log::Log;
@@ -212,6 +212,7 @@
         let suspended: Rc<Cell<Duration>> = Rc::default();
         let counted = suspended.clone();
         let clock = Clock::reading(move || woadstage_clock::since_boot() + counted.get());
+        let buffer = capacity.callers_buffer;
         let shell = Shell::new(
             Dispatcher::new(dispatcher_options()),
             headers(),
@@ -220,9 +221,8 @@
             log,
             metrics,
         );
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("bind to a free port");
+        let any_port = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let listener = listen::listen(any_port, buffer, buffer).expect("bind to a free port");
         let SocketAddr::V4(address) = listener.local_addr().expect("the listener has an address")
         else {
             unreachable!("bound to IPv4");
