fix: a call on a lost link goes on until another attempt can begin

Callers got 502 W3003 "link lost" while all endpoints of a service stood still for a second and a half or more, although their endpoints answered soon after.

A repeatable request was abandoned as soon as its link counted as lost. Only then was it decided whether it could be sent again: without an attempt, a retry of the budget or time left it ended at once, and without an endpoint that was reached it had lost its call and waited for nothing.

The further attempt is now submitted beside the call, under an id of its own and with its retry taken from the budget. The call is closed only when that attempt has been assigned to an endpoint that may still be used, or to a node, and the link is still lost; nothing runs between that check and the close. Then the first attempt ends as lost, as before. If the answer arrives, the link is regained or the caller leaves before that, the further attempt is taken back with its retry.

Test `a_call_waits_for_its_silent_endpoint_if_no_other_can_begin` failed before in both cases (no attempt left; no other endpoint reached): 502 W3003 after 0.7 s in place of the endpoint's 200. A call whose link alone is lost still moves (`a_call_moves_from_a_lost_link_to_an_endpoint_that_is_reached`, which passed before, too).

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -106,4 +106,14 @@
         counts.repeats.push_back(now);
         true
     }
+
+    /// Returns a retry that was taken from the budget at `spent_at` and not made.
+    pub fn refund(&mut self, spent_at: Time, target: &id::Target) {
+        let Some(counts) = self.services.get_mut(target) else {
+            return;
+        };
+        if let Ok(index) = counts.repeats.binary_search(&spent_at) {
+            counts.repeats.remove(index);
+        }
+    }
 }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -40,6 +40,7 @@
 //! * `observe.rs`: records the progress and the end of attempts.
 //! * `measure_load.rs`: records the load that endpoints state.
 //! * `apply_notice.rs`: applies what endpoints state about themselves in answers.
+//! * `supersede.rs`: further attempts for requests whose endpoints this node doesn't reach any more.
 //! * `suspect.rs`: tracks requests suspected of crashing endpoints.
 //! * `tick.rs`: periodic work.
 //! * `share.rs`: exchanges status with other nodes.
@@ -135,6 +136,7 @@
 mod spare;
 mod start;
 mod start_cold;
+mod supersede;
 mod suspect;
 mod take_up;
 mod tick;
@@ -162,6 +164,7 @@
 pub use query::Summary;
 pub use query::Unusable;
 pub use reserve::Charge;
+pub use supersede::Successor;
 pub use suspect::Bar;
 pub use suspect::Change;
 pub use suspect::Evidence;
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -120,11 +120,8 @@
             self.abandon(now, id);
             return Next::Over;
         };
-        self.record_link_evidence(now, &run, end);
-        self.urgent |= run.lease.is_none();
         let target = run.job.target.clone();
-        self.update_quarantine(now, &run, end);
-        let mut job = self.finish_attempt(now, run, end);
+        let mut job = self.conclude(now, run, end);
         let next = match end {
             End::Whole | End::Rejected | End::Abandoned => Next::Over,
             _ => self.next_attempt(now, &mut job, end),
@@ -139,6 +136,14 @@
         next
     }
 
+    /// Removes an attempt from its endpoint's load and records what its end shows.
+    pub(super) fn conclude(&mut self, now: Time, run: Run, end: End) -> Job {
+        self.record_link_evidence(now, &run, end);
+        self.urgent |= run.lease.is_none();
+        self.update_quarantine(now, &run, end);
+        self.finish_attempt(now, run, end)
+    }
+
     /// Records that the answer to a request ends with its connection: only if its endpoint goes on is
     /// that evidence that the request is harmless.
     pub fn doubt_end(&mut self, id: job::Id) {
@@ -277,7 +282,7 @@
         }
     }
 
-    fn next_attempt(&mut self, now: Time, job: &mut Job, end: End) -> Next {
+    pub(super) fn next_attempt(&mut self, now: Time, job: &mut Job, end: End) -> Next {
         if end == End::NotSent {
             job.history.connect_failures += 1;
         } else {
--- a/crates/dispatch/tests/dispatch/budget.rs
+++ b/crates/dispatch/tests/dispatch/budget.rs
@@ -50,3 +50,19 @@
 fn a_service_without_requests_has_no_budget() {
     assert_eq!(budget().remaining(at(0), &id::Target::new("other"), 1), 0);
 }
+
+#[test]
+fn a_retry_that_was_not_made_can_be_taken_again() {
+    let target = id::Target::new("service");
+    let mut budget = budget();
+    budget.record_request(at(0), &target);
+    for millis in 0..9 {
+        assert!(budget.try_spend(at(millis), &target, 1));
+    }
+    budget.refund(at(3), &target);
+    assert!(budget.try_spend(at(10), &target, 1));
+    assert!(!budget.try_spend(at(10), &target, 1));
+    // The retries that were made expire when they would have anyway.
+    assert_eq!(budget.remaining(at(10_003), &target, 1), 3);
+    assert_eq!(budget.remaining(at(10_004), &target, 1), 3);
+}
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -47,6 +47,8 @@
 use super::record;
 use super::record::Context;
 use super::reply::Reply;
+use super::successor;
+use super::successor::Placed;
 use crate::connections::stream::Switch;
 use crate::event::Event;
 use crate::headers::text;
@@ -88,6 +90,8 @@
     pub(super) since_first_try: Span,
     pub(super) job: Option<job::Id>,
     pub(super) decision: Option<oneshot::Receiver<Decision>>,
+    /// The attempt that replaces the present one, the call of which is closed.
+    successor: Option<Placed>,
     units: u64,
     charged_by: ChargedBy,
     pub(super) may_have_run: bool,
@@ -144,6 +148,7 @@
             since_first_try: Span::ZERO,
             job: None,
             decision: None,
+            successor: None,
             charged_by: ChargedBy::Nobody,
             may_have_run: false,
             body_end: None,
@@ -426,14 +431,19 @@
         let can_move = self.admitted.route.may_repeat() && can_resend;
         let call = async {
             tokio::select! {
-                sent = call => sent,
-                () = shell.wait_for_link_loss(endpoint), if can_move => {
-                    Err(CallError::Lost("link lost".into()))
-                }
+                biased;
+                sent = call => Ok(sent),
+                placed = successor::wait(&shell, endpoint, job), if can_move => Err(placed),
             }
         };
-        let sent = shell.timeout_at(self.admitted.deadline, call).await;
-        self.to_caller_fault(sent.unwrap_or(Err(CallError::Late)))
+        match shell.timeout_at(self.admitted.deadline, call).await {
+            Ok(Ok(sent)) => self.to_caller_fault(sent),
+            Ok(Err(placed)) => {
+                self.successor = Some(placed);
+                Err(CallError::Lost("link lost".into()))
+            }
+            Err(_) => self.to_caller_fault(Err(CallError::Late)),
+        }
     }
 
     /// Attributes a failed call to the caller if the rest of its body was faulty.
@@ -518,8 +528,14 @@
             return self.end_forward(node, forward_end, end, detail);
         }
         self.may_have_run |= !end.is_not_run();
-        let (next, decision) = self.shell.end(job, end);
-        self.decision = decision;
+        let next = match self.successor.take() {
+            Some(placed) => self.move_on(job, placed),
+            None => {
+                let (next, decision) = self.shell.end(job, end);
+                self.decision = decision;
+                next
+            }
+        };
         if let Some(endpoint) = self.endpoint.as_ref().filter(|_| end == End::Lost) {
             probe::start_after_loss(&self.shell, endpoint);
         }
@@ -543,6 +559,16 @@
         self.finish_step(next)
     }
 
+    /// Goes on with the attempt that replaces the present one.
+    fn move_on(&mut self, replaced: job::Id, placed: Placed) -> Next {
+        self.job = placed.successor.supersede(replaced);
+        let (sender, decision) = oneshot::channel();
+        // Fails only if the receiver was dropped.
+        let _ = sender.send(placed.decision);
+        self.decision = Some(decision);
+        Next::Again
+    }
+
     /// Takes back an attempt of which nothing was sent. Returns whether the request is tried again.
     fn withdraw_attempt(&mut self) -> bool {
         let Some(job) = self.job else {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -11,6 +11,7 @@
 //! * `forward.rs`: forwards requests to other nodes.
 //! * `hop.rs`: what nodes tell each other about a forwarded request.
 //! * `exchange.rs`: makes attempts at endpoints until there is an answer.
+//! * `successor.rs`: replaces attempts whose links are lost.
 //! * `bind.rs`: binds streams to the version of the software that writes them.
 //! * `outgoing.rs`: builds the requests to endpoints.
 //! * `classify.rs`: classifies an answer by its head.
@@ -73,6 +74,7 @@
 pub(crate) mod record;
 mod relay;
 mod reply;
+mod successor;
 
 use progress::Progress;
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -17,6 +17,7 @@
 use woadstage_dispatch::dispatcher::LinkUpdate;
 use woadstage_dispatch::dispatcher::Next;
 use woadstage_dispatch::dispatcher::StartUpdate;
+use woadstage_dispatch::dispatcher::Successor;
 use woadstage_dispatch::endpoint::Endpoint;
 use woadstage_dispatch::job;
 use woadstage_dispatch::job::End;
@@ -133,8 +134,8 @@
     is_holding: watch::Sender<bool>,
     /// How long the host had been suspended when the node last observed that it runs.
     suspended_before: Cell<Span>,
-    /// The number of link losses so far.
-    link_losses: watch::Sender<u64>,
+    /// The number of changes of links so far.
+    link_changes: watch::Sender<u64>,
     /// The total time for which the host was suspended, as detected so far.
     suspended: watch::Sender<Span>,
     phase: watch::Sender<Phase>,
@@ -179,7 +180,7 @@
             forwarded: Cell::new(0),
             has_unread_messages: Cell::new(false),
             is_holding: watch::Sender::new(false),
-            link_losses: watch::Sender::new(0),
+            link_changes: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Serving),
             answer_deadline: Cell::new(None),
             dispatcher: RefCell::new(dispatcher),
@@ -388,12 +389,32 @@
         (next, decision)
     }
 
-    /// Waits until this node's link to an endpoint is lost.
-    pub async fn wait_for_link_loss(&self, endpoint: &Endpoint) {
-        let mut losses = self.link_losses.subscribe();
-        while !self.query(|dispatcher, _| dispatcher.is_link_lost(endpoint)) {
+    /// Submits a further attempt for a request in progress, if it can be sent again now. Returns it
+    /// with a receiver of its decision.
+    pub fn submit_successor(
+        &self,
+        id: job::Id,
+    ) -> Option<(Successor, oneshot::Receiver<Decision>)> {
+        self.observe();
+        let now = self.now();
+        let successor = self.dispatcher.borrow_mut().submit_successor(now, id)?;
+        let decision = self.register_waiter(successor.job);
+        self.deliver();
+        Some((successor, decision))
+    }
+
+    /// Takes back a further attempt of which nothing was sent.
+    pub fn cancel_successor(&self, successor: &Successor) {
+        self.waiters.borrow_mut().remove(&successor.job);
+        self.command(|dispatcher, now| dispatcher.cancel_successor(now, successor));
+    }
+
+    /// Waits until this node's link to an endpoint is lost, or until it isn't.
+    pub async fn wait_for_link(&self, endpoint: &Endpoint, is_lost: bool) {
+        let mut changes = self.link_changes.subscribe();
+        while self.query(|dispatcher, _| dispatcher.is_link_lost(endpoint)) != is_lost {
             // Fails only if the sender was dropped, and `self` owns it.
-            if losses.changed().await.is_err() {
+            if changes.changed().await.is_err() {
                 return;
             }
         }
@@ -533,8 +554,8 @@
         if matches!(update.change, Change::Lost(_)) {
             let target = Target::Endpoint(update.endpoint.to_instance());
             self.upstream.close_idle_to(&target);
-            self.link_losses.send_modify(|losses| *losses += 1);
         }
+        self.link_changes.send_modify(|changes| *changes += 1);
     }
 
     /// Logs and counts a change of what is known of an endpoint's start.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod requests;
 mod reserved;
 mod settings;
+mod silence;
 mod software;
 mod stop;
 mod streams;
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -264,6 +264,12 @@
     wait_for_metric(node, &line).await;
 }
 
+/// Waits until a node has found its links to this many endpoints lost.
+pub async fn wait_until_lost(node: &Node, endpoints: usize) {
+    let line = format!("woadstage_changes_total{{what=\"link-lost\"}} {endpoints}\n");
+    wait_for_metric(node, &line).await;
+}
+
 async fn wait_for_metric(node: &Node, line: &str) {
     let metrics = SocketAddrV4::new(*node.callers.ip(), 7_002);
     loop {
