fix: a request that was read whole isn't dropped for a new connection

After a pause of a node, and before its first configuration, requests wait before they are admitted. On a full node their callers saw their connections close without an answer as others connected, although their requests had been read whole.

The connection of such a request counted as one whose body is yet to arrive, until the body was read; also if it has none. Those are closed for new connections.

A request without a body, or with none left to read, now counts as in progress as it is handed over. Requests sent ahead still wait for their pace before that.

Test `requests_that_wait_after_a_pause_are_answered_beside_new_connections` failed before: no answer to the first of three requests.

--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -30,6 +30,7 @@
 use futures_util::FutureExt;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -44,6 +45,7 @@
 use crate::clock::to_duration;
 use crate::connections::Handle;
 use crate::connections::Reason;
+use crate::connections::State;
 use crate::connections::Stream;
 use crate::connections::Tracker;
 use crate::connections::listen::ACCEPT_RETRY_DELAY;
@@ -224,6 +226,9 @@
     peer: Handle,
 ) -> Result<Response<Body>, Infallible> {
     let progress = Progress::begin(shell.clock.clone(), peer.tracker.clone()).await;
+    if request.body().is_end_stream() {
+        peer.tracker.set_state(shell.now(), State::Busy);
+    }
     let mut response = match sender {
         Sender::Caller => handle::serve(shell.clone(), request, peer).await,
         Sender::Node => handle::serve_forwarded(shell.clone(), request, peer).await,
--- a/crates/gateway/tests/gateway/pause.rs
+++ b/crates/gateway/tests/gateway/pause.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use woadstage_dispatch::pause::Generation;
+use woadstage_gateway::connections::Limits;
 
 use crate::support::Action;
 use crate::support::Caller;
@@ -70,6 +71,41 @@
     });
 }
 
+/// Guards against requests that were read whole and whose connections are closed for new ones.
+#[test]
+fn requests_that_wait_after_a_pause_are_answered_beside_new_connections() {
+    run(|| async {
+        let worker = Worker::start("e", vec![fine()]).await;
+        let limits = Limits {
+            open: 3,
+            active: 8,
+            ..Limits::default()
+        };
+        let gateway = Gateway::with_callers(&[&worker], limits).await;
+        let mut callers = Vec::new();
+        for _ in 0..3 {
+            callers.push(Caller::connect(&gateway).await);
+        }
+        gateway.confirms.set(false);
+        gateway.suspend(PAUSE);
+        for (number, caller) in callers.iter_mut().enumerate() {
+            caller.request(&format!("id-{number}"), "/once/x", "").await;
+        }
+        let registry = &gateway.shell.registries.callers;
+        while registry.open() < 3 || registry.silent() > 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let mut refused = Caller::connect(&gateway).await;
+        let is_refused = tokio::task::spawn_local(async move { refused.is_closed().await });
+        gateway.wait_for_line(&["\"woke\""]).await;
+        gateway.confirms.set(true);
+        for caller in &mut callers {
+            assert_eq!(caller.answer().await.status, 200);
+        }
+        assert!(is_refused.await.expect("it does not panic"));
+    });
+}
+
 /// Guards against requests that reach an endpoint which left while the connection to it was opened.
 #[test]
 fn a_request_is_withdrawn_if_its_endpoint_leaves_before_it_is_written() {
