fix: a node that stood still past its stop answers before it ends

A node whose process or host stood still until its stop time had passed went through the phases of the stop at once, so that requests in progress, whose waits end at that moment, had only the time in which the log is finished for their last answers. It now waits until they are sent, for as long as is reserved for that. Test `a_node_that_stood_still_past_its_stop_answers_before_it_ends` failed before: one request was held when the stop ended.

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -50,7 +50,9 @@
     shell.set_phase(Phase::Stopped);
     // Lets `serve::accept` accept the connections that are already established.
     tokio::task::yield_now().await;
-    wait_until(shell, deadline, || is_drained(shell)).await;
+    // A process that stood still until the deadline has yet to send its last answers.
+    let drained_by = deadline.max(shell.now() + answers_margin);
+    wait_until(shell, drained_by, || is_drained(shell)).await;
     // Follows the check at once: whatever arrives between them would begin a request.
     shell.set_phase(Phase::Ended);
     log_phase(shell, "stopped");
--- a/crates/gateway/tests/gateway/stop.rs
+++ b/crates/gateway/tests/gateway/stop.rs
@@ -367,6 +367,26 @@
     });
 }
 
+// Guards against requests that a process takes along since it stood still until its stop was over.
+#[test]
+fn a_node_that_stood_still_past_its_stop_answers_before_it_ends() {
+    run(|| async {
+        let worker = Worker::start("e", vec![Action::NoAnswer]).await;
+        let gateway = Rc::new(Gateway::start(&[&worker]).await);
+        let mut caller = Caller::connect(&gateway).await;
+        caller.request("id-1", "/once/x", "").await;
+        gateway.wait_for_line(&["\"sent\"", "id-1"]).await;
+        let suspending = gateway.clone();
+        tokio::task::spawn_local(async move {
+            suspending.shell.wait_for_phase(Phase::Leaving).await;
+            suspending.suspend(Duration::from_secs(10));
+        });
+        stop::stop(&gateway.shell, Span::from_secs(5)).await;
+        assert_eq!(gateway.shell.query(|dispatcher, _| dispatcher.held()), 0);
+        assert_eq!(caller.answer().await.status, 504);
+    });
+}
+
 // Guards against a caller that is told that its body was late, where its node ended.
 #[test]
 fn a_request_whose_body_is_arriving_as_a_planned_stop_ends_is_told_to_return() {
