--- a/crates/woadstage/tests/e2e/stop.rs
+++ b/crates/woadstage/tests/e2e/stop.rs
@@ -72,8 +72,12 @@
     a_call_that_a_second_signal_aborts_is_answered_as_unknown => run(async {
         let mut fleet = one_node().await?;
         fleet.roster[0].set(service::Control { mute: true, ..Default::default() });
-        let uri = format!("http://{}/services/roster/check", fleet.nodes[0].callers);
-        let call = tokio::spawn(async move { caller().send("POST", &uri, &[], "call").await });
+        let node = fleet.nodes[0].callers.clone();
+        // A call without a key would be tried again.
+        let key = caller().ticket(&node).await?;
+        let call = tokio::spawn(async move {
+            caller().confirm(&node, "shift-confirmation", &key, "call").await
+        });
         until("the service runs it", || async { fleet.roster_runs("call") == 1 }).await;
         abort(&fleet).await?;
         let answer = call.await??;
