test: calls that wait for silent endpoints go to one each

The test failed once in a run of the whole suite, since both calls had gone to one endpoint: they were sent at the same moment. The second is sent once the first has arrived.

--- a/crates/gateway/tests/gateway/silence.rs
+++ b/crates/gateway/tests/gateway/silence.rs
@@ -73,7 +73,10 @@
     run(move || async move {
         let proceed = Rc::new(Notify::new());
         let (node, workers) = start(attempts, &proceed).await;
-        let calls = [send(node.callers, "r1"), send(node.callers, "r2")];
+        // The second goes to the endpoint that has no call in progress.
+        let first = send(node.callers, "r1");
+        wait_until_received(&workers, 1).await;
+        let calls = [first, send(node.callers, "r2")];
         wait_until_received(&workers, 2).await;
         assert_eq!(workers.each_ref().map(received), [1, 1]);
         node.cut(Cut::Hang);
