--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -230,7 +230,11 @@
             ended = &mut self.driver => (ended, Stop::Complete),
             () = time => {
                 handle.send(Input::Event(Event::Abort));
-                ((&mut self.driver).await, Stop::Aborted)
+                let aborting = tokio::time::timeout(LAST_ANSWERS_TIMEOUT, &mut self.driver);
+                let Ok(ended) = aborting.await else {
+                    return Ok(Stop::Aborted);
+                };
+                (ended, Stop::Aborted)
             }
         };
         match ended {
