refactor: waits and refusals of a stopping gateway have names of their own

A wait for quota was a future that is never ready within a time limit, and the refusal of a stopping node was put together in two places. `Shell::sleep_until` and `Exchange::to_stop_refusal` say what they are. Comments on the counts of connections named callers alone, and that on which connections give way did not say what it was for.

--- a/crates/gateway/src/connections/registry.rs
+++ b/crates/gateway/src/connections/registry.rs
@@ -119,10 +119,10 @@
 }
 
 impl Entry {
-    /// Whether it may be closed for another connection, unless it is silent.
+    /// Whether it belongs in [`Inner::waiting`].
     fn gives_way(&self) -> bool {
         let is_waiting = matches!(self.state.get(), State::Head | State::Body | State::Idle);
-        // What is still to be written would be lost.
+        // An answer that is still being written would be lost.
         is_waiting && self.stalled.get().is_none()
     }
 
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -57,6 +57,7 @@
     non_empty: Condvar,
     /// Whether the process ends, so that lines are written at once.
     is_urgent: AtomicBool,
+    /// Notified when `is_urgent` is set.
     urgent: Condvar,
     /// Whether the thread has taken lines that it is still writing.
     is_writing: AtomicBool,
@@ -106,10 +107,10 @@
         let lines = waiting.unwrap_or_else(PoisonError::into_inner);
         let is_collecting = |_: &mut Vec<u8>| !self.is_urgent.load(Ordering::Relaxed);
         let interval = self.options.flush_interval;
-        drop(
-            self.urgent
-                .wait_timeout_while(lines, interval, is_collecting),
-        );
+        let collected = self
+            .urgent
+            .wait_timeout_while(lines, interval, is_collecting);
+        drop(collected);
         self.write_waiting(to);
     }
 
--- a/crates/gateway/src/serve/charge.rs
+++ b/crates/gateway/src/serve/charge.rs
@@ -75,7 +75,7 @@
                 })
             }
             Charge::Wait(until) => {
-                let _ = shell.timeout_at(until, std::future::pending::<()>()).await;
+                shell.sleep_until(until).await;
                 if !shell.may_pass_on() {
                     return Err(closing::to_refusal(shell, admitted));
                 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -282,7 +282,7 @@
         };
         self.forwarded_to = None;
         if !self.shell.may_pass_on() {
-            return Err(self.to_refusal(closing::to_refusal(&self.shell, &self.admitted)));
+            return Err(self.to_stop_refusal());
         }
         match self
             .shell
@@ -326,9 +326,7 @@
                 self.record_take_up();
                 Err(self.to_refusal(refusal.into()))
             }
-            Err(_) if self.shell.must_have_answered() => {
-                Err(self.to_refusal(closing::to_refusal(&self.shell, &self.admitted)))
-            }
+            Err(_) if self.shell.must_have_answered() => Err(self.to_stop_refusal()),
             Ok(Err(_)) | Err(_) => {
                 let admission = |job| {
                     self.shell
@@ -358,6 +356,11 @@
         Some((Target::Endpoint(endpoint.to_instance()), max_idle))
     }
 
+    /// Returns the reply to a request that is not passed on, since this node is stopping.
+    fn to_stop_refusal(&self) -> Reply {
+        self.to_refusal(closing::to_refusal(&self.shell, &self.admitted))
+    }
+
     /// Returns the refusal, or `EndpointLost` if an earlier attempt may have run. Logs a barred
     /// request.
     pub(super) fn to_refusal(&self, reply: Reply) -> Reply {
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -112,9 +112,9 @@
     pub piece_rate: Rc<PieceRate>,
     /// The connections that others opened to this node.
     pub registries: Registries,
-    /// The number of open connections that callers opened before [`Phase::Closing`].
+    /// The number of connections opened before [`Phase::Closing`] on which something has arrived.
     pub connections: Cell<usize>,
-    /// The number of open connections that callers opened in [`Phase::Closing`] or later.
+    /// The number of connections on which something has arrived first in [`Phase::Closing`] or later.
     pub late_connections: Cell<usize>,
     /// Sends messages to other nodes.
     pub peers: peers::Sender,
@@ -250,6 +250,12 @@
         }
     }
 
+    /// Waits until a time, or until all answers must have been sent.
+    pub async fn sleep_until(&self, time: Time) {
+        // A future that is never ready always ends by the time limit.
+        let _ = self.timeout_at(time, std::future::pending::<()>()).await;
+    }
+
     /// Returns the phase of the shutdown.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
